--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Measurements of hooktrestle.
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,45 @@
+//! `hooktrestle`: the operators' command-line tool.
+//!
+//! It edits rows of the one table and reads what became of them; all else follows from the rows.
+
+mod flags;
+mod rows;
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use eyre::Result;
+use hooktrestle_platform::Platform;
+
+use crate::flags::HooktrestleCmd;
+
+/// Longest wait for one answer of the platform.
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(10);
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let flags = flags::Hooktrestle::from_env_or_exit();
+    match run(flags).await {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("hooktrestle: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(flags: flags::Hooktrestle) -> Result<ExitCode> {
+    let url = flags.platform.unwrap_or_else(|| "http://127.0.0.1:7400".to_owned());
+    let platform = Platform::new(hooktrestle_platform::Config {
+        table_url: url.clone(),
+        object_url: url.clone(),
+        instances_url: format!("{url}/v1/instances"),
+        timeout: PLATFORM_TIMEOUT,
+    })?;
+    match flags.subcommand {
+        HooktrestleCmd::Get(get) => rows::get(&platform, &get.row).await,
+        HooktrestleCmd::Set(set) => rows::set(&platform, &set.row, &set.fields).await,
+        HooktrestleCmd::Export(_) => rows::export(&platform).await,
+        HooktrestleCmd::Import(import) => rows::import(&platform, &import.file).await,
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,36 @@
+//! Every decision of hooktrestle, without I/O.
+//!
+//! No sockets, no clock, no randomness of its own: events and `now` come in, and small enums of
+//! what to do next go out. The daemon's actors feed these machines and carry out what they say;
+//! tests and benches drive them directly.
+//!
+//! At a gateway:
+//! - [`attempt`]: one request, from its first attempt to its one final answer.
+//! - [`routing`]: which backend server gets it.
+//! - [`retry`]: how many attempts failures may cost.
+//!
+//! At a sidecar:
+//! - [`dispatch`]: queues, starts, refuses, and knows what ran.
+//! - [`fair_queue`]: whose request goes next.
+//! - [`once`]: the tickets of requests that are not repeatable.
+//!
+//! Everywhere:
+//! - [`rows`]: the operators' table.
+//! - [`acceptance`]: edited rows to the next configuration.
+//! - [`config`]: the configuration in force.
+//! - [`verdict`]: whether a request may have run.
+//! - [`clock`], [`id`], [`util`]: time, names, arenas.
+
+pub mod acceptance;
+pub mod attempt;
+pub mod clock;
+pub mod config;
+pub mod dispatch;
+pub mod fair_queue;
+pub mod id;
+pub mod once;
+pub mod retry;
+pub mod routing;
+pub mod rows;
+pub mod util;
+pub mod verdict;
--- /dev/null
+++ b/crates/core/src/util.rs
@@ -0,0 +1,4 @@
+//! Shared primitives.
+
+pub mod arena;
+pub mod hash;
--- /dev/null
+++ b/crates/embedded/src/fleet.rs
@@ -0,0 +1,256 @@
+//! Starting, stopping and configuring the path's processes.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use eyre::Result;
+use hooktrestle_core::rows::ROWS;
+use hooktrestle_fakes::app::FakeApp;
+use hooktrestle_fakes::engine::Behaviour;
+use hooktrestle_fakes::engine::FakeEngine;
+use hooktrestle_fakes::platform::FakePlatform;
+use hooktrestle_platform::Platform;
+use hooktrestle_schema::Instance;
+use hooktrestle_schema::InstanceRole;
+use hooktrestle_schema::InstanceState;
+use hooktrestle_schema::RowCheck;
+use hooktrestle_schema::RowWrite;
+use hooktrestle_schema::Settings;
+use hooktrestled::config_keeper;
+use hooktrestled::gateway::Gateway;
+use hooktrestled::settings;
+use hooktrestled::sidecar::Sidecar;
+use serde_json::Value;
+use sha2::Digest;
+use sha2::Sha256;
+use spdlog::Level;
+use spdlog::LevelFilter;
+
+/// The shared link key of an embedded fleet.
+pub const LINK_KEY: &str = "embedded-link-key";
+
+/// A backend server: what stands behind a sidecar.
+#[derive(Debug)]
+pub enum Backend {
+    /// A model engine.
+    Engine(FakeEngine),
+    /// A plain application service.
+    App(FakeApp),
+}
+
+/// A whole path.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The platform's stand-in.
+    pub fake: FakePlatform,
+    /// A client of it, as operators use one.
+    pub platform: Platform,
+    /// Gateways by name.
+    pub gateways: BTreeMap<String, Gateway>,
+    /// Sidecars by name.
+    pub sidecars: BTreeMap<String, Sidecar>,
+    /// Backend servers by their sidecar's name.
+    pub backends: BTreeMap<String, Backend>,
+}
+
+/// SHA-256 of an account's key, as its row holds it.
+pub fn key_sha256_hex(key: &str) -> String {
+    hex::encode(Sha256::digest(key.as_bytes()))
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+impl Fleet {
+    /// A platform, and nothing else yet.
+    ///
+    /// # Errors
+    ///
+    /// No free port.
+    pub async fn start() -> Result<Fleet> {
+        // Whoever embeds a fleet reads its own output, not that of a dozen processes.
+        spdlog::default_logger().set_level_filter(LevelFilter::MoreSevereEqual(Level::Error));
+        let fake = FakePlatform::start(loopback()).await?;
+        let platform = Platform::new(hooktrestle_platform::Config {
+            table_url: fake.url(),
+            object_url: fake.url(),
+            instances_url: fake.instances_url(),
+            timeout: Duration::from_secs(5),
+        })?;
+        Ok(Fleet {
+            fake,
+            platform,
+            gateways: BTreeMap::new(),
+            sidecars: BTreeMap::new(),
+            backends: BTreeMap::new(),
+        })
+    }
+
+    /// Starts a gateway and lists it.
+    ///
+    /// # Errors
+    ///
+    /// It cannot start.
+    pub async fn add_gateway(&mut self, name: &str, data_centre: &str) -> Result<()> {
+        let settings = self.settings(name, "gateway", data_centre, "")?;
+        let gateway = Gateway::start(&settings).await?;
+        self.list(name, data_centre, InstanceRole::Gateway, gateway.address);
+        self.gateways.insert(name.to_owned(), gateway);
+        Ok(())
+    }
+
+    /// Starts a model engine with its sidecar, and lists that.
+    ///
+    /// # Errors
+    ///
+    /// They cannot start.
+    pub async fn add_engine(
+        &mut self,
+        name: &str,
+        data_centre: &str,
+        behaviour: Behaviour,
+    ) -> Result<()> {
+        let engine = FakeEngine::start(loopback(), behaviour).await?;
+        self.add_sidecar(name, data_centre, &engine.url()).await?;
+        self.backends.insert(name.to_owned(), Backend::Engine(engine));
+        Ok(())
+    }
+
+    /// Starts a plain application service with its sidecar, and lists that.
+    ///
+    /// # Errors
+    ///
+    /// They cannot start.
+    pub async fn add_app(&mut self, name: &str, data_centre: &str) -> Result<()> {
+        let app = FakeApp::start(loopback()).await?;
+        self.add_sidecar(name, data_centre, &app.url()).await?;
+        self.backends.insert(name.to_owned(), Backend::App(app));
+        Ok(())
+    }
+
+    /// Starts a sidecar before a backend server that runs already, and lists it.
+    ///
+    /// # Errors
+    ///
+    /// It cannot start.
+    pub async fn add_sidecar(&mut self, name: &str, data_centre: &str, url: &str) -> Result<()> {
+        let section = format!("[sidecar]\nbackend_url = {url}\n");
+        let settings = self.settings(name, "sidecar", data_centre, &section)?;
+        let sidecar = Sidecar::start(&settings).await?;
+        self.list(name, data_centre, InstanceRole::Sidecar, sidecar.address);
+        self.sidecars.insert(name.to_owned(), sidecar);
+        Ok(())
+    }
+
+    /// Replaces a sidecar by a new one with an empty memory, before the same backend server.
+    ///
+    /// # Errors
+    ///
+    /// The new one cannot start.
+    pub async fn restart_sidecar(&mut self, name: &str, data_centre: &str) -> Result<()> {
+        drop(self.sidecars.remove(name));
+        let url = match &self.backends[name] {
+            Backend::Engine(engine) => engine.url(),
+            Backend::App(app) => app.url(),
+        };
+        self.add_sidecar(name, data_centre, &url).await
+    }
+
+    /// A model engine by its sidecar's name.
+    ///
+    /// # Panics
+    ///
+    /// If there is none.
+    pub fn engine(&self, name: &str) -> &FakeEngine {
+        match &self.backends[name] {
+            Backend::Engine(engine) => engine,
+            Backend::App(_) => panic!("{name} is no engine"),
+        }
+    }
+
+    /// A plain application service by its sidecar's name.
+    ///
+    /// # Panics
+    ///
+    /// If there is none.
+    pub fn app(&self, name: &str) -> &FakeApp {
+        match &self.backends[name] {
+            Backend::App(app) => app,
+            Backend::Engine(_) => panic!("{name} is no app"),
+        }
+    }
+
+    /// Writes rows, as an operator does, whatever they were before; null deletes.
+    ///
+    /// # Errors
+    ///
+    /// An outage.
+    pub async fn edit(&self, rows: &[(&str, Value)]) -> Result<()> {
+        let mut checks = Vec::new();
+        let mut writes = Vec::new();
+        for (key, value) in rows {
+            let old = self.platform.row(ROWS, key).await?;
+            let (table, key) = (ROWS.to_owned(), (*key).to_owned());
+            let version = old.map_or(0, |row| row.version);
+            checks.push(RowCheck { table: table.clone(), key: key.clone(), version });
+            writes.push(RowWrite { table, key, value: value.clone() });
+        }
+        self.platform.transact(checks, writes).await?;
+        Ok(())
+    }
+
+    /// Waits until a configuration for which `reached` holds is in force in every process.
+    pub async fn wait_in_force(&self, reached: impl Fn(&hooktrestle_core::config::Config) -> bool) {
+        let gateways = self.gateways.values().map(Gateway::config);
+        let sidecars = self.sidecars.values().map(Sidecar::config);
+        for mut watch in gateways.chain(sidecars).collect::<Vec<config_keeper::Watch>>() {
+            // An error means that the process has ended: it holds nothing in force.
+            let _ =
+                watch.wait_for(|now| now.as_ref().is_some_and(|now| reached(&now.config))).await;
+        }
+    }
+
+    /// Waits until every gateway has a link to so many backend servers of a service.
+    pub async fn wait_linked(&self, service: &str, servers: usize) {
+        for gateway in self.gateways.values() {
+            gateway.wait_linked(service, servers).await;
+        }
+    }
+
+    /// Any gateway's base URL.
+    ///
+    /// # Panics
+    ///
+    /// If there is no gateway of that name.
+    pub fn url(&self, gateway: &str) -> String {
+        format!("http://{}", self.gateways[gateway].address)
+    }
+
+    fn list(&self, name: &str, data_centre: &str, role: InstanceRole, address: SocketAddr) {
+        self.fake.list_instance(Instance {
+            name: name.to_owned(),
+            data_centre: data_centre.to_owned(),
+            role,
+            address: address.to_string(),
+            state: InstanceState::Live,
+        });
+    }
+
+    /// Settings as a file would hold them, with short spans: nothing here is far away.
+    fn settings(&self, name: &str, role: &str, data_centre: &str, more: &str) -> Result<Settings> {
+        let url = self.fake.url();
+        let instances_url = self.fake.instances_url();
+        let text = format!(
+            "[instance]\nname = {name}\nrole = {role}\ndata_centre = {data_centre}\n\
+             listen = 127.0.0.1:0\n\
+             [platform]\ntable_url = {url}\nobject_url = {url}\ninstances_url = {instances_url}\n\
+             poll_ms = 100\n\
+             [links]\nkeys = {LINK_KEY}\nheartbeat_ms = 50\n\
+             [gateway]\nkeep_endpoints_ms = 500\n{more}"
+        );
+        Ok(settings::parse(name, &text)?)
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/app.rs
@@ -0,0 +1,76 @@
+//! A plain application service: echoes what it gets.
+//!
+//! Any method and path. The answer's body is the request's; its marker in the ledger is the
+//! request's path.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+
+use bytes::Buf;
+use bytes::BytesMut;
+use eyre::Result;
+use futures_util::Stream;
+use futures_util::TryStreamExt;
+use warp::Filter;
+use warp::Reply;
+use warp::http::StatusCode;
+
+use crate::ledger::Ledger;
+use crate::serve::Served;
+use crate::serve::serve;
+
+/// An application service that stops when it is dropped.
+#[derive(Debug)]
+pub struct FakeApp {
+    /// What really ran.
+    pub ledger: Ledger,
+    served: Served,
+}
+
+impl FakeApp {
+    /// Starts one; port 0 picks a free port.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be bound.
+    pub async fn start(listen: SocketAddr) -> Result<FakeApp> {
+        let ledger = Ledger::default();
+        let seen = ledger.clone();
+        let routes = warp::path::full()
+            .and(warp::body::stream())
+            .then(move |path: warp::path::FullPath, body| {
+                let ledger = seen.clone();
+                async move { echo(path.as_str(), body, &ledger).await }
+            })
+            .recover(|_| async { Ok::<_, Infallible>(StatusCode::BAD_REQUEST) })
+            .map(Reply::into_response);
+        let served = serve(listen, routes).await?;
+        Ok(FakeApp { ledger, served })
+    }
+
+    /// Its base URL.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.served.address)
+    }
+}
+
+async fn echo<B: Buf>(
+    marker: &str,
+    body: impl Stream<Item = Result<B, warp::Error>>,
+    ledger: &Ledger,
+) -> warp::reply::Response {
+    ledger.start(marker);
+    let gathered = body
+        .try_fold(BytesMut::new(), |mut whole, mut piece| async move {
+            whole.extend_from_slice(&piece.copy_to_bytes(piece.remaining()));
+            Ok(whole)
+        })
+        .await;
+    match gathered {
+        Ok(whole) => {
+            ledger.finish(marker);
+            whole.to_vec().into_response()
+        }
+        Err(_) => StatusCode::BAD_REQUEST.into_response(),
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/engine.rs
@@ -0,0 +1,208 @@
+//! A model engine: batches continuously, streams answers token by token.
+//!
+//! `POST /v1/chat/completions` in the usual form. The last message's content is the request's
+//! marker; the answer repeats it with a count, so that a test sees whose answer it holds and
+//! whether it is whole.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eyre::Result;
+use futures_util::stream;
+use http::Response;
+use serde_json::Value;
+use serde_json::json;
+use tokio::sync::watch;
+use warp::Filter;
+use warp::Reply;
+
+use crate::ledger::Ledger;
+use crate::serve::Served;
+use crate::serve::serve;
+
+/// Header by which a backend server says that it refused a request before running any of it.
+pub const NOT_RUN_HEADER: &str = "x-hooktrestle-not-run";
+
+/// Largest request body.
+const BODY_LIMIT_BYTES: u64 = 16 << 20;
+
+/// Tokens of an answer whose request names no number.
+const DEFAULT_TOKENS: u64 = 16;
+
+/// How an engine works, and misbehaves.
+#[derive(Clone, Copy, Debug)]
+pub struct Behaviour {
+    /// Time of one step: one token for each running request.
+    pub step: Duration,
+    /// Refuses new requests before running any of them.
+    pub refuse: bool,
+    /// Makes no progress.
+    pub stalled: bool,
+    /// Breaks each answer off after this many tokens.
+    pub break_after: Option<u64>,
+}
+
+impl Default for Behaviour {
+    fn default() -> Self {
+        Behaviour {
+            step: Duration::from_millis(1),
+            refuse: false,
+            stalled: false,
+            break_after: None,
+        }
+    }
+}
+
+/// An engine that stops, cutting everything off, when it is dropped.
+#[derive(Debug)]
+pub struct FakeEngine {
+    /// What really ran.
+    pub ledger: Ledger,
+    behaviour: Arc<watch::Sender<Behaviour>>,
+    served: Served,
+}
+
+#[derive(Debug)]
+struct Answer {
+    marker: String,
+    tokens: u64,
+    next: u64,
+    ledger: Ledger,
+    behaviour: watch::Receiver<Behaviour>,
+}
+
+impl FakeEngine {
+    /// Starts one; port 0 picks a free port.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be bound.
+    pub async fn start(listen: SocketAddr, behaviour: Behaviour) -> Result<FakeEngine> {
+        let ledger = Ledger::default();
+        let behaviour = Arc::new(watch::Sender::new(behaviour));
+        let routes = routes(ledger.clone(), Arc::clone(&behaviour));
+        let served = serve(listen, routes).await?;
+        Ok(FakeEngine { ledger, behaviour, served })
+    }
+
+    /// Its base URL.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.served.address)
+    }
+
+    /// Works differently from now on.
+    pub fn set_behaviour(&self, behaviour: Behaviour) {
+        self.behaviour.send_replace(behaviour);
+    }
+}
+
+fn routes(
+    ledger: Ledger,
+    behaviour: Arc<watch::Sender<Behaviour>>,
+) -> impl Filter<Extract = (warp::reply::Response,), Error = Infallible> + Clone + Send + Sync + 'static
+{
+    let seen = ledger.clone();
+    let chat = warp::post()
+        .and(warp::path!("v1" / "chat" / "completions"))
+        .and(warp::body::content_length_limit(BODY_LIMIT_BYTES))
+        .and(warp::body::json())
+        .then(move |body: Value| chat(body, ledger.clone(), behaviour.subscribe()));
+    let ledger = warp::get().and(warp::path!("fake" / "ledger")).map(move || {
+        let all = seen.all();
+        let rows = all.into_iter().map(|(marker, entry)| {
+            json!({ "marker": marker, "started": entry.started, "finished": entry.finished })
+        });
+        warp::reply::json(&rows.collect::<Vec<_>>()).into_response()
+    });
+    chat.or(ledger)
+        .unify()
+        .recover(|_| async { Ok::<_, Infallible>(warp::http::StatusCode::BAD_REQUEST) })
+        .map(Reply::into_response)
+}
+
+async fn chat(
+    body: Value,
+    ledger: Ledger,
+    behaviour: watch::Receiver<Behaviour>,
+) -> warp::reply::Response {
+    if behaviour.borrow().refuse {
+        let refusal = Response::builder().status(503).header(NOT_RUN_HEADER, "true");
+        return refusal.body(String::new()).expect("a valid response").into_response();
+    }
+    let marker = body["messages"]
+        .as_array()
+        .and_then(|messages| messages.last())
+        .and_then(|message| message["content"].as_str())
+        .unwrap_or_default()
+        .to_owned();
+    ledger.start(&marker);
+    let tokens = body["max_tokens"].as_u64().unwrap_or(DEFAULT_TOKENS);
+    let stream = body["stream"].as_bool().unwrap_or(false);
+    let answer = Answer { marker, tokens, next: 0, ledger, behaviour };
+    if stream { answer.into_stream() } else { answer.into_whole().await }
+}
+
+impl Answer {
+    /// Server-sent events, one a token; an error breaks the connection off.
+    fn into_stream(self) -> warp::reply::Response {
+        let events = stream::unfold(Some(self), |answer| async move {
+            let mut answer = answer?;
+            match answer.step().await {
+                Ok(Some(event)) => Some((Ok::<Bytes, std::io::Error>(event), Some(answer))),
+                Ok(None) => None,
+                Err(error) => Some((Err(error), None)),
+            }
+        });
+        let reply = warp::reply::stream(events);
+        warp::reply::with_header(reply, "content-type", "text/event-stream").into_response()
+    }
+
+    async fn into_whole(mut self) -> warp::reply::Response {
+        let mut content = String::new();
+        loop {
+            match self.token().await {
+                Ok(Some(token)) => content.push_str(&token),
+                Ok(None) => break,
+                Err(_) => return warp::http::StatusCode::INTERNAL_SERVER_ERROR.into_response(),
+            }
+        }
+        self.ledger.finish(&self.marker);
+        let message = json!({ "role": "assistant", "content": content });
+        let choice = json!({ "index": 0, "message": message, "finish_reason": "stop" });
+        warp::reply::json(&json!({ "object": "chat.completion", "choices": [choice] }))
+            .into_response()
+    }
+
+    /// The next event of a stream; the one after the last token says that it is whole.
+    async fn step(&mut self) -> std::io::Result<Option<Bytes>> {
+        if self.next > self.tokens {
+            return Ok(None);
+        }
+        if let Some(token) = self.token().await? {
+            let delta = json!({ "choices": [{ "index": 0, "delta": { "content": token } }] });
+            return Ok(Some(Bytes::from(format!("data: {delta}\n\n"))));
+        }
+        self.next += 1;
+        self.ledger.finish(&self.marker);
+        Ok(Some(Bytes::from_static(b"data: [DONE]\n\n")))
+    }
+
+    async fn token(&mut self) -> std::io::Result<Option<String>> {
+        if self.next >= self.tokens {
+            return Ok(None);
+        }
+        let step = self.behaviour.borrow().step;
+        tokio::time::sleep(step).await;
+        // Waits out a stall; a dropped sender means that the engine has stopped.
+        let _ = self.behaviour.wait_for(|behaviour| !behaviour.stalled).await;
+        if self.behaviour.borrow().break_after.is_some_and(|limit| self.next >= limit) {
+            return Err(std::io::Error::other("told to break off"));
+        }
+        let token = format!("{}#{} ", self.marker, self.next);
+        self.next += 1;
+        Ok(Some(token))
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/serve.rs
@@ -0,0 +1,33 @@
+//! Serving a warp filter on loopback until its handle is dropped.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+
+use eyre::Result;
+use tokio::net::TcpListener;
+use tokio::task::AbortHandle;
+use warp::Filter;
+use warp::reply::Response;
+
+/// A server that stops, cutting everything off, when this is dropped.
+#[derive(Debug)]
+pub(crate) struct Served {
+    pub(crate) address: SocketAddr,
+    task: AbortHandle,
+}
+
+impl Drop for Served {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+pub(crate) async fn serve<F>(listen: SocketAddr, routes: F) -> Result<Served>
+where
+    F: Filter<Extract = (Response,), Error = Infallible> + Clone + Send + Sync + 'static,
+{
+    let listener = TcpListener::bind(listen).await?;
+    let address = listener.local_addr()?;
+    let task = tokio::spawn(warp::serve(routes).incoming(listener).run()).abort_handle();
+    Ok(Served { address, task })
+}
--- /dev/null
+++ b/crates/hooktrestle/examples/quickstart.rs
@@ -0,0 +1,154 @@
+//! The whole path in one process: two users' services, real requests, a worker drained under load.
+//!
+//! Everything listens on loopback with free ports and ends by itself. The last line counts the
+//! requests; the exit status is 0 only if each was answered whole.
+
+use std::process::ExitCode;
+
+use eyre::Result;
+use hooktrestle_embedded::Caller;
+use hooktrestle_embedded::Fleet;
+use hooktrestle_embedded::Outcome;
+use hooktrestle_embedded::caller::finish;
+use hooktrestle_embedded::key_sha256_hex;
+use hooktrestle_fakes::engine::Behaviour;
+use serde_json::Value;
+use serde_json::json;
+use tokio::task::JoinSet;
+
+const KEY: &str = "quickstart-key";
+const ENGINES: usize = 4;
+const LOAD_REQUESTS: usize = 120;
+const LOAD_TOKENS: u64 = 60;
+
+/// How the requests ended.
+#[derive(Default)]
+struct Tally {
+    answered: usize,
+    failed: usize,
+    cut_off: usize,
+}
+
+impl Tally {
+    fn count(&mut self, outcome: &Outcome) {
+        match outcome {
+            Outcome::Whole(_) => self.answered += 1,
+            Outcome::Refused { .. } => self.failed += 1,
+            Outcome::CutOff(_) => self.cut_off += 1,
+        }
+    }
+}
+
+#[tokio::main]
+async fn main() -> Result<ExitCode> {
+    let fleet = start().await?;
+    let mut tally = Tally::default();
+    stream_one(&fleet, &mut tally).await?;
+    call_plain(&fleet, &mut tally).await?;
+    drain_under_load(&fleet, &mut tally).await?;
+    let Tally { answered, failed, cut_off } = tally;
+    println!("quickstart: {answered} answered, {failed} failed, {cut_off} cut off");
+    let good = failed == 0 && cut_off == 0;
+    Ok(if good { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+/// Starts two gateways, the model services `hints` and `recap`, and the plain services `puzzles`
+/// and `reader`.
+async fn start() -> Result<Fleet> {
+    println!("starting the platform's stand-in, 2 gateways, {} backend servers", 2 * ENGINES + 2);
+    let mut fleet = Fleet::start().await?;
+    let mut rows = vec![
+        ("data_centre:dc-1".to_owned(), json!({ "region": "home" })),
+        ("account:reader".to_owned(), json!({ "key_sha256_hex": key_sha256_hex(KEY) })),
+    ];
+    for name in ["entry-1", "entry-2"] {
+        fleet.add_gateway(name, "dc-1").await?;
+    }
+    for service in ["hints", "recap"] {
+        rows.push((format!("service:{service}"), json!({ "kind": "model" })));
+        for number in 1..=ENGINES {
+            let name = format!("{service}-{number}");
+            fleet.add_engine(&name, "dc-1", Behaviour::default()).await?;
+            rows.push(server_row(&name, service));
+        }
+    }
+    for service in ["puzzles", "reader"] {
+        rows.push((format!("service:{service}"), json!({ "kind": "plain" })));
+        let name = format!("{service}-1");
+        fleet.add_app(&name, "dc-1").await?;
+        rows.push(server_row(&name, service));
+    }
+    let edits: Vec<(&str, Value)> =
+        rows.iter().map(|(key, value)| (key.as_str(), value.clone())).collect();
+    fleet.edit(&edits).await?;
+    fleet.wait_in_force(|config| config.servers.len() == 2 * ENGINES + 2).await;
+    for service in ["hints", "recap"] {
+        fleet.wait_linked(service, ENGINES).await;
+    }
+    for service in ["puzzles", "reader"] {
+        fleet.wait_linked(service, 1).await;
+    }
+    println!("{} rows accepted and in force everywhere", rows.len());
+    Ok(fleet)
+}
+
+fn server_row(name: &str, service: &str) -> (String, Value) {
+    let row = json!({ "service": service, "data_centre": "dc-1" });
+    (format!("backend_server:{name}"), row)
+}
+
+async fn stream_one(fleet: &Fleet, tally: &mut Tally) -> Result<()> {
+    let caller = Caller::new(&fleet.url("entry-1"), KEY)?;
+    let mut response = caller.chat("hints", "clue", 12, true).send().await?;
+    println!("a streamed answer:");
+    let mut whole = false;
+    while let Some(piece) = response.chunk().await? {
+        let text = String::from_utf8_lossy(&piece).into_owned();
+        whole |= text.contains("[DONE]");
+        print!("{text}");
+    }
+    let end = if whole { Outcome::Whole(String::new()) } else { Outcome::CutOff(String::new()) };
+    tally.count(&end);
+    Ok(())
+}
+
+async fn call_plain(fleet: &Fleet, tally: &mut Tally) -> Result<()> {
+    let caller = Caller::new(&fleet.url("entry-2"), KEY)?;
+    for service in ["puzzles", "reader"] {
+        let outcome = finish(caller.plain(service, "saved/42", "progress".to_owned())).await?;
+        println!("{service}: {outcome:?}");
+        tally.count(&outcome);
+    }
+    Ok(())
+}
+
+/// Sends many requests to both model services and drains one worker of each meanwhile.
+async fn drain_under_load(fleet: &Fleet, tally: &mut Tally) -> Result<()> {
+    println!("{LOAD_REQUESTS} requests, while hints-1 and recap-1 are drained");
+    let mut calls = JoinSet::new();
+    for number in 0..LOAD_REQUESTS {
+        let gateway = if number % 2 == 0 { "entry-1" } else { "entry-2" };
+        let service = if number % 4 < 2 { "hints" } else { "recap" };
+        let caller = Caller::new(&fleet.url(gateway), KEY)?;
+        let call = caller.chat(service, &format!("load-{number}"), LOAD_TOKENS, true);
+        calls.spawn(finish(call));
+        if number == LOAD_REQUESTS / 2 {
+            drain(fleet).await?;
+        }
+    }
+    while let Some(outcome) = calls.join_next().await {
+        let outcome = outcome??;
+        if !matches!(outcome, Outcome::Whole(_)) {
+            println!("{outcome:?}");
+        }
+        tally.count(&outcome);
+    }
+    Ok(())
+}
+
+async fn drain(fleet: &Fleet) -> Result<()> {
+    let row = |service: &str| json!({ "service": service, "data_centre": "dc-1", "drain": true });
+    let edits =
+        [("backend_server:hints-1", row("hints")), ("backend_server:recap-1", row("recap"))];
+    fleet.edit(&edits).await
+}
--- /dev/null
+++ b/crates/hooktrestled/src/gateway.rs
@@ -0,0 +1,168 @@
+//! The process on an entry instance: callers' HTTP in, links to sidecars out.
+//!
+//! - [`http`]: what callers see.
+//! - [`drive`]: one request, from its first attempt to its final answer.
+//! - [`router`]: the actor that chooses backend servers and keeps the links' state.
+//! - [`links`]: keeps one link to each sidecar open.
+//! - [`endpoints`]: which gateways callers should use.
+//! - [`tickets`]: the keys of requests that are not repeatable.
+//! - [`body`]: a caller's body, kept for another attempt while it is small.
+
+mod body;
+mod drive;
+mod endpoints;
+mod http;
+mod links;
+mod router;
+mod tickets;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use eyre::Result;
+use eyre::WrapErr;
+use hooktrestle_core::id::RequestNumbers;
+use hooktrestle_core::retry;
+use hooktrestle_core::retry::RetryBudget;
+use hooktrestle_link::Identity;
+use hooktrestle_platform::Platform;
+use hooktrestle_schema::GatewaySettings;
+use hooktrestle_schema::Settings;
+use rand::RngExt;
+use spdlog::info;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::AbortHandle;
+use xtra::Address;
+
+use crate::acceptor;
+use crate::clock::MonotonicClock;
+use crate::config_keeper;
+use crate::directory;
+use crate::drain;
+use crate::settings;
+
+/// What every request at a gateway needs; clones share it.
+#[derive(Clone, Debug)]
+pub(crate) struct Shared {
+    pub(crate) identity: Arc<Identity>,
+    pub(crate) keys: hooktrestle_link::auth::Keys,
+    pub(crate) settings: Arc<GatewaySettings>,
+    pub(crate) config: config_keeper::Watch,
+    pub(crate) directory: directory::Watch,
+    pub(crate) router: Address<router::Router>,
+    pub(crate) numbers: Arc<RequestNumbers>,
+    pub(crate) budget: Arc<Mutex<RetryBudget>>,
+    pub(crate) open: watch::Sender<usize>,
+    pub(crate) leaving: watch::Sender<bool>,
+}
+
+/// A running gateway; it ends, cutting everything off, when this is dropped.
+#[derive(Debug)]
+pub struct Gateway {
+    /// Where callers connect.
+    pub address: SocketAddr,
+    shared: Shared,
+    tasks: Vec<AbortHandle>,
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+impl Gateway {
+    /// Starts a gateway.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be bound, or a client cannot be set up.
+    pub async fn start(settings: &Settings) -> Result<Gateway> {
+        let platform = Platform::new(settings::platform(settings))?;
+        let poll = settings::millis(settings.platform.poll_ms);
+        let (keeper, config) = config_keeper::start(platform.clone(), poll);
+        let directory = directory::start(platform.clone(), poll);
+        let identity = Identity {
+            instance: settings.instance.name.clone(),
+            incarnation: rand::rng().random(),
+        };
+        let listener = TcpListener::bind(&settings.instance.listen)
+            .await
+            .wrap_err_with(|| format!("cannot listen on {}", settings.instance.listen))?;
+        let address = listener.local_addr()?;
+        let context = links::Context {
+            link: settings::links(settings),
+            identity: identity.clone(),
+            directory: directory.clone(),
+            config: config.clone(),
+            keeper: keeper.clone(),
+            heartbeat: settings::millis(settings.links.heartbeat_ms),
+            clock: MonotonicClock::default(),
+        };
+        let router = router::start(context);
+        let shared = Shared {
+            identity: Arc::new(identity),
+            keys: settings::links(settings).keys,
+            settings: Arc::new(gateway_settings(settings)),
+            config,
+            directory,
+            router,
+            numbers: Arc::default(),
+            budget: Arc::new(Mutex::new(RetryBudget::new(retry::Config::default()))),
+            open: watch::Sender::new(0),
+            leaving: watch::Sender::new(false),
+        };
+        let server = warp::serve(http::routes(shared.clone())).incoming(listener);
+        let accepting = acceptor::run(platform, keeper, poll);
+        let tasks =
+            vec![tokio::spawn(server.run()).abort_handle(), tokio::spawn(accepting).abort_handle()];
+        info!("gateway listens", kv: { address: = address.to_string().as_str() });
+        Ok(Gateway { address, shared, tasks })
+    }
+
+    /// The configuration in force here.
+    pub fn config(&self) -> config_keeper::Watch {
+        self.shared.config.clone()
+    }
+
+    /// Leaves: drops out of the endpoints that callers get, serves until kept answers have
+    /// expired and the last request has ended.
+    ///
+    /// Returns the number of requests still open when `within` had passed.
+    pub async fn leave(&self, within: Duration) -> usize {
+        self.shared.leaving.send_replace(true);
+        let keep = settings::millis(self.shared.settings.keep_endpoints_ms).min(within);
+        tokio::time::sleep(keep).await;
+        drain::until_idle(self.shared.open.subscribe(), within - keep).await
+    }
+
+    /// Waits until a link to this many backend servers of a service is open.
+    pub async fn wait_linked(&self, service: &str, servers: usize) {
+        let mut config = self.shared.config.clone();
+        loop {
+            let counted = self.shared.router.send(router::CountLinked(service.to_owned())).await;
+            let Ok((count, mut changes)) = counted else { return };
+            if count >= servers {
+                return;
+            }
+            let changed = tokio::select! {
+                changed = changes.changed() => changed.is_ok(),
+                changed = config.changed() => changed.is_ok(),
+            };
+            if !changed {
+                return;
+            }
+        }
+    }
+}
+
+fn gateway_settings(settings: &Settings) -> GatewaySettings {
+    settings.gateway.clone().unwrap_or_else(|| {
+        serde_json::from_str("{}").expect("every setting of a gateway has a default")
+    })
+}
--- /dev/null
+++ b/crates/hooktrestled/src/gateway/body.rs
@@ -0,0 +1,180 @@
+//! A caller's body on its way to a sidecar, kept for another attempt while it is small.
+
+use std::pin::Pin;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures_util::Stream;
+use futures_util::StreamExt;
+use hooktrestle_core::id::RequestId;
+use hooktrestle_link::Sender;
+use hooktrestle_schema::BodyFrame;
+use hooktrestle_schema::Frame;
+use tokio::sync::Mutex;
+use tokio::sync::Semaphore;
+
+/// Body bytes kept for another attempt; a request with more has one attempt only.
+const KEEP_BYTES: usize = 256 * 1024;
+
+/// Body bytes sent ahead of the sidecar's credit.
+const FIRST_CREDIT_BYTES: usize = 64 * 1024;
+
+/// Largest piece in one frame.
+const PIECE_BYTES: usize = 16 * 1024;
+
+/// A caller's body as it arrives. Boxed once a request, not once a piece.
+pub(crate) type Pieces = Pin<Box<dyn Stream<Item = Result<Bytes, BodyError>> + Send>>;
+
+/// Why a caller's body is not whole.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum BodyError {
+    /// The caller broke it off.
+    CutOff,
+    /// It is larger than allowed.
+    TooLarge,
+}
+
+struct Source {
+    rest: Pieces,
+    kept: Vec<Bytes>,
+    kept_bytes: usize,
+    read_bytes: u64,
+    limit_bytes: u64,
+    ended: bool,
+    overflowed: bool,
+}
+
+/// A body that several attempts may send, one after the other.
+#[derive(Clone)]
+pub(crate) struct Body {
+    source: Arc<Mutex<Source>>,
+}
+
+impl std::fmt::Debug for Body {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Body")
+    }
+}
+
+impl Body {
+    /// A body that is still arriving, of at most `limit_bytes`.
+    pub(crate) fn new(rest: Pieces, limit_bytes: u64) -> Body {
+        let source = Source {
+            rest,
+            kept: Vec::new(),
+            kept_bytes: 0,
+            read_bytes: 0,
+            limit_bytes,
+            ended: false,
+            overflowed: false,
+        };
+        Body { source: Arc::new(Mutex::new(source)) }
+    }
+
+    /// A body that is here whole.
+    pub(crate) fn whole(bytes: Bytes) -> Body {
+        let limit_bytes = bytes.len() as u64;
+        let one = futures_util::stream::iter([Ok(bytes)]);
+        Body::new(Box::pin(one), limit_bytes)
+    }
+
+    /// Whether another attempt could send it all.
+    pub(crate) async fn can_repeat(&self) -> bool {
+        !self.source.lock().await.overflowed
+    }
+
+    /// Sends the body from its beginning, as credit allows.
+    ///
+    /// # Errors
+    ///
+    /// The body is not whole; what was sent must be cancelled.
+    pub(crate) async fn upload(
+        &self,
+        sender: &Sender,
+        id: RequestId,
+        credit: &Semaphore,
+    ) -> Result<(), BodyError> {
+        let mut index = 0;
+        let mut sequence = 0;
+        loop {
+            let piece = self.piece(index).await?;
+            index += 1;
+            let last = piece.is_none();
+            let mut bytes = piece.unwrap_or_default();
+            loop {
+                let part = bytes.split_to(bytes.len().min(PIECE_BYTES));
+                let done = bytes.is_empty();
+                if !send(sender, id, sequence, &part, last && done, credit).await {
+                    return Ok(());
+                }
+                sequence += 1;
+                if done {
+                    break;
+                }
+            }
+            if last {
+                return Ok(());
+            }
+        }
+    }
+
+    /// The piece at `index`, from what is kept or from the caller; `None` at the end.
+    async fn piece(&self, index: usize) -> Result<Option<Bytes>, BodyError> {
+        let mut source = self.source.lock().await;
+        if !source.overflowed && index < source.kept.len() {
+            return Ok(Some(source.kept[index].clone()));
+        }
+        if source.ended {
+            return Ok(None);
+        }
+        match source.rest.next().await {
+            None => {
+                source.ended = true;
+                Ok(None)
+            }
+            Some(Err(error)) => Err(error),
+            Some(Ok(bytes)) => source.take(bytes).map(Some),
+        }
+    }
+}
+
+impl Source {
+    fn take(&mut self, bytes: Bytes) -> Result<Bytes, BodyError> {
+        self.read_bytes += bytes.len() as u64;
+        if self.read_bytes > self.limit_bytes {
+            return Err(BodyError::TooLarge);
+        }
+        self.kept_bytes += bytes.len();
+        if self.kept_bytes > KEEP_BYTES {
+            self.overflowed = true;
+            self.kept = Vec::new();
+        }
+        if !self.overflowed {
+            self.kept.push(bytes.clone());
+        }
+        Ok(bytes)
+    }
+}
+
+/// Credit for the first pieces of an upload.
+pub(crate) fn first_credit() -> Arc<Semaphore> {
+    Arc::new(Semaphore::new(FIRST_CREDIT_BYTES))
+}
+
+/// `false` when the link is lost; the request hears of that by itself.
+async fn send(
+    sender: &Sender,
+    id: RequestId,
+    sequence: u64,
+    bytes: &[u8],
+    last: bool,
+    credit: &Semaphore,
+) -> bool {
+    let need = u32::try_from(bytes.len()).unwrap_or(u32::MAX);
+    match credit.acquire_many(need).await {
+        Ok(permit) => permit.forget(),
+        Err(_) => return false,
+    }
+    let frame = Frame::Body(BodyFrame { id: id.into(), sequence, last });
+    sender.send(&frame, bytes).await.is_ok()
+}
--- /dev/null
+++ b/crates/hooktrestled/src/gateway/drive.rs
@@ -0,0 +1,488 @@
+//! One request at a gateway: carries out what the attempts' machine says.
+
+use std::sync::Arc;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hooktrestle_core::attempt;
+use hooktrestle_core::attempt::Attempts;
+use hooktrestle_core::attempt::Next;
+use hooktrestle_core::attempt::Repeat;
+use hooktrestle_core::clock::Millis;
+use hooktrestle_core::id::RequestId;
+use hooktrestle_core::retry::RetryBudget;
+use hooktrestle_core::util::arena::Key;
+use hooktrestle_core::verdict::Refusal;
+use hooktrestle_schema::Cause;
+use hooktrestle_schema::CreditFrame;
+use hooktrestle_schema::Frame;
+use hooktrestle_schema::Header;
+use hooktrestle_schema::IdFrame;
+use hooktrestle_schema::RefusedFrame;
+use hooktrestle_schema::RequestFrame;
+use hooktrestle_schema::SettleFrame;
+use hooktrestle_schema::Ticket;
+use hooktrestle_schema::Verdict;
+use tokio::sync::Semaphore;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+use crate::gateway::Shared;
+use crate::gateway::body;
+use crate::gateway::body::Body;
+use crate::gateway::body::BodyError;
+use crate::gateway::links::Event;
+use crate::gateway::links::Handle;
+use crate::gateway::router::Choice;
+use crate::gateway::router::Choose;
+use crate::gateway::router::Find;
+use crate::gateway::router::Release;
+use crate::gateway::router::Server;
+use crate::gateway::router::WatchLink;
+use crate::gateway::tickets;
+
+/// Answer bytes that a sidecar may send ahead of the caller's reading.
+const CREDIT_BYTES: u64 = 256 * 1024;
+
+/// Pieces of an answer between the driver and the caller's connection.
+const OUT_PIECES: usize = 16;
+
+/// When to come back if no backend server can be reached.
+const NOWHERE_RETRY_AFTER: Millis = Millis(1_000);
+
+/// A request as the HTTP side hands it over.
+#[derive(Debug)]
+pub(crate) struct Incoming {
+    pub(crate) service: Arc<str>,
+    pub(crate) account: String,
+    pub(crate) weight: u32,
+    pub(crate) method: String,
+    pub(crate) path: String,
+    pub(crate) headers: Vec<Header>,
+    pub(crate) deadline: Duration,
+    pub(crate) priority: u8,
+    pub(crate) cost_tokens: u32,
+    pub(crate) repeat: Repeat,
+    /// The caller's own ticket, with [`Repeat::Never`].
+    pub(crate) ticket: Option<Ticket>,
+    pub(crate) traceparent: String,
+    pub(crate) body: Body,
+}
+
+/// The beginning of an answer, and the channel that the rest comes through.
+#[derive(Debug)]
+pub(crate) struct Head {
+    pub(crate) status: u16,
+    pub(crate) headers: Vec<Header>,
+    /// Ends with an error if the answer is not whole, and without one if it is.
+    pub(crate) body: mpsc::Receiver<Result<Bytes, Refusal>>,
+}
+
+/// What the caller's side waits for.
+pub(crate) type Answer = Result<Head, Refusal>;
+
+/// The way to the caller.
+#[derive(Debug)]
+enum Out {
+    Head(oneshot::Sender<Answer>),
+    Body(mpsc::Sender<Result<Bytes, Refusal>>),
+    Closed,
+}
+
+/// The newest attempt, once it has been sent.
+#[derive(Debug)]
+struct Current {
+    server: Key<Server>,
+    handle: Handle,
+    events: mpsc::UnboundedReceiver<Event>,
+    credit: Arc<Semaphore>,
+    ticket: Option<Ticket>,
+    upload: AbortHandle,
+    body_failed: mpsc::Receiver<BodyError>,
+}
+
+#[derive(Debug)]
+struct Driver {
+    shared: Shared,
+    incoming: Incoming,
+    attempts: Attempts,
+    tried: Vec<Key<Server>>,
+    current: Option<Current>,
+    out: Out,
+    deadline: Instant,
+}
+
+/// What happened while waiting.
+#[allow(clippy::large_enum_variant, reason = "moved once; a box would cost an allocation")]
+enum Happened {
+    Event(Event),
+    Deadline,
+    BodyFailed(BodyError),
+    CallerGone,
+}
+
+/// Counts a request as open while it lives.
+struct OpenGuard(watch::Sender<usize>);
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.send_modify(|count| *count -= 1);
+    }
+}
+
+/// Starts driving a request; the answer's head, or the refusal, comes through the channel.
+pub(crate) fn start(shared: Shared, incoming: Incoming) -> oneshot::Receiver<Answer> {
+    let (head, answer) = oneshot::channel();
+    let config = attempt::Config {
+        number: shared.numbers.next(),
+        repeat: incoming.repeat,
+        most_attempts: shared.settings.attempts,
+    };
+    let driver = Driver {
+        deadline: Instant::now() + incoming.deadline,
+        attempts: Attempts::new(config),
+        tried: Vec::new(),
+        current: None,
+        out: Out::Head(head),
+        shared,
+        incoming,
+    };
+    driver.shared.open.send_modify(|count| *count += 1);
+    let guard = OpenGuard(driver.shared.open.clone());
+    tokio::spawn(async move {
+        driver.drive().await;
+        drop(guard);
+    });
+    answer
+}
+
+impl Driver {
+    async fn drive(mut self) {
+        with_budget(&self.shared, |budget| budget.earn());
+        let mut next = Next::Send(self.attempts.id());
+        loop {
+            next = match next {
+                Next::Send(id) => self.send(id).await,
+                Next::Settle(id) => self.settle(id).await,
+                Next::Forward | Next::Ignore => match self.wait().await {
+                    Some(next) => next,
+                    None => break self.cancel().await,
+                },
+                Next::ForwardLast => break self.acknowledge().await,
+                Next::Finish(refusal) => break self.finish(refusal).await,
+            };
+        }
+        self.release().await;
+    }
+
+    /// Sends the newest attempt to a backend server that has not been tried.
+    async fn send(&mut self, id: RequestId) -> Next {
+        self.release().await;
+        if id.attempt > 0 && !self.incoming.body.can_repeat().await {
+            return self.attempts.not_routed(Refusal::not_run(Cause::BackendRefused));
+        }
+        let Some(choice) = self.choose().await else {
+            return self.attempts.not_routed(self.nowhere());
+        };
+        let server = choice.server;
+        self.tried.push(server);
+        let Some(events) = choice.handle.register(id.number) else {
+            self.give_back(server).await;
+            return self.attempts.not_routed(self.nowhere());
+        };
+        let ticket = self.ticket(&choice);
+        let frame = self.frame(id, ticket.clone());
+        let handle = choice.handle;
+        // If the link is lost meanwhile, the events say so.
+        let _ = handle.sender.send(&Frame::Request(frame), &[]).await;
+        self.attempts.sent();
+        let credit = body::first_credit();
+        let (failed, body_failed) = mpsc::channel(1);
+        let upload = self.upload(id, &handle, &credit, failed);
+        self.current =
+            Some(Current { server, handle, events, credit, ticket, upload, body_failed });
+        Next::Ignore
+    }
+
+    async fn choose(&self) -> Option<Choice> {
+        let router = &self.shared.router;
+        // A router that has ended chooses nothing any more.
+        if let Some(ticket) = &self.incoming.ticket {
+            return router.send(Find(ticket.sidecar.clone())).await.ok().flatten();
+        }
+        let service = Arc::clone(&self.incoming.service);
+        router.send(Choose { service, tried: self.tried.clone() }).await.ok().flatten()
+    }
+
+    /// The refusal when nothing can be chosen. What a caller's own ticket did earlier is not known
+    /// here.
+    fn nowhere(&self) -> Refusal {
+        let refusal = attempt::nowhere_to_go(NOWHERE_RETRY_AFTER);
+        match self.incoming.repeat {
+            Repeat::Never => Refusal { verdict: Verdict::MayHaveRun, ..refusal },
+            Repeat::Freely | Repeat::WithNewTicket => refusal,
+        }
+    }
+
+    fn ticket(&self, choice: &Choice) -> Option<Ticket> {
+        match self.incoming.repeat {
+            Repeat::Freely => None,
+            Repeat::Never => self.incoming.ticket.clone(),
+            Repeat::WithNewTicket => {
+                let handle = &choice.handle;
+                Some(tickets::mint(&handle.sidecar, handle.incarnation, choice.sidecar_now))
+            }
+        }
+    }
+
+    fn frame(&self, id: RequestId, ticket: Option<Ticket>) -> RequestFrame {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        RequestFrame {
+            id: id.into(),
+            service: self.incoming.service.to_string(),
+            account: self.incoming.account.clone(),
+            weight: self.incoming.weight,
+            method: self.incoming.method.clone(),
+            path: self.incoming.path.clone(),
+            headers: self.incoming.headers.clone(),
+            deadline_in_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+            priority: self.incoming.priority,
+            cost_tokens: self.incoming.cost_tokens,
+            credit_bytes: CREDIT_BYTES,
+            ticket,
+            traceparent: self.incoming.traceparent.clone(),
+        }
+    }
+
+    fn upload(
+        &self,
+        id: RequestId,
+        handle: &Handle,
+        credit: &Arc<Semaphore>,
+        failed: mpsc::Sender<BodyError>,
+    ) -> AbortHandle {
+        let body = self.incoming.body.clone();
+        let sender = handle.sender.clone();
+        let credit = Arc::clone(credit);
+        let task = tokio::spawn(async move {
+            if let Err(error) = body.upload(&sender, id, &credit).await {
+                // The request may have ended by itself.
+                let _ = failed.send(error).await;
+            }
+        });
+        task.abort_handle()
+    }
+
+    /// Waits for one thing to happen; `None` if the caller has gone.
+    async fn wait(&mut self) -> Option<Next> {
+        let happened = self.happen().await;
+        match happened {
+            Happened::CallerGone => None,
+            Happened::Deadline => Some(self.attempts.deadline()),
+            Happened::BodyFailed(error) => Some(Next::Finish(body_refusal(error))),
+            Happened::Event(Event::Lost) => {
+                let id = self.attempts.id();
+                Some(with_budget(&self.shared, |budget| self.attempts.link_lost(id, budget)))
+            }
+            Happened::Event(Event::Frame(frame, payload)) => self.frame_came(frame, payload).await,
+        }
+    }
+
+    async fn happen(&mut self) -> Happened {
+        let Some(current) = &mut self.current else {
+            debug_assert!(false, "only a sent attempt is waited for");
+            return Happened::Deadline;
+        };
+        let gone = async {
+            match &mut self.out {
+                Out::Head(head) => head.closed().await,
+                Out::Body(body) => body.closed().await,
+                Out::Closed => {}
+            }
+        };
+        tokio::select! {
+            biased;
+            event = current.events.recv() => Happened::Event(event.unwrap_or(Event::Lost)),
+            () = gone => Happened::CallerGone,
+            Some(error) = current.body_failed.recv() => Happened::BodyFailed(error),
+            () = tokio::time::sleep_until(self.deadline) => Happened::Deadline,
+        }
+    }
+
+    async fn frame_came(&mut self, frame: Frame, payload: Bytes) -> Option<Next> {
+        match frame {
+            Frame::Head(head) => {
+                let next = self.attempts.head(RequestId::from(&head.id));
+                if next == Next::Forward {
+                    self.forward_head(head.status, head.headers)?;
+                }
+                Some(next)
+            }
+            Frame::Body(body) => {
+                let next = self.attempts.body(RequestId::from(&body.id), body.sequence, body.last);
+                if matches!(next, Next::Forward | Next::ForwardLast) {
+                    return self.forward(next, payload).await;
+                }
+                Some(next)
+            }
+            Frame::Refused(refused) => {
+                let id = RequestId::from(&refused.id);
+                let (refusal, spent) = (refusal(&refused), refused.spent);
+                Some(with_budget(&self.shared, |budget| {
+                    self.attempts.refused(id, refusal, spent, budget)
+                }))
+            }
+            Frame::Credit(credit) => {
+                self.add_upload_credit(&credit);
+                Some(Next::Ignore)
+            }
+            _ => Some(Next::Ignore),
+        }
+    }
+
+    fn add_upload_credit(&self, credit: &CreditFrame) {
+        if let Some(current) = &self.current
+            && RequestId::from(&credit.id) == self.attempts.id()
+        {
+            let room = Semaphore::MAX_PERMITS - current.credit.available_permits();
+            let more = usize::try_from(credit.more_bytes).unwrap_or(usize::MAX);
+            current.credit.add_permits(more.min(room / 2));
+        }
+    }
+
+    fn forward_head(&mut self, status: u16, headers: Vec<Header>) -> Option<()> {
+        let (sender, body) = mpsc::channel(OUT_PIECES);
+        let Out::Head(head) = std::mem::replace(&mut self.out, Out::Body(sender)) else {
+            debug_assert!(false, "a head is forwarded once");
+            return None;
+        };
+        head.send(Ok(Head { status, headers, body })).ok()
+    }
+
+    /// Passes a piece on; a caller that reads slowly holds up only its own answer.
+    async fn forward(&mut self, next: Next, payload: Bytes) -> Option<Next> {
+        if payload.is_empty() {
+            return Some(next);
+        }
+        let Out::Body(body) = &self.out else { return None };
+        let more_bytes = payload.len() as u64;
+        tokio::select! {
+            sent = body.send(Ok(payload)) => sent.ok()?,
+            () = tokio::time::sleep_until(self.deadline) => return Some(self.attempts.deadline()),
+        }
+        if let Some(current) = &self.current {
+            let credit = CreditFrame { id: self.attempts.id().into(), more_bytes };
+            // If the link is lost, the events say so.
+            let _ = current.handle.sender.send(&Frame::Credit(credit), &[]).await;
+        }
+        Some(next)
+    }
+
+    /// Asks the sidecar, over a new link, what became of the newest attempt.
+    async fn settle(&mut self, id: RequestId) -> Next {
+        let within = Duration::from_millis(self.shared.settings.settle_ms);
+        let until = self.deadline.min(Instant::now() + within);
+        let asked = tokio::time::timeout_at(until, self.ask(id)).await;
+        let verdict = asked.ok().flatten();
+        with_budget(&self.shared, |budget| self.attempts.settled(id, verdict, budget))
+    }
+
+    async fn ask(&mut self, id: RequestId) -> Option<Verdict> {
+        let current = self.current.as_ref()?;
+        let lost_epoch = current.handle.epoch;
+        let incarnation = current.handle.incarnation;
+        let mut link = self.shared.router.send(WatchLink(current.server)).await.ok()?;
+        let is_new =
+            |link: &Option<Handle>| link.as_ref().is_some_and(|link| link.epoch > lost_epoch);
+        let handle = link.wait_for(is_new).await.ok()?.clone()?;
+        if handle.incarnation != incarnation {
+            // The one that knew is gone.
+            return None;
+        }
+        let mut events = handle.register(id.number)?;
+        let frame = SettleFrame { id: id.into(), ticket: current.ticket.clone() };
+        handle.sender.send(&Frame::Settle(frame), &[]).await.ok()?;
+        loop {
+            match events.recv().await? {
+                Event::Frame(Frame::Settled(settled), _) if RequestId::from(&settled.id) == id => {
+                    handle.forget(id.number);
+                    return Some(settled.verdict);
+                }
+                Event::Frame(..) => {}
+                Event::Lost => return None,
+            }
+        }
+    }
+
+    /// Gives the caller the final answer, and stops what may still run.
+    async fn finish(&mut self, refusal: Refusal) {
+        match std::mem::replace(&mut self.out, Out::Closed) {
+            Out::Head(head) => {
+                // A caller that has gone needs no answer.
+                let _ = head.send(Err(refusal));
+            }
+            Out::Body(body) => {
+                let _ = tokio::time::timeout(Duration::from_secs(1), body.send(Err(refusal))).await;
+            }
+            Out::Closed => {}
+        }
+        if refusal.verdict == Verdict::NotRun {
+            self.acknowledge().await;
+        } else {
+            self.cancel().await;
+        }
+    }
+
+    async fn cancel(&mut self) {
+        self.tell(Frame::Cancel(IdFrame { id: self.attempts.id().into() })).await;
+    }
+
+    async fn acknowledge(&mut self) {
+        self.tell(Frame::Ack(IdFrame { id: self.attempts.id().into() })).await;
+    }
+
+    async fn tell(&mut self, frame: Frame) {
+        if let Some(current) = &self.current {
+            // If the link is lost, the sidecar knows that nobody waits.
+            let _ = current.handle.sender.send(&frame, &[]).await;
+        }
+    }
+
+    /// Ends the newest attempt's use of its link and backend server.
+    async fn release(&mut self) {
+        if let Some(current) = self.current.take() {
+            current.upload.abort();
+            current.handle.forget(self.attempts.id().number);
+            self.give_back(current.server).await;
+        }
+    }
+
+    async fn give_back(&self, server: Key<Server>) {
+        // A router that has ended counts nothing any more.
+        let _ = self.shared.router.send(Release(server)).await;
+    }
+}
+
+fn with_budget<T>(shared: &Shared, apply: impl FnOnce(&mut RetryBudget) -> T) -> T {
+    apply(&mut shared.budget.lock().unwrap_or_else(PoisonError::into_inner))
+}
+
+fn refusal(frame: &RefusedFrame) -> Refusal {
+    Refusal {
+        verdict: frame.verdict,
+        cause: frame.cause,
+        retry_after: frame.retry_after_ms.map(Millis),
+    }
+}
+
+/// The body is fed to the backend server as it comes, so the request may have run on a part of it.
+fn body_refusal(error: BodyError) -> Refusal {
+    match error {
+        BodyError::CutOff => Refusal::may_have_run(Cause::Cancelled),
+        BodyError::TooLarge => Refusal::may_have_run(Cause::TooLarge),
+    }
+}
--- /dev/null
+++ b/crates/hooktrestled/src/gateway/links.rs
@@ -0,0 +1,250 @@
+//! Keeps one link to each sidecar open, and hands each frame to the request that it is for.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hooktrestle_core::util::arena::Key;
+use hooktrestle_link::Identity;
+use hooktrestle_link::Receiver;
+use hooktrestle_link::Sender;
+use hooktrestle_schema::Frame;
+use hooktrestle_schema::HeartbeatFrame;
+use hooktrestle_schema::RequestId;
+use spdlog::info;
+use spdlog::warn;
+use tokio::sync::mpsc;
+use xtra::WeakAddress;
+
+use crate::clock::MonotonicClock;
+use crate::config_keeper;
+use crate::config_keeper::ConfigKeeper;
+use crate::config_keeper::Heard;
+use crate::directory;
+use crate::gateway::router::Down;
+use crate::gateway::router::Load;
+use crate::gateway::router::Router;
+use crate::gateway::router::Server;
+use crate::gateway::router::Up;
+use crate::poll::jittered;
+
+/// First wait before a lost link is dialled again; it doubles up to [`LONGEST_BACKOFF`].
+const FIRST_BACKOFF: Duration = Duration::from_millis(50);
+
+/// Longest such wait.
+const LONGEST_BACKOFF: Duration = Duration::from_secs(2);
+
+/// What every link needs.
+#[derive(Clone, Debug)]
+pub(crate) struct Context {
+    pub(crate) link: hooktrestle_link::Config,
+    pub(crate) identity: Identity,
+    pub(crate) directory: directory::Watch,
+    pub(crate) config: config_keeper::Watch,
+    pub(crate) keeper: xtra::Address<ConfigKeeper>,
+    pub(crate) heartbeat: Duration,
+    pub(crate) clock: MonotonicClock,
+}
+
+/// What a request hears from the link that carries it.
+#[derive(Debug)]
+#[allow(clippy::large_enum_variant, reason = "a box would cost an allocation for each token")]
+pub(crate) enum Event {
+    /// A frame, with its payload.
+    Frame(Frame, Bytes),
+    /// The link is gone; nothing more will come.
+    Lost,
+}
+
+type Waiting = Arc<Mutex<Option<HashMap<u64, mpsc::UnboundedSender<Event>>>>>;
+
+/// An open link, as requests use it; clones share it.
+#[derive(Clone, Debug)]
+pub(crate) struct Handle {
+    /// Sends frames.
+    pub(crate) sender: Sender,
+    /// The sidecar's instance.
+    pub(crate) sidecar: Arc<str>,
+    /// The sidecar's incarnation.
+    pub(crate) incarnation: u64,
+    /// Grows with each link to this sidecar.
+    pub(crate) epoch: u64,
+    /// Requests that wait for frames; `None` once the link is lost.
+    waiting: Waiting,
+}
+
+impl Handle {
+    /// Registers a request for the frames that are about it; `None` if the link is lost.
+    ///
+    /// Memory is bounded by the credit that the request gives.
+    pub(crate) fn register(&self, number: u64) -> Option<mpsc::UnboundedReceiver<Event>> {
+        let (events, receiver) = mpsc::unbounded_channel();
+        lock(&self.waiting).as_mut()?.insert(number, events);
+        Some(receiver)
+    }
+
+    /// Ends what [`Handle::register`] began.
+    pub(crate) fn forget(&self, number: u64) {
+        if let Some(waiting) = lock(&self.waiting).as_mut() {
+            waiting.remove(&number);
+        }
+    }
+
+    fn deliver(&self, number: u64, event: Event) {
+        if let Some(waiting) = lock(&self.waiting).as_ref()
+            && let Some(events) = waiting.get(&number)
+        {
+            // A request that has its answer listens no longer.
+            let _ = events.send(event);
+        }
+    }
+
+    fn lose(&self) {
+        let waiting = lock(&self.waiting).take().unwrap_or_default();
+        for events in waiting.into_values() {
+            let _ = events.send(Event::Lost);
+        }
+    }
+}
+
+fn lock(waiting: &Waiting) -> MutexGuard<'_, Option<HashMap<u64, mpsc::UnboundedSender<Event>>>> {
+    waiting.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Keeps a link to the sidecar `name` open until the router ends.
+pub(crate) async fn maintain(
+    context: Context,
+    router: WeakAddress<Router>,
+    server: Key<Server>,
+    name: String,
+) {
+    let mut epoch = 0;
+    let mut backoff = FIRST_BACKOFF;
+    while router.is_connected() {
+        epoch += 1;
+        let opened = match address(&context, &name) {
+            Some(address) => {
+                hooktrestle_link::dial(&context.link, &context.identity, address, epoch).await
+            }
+            None => {
+                wait_for_news(&context, backoff).await;
+                continue;
+            }
+        };
+        match opened {
+            Ok(opened) if opened.peer.identity.instance == name => {
+                backoff = FIRST_BACKOFF;
+                serve(&context, &router, server, opened).await;
+            }
+            Ok(opened) => {
+                let found = opened.peer.identity.instance;
+                warn!("another instance answers", kv: { wanted: = name.as_str(), found: = found.as_str() });
+            }
+            Err(error) => {
+                warn!("cannot open a link", kv: { sidecar: = name.as_str(), error: = error.to_string().as_str() });
+            }
+        }
+        wait_for_news(&context, backoff).await;
+        backoff = (backoff * 2).min(LONGEST_BACKOFF);
+    }
+}
+
+fn address(context: &Context, name: &str) -> Option<SocketAddr> {
+    context.directory.borrow().get(name)?.address.parse().ok()
+}
+
+/// Waits out the backoff, or until the instance list changes.
+async fn wait_for_news(context: &Context, backoff: Duration) {
+    let mut directory = context.directory.clone();
+    directory.mark_unchanged();
+    // Either way it is time to try again.
+    let _ = tokio::time::timeout(jittered(backoff), directory.changed()).await;
+}
+
+async fn serve(
+    context: &Context,
+    router: &WeakAddress<Router>,
+    server: Key<Server>,
+    opened: hooktrestle_link::Opened,
+) {
+    let hooktrestle_link::Opened { peer, sender, mut receiver } = opened;
+    let handle = Handle {
+        sender: sender.clone(),
+        sidecar: peer.identity.instance.as_str().into(),
+        incarnation: peer.identity.incarnation,
+        epoch: peer.link_epoch,
+        waiting: Arc::new(Mutex::new(Some(HashMap::new()))),
+    };
+    info!("link open", kv: { sidecar: = peer.identity.instance.as_str() });
+    let beating = tokio::spawn(beat(context.clone(), sender));
+    let error = read(context, router, server, &handle, &mut receiver).await;
+    beating.abort();
+    handle.lose();
+    if let Some(router) = router.try_upgrade() {
+        // A router that has ended routes nothing over this link.
+        let _ = router.send(Down { server, epoch: handle.epoch }).await;
+    }
+    let reason = error.to_string();
+    info!("link lost", kv: { sidecar: = peer.identity.instance.as_str(), reason: = reason.as_str() });
+}
+
+async fn beat(context: Context, sender: Sender) {
+    loop {
+        let version = context.config.borrow().as_ref().map_or(0, |now| now.config.version);
+        let beat = Frame::Heartbeat(HeartbeatFrame { config_version: version });
+        if sender.send(&beat, &[]).await.is_err() {
+            return;
+        }
+        tokio::time::sleep(context.heartbeat).await;
+    }
+}
+
+/// Reads frames until the link ends; says why it did. The link is used from the first load on:
+/// only then has the sidecar accepted it.
+async fn read(
+    context: &Context,
+    router: &WeakAddress<Router>,
+    server: Key<Server>,
+    handle: &Handle,
+    receiver: &mut Receiver,
+) -> hooktrestle_link::Error {
+    let mut up = false;
+    loop {
+        let (frame, payload) = match receiver.next().await {
+            Ok(message) => message,
+            Err(error) => return error,
+        };
+        if let Frame::Load(load) = frame {
+            // A keeper or router that has ended needs no news.
+            let _ = context.keeper.send(Heard(load.config_version)).detach().await;
+            if let Some(router) = router.try_upgrade() {
+                if !up {
+                    let _ = router.send(Up { server, handle: handle.clone() }).await;
+                    up = true;
+                }
+                let _ = router.send(Load { server, load }).await;
+            }
+            continue;
+        }
+        if let Some(id) = id_of(&frame) {
+            let number = id.number;
+            handle.deliver(number, Event::Frame(frame, payload));
+        }
+    }
+}
+
+fn id_of(frame: &Frame) -> Option<&RequestId> {
+    match frame {
+        Frame::Head(frame) => Some(&frame.id),
+        Frame::Body(frame) => Some(&frame.id),
+        Frame::Refused(frame) => Some(&frame.id),
+        Frame::Settled(frame) => Some(&frame.id),
+        Frame::Credit(frame) => Some(&frame.id),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/hooktrestled/src/gateway/router.rs
@@ -0,0 +1,300 @@
+//! The actor that chooses backend servers and keeps the links' state.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use hooktrestle_core::clock::Clock;
+use hooktrestle_core::clock::Millis;
+use hooktrestle_core::config::Config;
+use hooktrestle_core::routing;
+use hooktrestle_core::routing::Candidate;
+use hooktrestle_core::routing::Report;
+use hooktrestle_core::util::arena::Arena;
+use hooktrestle_core::util::arena::Key;
+use hooktrestle_schema::LoadFrame;
+use tokio::sync::watch;
+use xtra::Address;
+use xtra::Context;
+use xtra::Handler;
+use xtra::Mailbox;
+use xtra::WeakAddress;
+
+use crate::gateway::links;
+use crate::gateway::links::Handle;
+
+/// A backend server as this gateway knows it; kept by name over configurations.
+#[derive(Debug)]
+pub(crate) struct Server {
+    name: String,
+    candidate: Candidate,
+    link: watch::Sender<Option<Handle>>,
+    /// The sidecar's clock in its newest report: a ticket's time of issue.
+    sidecar_now: Millis,
+}
+
+/// The actor.
+#[derive(Debug, xtra::Actor)]
+pub(crate) struct Router {
+    context: links::Context,
+    servers: Arena<Server>,
+    by_name: HashMap<String, Key<Server>>,
+    config_version: u64,
+    linked: watch::Sender<u64>,
+    address: Option<WeakAddress<Router>>,
+}
+
+/// A link is open.
+#[derive(Debug)]
+pub(crate) struct Up {
+    pub(crate) server: Key<Server>,
+    pub(crate) handle: Handle,
+}
+
+/// A link is lost.
+#[derive(Debug)]
+pub(crate) struct Down {
+    pub(crate) server: Key<Server>,
+    pub(crate) epoch: u64,
+}
+
+/// A sidecar has reported its load.
+#[derive(Debug)]
+pub(crate) struct Load {
+    pub(crate) server: Key<Server>,
+    pub(crate) load: LoadFrame,
+}
+
+/// Choose a backend server for a service, other than those tried.
+#[derive(Debug)]
+pub(crate) struct Choose {
+    pub(crate) service: Arc<str>,
+    pub(crate) tried: Vec<Key<Server>>,
+}
+
+/// A chosen backend server. Each choice is to be given back by [`Release`].
+#[derive(Debug)]
+pub(crate) struct Choice {
+    pub(crate) server: Key<Server>,
+    pub(crate) handle: Handle,
+    pub(crate) sidecar_now: Millis,
+}
+
+/// Find the link to one sidecar, by name.
+#[derive(Debug)]
+pub(crate) struct Find(pub(crate) String);
+
+/// A request is no longer in flight at a backend server.
+#[derive(Debug)]
+pub(crate) struct Release(pub(crate) Key<Server>);
+
+/// Watch the link to a backend server.
+#[derive(Debug)]
+pub(crate) struct WatchLink(pub(crate) Key<Server>);
+
+/// Count the open links to a service's backend servers.
+#[derive(Debug)]
+pub(crate) struct CountLinked(pub(crate) String);
+
+/// Starts the actor; links are opened as the configuration names backend servers.
+pub(crate) fn start(context: links::Context) -> Address<Router> {
+    let (address, mailbox) = Mailbox::unbounded();
+    let router = Router {
+        context: context.clone(),
+        servers: Arena::default(),
+        by_name: HashMap::new(),
+        config_version: 0,
+        linked: watch::Sender::new(0),
+        address: Some(address.downgrade()),
+    };
+    tokio::spawn(xtra::run(mailbox, router));
+    tokio::spawn(follow(context, address.downgrade()));
+    address
+}
+
+/// A new configuration may be in force.
+#[derive(Debug)]
+struct Follow;
+
+async fn follow(context: links::Context, router: WeakAddress<Router>) {
+    let mut config = context.config;
+    loop {
+        match router.try_upgrade() {
+            Some(router) if router.send(Follow).await.is_ok() => {}
+            _ => return,
+        }
+        if config.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+impl Router {
+    fn config(&self) -> Option<Arc<Config>> {
+        self.context.config.borrow().as_ref().map(|in_force| in_force.config.clone())
+    }
+
+    /// Takes over weights and drains, and opens links to backend servers that are new.
+    fn follow_config(&mut self) {
+        let Some(config) = self.config() else { return };
+        if config.version == self.config_version {
+            return;
+        }
+        self.config_version = config.version;
+        for (_, server) in self.servers.iter_mut() {
+            server.candidate.weight = 0;
+        }
+        for (key, record) in config.servers.iter() {
+            let server = self.server(&record.name);
+            let weight = if config.is_draining(key) { 0 } else { record.row.weight };
+            self.servers[server].candidate.weight = weight;
+        }
+    }
+
+    fn server(&mut self, name: &str) -> Key<Server> {
+        if let Some(key) = self.by_name.get(name) {
+            return *key;
+        }
+        let key = self.servers.push(Server {
+            name: name.to_owned(),
+            candidate: Candidate::default(),
+            link: watch::Sender::new(None),
+            sidecar_now: Millis::ZERO,
+        });
+        self.by_name.insert(name.to_owned(), key);
+        if let Some(router) = &self.address {
+            let maintaining =
+                links::maintain(self.context.clone(), router.clone(), key, name.to_owned());
+            tokio::spawn(maintaining);
+        }
+        key
+    }
+
+    fn choice(&mut self, server: Key<Server>) -> Option<Choice> {
+        let record = &mut self.servers[server];
+        let handle = record.link.borrow().clone()?;
+        record.candidate.own_requests += 1;
+        Some(Choice { server, handle, sidecar_now: record.sidecar_now })
+    }
+
+    fn count_linked(&self, service: &str) -> usize {
+        let Some(config) = self.config() else { return 0 };
+        let Some(service) = config.service(service) else { return 0 };
+        let names = config.services[service].servers.iter().map(|key| &config.servers[*key].name);
+        let keys = names.filter_map(|name| self.by_name.get(name));
+        keys.filter(|key| self.servers[**key].candidate.usable).count()
+    }
+}
+
+impl Handler<Follow> for Router {
+    type Return = ();
+
+    async fn handle(&mut self, _: Follow, _: &mut Context<Self>) {
+        self.follow_config();
+        self.linked.send_modify(|changes| *changes += 1);
+    }
+}
+
+impl Handler<Up> for Router {
+    type Return = ();
+
+    async fn handle(&mut self, up: Up, _: &mut Context<Self>) {
+        let server = &mut self.servers[up.server];
+        server.candidate.usable = true;
+        server.link.send_replace(Some(up.handle));
+        self.linked.send_modify(|changes| *changes += 1);
+    }
+}
+
+impl Handler<Down> for Router {
+    type Return = ();
+
+    async fn handle(&mut self, down: Down, _: &mut Context<Self>) {
+        let server = &mut self.servers[down.server];
+        let current = server.link.borrow().as_ref().map(|handle| handle.epoch);
+        if current == Some(down.epoch) {
+            server.candidate.usable = false;
+            server.link.send_replace(None);
+            self.linked.send_modify(|changes| *changes += 1);
+        }
+    }
+}
+
+impl Handler<Load> for Router {
+    type Return = ();
+
+    async fn handle(&mut self, message: Load, _: &mut Context<Self>) {
+        let at = self.context.clock.now();
+        let server = &mut self.servers[message.server];
+        server.sidecar_now = Millis(message.load.now_ms);
+        server.candidate.report = Report {
+            at,
+            queued_requests: message.load.queued_requests,
+            running_requests: message.load.running_requests,
+            leaving: message.load.leaving,
+            own_requests: server.candidate.own_requests,
+        };
+    }
+}
+
+impl Handler<Choose> for Router {
+    type Return = Option<Choice>;
+
+    async fn handle(&mut self, choose: Choose, _: &mut Context<Self>) -> Option<Choice> {
+        self.follow_config();
+        let config = self.config()?;
+        let service = config.service(&choose.service)?;
+        let members = &config.services[service].servers;
+        let keys: Vec<Key<Server>> =
+            members.iter().map(|key| self.server(&config.servers[*key].name)).collect();
+        let candidates: Vec<Candidate> =
+            keys.iter().map(|key| self.servers[*key].candidate).collect();
+        let is_tried = |index: &usize| choose.tried.contains(&keys[*index]);
+        let tried: Vec<usize> = (0..keys.len()).filter(is_tried).collect();
+        let chosen = routing::choose(&candidates, &tried, &mut rand::rng())?;
+        self.choice(keys[chosen])
+    }
+}
+
+impl Handler<Find> for Router {
+    type Return = Option<Choice>;
+
+    async fn handle(&mut self, find: Find, _: &mut Context<Self>) -> Option<Choice> {
+        let server = *self.by_name.get(&find.0)?;
+        debug_assert_eq!(self.servers[server].name, find.0);
+        self.choice(server)
+    }
+}
+
+impl Handler<Release> for Router {
+    type Return = ();
+
+    async fn handle(&mut self, release: Release, _: &mut Context<Self>) {
+        let candidate = &mut self.servers[release.0].candidate;
+        candidate.own_requests = candidate.own_requests.saturating_sub(1);
+    }
+}
+
+impl Handler<WatchLink> for Router {
+    type Return = watch::Receiver<Option<Handle>>;
+
+    async fn handle(
+        &mut self,
+        watched: WatchLink,
+        _: &mut Context<Self>,
+    ) -> watch::Receiver<Option<Handle>> {
+        self.servers[watched.0].link.subscribe()
+    }
+}
+
+impl Handler<CountLinked> for Router {
+    type Return = (usize, watch::Receiver<u64>);
+
+    async fn handle(
+        &mut self,
+        service: CountLinked,
+        _: &mut Context<Self>,
+    ) -> (usize, watch::Receiver<u64>) {
+        let changes = self.linked.subscribe();
+        (self.count_linked(&service.0), changes)
+    }
+}
--- /dev/null
+++ b/crates/hooktrestled/src/sidecar/desk.rs
@@ -0,0 +1,455 @@
+//! The actor around the dispatcher: feeds it events and carries out what it says.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use hooktrestle_core::clock::Clock;
+use hooktrestle_core::clock::Millis;
+use hooktrestle_core::config::BackendServer;
+use hooktrestle_core::config::Config;
+use hooktrestle_core::dispatch;
+use hooktrestle_core::dispatch::Arrival;
+use hooktrestle_core::dispatch::Cancelling;
+use hooktrestle_core::dispatch::Dispatcher;
+use hooktrestle_core::dispatch::Link;
+use hooktrestle_core::dispatch::Linking;
+use hooktrestle_core::dispatch::Next;
+use hooktrestle_core::dispatch::Offer;
+use hooktrestle_core::dispatch::RunKey;
+use hooktrestle_core::fair_queue::FlowId;
+use hooktrestle_core::id::RequestId;
+use hooktrestle_core::util::arena::Key;
+use hooktrestle_core::util::hash;
+use hooktrestle_core::verdict::Refusal;
+use hooktrestle_link::Identity;
+use hooktrestle_link::Peer;
+use hooktrestle_link::Sender;
+use hooktrestle_schema::Cause;
+use hooktrestle_schema::Frame;
+use hooktrestle_schema::LoadFrame;
+use hooktrestle_schema::RefusedFrame;
+use hooktrestle_schema::RequestFrame;
+use hooktrestle_schema::SettledFrame;
+use hooktrestle_schema::Ticket;
+use tokio::sync::watch;
+use tokio::task::AbortHandle;
+use xtra::Address;
+use xtra::Context;
+use xtra::Handler;
+use xtra::Mailbox;
+use xtra::WeakAddress;
+
+use crate::clock::MonotonicClock;
+use crate::config_keeper;
+use crate::sidecar::run;
+use crate::sidecar::run::Backend;
+use crate::sidecar::run::Job;
+use crate::sidecar::run::RunEnd;
+
+/// What a desk is made of.
+#[derive(Debug)]
+pub(super) struct Setup {
+    pub(super) identity: Identity,
+    pub(super) clock: MonotonicClock,
+    pub(super) limits: dispatch::Config,
+    pub(super) backend: Backend,
+    pub(super) config: config_keeper::Watch,
+}
+
+/// The actor.
+#[derive(Debug, xtra::Actor)]
+pub struct Desk {
+    setup: Setup,
+    dispatcher: Dispatcher,
+    waiting: HashMap<RunKey, Job>,
+    running: HashMap<RunKey, AbortHandle>,
+    running_count: watch::Sender<usize>,
+    alarm: watch::Sender<Millis>,
+    config_version: u64,
+    stopping: bool,
+    address: Option<WeakAddress<Desk>>,
+}
+
+/// A gateway has opened a link.
+#[derive(Debug)]
+pub(super) struct Linked(pub(super) Peer);
+
+/// A link has closed.
+#[derive(Debug)]
+pub(super) struct Unlinked(pub(super) Link);
+
+/// A request has arrived.
+#[derive(Debug)]
+pub(super) struct Arrive {
+    pub(super) link: Link,
+    pub(super) job: Job,
+}
+
+/// The caller of a request has gone.
+#[derive(Debug)]
+pub(super) struct Cancel(pub(super) Link, pub(super) RequestId);
+
+/// A gateway asks what became of a request.
+#[derive(Debug)]
+pub(super) struct Settle {
+    pub(super) link: Link,
+    pub(super) id: RequestId,
+    pub(super) ticket: Option<Ticket>,
+    pub(super) sender: Sender,
+}
+
+/// A gateway has the end of a request.
+#[derive(Debug)]
+pub(super) struct Acknowledge(pub(super) Link, pub(super) RequestId);
+
+/// A run has ended.
+#[derive(Debug)]
+pub(super) struct Ended {
+    pub(super) key: RunKey,
+    pub(super) end: RunEnd,
+    pub(super) job: Job,
+}
+
+/// Something may be due.
+#[derive(Debug)]
+pub(super) struct Tick;
+
+/// What to tell gateways of the load.
+#[derive(Debug)]
+pub(super) struct ReadLoad;
+
+/// Take nothing new and give back what waits; answers with the count of what runs.
+#[derive(Debug)]
+pub(super) struct Leave;
+
+/// Abort everything and end.
+#[derive(Debug)]
+pub(super) struct CutOff;
+
+/// Starts the actor.
+pub(super) fn start(setup: Setup) -> Address<Desk> {
+    let alarm = watch::Sender::new(Millis::MAX);
+    let ringing = alarm.subscribe();
+    let clock = setup.clock;
+    let desk = Desk {
+        dispatcher: Dispatcher::new(setup.limits, setup.identity.incarnation),
+        setup,
+        waiting: HashMap::new(),
+        running: HashMap::new(),
+        running_count: watch::Sender::new(0),
+        alarm,
+        config_version: 0,
+        stopping: false,
+        address: None,
+    };
+    let (address, mailbox) = Mailbox::unbounded();
+    let weak = address.downgrade();
+    let desk = Desk { address: Some(weak.clone()), ..desk };
+    tokio::spawn(xtra::run(mailbox, desk));
+    tokio::spawn(ring(weak, ringing, clock));
+    address
+}
+
+/// Sends a tick whenever the moment that the desk last named has come.
+async fn ring(desk: WeakAddress<Desk>, mut alarm: watch::Receiver<Millis>, clock: MonotonicClock) {
+    loop {
+        let due = *alarm.borrow_and_update();
+        let wait = Duration::from_millis(due.since(clock.now()).0);
+        let changed = tokio::time::timeout(wait, alarm.changed()).await;
+        match changed {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) => return,
+            Err(_) => {
+                let Some(desk) = desk.try_upgrade() else { return };
+                if desk.send(Tick).await.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+impl Desk {
+    fn now(&self) -> Millis {
+        self.setup.clock.now()
+    }
+
+    /// Carries out all that is due.
+    fn pump(&mut self) {
+        let now = self.now();
+        loop {
+            match self.dispatcher.next(now) {
+                Next::Start(key) => self.start_run(key),
+                Next::Expire(key) => self.refuse(key, Refusal::not_run(Cause::DeadlinePassed)),
+                Next::Idle(until) => {
+                    self.alarm.send_replace(until);
+                    break;
+                }
+            }
+        }
+        self.running_count.send_replace(self.dispatcher.running());
+    }
+
+    /// Takes over limits and drains from a new configuration.
+    fn follow_config(&mut self) {
+        let in_force = self.setup.config.borrow().clone();
+        let Some(in_force) = in_force else { return };
+        let config = &in_force.config;
+        if config.version == self.config_version {
+            return;
+        }
+        self.config_version = config.version;
+        let Some(server) = config.server(&self.setup.identity.instance) else { return };
+        self.follow_server(config, server);
+    }
+
+    fn follow_server(&mut self, config: &Config, server: Key<BackendServer>) {
+        let record = &config.servers[server];
+        let most_running = record.row.limit_running_requests as usize;
+        let most_queued = config.services[record.service].row.queue_limit_requests as usize;
+        self.dispatcher.set_limits(most_running, most_queued);
+        if config.is_draining(server) && !self.dispatcher.is_leaving() {
+            self.give_back();
+        } else if !config.is_draining(server) && !self.stopping {
+            self.dispatcher.stay();
+        }
+    }
+
+    fn give_back(&mut self) {
+        let now = self.now();
+        for key in self.dispatcher.leave(now) {
+            self.refuse(key, Refusal::not_run(Cause::Leaving));
+        }
+    }
+
+    fn start_run(&mut self, key: RunKey) {
+        let Some(job) = self.waiting.remove(&key) else {
+            debug_assert!(false, "a queued request has a job");
+            return;
+        };
+        let backend = self.setup.backend.clone();
+        let desk = self.address.clone();
+        let task = tokio::spawn(async move {
+            let mut job = job;
+            let end = run::run(&backend, &mut job).await;
+            if let Some(desk) = desk.and_then(|desk| desk.try_upgrade()) {
+                // A desk that has ended needs no report.
+                let _ = desk.send(Ended { key, end, job }).await;
+            }
+        });
+        self.running.insert(key, task.abort_handle());
+    }
+
+    /// Refuses a request that waited here.
+    fn refuse(&mut self, key: RunKey, refusal: Refusal) {
+        if let Some(job) = self.waiting.remove(&key) {
+            let spent = job.frame.ticket.is_some();
+            post(&job.sender, refused(&job.frame, refusal, spent));
+        }
+    }
+
+    fn abort(&mut self, key: RunKey) {
+        if let Some(task) = self.running.remove(&key) {
+            task.abort();
+            let now = self.now();
+            self.dispatcher.finished(now, key);
+        }
+    }
+
+    fn is_ready(&self) -> bool {
+        self.config_version > 0
+    }
+}
+
+impl Handler<Linked> for Desk {
+    type Return = Option<Link>;
+
+    async fn handle(&mut self, linked: Linked, _: &mut Context<Self>) -> Option<Link> {
+        let now = self.now();
+        self.dispatcher.forget_gone(now);
+        let name = hash::of(&linked.0.identity.instance);
+        let linking =
+            self.dispatcher.link(now, name, linked.0.identity.incarnation, linked.0.link_epoch);
+        let Linking::Open(link, abandoned) = linking else { return None };
+        for key in abandoned {
+            self.abort(key);
+        }
+        self.pump();
+        Some(link)
+    }
+}
+
+impl Handler<Unlinked> for Desk {
+    type Return = ();
+
+    async fn handle(&mut self, unlinked: Unlinked, _: &mut Context<Self>) {
+        let now = self.now();
+        for key in self.dispatcher.unlink(now, unlinked.0) {
+            self.abort(key);
+        }
+        self.waiting.retain(|_, job| !job.is_orphan());
+        self.pump();
+    }
+}
+
+impl Handler<Arrive> for Desk {
+    type Return = ();
+
+    async fn handle(&mut self, arrive: Arrive, _: &mut Context<Self>) {
+        self.follow_config();
+        let Arrive { link, job } = arrive;
+        if !self.is_ready() {
+            post(&job.sender, refused(&job.frame, Refusal::not_run(Cause::NotReady), false));
+            return;
+        }
+        let now = self.now();
+        let id = RequestId::from(&job.frame.id);
+        match self.dispatcher.request(now, link, id, offer(&job.frame)) {
+            Arrival::Queued(key) => {
+                self.waiting.insert(key, job);
+                self.pump();
+            }
+            Arrival::Refuse { refusal, spent } => {
+                post(&job.sender, refused(&job.frame, refusal, spent));
+            }
+            Arrival::Drop => {}
+        }
+    }
+}
+
+impl Handler<Cancel> for Desk {
+    type Return = ();
+
+    async fn handle(&mut self, cancel: Cancel, _: &mut Context<Self>) {
+        let now = self.now();
+        match self.dispatcher.cancel(now, cancel.0, cancel.1) {
+            Cancelling::Abort(key) => self.abort(key),
+            Cancelling::Removed(key) => drop(self.waiting.remove(&key)),
+            Cancelling::Unknown => {}
+        }
+        self.dispatcher.acknowledge(cancel.0, cancel.1);
+        self.pump();
+    }
+}
+
+impl Handler<Settle> for Desk {
+    type Return = ();
+
+    async fn handle(&mut self, settle: Settle, _: &mut Context<Self>) {
+        let now = self.now();
+        let verdict = self.dispatcher.settle(now, settle.link, settle.id, settle.ticket.as_ref());
+        if let Some(verdict) = verdict {
+            let id = settle.id.into();
+            post(&settle.sender, Frame::Settled(SettledFrame { id, verdict }));
+        }
+        self.pump();
+    }
+}
+
+impl Handler<Acknowledge> for Desk {
+    type Return = ();
+
+    async fn handle(&mut self, acknowledge: Acknowledge, _: &mut Context<Self>) {
+        self.dispatcher.acknowledge(acknowledge.0, acknowledge.1);
+    }
+}
+
+impl Handler<Ended> for Desk {
+    type Return = ();
+
+    async fn handle(&mut self, ended: Ended, _: &mut Context<Self>) {
+        if self.running.remove(&ended.key).is_none() {
+            return;
+        }
+        let now = self.now();
+        let Ended { key, end, job } = ended;
+        match end {
+            RunEnd::Whole | RunEnd::LinkClosed => self.dispatcher.finished(now, key),
+            RunEnd::Failed(refusal) => {
+                self.dispatcher.finished(now, key);
+                post(&job.sender, refused(&job.frame, refusal, false));
+            }
+            RunEnd::NotStarted(refusal) => {
+                self.dispatcher.not_started(now, key, job.frame.ticket.as_ref());
+                let spent = job.frame.ticket.is_some();
+                post(&job.sender, refused(&job.frame, refusal, spent));
+            }
+        }
+        self.pump();
+    }
+}
+
+impl Handler<Tick> for Desk {
+    type Return = ();
+
+    async fn handle(&mut self, _: Tick, _: &mut Context<Self>) {
+        self.pump();
+    }
+}
+
+impl Handler<ReadLoad> for Desk {
+    type Return = LoadFrame;
+
+    async fn handle(&mut self, _: ReadLoad, _: &mut Context<Self>) -> LoadFrame {
+        self.follow_config();
+        self.pump();
+        LoadFrame {
+            now_ms: self.now().0,
+            queued_requests: u32::try_from(self.dispatcher.queued()).unwrap_or(u32::MAX),
+            running_requests: u32::try_from(self.dispatcher.running()).unwrap_or(u32::MAX),
+            running_tokens: self.dispatcher.running_tokens(),
+            step_ms: 0.0,
+            leaving: self.dispatcher.is_leaving(),
+            config_version: self.config_version,
+        }
+    }
+}
+
+impl Handler<Leave> for Desk {
+    type Return = watch::Receiver<usize>;
+
+    async fn handle(&mut self, _: Leave, _: &mut Context<Self>) -> watch::Receiver<usize> {
+        self.stopping = true;
+        self.give_back();
+        self.pump();
+        self.running_count.subscribe()
+    }
+}
+
+impl Handler<CutOff> for Desk {
+    type Return = ();
+
+    async fn handle(&mut self, _: CutOff, context: &mut Context<Self>) {
+        for task in self.running.values() {
+            task.abort();
+        }
+        context.stop_all();
+    }
+}
+
+fn offer(frame: &RequestFrame) -> Offer {
+    Offer {
+        flow: FlowId(hash::of(&frame.account)),
+        weight: frame.weight,
+        cost_tokens: frame.cost_tokens,
+        priority: frame.priority,
+        deadline_in: Millis(frame.deadline_in_ms),
+        ticket: frame.ticket.clone(),
+    }
+}
+
+fn refused(frame: &RequestFrame, refusal: Refusal, spent: bool) -> Frame {
+    Frame::Refused(RefusedFrame {
+        id: frame.id.clone(),
+        verdict: refusal.verdict,
+        cause: refusal.cause,
+        retry_after_ms: refusal.retry_after.map(|span| span.0),
+        spent,
+    })
+}
+
+/// Sends without holding up the desk: a slow link must not delay other gateways' requests.
+fn post(sender: &Sender, frame: Frame) {
+    let sender = sender.clone();
+    tokio::spawn(async move { sender.send(&frame, &[]).await });
+}
--- /dev/null
+++ b/crates/hooktrestled/src/sidecar/links.rs
@@ -0,0 +1,183 @@
+//! Accepts links and reads their frames.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hooktrestle_core::dispatch::Link;
+use hooktrestle_core::id::RequestId;
+use hooktrestle_link::Identity;
+use hooktrestle_link::Opened;
+use hooktrestle_link::Receiver;
+use hooktrestle_link::Sender;
+use hooktrestle_schema::Frame;
+use hooktrestle_schema::RequestFrame;
+use spdlog::info;
+use spdlog::warn;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::sync::mpsc;
+use xtra::Address;
+
+use crate::config_keeper::ConfigKeeper;
+use crate::config_keeper::Heard;
+use crate::sidecar::desk;
+use crate::sidecar::desk::Desk;
+use crate::sidecar::run::BodyPiece;
+use crate::sidecar::run::Job;
+
+/// Connections whose peer has not proved itself yet; more wait to be accepted.
+const MOST_STRANGERS: usize = 64;
+
+/// What every link needs.
+#[derive(Clone, Debug)]
+pub(super) struct Context {
+    pub(super) link: hooktrestle_link::Config,
+    pub(super) identity: Identity,
+    pub(super) desk: Address<Desk>,
+    pub(super) keeper: Address<ConfigKeeper>,
+    pub(super) heartbeat: Duration,
+}
+
+/// What the reader of a link keeps of a request that it has passed on.
+#[derive(Debug)]
+struct Open {
+    body: mpsc::UnboundedSender<BodyPiece>,
+    credit: Arc<Semaphore>,
+}
+
+/// Accepts links for ever.
+pub(super) async fn accept_all(listener: TcpListener, context: Context) {
+    let strangers = Arc::new(Semaphore::new(MOST_STRANGERS));
+    loop {
+        let Ok(permit) = Arc::clone(&strangers).acquire_owned().await else { return };
+        let (stream, _) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                warn!("cannot accept a link", kv: { error: = error.to_string().as_str() });
+                continue;
+            }
+        };
+        let context = context.clone();
+        tokio::spawn(async move {
+            let opened = open(&context, stream).await;
+            drop(permit);
+            if let Some((opened, link)) = opened {
+                serve(&context, opened, link).await;
+            }
+        });
+    }
+}
+
+async fn open(context: &Context, stream: TcpStream) -> Option<(Opened, Link)> {
+    let opened = match hooktrestle_link::accept(&context.link, &context.identity, stream).await {
+        Ok(opened) => opened,
+        Err(error) => {
+            warn!("a link was refused", kv: { error: = error.to_string().as_str() });
+            return None;
+        }
+    };
+    let peer = opened.peer.clone();
+    let link = context.desk.send(desk::Linked(peer)).await.ok().flatten()?;
+    Some((opened, link))
+}
+
+async fn serve(context: &Context, opened: Opened, link: Link) {
+    let Opened { peer, sender, mut receiver } = opened;
+    let gateway = peer.identity.instance;
+    info!("link open", kv: { gateway: = gateway.as_str() });
+    let beating = tokio::spawn(beat(context.clone(), sender.clone()));
+    let error = read(context, &mut receiver, &sender, link).await;
+    beating.abort();
+    info!("link closed", kv: { gateway: = gateway.as_str(), reason: = error.to_string().as_str() });
+    // A desk that has ended has no requests of this link.
+    let _ = context.desk.send(desk::Unlinked(link)).await;
+}
+
+/// Sends the load at once, then every heartbeat.
+async fn beat(context: Context, sender: Sender) {
+    while let Ok(load) = context.desk.send(desk::ReadLoad).await {
+        if sender.send(&Frame::Load(load), &[]).await.is_err() {
+            return;
+        }
+        tokio::time::sleep(context.heartbeat).await;
+    }
+}
+
+/// Reads frames until the link ends; says why it did.
+async fn read(
+    context: &Context,
+    receiver: &mut Receiver,
+    sender: &Sender,
+    link: Link,
+) -> hooktrestle_link::Error {
+    let mut open: HashMap<RequestId, Open> = HashMap::new();
+    loop {
+        let (frame, payload) = match receiver.next().await {
+            Ok(message) => message,
+            Err(error) => return error,
+        };
+        open.retain(|_, open| Arc::strong_count(&open.credit) > 1);
+        match frame {
+            Frame::Request(frame) => {
+                let id = RequestId::from(&frame.id);
+                let (job, kept) = job(frame, sender);
+                open.insert(id, kept);
+                send(context, desk::Arrive { link, job }).await;
+            }
+            Frame::Body(body) => {
+                if let Some(open) = open.get(&RequestId::from(&body.id)) {
+                    // A run that has ended reads no more of its body.
+                    let _ = open.body.send(BodyPiece { bytes: payload, last: body.last });
+                }
+            }
+            Frame::Credit(credit) => {
+                if let Some(open) = open.get(&RequestId::from(&credit.id)) {
+                    add_credit(&open.credit, credit.more_bytes);
+                }
+            }
+            Frame::Cancel(frame) => {
+                let id = RequestId::from(&frame.id);
+                open.remove(&id);
+                send(context, desk::Cancel(link, id)).await;
+            }
+            Frame::Settle(frame) => {
+                let id = RequestId::from(&frame.id);
+                let sender = sender.clone();
+                send(context, desk::Settle { link, id, ticket: frame.ticket, sender }).await;
+            }
+            Frame::Ack(frame) => {
+                send(context, desk::Acknowledge(link, RequestId::from(&frame.id))).await;
+            }
+            Frame::Heartbeat(heartbeat) => {
+                // A keeper that has ended needs no news.
+                let _ = context.keeper.send(Heard(heartbeat.config_version)).detach().await;
+            }
+            _ => {}
+        }
+    }
+}
+
+fn job(frame: RequestFrame, sender: &Sender) -> (Job, Open) {
+    let (body, pieces) = mpsc::unbounded_channel();
+    let credit = Arc::new(Semaphore::new(0));
+    add_credit(&credit, frame.credit_bytes);
+    let kept = Open { body, credit: Arc::clone(&credit) };
+    (Job { frame, sender: sender.clone(), body: Some(pieces), credit }, kept)
+}
+
+/// Adds credit, up to what a semaphore can hold: a peer cannot make it panic.
+fn add_credit(credit: &Semaphore, more_bytes: u64) {
+    let room = Semaphore::MAX_PERMITS - credit.available_permits();
+    let more = usize::try_from(more_bytes).unwrap_or(usize::MAX).min(room / 2);
+    credit.add_permits(more);
+}
+
+async fn send<M: Send + 'static>(context: &Context, message: M)
+where
+    Desk: xtra::Handler<M, Return = ()>,
+{
+    // A desk that has ended cuts its links off; the reader then ends by itself.
+    let _ = context.desk.send(message).await;
+}
--- /dev/null
+++ b/crates/hooktrestled/src/sidecar/run.rs
@@ -0,0 +1,242 @@
+//! One request at the backend server: out over HTTP, the answer back in frames.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eyre::Result;
+use futures_util::StreamExt;
+use futures_util::stream;
+use hooktrestle_core::verdict::Refusal;
+use hooktrestle_link::Sender;
+use hooktrestle_schema::BodyFrame;
+use hooktrestle_schema::Cause;
+use hooktrestle_schema::CreditFrame;
+use hooktrestle_schema::Frame;
+use hooktrestle_schema::HeadFrame;
+use hooktrestle_schema::Header;
+use hooktrestle_schema::RequestFrame;
+use reqwest::Method;
+use reqwest::Response;
+use reqwest::header::HeaderMap;
+use tokio::sync::Semaphore;
+use tokio::sync::mpsc;
+
+/// Header by which a backend server says that it refused a request before running any of it.
+const NOT_RUN_HEADER: &str = "x-hooktrestle-not-run";
+
+/// Header that tells the backend server the trace that a request belongs to.
+const TRACEPARENT: &str = "traceparent";
+
+/// Largest piece of an answer in one frame.
+const PIECE_BYTES: usize = 16 * 1024;
+
+/// Longest wait for a connection to the backend server beside us.
+const CONNECT_WITHIN: Duration = Duration::from_secs(2);
+
+/// The end of a whole stream of server-sent events.
+const STREAM_END: &[u8] = b"data: [DONE]";
+
+/// The backend server beside this sidecar.
+#[derive(Clone, Debug)]
+pub(super) struct Backend {
+    http: reqwest::Client,
+    base_url: String,
+}
+
+/// A piece of a request's body.
+#[derive(Debug)]
+pub(super) struct BodyPiece {
+    pub(super) bytes: Bytes,
+    pub(super) last: bool,
+}
+
+/// A request with all that its run needs.
+#[derive(Debug)]
+pub(super) struct Job {
+    pub(super) frame: RequestFrame,
+    pub(super) sender: Sender,
+    /// Taken when the run starts.
+    pub(super) body: Option<mpsc::UnboundedReceiver<BodyPiece>>,
+    /// Answer bytes that may be sent.
+    pub(super) credit: Arc<Semaphore>,
+}
+
+impl Job {
+    /// Whether the link that it came over has closed.
+    pub(super) fn is_orphan(&self) -> bool {
+        self.body.as_ref().is_some_and(mpsc::UnboundedReceiver::is_closed)
+    }
+}
+
+/// How a run ended.
+#[derive(Debug)]
+pub(super) enum RunEnd {
+    /// The whole answer has been handed to the link.
+    Whole,
+    /// The backend server refused it before running any of it.
+    NotStarted(Refusal),
+    /// It ran, or may have, and the answer is not whole.
+    Failed(Refusal),
+    /// Nobody is left to answer.
+    LinkClosed,
+}
+
+impl Backend {
+    /// The backend server at `base_url`; connects on first use.
+    pub(super) fn new(base_url: &str) -> Result<Backend> {
+        let http = reqwest::Client::builder()
+            .no_proxy()
+            .connect_timeout(CONNECT_WITHIN)
+            .redirect(reqwest::redirect::Policy::none())
+            .build()?;
+        Ok(Backend { http, base_url: base_url.trim_end_matches('/').to_owned() })
+    }
+}
+
+/// Runs a request to its end.
+pub(super) async fn run(backend: &Backend, job: &mut Job) -> RunEnd {
+    let response = match send(backend, job).await {
+        Ok(response) => response,
+        Err(error) if error.is_connect() || error.is_builder() => {
+            return RunEnd::NotStarted(Refusal::not_run(Cause::BackendRefused));
+        }
+        // Sent, at least in part, and no answer: nobody knows.
+        Err(_) => return RunEnd::Failed(Refusal::may_have_run(Cause::BackendFailed)),
+    };
+    if response.headers().contains_key(NOT_RUN_HEADER) {
+        return RunEnd::NotStarted(Refusal::not_run(Cause::BackendRefused));
+    }
+    answer(job, response).await
+}
+
+async fn send(backend: &Backend, job: &mut Job) -> reqwest::Result<Response> {
+    let frame = &job.frame;
+    let method = Method::from_bytes(frame.method.as_bytes()).unwrap_or(Method::POST);
+    let url = format!("{}{}", backend.base_url, frame.path);
+    let mut request = backend.http.request(method, url);
+    for header in &frame.headers {
+        request = request.header(&header.name, &header.value);
+    }
+    if !frame.traceparent.is_empty() {
+        request = request.header(TRACEPARENT, &frame.traceparent);
+    }
+    request.body(body(job)).send().await
+}
+
+/// The request's body as it arrives; each piece that is read gives its credit back.
+fn body(job: &mut Job) -> reqwest::Body {
+    let Some(pieces) = job.body.take() else { return reqwest::Body::default() };
+    let sender = job.sender.clone();
+    let id = job.frame.id.clone();
+    let state = Some((pieces, sender, id));
+    let bytes = stream::unfold(state, |state| async move {
+        let (mut pieces, sender, id) = state?;
+        let Some(piece) = pieces.recv().await else {
+            let cut_off = std::io::Error::other("the caller's body was cut off");
+            return Some((Err(cut_off), None));
+        };
+        let credit = CreditFrame { id: id.clone(), more_bytes: piece.bytes.len() as u64 };
+        // A closed link ends the pieces as well.
+        let _ = sender.send(&Frame::Credit(credit), &[]).await;
+        let rest = if piece.last { None } else { Some((pieces, sender, id)) };
+        Some((Ok(piece.bytes), rest))
+    });
+    reqwest::Body::wrap_stream(bytes)
+}
+
+async fn answer(job: &Job, response: Response) -> RunEnd {
+    let is_stream = is_event_stream(response.headers());
+    let head = HeadFrame {
+        id: job.frame.id.clone(),
+        status: response.status().as_u16(),
+        headers: headers(response.headers()),
+    };
+    if job.sender.send(&Frame::Head(head), &[]).await.is_err() {
+        return RunEnd::LinkClosed;
+    }
+    let mut out = Out { job, sequence: 0, tail: Vec::new() };
+    let mut pieces = response.bytes_stream();
+    while let Some(piece) = pieces.next().await {
+        let Ok(piece) = piece else {
+            return RunEnd::Failed(Refusal::ran(Cause::BackendFailed));
+        };
+        if !out.send(piece).await {
+            return RunEnd::LinkClosed;
+        }
+    }
+    if is_stream && !out.saw_end() {
+        return RunEnd::Failed(Refusal::ran(Cause::BackendFailed));
+    }
+    if out.finish().await { RunEnd::Whole } else { RunEnd::LinkClosed }
+}
+
+/// An answer on its way out.
+struct Out<'a> {
+    job: &'a Job,
+    sequence: u64,
+    /// The last bytes sent, to recognise the end of a stream of events.
+    tail: Vec<u8>,
+}
+
+impl Out<'_> {
+    /// Sends a piece as credit allows; `false` when the link has closed.
+    async fn send(&mut self, mut bytes: Bytes) -> bool {
+        self.remember(&bytes);
+        while !bytes.is_empty() {
+            let piece = bytes.split_to(bytes.len().min(PIECE_BYTES));
+            let need = u32::try_from(piece.len()).unwrap_or(u32::MAX);
+            let credit = tokio::select! {
+                credit = self.job.credit.acquire_many(need) => credit,
+                () = self.job.sender.closed() => return false,
+            };
+            match credit {
+                Ok(credit) => credit.forget(),
+                Err(_) => return false,
+            }
+            if !self.frame(&piece, false).await {
+                return false;
+            }
+        }
+        true
+    }
+
+    async fn finish(&mut self) -> bool {
+        self.frame(&[], true).await
+    }
+
+    async fn frame(&mut self, payload: &[u8], last: bool) -> bool {
+        let id = self.job.frame.id.clone();
+        let frame = Frame::Body(BodyFrame { id, sequence: self.sequence, last });
+        self.sequence += 1;
+        self.job.sender.send(&frame, payload).await.is_ok()
+    }
+
+    fn remember(&mut self, bytes: &[u8]) {
+        let keep = 2 * STREAM_END.len();
+        self.tail.extend_from_slice(&bytes[bytes.len().saturating_sub(keep)..]);
+        let extra = self.tail.len().saturating_sub(keep);
+        self.tail.drain(..extra);
+    }
+
+    fn saw_end(&self) -> bool {
+        self.tail.windows(STREAM_END.len()).any(|window| window == STREAM_END)
+    }
+}
+
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let kind = headers.get(reqwest::header::CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    kind.is_some_and(|kind| kind.starts_with("text/event-stream"))
+}
+
+/// The answer's headers, without those that belong to one connection.
+fn headers(headers: &HeaderMap) -> Vec<Header> {
+    headers
+        .iter()
+        .filter(|(name, _)| !crate::headers::is_hop_by_hop(name))
+        .filter_map(|(name, value)| {
+            let value = value.to_str().ok()?.to_owned();
+            Some(Header { name: name.as_str().to_owned(), value })
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/hooktrestled/tests/processes.rs
@@ -0,0 +1,191 @@
+//! The path as separate processes: daemons started, killed and stopped as an operator would.
+
+use std::fs;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+
+use hooktrestle_embedded::Caller;
+use hooktrestle_embedded::Fleet;
+use hooktrestle_embedded::Outcome;
+use hooktrestle_embedded::caller::finish;
+use hooktrestle_embedded::key_sha256_hex;
+use hooktrestle_fakes::engine::Behaviour;
+use hooktrestle_fakes::engine::FakeEngine;
+use hooktrestle_schema::Instance;
+use hooktrestle_schema::InstanceRole;
+use hooktrestle_schema::InstanceState;
+use serde_json::json;
+
+const KEY: &str = "solver-key";
+
+/// A daemon that is killed when this is dropped.
+struct Daemon {
+    child: Child,
+    address: SocketAddr,
+    settings: PathBuf,
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.settings);
+    }
+}
+
+fn start(fleet: &Fleet, name: &str, role: &str, more: &str) -> Daemon {
+    let url = fleet.fake.url();
+    let instances_url = fleet.fake.instances_url();
+    let text = format!(
+        "[instance]\nname = {name}\nrole = {role}\ndata_centre = dar-1\nlisten = 127.0.0.1:0\n\
+         stop_within_ms = 20000\n\
+         [platform]\ntable_url = {url}\nobject_url = {url}\ninstances_url = {instances_url}\n\
+         poll_ms = 100\n[links]\nkeys = process-key\nheartbeat_ms = 50\n\
+         [gateway]\nkeep_endpoints_ms = 200\n{more}"
+    );
+    let file = format!("hooktrestled-{}-{name}.ini", std::process::id());
+    let settings = std::env::temp_dir().join(file);
+    fs::write(&settings, text).unwrap();
+    let mut child = Command::new(env!("CARGO_BIN_EXE_hooktrestled"))
+        .arg("--settings")
+        .arg(&settings)
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let address = read_address(&mut child);
+    let role = if role == "gateway" { InstanceRole::Gateway } else { InstanceRole::Sidecar };
+    fleet.fake.list_instance(Instance {
+        name: name.to_owned(),
+        data_centre: "dar-1".to_owned(),
+        role,
+        address: address.to_string(),
+        state: InstanceState::Live,
+    });
+    Daemon { child, address, settings }
+}
+
+/// Reads the daemon's log up to the line that says where it listens; the rest is read and dropped.
+fn read_address(child: &mut Child) -> SocketAddr {
+    let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
+    let address = lines
+        .by_ref()
+        .map_while(Result::ok)
+        .find_map(|line| {
+            let (_, rest) = line.split_once("address=")?;
+            rest.split_whitespace().next()?.parse().ok()
+        })
+        .expect("the daemon says where it listens");
+    std::thread::spawn(move || lines.for_each(drop));
+    address
+}
+
+async fn hints(fleet: &Fleet, engines: &[&str]) {
+    let mut rows = vec![
+        ("data_centre:dar-1".to_owned(), json!({ "region": "dar" })),
+        ("service:hints".to_owned(), json!({ "kind": "model" })),
+        ("account:solver".to_owned(), json!({ "key_sha256_hex": key_sha256_hex(KEY) })),
+    ];
+    for name in engines {
+        let row = json!({ "service": "hints", "data_centre": "dar-1" });
+        rows.push((format!("backend_server:{name}"), row));
+    }
+    let rows: Vec<_> = rows.iter().map(|(key, row)| (key.as_str(), row.clone())).collect();
+    fleet.edit(&rows).await.unwrap();
+}
+
+/// Calls until the daemons have found each other.
+async fn first_answer(caller: &Caller) {
+    loop {
+        let outcome = finish(caller.chat("hints", "warm-up", 1, true)).await.unwrap();
+        if matches!(outcome, Outcome::Whole(_)) {
+            return;
+        }
+    }
+}
+
+async fn engine() -> FakeEngine {
+    FakeEngine::start("127.0.0.1:0".parse().unwrap(), Behaviour::default()).await.unwrap()
+}
+
+fn sidecar_section(engine: &FakeEngine) -> String {
+    format!("[sidecar]\nbackend_url = {}\n", engine.url())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_goes_through_separate_processes() {
+    let fleet = Fleet::start().await.unwrap();
+    let engine = engine().await;
+    let _sidecar = start(&fleet, "hints-1", "sidecar", &sidecar_section(&engine));
+    let gateway = start(&fleet, "entry-1", "gateway", "");
+    hints(&fleet, &["hints-1"]).await;
+    let caller = Caller::new(&format!("http://{}", gateway.address), KEY).unwrap();
+    first_answer(&caller).await;
+    let outcome = finish(caller.chat("hints", "real", 50, true)).await.unwrap();
+    let Outcome::Whole(text) = outcome else { panic!("{outcome:?}") };
+    assert_eq!(text.matches("real#").count(), 50);
+    assert!(text.ends_with("data: [DONE]\n\n"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_terminated_sidecar_ends_what_runs_and_exits_with_0() {
+    let fleet = Fleet::start().await.unwrap();
+    let (one, two) = (engine().await, engine().await);
+    let mut leaving = start(&fleet, "hints-1", "sidecar", &sidecar_section(&one));
+    let _staying = start(&fleet, "hints-2", "sidecar", &sidecar_section(&two));
+    let gateway = start(&fleet, "entry-1", "gateway", "");
+    hints(&fleet, &["hints-1", "hints-2"]).await;
+    let caller = Caller::new(&format!("http://{}", gateway.address), KEY).unwrap();
+    first_answer(&caller).await;
+    let calls: Vec<_> = (0..20)
+        .map(|number| {
+            let call = caller.chat("hints", &format!("long-{number}"), 300, true);
+            tokio::spawn(finish(call))
+        })
+        .collect();
+    for number in 0..20 {
+        let marker = format!("long-{number}");
+        tokio::select! {
+            () = one.ledger.wait(&marker, |entry| entry.started > 0) => {}
+            () = two.ledger.wait(&marker, |entry| entry.started > 0) => {}
+        }
+    }
+    let terminated = Command::new("kill").arg(leaving.child.id().to_string()).status().unwrap();
+    assert!(terminated.success());
+    for call in calls {
+        let outcome = call.await.unwrap().unwrap();
+        let Outcome::Whole(text) = outcome else { panic!("{outcome:?}") };
+        assert!(text.ends_with("data: [DONE]\n\n"));
+    }
+    let status = tokio::task::spawn_blocking(move || leaving.child.wait().unwrap()).await.unwrap();
+    assert!(status.success(), "{status}");
+}
+
+#[test]
+fn a_bad_settings_file_is_refused_with_file_line_and_range() {
+    let path = std::env::temp_dir().join(format!("hooktrestled-{}-bad.ini", std::process::id()));
+    let text = "[instance]\nname = a\nrole = gateway\ndata_centre = d\nlisten = 127.0.0.1:0\n\
+                stop_within = 5\n\
+                [platform]\ntable_url = x\nobject_url = x\ninstances_url = x\npoll_ms = 1\n\
+                [links]\nkeys = k\n";
+    fs::write(&path, text).unwrap();
+    let output = Command::new(env!("CARGO_BIN_EXE_hooktrestled"))
+        .args(["--check", "--settings"])
+        .arg(&path)
+        .output()
+        .unwrap();
+    fs::remove_file(&path).unwrap();
+    let said = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(2), "{said}");
+    assert!(said.contains(":6: [instance] stop_within: is not a known name"), "{said}");
+    assert!(said.contains("did you mean `stop_within_ms`?"), "{said}");
+    assert!(
+        said.contains(":11: [platform] poll_ms: 1 given; it must be a whole number from 50"),
+        "{said}"
+    );
+}
--- /dev/null
+++ b/crates/platform/src/client.rs
@@ -0,0 +1,221 @@
+//! The platform's services over HTTP.
+
+use std::time::Duration;
+
+use hooktrestle_schema::Instance;
+use hooktrestle_schema::RowCheck;
+use hooktrestle_schema::RowWrite;
+use hooktrestle_schema::TableRow;
+use hooktrestle_schema::TableRows;
+use hooktrestle_schema::Transaction;
+use hooktrestle_schema::TransactionAnswer;
+use rand::RngExt;
+use reqwest::Response;
+use reqwest::StatusCode;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use crate::error::Error;
+
+/// Table that holds a row for each transaction, by operation id, so that a lost answer can be
+/// settled.
+pub const OPERATIONS: &str = "operations";
+
+/// How often a lost answer is asked for before the call counts as failed.
+const SETTLE_ATTEMPTS: u32 = 5;
+
+/// First wait between two such questions; it doubles.
+const SETTLE_BACKOFF: Duration = Duration::from_millis(50);
+
+/// Where the platform's services are.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Base URL of the table service.
+    pub table_url: String,
+    /// Base URL of the object store.
+    pub object_url: String,
+    /// URL of the instance list.
+    pub instances_url: String,
+    /// Longest wait for one answer.
+    pub timeout: Duration,
+}
+
+/// A transaction that took effect.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Committed {
+    /// Revision that its writes have; 0 if that answer was lost and the fact read back.
+    pub revision: u64,
+}
+
+/// Client of the platform's services.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    config: Config,
+    http: reqwest::Client,
+}
+
+impl Platform {
+    /// A client; connects on first use.
+    ///
+    /// # Errors
+    ///
+    /// The HTTP client cannot be set up.
+    pub fn new(config: Config) -> Result<Platform, Error> {
+        let http = reqwest::Client::builder()
+            .timeout(config.timeout)
+            .no_proxy()
+            .build()
+            .map_err(|error| Error::unreachable("HTTP client", error))?;
+        Ok(Platform { config, http })
+    }
+
+    /// One row; a row that does not exist has no value and version 0 in checks.
+    ///
+    /// # Errors
+    ///
+    /// An outage or a malformed answer.
+    pub async fn row(&self, table: &str, key: &str) -> Result<Option<TableRow>, Error> {
+        let what = format!("row {table}/{key}");
+        let url = format!("{}/v1/tables/{table}/rows/{key}", self.config.table_url);
+        let answer = self.get(&what, &url).await?;
+        match answer {
+            None => Ok(None),
+            Some(response) => Ok(Some(decode(&what, response).await?)),
+        }
+    }
+
+    /// All rows of a table that were written after `since`; deleted ones have a null value.
+    ///
+    /// # Errors
+    ///
+    /// An outage or a malformed answer.
+    pub async fn rows(&self, table: &str, since: u64) -> Result<TableRows, Error> {
+        let what = format!("table {table}");
+        let url = format!("{}/v1/tables/{table}/rows?since={since}", self.config.table_url);
+        match self.get(&what, &url).await? {
+            None => Err(Error::refused(&what, 404)),
+            Some(response) => decode(&what, response).await,
+        }
+    }
+
+    /// Runs a transaction and finds out what became of it.
+    ///
+    /// A row named after a fresh operation id is written with it. If the answer is lost, writing
+    /// that row alone settles the matter: either it exists, so the transaction took effect, or
+    /// it now does, so the transaction, were it still under way, fails its check.
+    ///
+    /// # Errors
+    ///
+    /// A conflict (nothing took effect), or an outage that outlasted all questions: then, and only
+    /// then, the outcome is unknown.
+    pub async fn transact(
+        &self,
+        checks: Vec<RowCheck>,
+        writes: Vec<RowWrite>,
+    ) -> Result<Committed, Error> {
+        let id = format!("{:032x}", rand::rng().random::<u128>());
+        let guard = operation_guard(&id);
+        let mut all_checks = checks;
+        all_checks.push(guard.0.clone());
+        let mut all_writes = writes;
+        all_writes.push(guard.1);
+        match self.send(Transaction { checks: all_checks, writes: all_writes }).await {
+            Ok(answer) if answer.committed => Ok(Committed { revision: answer.revision }),
+            Ok(answer) => Err(Error::conflict("transaction", answer.conflicts)),
+            Err(error) if error.is_outage() => self.settle(&id, error).await,
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Writes an object.
+    ///
+    /// # Errors
+    ///
+    /// An outage.
+    pub async fn put_object(&self, key: &str, bytes: Vec<u8>) -> Result<(), Error> {
+        let what = format!("object {key}");
+        let url = format!("{}/v1/objects/{key}", self.config.object_url);
+        let sent = self.http.put(url).body(bytes).send().await;
+        let response = sent.map_err(|error| Error::unreachable(&what, error))?;
+        require(&what, response.status())
+    }
+
+    /// Reads an object; `None` if there is none.
+    ///
+    /// # Errors
+    ///
+    /// An outage.
+    pub async fn object(&self, key: &str) -> Result<Option<Vec<u8>>, Error> {
+        let what = format!("object {key}");
+        let url = format!("{}/v1/objects/{key}", self.config.object_url);
+        match self.get(&what, &url).await? {
+            None => Ok(None),
+            Some(response) => {
+                let bytes = response.bytes().await;
+                let bytes = bytes.map_err(|error| Error::unreachable(&what, error))?;
+                Ok(Some(bytes.to_vec()))
+            }
+        }
+    }
+
+    /// The instance list; it lags.
+    ///
+    /// # Errors
+    ///
+    /// An outage or a malformed answer.
+    pub async fn instances(&self) -> Result<Vec<Instance>, Error> {
+        let what = "instance list";
+        match self.get(what, &self.config.instances_url).await? {
+            None => Err(Error::refused(what, 404)),
+            Some(response) => decode(what, response).await,
+        }
+    }
+
+    async fn settle(&self, id: &str, lost: Error) -> Result<Committed, Error> {
+        let mut wait = SETTLE_BACKOFF;
+        for _ in 0..SETTLE_ATTEMPTS {
+            let (check, write) = operation_guard(id);
+            match self.send(Transaction { checks: vec![check], writes: vec![write] }).await {
+                Ok(answer) if answer.committed => return Err(lost),
+                Ok(_) => return Ok(Committed { revision: 0 }),
+                Err(_) => tokio::time::sleep(wait).await,
+            }
+            wait *= 2;
+        }
+        Err(Error::unsettled("transaction"))
+    }
+
+    async fn send(&self, transaction: Transaction) -> Result<TransactionAnswer, Error> {
+        let what = "transaction";
+        let url = format!("{}/v1/transactions", self.config.table_url);
+        let sent = self.http.post(url).json(&transaction).send().await;
+        let response = sent.map_err(|error| Error::unreachable(what, error))?;
+        require(what, response.status())?;
+        decode(what, response).await
+    }
+
+    async fn get(&self, what: &str, url: &str) -> Result<Option<Response>, Error> {
+        let sent = self.http.get(url).send().await;
+        let response = sent.map_err(|error| Error::unreachable(what, error))?;
+        if response.status() == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        require(what, response.status())?;
+        Ok(Some(response))
+    }
+}
+
+fn operation_guard(id: &str) -> (RowCheck, RowWrite) {
+    let table = OPERATIONS.to_owned();
+    let check = RowCheck { table: table.clone(), key: id.to_owned(), version: 0 };
+    (check, RowWrite { table, key: id.to_owned(), value: Value::Bool(true) })
+}
+
+fn require(what: &str, status: StatusCode) -> Result<(), Error> {
+    if status.is_success() { Ok(()) } else { Err(Error::refused(what, status.as_u16())) }
+}
+
+async fn decode<T: DeserializeOwned>(what: &str, response: Response) -> Result<T, Error> {
+    let bytes = response.bytes().await.map_err(|error| Error::unreachable(what, error))?;
+    serde_json::from_slice(&bytes).map_err(|error| Error::malformed(what, error))
+}
--- /dev/null
+++ b/crates/platform/src/error.rs
@@ -0,0 +1,103 @@
+//! What can go wrong with a call to the platform.
+
+use std::fmt;
+
+use hooktrestle_schema::RowCheck;
+
+/// A failed call.
+#[derive(Debug)]
+pub struct Error {
+    kind: ErrorKind,
+    what: String,
+}
+
+#[derive(Debug)]
+enum ErrorKind {
+    Unreachable(reqwest::Error),
+    Refused(u16),
+    Malformed(String),
+    Conflict(Vec<RowCheck>),
+    Unsettled,
+}
+
+impl Error {
+    pub(crate) fn unreachable(what: &str, source: reqwest::Error) -> Error {
+        Error { kind: ErrorKind::Unreachable(source), what: what.to_owned() }
+    }
+
+    pub(crate) fn refused(what: &str, status: u16) -> Error {
+        Error { kind: ErrorKind::Refused(status), what: what.to_owned() }
+    }
+
+    pub(crate) fn malformed(what: &str, message: impl fmt::Display) -> Error {
+        Error { kind: ErrorKind::Malformed(message.to_string()), what: what.to_owned() }
+    }
+
+    pub(crate) fn conflict(what: &str, conflicts: Vec<RowCheck>) -> Error {
+        Error { kind: ErrorKind::Conflict(conflicts), what: what.to_owned() }
+    }
+
+    pub(crate) fn unsettled(what: &str) -> Error {
+        Error { kind: ErrorKind::Unsettled, what: what.to_owned() }
+    }
+
+    /// Whether a transaction may or may not have taken effect. Every other error means that it
+    /// has not and will not.
+    pub fn is_unsettled(&self) -> bool {
+        matches!(self.kind, ErrorKind::Unsettled)
+    }
+
+    /// The rows that had changed, if that is why a transaction did not take effect.
+    pub fn conflicts(&self) -> Option<&[RowCheck]> {
+        match &self.kind {
+            ErrorKind::Conflict(conflicts) => Some(conflicts),
+            _ => None,
+        }
+    }
+
+    /// Whether a later call may succeed: the service was down, slow, or overloaded.
+    pub fn is_outage(&self) -> bool {
+        match &self.kind {
+            ErrorKind::Unreachable(_) | ErrorKind::Unsettled => true,
+            ErrorKind::Refused(status) => *status >= 500,
+            ErrorKind::Malformed(_) | ErrorKind::Conflict(_) => false,
+        }
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let what = &self.what;
+        match &self.kind {
+            ErrorKind::Unreachable(source) => {
+                write!(
+                    f,
+                    "{what}: no answer ({source}); check the URL in [platform] and the service"
+                )
+            }
+            ErrorKind::Refused(status) => write!(f, "{what}: refused with status {status}"),
+            ErrorKind::Unsettled => {
+                write!(
+                    f,
+                    "{what}: its answer was lost, and whether it took effect is not known; read the rows back before trying again"
+                )
+            }
+            ErrorKind::Malformed(message) => write!(f, "{what}: malformed answer: {message}"),
+            ErrorKind::Conflict(conflicts) => {
+                write!(f, "{what}: changed by somebody else meanwhile:")?;
+                conflicts.iter().try_for_each(|row| {
+                    write!(f, " {}/{} is at version {}", row.table, row.key, row.version)
+                })
+            }
+        }
+    }
+}
+
+impl std::error::Error for Error {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        match &self.kind {
+            ErrorKind::Unreachable(source) => Some(source),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,19 @@
+//! Client of the platform: table service, object store, instance list.
+//!
+//! - [`Platform`]: the three services over HTTP.
+//! - [`Platform::transact`]: a transaction whose outcome is known, even if its answer was lost.
+//! - [`Error`]: tells a refusal from an outage.
+//!
+//! # Limits
+//!
+//! Values are JSON. A scan returns all rows written since a revision in one answer; tables here
+//! hold thousands of rows, not millions.
+
+mod client;
+mod error;
+
+pub use client::Committed;
+pub use client::Config;
+pub use client::OPERATIONS;
+pub use client::Platform;
+pub use error::Error;
--- /dev/null
+++ b/crates/schema/src/range.rs
@@ -0,0 +1,208 @@
+//! Checks values against the units, ranges and names that the schema files state.
+//!
+//! Generated types accept any number of the right width. Operators deserve an error that names
+//! the field, its range and the nearest known name instead, so this reads the schema itself.
+
+use std::fmt;
+use std::sync::OnceLock;
+
+use serde_json::Map;
+use serde_json::Value;
+
+const SOURCES: [&str; 2] =
+    [include_str!("../schema/rows.json"), include_str!("../schema/settings.json")];
+
+/// How far a misspelt name may be from a known one to be suggested, as a similarity of 0 to 1.
+const SUGGEST_FROM: f64 = 0.6;
+
+/// One field of a definition, as the schema states it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Field {
+    /// The field's name.
+    pub name: String,
+    /// What it means.
+    pub description: String,
+    /// Unit of its value.
+    pub unit: String,
+    /// JSON type: `integer`, `number`, `string`, `boolean`, or the name of an enum.
+    pub kind: String,
+    /// Smallest allowed value, of a number.
+    pub minimum: Option<f64>,
+    /// Largest allowed value, of a number.
+    pub maximum: Option<f64>,
+    /// Value of a field that is left out.
+    pub default: Option<Value>,
+    /// Whether it may not be left out.
+    pub required: bool,
+    /// Allowed words, of an enum.
+    pub words: Vec<String>,
+}
+
+/// What is wrong with a value, and where.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FieldError {
+    field: String,
+    message: String,
+}
+
+impl FieldError {
+    /// Name of the field at fault.
+    pub fn field(&self) -> &str {
+        &self.field
+    }
+}
+
+impl fmt::Display for FieldError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.field, self.message)
+    }
+}
+
+impl std::error::Error for FieldError {}
+
+/// The fields of a definition, in the schema's order.
+///
+/// # Panics
+///
+/// If the schema has no such definition: a bug in the caller.
+pub fn fields(definition: &str) -> Vec<Field> {
+    let object = lookup(definition);
+    let required = object["required"].as_array().cloned().unwrap_or_default();
+    let properties = object["properties"].as_object().expect("a definition with properties");
+    properties.iter().map(|(name, schema)| field(name, schema, &required)).collect()
+}
+
+/// Checks one object against a definition: known names, present fields, types and ranges.
+///
+/// # Errors
+///
+/// Every fault found, not only the first.
+///
+/// # Panics
+///
+/// As [`fields`].
+pub fn check(definition: &str, object: &Map<String, Value>) -> Result<(), Vec<FieldError>> {
+    let known = fields(definition);
+    let mut faults = Vec::new();
+    for (name, value) in object {
+        match known.iter().find(|field| field.name == *name) {
+            None => faults.push(unknown(name, &known)),
+            Some(field) => faults.extend(check_value(field, value)),
+        }
+    }
+    for field in known.iter().filter(|field| field.required) {
+        if !object.contains_key(&field.name) {
+            faults.push(fault(&field.name, format!("is missing; it {}", expected(field))));
+        }
+    }
+    if faults.is_empty() { Ok(()) } else { Err(faults) }
+}
+
+/// Turns text, as INI and CSV hold it, into the JSON value that the field wants.
+///
+/// # Errors
+///
+/// The text is no value of the field's type.
+pub fn parse(field: &Field, text: &str) -> Result<Value, FieldError> {
+    let parsed = match field.kind.as_str() {
+        "integer" => text.parse::<u64>().ok().map(Value::from),
+        "number" => text.parse::<f64>().ok().map(Value::from),
+        "boolean" => text.parse::<bool>().ok().map(Value::from),
+        _ => Some(Value::from(text)),
+    };
+    parsed.ok_or_else(|| fault(&field.name, format!("`{text}` given; it {}", expected(field))))
+}
+
+/// The nearest known name, if one is near enough to be what was meant.
+pub fn nearest<'a>(name: &str, known: impl Iterator<Item = &'a str>) -> Option<&'a str> {
+    known
+        .map(|candidate| (strsim::jaro_winkler(name, candidate), candidate))
+        .filter(|(similarity, _)| *similarity >= SUGGEST_FROM)
+        .max_by(|a, b| a.0.total_cmp(&b.0))
+        .map(|(_, candidate)| candidate)
+}
+
+fn check_value(field: &Field, value: &Value) -> Option<FieldError> {
+    let fits = match field.kind.as_str() {
+        "integer" => value.as_u64().is_some_and(|number| in_range(field, number as f64)),
+        "number" => value.as_f64().is_some_and(|number| in_range(field, number)),
+        "boolean" => value.is_boolean(),
+        _ => value.as_str().is_some_and(|text| is_word(field, text)),
+    };
+    if fits {
+        return None;
+    }
+    Some(fault(&field.name, format!("{value} given; it {}", expected(field))))
+}
+
+fn in_range(field: &Field, number: f64) -> bool {
+    field.minimum.is_none_or(|minimum| number >= minimum)
+        && field.maximum.is_none_or(|maximum| number <= maximum)
+}
+
+fn is_word(field: &Field, text: &str) -> bool {
+    field.words.is_empty() || field.words.iter().any(|word| word == text)
+}
+
+fn expected(field: &Field) -> String {
+    if !field.words.is_empty() {
+        return format!("must be one of {}", field.words.join(", "));
+    }
+    match (field.minimum, field.maximum) {
+        (Some(minimum), Some(maximum)) => {
+            format!("must be {} from {minimum} to {maximum} {}", article(field), field.unit)
+        }
+        _ => format!("must be {} ({})", article(field), field.unit),
+    }
+}
+
+fn article(field: &Field) -> &'static str {
+    match field.kind.as_str() {
+        "integer" => "a whole number",
+        "number" => "a number",
+        "boolean" => "true or false",
+        _ => "a text",
+    }
+}
+
+fn unknown(name: &str, known: &[Field]) -> FieldError {
+    let hint = match nearest(name, known.iter().map(|field| field.name.as_str())) {
+        Some(candidate) => format!("; did you mean `{candidate}`?"),
+        None => String::new(),
+    };
+    fault(name, format!("is not a known name{hint}"))
+}
+
+fn fault(field: &str, message: String) -> FieldError {
+    FieldError { field: field.to_owned(), message }
+}
+
+fn field(name: &str, schema: &Value, required: &[Value]) -> Field {
+    let target = match schema["$ref"].as_str() {
+        Some(reference) => lookup(reference.rsplit('/').next().unwrap_or_default()),
+        None => schema,
+    };
+    let words = target["enum"].as_array().cloned().unwrap_or_default();
+    Field {
+        name: name.to_owned(),
+        description: target["description"].as_str().unwrap_or_default().to_owned(),
+        unit: schema["x-unit"].as_str().unwrap_or("word").to_owned(),
+        kind: target["type"].as_str().unwrap_or("string").to_owned(),
+        minimum: schema["minimum"].as_f64(),
+        maximum: schema["maximum"].as_f64(),
+        default: schema.get("default").cloned(),
+        required: required.iter().any(|entry| entry == name),
+        words: words.iter().filter_map(Value::as_str).map(str::to_owned).collect(),
+    }
+}
+
+fn lookup(definition: &str) -> &'static Value {
+    static PARSED: OnceLock<Vec<Value>> = OnceLock::new();
+    let files = PARSED.get_or_init(|| {
+        SOURCES.iter().map(|text| serde_json::from_str(text).expect("a valid schema")).collect()
+    });
+    files
+        .iter()
+        .find_map(|file| file["definitions"].get(definition))
+        .unwrap_or_else(|| panic!("no definition {definition} in the schema"))
+}
