Map switch: one expert map a step, walked through every state of small groups

Cause: nothing yet carried the promise that all ranks use one map in every step.

Ways weighed: a horizon that the leader keeps extending (stalls with the leader or the store); an outcome row in the table (stalls in an outage); the version in the step message (needs the engine's help); two-phase commit with ballots that all ranks join. The last one needs neither store nor engine protocol beyond "hold at step S", and any leader that all ranks have joined can finish or call off what an older one left behind.

Change: core `map_switch` (Rank, Leader, Ballot), a model checker in the tests. Every order of messages, repeats, losses, crash points, failed loads, two leaders, a restarted sidecar, ranks that lead while the store is down; from every state a new leader must get the group stepping again. Longer random paths of 2 to 8 ranks with late replies by proptest.

Ruled out on the way: incarnations in place of a fence that lasts. A rank that joined ballot 2, was restarted and then joined ballot 1 lets 1 commit there what 2 has called off elsewhere; a_restarted_sidecar_that_guesses_the_fence_is_caught holds that path. Hence the fence is kept by the backend server, or read from the table after a restart.

The check can fail: a rank that does not wait, a map pushed rank by rank and a guessed fence each split a step in the same walk.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,9 @@
 //! - [`fair_queue`]: whose request goes next.
 //! - [`once`]: the tickets of requests that are not repeatable.
 //!
+//! For a group of ranks:
+//! - [`map_switch`]: one expert map in every step.
+//!
 //! Everywhere:
 //! - [`rows`]: the operators' table.
 //! - [`acceptance`]: edited rows to the next configuration.
@@ -28,6 +31,7 @@
 pub mod dispatch;
 pub mod fair_queue;
 pub mod id;
+pub mod map_switch;
 pub mod once;
 pub mod retry;
 pub mod routing;
--- /dev/null
+++ b/crates/core/tests/map_switch.rs
@@ -0,0 +1,120 @@
+//! One map a step: every order of messages and every crash point of small groups, and long random
+//! paths of larger ones.
+
+mod model;
+
+use model::Broken;
+use model::Setup;
+use model::World;
+use model::walk;
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::any;
+use proptest::prop_assert;
+use proptest::proptest;
+
+const TWO_RANKS: Setup = Setup {
+    ranks: 2,
+    horizon: 1,
+    last_step: 3,
+    leases: 2,
+    proposals: 1,
+    restarts: 0,
+    repeats: 1,
+    late_replies: false,
+    keeps_fence: false,
+    storeless: 0,
+    broken: Broken::Nothing,
+};
+
+fn holds(setup: Setup) {
+    let walk = walk(&setup);
+    println!("{setup:?}: {} states", walk.states);
+    assert!(walk.split.is_none(), "two maps in one step: {:#?}", walk.split);
+    assert!(walk.stuck.is_none(), "no leader can get the group going again: {:#?}", walk.stuck);
+    assert!(walk.switched, "no path switches at all: the model proves nothing");
+}
+
+fn is_caught(setup: Setup) {
+    let walk = walk(&setup);
+    assert!(walk.split.is_some(), "{} states, and none splits: {setup:?}", walk.states);
+}
+
+#[test]
+fn two_leaders_lost_late_and_repeated_messages_failed_loads() {
+    holds(TWO_RANKS);
+}
+
+#[test]
+fn a_sidecar_restarted_with_empty_memory_before_a_server_that_keeps_no_fence() {
+    holds(Setup { restarts: 1, last_step: 2, ..TWO_RANKS });
+}
+
+#[test]
+fn the_store_down_and_ranks_that_lead_by_themselves() {
+    holds(Setup { leases: 1, storeless: 1, keeps_fence: true, last_step: 2, ..TWO_RANKS });
+}
+
+#[test]
+fn three_ranks_and_one_leader() {
+    holds(Setup { ranks: 3, leases: 1, last_step: 2, ..TWO_RANKS });
+}
+
+#[test]
+fn a_rank_that_does_not_wait_is_caught() {
+    is_caught(Setup { broken: Broken::IgnoresHold, ..TWO_RANKS });
+}
+
+#[test]
+fn a_map_pushed_rank_by_rank_is_caught() {
+    is_caught(Setup { broken: Broken::PushesRankByRank, ..TWO_RANKS });
+}
+
+#[test]
+fn a_restarted_sidecar_that_guesses_the_fence_is_caught() {
+    is_caught(Setup { restarts: 1, broken: Broken::GuessesFence, last_step: 2, ..TWO_RANKS });
+}
+
+/// One random path through a larger group's states.
+fn wander(setup: &Setup, choices: &[u16]) -> Result<World, String> {
+    let mut world = World::new(setup);
+    for choice in choices {
+        let actions = world.actions(setup);
+        if actions.is_empty() {
+            break;
+        }
+        let action = actions[usize::from(*choice) % actions.len()];
+        let happened = world.apply(setup, action);
+        happened.map_err(|split| format!("{split:?}"))?;
+        if !world.recovers(setup) {
+            return Err(format!("stuck after {action:?}"));
+        }
+    }
+    Ok(world)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, ..ProptestConfig::default() })]
+
+    #[test]
+    fn long_paths_of_a_larger_group(
+        choices in proptest::collection::vec(any::<u16>(), 50..400),
+        keeps_fence in any::<bool>(),
+        ranks in 2_usize..9,
+    ) {
+        let setup = Setup {
+            ranks,
+            horizon: 2,
+            last_step: 12,
+            leases: 4,
+            proposals: 4,
+            restarts: 3,
+            repeats: 8,
+            late_replies: true,
+            keeps_fence,
+            storeless: 2,
+            broken: Broken::Nothing,
+        };
+        let wandered = wander(&setup, &choices);
+        prop_assert!(wandered.is_ok(), "{:?}", wandered.err());
+    }
+}
