Verdicts under any schedule: "not run" is true, at most once, whole answers in order

Cause: the dispatcher, the tickets and the attempts were only tried along the good path.

Change: tests drive them through random schedules: calls of all three kinds, retries by callers through another gateway, cuts that one side notices late, reconnects, frames of older links that come late, sidecars restarted or leaving, failed and refused runs, deadlines, callers that go away. A ledger judges every verdict after every event. Four flaws, built in on purpose (a gateway that retries on any error, a sidecar that takes an older link's frames, one that keeps its incarnation over a restart, a gateway that passes on any attempt) must each be caught.

--- a/crates/core/tests/map_switch.rs
+++ b/crates/core/tests/map_switch.rs
@@ -2,15 +2,16 @@
 //! paths of larger ones.
 
 mod model;
+mod support;
 
 use model::Broken;
 use model::Setup;
 use model::World;
 use model::walk;
-use proptest::prelude::ProptestConfig;
 use proptest::prelude::any;
 use proptest::prop_assert;
 use proptest::proptest;
+use support::seeded;
 
 const TWO_RANKS: Setup = Setup {
     ranks: 2,
@@ -93,7 +94,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 400, ..ProptestConfig::default() })]
+    #![proptest_config(seeded(300, "tests/map_switch.regressions"))]
 
     #[test]
     fn long_paths_of_a_larger_group(
--- /dev/null
+++ b/crates/core/tests/schedule/mod.rs
@@ -0,0 +1,686 @@
+//! Gateways and sidecars from the core, links that are cut and come late, and a ledger of what
+//! really ran. Anything may happen at any time; the ledger judges every verdict.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use hooktrestle_core::attempt;
+use hooktrestle_core::attempt::Attempts;
+use hooktrestle_core::attempt::Next;
+use hooktrestle_core::attempt::Repeat;
+use hooktrestle_core::clock::Millis;
+use hooktrestle_core::dispatch;
+use hooktrestle_core::dispatch::Arrival;
+use hooktrestle_core::dispatch::Cancelling;
+use hooktrestle_core::dispatch::Dispatcher;
+use hooktrestle_core::dispatch::Link;
+use hooktrestle_core::dispatch::Linking;
+use hooktrestle_core::dispatch::Offer;
+use hooktrestle_core::dispatch::RunKey;
+use hooktrestle_core::fair_queue::FlowId;
+use hooktrestle_core::id::RequestId;
+use hooktrestle_core::once;
+use hooktrestle_core::retry;
+use hooktrestle_core::retry::RetryBudget;
+use hooktrestle_core::verdict::Refusal;
+use hooktrestle_schema::Cause;
+use hooktrestle_schema::Ticket;
+use hooktrestle_schema::Verdict;
+
+pub const GATEWAYS: usize = 2;
+pub const SIDECARS: usize = 2;
+
+/// Body frames of a whole answer.
+const ANSWER_FRAMES: u64 = 3;
+
+const REMEMBER: Millis = Millis(400);
+
+/// What a test lets happen next; the numbers choose whom it happens to.
+#[derive(Clone, Copy, Debug)]
+pub enum Event {
+    Call { gateway: usize, kind: u8 },
+    CallAgain { gateway: usize, job: usize },
+    DeliverUp(usize),
+    DeliverDown(usize),
+    Cut(usize),
+    Reconnect(usize),
+    SidecarNotices(usize),
+    Run { sidecar: usize, pick: usize, how: u8 },
+    RestartSidecar(usize),
+    Leave(usize),
+    Stay(usize),
+    Pass(u8),
+    Deadline { call: usize },
+    CallerGone { call: usize },
+}
+
+#[derive(Clone, Debug)]
+enum Up {
+    Request { id: RequestId, offer: Offer, call: usize },
+    Settle { id: RequestId, ticket: Option<Ticket> },
+    Cancel(RequestId),
+    Ack(RequestId),
+}
+
+#[derive(Clone, Debug)]
+enum Down {
+    Head(RequestId),
+    Body { id: RequestId, sequence: u64, last: bool, call: usize },
+    Refused { id: RequestId, refusal: Refusal, spent: bool },
+    Settled { id: RequestId, verdict: Verdict },
+}
+
+/// One link, also after it was cut: what it carried may still arrive at the sidecar.
+#[derive(Debug)]
+struct Wire {
+    gateway: usize,
+    sidecar: usize,
+    life: u64,
+    incarnation: u64,
+    epoch: u64,
+    link: Link,
+    up: VecDeque<Up>,
+    down: VecDeque<Down>,
+    open_at_gateway: bool,
+    open_at_sidecar: bool,
+}
+
+#[derive(Debug)]
+struct Running {
+    key: RunKey,
+    wire: usize,
+    call: usize,
+    sent: u64,
+    ticket: Option<Ticket>,
+}
+
+#[derive(Debug)]
+struct Sidecar {
+    dispatcher: Dispatcher,
+    life: u64,
+    /// Its life, as others see it.
+    incarnation: u64,
+    waiting: BTreeMap<RunKey, (usize, usize, Option<Ticket>)>,
+    running: Vec<Running>,
+}
+
+/// One HTTP call of a caller.
+#[derive(Debug)]
+pub struct Call {
+    pub job: usize,
+    pub gateway: usize,
+    attempts: Attempts,
+    wire: Option<usize>,
+    ticket: Option<Ticket>,
+    own_ticket: Option<Ticket>,
+    tried: Vec<usize>,
+    /// Frames that the caller has got.
+    pub got: Vec<(usize, u64)>,
+    pub ended: Option<End>,
+    /// How often the backend servers started it.
+    pub started: u32,
+    pub finished: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum End {
+    Whole,
+    Refused(Refusal),
+    Gone,
+}
+
+/// What is broken on purpose, to see that the check can fail.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Flaw {
+    None,
+    /// A gateway treats every request as repeatable.
+    RetriesAnyError,
+    /// A sidecar takes what an older link still delivers for what the newest one says.
+    IgnoresEpochs,
+    /// A sidecar that was restarted passes for the one before.
+    KeepsIncarnation,
+    /// A gateway passes on whatever arrives under the request's number.
+    ForwardsAnyAttempt,
+}
+
+pub struct World {
+    flaw: Flaw,
+    now: Millis,
+    sidecars: Vec<Sidecar>,
+    wires: Vec<Wire>,
+    pub calls: Vec<Call>,
+    pub jobs: Vec<Repeat>,
+    tickets: Vec<Option<Ticket>>,
+    budgets: Vec<RetryBudget>,
+    nonce: u64,
+}
+
+fn sidecar(life: u64, incarnation: u64) -> Sidecar {
+    let config = dispatch::Config {
+        most_running: 2,
+        most_queued: 2,
+        tickets: once::Config { remember: REMEMBER, most_tickets: 6 },
+        remember_gateway: Millis(1_000),
+    };
+    let dispatcher = Dispatcher::new(config, incarnation);
+    Sidecar { dispatcher, life, incarnation, waiting: BTreeMap::new(), running: Vec::new() }
+}
+
+impl World {
+    pub fn new(flaw: Flaw) -> World {
+        let budget = RetryBudget::new(retry::Config { percent: 50, most_saved: 50 });
+        let mut world = World {
+            flaw,
+            now: Millis(0),
+            sidecars: (0..SIDECARS)
+                .map(|index| sidecar(index as u64 + 1, index as u64 + 1))
+                .collect(),
+            wires: Vec::new(),
+            calls: Vec::new(),
+            jobs: Vec::new(),
+            tickets: Vec::new(),
+            budgets: vec![budget; GATEWAYS],
+            nonce: 0,
+        };
+        for pair in 0..GATEWAYS * SIDECARS {
+            world.reconnect(pair);
+        }
+        world
+    }
+
+    pub fn apply(&mut self, event: Event) {
+        match event {
+            Event::Call { gateway, kind } => self.call(gateway % GATEWAYS, kind),
+            Event::CallAgain { gateway, job } => self.call_again(gateway % GATEWAYS, job),
+            Event::DeliverUp(index) => self.deliver_up(index),
+            Event::DeliverDown(index) => self.deliver_down(index),
+            Event::Cut(index) => self.cut(index),
+            Event::Reconnect(pair) => self.reconnect(pair % (GATEWAYS * SIDECARS)),
+            Event::SidecarNotices(index) => self.sidecar_notices(index),
+            Event::Run { sidecar, pick, how } => self.run(sidecar % SIDECARS, pick, how),
+            Event::RestartSidecar(index) => self.restart(index % SIDECARS),
+            Event::Leave(index) => self.leave(index % SIDECARS),
+            Event::Stay(index) => self.sidecars[index % SIDECARS].dispatcher.stay(),
+            Event::Pass(ms) => self.pass(u64::from(ms)),
+            Event::Deadline { call } => self.deadline(call),
+            Event::CallerGone { call } => self.caller_gone(call),
+        }
+    }
+
+    /// What must always hold; `Err` says what does not.
+    pub fn check(&self) -> Result<(), String> {
+        for (index, call) in self.calls.iter().enumerate() {
+            if let Some(End::Refused(refusal)) = call.ended
+                && refusal.verdict == Verdict::NotRun
+                && call.started > 0
+            {
+                return Err(format!("call {index} was told {refusal:?}, and ran"));
+            }
+            if self.jobs[call.job] != Repeat::Freely && call.started > 1 {
+                return Err(format!("call {index} is not repeatable and ran {}x", call.started));
+            }
+            let frames: Vec<u64> = call.got.iter().map(|(_, sequence)| *sequence).collect();
+            let in_order = frames.iter().enumerate().all(|(at, found)| at as u64 == *found);
+            let own = call.got.iter().all(|(of, _)| *of == index);
+            if !in_order || !own {
+                return Err(format!("call {index} got {:?}", call.got));
+            }
+            let whole = frames.len() as u64 == ANSWER_FRAMES;
+            if call.ended == Some(End::Whole) && !whole {
+                return Err(format!("call {index} is told whole after {frames:?}"));
+            }
+        }
+        for (job, repeat) in self.jobs.iter().enumerate() {
+            let calls = self.calls.iter().filter(|call| call.job == job);
+            let started: u32 = calls.map(|call| call.started).sum();
+            if *repeat == Repeat::Never && started > 1 {
+                return Err(format!("job {job} has one key and ran {started}x"));
+            }
+        }
+        Ok(())
+    }
+
+    fn call(&mut self, gateway: usize, kind: u8) {
+        let repeat = match kind % 3 {
+            0 => Repeat::Freely,
+            1 => Repeat::WithNewTicket,
+            _ => Repeat::Never,
+        };
+        let own_ticket = match repeat {
+            Repeat::Never => Some(self.mint(usize::from(kind) % SIDECARS)),
+            _ => None,
+        };
+        self.jobs.push(repeat);
+        self.tickets.push(own_ticket);
+        self.start(gateway, self.jobs.len() - 1);
+    }
+
+    fn call_again(&mut self, gateway: usize, job: usize) {
+        if self.jobs.is_empty() {
+            return;
+        }
+        let job = job % self.jobs.len();
+        if self.jobs[job] == Repeat::Never {
+            self.start(gateway, job);
+        }
+    }
+
+    fn start(&mut self, gateway: usize, job: usize) {
+        let repeat = match self.flaw {
+            Flaw::RetriesAnyError => Repeat::Freely,
+            _ => self.jobs[job],
+        };
+        let number = self.calls.len() as u64;
+        let config = attempt::Config { number, repeat, most_attempts: 1 + number as u32 % 3 };
+        self.calls.push(Call {
+            job,
+            gateway,
+            attempts: Attempts::new(config),
+            wire: None,
+            ticket: None,
+            own_ticket: self.tickets[job].clone(),
+            tried: Vec::new(),
+            got: Vec::new(),
+            ended: None,
+            started: 0,
+            finished: 0,
+        });
+        let call = self.calls.len() - 1;
+        let id = self.calls[call].attempts.id();
+        self.carry_out(call, Next::Send(id));
+    }
+
+    fn mint(&mut self, sidecar: usize) -> Ticket {
+        self.nonce += 1;
+        Ticket {
+            sidecar: sidecar.to_string(),
+            incarnation: self.sidecars[sidecar].incarnation,
+            issued_at_ms: self.now.0,
+            nonce: self.nonce,
+        }
+    }
+
+    fn carry_out(&mut self, call: usize, next: Next) {
+        match next {
+            Next::Send(id) => self.send(call, id),
+            Next::Settle(_) | Next::Forward | Next::Ignore => {}
+            Next::ForwardLast => {
+                self.calls[call].ended = Some(End::Whole);
+                self.tell(call, Up::Ack(self.calls[call].attempts.id()));
+            }
+            Next::Finish(refusal) => {
+                self.calls[call].ended = Some(End::Refused(refusal));
+                let id = self.calls[call].attempts.id();
+                let up = match refusal.verdict {
+                    Verdict::NotRun => Up::Ack(id),
+                    _ => Up::Cancel(id),
+                };
+                self.tell(call, up);
+            }
+        }
+    }
+
+    fn tell(&mut self, call: usize, up: Up) {
+        if let Some(wire) = self.calls[call].wire
+            && self.wires[wire].open_at_gateway
+        {
+            self.wires[wire].up.push_back(up);
+        }
+    }
+
+    fn send(&mut self, call: usize, id: RequestId) {
+        let gateway = self.calls[call].gateway;
+        let chosen = self.wires.iter().position(|wire| {
+            let right = match &self.calls[call].own_ticket {
+                Some(ticket) => ticket.sidecar == wire.sidecar.to_string(),
+                None => !self.calls[call].tried.contains(&wire.sidecar),
+            };
+            wire.open_at_gateway && wire.gateway == gateway && right
+        });
+        let Some(wire) = chosen else {
+            let refusal = match self.jobs[self.calls[call].job] {
+                Repeat::Never => Refusal::may_have_run(Cause::NoBackendServer),
+                _ => attempt::nowhere_to_go(Millis(1)),
+            };
+            let next = self.calls[call].attempts.not_routed(refusal);
+            return self.carry_out(call, next);
+        };
+        let sidecar = self.wires[wire].sidecar;
+        let ticket = match self.jobs[self.calls[call].job] {
+            Repeat::Freely => None,
+            Repeat::WithNewTicket => Some(self.mint(sidecar)),
+            Repeat::Never => self.calls[call].own_ticket.clone(),
+        };
+        let offer = Offer {
+            flow: FlowId(self.calls[call].job as u64 % 3),
+            weight: 1,
+            cost_tokens: 1,
+            priority: 0,
+            deadline_in: Millis(300),
+            ticket: ticket.clone(),
+        };
+        self.wires[wire].up.push_back(Up::Request { id, offer, call });
+        let call = &mut self.calls[call];
+        call.tried.push(sidecar);
+        call.wire = Some(wire);
+        call.ticket = ticket;
+        call.attempts.sent();
+    }
+
+    fn deliver_up(&mut self, index: usize) {
+        let Some(wire) = self.pick_wire(index, |wire| !wire.up.is_empty()) else { return };
+        let Some(up) = self.wires[wire].up.pop_front() else { return };
+        let (sidecar, life) = (self.wires[wire].sidecar, self.wires[wire].life);
+        let wire = match self.flaw {
+            Flaw::IgnoresEpochs => self.newest_wire(wire),
+            _ => wire,
+        };
+        let link = self.wires[wire].link;
+        if self.sidecars[sidecar].life != life || !self.wires[wire].open_at_sidecar {
+            return;
+        }
+        let now = self.now;
+        let dispatcher = &mut self.sidecars[sidecar].dispatcher;
+        match up {
+            Up::Request { id, offer, call } => {
+                let ticket = offer.ticket.clone();
+                match dispatcher.request(now, link, id, offer) {
+                    Arrival::Queued(key) => {
+                        self.sidecars[sidecar].waiting.insert(key, (wire, call, ticket));
+                    }
+                    Arrival::Refuse { refusal, spent } => {
+                        self.wires[wire].down.push_back(Down::Refused { id, refusal, spent });
+                    }
+                    Arrival::Drop => {}
+                }
+            }
+            Up::Settle { id, ticket } => {
+                if let Some(verdict) = dispatcher.settle(now, link, id, ticket.as_ref()) {
+                    self.wires[wire].down.push_back(Down::Settled { id, verdict });
+                }
+            }
+            Up::Cancel(id) => match dispatcher.cancel(now, link, id) {
+                Cancelling::Abort(key) => self.abort(sidecar, key),
+                Cancelling::Removed(key) => drop(self.sidecars[sidecar].waiting.remove(&key)),
+                Cancelling::Unknown => {}
+            },
+            Up::Ack(id) => dispatcher.acknowledge(link, id),
+        }
+        self.pump(sidecar);
+    }
+
+    fn newest_wire(&self, wire: usize) -> usize {
+        let wire = &self.wires[wire];
+        let same = |at: &usize| {
+            let other = &self.wires[*at];
+            other.gateway == wire.gateway && other.sidecar == wire.sidecar
+        };
+        let all = (0..self.wires.len()).filter(same);
+        all.max_by_key(|at| self.wires[*at].epoch).unwrap_or_default()
+    }
+
+    /// The sidecar's share of the work: starts and expires what is due.
+    fn pump(&mut self, sidecar: usize) {
+        loop {
+            match self.sidecars[sidecar].dispatcher.next(self.now) {
+                dispatch::Next::Start(key) => {
+                    let waiting = self.sidecars[sidecar].waiting.remove(&key);
+                    let (wire, call, ticket) = waiting.expect("what starts was waiting");
+                    let running = Running { key, wire, call, sent: 0, ticket };
+                    self.sidecars[sidecar].running.push(running);
+                }
+                dispatch::Next::Expire(key) => {
+                    self.refuse(sidecar, key, Refusal::not_run(Cause::DeadlinePassed));
+                }
+                dispatch::Next::Idle(_) => return,
+            }
+        }
+    }
+
+    fn refuse(&mut self, sidecar: usize, key: RunKey, refusal: Refusal) {
+        if let Some((wire, _, ticket)) = self.sidecars[sidecar].waiting.remove(&key) {
+            let spent = ticket.is_some();
+            self.wires[wire].down.push_back(Down::Refused { id: key.id, refusal, spent });
+        }
+    }
+
+    fn abort(&mut self, sidecar: usize, key: RunKey) {
+        self.sidecars[sidecar].running.retain(|running| running.key != key);
+        self.sidecars[sidecar].dispatcher.finished(self.now, key);
+    }
+
+    /// The backend server gets on with one request, or refuses it, or fails.
+    fn run(&mut self, sidecar: usize, pick: usize, how: u8) {
+        let count = self.sidecars[sidecar].running.len();
+        if count == 0 {
+            return;
+        }
+        let at = pick % count;
+        let now = self.now;
+        let running = &mut self.sidecars[sidecar].running[at];
+        let (key, wire, call, sent) = (running.key, running.wire, running.call, running.sent);
+        let ticket = running.ticket.clone();
+        if sent == 0 && how % 5 == 0 {
+            self.sidecars[sidecar].running.remove(at);
+            self.sidecars[sidecar].dispatcher.not_started(now, key, ticket.as_ref());
+            let refusal = Refusal::not_run(Cause::BackendRefused);
+            let spent = ticket.is_some();
+            self.wires[wire].down.push_back(Down::Refused { id: key.id, refusal, spent });
+            return self.pump(sidecar);
+        }
+        if sent == 0 {
+            self.calls[call].started += 1;
+            self.wires[wire].down.push_back(Down::Head(key.id));
+        }
+        if how % 5 == 1 {
+            self.sidecars[sidecar].running.remove(at);
+            self.sidecars[sidecar].dispatcher.finished(now, key);
+            let refusal = Refusal::ran(Cause::BackendFailed);
+            self.wires[wire].down.push_back(Down::Refused { id: key.id, refusal, spent: false });
+            return self.pump(sidecar);
+        }
+        let last = sent + 1 == ANSWER_FRAMES;
+        let body = Down::Body { id: key.id, sequence: sent, last, call };
+        self.wires[wire].down.push_back(body);
+        self.sidecars[sidecar].running[at].sent += 1;
+        if last {
+            self.calls[call].finished += 1;
+            self.sidecars[sidecar].running.remove(at);
+            self.sidecars[sidecar].dispatcher.finished(now, key);
+            self.pump(sidecar);
+        }
+    }
+
+    fn deliver_down(&mut self, index: usize) {
+        // Also what a link brought before it was cut: it may be read late.
+        let Some(wire) = self.pick_wire(index, |wire| !wire.down.is_empty()) else { return };
+        let Some(down) = self.wires[wire].down.pop_front() else { return };
+        let id = match &down {
+            Down::Head(id)
+            | Down::Body { id, .. }
+            | Down::Refused { id, .. }
+            | Down::Settled { id, .. } => *id,
+        };
+        let call = id.number as usize;
+        let gateway = self.calls[call].gateway;
+        let budget = &mut self.budgets[gateway];
+        let attempts = &mut self.calls[call].attempts;
+        let next = match down {
+            Down::Head(id) => attempts.head(id),
+            Down::Body { id, sequence, last, call: of } => {
+                let mut next = attempts.body(id, sequence, last);
+                if self.flaw == Flaw::ForwardsAnyAttempt && next == Next::Ignore {
+                    next = Next::Forward;
+                }
+                if matches!(next, Next::Forward | Next::ForwardLast) {
+                    self.calls[call].got.push((of, sequence));
+                }
+                next
+            }
+            Down::Refused { id, refusal, spent } => attempts.refused(id, refusal, spent, budget),
+            Down::Settled { id, verdict } => attempts.settled(id, Some(verdict), budget),
+        };
+        self.carry_out(call, next);
+    }
+
+    fn cut(&mut self, index: usize) {
+        let Some(wire) = self.pick_wire(index, |wire| wire.open_at_gateway) else { return };
+        self.lose(wire);
+    }
+
+    fn lose(&mut self, wire: usize) {
+        self.wires[wire].open_at_gateway = false;
+        for call in 0..self.calls.len() {
+            if self.calls[call].wire != Some(wire) || self.calls[call].ended.is_some() {
+                continue;
+            }
+            let gateway = self.calls[call].gateway;
+            let id = self.calls[call].attempts.id();
+            let next = self.calls[call].attempts.link_lost(id, &mut self.budgets[gateway]);
+            self.carry_out(call, next);
+        }
+    }
+
+    /// The gateway opens a new link; the old one may not have been noticed as lost by the sidecar.
+    fn reconnect(&mut self, pair: usize) {
+        let (gateway, sidecar) = (pair / SIDECARS, pair % SIDECARS);
+        let of_pair = |wire: &Wire| wire.gateway == gateway && wire.sidecar == sidecar;
+        if self.wires.iter().any(|wire| of_pair(wire) && wire.open_at_gateway) {
+            return;
+        }
+        let newest = self.wires.iter().filter(|wire| of_pair(wire)).map(|wire| wire.epoch).max();
+        let epoch = newest.unwrap_or(0) + 1;
+        let life = self.sidecars[sidecar].life;
+        let now = self.now;
+        let linking = self.sidecars[sidecar].dispatcher.link(now, gateway as u64, 7, epoch);
+        let Linking::Open(link, aborted) = linking else { return };
+        for key in aborted {
+            self.abort(sidecar, key);
+        }
+        self.wires.push(Wire {
+            gateway,
+            sidecar,
+            life,
+            incarnation: self.sidecars[sidecar].incarnation,
+            epoch,
+            link,
+            up: VecDeque::new(),
+            down: VecDeque::new(),
+            open_at_gateway: true,
+            open_at_sidecar: true,
+        });
+        self.forget_orphans(sidecar);
+        self.pump(sidecar);
+        self.settle_over(self.wires.len() - 1);
+    }
+
+    /// Requests whose link was lost ask over the new one, or give up if the sidecar is another.
+    fn settle_over(&mut self, wire: usize) {
+        let (gateway, sidecar) = (self.wires[wire].gateway, self.wires[wire].sidecar);
+        let incarnation = self.wires[wire].incarnation;
+        for call in 0..self.calls.len() {
+            let Some(old) = self.calls[call].wire else { continue };
+            let waits = self.calls[call].ended.is_none() && !self.wires[old].open_at_gateway;
+            let same = self.wires[old].gateway == gateway && self.wires[old].sidecar == sidecar;
+            if !waits || !same || self.calls[call].gateway != gateway {
+                continue;
+            }
+            let id = self.calls[call].attempts.id();
+            if self.wires[old].incarnation == incarnation {
+                self.calls[call].wire = Some(wire);
+                let ticket = self.calls[call].ticket.clone();
+                self.wires[wire].up.push_back(Up::Settle { id, ticket });
+            } else {
+                let budget = &mut self.budgets[gateway];
+                let next = self.calls[call].attempts.settled(id, None, budget);
+                self.carry_out(call, next);
+            }
+        }
+    }
+
+    fn sidecar_notices(&mut self, index: usize) {
+        let lost = |wire: &Wire| wire.open_at_sidecar && !wire.open_at_gateway;
+        let Some(wire) = self.pick_wire(index, lost) else { return };
+        self.wires[wire].open_at_sidecar = false;
+        let (sidecar, link) = (self.wires[wire].sidecar, self.wires[wire].link);
+        if self.sidecars[sidecar].life != self.wires[wire].life {
+            return;
+        }
+        for key in self.sidecars[sidecar].dispatcher.unlink(self.now, link) {
+            self.abort(sidecar, key);
+        }
+        self.forget_orphans(sidecar);
+        self.pump(sidecar);
+    }
+
+    /// Jobs whose request the dispatcher has taken back, since their link is gone.
+    fn forget_orphans(&mut self, sidecar: usize) {
+        let wires = &self.wires;
+        let current = |wire: &Wire| {
+            let newest = wires
+                .iter()
+                .filter(|other| other.gateway == wire.gateway && other.sidecar == wire.sidecar)
+                .map(|other| other.epoch)
+                .max();
+            newest == Some(wire.epoch) && wire.open_at_sidecar
+        };
+        self.sidecars[sidecar].waiting.retain(|_, (wire, _, _)| current(&wires[*wire]));
+    }
+
+    fn restart(&mut self, index: usize) {
+        let life = self.sidecars.iter().map(|sidecar| sidecar.life).max().unwrap_or(0) + 1;
+        let incarnation = match self.flaw {
+            Flaw::KeepsIncarnation => self.sidecars[index].incarnation,
+            _ => life,
+        };
+        self.sidecars[index] = sidecar(life, incarnation);
+        for wire in 0..self.wires.len() {
+            if self.wires[wire].sidecar == index && self.wires[wire].open_at_gateway {
+                self.lose(wire);
+            }
+        }
+    }
+
+    fn leave(&mut self, sidecar: usize) {
+        let now = self.now;
+        for key in self.sidecars[sidecar].dispatcher.leave(now) {
+            self.refuse(sidecar, key, Refusal::not_run(Cause::Leaving));
+        }
+    }
+
+    fn pass(&mut self, ms: u64) {
+        self.now = self.now + Millis(ms);
+        for sidecar in 0..SIDECARS {
+            self.sidecars[sidecar].dispatcher.forget_gone(self.now);
+            self.pump(sidecar);
+        }
+    }
+
+    fn deadline(&mut self, call: usize) {
+        if let Some(call) = self.pick_call(call) {
+            let next = self.calls[call].attempts.deadline();
+            self.carry_out(call, next);
+        }
+    }
+
+    fn caller_gone(&mut self, call: usize) {
+        if let Some(call) = self.pick_call(call) {
+            self.calls[call].ended = Some(End::Gone);
+            self.tell(call, Up::Cancel(self.calls[call].attempts.id()));
+            // Its attempts are dropped with it.
+            self.calls[call].attempts.deadline();
+        }
+    }
+
+    fn pick_call(&self, index: usize) -> Option<usize> {
+        let open: Vec<usize> =
+            (0..self.calls.len()).filter(|call| self.calls[*call].ended.is_none()).collect();
+        if open.is_empty() { None } else { Some(open[index % open.len()]) }
+    }
+
+    fn pick_wire(&self, index: usize, fits: impl Fn(&Wire) -> bool) -> Option<usize> {
+        let fitting: Vec<usize> =
+            (0..self.wires.len()).filter(|wire| fits(&self.wires[*wire])).collect();
+        if fitting.is_empty() { None } else { Some(fitting[index % fitting.len()]) }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/verdicts.rs
@@ -0,0 +1,92 @@
+//! "Not run" is true, at most once, and whole answers: whatever happens, in any order, together.
+
+mod schedule;
+mod support;
+
+use proptest::prelude::Just;
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::prop_assert;
+use proptest::prop_oneof;
+use proptest::proptest;
+use proptest::test_runner::TestError;
+use proptest::test_runner::TestRunner;
+use schedule::Event;
+use schedule::Flaw;
+use schedule::World;
+use support::seeded;
+
+fn event() -> impl Strategy<Value = Event> {
+    let index = 0_usize..16;
+    prop_oneof![
+        6 => (index.clone(), any::<u8>()).prop_map(|(gateway, kind)| Event::Call { gateway, kind }),
+        3 => (index.clone(), index.clone()).prop_map(|(gateway, job)| Event::CallAgain { gateway, job }),
+        12 => index.clone().prop_map(Event::DeliverUp),
+        12 => index.clone().prop_map(Event::DeliverDown),
+        3 => index.clone().prop_map(Event::Cut),
+        5 => index.clone().prop_map(Event::Reconnect),
+        2 => index.clone().prop_map(Event::SidecarNotices),
+        12 => (index.clone(), index.clone(), any::<u8>())
+            .prop_map(|(sidecar, pick, how)| Event::Run { sidecar, pick, how }),
+        1 => index.clone().prop_map(Event::RestartSidecar),
+        1 => index.clone().prop_map(Event::Leave),
+        1 => index.clone().prop_map(Event::Stay),
+        2 => any::<u8>().prop_map(Event::Pass),
+        1 => index.clone().prop_map(|call| Event::Deadline { call }),
+        1 => index.prop_map(|call| Event::CallerGone { call }),
+        1 => Just(Event::Pass(1)),
+    ]
+}
+
+fn schedules() -> impl Strategy<Value = Vec<Event>> {
+    proptest::collection::vec(event(), 1..250)
+}
+
+/// Whether some schedule makes a world with this flaw break a promise.
+fn is_caught(flaw: Flaw) -> bool {
+    let config = ProptestConfig { failure_persistence: None, ..seeded(2_000, "") };
+    let ran = TestRunner::new(config).run(&schedules(), |events| {
+        let mut world = World::new(flaw);
+        for event in events {
+            world.apply(event);
+            prop_assert!(world.check().is_ok());
+        }
+        Ok(())
+    });
+    matches!(ran, Err(TestError::Fail(..)))
+}
+
+#[test]
+fn a_gateway_that_retries_on_any_error_is_caught() {
+    assert!(is_caught(Flaw::RetriesAnyError));
+}
+
+#[test]
+fn a_sidecar_that_takes_frames_of_an_older_link_is_caught() {
+    assert!(is_caught(Flaw::IgnoresEpochs));
+}
+
+#[test]
+fn a_restarted_sidecar_that_keeps_its_incarnation_is_caught() {
+    assert!(is_caught(Flaw::KeepsIncarnation));
+}
+
+#[test]
+fn a_caller_that_takes_frames_of_an_older_attempt_is_caught() {
+    assert!(is_caught(Flaw::ForwardsAnyAttempt));
+}
+
+proptest! {
+    #![proptest_config(seeded(1_000, "tests/verdicts.regressions"))]
+
+    #[test]
+    fn no_schedule_makes_a_verdict_false(events in schedules()) {
+        let mut world = World::new(Flaw::None);
+        for event in &events {
+            world.apply(*event);
+            let checked = world.check();
+            prop_assert!(checked.is_ok(), "after {event:?}: {}", checked.unwrap_err());
+        }
+    }
+}
