Configurations spread from peer to peer; failures at every hop, judged by ledgers

Ruled out: a lease on being up to date (a cut-off data centre would stop serving); pushing from the acceptor (360 x 630 connections). Heartbeats and load reports carry the version already, so who is behind asks on the link it has.

A process that has just started still takes its first configuration from the table only.

Found and mended: the `error` event of a broken stream was dropped together with its connection (an_answer_that_breaks_off_never_looks_whole, red before); the stand-in's outage hid the instance list too, which stood a test still.

--- /dev/null
+++ b/crates/embedded/tests/failures.rs
@@ -0,0 +1,281 @@
+//! What callers are told when something dies, leaves or breaks: judged by the backend servers'
+//! ledgers.
+
+mod common;
+
+use std::time::Duration;
+
+use hooktrestle_embedded::Caller;
+use hooktrestle_embedded::Fleet;
+use hooktrestle_embedded::Outcome;
+use hooktrestle_embedded::caller::finish;
+use hooktrestle_embedded::caller::read;
+use hooktrestle_fakes::engine::Behaviour;
+use hooktrestle_fakes::platform::Faults;
+use reqwest::RequestBuilder;
+use serde_json::json;
+
+use common::KEY;
+use common::answer_text;
+use common::deployment;
+use common::expected;
+
+const NOT_REPEATABLE: &str = "x-hooktrestle-not-repeatable";
+const REQUEST_KEY: &str = "x-hooktrestle-request-key";
+
+fn caller(fleet: &Fleet, gateway: &str) -> Caller {
+    Caller::new(&fleet.url(gateway), KEY).unwrap()
+}
+
+fn once(call: RequestBuilder, key: &str) -> RequestBuilder {
+    call.header(NOT_REPEATABLE, "true").header(REQUEST_KEY, key)
+}
+
+fn cause(outcome: &Outcome) -> (&str, &str) {
+    match outcome {
+        Outcome::Refused { verdict, cause, .. } => (verdict, cause),
+        other => panic!("{other:?}"),
+    }
+}
+
+fn stalled() -> Behaviour {
+    Behaviour { stalled: true, ..Behaviour::default() }
+}
+
+#[tokio::test]
+async fn a_backend_server_that_refuses_costs_nothing_while_another_serves() {
+    let fleet = deployment(2).await;
+    fleet.engine("hints-1").set_behaviour(Behaviour { refuse: true, ..Behaviour::default() });
+    for number in 0..20 {
+        let call = caller(&fleet, "entry-1").chat("hints", &format!("n-{number}"), 2, true);
+        assert!(matches!(finish(call).await.unwrap(), Outcome::Whole(_)));
+    }
+    assert!(fleet.engine("hints-1").ledger.all().is_empty());
+}
+
+#[tokio::test]
+async fn a_request_that_every_backend_server_refuses_did_not_run_and_is_told_so_at_once() {
+    let fleet = deployment(2).await;
+    for name in ["hints-1", "hints-2"] {
+        fleet.engine(name).set_behaviour(Behaviour { refuse: true, ..Behaviour::default() });
+    }
+    let call = caller(&fleet, "entry-1").chat("hints", "m", 2, true);
+    let outcome = finish(call).await.unwrap();
+    assert_eq!(outcome.verdict(), Some("not-run"));
+    for name in ["hints-1", "hints-2"] {
+        assert!(fleet.engine(name).ledger.all().is_empty());
+    }
+}
+
+#[tokio::test]
+async fn an_answer_that_breaks_off_never_looks_whole() {
+    let fleet = deployment(1).await;
+    let broken = Behaviour { break_after: Some(5), ..Behaviour::default() };
+    fleet.engine("hints-1").set_behaviour(broken);
+    let outcome = finish(caller(&fleet, "entry-1").chat("hints", "m", 20, true)).await.unwrap();
+    let Outcome::CutOff(text) = outcome else { panic!("{outcome:?}") };
+    assert!(text.contains("event: error"), "{text}");
+    assert!(text.contains("\"verdict\":\"ran\""), "{text}");
+    assert!(!text.contains("[DONE]"), "{text}");
+}
+
+#[tokio::test]
+async fn a_request_key_runs_once_over_retries_through_other_gateways() {
+    let fleet = deployment(2).await;
+    let key = caller(&fleet, "entry-1").request_key("hints").await.unwrap();
+    let first = once(caller(&fleet, "entry-1").chat("hints", "charged", 3, true), &key);
+    assert!(matches!(finish(first).await.unwrap(), Outcome::Whole(_)));
+    for gateway in ["entry-2", "entry-1", "entry-2"] {
+        let again = once(caller(&fleet, gateway).chat("hints", "charged", 3, true), &key);
+        let outcome = finish(again).await.unwrap();
+        assert_eq!(cause(&outcome), ("may-have-run", "already-seen"));
+    }
+    let started = |name: &str| fleet.engine(name).ledger.entry("charged").started;
+    assert_eq!(started("hints-1") + started("hints-2"), 1);
+}
+
+#[tokio::test]
+async fn two_gateways_asked_at_once_with_one_key_run_it_once() {
+    let fleet = deployment(2).await;
+    for round in 0..10 {
+        let marker = format!("charged-{round}");
+        let key = caller(&fleet, "entry-2").request_key("hints").await.unwrap();
+        let calls = ["entry-1", "entry-2", "entry-1"].map(|gateway| {
+            finish(once(caller(&fleet, gateway).chat("hints", &marker, 2, true), &key))
+        });
+        let outcomes = futures_util::future::join_all(calls).await;
+        let whole =
+            outcomes.iter().filter(|outcome| matches!(outcome, Ok(Outcome::Whole(_)))).count();
+        assert_eq!(whole, 1, "{outcomes:?}");
+        let started = |name: &str| fleet.engine(name).ledger.entry(&marker).started;
+        assert_eq!(started("hints-1") + started("hints-2"), 1);
+    }
+}
+
+#[tokio::test]
+async fn a_key_whose_sidecar_was_restarted_is_not_run_again() {
+    let mut fleet = deployment(1).await;
+    let key = caller(&fleet, "entry-1").request_key("hints").await.unwrap();
+    let first = once(caller(&fleet, "entry-1").chat("hints", "charged", 3, true), &key);
+    assert!(matches!(finish(first).await.unwrap(), Outcome::Whole(_)));
+    fleet.restart_sidecar("hints-1", "dar-1").await.unwrap();
+    fleet.wait_in_force(|_| true).await;
+    loop {
+        let again = once(caller(&fleet, "entry-2").chat("hints", "charged", 3, true), &key);
+        let outcome = finish(again).await.unwrap();
+        assert_eq!(outcome.verdict(), Some("may-have-run"), "{outcome:?}");
+        if cause(&outcome).1 == "other-incarnation" {
+            break;
+        }
+    }
+    assert_eq!(fleet.engine("hints-1").ledger.entry("charged").started, 1);
+}
+
+#[tokio::test]
+async fn a_forged_or_borrowed_key_is_refused() {
+    let fleet = deployment(1).await;
+    let key = caller(&fleet, "entry-1").request_key("puzzles").await.unwrap();
+    for bad in ["made-up", &key] {
+        let call = once(caller(&fleet, "entry-1").chat("hints", "m", 3, true), bad);
+        assert_eq!(cause(&finish(call).await.unwrap()), ("not-run", "bad-request"));
+    }
+    assert!(fleet.engine("hints-1").ledger.all().is_empty());
+}
+
+#[tokio::test]
+async fn a_sidecar_that_dies_under_a_request_that_is_not_repeatable_leaves_no_second_run() {
+    let mut fleet = deployment(2).await;
+    for name in ["hints-1", "hints-2"] {
+        fleet.engine(name).set_behaviour(stalled());
+    }
+    let call = caller(&fleet, "entry-1").chat("hints", "charged", 3, false);
+    let call = tokio::spawn(finish(call.header(NOT_REPEATABLE, "true")));
+    let one = fleet.engine("hints-1").ledger.clone();
+    let two = fleet.engine("hints-2").ledger.clone();
+    let at = tokio::select! {
+        () = one.wait("charged", |entry| entry.started > 0) => "hints-1",
+        () = two.wait("charged", |entry| entry.started > 0) => "hints-2",
+    };
+    fleet.restart_sidecar(at, "dar-1").await.unwrap();
+    let outcome = call.await.unwrap().unwrap();
+    assert_eq!(outcome.verdict(), Some("may-have-run"), "{outcome:?}");
+    assert_eq!(one.entry("charged").started + two.entry("charged").started, 1);
+}
+
+#[tokio::test]
+async fn a_caller_that_goes_away_cancels_its_work_down_to_the_engine() {
+    let fleet = deployment(1).await;
+    let call = caller(&fleet, "entry-1").chat("hints", "gone", 1_000_000, true);
+    let mut response = call.send().await.unwrap();
+    response.chunk().await.unwrap().unwrap();
+    drop(response);
+    // The engine's one place is free again only if the run was cancelled.
+    let running = fleet.sidecars["hints-1"].leave(Duration::from_secs(20)).await;
+    assert_eq!(running, 0);
+    assert_eq!(fleet.engine("hints-1").ledger.entry("gone").finished, 0);
+}
+
+#[tokio::test]
+async fn a_slow_reader_holds_up_nobody_else_on_the_link() {
+    let fleet = deployment(1).await;
+    let slow = caller(&fleet, "entry-1").plain("puzzles", "large", "x".repeat(8 << 20));
+    let held = slow.send().await.unwrap();
+    for number in 0..5 {
+        let call = caller(&fleet, "entry-1").plain("puzzles", &format!("{number}"), "y".to_owned());
+        assert_eq!(finish(call).await.unwrap(), Outcome::Whole("y".to_owned()));
+    }
+    let Outcome::Whole(text) = read(held).await.unwrap() else { panic!("not whole") };
+    assert_eq!(text.len(), 8 << 20);
+}
+
+#[tokio::test]
+async fn a_drained_worker_gets_no_new_work_though_the_list_lags_and_the_store_goes_down() {
+    let fleet = deployment(2).await;
+    let drained = json!({ "service": "hints", "data_centre": "dar-1", "drain": true });
+    fleet.edit(&[("backend_server:hints-1", drained)]).await.unwrap();
+    fleet.wait_in_force(|config| config.is_draining(config.server("hints-1").unwrap())).await;
+    fleet.fake.set_faults(Faults { down: true, ..Faults::default() });
+    let before = fleet.engine("hints-1").ledger.all().len();
+    for number in 0..40 {
+        let gateway = if number % 2 == 0 { "entry-1" } else { "entry-2" };
+        let call = caller(&fleet, gateway).chat("hints", &format!("late-{number}"), 1, true);
+        assert!(matches!(finish(call).await.unwrap(), Outcome::Whole(_)));
+    }
+    assert_eq!(fleet.engine("hints-1").ledger.all().len(), before);
+}
+
+#[tokio::test]
+async fn what_waits_at_a_leaving_worker_moves_on_and_what_runs_ends_whole() {
+    let fleet = deployment(2).await;
+    for name in ["hints-1", "hints-2"] {
+        fleet.engine(name).set_behaviour(stalled());
+    }
+    let calls: Vec<_> = (0..90)
+        .map(|number| {
+            let call = caller(&fleet, "entry-1").chat("hints", &format!("w-{number}"), 5, true);
+            tokio::spawn(finish(call))
+        })
+        .collect();
+    // 32 run at each worker; the rest waits.
+    let ledgers = ["hints-1", "hints-2"].map(|name| fleet.engine(name).ledger.clone());
+    while ledgers.iter().map(|ledger| ledger.all().len()).sum::<usize>() < 64 {
+        tokio::task::yield_now().await;
+    }
+    let leaving = fleet.sidecars["hints-1"].leave(Duration::from_secs(30));
+    let release = async {
+        for name in ["hints-1", "hints-2"] {
+            fleet.engine(name).set_behaviour(Behaviour::default());
+        }
+    };
+    let (cut_off, ()) = tokio::join!(leaving, release);
+    assert_eq!(cut_off, 0);
+    for (number, call) in calls.into_iter().enumerate() {
+        let outcome = call.await.unwrap().unwrap();
+        let Outcome::Whole(text) = outcome else { panic!("{outcome:?}") };
+        assert_eq!(answer_text(&text), expected(&format!("w-{number}"), 5));
+    }
+    let all: Vec<_> = ledgers.iter().flat_map(|ledger| ledger.all().into_values()).collect();
+    assert!(all.iter().all(|entry| entry.started == 1), "moved work ran once");
+}
+
+#[tokio::test]
+async fn a_leaving_gateway_serves_callers_that_keep_an_old_answer_and_cuts_nothing_off() {
+    let fleet = deployment(1).await;
+    let old = caller(&fleet, "entry-1");
+    let stream = tokio::spawn(finish(old.chat("hints", "long", 400, true)));
+    fleet.engine("hints-1").ledger.wait("long", |entry| entry.started > 0).await;
+    let leaving = fleet.gateways["entry-1"].leave(Duration::from_secs(30));
+    let calls = async {
+        let late = finish(old.chat("hints", "late", 2, true)).await.unwrap();
+        assert!(matches!(late, Outcome::Whole(_)), "{late:?}");
+        let answer: serde_json::Value =
+            old.get("/v1/endpoints?service=hints").send().await.unwrap().json().await.unwrap();
+        answer["endpoints"].as_array().unwrap().len()
+    };
+    let (cut_off, offered) = tokio::join!(leaving, calls);
+    assert_eq!(cut_off, 0);
+    assert_eq!(offered, 1, "the leaving gateway names only the other one");
+    assert!(matches!(stream.await.unwrap().unwrap(), Outcome::Whole(_)));
+}
+
+#[tokio::test]
+async fn a_deadline_is_kept_in_the_queue_and_the_request_did_not_run() {
+    let fleet = deployment(1).await;
+    fleet.engine("hints-1").set_behaviour(stalled());
+    let hold: Vec<_> = (0..32)
+        .map(|number| {
+            let call = caller(&fleet, "entry-1").chat("hints", &format!("h-{number}"), 1, true);
+            tokio::spawn(finish(call))
+        })
+        .collect();
+    while fleet.engine("hints-1").ledger.all().len() < 32 {
+        tokio::task::yield_now().await;
+    }
+    let call = caller(&fleet, "entry-2").chat("hints", "late", 1, true);
+    let outcome = finish(call.header("x-hooktrestle-deadline-ms", "50")).await.unwrap();
+    let (verdict, cause) = cause(&outcome);
+    assert_eq!(cause, "deadline-passed");
+    assert_ne!(verdict, "ran");
+    assert_eq!(fleet.engine("hints-1").ledger.entry("late").started, 0);
+    hold.iter().for_each(tokio::task::JoinHandle::abort);
+}
--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -35,8 +35,10 @@
 #[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
 #[serde(default)]
 pub struct Faults {
-    /// Every call fails at once.
+    /// Every call of the table service and the object store fails at once.
     pub down: bool,
+    /// Every read of the instance list fails at once.
+    pub list_down: bool,
     /// Every answer comes this late.
     pub delay_ms: u64,
     /// So many transactions take effect, but their answers are lost.
@@ -166,7 +168,7 @@
     let instances = warp::get()
         .and(with_state.clone())
         .and(warp::path!("v1" / "instances"))
-        .then(|state| answer(state, read_instances));
+        .map(|state: Arc<Mutex<State>>| read_instances(&mut lock(&state)));
     let list = warp::post()
         .and(with_state.clone())
         .and(warp::path!("v1" / "instances"))
@@ -243,7 +245,9 @@
 }
 
 fn read_instances(state: &mut State) -> Response {
-    state.reads += 1;
+    if state.faults.list_down {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
     let instances: Vec<&Instance> = state.instances.values().collect();
     warp::reply::json(&instances).into_response()
 }
--- a/crates/hooktrestled/src/config_keeper.rs
+++ b/crates/hooktrestled/src/config_keeper.rs
@@ -1,7 +1,11 @@
 //! Keeps a process at the newest accepted configuration.
 //!
-//! An actor looks at the head row now and then, and at once when a peer mentions a newer version.
-//! What it publishes only ever grows.
+//! An actor looks at the head row now and then; peers that are ahead hand their snapshot on over
+//! the links (see [`crate::spread`]), so that an outage right after an acceptance does not keep it
+//! from the fleet. What is published only ever grows.
+//!
+//! A process that has just started takes its first configuration from the table only: peers that
+//! are cut off could hand it one that the process before it had left behind.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -52,9 +56,9 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Look;
 
-/// A peer has this version.
-#[derive(Clone, Copy, Debug)]
-pub struct Heard(pub u64);
+/// A peer has handed on an accepted snapshot.
+#[derive(Clone, Debug)]
+pub struct Offered(pub Snapshot);
 
 /// Starts the actor and its polling; it ends with the last address.
 pub fn start(platform: Platform, poll: Duration) -> (Address<ConfigKeeper>, Watch) {
@@ -140,15 +144,15 @@
     }
 }
 
-impl Handler<Heard> for ConfigKeeper {
+impl Handler<Offered> for ConfigKeeper {
     type Return = ();
 
-    async fn handle(&mut self, heard: Heard, _: &mut Context<Self>) {
-        if self.version().is_some_and(|version| version >= heard.0) {
+    async fn handle(&mut self, offered: Offered, _: &mut Context<Self>) {
+        if self.version().is_none_or(|version| version >= offered.0.version) {
             return;
         }
-        if let Err(error) = self.look().await {
-            warn!("cannot fetch the configuration that a peer has", kv: { error: = error.to_string().as_str() });
+        if let Err(error) = self.publish(offered.0) {
+            warn!("a peer handed on a bad configuration", kv: { error: = error.to_string().as_str() });
         }
     }
 }
--- a/crates/hooktrestled/src/gateway/http.rs
+++ b/crates/hooktrestled/src/gateway/http.rs
@@ -12,6 +12,7 @@
 use futures_util::Stream;
 use futures_util::StreamExt;
 use futures_util::TryStreamExt;
+use futures_util::stream;
 use hooktrestle_core::attempt::Repeat;
 use hooktrestle_core::config::Account;
 use hooktrestle_core::util::arena::Key;
@@ -281,8 +282,8 @@
         header.name == "content-type" && header.value.starts_with("text/event-stream")
     });
     let pieces = ReceiverStream::new(head.body).flat_map(move |piece| match piece {
-        Ok(bytes) => futures_util::stream::iter(vec![Ok(bytes)]),
-        Err(refusal) => futures_util::stream::iter(not_whole(&refusal, is_stream)),
+        Ok(bytes) => stream::once(std::future::ready(Ok(bytes))).left_stream(),
+        Err(refusal) => not_whole(refusal, is_stream).right_stream(),
     });
     let mut response = warp::reply::stream(pieces).into_response();
     *response.status_mut() = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
@@ -298,14 +299,19 @@
 
 /// The end of an answer that is not whole: in a stream of events an `error` event says why; in any
 /// case the connection is broken off, so that nobody takes the answer for a whole one.
-fn not_whole(refusal: &Refusal, is_stream: bool) -> Vec<Result<Bytes, std::io::Error>> {
-    let mut pieces = Vec::new();
-    if is_stream {
-        let body = serde_json::to_string(&refusal.body()).unwrap_or_default();
-        pieces.push(Ok(Bytes::from(format!("event: error\ndata: {body}\n\n"))));
-    }
-    pieces.push(Err(std::io::Error::other("the answer is not whole")));
-    pieces
+fn not_whole(
+    refusal: Refusal,
+    is_stream: bool,
+) -> impl Stream<Item = Result<Bytes, std::io::Error>> + Send + Sync + 'static {
+    let body = serde_json::to_string(&refusal.body()).unwrap_or_default();
+    let event = if is_stream { format!("event: error\ndata: {body}\n\n") } else { String::new() };
+    let break_off = async {
+        // The server writes out what it has while it waits for more: without this the event would
+        // be dropped together with the connection.
+        tokio::task::yield_now().await;
+        Err(std::io::Error::other("the answer is not whole"))
+    };
+    stream::once(std::future::ready(Ok(Bytes::from(event)))).chain(stream::once(break_off))
 }
 
 fn problem_response(problem: &Problem) -> Response {
--- a/crates/hooktrestled/src/gateway/links.rs
+++ b/crates/hooktrestled/src/gateway/links.rs
@@ -24,7 +24,6 @@
 use crate::clock::MonotonicClock;
 use crate::config_keeper;
 use crate::config_keeper::ConfigKeeper;
-use crate::config_keeper::Heard;
 use crate::directory;
 use crate::gateway::router::Down;
 use crate::gateway::router::Load;
@@ -32,6 +31,7 @@
 use crate::gateway::router::Server;
 use crate::gateway::router::Up;
 use crate::poll::jittered;
+use crate::spread::Spread;
 
 /// First wait before a lost link is dialled again; it doubles up to [`LONGEST_BACKOFF`].
 const FIRST_BACKOFF: Duration = Duration::from_millis(50);
@@ -214,14 +214,16 @@
     receiver: &mut Receiver,
 ) -> hooktrestle_link::Error {
     let mut up = false;
+    let sender = handle.sender.clone();
+    let mut spread = Spread::new(context.config.clone(), context.keeper.clone(), sender);
     loop {
         let (frame, payload) = match receiver.next().await {
             Ok(message) => message,
             Err(error) => return error,
         };
         if let Frame::Load(load) = frame {
-            // A keeper or router that has ended needs no news.
-            let _ = context.keeper.send(Heard(load.config_version)).detach().await;
+            spread.heard(load.config_version).await;
+            // A router that has ended needs no news.
             if let Some(router) = router.try_upgrade() {
                 if !up {
                     let _ = router.send(Up { server, handle: handle.clone() }).await;
@@ -231,6 +233,11 @@
             }
             continue;
         }
+        match &frame {
+            Frame::ConfigAsk(ask) => spread.asked(ask).await,
+            Frame::ConfigPart(part) => spread.part(part, &payload).await,
+            _ => {}
+        }
         if let Some(id) = id_of(&frame) {
             let number = id.number;
             handle.deliver(number, Event::Frame(frame, payload));
--- a/crates/hooktrestled/src/lib.rs
+++ b/crates/hooktrestled/src/lib.rs
@@ -20,3 +20,4 @@
 mod poll;
 pub mod settings;
 pub mod sidecar;
+mod spread;
--- a/crates/hooktrestled/src/sidecar.rs
+++ b/crates/hooktrestled/src/sidecar.rs
@@ -90,6 +90,7 @@
             identity,
             desk: desk.clone(),
             keeper,
+            config: config.clone(),
             heartbeat: settings::millis(settings.links.heartbeat_ms),
         };
         let listening = tokio::spawn(links::accept_all(listener, context)).abort_handle();
--- a/crates/hooktrestled/src/sidecar/links.rs
+++ b/crates/hooktrestled/src/sidecar/links.rs
@@ -20,12 +20,13 @@
 use tokio::sync::mpsc;
 use xtra::Address;
 
+use crate::config_keeper;
 use crate::config_keeper::ConfigKeeper;
-use crate::config_keeper::Heard;
 use crate::sidecar::desk;
 use crate::sidecar::desk::Desk;
 use crate::sidecar::run::BodyPiece;
 use crate::sidecar::run::Job;
+use crate::spread::Spread;
 
 /// Connections whose peer has not proved itself yet; more wait to be accepted.
 const MOST_STRANGERS: usize = 64;
@@ -37,6 +38,7 @@
     pub(super) identity: Identity,
     pub(super) desk: Address<Desk>,
     pub(super) keeper: Address<ConfigKeeper>,
+    pub(super) config: config_keeper::Watch,
     pub(super) heartbeat: Duration,
 }
 
@@ -113,6 +115,7 @@
     link: Link,
 ) -> hooktrestle_link::Error {
     let mut open: HashMap<RequestId, Open> = HashMap::new();
+    let mut spread = Spread::new(context.config.clone(), context.keeper.clone(), sender.clone());
     loop {
         let (frame, payload) = match receiver.next().await {
             Ok(message) => message,
@@ -150,10 +153,9 @@
             Frame::Ack(frame) => {
                 send(context, desk::Acknowledge(link, RequestId::from(&frame.id))).await;
             }
-            Frame::Heartbeat(heartbeat) => {
-                // A keeper that has ended needs no news.
-                let _ = context.keeper.send(Heard(heartbeat.config_version)).detach().await;
-            }
+            Frame::Heartbeat(heartbeat) => spread.heard(heartbeat.config_version).await,
+            Frame::ConfigAsk(ask) => spread.asked(&ask).await,
+            Frame::ConfigPart(part) => spread.part(&part, &payload).await,
             _ => {}
         }
     }
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -180,6 +180,11 @@
     pub instance: ::std::string::String,
     pub nonce_hex: ::std::string::String,
 }
+///Either way: send the newest configuration, if it is newer than this.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ConfigAskFrame {
+    pub have_version: u64,
+}
 ///The one row that says which configuration is in force.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ConfigHead {
@@ -191,6 +196,14 @@
     pub sha256_hex: ::std::string::String,
     pub version: u64,
 }
+///Either way, answering `ConfigAsk`: a part of the accepted snapshot's bytes, which are the frame's payload.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ConfigPartFrame {
+    ///Counts from 0.
+    pub part: u32,
+    pub parts: u32,
+    pub version: u64,
+}
 ///Either way: the receiver of a body has room for more of it.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct CreditFrame {
@@ -296,6 +309,8 @@
     Settled(SettledFrame),
     Ack(IdFrame),
     Credit(CreditFrame),
+    ConfigAsk(ConfigAskFrame),
+    ConfigPart(ConfigPartFrame),
 }
 impl ::std::convert::From<ChallengeFrame> for Frame {
     fn from(value: ChallengeFrame) -> Self {
@@ -352,6 +367,16 @@
         Self::Credit(value)
     }
 }
+impl ::std::convert::From<ConfigAskFrame> for Frame {
+    fn from(value: ConfigAskFrame) -> Self {
+        Self::ConfigAsk(value)
+    }
+}
+impl ::std::convert::From<ConfigPartFrame> for Frame {
+    fn from(value: ConfigPartFrame) -> Self {
+        Self::ConfigPart(value)
+    }
+}
 ///Section `[gateway]`.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
