--- /dev/null
+++ b/crates/bench/src/control.rs
@@ -0,0 +1,190 @@
+//! What control costs a node: bytes, processor time, memory, and reads of the table service, as
+//! links, nodes and accounts grow; slopes by least squares, and what they come to at the size
+//! aimed at.
+//!
+//! All nodes run as tasks of this process, at the pace of the default settings, idle but for
+//! control. Bytes are those of the loopback interface, headers and acknowledgements included; run
+//! it on a machine that is quiet otherwise.
+
+use std::fs;
+use std::time::Duration;
+use std::time::Instant;
+
+use eyre::Result;
+use eyre::eyre;
+use hooktrestle_embedded::Fleet;
+use hooktrestle_embedded::Pace;
+use hooktrestle_embedded::key_sha256_hex;
+use hooktrestle_fakes::engine::Behaviour;
+use serde_json::Value;
+use serde_json::json;
+
+/// How long each point is measured.
+const MEASURE: Duration = Duration::from_secs(12);
+
+/// Ticks a second in which the kernel counts processor time.
+const CLOCK_TICKS_PER_S: f64 = 100.0;
+
+/// The pace of the default settings.
+const PACE: Pace = Pace { poll_ms: 1_500, heartbeat_ms: 2_000 };
+
+/// One size.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// Gateways.
+    pub gateways: usize,
+    /// Sidecars, all of one service: each gateway links to each.
+    pub sidecars: usize,
+    /// Client accounts.
+    pub accounts: usize,
+}
+
+/// What was measured at one size.
+#[derive(Clone, Copy, Debug)]
+pub struct Point {
+    /// The size.
+    pub size: Size,
+    /// Bytes a second over loopback, each counted once.
+    pub bytes_per_s: f64,
+    /// Cores' time, as a part of one core.
+    pub core_share: f64,
+    /// Resident memory of the whole process, in bytes.
+    pub memory_bytes: f64,
+    /// Reads of the table service and object store a second.
+    pub reads_per_s: f64,
+}
+
+/// Cost for each gateway, sidecar and link, and what does not depend on them.
+#[derive(Clone, Copy, Debug)]
+pub struct Fit {
+    /// Constant, for each gateway, for each sidecar, for each link.
+    pub terms: [f64; 4],
+    /// Largest deviation of a point from the fit, over the largest point.
+    pub worst: f64,
+}
+
+impl Size {
+    /// Links at this size.
+    pub fn links(&self) -> usize {
+        self.gateways * self.sidecars
+    }
+
+    fn row(&self) -> [f64; 4] {
+        [1.0, self.gateways as f64, self.sidecars as f64, self.links() as f64]
+    }
+}
+
+/// Measures one size.
+///
+/// # Errors
+///
+/// The fleet cannot start, or the kernel's counters cannot be read.
+pub async fn measure(size: Size) -> Result<Point> {
+    let mut fleet = Fleet::start().await?;
+    fleet.pace = PACE;
+    for number in 0..size.gateways {
+        fleet.add_gateway(&format!("entry-{number}"), "dc-1").await?;
+    }
+    let mut rows = vec![
+        ("data_centre:dc-1".to_owned(), json!({ "region": "home" })),
+        ("service:hints".to_owned(), json!({ "kind": "model" })),
+    ];
+    for number in 0..size.sidecars {
+        let name = format!("hints-{number}");
+        fleet.add_engine(&name, "dc-1", Behaviour::default()).await?;
+        let row = json!({ "service": "hints", "data_centre": "dc-1" });
+        rows.push((format!("backend_server:{name}"), row));
+    }
+    for number in 0..size.accounts {
+        let hash = key_sha256_hex(&format!("key-{number}"));
+        rows.push((format!("account:a-{number}"), json!({ "key_sha256_hex": hash })));
+    }
+    let edits: Vec<(&str, Value)> =
+        rows.iter().map(|(key, value)| (key.as_str(), value.clone())).collect();
+    fleet.edit(&edits).await?;
+    fleet.wait_in_force(|config| config.servers.len() == size.sidecars).await;
+    fleet.wait_linked("hints", size.sidecars).await;
+    let reads = fleet.fake.counts().0;
+    let (bytes, cpu, start) = (loopback_bytes()?, cpu_s()?, Instant::now());
+    tokio::time::sleep(MEASURE).await;
+    let took_s = start.elapsed().as_secs_f64();
+    Ok(Point {
+        size,
+        bytes_per_s: (loopback_bytes()? - bytes) / took_s,
+        core_share: (cpu_s()? - cpu) / took_s,
+        memory_bytes: memory_bytes()?,
+        reads_per_s: (fleet.fake.counts().0 - reads) as f64 / took_s,
+    })
+}
+
+/// Least squares over the points.
+///
+/// # Errors
+///
+/// There are too few different sizes.
+pub fn fit(points: &[Point], value: impl Fn(&Point) -> f64) -> Result<Fit> {
+    let mut matrix = [[0.0_f64; 5]; 4];
+    for point in points {
+        let row = point.size.row();
+        for (i, a) in row.iter().enumerate() {
+            for (j, b) in row.iter().enumerate() {
+                matrix[i][j] += a * b;
+            }
+            matrix[i][4] += a * value(point);
+        }
+    }
+    let terms = solve(matrix).ok_or_else(|| eyre!("too few different sizes"))?;
+    let largest = points.iter().map(&value).fold(0.0, f64::max);
+    let predicted = |point: &Point| -> f64 {
+        point.size.row().iter().zip(terms).map(|(a, term)| a * term).sum()
+    };
+    let errors = points.iter().map(|point| (predicted(point) - value(point)).abs());
+    Ok(Fit { terms, worst: errors.fold(0.0, f64::max) / largest })
+}
+
+/// Gaussian elimination with the largest pivot.
+fn solve(mut matrix: [[f64; 5]; 4]) -> Option<[f64; 4]> {
+    for column in 0..4 {
+        let pivot = (column..4)
+            .max_by(|a, b| matrix[*a][column].abs().total_cmp(&matrix[*b][column].abs()))?;
+        matrix.swap(column, pivot);
+        if matrix[column][column].abs() < 1e-9 {
+            return None;
+        }
+        for row in 0..4 {
+            if row != column {
+                let factor = matrix[row][column] / matrix[column][column];
+                let pivot_row = matrix[column];
+                let cells = matrix[row].iter_mut().zip(pivot_row);
+                cells.for_each(|(cell, pivot)| *cell -= factor * pivot);
+            }
+        }
+    }
+    Some(std::array::from_fn(|row| matrix[row][4] / matrix[row][row]))
+}
+
+fn loopback_bytes() -> Result<f64> {
+    let text = fs::read_to_string("/proc/self/net/dev")?;
+    let line = text.lines().find_map(|line| line.trim().strip_prefix("lo:"));
+    let line = line.ok_or_else(|| eyre!("no loopback interface"))?;
+    let received = line.split_whitespace().next().unwrap_or_default();
+    Ok(received.parse()?)
+}
+
+fn cpu_s() -> Result<f64> {
+    let text = fs::read_to_string("/proc/self/stat")?;
+    let after_name = text.rsplit_once(')').map_or("", |(_, rest)| rest);
+    let fields: Vec<&str> = after_name.split_whitespace().collect();
+    let ticks = |index: usize| -> Result<f64> {
+        Ok(fields.get(index).ok_or_else(|| eyre!("a short stat line"))?.parse()?)
+    };
+    Ok((ticks(11)? + ticks(12)?) / CLOCK_TICKS_PER_S)
+}
+
+fn memory_bytes() -> Result<f64> {
+    let text = fs::read_to_string("/proc/self/status")?;
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.split_whitespace().next());
+    let kilobytes = kilobytes.ok_or_else(|| eyre!("no VmRSS"))?;
+    Ok(kilobytes.parse::<f64>()? * 1024.0)
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,10 +2,12 @@
 //!
 //! - [`demand`]: seeded demand for experts over a day.
 //! - [`placement`]: which expert stands on which rank: skew against moved bytes.
+//! - [`control`]: what control costs a node.
 //!
-//! They drive `hooktrestle-core` directly: no clock, no sockets, the same figures on every run but
-//! for those that are times.
+//! The decisions are driven directly, without clock or sockets: the same figures on every run but for
+//! those that are times. `control` runs the real processes.
 
+pub mod control;
 pub mod counts;
 pub mod demand;
 pub mod placement;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,5 +1,6 @@
 //! `hooktrestle-bench`: measurements, each against a naive version in the same run.
 
+mod control_report;
 mod report;
 
 use eyre::Result;
@@ -28,6 +29,8 @@
                 /// One JSON object for each policy (with --counts).
                 optional --json
             }
+            /// What control costs a node, and at the size aimed at.
+            cmd control {}
         }
     }
 }
@@ -41,5 +44,6 @@
                 Ok(())
             }
         },
+        flags::HooktrestleBenchCmd::Control(_) => control_report::print(),
     }
 }
--- /dev/null
+++ b/crates/cli/tests/examples.rs
@@ -0,0 +1,81 @@
+//! The example deployments, imported by the operators' tool and accepted whole.
+
+use std::path::Path;
+use std::process::Command;
+use std::process::Output;
+
+use hooktrestle_core::rows::ROW_ERRORS;
+use hooktrestle_embedded::Fleet;
+use hooktrestled::acceptor::Accepted;
+use hooktrestled::acceptor::Acceptor;
+use hooktrestled::config_keeper::read_head;
+use hooktrestled::config_keeper::read_snapshot;
+
+fn tool(fleet: &Fleet, words: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_hooktrestle"));
+    command.args(["--platform", &fleet.fake.url()]).args(words).output().unwrap()
+}
+
+fn example(name: &str) -> String {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples").join(name).display().to_string()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn both_deployments_are_accepted_whole_and_come_back_from_an_export() {
+    for name in ["kivuko", "kettle-pond"] {
+        let fleet = Fleet::start().await.unwrap();
+        let imported = tool(&fleet, &["import", &example(&format!("{name}/rows.csv"))]);
+        assert!(imported.status.success(), "{}", String::from_utf8_lossy(&imported.stderr));
+        let accepted = Acceptor::new(fleet.platform.clone()).accept().await.unwrap();
+        assert_eq!(accepted, Accepted::Version(1));
+        assert!(fleet.platform.rows(ROW_ERRORS, 0).await.unwrap().rows.is_empty());
+        let (head, _) = read_head(&fleet.platform).await.unwrap().unwrap();
+        let snapshot = read_snapshot(&fleet.platform, &head).await.unwrap();
+        assert_eq!(snapshot.backend_servers.len(), 19);
+        assert_eq!(snapshot.data_centres.len(), 3);
+        assert_eq!(snapshot.accounts.len(), 10);
+
+        let exported = tool(&fleet, &["export"]);
+        let file = std::env::temp_dir().join(format!("{}-{name}.csv", std::process::id()));
+        std::fs::write(&file, &exported.stdout).unwrap();
+        let again = tool(&fleet, &["import", &file.display().to_string()]);
+        std::fs::remove_file(&file).unwrap();
+        assert!(again.status.success(), "{}", String::from_utf8_lossy(&again.stderr));
+        let accepted = Acceptor::new(fleet.platform.clone()).accept().await.unwrap();
+        assert_eq!(accepted, Accepted::Nothing, "an export holds just what was imported");
+    }
+}
+
+#[test]
+fn the_settings_are_good_once_filled_in() {
+    for template in ["gateway.ini", "sidecar.ini"] {
+        let text = std::fs::read_to_string(example(template)).unwrap();
+        let filled = text
+            .replace("@NAME@", "entry-1")
+            .replace("@DATA_CENTRE@", "dar-1")
+            .replace("@PORT@", "7101")
+            .replace("@BACKEND_PORT@", "8001");
+        hooktrestled::settings::parse(template, &filled).unwrap();
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_rows_are_refused_with_line_field_and_range_and_nothing_is_written() {
+    let fleet = Fleet::start().await.unwrap();
+    let file = std::env::temp_dir().join(format!("{}-bad.csv", std::process::id()));
+    std::fs::write(&file, "row,kind,deadline_ms\nservice:a,model,5\nservice:b,model,0\n").unwrap();
+    let refused = tool(&fleet, &["import", &file.display().to_string()]);
+    std::fs::remove_file(&file).unwrap();
+    let said = String::from_utf8_lossy(&refused.stderr);
+    assert_eq!(refused.status.code(), Some(1), "{said}");
+    assert!(said.contains("bad.csv:3: service:b: deadline_ms: 0 given; it must be"), "{said}");
+    assert!(fleet.platform.rows("rows", 0).await.unwrap().rows.is_empty());
+
+    let misspelt = tool(&fleet, &["set", "service:a", "kind=model", "deadline=5"]);
+    let said = String::from_utf8_lossy(&misspelt.stderr);
+    assert!(said.contains("has no field `deadline`; did you mean `deadline_ms`?"), "{said}");
+    let unknown = tool(&fleet, &["get", "thing:a"]);
+    assert!(
+        String::from_utf8_lossy(&unknown.stderr).contains("with a kind of data_centre, service")
+    );
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,8 @@
 //! At a gateway:
 //! - [`attempt`]: one request, from its first attempt to its one final answer.
 //! - [`routing`]: which backend server gets it.
+//! - [`limits`]: what an account may ask for.
+//! - [`subset`]: which gateways and sidecars are linked.
 //! - [`retry`]: how many attempts failures may cost.
 //!
 //! At a sidecar:
@@ -15,6 +17,7 @@
 //! - [`once`]: the tickets of requests that are not repeatable.
 //!
 //! For a group of ranks:
+//! - [`lease`]: who leads.
 //! - [`map_switch`]: one expert map in every step.
 //! - [`popularity`]: which experts are in demand.
 //! - [`placement`]: which expert stands on which rank.
@@ -33,6 +36,8 @@
 pub mod dispatch;
 pub mod fair_queue;
 pub mod id;
+pub mod lease;
+pub mod limits;
 pub mod map_switch;
 pub mod once;
 pub mod placement;
@@ -40,5 +45,6 @@
 pub mod retry;
 pub mod routing;
 pub mod rows;
+pub mod subset;
 pub mod util;
 pub mod verdict;
--- a/crates/core/src/map_switch.rs
+++ b/crates/core/src/map_switch.rs
@@ -12,6 +12,7 @@
 //!
 //! - [`Rank`]: one rank's side.
 //! - [`Leader`]: one leader's side.
+//! - [`wire`]: the same as they cross processes.
 //! - [`Order`], [`Reply`]: what they say to each other. Orders may be lost, late, repeated and
 //!   reordered.
 //!
@@ -21,6 +22,7 @@
 
 mod leader;
 mod rank;
+pub mod wire;
 
 pub use leader::Leader;
 pub use leader::Progress;
--- a/crates/core/src/placement/search.rs
+++ b/crates/core/src/placement/search.rs
@@ -302,12 +302,12 @@
             if top - rest <= best.gain {
                 continue;
             }
-            for index in 0..layout.experts() {
+            for (index, share) in shares.iter().enumerate() {
                 let expert = Expert(index as u16);
                 if layout.stands(expert, hot) {
                     continue;
                 }
-                let new_each = shares[index] / f64::from(layout.replicas(expert) + 1);
+                let new_each = share / f64::from(layout.replicas(expert) + 1);
                 let change = new_each - self.each_of(*given_up);
                 let hot_after = top + change / speed(speeds, hot);
                 best.offer(Change::Load { at: (hot, slot), expert }, top - hot_after.max(rest));
--- /dev/null
+++ b/crates/core/tests/subset.rs
@@ -0,0 +1,74 @@
+//! Who links to whom: even, near, and stable.
+
+use hooktrestle_core::subset;
+use hooktrestle_core::subset::Instance;
+
+const GATEWAYS: usize = 360;
+const SERVERS: usize = 45;
+
+fn names(count: usize) -> Vec<String> {
+    (0..count).map(|number| format!("server-{number}")).collect()
+}
+
+fn instances(names: &[String]) -> Vec<Instance<'_>> {
+    names.iter().map(|name| Instance { name, is_near: false }).collect()
+}
+
+fn chosen(names: &[String], gateway: usize) -> Vec<String> {
+    let instances = instances(names);
+    let subset = subset::choose(&format!("gateway-{gateway}"), &instances, 16);
+    subset.into_iter().map(|index| names[index].clone()).collect()
+}
+
+#[test]
+fn servers_get_nearly_the_same_number_of_gateways() {
+    let names = names(SERVERS);
+    let mut counts = vec![0_usize; SERVERS];
+    for gateway in 0..GATEWAYS {
+        for index in subset::choose(&format!("gateway-{gateway}"), &instances(&names), 16) {
+            counts[index] += 1;
+        }
+    }
+    let mean = GATEWAYS * 16 / SERVERS;
+    let (least, most) = (counts.iter().min().unwrap(), counts.iter().max().unwrap());
+    assert!(*least * 10 > mean * 7 && *most * 10 < mean * 13, "{least} to {most} around {mean}");
+}
+
+#[test]
+fn a_server_that_goes_changes_only_the_choices_it_was_part_of() {
+    let all = names(SERVERS);
+    let fewer: Vec<String> = all.iter().filter(|name| *name != "server-7").cloned().collect();
+    for gateway in 0..GATEWAYS {
+        let (before, after) = (chosen(&all, gateway), chosen(&fewer, gateway));
+        let kept = before.iter().filter(|name| after.contains(name)).count();
+        let lost = usize::from(before.iter().any(|name| name == "server-7"));
+        assert_eq!(kept, before.len() - lost);
+    }
+}
+
+#[test]
+fn most_are_near_and_some_far_so_that_a_data_centre_can_go() {
+    let names = names(40);
+    let mixed: Vec<Instance<'_>> = names
+        .iter()
+        .enumerate()
+        .map(|(index, name)| Instance { name, is_near: index < 20 })
+        .collect();
+    for gateway in 0..50 {
+        let subset = subset::choose(&format!("gateway-{gateway}"), &mixed, 12);
+        let near = subset.iter().filter(|index| **index < 20).count();
+        assert!(near >= 8, "{near} near of {}", subset.len());
+        assert_eq!(subset.len(), 12);
+    }
+    let far = (0..50).filter(|gateway| {
+        let subset = subset::choose(&format!("gateway-{gateway}"), &mixed, 12);
+        subset.iter().any(|index| *index >= 20)
+    });
+    assert!(far.count() > 45);
+}
+
+#[test]
+fn a_small_fleet_is_linked_fully() {
+    let names = names(16);
+    assert_eq!(subset::choose("entry-1", &instances(&names), 16).len(), 16);
+}
--- a/crates/embedded/src/fleet.rs
+++ b/crates/embedded/src/fleet.rs
@@ -10,6 +10,7 @@
 use hooktrestle_fakes::app::FakeApp;
 use hooktrestle_fakes::engine::Behaviour;
 use hooktrestle_fakes::engine::FakeEngine;
+use hooktrestle_fakes::group::FakeGroup;
 use hooktrestle_fakes::platform::FakePlatform;
 use hooktrestle_platform::Platform;
 use hooktrestle_schema::Instance;
@@ -40,9 +41,20 @@
     App(FakeApp),
 }
 
+/// How often processes look and speak.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    /// Mean time between two looks at the platform.
+    pub poll_ms: u64,
+    /// Time between two heartbeats.
+    pub heartbeat_ms: u64,
+}
+
 /// A whole path.
 #[derive(Debug)]
 pub struct Fleet {
+    /// How often the processes started from now on look and speak; fast unless changed.
+    pub pace: Pace,
     /// The platform's stand-in.
     pub fake: FakePlatform,
     /// A client of it, as operators use one.
@@ -81,6 +93,7 @@
             timeout: Duration::from_secs(5),
         })?;
         Ok(Fleet {
+            pace: Pace { poll_ms: 100, heartbeat_ms: 50 },
             fake,
             platform,
             gateways: BTreeMap::new(),
@@ -119,6 +132,25 @@
         Ok(())
     }
 
+    /// Starts a rank of a group with its sidecar, and lists that.
+    ///
+    /// # Errors
+    ///
+    /// They cannot start.
+    pub async fn add_rank(
+        &mut self,
+        name: &str,
+        data_centre: &str,
+        group: &FakeGroup,
+        rank: usize,
+    ) -> Result<()> {
+        let behaviour = Behaviour::default();
+        let engine = FakeEngine::start_rank(loopback(), behaviour, group.clone(), rank).await?;
+        self.add_sidecar(name, data_centre, &engine.url()).await?;
+        self.backends.insert(name.to_owned(), Backend::Engine(engine));
+        Ok(())
+    }
+
     /// Starts a plain application service with its sidecar, and lists that.
     ///
     /// # Errors
@@ -137,7 +169,10 @@
     ///
     /// It cannot start.
     pub async fn add_sidecar(&mut self, name: &str, data_centre: &str, url: &str) -> Result<()> {
-        let section = format!("[sidecar]\nbackend_url = {url}\n");
+        let section = format!(
+            "[sidecar]\nbackend_url = {url}\nplan_ms = 60\nlease_ms = 400\n\
+             horizon_steps = 40\nswitch_ms = 2000\n"
+        );
         let settings = self.settings(name, "sidecar", data_centre, &section)?;
         let sidecar = Sidecar::start(&settings).await?;
         self.list(name, data_centre, InstanceRole::Sidecar, sidecar.address);
@@ -243,12 +278,13 @@
     fn settings(&self, name: &str, role: &str, data_centre: &str, more: &str) -> Result<Settings> {
         let url = self.fake.url();
         let instances_url = self.fake.instances_url();
+        let Pace { poll_ms, heartbeat_ms } = self.pace;
         let text = format!(
             "[instance]\nname = {name}\nrole = {role}\ndata_centre = {data_centre}\n\
              listen = 127.0.0.1:0\n\
              [platform]\ntable_url = {url}\nobject_url = {url}\ninstances_url = {instances_url}\n\
-             poll_ms = 100\n\
-             [links]\nkeys = {LINK_KEY}\nheartbeat_ms = 50\n\
+             poll_ms = {poll_ms}\n\
+             [links]\nkeys = {LINK_KEY}\nheartbeat_ms = {heartbeat_ms}\n\
              [gateway]\nkeep_endpoints_ms = 500\n{more}"
         );
         Ok(settings::parse(name, &text)?)
--- a/crates/embedded/src/lib.rs
+++ b/crates/embedded/src/lib.rs
@@ -17,4 +17,5 @@
 pub use fleet::Backend;
 pub use fleet::Fleet;
 pub use fleet::LINK_KEY;
+pub use fleet::Pace;
 pub use fleet::key_sha256_hex;
--- a/crates/embedded/tests/common/mod.rs
+++ b/crates/embedded/tests/common/mod.rs
@@ -10,6 +10,9 @@
 /// The test account's key.
 pub const KEY: &str = "publisher-key";
 
+/// Key of an account with a small limit.
+pub const SMALL_KEY: &str = "small-key";
+
 /// Two gateways, `engines` model engines behind the service `hints`, one app behind `puzzles`.
 pub async fn deployment(engines: usize) -> Fleet {
     let mut fleet = Fleet::start().await.unwrap();
@@ -25,7 +28,14 @@
         ("data_centre:dar-1".to_owned(), json!({ "region": "dar" })),
         ("service:hints".to_owned(), json!({ "kind": "model" })),
         ("service:puzzles".to_owned(), json!({ "kind": "plain" })),
-        ("account:publisher".to_owned(), json!({ "key_sha256_hex": key_sha256_hex(KEY) })),
+        (
+            "account:publisher".to_owned(),
+            json!({ "key_sha256_hex": key_sha256_hex(KEY), "limit_requests_per_s": 10_000 }),
+        ),
+        (
+            "account:small".to_owned(),
+            json!({ "key_sha256_hex": key_sha256_hex(SMALL_KEY), "limit_requests_per_s": 4 }),
+        ),
         (
             "backend_server:puzzles-1".to_owned(),
             json!({ "service": "puzzles", "data_centre": "dar-1" }),
--- a/crates/embedded/tests/configuration.rs
+++ b/crates/embedded/tests/configuration.rs
@@ -170,7 +170,7 @@
 #[tokio::test]
 async fn versions_only_grow_in_every_process_over_restarts_and_outages() {
     let mut fleet = deployment(2).await;
-    let mut floor = vec![0; 6];
+    let mut floor = [0; 6];
     for round in 1..=6_u32 {
         fleet.edit(&[("backend_server:hints-1", row(10 + round))]).await.unwrap();
         let slow = Faults { delay_ms: u64::from(round % 3) * 40, ..Faults::default() };
--- a/crates/embedded/tests/failures.rs
+++ b/crates/embedded/tests/failures.rs
@@ -16,6 +16,7 @@
 use serde_json::json;
 
 use common::KEY;
+use common::SMALL_KEY;
 use common::answer_text;
 use common::deployment;
 use common::expected;
@@ -279,3 +280,42 @@
     assert_eq!(fleet.engine("hints-1").ledger.entry("late").started, 0);
     hold.iter().for_each(tokio::task::JoinHandle::abort);
 }
+
+#[tokio::test]
+async fn an_account_over_its_limit_is_refused_at_once_and_told_when_to_come_back() {
+    let fleet = deployment(1).await;
+    let small = Caller::new(&fleet.url("entry-1"), SMALL_KEY).unwrap();
+    let mut refused = 0;
+    for number in 0..10 {
+        match finish(small.chat("hints", &format!("s-{number}"), 1, true)).await.unwrap() {
+            Outcome::Whole(_) => {}
+            Outcome::Refused { status, verdict, retry_after_ms, .. } => {
+                assert_eq!((status, verdict.as_str()), (429, "not-run"));
+                assert!(retry_after_ms.is_some_and(|ms| ms > 0));
+                refused += 1;
+            }
+            Outcome::CutOff(text) => panic!("{text}"),
+        }
+    }
+    assert!(refused > 0);
+    // Another account is not touched.
+    let call = caller(&fleet, "entry-1").chat("hints", "other", 1, true);
+    assert!(matches!(finish(call).await.unwrap(), Outcome::Whole(_)));
+}
+
+#[tokio::test]
+async fn health_and_metrics_follow_a_drain() {
+    let fleet = deployment(1).await;
+    let ready = async |address: std::net::SocketAddr| {
+        let answer = reqwest::get(format!("http://{address}/readyz")).await.unwrap();
+        answer.status().as_u16()
+    };
+    let sidecar = &fleet.sidecars["hints-1"];
+    assert_eq!(ready(sidecar.admin_address).await, 200);
+    let metrics = format!("http://{}/metrics", sidecar.admin_address);
+    let text = reqwest::get(metrics).await.unwrap().text().await.unwrap();
+    assert!(text.contains("hooktrestle_running_requests 0"), "{text}");
+    sidecar.leave(Duration::from_secs(5)).await;
+    assert_eq!(ready(sidecar.admin_address).await, 503);
+    assert_eq!(ready(fleet.gateways["entry-1"].admin_address).await, 200);
+}
--- /dev/null
+++ b/crates/embedded/tests/groups.rs
@@ -0,0 +1,127 @@
+//! A group of ranks in lock-step, its expert map switched by the sidecars; the ranks check every
+//! step.
+
+use hooktrestle_embedded::Fleet;
+use hooktrestle_fakes::group::FakeGroup;
+use hooktrestle_fakes::group::Steps;
+use hooktrestle_fakes::platform::Faults;
+use serde_json::Value;
+use serde_json::json;
+use tokio::sync::watch;
+
+const RANKS: usize = 4;
+const EXPERTS: usize = 16;
+const SLOTS: usize = 5;
+
+/// Four ranks behind the service `recap`, all led by whichever sidecar gets the lease.
+async fn group() -> (Fleet, FakeGroup) {
+    let mut fleet = Fleet::start().await.unwrap();
+    let group = FakeGroup::start(RANKS, EXPERTS, SLOTS);
+    let mut rows = vec![
+        ("data_centre:hall-1".to_owned(), json!({ "region": "new-england" })),
+        ("service:recap".to_owned(), json!({ "kind": "model", "experts_per_layer": EXPERTS })),
+    ];
+    fleet.add_gateway("entry-1", "hall-1").await.unwrap();
+    for rank in 0..RANKS {
+        let name = format!("recap-{rank}");
+        fleet.add_rank(&name, "hall-1", &group, rank).await.unwrap();
+        let row = json!({ "service": "recap", "data_centre": "hall-1", "keeps_fence": true });
+        rows.push((format!("backend_server:{name}"), row));
+    }
+    let rows: Vec<(&str, Value)> =
+        rows.iter().map(|(key, value)| (key.as_str(), value.clone())).collect();
+    fleet.edit(&rows).await.unwrap();
+    fleet.wait_in_force(|config| config.servers.len() == RANKS).await;
+    (fleet, group)
+}
+
+fn hot(experts: &[usize]) -> Vec<f64> {
+    let mut shares = [1.0; EXPERTS];
+    experts.iter().for_each(|expert| shares[*expert] = 6.0);
+    let sum: f64 = shares.iter().sum();
+    shares.iter().map(|share| share / sum).collect()
+}
+
+/// Load of the slowest rank over the mean, as the group's maps stand.
+fn skew(group: &FakeGroup, shares: &[f64]) -> f64 {
+    let columns = group.experts();
+    let replicas = |expert: u16| columns.iter().filter(|column| column.contains(&expert)).count();
+    let load = |column: &Vec<u16>| -> f64 {
+        column.iter().map(|each| shares[usize::from(*each)] / replicas(*each) as f64).sum()
+    };
+    let loads = columns.iter().map(load);
+    loads.fold(0.0, f64::max) * RANKS as f64
+}
+
+async fn wait_for(
+    steps: &mut watch::Receiver<Steps>,
+    reached: impl FnMut(&Steps) -> bool,
+) -> Steps {
+    steps.wait_for(reached).await.unwrap().clone()
+}
+
+/// Waits until the group is balanced for these shares.
+async fn wait_balanced(group: &FakeGroup, shares: &[f64]) -> Steps {
+    let mut steps = group.watch();
+    wait_for(&mut steps, |_| skew(group, shares) < 1.15).await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_hot_set_is_spread_and_every_step_uses_one_map() {
+    let (_fleet, group) = group().await;
+    for experts in [[0, 4, 8], [1, 2, 3], [5, 10, 15]] {
+        let shares = hot(&experts);
+        group.set_popularity(shares.clone());
+        let steps = wait_balanced(&group, &shares).await;
+        assert_eq!(steps.faults, Vec::<String>::new());
+        assert!(steps.map_version > 0);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rank_that_cannot_load_keeps_the_old_map_and_the_group_steps_on() {
+    let (_fleet, group) = group().await;
+    group.set_fails_loads(2, true);
+    group.set_popularity(hot(&[0, 4, 8]));
+    let mut steps = group.watch();
+    let before = steps.borrow().run;
+    let after = wait_for(&mut steps, |steps| steps.run > before + 1_500).await;
+    assert_eq!(after.map_version, 0, "a switch that one rank cannot make is called off");
+    assert_eq!(after.faults, Vec::<String>::new());
+    group.set_fails_loads(2, false);
+    let shares = hot(&[0, 4, 8]);
+    let steps = wait_balanced(&group, &shares).await;
+    assert_eq!(steps.faults, Vec::<String>::new());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leaders_that_are_killed_in_the_middle_leave_one_map_and_a_group_that_steps() {
+    let (mut fleet, group) = group().await;
+    for round in 0..6_usize {
+        let shares = hot(&[round, (round + 5) % EXPERTS, (round + 9) % EXPERTS]);
+        group.set_popularity(shares.clone());
+        // Whoever leads is among these sooner or later; each comes back with an empty memory.
+        let name = format!("recap-{}", round % RANKS);
+        fleet.restart_sidecar(&name, "hall-1").await.unwrap();
+        let steps = wait_balanced(&group, &shares).await;
+        assert_eq!(steps.faults, Vec::<String>::new());
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outage_of_the_store_neither_splits_nor_stops_a_group() {
+    let (fleet, group) = group().await;
+    let shares = hot(&[0, 4, 8]);
+    group.set_popularity(shares.clone());
+    wait_balanced(&group, &shares).await;
+    fleet.fake.set_faults(Faults { down: true, ..Faults::default() });
+    let mut steps = group.watch();
+    group.set_popularity(hot(&[1, 2, 3]));
+    let before = steps.borrow().run;
+    let during = wait_for(&mut steps, |steps| steps.run > before + 1_500).await;
+    assert_eq!(during.faults, Vec::<String>::new());
+    fleet.fake.set_faults(Faults::default());
+    let shares = hot(&[1, 2, 3]);
+    let after = wait_balanced(&group, &shares).await;
+    assert_eq!(after.faults, Vec::<String>::new());
+}
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use eyre::Result;
 use futures_util::stream;
+use hooktrestle_schema::MapOrder;
 use http::Response;
 use serde_json::Value;
 use serde_json::json;
@@ -19,6 +20,7 @@
 use warp::Filter;
 use warp::Reply;
 
+use crate::group::FakeGroup;
 use crate::ledger::Ledger;
 use crate::serve::Served;
 use crate::serve::serve;
@@ -81,9 +83,32 @@
     ///
     /// The address cannot be bound.
     pub async fn start(listen: SocketAddr, behaviour: Behaviour) -> Result<FakeEngine> {
+        FakeEngine::start_with(listen, behaviour, None).await
+    }
+
+    /// Starts one that is a rank of a group.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be bound.
+    pub async fn start_rank(
+        listen: SocketAddr,
+        behaviour: Behaviour,
+        group: FakeGroup,
+        rank: usize,
+    ) -> Result<FakeEngine> {
+        FakeEngine::start_with(listen, behaviour, Some((group, rank))).await
+    }
+
+    async fn start_with(
+        listen: SocketAddr,
+        behaviour: Behaviour,
+        member: Option<(FakeGroup, usize)>,
+    ) -> Result<FakeEngine> {
         let ledger = Ledger::default();
         let behaviour = Arc::new(watch::Sender::new(behaviour));
-        let routes = routes(ledger.clone(), Arc::clone(&behaviour));
+        let chat = routes(ledger.clone(), Arc::clone(&behaviour));
+        let routes = control(member).or(chat).unify();
         let served = serve(listen, routes).await?;
         Ok(FakeEngine { ledger, behaviour, served })
     }
@@ -123,6 +148,32 @@
         .map(Reply::into_response)
 }
 
+/// Orders to a rank, and its counts; an engine outside of a group has neither.
+fn control(
+    member: Option<(FakeGroup, usize)>,
+) -> impl Filter<Extract = (warp::reply::Response,), Error = warp::Rejection>
++ Clone
++ Send
++ Sync
++ 'static {
+    let with = warp::any().and_then(move || {
+        let member = member.clone();
+        async move { member.ok_or_else(warp::reject::not_found) }
+    });
+    let order = warp::post()
+        .and(warp::path!("control" / "map"))
+        .and(with.clone())
+        .and(warp::body::json())
+        .map(|(group, rank): (FakeGroup, usize), order: MapOrder| {
+            warp::reply::json(&group.order(rank, &order)).into_response()
+        });
+    let counts = warp::get()
+        .and(warp::path!("control" / "counts"))
+        .and(with)
+        .map(|(group, _): (FakeGroup, usize)| warp::reply::json(&group.counts()).into_response());
+    order.or(counts).unify()
+}
+
 async fn chat(
     body: Value,
     ledger: Ledger,
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`platform`]: table service, object store and instance list.
 //! - [`engine`]: a model engine that streams an answer token by token.
+//! - [`group`]: ranks in lock-step that check their maps in every step.
 //! - [`app`]: a plain application service.
 //! - [`ledger`]: what really ran: the judge of every claim that a request did not run.
 //!
@@ -10,6 +11,7 @@
 
 pub mod app;
 pub mod engine;
+pub mod group;
 pub mod ledger;
 pub mod platform;
 mod serve;
--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -53,6 +53,7 @@
     tables: BTreeMap<String, BTreeMap<String, TableRow>>,
     objects: BTreeMap<String, Bytes>,
     instances: BTreeMap<String, Instance>,
+    list_changes: u64,
     faults: Faults,
     reads: u64,
     writes: u64,
@@ -100,19 +101,25 @@
 
     /// Adds an instance to the list, or changes it.
     pub fn list_instance(&self, instance: Instance) {
-        lock(&self.state).instances.insert(instance.name.clone(), instance);
+        let mut state = lock(&self.state);
+        state.list_changes += 1;
+        state.instances.insert(instance.name.clone(), instance);
     }
 
     /// Marks an instance as leaving.
     pub fn set_leaving(&self, name: &str) {
-        if let Some(instance) = lock(&self.state).instances.get_mut(name) {
+        let mut state = lock(&self.state);
+        state.list_changes += 1;
+        if let Some(instance) = state.instances.get_mut(name) {
             instance.state = InstanceState::Leaving;
         }
     }
 
     /// Takes an instance off the list.
     pub fn remove_instance(&self, name: &str) {
-        lock(&self.state).instances.remove(name);
+        let mut state = lock(&self.state);
+        state.list_changes += 1;
+        state.instances.remove(name);
     }
 
     /// Reads and writes answered so far.
@@ -168,13 +175,17 @@
     let instances = warp::get()
         .and(with_state.clone())
         .and(warp::path!("v1" / "instances"))
-        .map(|state: Arc<Mutex<State>>| read_instances(&mut lock(&state)));
+        .and(warp::header::optional::<String>("if-none-match"))
+        .map(|state: Arc<Mutex<State>>, known: Option<String>| {
+            read_instances(&lock(&state), known.as_deref())
+        });
     let list = warp::post()
         .and(with_state.clone())
         .and(warp::path!("v1" / "instances"))
         .and(warp::body::json())
         .then(|state, instance: Instance| {
             answer(state, move |state| {
+                state.list_changes += 1;
                 state.instances.insert(instance.name.clone(), instance);
                 StatusCode::NO_CONTENT.into_response()
             })
@@ -244,12 +255,16 @@
     }
 }
 
-fn read_instances(state: &mut State) -> Response {
+fn read_instances(state: &State, known: Option<&str>) -> Response {
     if state.faults.list_down {
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     }
+    let tag = format!("\"{}\"", state.list_changes);
+    if known == Some(&tag) {
+        return StatusCode::NOT_MODIFIED.into_response();
+    }
     let instances: Vec<&Instance> = state.instances.values().collect();
-    warp::reply::json(&instances).into_response()
+    warp::reply::with_header(warp::reply::json(&instances), "etag", tag).into_response()
 }
 
 async fn transact(state: Arc<Mutex<State>>, transaction: Transaction) -> Response {
--- a/crates/hooktrestle/examples/quickstart.rs
+++ b/crates/hooktrestle/examples/quickstart.rs
@@ -59,7 +59,10 @@
     let mut fleet = Fleet::start().await?;
     let mut rows = vec![
         ("data_centre:dc-1".to_owned(), json!({ "region": "home" })),
-        ("account:reader".to_owned(), json!({ "key_sha256_hex": key_sha256_hex(KEY) })),
+        (
+            "account:reader".to_owned(),
+            json!({ "key_sha256_hex": key_sha256_hex(KEY), "limit_requests_per_s": 1_000 }),
+        ),
     ];
     for name in ["entry-1", "entry-2"] {
         fleet.add_gateway(name, "dc-1").await?;
--- a/crates/hooktrestled/src/acceptor.rs
+++ b/crates/hooktrestled/src/acceptor.rs
@@ -32,6 +32,7 @@
 use crate::config_keeper::Look;
 use crate::config_keeper::read_head;
 use crate::config_keeper::read_snapshot;
+use crate::directory;
 use crate::poll::jittered;
 
 /// What one look at the rows came to.
@@ -45,8 +46,17 @@
     Raced,
 }
 
+/// Gateways that look for edits as often as `poll` says; more of them look less often each, so that
+/// the table is asked no more often by a large fleet than by a small one.
+const GATEWAYS_AT_FULL_PACE: u32 = 8;
+
 /// Looks for edits for ever.
-pub async fn run(platform: Platform, keeper: Address<ConfigKeeper>, poll: Duration) {
+pub async fn run(
+    platform: Platform,
+    keeper: Address<ConfigKeeper>,
+    directory: directory::Watch,
+    poll: Duration,
+) {
     let mut acceptor = Acceptor::new(platform);
     loop {
         match acceptor.accept().await {
@@ -62,7 +72,8 @@
                 warn!("cannot accept edits", kv: { error: = error.to_string().as_str() });
             }
         }
-        sleep(jittered(poll)).await;
+        let gateways = u32::try_from(directory::gateways(&directory.borrow())).unwrap_or(u32::MAX);
+        sleep(jittered(poll * gateways.div_ceil(GATEWAYS_AT_FULL_PACE).max(1))).await;
     }
 }
 
--- /dev/null
+++ b/crates/hooktrestled/src/admin.rs
@@ -0,0 +1,95 @@
+//! Health, readiness and metrics of a process, for operators.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+
+use eyre::Result;
+use eyre::WrapErr;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+use tokio::net::TcpListener;
+use tokio::task::AbortHandle;
+use warp::Filter;
+use warp::Reply;
+use warp::http::StatusCode;
+use warp::reply::Response;
+
+/// Media type of the metrics.
+const OPEN_METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// One figure.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Figure {
+    /// Name without the product's prefix; ends with its unit.
+    pub(crate) name: &'static str,
+    /// What it says.
+    pub(crate) help: &'static str,
+    /// The figure.
+    pub(crate) value: i64,
+}
+
+/// What a process says of itself now.
+#[derive(Clone, Debug)]
+pub(crate) struct Observed {
+    /// Whether it takes new work.
+    pub(crate) is_ready: bool,
+    /// Its figures.
+    pub(crate) figures: Vec<Figure>,
+}
+
+/// A process that can be observed.
+pub(crate) trait Observe: Clone + Send + Sync + 'static {
+    /// Looks at it now.
+    fn observe(&self) -> impl Future<Output = Observed> + Send;
+}
+
+/// Starts the server; it ends with the handle's abort.
+pub(crate) async fn start<O: Observe>(
+    listen: &str,
+    observe: O,
+) -> Result<(SocketAddr, AbortHandle)> {
+    let listener = TcpListener::bind(listen)
+        .await
+        .wrap_err_with(|| format!("cannot listen on {listen} ([instance] admin_listen)"))?;
+    let address = listener.local_addr()?;
+    let server = warp::serve(routes(observe)).incoming(listener);
+    Ok((address, tokio::spawn(server.run()).abort_handle()))
+}
+
+fn routes<O: Observe>(
+    observe: O,
+) -> impl Filter<Extract = (Response,), Error = Infallible> + Clone + Send + Sync + 'static {
+    let with = warp::any().map(move || observe.clone());
+    let health = warp::path!("healthz").map(|| StatusCode::OK.into_response());
+    let ready = warp::path!("readyz").and(with.clone()).then(|observe: O| async move {
+        let ready = observe.observe().await.is_ready;
+        let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        status.into_response()
+    });
+    let metrics = warp::path!("metrics").and(with).then(|observe: O| async move {
+        let text = render(&observe.observe().await);
+        warp::reply::with_header(text, "content-type", OPEN_METRICS).into_response()
+    });
+    health
+        .or(ready)
+        .unify()
+        .or(metrics)
+        .unify()
+        .recover(|_| async { Ok::<_, Infallible>(StatusCode::NOT_FOUND) })
+        .map(Reply::into_response)
+}
+
+fn render(observed: &Observed) -> String {
+    let mut registry = Registry::with_prefix("hooktrestle");
+    for figure in &observed.figures {
+        let gauge: Gauge = Gauge::default();
+        gauge.set(figure.value);
+        registry.register(figure.name, figure.help, gauge);
+    }
+    let mut text = String::new();
+    // Writing to memory does not fail.
+    let _ = encode(&mut text, &registry);
+    text
+}
--- a/crates/hooktrestled/src/directory.rs
+++ b/crates/hooktrestled/src/directory.rs
@@ -4,8 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hooktrestle_platform::Listing;
 use hooktrestle_platform::Platform;
 use hooktrestle_schema::Instance;
+use hooktrestle_schema::InstanceRole;
+use hooktrestle_schema::InstanceState;
 use spdlog::warn;
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -15,13 +18,26 @@
 /// The newest list that could be read, by name.
 pub type Watch = watch::Receiver<Arc<BTreeMap<String, Instance>>>;
 
+/// How many live gateways the list names.
+pub(crate) fn gateways(list: &BTreeMap<String, Instance>) -> usize {
+    let is_live = |instance: &&Instance| {
+        instance.role == InstanceRole::Gateway && instance.state == InstanceState::Live
+    };
+    list.values().filter(is_live).count()
+}
+
 /// Starts polling; it ends when nobody watches any more.
 pub fn start(platform: Platform, poll: Duration) -> Watch {
     let (published, watch) = watch::channel(Arc::default());
     tokio::spawn(async move {
+        let mut known = None;
         while !published.is_closed() {
-            match platform.instances().await {
-                Ok(list) => publish(&published, list),
+            match platform.instances(known.as_deref()).await {
+                Ok(Listing::Unchanged) => {}
+                Ok(Listing::Changed { instances, tag }) => {
+                    known = tag;
+                    publish(&published, instances);
+                }
                 // The last list stays: an outage of the list is no news about instances.
                 Err(error) => {
                     warn!("cannot read the instance list", kv: { error: = error.to_string().as_str() })
--- a/crates/hooktrestled/src/gateway.rs
+++ b/crates/hooktrestled/src/gateway.rs
@@ -24,6 +24,7 @@
 use eyre::Result;
 use eyre::WrapErr;
 use hooktrestle_core::id::RequestNumbers;
+use hooktrestle_core::limits::Limiter;
 use hooktrestle_core::retry;
 use hooktrestle_core::retry::RetryBudget;
 use hooktrestle_link::Identity;
@@ -38,6 +39,10 @@
 use xtra::Address;
 
 use crate::acceptor;
+use crate::admin;
+use crate::admin::Figure;
+use crate::admin::Observe;
+use crate::admin::Observed;
 use crate::clock::MonotonicClock;
 use crate::config_keeper;
 use crate::directory;
@@ -55,15 +60,39 @@
     pub(crate) router: Address<router::Router>,
     pub(crate) numbers: Arc<RequestNumbers>,
     pub(crate) budget: Arc<Mutex<RetryBudget>>,
+    pub(crate) limiter: Arc<Mutex<Limiter>>,
+    pub(crate) clock: MonotonicClock,
     pub(crate) open: watch::Sender<usize>,
     pub(crate) leaving: watch::Sender<bool>,
 }
 
+impl Observe for Shared {
+    async fn observe(&self) -> Observed {
+        let version = self.config.borrow().as_ref().map(|now| now.config.version);
+        let open = *self.open.borrow();
+        let figures = vec![
+            Figure {
+                name: "config_version",
+                help: "Version of the configuration in force here",
+                value: version.and_then(|version| version.try_into().ok()).unwrap_or(0),
+            },
+            Figure {
+                name: "open_requests",
+                help: "Requests in flight",
+                value: open.try_into().unwrap_or(i64::MAX),
+            },
+        ];
+        Observed { is_ready: version.is_some() && !*self.leaving.borrow(), figures }
+    }
+}
+
 /// A running gateway; it ends, cutting everything off, when this is dropped.
 #[derive(Debug)]
 pub struct Gateway {
     /// Where callers connect.
     pub address: SocketAddr,
+    /// Where operators ask for health and metrics.
+    pub admin_address: SocketAddr,
     shared: Shared,
     tasks: Vec<AbortHandle>,
 }
@@ -98,6 +127,7 @@
         let context = links::Context {
             link: settings::links(settings),
             identity: identity.clone(),
+            data_centre: settings.instance.data_centre.clone(),
             directory: directory.clone(),
             config: config.clone(),
             keeper: keeper.clone(),
@@ -110,19 +140,24 @@
             keys: settings::links(settings).keys,
             settings: Arc::new(gateway_settings(settings)),
             config,
-            directory,
+            directory: directory.clone(),
             router,
             numbers: Arc::default(),
             budget: Arc::new(Mutex::new(RetryBudget::new(retry::Config::default()))),
+            limiter: Arc::default(),
+            clock: MonotonicClock::default(),
             open: watch::Sender::new(0),
             leaving: watch::Sender::new(false),
         };
         let server = warp::serve(http::routes(shared.clone())).incoming(listener);
-        let accepting = acceptor::run(platform, keeper, poll);
-        let tasks =
-            vec![tokio::spawn(server.run()).abort_handle(), tokio::spawn(accepting).abort_handle()];
+        let accepting = acceptor::run(platform, keeper, directory, poll);
+        let (admin_address, admin) =
+            admin::start(&settings.instance.admin_listen, shared.clone()).await?;
+        let serving = tokio::spawn(server.run()).abort_handle();
+        let accepting = tokio::spawn(accepting).abort_handle();
+        let tasks = vec![admin, serving, accepting];
         info!("gateway listens", kv: { address: = address.to_string().as_str() });
-        Ok(Gateway { address, shared, tasks })
+        Ok(Gateway { address, admin_address, shared, tasks })
     }
 
     /// The configuration in force here.
--- a/crates/hooktrestled/src/gateway/drive.rs
+++ b/crates/hooktrestled/src/gateway/drive.rs
@@ -9,11 +9,14 @@
 use hooktrestle_core::attempt::Attempts;
 use hooktrestle_core::attempt::Next;
 use hooktrestle_core::attempt::Repeat;
+use hooktrestle_core::clock::Clock;
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::id::RequestId;
 use hooktrestle_core::retry::RetryBudget;
 use hooktrestle_core::util::arena::Key;
+use hooktrestle_core::util::hash;
 use hooktrestle_core::verdict::Refusal;
+use hooktrestle_schema::AccountRow;
 use hooktrestle_schema::Cause;
 use hooktrestle_schema::CreditFrame;
 use hooktrestle_schema::Frame;
@@ -27,7 +30,6 @@
 use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
-use tokio::sync::watch;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
@@ -35,6 +37,7 @@
 use crate::gateway::body;
 use crate::gateway::body::Body;
 use crate::gateway::body::BodyError;
+use crate::gateway::endpoints;
 use crate::gateway::links::Event;
 use crate::gateway::links::Handle;
 use crate::gateway::router::Choice;
@@ -60,6 +63,7 @@
     pub(crate) service: Arc<str>,
     pub(crate) account: String,
     pub(crate) weight: u32,
+    pub(crate) limits: AccountRow,
     pub(crate) method: String,
     pub(crate) path: String,
     pub(crate) headers: Vec<Header>,
@@ -125,17 +129,47 @@
     CallerGone,
 }
 
-/// Counts a request as open while it lives.
-struct OpenGuard(watch::Sender<usize>);
+/// Counts a request as open while it lives: at the gateway, and for its account.
+struct OpenGuard {
+    shared: Shared,
+    account: u64,
+}
+
+impl OpenGuard {
+    /// Admits a request within its account's limits.
+    fn admit(shared: &Shared, incoming: &Incoming) -> Result<OpenGuard, Refusal> {
+        let gateways = {
+            let directory = shared.directory.borrow();
+            endpoints::for_service(&directory, &incoming.service).len()
+        };
+        let account = hash::of(&incoming.account);
+        let (now, cost) = (shared.clock.now(), incoming.cost_tokens);
+        let mut limiter = shared.limiter.lock().unwrap_or_else(PoisonError::into_inner);
+        limiter.admit(now, account, &incoming.limits, gateways, cost)?;
+        shared.open.send_modify(|count| *count += 1);
+        Ok(OpenGuard { shared: shared.clone(), account })
+    }
+}
 
 impl Drop for OpenGuard {
     fn drop(&mut self) {
-        self.0.send_modify(|count| *count -= 1);
+        self.shared.open.send_modify(|count| *count -= 1);
+        let now = self.shared.clock.now();
+        let mut limiter = self.shared.limiter.lock().unwrap_or_else(PoisonError::into_inner);
+        limiter.release(now, self.account);
     }
 }
 
 /// Starts driving a request; the answer's head, or the refusal, comes through the channel.
-pub(crate) fn start(shared: Shared, incoming: Incoming) -> oneshot::Receiver<Answer> {
+///
+/// # Errors
+///
+/// The account is over its limits.
+pub(crate) fn start(
+    shared: Shared,
+    incoming: Incoming,
+) -> Result<oneshot::Receiver<Answer>, Refusal> {
+    let guard = OpenGuard::admit(&shared, &incoming)?;
     let (head, answer) = oneshot::channel();
     let config = attempt::Config {
         number: shared.numbers.next(),
@@ -151,13 +185,11 @@
         shared,
         incoming,
     };
-    driver.shared.open.send_modify(|count| *count += 1);
-    let guard = OpenGuard(driver.shared.open.clone());
     tokio::spawn(async move {
         driver.drive().await;
         drop(guard);
     });
-    answer
+    Ok(answer)
 }
 
 impl Driver {
--- a/crates/hooktrestled/src/gateway/endpoints.rs
+++ b/crates/hooktrestled/src/gateway/endpoints.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use hooktrestle_core::subset;
 use hooktrestle_schema::Endpoint;
 use hooktrestle_schema::EndpointsAnswer;
 use hooktrestle_schema::Instance;
@@ -11,20 +12,33 @@
 use crate::config_keeper::InForce;
 use crate::gateway::Shared;
 
-/// The answer to a caller that asks for a service's endpoints.
-///
-/// Every live gateway serves every service. Those in data centres that are drained, or have weight
-/// 0, are left out, unless that leaves none.
-pub(crate) fn answer(shared: &Shared, in_force: &InForce, service: &str) -> EndpointsAnswer {
-    let directory = shared.directory.borrow().clone();
-    let own = &shared.identity.instance;
-    let leaving = *shared.leaving.borrow();
+/// The gateways that callers of a service are given: some of the live ones, always the same, so that
+/// each gateway needs links for few services only.
+pub(crate) fn for_service<'a>(
+    directory: &'a BTreeMap<String, Instance>,
+    service: &str,
+) -> Vec<&'a Instance> {
     let live: Vec<&Instance> = directory
         .values()
         .filter(|instance| instance.role == InstanceRole::Gateway)
         .filter(|instance| instance.state == InstanceState::Live)
-        .filter(|instance| !(leaving && instance.name == *own))
         .collect();
+    let candidates: Vec<subset::Instance<'_>> = live
+        .iter()
+        .map(|instance| subset::Instance { name: &instance.name, is_near: false })
+        .collect();
+    let chosen = subset::choose(service, &candidates, subset::GATEWAYS_FOR_SERVICE);
+    chosen.into_iter().map(|index| live[index]).collect()
+}
+
+/// The answer to a caller that asks for a service's endpoints. Gateways in data centres that are
+/// drained, or have weight 0, are left out, unless that leaves none.
+pub(crate) fn answer(shared: &Shared, in_force: &InForce, service: &str) -> EndpointsAnswer {
+    let directory = shared.directory.borrow().clone();
+    let own = &shared.identity.instance;
+    let leaving = *shared.leaving.borrow();
+    let mut chosen = for_service(&directory, service);
+    chosen.retain(|instance| !(leaving && instance.name == *own));
     let weights: BTreeMap<&str, u32> = in_force
         .snapshot
         .data_centres
@@ -34,9 +48,9 @@
     let weight_of = |instance: &Instance| {
         weights.get(instance.data_centre.as_str()).copied().unwrap_or_default()
     };
-    let any = live.iter().any(|instance| weight_of(instance) > 0);
-    let endpoints = live
-        .iter()
+    let any = chosen.iter().any(|instance| weight_of(instance) > 0);
+    let endpoints = chosen
+        .into_iter()
         .map(|instance| endpoint(instance, if any { weight_of(instance) } else { 1 }))
         .filter(|endpoint| endpoint.weight > 0)
         .collect();
--- a/crates/hooktrestled/src/gateway/http.rs
+++ b/crates/hooktrestled/src/gateway/http.rs
@@ -227,6 +227,7 @@
         service: request.service.as_str().into(),
         account: account.name.clone(),
         weight: account.row.weight,
+        limits: account.row.clone(),
         method: call.method.as_str().to_owned(),
         path: call.path.clone(),
         headers: passed_on(&call.headers),
@@ -270,7 +271,7 @@
 }
 
 async fn answer(shared: Shared, incoming: Incoming) -> Result<Response, Problem> {
-    match drive::start(shared, incoming).await {
+    match drive::start(shared, incoming)?.await {
         Ok(Ok(head)) => Ok(head_response(head)),
         Ok(Err(refusal)) => Err(refusal.into()),
         Err(_) => Err(Refusal::may_have_run(Cause::Protocol).into()),
--- a/crates/hooktrestled/src/gateway/links.rs
+++ b/crates/hooktrestled/src/gateway/links.rs
@@ -44,6 +44,7 @@
 pub(crate) struct Context {
     pub(crate) link: hooktrestle_link::Config,
     pub(crate) identity: Identity,
+    pub(crate) data_centre: String,
     pub(crate) directory: directory::Watch,
     pub(crate) config: config_keeper::Watch,
     pub(crate) keeper: xtra::Address<ConfigKeeper>,
@@ -182,14 +183,16 @@
     };
     info!("link open", kv: { sidecar: = peer.identity.instance.as_str() });
     let beating = tokio::spawn(beat(context.clone(), sender));
-    let error = read(context, router, server, &handle, &mut receiver).await;
+    let reason = tokio::select! {
+        error = read(context, router, server, &handle, &mut receiver) => error.to_string(),
+        () = router.join() => "the gateway has ended".to_owned(),
+    };
     beating.abort();
     handle.lose();
     if let Some(router) = router.try_upgrade() {
         // A router that has ended routes nothing over this link.
         let _ = router.send(Down { server, epoch: handle.epoch }).await;
     }
-    let reason = error.to_string();
     info!("link lost", kv: { sidecar: = peer.identity.instance.as_str(), reason: = reason.as_str() });
 }
 
--- a/crates/hooktrestled/src/gateway/router.rs
+++ b/crates/hooktrestled/src/gateway/router.rs
@@ -1,14 +1,18 @@
 //! The actor that chooses backend servers and keeps the links' state.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
 
 use hooktrestle_core::clock::Clock;
 use hooktrestle_core::clock::Millis;
+use hooktrestle_core::config::BackendServer;
 use hooktrestle_core::config::Config;
 use hooktrestle_core::routing;
 use hooktrestle_core::routing::Candidate;
 use hooktrestle_core::routing::Report;
+use hooktrestle_core::subset;
+use hooktrestle_core::subset::Instance;
 use hooktrestle_core::util::arena::Arena;
 use hooktrestle_core::util::arena::Key;
 use hooktrestle_schema::LoadFrame;
@@ -19,6 +23,8 @@
 use xtra::Mailbox;
 use xtra::WeakAddress;
 
+use crate::directory;
+use crate::gateway::endpoints;
 use crate::gateway::links;
 use crate::gateway::links::Handle;
 
@@ -38,7 +44,10 @@
     context: links::Context,
     servers: Arena<Server>,
     by_name: HashMap<String, Key<Server>>,
-    config_version: u64,
+    /// Version of the configuration, and gateways in the list, that the links follow.
+    followed: (u64, usize),
+    /// Services that callers have asked for here although they are given other gateways.
+    asked_for: BTreeSet<String>,
     linked: watch::Sender<u64>,
     address: Option<WeakAddress<Router>>,
 }
@@ -102,7 +111,8 @@
         context: context.clone(),
         servers: Arena::default(),
         by_name: HashMap::new(),
-        config_version: 0,
+        followed: (0, 0),
+        asked_for: BTreeSet::new(),
         linked: watch::Sender::new(0),
         address: Some(address.downgrade()),
     };
@@ -117,12 +127,17 @@
 
 async fn follow(context: links::Context, router: WeakAddress<Router>) {
     let mut config = context.config;
+    let mut directory = context.directory;
     loop {
         match router.try_upgrade() {
             Some(router) if router.send(Follow).await.is_ok() => {}
             _ => return,
         }
-        if config.changed().await.is_err() {
+        let changed = tokio::select! {
+            changed = config.changed() => changed,
+            changed = directory.changed() => changed,
+        };
+        if changed.is_err() {
             return;
         }
     }
@@ -136,14 +151,43 @@
     /// Takes over weights and drains, and opens links to backend servers that are new.
     fn follow_config(&mut self) {
         let Some(config) = self.config() else { return };
-        if config.version == self.config_version {
+        let list = directory::gateways(&self.context.directory.borrow());
+        if (config.version, list) == self.followed {
             return;
         }
-        self.config_version = config.version;
+        self.followed = (config.version, list);
         for (_, server) in self.servers.iter_mut() {
             server.candidate.weight = 0;
         }
-        for (key, record) in config.servers.iter() {
+        for (_, service) in config.services.iter() {
+            if self.asked_for.contains(&service.name) || self.is_ours(&service.name) {
+                self.follow_service(&config, &service.servers);
+            }
+        }
+    }
+
+    /// Whether callers of a service are given this gateway.
+    fn is_ours(&self, service: &str) -> bool {
+        let own = &self.context.identity.instance;
+        let directory = self.context.directory.borrow().clone();
+        endpoints::for_service(&directory, service).iter().any(|instance| instance.name == *own)
+    }
+
+    fn follow_service(&mut self, config: &Config, members: &[Key<BackendServer>]) {
+        let own_centre = &self.context.data_centre;
+        let instances: Vec<Instance<'_>> = members
+            .iter()
+            .map(|key| {
+                let record = &config.servers[*key];
+                let is_near = config.data_centres[record.data_centre].name == *own_centre;
+                Instance { name: &record.name, is_near }
+            })
+            .collect();
+        let subject = &self.context.identity.instance;
+        let chosen = subset::choose(subject, &instances, subset::SERVERS_FOR_GATEWAY);
+        for index in chosen {
+            let key = members[index];
+            let record = &config.servers[key];
             let server = self.server(&record.name);
             let weight = if config.is_draining(key) { 0 } else { record.row.weight };
             self.servers[server].candidate.weight = weight;
@@ -240,12 +284,16 @@
     type Return = Option<Choice>;
 
     async fn handle(&mut self, choose: Choose, _: &mut Context<Self>) -> Option<Choice> {
+        if !self.is_ours(&choose.service) && self.asked_for.insert(choose.service.to_string()) {
+            self.followed = (0, 0);
+        }
         self.follow_config();
         let config = self.config()?;
         let service = config.service(&choose.service)?;
         let members = &config.services[service].servers;
+        let names = members.iter().map(|key| &config.servers[*key].name);
         let keys: Vec<Key<Server>> =
-            members.iter().map(|key| self.server(&config.servers[*key].name)).collect();
+            names.filter_map(|name| self.by_name.get(name).copied()).collect();
         let candidates: Vec<Candidate> =
             keys.iter().map(|key| self.servers[*key].candidate).collect();
         let is_tried = |index: &usize| choose.tried.contains(&keys[*index]);
--- a/crates/hooktrestled/src/lib.rs
+++ b/crates/hooktrestled/src/lib.rs
@@ -11,6 +11,7 @@
 //! carry out what those say.
 
 pub mod acceptor;
+mod admin;
 pub mod clock;
 pub mod config_keeper;
 pub mod directory;
--- a/crates/hooktrestled/src/sidecar.rs
+++ b/crates/hooktrestled/src/sidecar.rs
@@ -1,10 +1,12 @@
 //! The process in a backend server's slot: links from gateways in, the backend server behind.
 //!
 //! - [`desk`]: the actor around the dispatcher.
+//! - [`group`]: leads the group's ranks, if this sidecar holds the lease.
 //! - [`links`]: accepts links and reads their frames.
 //! - [`run`]: one request at the backend server.
 
 mod desk;
+mod group;
 mod links;
 mod run;
 
@@ -26,8 +28,13 @@
 use tokio::task::AbortHandle;
 use xtra::Address;
 
+use crate::admin;
+use crate::admin::Figure;
+use crate::admin::Observe;
+use crate::admin::Observed;
 use crate::clock::MonotonicClock;
 use crate::config_keeper;
+use crate::directory;
 use crate::drain;
 use crate::settings;
 
@@ -45,14 +52,50 @@
 pub struct Sidecar {
     /// Where links connect.
     pub address: SocketAddr,
+    /// Where operators ask for health and metrics.
+    pub admin_address: SocketAddr,
     desk: Address<Desk>,
-    listening: AbortHandle,
+    tasks: [AbortHandle; 3],
     config: config_keeper::Watch,
 }
 
+/// A sidecar as operators observe it.
+#[derive(Clone, Debug)]
+struct Observer {
+    desk: Address<Desk>,
+    config: config_keeper::Watch,
+}
+
+impl Observe for Observer {
+    async fn observe(&self) -> Observed {
+        let version = self.config.borrow().as_ref().map(|now| now.config.version);
+        let Ok(load) = self.desk.send(desk::ReadLoad).await else {
+            return Observed { is_ready: false, figures: Vec::new() };
+        };
+        let figures = vec![
+            Figure {
+                name: "config_version",
+                help: "Version of the configuration in force here",
+                value: version.and_then(|version| version.try_into().ok()).unwrap_or(0),
+            },
+            Figure {
+                name: "queued_requests",
+                help: "Requests that wait for the backend server",
+                value: i64::from(load.queued_requests),
+            },
+            Figure {
+                name: "running_requests",
+                help: "Requests that run at the backend server",
+                value: i64::from(load.running_requests),
+            },
+        ];
+        Observed { is_ready: version.is_some() && !load.leaving, figures }
+    }
+}
+
 impl Drop for Sidecar {
     fn drop(&mut self) {
-        self.listening.abort();
+        self.tasks.iter().for_each(AbortHandle::abort);
         let desk = self.desk.clone();
         tokio::spawn(async move { desk.send(desk::CutOff).await });
     }
@@ -69,7 +112,7 @@
             settings.sidecar.clone().ok_or_else(|| eyre::eyre!("[sidecar] is missing"))?;
         let platform = Platform::new(settings::platform(settings))?;
         let poll = settings::millis(settings.platform.poll_ms);
-        let (keeper, config) = config_keeper::start(platform, poll);
+        let (keeper, config) = config_keeper::start(platform.clone(), poll);
         let identity = Identity {
             instance: settings.instance.name.clone(),
             incarnation: rand::rng().random(),
@@ -78,15 +121,28 @@
             .await
             .wrap_err_with(|| format!("cannot listen on {}", settings.instance.listen))?;
         let address = listener.local_addr()?;
+        let backend = run::Backend::new(&sidecar.backend_url)?;
+        let clock = MonotonicClock::default();
         let desk = desk::start(desk::Setup {
             identity: identity.clone(),
-            clock: MonotonicClock::default(),
+            clock,
             limits: limits(&sidecar),
-            backend: run::Backend::new(&sidecar.backend_url)?,
+            backend: backend.clone(),
+            config: config.clone(),
+        });
+        let leading = group::lead(group::Context {
+            platform: platform.clone(),
+            link: settings::links(settings),
+            identity: identity.clone(),
             config: config.clone(),
+            directory: directory::start(platform, poll),
+            backend: backend.clone(),
+            clock,
+            settings: sidecar.clone(),
         });
         let context = links::Context {
             link: settings::links(settings),
+            backend,
             identity,
             desk: desk.clone(),
             keeper,
@@ -94,8 +150,12 @@
             heartbeat: settings::millis(settings.links.heartbeat_ms),
         };
         let listening = tokio::spawn(links::accept_all(listener, context)).abort_handle();
+        let leading = tokio::spawn(leading).abort_handle();
+        let observer = Observer { desk: desk.clone(), config: config.clone() };
+        let (admin_address, admin) =
+            admin::start(&settings.instance.admin_listen, observer).await?;
         info!("sidecar listens", kv: { address: = address.to_string().as_str() });
-        Ok(Sidecar { address, desk, listening, config })
+        Ok(Sidecar { address, admin_address, desk, tasks: [listening, leading, admin], config })
     }
 
     /// The configuration in force here.
--- /dev/null
+++ b/crates/hooktrestled/src/sidecar/group.rs
@@ -0,0 +1,271 @@
+//! Leads a group's ranks: plans their expert map and switches it.
+//!
+//! Every sidecar of a group that places experts tries for the group's lease; the one that holds it
+//! leads. What it knows it learns from the ranks: a leader that takes over asks them how
+//! things stand, ends what the one before left behind, and goes on from there.
+//!
+//! - [`session`]: one leader's links to the ranks, and its orders.
+
+mod session;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use eyre::Result;
+use hooktrestle_core::clock::Clock;
+use hooktrestle_core::clock::Millis;
+use hooktrestle_core::lease::Lease;
+use hooktrestle_core::lease::Next;
+use hooktrestle_core::lease::Seen;
+use hooktrestle_core::map_switch::Ballot;
+use hooktrestle_core::placement;
+use hooktrestle_core::placement::Layout;
+use hooktrestle_core::placement::Planner;
+use hooktrestle_core::popularity;
+use hooktrestle_core::popularity::Popularity;
+use hooktrestle_link::Identity;
+use hooktrestle_platform::Platform;
+use hooktrestle_schema::LeaseRow;
+use hooktrestle_schema::RowCheck;
+use hooktrestle_schema::RowWrite;
+use hooktrestle_schema::ServiceRow;
+use hooktrestle_schema::SidecarSettings;
+use spdlog::info;
+use spdlog::warn;
+use tokio::time::sleep;
+
+use crate::clock::MonotonicClock;
+use crate::config_keeper;
+use crate::directory;
+use crate::poll::jittered;
+use crate::settings::millis;
+use crate::sidecar::group::session::Session;
+use crate::sidecar::run::Backend;
+
+/// Table of the leases, one row for each service.
+const LEASES: &str = "leases";
+
+/// The lease is renewed so often in its time.
+const RENEWALS: u32 = 4;
+
+/// Most weights that one plan loads.
+const MOST_LOADS: usize = 96;
+
+/// Longest time that popularity is expected to last.
+const LASTS_AT_MOST_MS: f64 = 15.0 * 60.0 * 1_000.0;
+
+/// What leading needs.
+#[derive(Clone, Debug)]
+pub(super) struct Context {
+    pub(super) platform: Platform,
+    pub(super) link: hooktrestle_link::Config,
+    pub(super) identity: Identity,
+    pub(super) config: config_keeper::Watch,
+    pub(super) directory: directory::Watch,
+    pub(super) backend: Backend,
+    pub(super) clock: MonotonicClock,
+    pub(super) settings: SidecarSettings,
+}
+
+/// The group that this sidecar's rank belongs to.
+#[derive(Clone, Debug, PartialEq)]
+struct Group {
+    service: String,
+    row: ServiceRow,
+    /// Sidecars of the ranks, in the order of the ranks.
+    members: Vec<String>,
+}
+
+/// Tries for the lease, and leads while it is held.
+pub(super) async fn lead(context: Context) {
+    let holder = format!("{}/{:x}", context.identity.instance, context.identity.incarnation);
+    let mut lease = Lease::new(holder.clone(), Millis(context.settings.lease_ms));
+    let mut leading: Option<Leading> = None;
+    loop {
+        sleep(jittered(millis(context.settings.lease_ms) / RENEWALS)).await;
+        let Some(group) = group(&context) else {
+            leading = None;
+            continue;
+        };
+        if let Err(error) = renew(&context, &mut lease, &holder, &group.service).await {
+            warn!("cannot renew the lease", kv: { error: = error.to_string().as_str() });
+        }
+        let Some(epoch) = lease.epoch(context.clock.now()) else {
+            leading = None;
+            continue;
+        };
+        let changed = leading.as_ref().is_some_and(|now| now.group != group);
+        if changed {
+            leading = None;
+            lease.start_over();
+            continue;
+        }
+        if leading.as_ref().is_none_or(|now| now.epoch != epoch) {
+            info!("leading", kv: { service: = group.service.as_str(), epoch });
+            leading = Some(Leading::new(&context, group, epoch));
+        }
+        if let Some(now) = &mut leading
+            && let Err(error) = now.work(&context).await
+        {
+            // Begins anew, under the next epoch: what the ranks know is all that counts.
+            warn!("cannot lead for now", kv: { error: = error.to_string().as_str() });
+            leading = None;
+            lease.start_over();
+        }
+    }
+}
+
+/// The group of this sidecar's rank, if there is one.
+fn group(context: &Context) -> Option<Group> {
+    let in_force = context.config.borrow().clone()?;
+    let config = &in_force.config;
+    let server = config.server(&context.identity.instance)?;
+    let service = &config.services[config.servers[server].service];
+    if service.row.experts_per_layer == 0 {
+        return None;
+    }
+    let mut members: Vec<String> =
+        service.servers.iter().map(|key| config.servers[*key].name.clone()).collect();
+    members.sort();
+    Some(Group { service: service.name.clone(), row: service.row.clone(), members })
+}
+
+async fn renew(context: &Context, lease: &mut Lease, holder: &str, service: &str) -> Result<()> {
+    let row = context.platform.row(LEASES, service).await?;
+    let seen = match row {
+        None => None,
+        Some(row) => {
+            let LeaseRow { holder, epoch } = serde_json::from_value(row.value)?;
+            Some(Seen { version: row.version, holder, epoch })
+        }
+    };
+    let began = context.clock.now();
+    let Next::Write { if_version, epoch } = lease.look(began, seen.as_ref()) else {
+        return Ok(());
+    };
+    let (table, key) = (LEASES.to_owned(), service.to_owned());
+    let check = RowCheck { table: table.clone(), key: key.clone(), version: if_version };
+    let value = serde_json::to_value(LeaseRow { holder: holder.to_owned(), epoch })?;
+    match context.platform.transact(vec![check], vec![RowWrite { table, key, value }]).await {
+        Ok(_) => lease.wrote(began, epoch),
+        Err(error) if error.conflicts().is_some() => {}
+        Err(error) => return Err(error.into()),
+    }
+    Ok(())
+}
+
+/// One time of leading.
+#[derive(Debug)]
+struct Leading {
+    epoch: u64,
+    group: Group,
+    session: Session,
+    /// The layout in use; `None` until the ranks have been asked.
+    layout: Option<Layout>,
+    popularity: Popularity,
+    planner: Planner,
+    counted: Vec<f64>,
+    plan_at: Millis,
+}
+
+impl Leading {
+    fn new(context: &Context, group: Group, epoch: u64) -> Leading {
+        let ballot = Ballot { number: epoch, proposer: 0 };
+        let experts = group.row.experts_per_layer as usize;
+        let planner = placement::Config {
+            weight_skew: group.row.weight_skew,
+            weight_rebalance: group.row.weight_rebalance,
+            load_ms: context.settings.load_ms as f64,
+            most_loads: MOST_LOADS,
+        };
+        Leading {
+            epoch,
+            session: Session::new(context, ballot, &group.members),
+            layout: None,
+            popularity: Popularity::new(popularity::Config::default(), experts),
+            planner: Planner::new(planner),
+            counted: vec![0.0; experts],
+            plan_at: Millis::ZERO,
+            group,
+        }
+    }
+
+    /// Does what is due: joins the ranks, or plans and switches.
+    async fn work(&mut self, context: &Context) -> Result<()> {
+        let within = millis(context.settings.switch_ms);
+        if self.layout.is_none() {
+            let columns = self.session.join(context, within).await?;
+            self.layout = Some(layout(&columns, self.counted.len())?);
+        }
+        let now = context.clock.now();
+        if now < self.plan_at {
+            return Ok(());
+        }
+        self.plan_at = now + Millis(context.settings.plan_ms);
+        self.plan(context, within).await
+    }
+
+    async fn plan(&mut self, context: &Context, within: Duration) -> Result<()> {
+        let counts = context.backend.counts().await?;
+        self.session.saw_step(counts.step_number);
+        let fresh: Vec<f64> = counts
+            .tokens
+            .iter()
+            .zip(&self.counted)
+            .map(|(new, old)| (new - old).max(0.0))
+            .collect();
+        eyre::ensure!(
+            fresh.len() == self.counted.len(),
+            "the engine counts {} experts",
+            fresh.len()
+        );
+        self.counted = counts.tokens;
+        self.popularity.observe(&fresh);
+        let Some(old) = &self.layout else { return Ok(()) };
+        let mut new = old.clone();
+        let lasted_ms = self.popularity.lasted_counts() * context.settings.plan_ms as f64;
+        let lasts_ms = lasted_ms.min(LASTS_AT_MOST_MS);
+        let shares = self.popularity.shares();
+        let moves = self.planner.plan(&mut new, shares, &[], lasts_ms);
+        if moves.is_empty() {
+            return Ok(());
+        }
+        let (skew_before, skew_after) = (old.skew(shares), new.skew(shares));
+        let horizon = context.settings.horizon_steps;
+        if self.session.switch(context, &new, horizon, within).await? {
+            let service = self.group.service.as_str();
+            info!("expert map switched", kv: { service, loads: = moves.len(), skew_before, skew_after });
+            self.layout = Some(new);
+        } else {
+            warn!("an expert map was called off", kv: { service: = self.group.service.as_str() });
+        }
+        Ok(())
+    }
+}
+
+/// The layout that the ranks say they have.
+fn layout(columns: &[Vec<u16>], experts: usize) -> Result<Layout> {
+    let columns: Vec<Vec<placement::Expert>> = columns
+        .iter()
+        .map(|column| column.iter().map(|expert| placement::Expert(*expert)).collect())
+        .collect();
+    let slots = columns.first().map_or(0, Vec::len);
+    for (rank, column) in columns.iter().enumerate() {
+        let mut sorted = column.clone();
+        sorted.sort();
+        sorted.dedup();
+        let fits = column.len() == slots && sorted.len() == slots;
+        let known = sorted.iter().all(|expert| usize::from(expert.0) < experts);
+        eyre::ensure!(fits && known, "rank {rank} has {column:?}, of {experts} experts");
+    }
+    for expert in (0..experts).map(|index| placement::Expert(index as u16)) {
+        let stands = columns.iter().any(|column| column.contains(&expert));
+        eyre::ensure!(stands, "{expert:?} stands on no rank");
+    }
+    Ok(Layout::from_ranks(experts, &columns))
+}
+
+/// Where a sidecar listens, as the instance list says.
+fn address(context: &Context, name: &str) -> Option<SocketAddr> {
+    context.directory.borrow().get(name)?.address.parse().ok()
+}
--- /dev/null
+++ b/crates/hooktrestled/src/sidecar/group/session.rs
@@ -0,0 +1,220 @@
+//! One leader's links to the ranks' sidecars, and its orders over them.
+
+use std::time::Duration;
+
+use eyre::Result;
+use eyre::bail;
+use eyre::ensure;
+use hooktrestle_core::map_switch::Ballot;
+use hooktrestle_core::map_switch::Leader;
+use hooktrestle_core::map_switch::MapId;
+use hooktrestle_core::map_switch::Order;
+use hooktrestle_core::map_switch::Progress;
+use hooktrestle_core::map_switch::wire;
+use hooktrestle_core::placement::Layout;
+use hooktrestle_core::placement::Rank;
+use hooktrestle_link::Opened;
+use hooktrestle_link::Receiver;
+use hooktrestle_link::Sender;
+use hooktrestle_schema::Frame;
+use hooktrestle_schema::HeartbeatFrame;
+use hooktrestle_schema::MapOrderFrame;
+use hooktrestle_schema::MapReply;
+use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+use tokio::time::timeout;
+
+use crate::sidecar::group::Context;
+use crate::sidecar::group::address;
+
+/// Wait for answers before the orders are given again.
+const REPEAT_AFTER: Duration = Duration::from_millis(200);
+
+/// One rank's sidecar.
+#[derive(Debug)]
+struct Member {
+    name: String,
+    link: Option<Link>,
+    link_epoch: u64,
+    /// Experts that the rank has, as it last said.
+    experts: Vec<u16>,
+}
+
+/// An open link, with the task that reads it.
+#[derive(Debug)]
+struct Link {
+    sender: Sender,
+    reading: AbortHandle,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.reading.abort();
+    }
+}
+
+/// A leader at work.
+#[derive(Debug)]
+pub(super) struct Session {
+    ballot: Ballot,
+    leader: Leader,
+    members: Vec<Member>,
+    replies: mpsc::UnboundedReceiver<(usize, MapReply)>,
+    replied: mpsc::UnboundedSender<(usize, MapReply)>,
+    heartbeat_version: u64,
+}
+
+impl Session {
+    pub(super) fn new(context: &Context, ballot: Ballot, members: &[String]) -> Session {
+        let (replied, replies) = mpsc::unbounded_channel();
+        let member = |name: &String| Member {
+            name: name.clone(),
+            link: None,
+            link_epoch: 0,
+            experts: Vec::new(),
+        };
+        let in_force = context.config.borrow().clone();
+        Session {
+            ballot,
+            leader: Leader::new(ballot, members.len()),
+            members: members.iter().map(member).collect(),
+            replies,
+            replied,
+            heartbeat_version: in_force.map_or(0, |now| now.config.version),
+        }
+    }
+
+    /// A step that the group is known to have reached.
+    pub(super) fn saw_step(&mut self, step: u64) {
+        self.leader.saw_step(step);
+    }
+
+    /// Has all ranks join, ends what an older leader left behind, and returns the experts on each
+    /// rank.
+    pub(super) async fn join(
+        &mut self,
+        context: &Context,
+        within: Duration,
+    ) -> Result<Vec<Vec<u16>>> {
+        // Twice: the first may change what the ranks have, the second only reads it.
+        for _ in 0..2 {
+            self.leader = Leader::new(self.ballot, self.members.len());
+            self.drive(context, within).await?;
+        }
+        Ok(self.members.iter().map(|member| member.experts.clone()).collect())
+    }
+
+    /// Switches the group to a layout; `false` if that was called off, and the old one stays.
+    pub(super) async fn switch(
+        &mut self,
+        context: &Context,
+        layout: &Layout,
+        horizon: u64,
+        within: Duration,
+    ) -> Result<bool> {
+        for (rank, member) in self.members.iter_mut().enumerate() {
+            let experts = layout.on(Rank(rank as u16));
+            member.experts = experts.iter().map(|expert| expert.0).collect();
+        }
+        let Some(map) = self.leader.propose(horizon) else {
+            bail!("a map is proposed while another is under way");
+        };
+        Ok(self.drive(context, within).await? == map)
+    }
+
+    /// Gives orders and takes replies until nothing is under way. What cannot be staged in time is
+    /// called off; what is decided is seen through.
+    async fn drive(&mut self, context: &Context, within: Duration) -> Result<MapId> {
+        let mut deadline = Instant::now() + within;
+        let mut phase = None;
+        loop {
+            match self.leader.progress() {
+                Progress::Settled(map) => return Ok(map),
+                Progress::Deposed(by) => bail!("a later leader is at work: {by:?}"),
+                Progress::Waiting => {}
+            }
+            if Instant::now() >= deadline {
+                ensure!(self.leader.is_staging(), "not all ranks answer");
+                self.leader.give_up();
+                deadline += within;
+            }
+            if phase != Some(self.leader.phase_number()) {
+                phase = Some(self.leader.phase_number());
+                self.give_orders(context).await;
+            }
+            match timeout(REPEAT_AFTER, self.replies.recv()).await {
+                Ok(Some((rank, reply))) => self.take(rank, &reply),
+                Ok(None) => bail!("the session has ended"),
+                Err(_) => phase = None,
+            }
+        }
+    }
+
+    fn take(&mut self, rank: usize, reply: &MapReply) {
+        if let MapReply::Joined(joined) = reply {
+            self.members[rank].experts.clone_from(&joined.experts);
+        }
+        if let Some(reply) = wire::read_reply(reply) {
+            self.leader.reply(rank, reply);
+        }
+    }
+
+    async fn give_orders(&mut self, context: &Context) {
+        let mut orders: Vec<(usize, Order)> = Vec::new();
+        self.leader.send(|rank, order| orders.push((rank, order)));
+        for (rank, order) in orders {
+            let order = wire::order(order, &self.members[rank].experts);
+            let frame = Frame::MapOrder(MapOrderFrame { order });
+            if let Some(sender) = self.link(context, rank).await
+                && sender.send(&frame, &[]).await.is_err()
+            {
+                self.members[rank].link = None;
+            }
+        }
+    }
+
+    /// The link to a rank's sidecar, opened if need be.
+    async fn link(&mut self, context: &Context, rank: usize) -> Option<Sender> {
+        let replied = self.replied.clone();
+        let beat = HeartbeatFrame { config_version: self.heartbeat_version };
+        let member = &mut self.members[rank];
+        if let Some(link) = &member.link
+            && !link.reading.is_finished()
+        {
+            return Some(link.sender.clone());
+        }
+        let address = address(context, &member.name)?;
+        member.link_epoch += 1;
+        let dialled =
+            hooktrestle_link::dial(&context.link, &context.identity, address, member.link_epoch);
+        let Opened { peer, sender, receiver } = dialled.await.ok()?;
+        if peer.identity.instance != member.name {
+            return None;
+        }
+        let reading = tokio::spawn(read(receiver, rank, replied, sender.clone(), beat));
+        member.link = Some(Link { sender: sender.clone(), reading: reading.abort_handle() });
+        Some(sender)
+    }
+}
+
+/// Hands replies on until the link ends; a heartbeat answers each load report, so that the link
+/// lives between plans.
+async fn read(
+    mut receiver: Receiver,
+    rank: usize,
+    replied: mpsc::UnboundedSender<(usize, MapReply)>,
+    sender: Sender,
+    beat: HeartbeatFrame,
+) {
+    while let Ok((frame, _)) = receiver.next().await {
+        let goes_on = match frame {
+            Frame::MapReply(frame) => replied.send((rank, frame.reply)).is_ok(),
+            Frame::Load(_) => sender.send(&Frame::Heartbeat(beat.clone()), &[]).await.is_ok(),
+            _ => true,
+        };
+        if !goes_on {
+            return;
+        }
+    }
+}
--- a/crates/hooktrestled/src/sidecar/links.rs
+++ b/crates/hooktrestled/src/sidecar/links.rs
@@ -11,6 +11,9 @@
 use hooktrestle_link::Receiver;
 use hooktrestle_link::Sender;
 use hooktrestle_schema::Frame;
+use hooktrestle_schema::MapOrder;
+use hooktrestle_schema::MapReply;
+use hooktrestle_schema::MapReplyFrame;
 use hooktrestle_schema::RequestFrame;
 use spdlog::info;
 use spdlog::warn;
@@ -24,6 +27,7 @@
 use crate::config_keeper::ConfigKeeper;
 use crate::sidecar::desk;
 use crate::sidecar::desk::Desk;
+use crate::sidecar::run::Backend;
 use crate::sidecar::run::BodyPiece;
 use crate::sidecar::run::Job;
 use crate::spread::Spread;
@@ -40,6 +44,7 @@
     pub(super) keeper: Address<ConfigKeeper>,
     pub(super) config: config_keeper::Watch,
     pub(super) heartbeat: Duration,
+    pub(super) backend: Backend,
 }
 
 /// What the reader of a link keeps of a request that it has passed on.
@@ -90,9 +95,12 @@
     let gateway = peer.identity.instance;
     info!("link open", kv: { gateway: = gateway.as_str() });
     let beating = tokio::spawn(beat(context.clone(), sender.clone()));
-    let error = read(context, &mut receiver, &sender, link).await;
+    let reason = tokio::select! {
+        error = read(context, &mut receiver, &sender, link) => error.to_string(),
+        () = context.desk.join() => "the sidecar has ended".to_owned(),
+    };
     beating.abort();
-    info!("link closed", kv: { gateway: = gateway.as_str(), reason: = error.to_string().as_str() });
+    info!("link closed", kv: { gateway: = gateway.as_str(), reason: = reason.as_str() });
     // A desk that has ended has no requests of this link.
     let _ = context.desk.send(desk::Unlinked(link)).await;
 }
@@ -154,6 +162,7 @@
                 send(context, desk::Acknowledge(link, RequestId::from(&frame.id))).await;
             }
             Frame::Heartbeat(heartbeat) => spread.heard(heartbeat.config_version).await,
+            Frame::MapOrder(frame) => pass_on(context, sender, frame.order),
             Frame::ConfigAsk(ask) => spread.asked(&ask).await,
             Frame::ConfigPart(part) => spread.part(&part, &payload).await,
             _ => {}
@@ -161,6 +170,24 @@
     }
 }
 
+/// Passes an order on to the rank, in the background: a rank that stalls must not hold up the link.
+///
+/// A server that keeps no fence gets no orders yet: a restarted sidecar could not tell which of
+/// them are out of date.
+fn pass_on(context: &Context, sender: &Sender, order: MapOrder) {
+    let own = &context.identity.instance;
+    let keeps_fence = context.config.borrow().as_ref().is_some_and(|in_force| {
+        let server = in_force.config.server(own);
+        server.is_some_and(|server| in_force.config.servers[server].row.keeps_fence)
+    });
+    let (backend, sender) = (context.backend.clone(), sender.clone());
+    tokio::spawn(async move {
+        let reply = if keeps_fence { backend.order(&order).await } else { MapReply::Silent };
+        // A leader whose link is lost asks again over the next.
+        let _ = sender.send(&Frame::MapReply(MapReplyFrame { reply }), &[]).await;
+    });
+}
+
 fn job(frame: RequestFrame, sender: &Sender) -> (Job, Open) {
     let (body, pieces) = mpsc::unbounded_channel();
     let credit = Arc::new(Semaphore::new(0));
--- a/crates/hooktrestled/src/sidecar/run.rs
+++ b/crates/hooktrestled/src/sidecar/run.rs
@@ -12,9 +12,12 @@
 use hooktrestle_schema::BodyFrame;
 use hooktrestle_schema::Cause;
 use hooktrestle_schema::CreditFrame;
+use hooktrestle_schema::ExpertCounts;
 use hooktrestle_schema::Frame;
 use hooktrestle_schema::HeadFrame;
 use hooktrestle_schema::Header;
+use hooktrestle_schema::MapOrder;
+use hooktrestle_schema::MapReply;
 use hooktrestle_schema::RequestFrame;
 use reqwest::Method;
 use reqwest::Response;
@@ -94,6 +97,26 @@
     }
 }
 
+impl Backend {
+    /// Passes an order on to the rank beside us. Silence where it cannot be reached: then nothing
+    /// is known, and the leader asks again.
+    pub(super) async fn order(&self, order: &MapOrder) -> MapReply {
+        let url = format!("{}/control/map", self.base_url);
+        let sent = self.http.post(url).json(order).send().await;
+        let Ok(response) = sent.and_then(Response::error_for_status) else {
+            return MapReply::Silent;
+        };
+        response.json().await.unwrap_or(MapReply::Silent)
+    }
+
+    /// Tokens of each expert so far.
+    pub(super) async fn counts(&self) -> Result<ExpertCounts> {
+        let url = format!("{}/control/counts", self.base_url);
+        let response = self.http.get(url).send().await?.error_for_status()?;
+        Ok(response.json().await?)
+    }
+}
+
 /// Runs a request to its end.
 pub(super) async fn run(backend: &Backend, job: &mut Job) -> RunEnd {
     let response = match send(backend, job).await {
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -12,6 +12,8 @@
 use rand::RngExt;
 use reqwest::Response;
 use reqwest::StatusCode;
+use reqwest::header::ETAG;
+use reqwest::header::IF_NONE_MATCH;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
@@ -47,6 +49,20 @@
     pub revision: u64,
 }
 
+/// Answer to a question for the instance list.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Listing {
+    /// It is still the list that the caller has.
+    Unchanged,
+    /// The list, and its tag, if the service gives one.
+    Changed {
+        /// All instances.
+        instances: Vec<Instance>,
+        /// Names this state of the list.
+        tag: Option<String>,
+    },
+}
+
 /// Client of the platform's services.
 #[derive(Clone, Debug)]
 pub struct Platform {
@@ -158,17 +174,27 @@
         }
     }
 
-    /// The instance list; it lags.
+    /// The instance list; it lags. `known` is the tag of the list that the caller has: if it is
+    /// still that one, it is not sent again.
     ///
     /// # Errors
     ///
     /// An outage or a malformed answer.
-    pub async fn instances(&self) -> Result<Vec<Instance>, Error> {
+    pub async fn instances(&self, known: Option<&str>) -> Result<Listing, Error> {
         let what = "instance list";
-        match self.get(what, &self.config.instances_url).await? {
-            None => Err(Error::refused(what, 404)),
-            Some(response) => decode(what, response).await,
+        let mut request = self.http.get(&self.config.instances_url);
+        if let Some(tag) = known {
+            request = request.header(IF_NONE_MATCH, tag);
         }
+        let sent = request.send().await;
+        let response = sent.map_err(|error| Error::unreachable(what, error))?;
+        if response.status() == StatusCode::NOT_MODIFIED {
+            return Ok(Listing::Unchanged);
+        }
+        require(what, response.status())?;
+        let tag = response.headers().get(ETAG).and_then(|tag| tag.to_str().ok());
+        let tag = tag.map(str::to_owned);
+        Ok(Listing::Changed { instances: decode(what, response).await?, tag })
     }
 
     async fn settle(&self, id: &str, lost: Error) -> Result<Committed, Error> {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -14,6 +14,7 @@
 
 pub use client::Committed;
 pub use client::Config;
+pub use client::Listing;
 pub use client::OPERATIONS;
 pub use client::Platform;
 pub use error::Error;
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -293,6 +293,12 @@
     pub keep_ms: u64,
     pub service: ::std::string::String,
 }
+///Tokens of each expert since a rank's engine started, and the steps that it has run.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ExpertCounts {
+    pub step_number: u64,
+    pub tokens: ::std::vec::Vec<f64>,
+}
 ///Every frame of a link between two processes. A frame is one binary WebSocket message: this value in CBOR, then the payload's bytes.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub enum Frame {
@@ -311,6 +317,8 @@
     Credit(CreditFrame),
     ConfigAsk(ConfigAskFrame),
     ConfigPart(ConfigPartFrame),
+    MapOrder(MapOrderFrame),
+    MapReply(MapReplyFrame),
 }
 impl ::std::convert::From<ChallengeFrame> for Frame {
     fn from(value: ChallengeFrame) -> Self {
@@ -377,6 +385,16 @@
         Self::ConfigPart(value)
     }
 }
+impl ::std::convert::From<MapOrderFrame> for Frame {
+    fn from(value: MapOrderFrame) -> Self {
+        Self::MapOrder(value)
+    }
+}
+impl ::std::convert::From<MapReplyFrame> for Frame {
+    fn from(value: MapReplyFrame) -> Self {
+        Self::MapReply(value)
+    }
+}
 ///Section `[gateway]`.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -575,6 +593,13 @@
         value.parse()
     }
 }
+///Who leads a group: a row of the table `leases`, written anew with each renewal.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct LeaseRow {
+    pub epoch: u64,
+    ///Instance and incarnation.
+    pub holder: ::std::string::String,
+}
 ///Section `[links]`.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -583,12 +608,12 @@
     #[serde(default = "defaults::default_u64::<u64, 262144>")]
     pub frame_limit_bytes: u64,
     ///Time between two heartbeats on an idle link.
-    #[serde(default = "defaults::default_u64::<u64, 500>")]
+    #[serde(default = "defaults::default_u64::<u64, 2000>")]
     pub heartbeat_ms: u64,
     ///Shared keys, comma-separated; the first proves, any is accepted.
     pub keys: ::std::string::String,
     ///Silence after which a link counts as lost.
-    #[serde(default = "defaults::default_u64::<u64, 2500>")]
+    #[serde(default = "defaults::default_u64::<u64, 7000>")]
     pub silence_ms: u64,
 }
 ///Sidecar to gateway: its state; the answer to the hello, then every heartbeat.
@@ -604,6 +629,106 @@
     ///Late mean of the engine's step time; 0 when unknown.
     pub step_ms: f64,
 }
+///A map that a rank has staged.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct MapArmed {
+    pub at_step_number: u64,
+    pub committed: bool,
+    pub map: MapName,
+}
+///A leader's claim to a group; the higher one wins.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct MapBallot {
+    pub number: u64,
+    ///0 for the holder of the lease.
+    pub proposer_number: u32,
+}
+///How things stand at a rank that has joined a ballot.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct MapJoined {
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub armed: ::std::option::Option<MapArmed>,
+    pub ballot: MapBallot,
+    pub current: MapName,
+    ///Experts in the rank's slots, in the map in use, or the one decided.
+    pub experts: ::std::vec::Vec<u16>,
+    ///The next step to run.
+    pub step_number: u64,
+}
+///One version of a group's expert map.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct MapName {
+    pub ballot: MapBallot,
+    pub version: u64,
+}
+///An order to one rank, fenced by its leader's ballot.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct MapOrder {
+    pub ballot: MapBallot,
+    pub kind: MapOrderKind,
+}
+///Leader to sidecar: an order for the rank beside it.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct MapOrderFrame {
+    pub order: MapOrder,
+}
+///What an order asks for.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub enum MapOrderKind {
+    #[serde(rename = "join")]
+    Join,
+    #[serde(rename = "stage")]
+    Stage(MapStage),
+    #[serde(rename = "commit")]
+    Commit(MapName),
+    #[serde(rename = "abort")]
+    Abort(MapName),
+}
+impl ::std::convert::From<MapStage> for MapOrderKind {
+    fn from(value: MapStage) -> Self {
+        Self::Stage(value)
+    }
+}
+///A rank's answer to an order.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub enum MapReply {
+    #[serde(rename = "silent")]
+    Silent,
+    #[serde(rename = "joined")]
+    Joined(MapJoined),
+    #[serde(rename = "staged")]
+    Staged(MapName),
+    #[serde(rename = "not-staged")]
+    NotStaged(MapName),
+    #[serde(rename = "committed")]
+    Committed(MapName),
+    #[serde(rename = "aborted")]
+    Aborted(MapName),
+    #[serde(rename = "outdated")]
+    Outdated(MapBallot),
+}
+impl ::std::convert::From<MapJoined> for MapReply {
+    fn from(value: MapJoined) -> Self {
+        Self::Joined(value)
+    }
+}
+impl ::std::convert::From<MapBallot> for MapReply {
+    fn from(value: MapBallot) -> Self {
+        Self::Outdated(value)
+    }
+}
+///Sidecar to leader: what the rank answered.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct MapReplyFrame {
+    pub reply: MapReply,
+}
+///Load these experts' weights, and wait for the outcome at that step.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct MapStage {
+    pub at_step_number: u64,
+    pub experts: ::std::vec::Vec<u16>,
+    pub map: MapName,
+}
 ///Section `[platform]`.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -800,12 +925,27 @@
 pub struct SidecarSettings {
     ///Base URL of the backend server beside the sidecar.
     pub backend_url: ::std::string::String,
+    ///Steps ahead at which a new map takes effect.
+    #[serde(default = "defaults::default_u64::<u64, 200>")]
+    pub horizon_steps: u64,
+    ///Time after which a leader that does not renew its lease is replaced.
+    #[serde(default = "defaults::default_u64::<u64, 10000>")]
+    pub lease_ms: u64,
+    ///Step time lost to loading one expert's weights.
+    #[serde(default = "defaults::default_u64::<u64, 20>")]
+    pub load_ms: u64,
+    ///Time between two plans of the group's expert map, if this sidecar leads it.
+    #[serde(default = "defaults::default_u64::<u64, 10000>")]
+    pub plan_ms: u64,
     ///How long tickets are remembered.
     #[serde(default = "defaults::default_u64::<u64, 600000>")]
     pub remember_ms: u64,
     ///Most tickets remembered at once.
     #[serde(default = "defaults::default_u64::<u32, 100000>")]
     pub remember_tickets: u32,
+    ///Longest time for all ranks to stage a map before the switch is called off.
+    #[serde(default = "defaults::default_u64::<u64, 30000>")]
+    pub switch_ms: u64,
 }
 ///An accepted configuration, whole: the content of one snapshot object.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,13 +1,23 @@
 //! `cargo xtask`: code generation and the house-style check.
 
 use eyre::Result;
+use eyre::ensure;
+use xtask::generate;
+use xtask::style;
 
 mod flags;
-mod generate;
 
 fn main() -> Result<()> {
     match flags::Xtask::from_env_or_exit().subcommand {
         flags::XtaskCmd::Generate(_) => generate::write(),
-        flags::XtaskCmd::Check(_) => generate::check(),
+        flags::XtaskCmd::Check(_) => check(),
     }
 }
+
+fn check() -> Result<()> {
+    generate::check()?;
+    let findings = style::check(&style::read(&generate::root())?);
+    findings.iter().for_each(|finding| eprintln!("{finding}"));
+    ensure!(findings.is_empty(), "{} findings against the house style", findings.len());
+    Ok(())
+}
--- /dev/null
+++ b/xtask/src/style.rs
@@ -0,0 +1,312 @@
+//! The house style, as far as a program can check it.
+//!
+//! Each rule looks at one file's text, or at the whole tree, and returns what it finds. Formatting,
+//! doc comments and lints are left to `cargo fmt` and `clippy`.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::fs;
+use std::path::Path;
+
+use eyre::Result;
+
+/// Longest source file.
+const MOST_LINES: usize = 600;
+
+/// Tests may be one line in so many.
+const TESTS_ONE_IN: usize = 3;
+
+/// Modules that every request goes through.
+const REQUEST_PATH: [&str; 8] = [
+    "crates/core/src/attempt.rs",
+    "crates/core/src/dispatch.rs",
+    "crates/core/src/fair_queue.rs",
+    "crates/core/src/routing.rs",
+    "crates/hooktrestled/src/gateway/drive.rs",
+    "crates/hooktrestled/src/gateway/router.rs",
+    "crates/hooktrestled/src/sidecar/desk.rs",
+    "crates/hooktrestled/src/sidecar/run.rs",
+];
+
+/// Words that the brief replaces, and by what.
+const OTHER_WORDS: [(&str, &str); 4] = [
+    ("zone", "data centre"),
+    ("customer", "client account"),
+    ("tenant", "client account"),
+    ("upstream", "backend server"),
+];
+
+/// Last parts of the names of numeric fields in the schema: units, and what counts something.
+const UNITS: [&str; 27] = [
+    "ms",
+    "bytes",
+    "tokens",
+    "requests",
+    "s",
+    "hex",
+    "layer",
+    "slots",
+    "tickets",
+    "version",
+    "versions",
+    "revision",
+    "number",
+    "attempt",
+    "attempts",
+    "sequence",
+    "incarnation",
+    "epoch",
+    "nonce",
+    "priority",
+    "weight",
+    "skew",
+    "rebalance",
+    "status",
+    "part",
+    "parts",
+    "window",
+];
+
+/// One place that breaks a rule.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Finding {
+    /// The file, from the root.
+    pub file: String,
+    /// The line, from 1; 0 for the whole file.
+    pub line: usize,
+    /// What is wrong there.
+    pub message: String,
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}: {}", self.file, self.line, self.message)
+    }
+}
+
+/// Texts of the tree's files by their path from the root.
+pub type Files = BTreeMap<String, String>;
+
+/// Reads the files that rules look at.
+///
+/// # Errors
+///
+/// A file cannot be read.
+pub fn read(root: &Path) -> Result<Files> {
+    let mut files = Files::new();
+    read_below(root, root, &mut files)?;
+    Ok(files)
+}
+
+fn read_below(root: &Path, folder: &Path, files: &mut Files) -> Result<()> {
+    for entry in fs::read_dir(folder)? {
+        let path = entry?.path();
+        let name = path.file_name().and_then(|name| name.to_str()).unwrap_or_default();
+        if path.is_dir() {
+            if name != "target" && !name.starts_with('.') {
+                read_below(root, &path, files)?;
+            }
+            continue;
+        }
+        let ending = path.extension().and_then(|ending| ending.to_str()).unwrap_or_default();
+        if ["rs", "md", "json", "toml", "ini", "csv"].contains(&ending) {
+            let relative = path.strip_prefix(root).unwrap_or(&path).display().to_string();
+            files.insert(relative, fs::read_to_string(&path)?);
+        }
+    }
+    Ok(())
+}
+
+/// Applies every rule.
+pub fn check(files: &Files) -> Vec<Finding> {
+    let mut findings = Vec::new();
+    for (file, text) in files {
+        if file.ends_with(".rs") && !file.ends_with("generated.rs") {
+            findings.extend(imports(file, text));
+            findings.extend(words(file, text));
+            findings.extend(length(file, text));
+            findings.extend(dynamic(file, text));
+        }
+        if file.starts_with("crates/schema/schema/") {
+            findings.extend(units(file, text));
+        }
+        if file.ends_with(".md") {
+            findings.extend(links(file, text, files));
+            findings.extend(named_tests(file, text, files));
+        }
+    }
+    findings.extend(test_share(files));
+    findings
+}
+
+/// One import a line, in three groups: std, external, crate.
+pub fn imports(file: &str, text: &str) -> Vec<Finding> {
+    let mut findings = Vec::new();
+    let mut group = 0;
+    let mut gap = true;
+    for (index, line) in text.lines().enumerate() {
+        let import = line.strip_prefix("use ").or_else(|| line.strip_prefix("pub use "));
+        let Some(path) = import else {
+            gap |= line.trim().is_empty();
+            if !line.trim().is_empty() && !line.starts_with("//") {
+                group = 0;
+            }
+            continue;
+        };
+        if path.contains('{') {
+            findings.push(finding(file, index, "more than one import in a line"));
+        }
+        let own = match path.split("::").next().unwrap_or_default() {
+            "std" => 1,
+            "crate" | "self" | "super" => 3,
+            _ => 2,
+        };
+        let local = line.starts_with("pub use ");
+        if !local && group != 0 && (own < group || (own > group && !gap)) {
+            findings.push(finding(file, index, "imports go in three groups: std, external, crate"));
+        }
+        group = own;
+        gap = false;
+    }
+    findings
+}
+
+/// The brief's words for four things.
+pub fn words(file: &str, text: &str) -> Vec<Finding> {
+    if file.starts_with("xtask/") {
+        return Vec::new();
+    }
+    let mut findings = Vec::new();
+    for (index, line) in text.lines().enumerate() {
+        let lower = line.to_lowercase();
+        let parts = lower.split(|letter: char| !letter.is_ascii_alphabetic());
+        for (word, instead) in OTHER_WORDS {
+            if parts.clone().any(|part| part == word || part == format!("{word}s")) {
+                findings.push(finding(file, index, &format!("`{word}`: the word is {instead}")));
+            }
+        }
+    }
+    findings
+}
+
+/// Files stay small enough to read.
+pub fn length(file: &str, text: &str) -> Vec<Finding> {
+    let lines = text.lines().count();
+    if lines <= MOST_LINES {
+        return Vec::new();
+    }
+    vec![finding(file, 0, &format!("{lines} lines: split it ({MOST_LINES} at most)"))]
+}
+
+/// No dynamic dispatch where every request goes through.
+pub fn dynamic(file: &str, text: &str) -> Vec<Finding> {
+    if !REQUEST_PATH.contains(&file) {
+        return Vec::new();
+    }
+    let dynamic = |line: &str| {
+        let code = line.split("//").next().unwrap_or_default();
+        code.split(|letter: char| !letter.is_alphanumeric() && letter != '_')
+            .any(|word| word == "dyn")
+    };
+    let found = text.lines().enumerate().filter(|(_, line)| dynamic(line));
+    found.map(|(index, _)| finding(file, index, "`dyn` on the request path")).collect()
+}
+
+/// Numeric fields of the schema carry their unit.
+pub fn units(file: &str, text: &str) -> Vec<Finding> {
+    let mut findings = Vec::new();
+    for (index, line) in text.lines().enumerate() {
+        let numeric =
+            line.contains("\"type\": \"integer\"") || line.contains("\"type\": \"number\"");
+        let name = line.trim().strip_prefix('"').and_then(|rest| rest.split('"').next());
+        let Some(name) = name.filter(|_| numeric) else { continue };
+        // `{ "id": …, "more_bytes": … }` on one line names its field last.
+        let last = line.split("\"type\": \"integer\"").next().unwrap_or(line);
+        let name =
+            last.rsplit("\": {").nth(1).and_then(|rest| rest.rsplit('"').next()).unwrap_or(name);
+        let suffix = name.rsplit('_').next().unwrap_or_default();
+        if !UNITS.contains(&suffix) {
+            findings.push(finding(file, index, &format!("`{name}` does not end with its unit")));
+        }
+    }
+    findings
+}
+
+/// Links between pages lead somewhere.
+pub fn links(file: &str, text: &str, files: &Files) -> Vec<Finding> {
+    let folder = file.rsplit_once('/').map_or("", |(folder, _)| folder);
+    let mut findings = Vec::new();
+    for (index, line) in text.lines().enumerate() {
+        for rest in line.split("](").skip(1) {
+            let target = rest.split([')', '#']).next().unwrap_or_default();
+            let known = target.is_empty()
+                || target.contains("://")
+                || target.starts_with("LICENSE")
+                || files.contains_key(&join(folder, target));
+            if !known {
+                findings.push(finding(file, index, &format!("no such page: {target}")));
+            }
+        }
+    }
+    findings
+}
+
+/// Test names in the table of guarantees are those of tests that exist.
+pub fn named_tests(file: &str, text: &str, files: &Files) -> Vec<Finding> {
+    if !file.ends_with("GUARANTEES.md") {
+        return Vec::new();
+    }
+    let mut findings = Vec::new();
+    for (index, line) in text.lines().enumerate() {
+        let mut source = None;
+        for quoted in line.split('`').skip(1).step_by(2) {
+            if quoted.ends_with(".rs") && quoted.contains('/') {
+                source = files.get(quoted);
+                if source.is_none() {
+                    findings.push(finding(file, index, &format!("no such file: {quoted}")));
+                }
+            } else if let Some(source) = source
+                && quoted.contains('_')
+                && quoted.chars().all(|letter| letter.is_ascii_lowercase() || letter == '_')
+                && !source.contains(&format!("fn {quoted}("))
+            {
+                findings.push(finding(file, index, &format!("no such test: {quoted}")));
+            }
+        }
+    }
+    findings
+}
+
+/// Tests stay under a third of the code.
+pub fn test_share(files: &Files) -> Vec<Finding> {
+    let sources = files.iter().filter(|(file, _)| file.ends_with(".rs"));
+    let sources = sources.filter(|(file, _)| !file.ends_with("generated.rs"));
+    let (mut tests, mut all) = (0, 0);
+    for (file, text) in sources {
+        let lines = text.lines().count();
+        all += lines;
+        if file.contains("/tests/") {
+            tests += lines;
+        }
+    }
+    if tests * TESTS_ONE_IN <= all {
+        return Vec::new();
+    }
+    vec![finding("crates", 0, &format!("tests are {tests} of {all} lines: over a third"))]
+}
+
+fn finding(file: &str, index: usize, message: &str) -> Finding {
+    Finding { file: file.to_owned(), line: index + 1, message: message.to_owned() }
+}
+
+fn join(folder: &str, target: &str) -> String {
+    let mut parts: Vec<&str> = folder.split('/').filter(|part| !part.is_empty()).collect();
+    for part in target.split('/') {
+        match part {
+            ".." => drop(parts.pop()),
+            "." => {}
+            part => parts.push(part),
+        }
+    }
+    parts.join("/")
+}
--- /dev/null
+++ b/xtask/tests/style.rs
@@ -0,0 +1,71 @@
+//! Each rule of the house-style check, seen to fail and to pass.
+
+use xtask::style;
+use xtask::style::Files;
+
+fn files(all: &[(&str, &str)]) -> Files {
+    all.iter().map(|(file, text)| ((*file).to_owned(), (*text).to_owned())).collect()
+}
+
+#[test]
+fn imports_stand_one_a_line_in_three_groups() {
+    assert_eq!(
+        style::imports("a.rs", "use std::fmt;\n\nuse eyre::Result;\n\nuse crate::a::B;\n"),
+        []
+    );
+    assert_eq!(style::imports("a.rs", "use std::{fmt, io};\n").len(), 1);
+    assert_eq!(style::imports("a.rs", "use eyre::Result;\nuse std::fmt;\n").len(), 1);
+    assert_eq!(style::imports("a.rs", "use std::fmt;\nuse eyre::Result;\n").len(), 1);
+}
+
+#[test]
+fn the_four_words_are_the_briefs() {
+    assert_eq!(style::words("a.rs", "// the data centre of an account\nlet horizon = 1;\n"), []);
+    assert_eq!(style::words("a.rs", "/// The zone.\nlet customer_id = 1;\n").len(), 2);
+}
+
+#[test]
+fn files_stay_short() {
+    assert_eq!(style::length("a.rs", &"x\n".repeat(600)), []);
+    assert_eq!(style::length("a.rs", &"x\n".repeat(601)).len(), 1);
+}
+
+#[test]
+fn no_dynamic_dispatch_on_the_request_path() {
+    let path = "crates/core/src/dispatch.rs";
+    assert_eq!(style::dynamic(path, "// no dyn here\nlet dynamic = 1;\n"), []);
+    assert_eq!(style::dynamic(path, "fn f(a: &dyn Clock) {}\n").len(), 1);
+    assert_eq!(style::dynamic("crates/core/src/config.rs", "fn f(a: &dyn Clock) {}\n"), []);
+}
+
+#[test]
+fn numeric_fields_carry_their_unit() {
+    let field = |name: &str| format!("  \"{name}\": {{ \"type\": \"integer\" }},\n");
+    assert_eq!(style::units("a.json", &field("deadline_ms")), []);
+    assert_eq!(style::units("a.json", &field("deadline")).len(), 1);
+}
+
+#[test]
+fn links_lead_to_pages() {
+    let tree = files(&[("docs/A.md", ""), ("README.md", "")]);
+    assert_eq!(style::links("docs/B.md", "[a](A.md#x) [r](../README.md)", &tree), []);
+    assert_eq!(style::links("docs/B.md", "[c](C.md)", &tree).len(), 1);
+}
+
+#[test]
+fn named_tests_exist() {
+    let tree = files(&[("crates/a/tests/b.rs", "fn it_holds() {}")]);
+    let page = "docs/GUARANTEES.md";
+    assert_eq!(style::named_tests(page, "`crates/a/tests/b.rs`: `it_holds`", &tree), []);
+    assert_eq!(style::named_tests(page, "`crates/a/tests/b.rs`: `it_does_not`", &tree).len(), 1);
+    assert_eq!(style::named_tests(page, "`crates/a/tests/c.rs`: `it_holds`", &tree).len(), 1);
+}
+
+#[test]
+fn tests_stay_under_a_third() {
+    let code = "x\n".repeat(20);
+    let few = files(&[("crates/a/src/lib.rs", &code), ("crates/a/tests/b.rs", "x\n")]);
+    assert_eq!(style::test_share(&few), []);
+    let many = files(&[("crates/a/src/lib.rs", &code), ("crates/a/tests/b.rs", &code)]);
+    assert_eq!(style::test_share(&many).len(), 1);
+}
