--- a/crates/hooktrestle/examples/quickstart.rs
+++ b/crates/hooktrestle/examples/quickstart.rs
@@ -1,9 +1,11 @@
-//! The whole path in one process: two users' services, real requests, a worker drained under load.
+//! The whole path in one process: two users' services, real requests, experts moved as demand
+//! changes, workers drained under load.
 //!
 //! Everything listens on loopback with free ports and ends by itself. The last line counts the
 //! requests; the exit status is 0 only if each was answered whole.
 
 use std::process::ExitCode;
+use std::time::Duration;
 
 use eyre::Result;
 use hooktrestle_embedded::Caller;
@@ -12,12 +14,17 @@
 use hooktrestle_embedded::caller::finish;
 use hooktrestle_embedded::key_sha256_hex;
 use hooktrestle_fakes::engine::Behaviour;
+use hooktrestle_fakes::group::FakeGroup;
 use serde_json::Value;
 use serde_json::json;
 use tokio::task::JoinSet;
 
 const KEY: &str = "quickstart-key";
 const ENGINES: usize = 4;
+const EXPERTS: usize = 16;
+const SLOTS: usize = 5;
+const HOT: [usize; 3] = [0, 4, 8];
+const MOVE_WITHIN: Duration = Duration::from_secs(15);
 const LOAD_REQUESTS: usize = 120;
 const LOAD_TOKENS: u64 = 60;
 
@@ -41,20 +48,22 @@
 
 #[tokio::main]
 async fn main() -> Result<ExitCode> {
-    let fleet = start().await?;
+    let group = FakeGroup::start(ENGINES, EXPERTS, SLOTS);
+    let fleet = start(&group).await?;
     let mut tally = Tally::default();
     stream_one(&fleet, &mut tally).await?;
     call_plain(&fleet, &mut tally).await?;
+    let moved = move_experts(&group).await?;
     drain_under_load(&fleet, &mut tally).await?;
     let Tally { answered, failed, cut_off } = tally;
     println!("quickstart: {answered} answered, {failed} failed, {cut_off} cut off");
-    let good = failed == 0 && cut_off == 0;
+    let good = failed == 0 && cut_off == 0 && moved;
     Ok(if good { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
 /// Starts two gateways, the model services `hints` and `recap`, and the plain services `puzzles`
 /// and `reader`.
-async fn start() -> Result<Fleet> {
+async fn start(group: &FakeGroup) -> Result<Fleet> {
     println!("starting the platform's stand-in, 2 gateways, {} backend servers", 2 * ENGINES + 2);
     let mut fleet = Fleet::start().await?;
     let mut rows = vec![
@@ -67,13 +76,16 @@
     for name in ["entry-1", "entry-2"] {
         fleet.add_gateway(name, "dc-1").await?;
     }
-    for service in ["hints", "recap"] {
-        rows.push((format!("service:{service}"), json!({ "kind": "model" })));
-        for number in 1..=ENGINES {
-            let name = format!("{service}-{number}");
-            fleet.add_engine(&name, "dc-1", Behaviour::default()).await?;
-            rows.push(server_row(&name, service));
-        }
+    let hints = json!({ "kind": "model", "experts_per_layer": EXPERTS });
+    rows.push(("service:hints".to_owned(), hints));
+    rows.push(("service:recap".to_owned(), json!({ "kind": "model" })));
+    for number in 1..=ENGINES {
+        let name = format!("hints-{number}");
+        fleet.add_rank(&name, "dc-1", group, number - 1).await?;
+        rows.push(server_row(&name, "hints"));
+        let name = format!("recap-{number}");
+        fleet.add_engine(&name, "dc-1", Behaviour::default()).await?;
+        rows.push(server_row(&name, "recap"));
     }
     for service in ["puzzles", "reader"] {
         rows.push((format!("service:{service}"), json!({ "kind": "plain" })));
@@ -96,7 +108,7 @@
 }
 
 fn server_row(name: &str, service: &str) -> (String, Value) {
-    let row = json!({ "service": service, "data_centre": "dc-1" });
+    let row = json!({ "service": service, "data_centre": "dc-1", "keeps_fence": true });
     (format!("backend_server:{name}"), row)
 }
 
@@ -125,6 +137,21 @@
     Ok(())
 }
 
+/// Makes a few experts of `hints` hot, and waits until its sidecars have moved them apart.
+async fn move_experts(group: &FakeGroup) -> Result<bool> {
+    let mut shares = [1.0; EXPERTS];
+    HOT.iter().for_each(|expert| shares[*expert] = 6.0);
+    let sum: f64 = shares.iter().sum();
+    group.set_popularity(shares.iter().map(|share| share / sum).collect());
+    println!("experts {HOT:?} of hints are hot; ranks have {:?}", group.experts());
+    let mut steps = group.watch();
+    let moved = steps.wait_for(|steps| steps.map_version > 0);
+    let steps = tokio::time::timeout(MOVE_WITHIN, moved).await??.clone();
+    println!("ranks have {:?}", group.experts());
+    println!("map {} after {} steps, {} held", steps.map_version, steps.run, steps.held);
+    Ok(steps.faults.is_empty())
+}
+
 /// Sends many requests to both model services and drains one worker of each meanwhile.
 async fn drain_under_load(fleet: &Fleet, tally: &mut Tally) -> Result<()> {
     println!("{LOAD_REQUESTS} requests, while hints-1 and recap-1 are drained");
@@ -150,7 +177,7 @@
 }
 
 async fn drain(fleet: &Fleet) -> Result<()> {
-    let row = |service: &str| json!({ "service": service, "data_centre": "dc-1", "drain": true });
+    let row = |service: &str| json!({ "service": service, "data_centre": "dc-1", "keeps_fence": true, "drain": true });
     let edits =
         [("backend_server:hints-1", row("hints")), ("backend_server:recap-1", row("recap"))];
     fleet.edit(&edits).await
