--- a/crates/cli/src/flags.rs
+++ b/crates/cli/src/flags.rs
@@ -15,10 +15,31 @@
         }
         /// Changes fields of one row, which need not exist yet.
         cmd set {
+            /// Only shows the difference.
+            optional --dry-run
+            /// Waits until it is in force, with a line for each data centre.
+            optional --wait
             required row: String
             /// FIELD=VALUE
             repeated fields: String
         }
+        /// Takes a worker (backend_server:NAME) or a data centre (data_centre:NAME) out of use.
+        cmd drain {
+            /// Waits until it is in force, with a line for each data centre.
+            optional --wait
+            required row: String
+        }
+        /// Takes a drain back.
+        cmd undrain {
+            /// Waits until it is in force, with a line for each data centre.
+            optional --wait
+            required row: String
+        }
+        /// Shows the version in force in each data centre, who is leaving, and rows left out.
+        cmd status {
+            /// Prints JSON.
+            optional --json
+        }
         /// Prints all rows as CSV.
         cmd export {}
         /// Writes the rows of a CSV file, all or none.
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,9 +1,13 @@
 //! `hooktrestle`: the operators' command-line tool.
 //!
 //! It edits rows of the one table and reads what became of them; all else follows from the rows.
+//!
+//! Exit status: 0 done; 1 refused or failed, with the reason on standard error; 2 the command line
+//! is wrong; 3 (`--wait`, `status`) not in force everywhere.
 
 mod flags;
 mod rows;
+mod status;
 
 use std::process::ExitCode;
 use std::time::Duration;
@@ -38,7 +42,19 @@
     })?;
     match flags.subcommand {
         HooktrestleCmd::Get(get) => rows::get(&platform, &get.row).await,
-        HooktrestleCmd::Set(set) => rows::set(&platform, &set.row, &set.fields).await,
+        HooktrestleCmd::Set(set) => {
+            let how = rows::How { dry_run: set.dry_run, wait: set.wait };
+            rows::set(&platform, &set.row, &set.fields, how).await
+        }
+        HooktrestleCmd::Drain(drain) => {
+            let how = rows::How { dry_run: false, wait: drain.wait };
+            rows::set(&platform, &drain.row, &["drain=true".to_owned()], how).await
+        }
+        HooktrestleCmd::Undrain(undrain) => {
+            let how = rows::How { dry_run: false, wait: undrain.wait };
+            rows::set(&platform, &undrain.row, &["drain=false".to_owned()], how).await
+        }
+        HooktrestleCmd::Status(flags) => status::print(&platform, flags.json).await,
         HooktrestleCmd::Export(_) => rows::export(&platform).await,
         HooktrestleCmd::Import(import) => rows::import(&platform, &import.file).await,
     }
--- a/crates/cli/src/rows.rs
+++ b/crates/cli/src/rows.rs
@@ -18,9 +18,20 @@
 use serde_json::Map;
 use serde_json::Value;
 
+use crate::status;
+
 /// Column of a CSV file that holds the rows' keys.
 const KEY_COLUMN: &str = "row";
 
+/// How a row is to be changed.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct How {
+    /// Only shows the difference.
+    pub(crate) dry_run: bool,
+    /// Waits until it is in force.
+    pub(crate) wait: bool,
+}
+
 /// Prints a row.
 pub(crate) async fn get(platform: &Platform, key: &str) -> Result<ExitCode> {
     let name = parse_name(key)?;
@@ -32,7 +43,12 @@
 
 /// Changes fields of a row. The write is conditional on the row as it was read, so two operators
 /// who race cannot lose each other's edit.
-pub(crate) async fn set(platform: &Platform, key: &str, fields: &[String]) -> Result<ExitCode> {
+pub(crate) async fn set(
+    platform: &Platform,
+    key: &str,
+    fields: &[String],
+    how: How,
+) -> Result<ExitCode> {
     let name = parse_name(key)?;
     let old = platform.row(ROWS, &name.to_string()).await?;
     let version = old.as_ref().map_or(0, |row| row.version);
@@ -42,10 +58,17 @@
     };
     for field in fields {
         let (field, value) = parse_field(name.kind, field)?;
+        let before = object.get(&field).map_or("(default)".to_owned(), Value::to_string);
+        println!("{name}: {field}: {before} -> {value}");
         object.insert(field, value);
     }
     check(&name, &object)?;
-    write(platform, vec![(name, version, Value::Object(object))]).await
+    if how.dry_run {
+        println!("nothing written");
+        return Ok(ExitCode::SUCCESS);
+    }
+    let revision = write(platform, vec![(name.clone(), version, Value::Object(object))]).await?;
+    if how.wait { status::wait(platform, &name, revision).await } else { Ok(ExitCode::SUCCESS) }
 }
 
 /// Prints all rows as CSV, a column for each field of any kind.
@@ -85,10 +108,12 @@
         let version = old.get(&name.to_string()).copied().unwrap_or(0);
         (name, version, Value::Object(object))
     });
-    write(platform, edits.collect()).await
+    write(platform, edits.collect()).await?;
+    Ok(ExitCode::SUCCESS)
 }
 
-async fn write(platform: &Platform, edits: Vec<(RowName, u64, Value)>) -> Result<ExitCode> {
+/// Writes rows, all or none; returns the table's revision, or 0 if it is not known.
+async fn write(platform: &Platform, edits: Vec<(RowName, u64, Value)>) -> Result<u64> {
     let count = edits.len();
     let mut checks = Vec::new();
     let mut writes = Vec::new();
@@ -97,9 +122,9 @@
         checks.push(RowCheck { table: table.clone(), key: key.clone(), version });
         writes.push(RowWrite { table, key, value });
     }
-    platform.transact(checks, writes).await?;
+    let committed = platform.transact(checks, writes).await?;
     println!("{count} rows written; they are in force once accepted");
-    Ok(ExitCode::SUCCESS)
+    Ok(committed.revision)
 }
 
 fn read_csv(file: &Path) -> Result<Vec<(RowName, Map<String, Value>)>> {
--- a/crates/hooktrestled/src/gateway.rs
+++ b/crates/hooktrestled/src/gateway.rs
@@ -53,6 +53,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Shared {
     pub(crate) identity: Arc<Identity>,
+    pub(crate) data_centre: Arc<str>,
     pub(crate) keys: hooktrestle_link::auth::Keys,
     pub(crate) settings: Arc<GatewaySettings>,
     pub(crate) config: config_keeper::Watch,
@@ -137,6 +138,7 @@
         let router = router::start(context);
         let shared = Shared {
             identity: Arc::new(identity),
+            data_centre: settings.instance.data_centre.as_str().into(),
             keys: settings::links(settings).keys,
             settings: Arc::new(gateway_settings(settings)),
             config,
--- a/crates/hooktrestled/src/gateway/http.rs
+++ b/crates/hooktrestled/src/gateway/http.rs
@@ -21,6 +21,7 @@
 use hooktrestle_schema::Header;
 use hooktrestle_schema::ProblemBody;
 use hooktrestle_schema::ServiceKind;
+use hooktrestle_schema::StatusAnswer;
 use hooktrestle_schema::Ticket;
 use serde_json::Value;
 use serde_json::json;
@@ -115,6 +116,7 @@
 {
     let answered = match (call.method.as_str(), call.path.as_str()) {
         ("GET", "/v1/endpoints") => endpoints(&shared, &call),
+        ("GET", "/v1/status") => Ok(status(&shared)),
         ("POST", "/v1/tickets") => ticket(&shared, &call).await,
         ("POST", "/v1/chat/completions") => chat(shared, call, body).await,
         (_, path) if path.starts_with(SERVICES_PATH) => plain(shared, call, body).await,
@@ -127,6 +129,19 @@
     answered.unwrap_or_else(|problem| problem_response(&problem))
 }
 
+/// What operators' tools ask; it names no account and no request.
+fn status(shared: &Shared) -> Response {
+    let version = shared.config.borrow().as_ref().map(|now| now.config.version);
+    let answer = StatusAnswer {
+        instance: shared.identity.instance.clone(),
+        data_centre: shared.data_centre.to_string(),
+        config_version: version.unwrap_or(0),
+        leaving: *shared.leaving.borrow(),
+        open_requests: *shared.open.borrow() as u64,
+    };
+    warp::reply::json(&answer).into_response()
+}
+
 fn endpoints(shared: &Shared, call: &Call) -> Result<Response, Problem> {
     let in_force = in_force(shared)?;
     let service = service_in_query(call)?;
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -959,6 +959,16 @@
     pub services: ::std::collections::BTreeMap<::std::string::String, ServiceRow>,
     pub version: u64,
 }
+///Answer to `GET /v1/status`: what a gateway says of itself to operators.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct StatusAnswer {
+    ///0 before the first.
+    pub config_version: u64,
+    pub data_centre: ::std::string::String,
+    pub instance: ::std::string::String,
+    pub leaving: bool,
+    pub open_requests: u64,
+}
 ///One row of the table service, with the version that its last write gave it.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct TableRow {
