--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,11 +3,16 @@
 //! - [`demand`]: seeded demand for experts over a day.
 //! - [`placement`]: which expert stands on which rank: skew against moved bytes.
 //! - [`control`]: what control costs a node.
+//! - [`path`]: what the path adds to a call.
+//! - [`switch`]: what a switch of maps holds up, and how soon a configuration is in force.
 //!
 //! The decisions are driven directly, without clock or sockets: the same figures on every run but for
-//! those that are times. `control` runs the real processes.
+//! those that are times. The last three run the real
+//! processes.
 
 pub mod control;
 pub mod counts;
 pub mod demand;
+pub mod path;
 pub mod placement;
+pub mod switch;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,6 +1,7 @@
 //! `hooktrestle-bench`: measurements, each against a naive version in the same run.
 
 mod control_report;
+mod process_report;
 mod report;
 
 use eyre::Result;
@@ -31,6 +32,12 @@
             }
             /// What control costs a node, and at the size aimed at.
             cmd control {}
+            /// What the path adds to a call, against direct calls.
+            cmd path {}
+            /// Steps that a switch of expert maps holds up.
+            cmd switch {}
+            /// Time from an operator's write to in force everywhere.
+            cmd config {}
         }
     }
 }
@@ -45,5 +52,8 @@
             }
         },
         flags::HooktrestleBenchCmd::Control(_) => control_report::print(),
+        flags::HooktrestleBenchCmd::Path(_) => process_report::path(),
+        flags::HooktrestleBenchCmd::Switch(_) => process_report::switch(),
+        flags::HooktrestleBenchCmd::Config(_) => process_report::config(),
     }
 }
--- /dev/null
+++ b/crates/bench/src/process_report.rs
@@ -0,0 +1,58 @@
+//! What `hooktrestle-bench path`, `switch` and `config` print.
+
+use eyre::Result;
+use hooktrestle_bench::path;
+use hooktrestle_bench::path::Way;
+use hooktrestle_bench::switch;
+use hooktrestle_bench::switch::Trouble;
+use tokio::runtime::Runtime;
+
+/// Configurations that are timed.
+const CONFIG_ROUNDS: u32 = 30;
+
+/// Prints direct calls, calls through the path, and their ratio.
+pub(crate) fn path() -> Result<()> {
+    let [direct, through] = Runtime::new()?.block_on(path::measure())?;
+    println!("way      first byte p50 us   p99 us   calls/s   streamed tokens/s");
+    let line = |name: &str, way: &Way| {
+        println!(
+            "{name:<8} {:>17} {:>8} {:>9.0} {:>19.0}",
+            way.first_p50_us, way.first_p99_us, way.calls_per_s, way.tokens_per_s
+        );
+    };
+    line("direct", &direct);
+    line("through", &through);
+    println!(
+        "path: first_p50_ratio={:.2} first_p99_ratio={:.2} calls_ratio={:.2} tokens_ratio={:.2}",
+        through.first_p50_us as f64 / direct.first_p50_us as f64,
+        through.first_p99_us as f64 / direct.first_p99_us as f64,
+        through.calls_per_s / direct.calls_per_s,
+        through.tokens_per_s / direct.tokens_per_s,
+    );
+    Ok(())
+}
+
+/// Prints steps run and held under each trouble.
+pub(crate) fn switch() -> Result<()> {
+    println!("trouble        steps   held  maps  steps with a fault");
+    for trouble in [Trouble::None, Trouble::FailedLoads, Trouble::Restarts] {
+        let steps = Runtime::new()?.block_on(switch::measure(trouble))?;
+        println!(
+            "{:<12} {:>7} {:>6} {:>5} {:>19}",
+            format!("{trouble:?}"),
+            steps.run,
+            steps.held,
+            steps.map_version,
+            steps.faults.len()
+        );
+    }
+    Ok(())
+}
+
+/// Prints times from a write to in force.
+pub(crate) fn config() -> Result<()> {
+    let times_s = Runtime::new()?.block_on(switch::in_force(CONFIG_ROUNDS))?;
+    let at = |part: f64| times_s[((times_s.len() - 1) as f64 * part).round() as usize];
+    println!("config: p50={:.2} s p95={:.2} s max={:.2} s", at(0.5), at(0.95), at(1.0));
+    Ok(())
+}
