Traces: a span for each hop, joined by traceparent, sent by OTLP

Cause: the house style asks for traces; the path passed a caller's traceparent on and made no span. Change: gateway and sidecar make spans with the opentelemetry crates; verdict and cause are noted on refusals; spans that wait are sent at a planned stop. Without [traces] spans are made and not sent, so traces stay joined.

--- a/crates/embedded/src/fleet.rs
+++ b/crates/embedded/src/fleet.rs
@@ -55,6 +55,8 @@
 pub struct Fleet {
     /// How often the processes started from now on look and speak; fast unless changed.
     pub pace: Pace,
+    /// Where processes started from now on send their spans.
+    pub otlp_url: Option<String>,
     /// The platform's stand-in.
     pub fake: FakePlatform,
     /// A client of it, as operators use one.
@@ -94,6 +96,7 @@
         })?;
         Ok(Fleet {
             pace: Pace { poll_ms: 100, heartbeat_ms: 50 },
+            otlp_url: None,
             fake,
             platform,
             gateways: BTreeMap::new(),
@@ -279,13 +282,16 @@
         let url = self.fake.url();
         let instances_url = self.fake.instances_url();
         let Pace { poll_ms, heartbeat_ms } = self.pace;
+        let traces = self.otlp_url.as_ref().map_or(String::new(), |url| {
+            format!("[traces]\notlp_url = {url}\nsample_percent = 100\n")
+        });
         let text = format!(
             "[instance]\nname = {name}\nrole = {role}\ndata_centre = {data_centre}\n\
              listen = 127.0.0.1:0\n\
              [platform]\ntable_url = {url}\nobject_url = {url}\ninstances_url = {instances_url}\n\
              poll_ms = {poll_ms}\n\
              [links]\nkeys = {LINK_KEY}\nheartbeat_ms = {heartbeat_ms}\n\
-             [gateway]\nkeep_endpoints_ms = 500\n{more}"
+             [gateway]\nkeep_endpoints_ms = 500\n{more}{traces}"
         );
         Ok(settings::parse(name, &text)?)
     }
--- /dev/null
+++ b/crates/fakes/src/collector.rs
@@ -0,0 +1,58 @@
+//! A collector of spans: keeps what OTLP exporters send, undecoded.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use eyre::Result;
+use tokio::sync::watch;
+use warp::Filter;
+use warp::Reply;
+use warp::http::StatusCode;
+
+use crate::serve::Served;
+use crate::serve::serve;
+
+/// A collector that stops when it is dropped.
+#[derive(Debug)]
+pub struct FakeCollector {
+    exports: watch::Sender<Vec<Bytes>>,
+    served: Served,
+}
+
+impl FakeCollector {
+    /// Starts one; port 0 picks a free port.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be bound.
+    pub async fn start(listen: SocketAddr) -> Result<FakeCollector> {
+        let exports = watch::Sender::new(Vec::new());
+        let kept = exports.clone();
+        let routes = warp::post()
+            .and(warp::path!("v1" / "traces"))
+            .and(warp::body::bytes())
+            .map(move |body: Bytes| {
+                kept.send_modify(|exports| exports.push(body));
+                StatusCode::OK.into_response()
+            })
+            .recover(|_| async { Ok::<_, Infallible>(StatusCode::BAD_REQUEST) })
+            .map(Reply::into_response);
+        let served = serve(listen, routes).await?;
+        Ok(FakeCollector { exports, served })
+    }
+
+    /// Where exporters send.
+    pub fn url(&self) -> String {
+        format!("http://{}/v1/traces", self.served.address)
+    }
+
+    /// Waits until some export holds all of these byte strings.
+    pub async fn wait(&self, parts: &[&[u8]]) {
+        let holds = |export: &Bytes, part: &[u8]| export.windows(part.len()).any(|at| at == part);
+        let all = |export: &Bytes| parts.iter().all(|part| holds(export, part));
+        let mut exports = self.exports.subscribe();
+        // The sender lives as long as this does.
+        let _ = exports.wait_for(|exports| exports.iter().any(all)).await;
+    }
+}
--- a/crates/hooktrestled/src/gateway.rs
+++ b/crates/hooktrestled/src/gateway.rs
@@ -48,6 +48,7 @@
 use crate::directory;
 use crate::drain;
 use crate::settings;
+use crate::traces::Traces;
 
 /// What every request at a gateway needs; clones share it.
 #[derive(Clone, Debug)]
@@ -63,6 +64,7 @@
     pub(crate) budget: Arc<Mutex<RetryBudget>>,
     pub(crate) limiter: Arc<Mutex<Limiter>>,
     pub(crate) clock: MonotonicClock,
+    pub(crate) traces: Traces,
     pub(crate) open: watch::Sender<usize>,
     pub(crate) leaving: watch::Sender<bool>,
 }
@@ -150,6 +152,7 @@
             clock: MonotonicClock::default(),
             open: watch::Sender::new(0),
             leaving: watch::Sender::new(false),
+            traces: Traces::new(settings.traces.as_ref(), &settings.instance.name)?,
         };
         let server = warp::serve(http::routes(shared.clone())).incoming(listener);
         let accepting = acceptor::run(platform, keeper, directory, poll);
@@ -175,7 +178,9 @@
         self.shared.leaving.send_replace(true);
         let keep = settings::millis(self.shared.settings.keep_endpoints_ms).min(within);
         tokio::time::sleep(keep).await;
-        drain::until_idle(self.shared.open.subscribe(), within - keep).await
+        let cut_off = drain::until_idle(self.shared.open.subscribe(), within - keep).await;
+        self.shared.traces.flush();
+        cut_off
     }
 
     /// Waits until a link to this many backend servers of a service is open.
--- a/crates/hooktrestled/src/gateway/drive.rs
+++ b/crates/hooktrestled/src/gateway/drive.rs
@@ -47,6 +47,7 @@
 use crate::gateway::router::Server;
 use crate::gateway::router::WatchLink;
 use crate::gateway::tickets;
+use crate::traces::Hop;
 
 /// Answer bytes that a sidecar may send ahead of the caller's reading.
 const CREDIT_BYTES: u64 = 256 * 1024;
@@ -73,7 +74,8 @@
     pub(crate) repeat: Repeat,
     /// The caller's own ticket, with [`Repeat::Never`].
     pub(crate) ticket: Option<Ticket>,
-    pub(crate) traceparent: String,
+    /// The gateway's part of the request's trace.
+    pub(crate) hop: Hop,
     pub(crate) body: Body,
 }
 
@@ -286,7 +288,7 @@
             cost_tokens: self.incoming.cost_tokens,
             credit_bytes: CREDIT_BYTES,
             ticket,
-            traceparent: self.incoming.traceparent.clone(),
+            traceparent: self.incoming.hop.traceparent(),
         }
     }
 
@@ -452,6 +454,8 @@
 
     /// Gives the caller the final answer, and stops what may still run.
     async fn finish(&mut self, refusal: Refusal) {
+        self.incoming.hop.note("hooktrestle.verdict", refusal.verdict.to_string());
+        self.incoming.hop.note("hooktrestle.cause", refusal.cause.to_string());
         match std::mem::replace(&mut self.out, Out::Closed) {
             Out::Head(head) => {
                 // A caller that has gone needs no answer.
--- a/crates/hooktrestled/src/gateway/http.rs
+++ b/crates/hooktrestled/src/gateway/http.rs
@@ -23,6 +23,8 @@
 use hooktrestle_schema::ServiceKind;
 use hooktrestle_schema::StatusAnswer;
 use hooktrestle_schema::Ticket;
+use opentelemetry::KeyValue;
+use opentelemetry::trace::SpanKind;
 use serde_json::Value;
 use serde_json::json;
 use sha2::Digest;
@@ -44,6 +46,7 @@
 use crate::gateway::router::Release;
 use crate::gateway::tickets;
 use crate::headers;
+use crate::traces::TRACEPARENT;
 
 /// Estimated tokens of a chat answer whose request names no number.
 const DEFAULT_ANSWER_TOKENS: u32 = 256;
@@ -251,7 +254,15 @@
         cost_tokens: request.cost_tokens,
         repeat,
         ticket,
-        traceparent: text(&call.headers, "traceparent").unwrap_or_default().to_owned(),
+        hop: shared.traces.hop(
+            "gateway",
+            SpanKind::Server,
+            text(&call.headers, TRACEPARENT).unwrap_or_default(),
+            vec![
+                KeyValue::new("hooktrestle.service", request.service.clone()),
+                KeyValue::new("hooktrestle.account", account.name.clone()),
+            ],
+        ),
         body,
     })
 }
--- a/crates/hooktrestled/src/lib.rs
+++ b/crates/hooktrestled/src/lib.rs
@@ -22,3 +22,4 @@
 pub mod settings;
 pub mod sidecar;
 mod spread;
+mod traces;
--- a/crates/hooktrestled/src/sidecar.rs
+++ b/crates/hooktrestled/src/sidecar.rs
@@ -37,6 +37,7 @@
 use crate::directory;
 use crate::drain;
 use crate::settings;
+use crate::traces::Traces;
 
 pub use desk::Desk;
 
@@ -56,6 +57,7 @@
     pub admin_address: SocketAddr,
     desk: Address<Desk>,
     tasks: [AbortHandle; 3],
+    traces: Traces,
     config: config_keeper::Watch,
 }
 
@@ -121,7 +123,8 @@
             .await
             .wrap_err_with(|| format!("cannot listen on {}", settings.instance.listen))?;
         let address = listener.local_addr()?;
-        let backend = run::Backend::new(&sidecar.backend_url)?;
+        let traces = Traces::new(settings.traces.as_ref(), &settings.instance.name)?;
+        let backend = run::Backend::new(&sidecar.backend_url, traces.clone())?;
         let clock = MonotonicClock::default();
         let desk = desk::start(desk::Setup {
             identity: identity.clone(),
@@ -155,7 +158,14 @@
         let (admin_address, admin) =
             admin::start(&settings.instance.admin_listen, observer).await?;
         info!("sidecar listens", kv: { address: = address.to_string().as_str() });
-        Ok(Sidecar { address, admin_address, desk, tasks: [listening, leading, admin], config })
+        Ok(Sidecar {
+            address,
+            admin_address,
+            desk,
+            tasks: [listening, leading, admin],
+            traces,
+            config,
+        })
     }
 
     /// The configuration in force here.
@@ -167,10 +177,12 @@
     ///
     /// Returns the number of requests still running when `within` had passed.
     pub async fn leave(&self, within: Duration) -> usize {
-        match self.desk.send(desk::Leave).await {
+        let cut_off = match self.desk.send(desk::Leave).await {
             Ok(running) => drain::until_idle(running, within).await,
             Err(_) => 0,
-        }
+        };
+        self.traces.flush();
+        cut_off
     }
 }
 
--- a/crates/hooktrestled/src/sidecar/run.rs
+++ b/crates/hooktrestled/src/sidecar/run.rs
@@ -19,18 +19,21 @@
 use hooktrestle_schema::MapOrder;
 use hooktrestle_schema::MapReply;
 use hooktrestle_schema::RequestFrame;
+use opentelemetry::KeyValue;
+use opentelemetry::trace::SpanKind;
 use reqwest::Method;
 use reqwest::Response;
 use reqwest::header::HeaderMap;
 use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 
+use crate::traces::Hop;
+use crate::traces::TRACEPARENT;
+use crate::traces::Traces;
+
 /// Header by which a backend server says that it refused a request before running any of it.
 const NOT_RUN_HEADER: &str = "x-hooktrestle-not-run";
 
-/// Header that tells the backend server the trace that a request belongs to.
-const TRACEPARENT: &str = "traceparent";
-
 /// Largest piece of an answer in one frame.
 const PIECE_BYTES: usize = 16 * 1024;
 
@@ -45,6 +48,7 @@
 pub(super) struct Backend {
     http: reqwest::Client,
     base_url: String,
+    traces: Traces,
 }
 
 /// A piece of a request's body.
@@ -87,13 +91,13 @@
 
 impl Backend {
     /// The backend server at `base_url`; connects on first use.
-    pub(super) fn new(base_url: &str) -> Result<Backend> {
+    pub(super) fn new(base_url: &str, traces: Traces) -> Result<Backend> {
         let http = reqwest::Client::builder()
             .no_proxy()
             .connect_timeout(CONNECT_WITHIN)
             .redirect(reqwest::redirect::Policy::none())
             .build()?;
-        Ok(Backend { http, base_url: base_url.trim_end_matches('/').to_owned() })
+        Ok(Backend { http, base_url: base_url.trim_end_matches('/').to_owned(), traces })
     }
 }
 
@@ -119,7 +123,10 @@
 
 /// Runs a request to its end.
 pub(super) async fn run(backend: &Backend, job: &mut Job) -> RunEnd {
-    let response = match send(backend, job).await {
+    let service = KeyValue::new("hooktrestle.service", job.frame.service.clone());
+    let before = &job.frame.traceparent;
+    let hop = backend.traces.hop("sidecar", SpanKind::Client, before, vec![service]);
+    let response = match send(backend, job, &hop).await {
         Ok(response) => response,
         Err(error) if error.is_connect() || error.is_builder() => {
             return RunEnd::NotStarted(Refusal::not_run(Cause::BackendRefused));
@@ -133,7 +140,7 @@
     answer(job, response).await
 }
 
-async fn send(backend: &Backend, job: &mut Job) -> reqwest::Result<Response> {
+async fn send(backend: &Backend, job: &mut Job, hop: &Hop) -> reqwest::Result<Response> {
     let frame = &job.frame;
     let method = Method::from_bytes(frame.method.as_bytes()).unwrap_or(Method::POST);
     let url = format!("{}{}", backend.base_url, frame.path);
@@ -141,8 +148,9 @@
     for header in &frame.headers {
         request = request.header(&header.name, &header.value);
     }
-    if !frame.traceparent.is_empty() {
-        request = request.header(TRACEPARENT, &frame.traceparent);
+    let traceparent = hop.traceparent();
+    if !traceparent.is_empty() {
+        request = request.header(TRACEPARENT, traceparent);
     }
     request.body(body(job)).send().await
 }
--- /dev/null
+++ b/crates/hooktrestled/src/traces.rs
@@ -0,0 +1,105 @@
+//! Traces: a span for each hop, joined by W3C `traceparent`, sent by OTLP.
+
+use std::collections::HashMap;
+
+use eyre::Result;
+use eyre::WrapErr;
+use hooktrestle_schema::TraceSettings;
+use opentelemetry::Context;
+use opentelemetry::KeyValue;
+use opentelemetry::propagation::TextMapPropagator;
+use opentelemetry::trace::SpanKind;
+use opentelemetry::trace::TraceContextExt;
+use opentelemetry::trace::Tracer;
+use opentelemetry::trace::TracerProvider;
+use opentelemetry_otlp::Protocol;
+use opentelemetry_otlp::SpanExporter;
+use opentelemetry_otlp::WithExportConfig;
+use opentelemetry_sdk::Resource;
+use opentelemetry_sdk::propagation::TraceContextPropagator;
+use opentelemetry_sdk::trace::Sampler;
+use opentelemetry_sdk::trace::SdkTracer;
+use opentelemetry_sdk::trace::SdkTracerProvider;
+
+/// Header that carries a trace from hop to hop.
+pub(crate) const TRACEPARENT: &str = "traceparent";
+
+/// Makes spans; clones share it. Spans that wait are sent when the last is dropped.
+#[derive(Clone, Debug)]
+pub(crate) struct Traces {
+    tracer: SdkTracer,
+    provider: SdkTracerProvider,
+}
+
+/// One hop of a request; it ends when this is dropped.
+#[derive(Debug)]
+pub(crate) struct Hop {
+    context: Context,
+}
+
+impl Traces {
+    /// Traces of a process; without settings, spans are made to keep traces joined, and not sent.
+    ///
+    /// # Errors
+    ///
+    /// The exporter cannot be set up.
+    pub(crate) fn new(settings: Option<&TraceSettings>, instance: &str) -> Result<Traces> {
+        let resource = Resource::builder()
+            .with_service_name("hooktrestled")
+            .with_attribute(KeyValue::new("service.instance.id", instance.to_owned()))
+            .build();
+        let builder = SdkTracerProvider::builder().with_resource(resource);
+        let provider = match settings {
+            None => builder.with_sampler(Sampler::AlwaysOff).build(),
+            Some(settings) => {
+                let exporter = SpanExporter::builder()
+                    .with_http()
+                    .with_protocol(Protocol::HttpBinary)
+                    .with_endpoint(&settings.otlp_url)
+                    .build()
+                    .wrap_err("[traces] otlp_url")?;
+                let share = f64::from(settings.sample_percent) / 100.0;
+                let sampler = Sampler::TraceIdRatioBased(share);
+                builder
+                    .with_sampler(Sampler::ParentBased(Box::new(sampler)))
+                    .with_batch_exporter(exporter)
+                    .build()
+            }
+        };
+        Ok(Traces { tracer: provider.tracer("hooktrestled"), provider })
+    }
+
+    /// Begins a hop; `traceparent` is the hop before, or empty.
+    pub(crate) fn hop(
+        &self,
+        name: &'static str,
+        kind: SpanKind,
+        traceparent: &str,
+        attributes: Vec<KeyValue>,
+    ) -> Hop {
+        let carrier = HashMap::from([(TRACEPARENT.to_owned(), traceparent.to_owned())]);
+        let parent = TraceContextPropagator::new().extract(&carrier);
+        let builder = self.tracer.span_builder(name).with_kind(kind).with_attributes(attributes);
+        let span = builder.start_with_context(&self.tracer, &parent);
+        Hop { context: Context::new().with_span(span) }
+    }
+
+    /// Sends what waits; a collector that is down costs nothing but its spans.
+    pub(crate) fn flush(&self) {
+        let _ = self.provider.force_flush();
+    }
+}
+
+impl Hop {
+    /// What the next hop is told.
+    pub(crate) fn traceparent(&self) -> String {
+        let mut carrier = HashMap::new();
+        TraceContextPropagator::new().inject_context(&self.context, &mut carrier);
+        carrier.remove(TRACEPARENT).unwrap_or_default()
+    }
+
+    /// Adds a fact that is known only now.
+    pub(crate) fn note(&self, key: &'static str, value: String) {
+        self.context.span().set_attribute(KeyValue::new(key, value));
+    }
+}
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -905,6 +905,8 @@
     pub platform: PlatformSettings,
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub sidecar: ::std::option::Option<SidecarSettings>,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub traces: ::std::option::Option<TraceSettings>,
 }
 ///Gateway to sidecar: what became of this request? Its ticket, if any, must not run any more if it has not.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
@@ -993,6 +995,16 @@
     ///Name of the sidecar's instance.
     pub sidecar: ::std::string::String,
 }
+///Section `[traces]`; without it no spans are sent.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct TraceSettings {
+    ///Where spans are sent, by OTLP over HTTP.
+    pub otlp_url: ::std::string::String,
+    ///Share of traces that begin here and are kept; a caller's own choice goes before it.
+    #[serde(default = "defaults::default_u64::<u32, 1>")]
+    pub sample_percent: u32,
+}
 ///All checks hold and all writes take effect, or nothing happens.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct Transaction {
--- a/xtask/src/style.rs
+++ b/xtask/src/style.rs
@@ -37,7 +37,7 @@
 ];
 
 /// Last parts of the names of numeric fields in the schema: units, and what counts something.
-const UNITS: [&str; 27] = [
+const UNITS: [&str; 28] = [
     "ms",
     "bytes",
     "tokens",
@@ -65,6 +65,7 @@
     "part",
     "parts",
     "steps",
+    "percent",
 ];
 
 /// One place that breaks a rule.
