--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`demand`]: seeded demand for experts over a day.
 //! - [`placement`]: which expert stands on which rank: skew against moved bytes.
+//! - [`routing`]: which backend server gets a request.
 //! - [`control`]: what control costs a node.
 //! - [`path`]: what the path adds to a call.
 //! - [`switch`]: what a switch of maps holds up, and how soon a configuration is in force.
@@ -15,4 +16,5 @@
 pub mod demand;
 pub mod path;
 pub mod placement;
+pub mod routing;
 pub mod switch;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,6 +3,7 @@
 mod control_report;
 mod process_report;
 mod report;
+mod routing_report;
 
 use eyre::Result;
 
@@ -30,6 +31,8 @@
                 /// One JSON object for each policy (with --counts).
                 optional --json
             }
+            /// Time to the first token under different ways to choose a backend server.
+            cmd routing {}
             /// What control costs a node, and at the size aimed at.
             cmd control {}
             /// What the path adds to a call, against direct calls.
@@ -51,6 +54,10 @@
                 Ok(())
             }
         },
+        flags::HooktrestleBenchCmd::Routing(_) => {
+            routing_report::print();
+            Ok(())
+        }
         flags::HooktrestleBenchCmd::Control(_) => control_report::print(),
         flags::HooktrestleBenchCmd::Path(_) => process_report::path(),
         flags::HooktrestleBenchCmd::Switch(_) => process_report::switch(),
--- a/crates/hooktrestled/src/gateway.rs
+++ b/crates/hooktrestled/src/gateway.rs
@@ -22,18 +22,14 @@
 use std::time::Duration;
 
 use eyre::Result;
-use eyre::WrapErr;
 use hooktrestle_core::id::RequestNumbers;
 use hooktrestle_core::limits::Limiter;
 use hooktrestle_core::retry;
 use hooktrestle_core::retry::RetryBudget;
 use hooktrestle_link::Identity;
-use hooktrestle_platform::Platform;
 use hooktrestle_schema::GatewaySettings;
 use hooktrestle_schema::Settings;
-use rand::RngExt;
 use spdlog::info;
-use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
 use xtra::Address;
@@ -47,6 +43,7 @@
 use crate::config_keeper;
 use crate::directory;
 use crate::drain;
+use crate::process::Process;
 use crate::settings;
 use crate::traces::Traces;
 
@@ -115,18 +112,10 @@
     ///
     /// The address cannot be bound, or a client cannot be set up.
     pub async fn start(settings: &Settings) -> Result<Gateway> {
-        let platform = Platform::new(settings::platform(settings))?;
+        let process = Process::start(settings).await?;
+        let Process { platform, keeper, config, directory, identity, .. } = process;
+        let Process { listener, address, traces, clock, .. } = process;
         let poll = settings::millis(settings.platform.poll_ms);
-        let (keeper, config) = config_keeper::start(platform.clone(), poll);
-        let directory = directory::start(platform.clone(), poll);
-        let identity = Identity {
-            instance: settings.instance.name.clone(),
-            incarnation: rand::rng().random(),
-        };
-        let listener = TcpListener::bind(&settings.instance.listen)
-            .await
-            .wrap_err_with(|| format!("cannot listen on {}", settings.instance.listen))?;
-        let address = listener.local_addr()?;
         let context = links::Context {
             link: settings::links(settings),
             identity: identity.clone(),
@@ -135,7 +124,7 @@
             config: config.clone(),
             keeper: keeper.clone(),
             heartbeat: settings::millis(settings.links.heartbeat_ms),
-            clock: MonotonicClock::default(),
+            clock,
         };
         let router = router::start(context);
         let shared = Shared {
@@ -149,10 +138,10 @@
             numbers: Arc::default(),
             budget: Arc::new(Mutex::new(RetryBudget::new(retry::Config::default()))),
             limiter: Arc::default(),
-            clock: MonotonicClock::default(),
+            clock,
             open: watch::Sender::new(0),
             leaving: watch::Sender::new(false),
-            traces: Traces::new(settings.traces.as_ref(), &settings.instance.name)?,
+            traces,
         };
         let server = warp::serve(http::routes(shared.clone())).incoming(listener);
         let accepting = acceptor::run(platform, keeper, directory, poll);
--- a/crates/hooktrestled/src/gateway/router.rs
+++ b/crates/hooktrestled/src/gateway/router.rs
@@ -213,10 +213,9 @@
         key
     }
 
-    fn choice(&mut self, server: Key<Server>) -> Option<Choice> {
-        let record = &mut self.servers[server];
+    fn choice(&self, server: Key<Server>) -> Option<Choice> {
+        let record = &self.servers[server];
         let handle = record.link.borrow().clone()?;
-        record.candidate.own_requests += 1;
         Some(Choice { server, handle, sidecar_now: record.sidecar_now })
     }
 
@@ -275,7 +274,6 @@
             queued_requests: message.load.queued_requests,
             running_requests: message.load.running_requests,
             leaving: message.load.leaving,
-            own_requests: server.candidate.own_requests,
         };
     }
 }
@@ -294,11 +292,14 @@
         let names = members.iter().map(|key| &config.servers[*key].name);
         let keys: Vec<Key<Server>> =
             names.filter_map(|name| self.by_name.get(name).copied()).collect();
-        let candidates: Vec<Candidate> =
+        let mut candidates: Vec<Candidate> =
             keys.iter().map(|key| self.servers[*key].candidate).collect();
         let is_tried = |index: &usize| choose.tried.contains(&keys[*index]);
         let tried: Vec<usize> = (0..keys.len()).filter(is_tried).collect();
-        let chosen = routing::choose(&candidates, &tried, &mut rand::rng())?;
+        let now = self.context.clock.now();
+        let config = routing::Config::default();
+        let chosen = routing::choose(&config, &mut candidates, &tried, now, &mut rand::rng())?;
+        self.servers[keys[chosen]].candidate = candidates[chosen];
         self.choice(keys[chosen])
     }
 }
@@ -309,6 +310,7 @@
     async fn handle(&mut self, find: Find, _: &mut Context<Self>) -> Option<Choice> {
         let server = *self.by_name.get(&find.0)?;
         debug_assert_eq!(self.servers[server].name, find.0);
+        self.servers[server].candidate.own_requests += 1;
         self.choice(server)
     }
 }
@@ -317,8 +319,7 @@
     type Return = ();
 
     async fn handle(&mut self, release: Release, _: &mut Context<Self>) {
-        let candidate = &mut self.servers[release.0].candidate;
-        candidate.own_requests = candidate.own_requests.saturating_sub(1);
+        self.servers[release.0].candidate.ended();
     }
 }
 
--- a/crates/hooktrestled/src/lib.rs
+++ b/crates/hooktrestled/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod gateway;
 pub mod headers;
 mod poll;
+mod process;
 pub mod settings;
 pub mod sidecar;
 mod spread;
--- /dev/null
+++ b/crates/hooktrestled/src/process.rs
@@ -0,0 +1,64 @@
+//! What every process of the daemon begins with, whatever its role.
+
+use std::net::SocketAddr;
+
+use eyre::Result;
+use eyre::WrapErr;
+use hooktrestle_link::Identity;
+use hooktrestle_platform::Platform;
+use hooktrestle_schema::Settings;
+use rand::RngExt;
+use tokio::net::TcpListener;
+use xtra::Address;
+
+use crate::clock::MonotonicClock;
+use crate::config_keeper;
+use crate::config_keeper::ConfigKeeper;
+use crate::directory;
+use crate::settings;
+use crate::traces::Traces;
+
+/// A process that listens, and follows the configuration and the instance list.
+#[derive(Debug)]
+pub(crate) struct Process {
+    pub(crate) platform: Platform,
+    pub(crate) keeper: Address<ConfigKeeper>,
+    pub(crate) config: config_keeper::Watch,
+    pub(crate) directory: directory::Watch,
+    pub(crate) identity: Identity,
+    pub(crate) listener: TcpListener,
+    pub(crate) address: SocketAddr,
+    pub(crate) traces: Traces,
+    pub(crate) clock: MonotonicClock,
+}
+
+impl Process {
+    /// Starts what all roles share.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be bound, or a client cannot be set up.
+    pub(crate) async fn start(settings: &Settings) -> Result<Process> {
+        let instance = &settings.instance;
+        let platform = Platform::new(settings::platform(settings))?;
+        let poll = settings::millis(settings.platform.poll_ms);
+        let (keeper, config) = config_keeper::start(platform.clone(), poll);
+        let listener = TcpListener::bind(&instance.listen)
+            .await
+            .wrap_err_with(|| format!("cannot listen on {}", instance.listen))?;
+        Ok(Process {
+            directory: directory::start(platform.clone(), poll),
+            identity: Identity {
+                instance: instance.name.clone(),
+                incarnation: rand::rng().random(),
+            },
+            address: listener.local_addr()?,
+            traces: Traces::new(settings.traces.as_ref(), &instance.name)?,
+            clock: MonotonicClock::default(),
+            platform,
+            keeper,
+            config,
+            listener,
+        })
+    }
+}
--- a/crates/hooktrestled/src/sidecar.rs
+++ b/crates/hooktrestled/src/sidecar.rs
@@ -14,17 +14,12 @@
 use std::time::Duration;
 
 use eyre::Result;
-use eyre::WrapErr;
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::dispatch;
 use hooktrestle_core::once;
-use hooktrestle_link::Identity;
-use hooktrestle_platform::Platform;
 use hooktrestle_schema::Settings;
 use hooktrestle_schema::SidecarSettings;
-use rand::RngExt;
 use spdlog::info;
-use tokio::net::TcpListener;
 use tokio::task::AbortHandle;
 use xtra::Address;
 
@@ -32,10 +27,9 @@
 use crate::admin::Figure;
 use crate::admin::Observe;
 use crate::admin::Observed;
-use crate::clock::MonotonicClock;
 use crate::config_keeper;
-use crate::directory;
 use crate::drain;
+use crate::process::Process;
 use crate::settings;
 use crate::traces::Traces;
 
@@ -112,20 +106,10 @@
     pub async fn start(settings: &Settings) -> Result<Sidecar> {
         let sidecar =
             settings.sidecar.clone().ok_or_else(|| eyre::eyre!("[sidecar] is missing"))?;
-        let platform = Platform::new(settings::platform(settings))?;
-        let poll = settings::millis(settings.platform.poll_ms);
-        let (keeper, config) = config_keeper::start(platform.clone(), poll);
-        let identity = Identity {
-            instance: settings.instance.name.clone(),
-            incarnation: rand::rng().random(),
-        };
-        let listener = TcpListener::bind(&settings.instance.listen)
-            .await
-            .wrap_err_with(|| format!("cannot listen on {}", settings.instance.listen))?;
-        let address = listener.local_addr()?;
-        let traces = Traces::new(settings.traces.as_ref(), &settings.instance.name)?;
+        let process = Process::start(settings).await?;
+        let Process { platform, keeper, config, directory, identity, .. } = process;
+        let Process { listener, address, traces, clock, .. } = process;
         let backend = run::Backend::new(&sidecar.backend_url, traces.clone())?;
-        let clock = MonotonicClock::default();
         let desk = desk::start(desk::Setup {
             identity: identity.clone(),
             clock,
@@ -134,11 +118,11 @@
             config: config.clone(),
         });
         let leading = group::lead(group::Context {
-            platform: platform.clone(),
+            platform,
             link: settings::links(settings),
             identity: identity.clone(),
             config: config.clone(),
-            directory: directory::start(platform, poll),
+            directory,
             backend: backend.clone(),
             clock,
             settings: sidecar.clone(),
