Chat calls reach engines as JSON, whatever content type the caller's tool names

Cause: found by hand on the page examples/README.md: curl's default content type was passed on, and the engine refused the call. Test: a_chat_call_with_a_tools_default_content_type_is_answered, red before, green after.

--- a/crates/embedded/tests/path.rs
+++ b/crates/embedded/tests/path.rs
@@ -100,3 +100,15 @@
     }
     assert!(fleet.engine("hints-1").ledger.all().is_empty());
 }
+
+#[tokio::test]
+async fn a_chat_call_with_a_tools_default_content_type_is_answered() {
+    let fleet = deployment(1).await;
+    let caller = Caller::new(&fleet.url("entry-1"), KEY).unwrap();
+    let body = r#"{"model":"hints","max_tokens":2,"messages":[{"role":"user","content":"m"}]}"#;
+    let call = caller.post("/v1/chat/completions").body(body);
+    let call = call.header("content-type", "application/x-www-form-urlencoded");
+    let outcome = finish(call).await.unwrap();
+    let Outcome::Whole(text) = outcome else { panic!("{outcome:?}") };
+    assert!(text.contains(&expected("m", 2)), "{text}");
+}
--- a/crates/hooktrestled/src/gateway/http.rs
+++ b/crates/hooktrestled/src/gateway/http.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use ::http::HeaderMap;
+use ::http::HeaderValue;
 use ::http::Method;
 use ::http::StatusCode;
+use ::http::header::CONTENT_TYPE;
 use bytes::Buf;
 use bytes::Bytes;
 use futures_util::Stream;
@@ -188,7 +190,9 @@
     let answer_tokens = value["max_tokens"].as_u64().and_then(|tokens| u32::try_from(tokens).ok());
     let prompt_tokens = u32::try_from(bytes.len() / BYTES_PER_TOKEN).unwrap_or(u32::MAX);
     let cost_tokens = prompt_tokens.saturating_add(answer_tokens.unwrap_or(DEFAULT_ANSWER_TOKENS));
-    let call = Call { path: "/v1/chat/completions".to_owned(), ..call };
+    let mut call = call;
+    // The body is JSON, whatever the caller calls it; engines are less patient.
+    call.headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     let request = Request { service: model, kind: ServiceKind::Model, cost_tokens };
     let incoming = incoming(&shared, &in_force, account, &call, request, Body::whole(bytes))?;
     answer(shared, incoming).await
