--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -52,8 +52,7 @@
 /// One incarnation of a gateway.
 #[derive(Debug)]
 pub struct Gateway {
-    name: u64,
-    incarnation: u64,
+    /// Of its newest link.
     epoch: u64,
     linked: bool,
     unlinked_at: Millis,
@@ -214,10 +213,8 @@
             Some(key) => *key,
             None => self.add_gateway(name, incarnation),
         };
-        if self.gateways[key].linked && self.gateways[key].epoch >= epoch {
-            return Linking::Stale;
-        }
-        if self.gateways[key].epoch > epoch {
+        let newest = &self.gateways[key];
+        if newest.epoch > epoch || (newest.linked && newest.epoch == epoch) {
             return Linking::Stale;
         }
         let aborted = self.abandon(now, key);
@@ -477,8 +474,6 @@
 
     fn add_gateway(&mut self, name: u64, incarnation: u64) -> Key<Gateway> {
         let gateway = Gateway {
-            name,
-            incarnation,
             epoch: 0,
             linked: false,
             unlinked_at: Millis::ZERO,
@@ -515,15 +510,3 @@
         }
     }
 }
-
-impl Gateway {
-    /// Hash of the gateway's instance name.
-    pub fn name(&self) -> u64 {
-        self.name
-    }
-
-    /// Which of its lives this is.
-    pub fn incarnation(&self) -> u64 {
-        self.incarnation
-    }
-}
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -14,7 +14,7 @@
 //! The generated types hold shapes, not ranges: [`range`] checks those against the schema.
 
 #[rustfmt::skip]
-#[allow(missing_docs, dead_code, clippy::all, clippy::pedantic)]
+#[allow(missing_docs, dead_code, clippy::all, clippy::pedantic, reason = "written by typify")]
 mod generated;
 pub mod range;
 
