--- /dev/null
+++ b/crates/link/tests/codec.rs
@@ -0,0 +1,100 @@
+//! Whatever arrives on a link: decoded or refused, never a panic; and who is let in.
+
+use bytes::Bytes;
+use hooktrestle_link::auth::Keys;
+use hooktrestle_link::codec;
+use hooktrestle_schema::BodyFrame;
+use hooktrestle_schema::ChallengeFrame;
+use hooktrestle_schema::Frame;
+use hooktrestle_schema::HelloFrame;
+use hooktrestle_schema::RequestId;
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::any;
+use proptest::prop_assert;
+use proptest::prop_assert_eq;
+use proptest::proptest;
+use proptest::test_runner::RngSeed;
+
+fn seeded() -> ProptestConfig {
+    let rng_seed = RngSeed::Fixed(20_261_202);
+    ProptestConfig {
+        cases: 2_000,
+        rng_seed,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn body(number: u64, attempt: u32, sequence: u64, last: bool) -> Frame {
+    Frame::Body(BodyFrame { id: RequestId { number, attempt }, sequence, last })
+}
+
+proptest! {
+    #![proptest_config(seeded())]
+
+    #[test]
+    fn any_bytes_are_decoded_or_refused(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        // Either will do; it must not panic, nor take memory that the bytes do not fill.
+        let _ = codec::decode(Bytes::from(bytes));
+    }
+
+    #[test]
+    fn a_frame_that_is_cut_or_changed_is_decoded_or_refused(
+        at in 0_usize..60, change in any::<u8>(), cut in 0_usize..60,
+    ) {
+        let mut bytes = codec::encode(&body(7, 1, 3, false), b"payload").to_vec();
+        let place = at % bytes.len();
+        bytes[place] ^= change;
+        bytes.truncate(bytes.len() - cut % bytes.len());
+        let _ = codec::decode(Bytes::from(bytes));
+    }
+
+    #[test]
+    fn frames_come_back_as_they_went(
+        number in any::<u64>(),
+        attempt in any::<u32>(),
+        sequence in any::<u64>(),
+        last in any::<bool>(),
+        payload in proptest::collection::vec(any::<u8>(), 0..500),
+    ) {
+        let frame = body(number, attempt, sequence, last);
+        let (decoded, rest) = codec::decode(codec::encode(&frame, &payload)).unwrap();
+        prop_assert_eq!(decoded, frame);
+        prop_assert!(rest == payload);
+    }
+}
+
+fn hello(keys: &Keys, challenge: &ChallengeFrame) -> HelloFrame {
+    let mut hello = HelloFrame {
+        instance: "entry-1".to_owned(),
+        incarnation: 5,
+        link_epoch: 2,
+        proof_hex: String::new(),
+    };
+    hello.proof_hex = keys.prove(challenge, &hello);
+    hello
+}
+
+#[test]
+fn a_proof_holds_for_its_challenge_and_claims_alone_and_keys_change_without_a_stop() {
+    let old = Keys::parse("old").unwrap();
+    let both = Keys::parse("new, old").unwrap();
+    let new = Keys::parse("new").unwrap();
+    let challenge = |nonce: &str| ChallengeFrame {
+        nonce_hex: nonce.to_owned(),
+        instance: "hints-1".to_owned(),
+        incarnation: 9,
+    };
+    let proved = hello(&old, &challenge("aa"));
+    assert!(old.accepts(&challenge("aa"), &proved));
+    assert!(both.accepts(&challenge("aa"), &proved));
+    assert!(!new.accepts(&challenge("aa"), &proved), "another key");
+    assert!(!old.accepts(&challenge("bb"), &proved), "a proof that was used before");
+    let claims = HelloFrame { instance: "entry-2".to_owned(), ..proved.clone() };
+    assert!(!old.accepts(&challenge("aa"), &claims), "another's name");
+    let nonsense = HelloFrame { proof_hex: "zz".to_owned(), ..proved };
+    assert!(!old.accepts(&challenge("aa"), &nonsense));
+    assert!(both.accepts(&challenge("aa"), &hello(&both, &challenge("aa"))));
+    assert!(Keys::parse(" , ").is_none());
+    assert!(!format!("{both:?}").contains("old"), "keys are not shown");
+}
