Process tests: no more hang; settings files told apart, set-up waits for both workers

Ruled out: the change of the links beside it, by running the test alone and reading the hung processes' stacks.

Change: file names carry the platform's port; the account has a high limit; both workers must have answered first; a call that ends before it started fails the test, in place of being waited for. Assertions stay.

Seen by it, not mended here: a gateway sends requests to a sidecar that is linked but has no configuration yet.

--- a/crates/hooktrestled/tests/processes.rs
+++ b/crates/hooktrestled/tests/processes.rs
@@ -49,7 +49,9 @@
          poll_ms = 100\n[links]\nkeys = process-key\nheartbeat_ms = 50\n\
          [gateway]\nkeep_endpoints_ms = 200\n{more}"
     );
-    let file = format!("hooktrestled-{}-{name}.ini", std::process::id());
+    // Tests of this program run at once: only the platform's port tells their files apart.
+    let port = url.rsplit(':').next().unwrap_or_default();
+    let file = format!("hooktrestled-{}-{port}-{name}.ini", std::process::id());
     let settings = std::env::temp_dir().join(file);
     fs::write(&settings, text).unwrap();
     let mut child = Command::new(env!("CARGO_BIN_EXE_hooktrestled"))
@@ -89,7 +91,11 @@
     let mut rows = vec![
         ("data_centre:dar-1".to_owned(), json!({ "region": "dar" })),
         ("service:hints".to_owned(), json!({ "kind": "model" })),
-        ("account:solver".to_owned(), json!({ "key_sha256_hex": key_sha256_hex(KEY) })),
+        // Calls are repeated until the daemons have found each other, and each counts.
+        (
+            "account:solver".to_owned(),
+            json!({ "key_sha256_hex": key_sha256_hex(KEY), "limit_requests_per_s": 1_000_000 }),
+        ),
     ];
     for name in engines {
         let row = json!({ "service": "hints", "data_centre": "dar-1" });
@@ -141,18 +147,22 @@
     let gateway = start(&fleet, "entry-1", "gateway", "");
     hints(&fleet, &["hints-1", "hints-2"]).await;
     let caller = Caller::new(&format!("http://{}", gateway.address), KEY).unwrap();
-    first_answer(&caller).await;
-    let calls: Vec<_> = (0..20)
+    // Both workers: one whose sidecar has no configuration yet refuses what it is sent.
+    while [&one, &two].iter().any(|engine| engine.ledger.entry("warm-up").finished == 0) {
+        first_answer(&caller).await;
+    }
+    let mut calls: Vec<_> = (0..20)
         .map(|number| {
             let call = caller.chat("hints", &format!("long-{number}"), 300, true);
             tokio::spawn(finish(call))
         })
         .collect();
-    for number in 0..20 {
+    for (number, call) in calls.iter_mut().enumerate() {
         let marker = format!("long-{number}");
         tokio::select! {
             () = one.ledger.wait(&marker, |entry| entry.started > 0) => {}
             () = two.ledger.wait(&marker, |entry| entry.started > 0) => {}
+            ended = call => panic!("ended before it started: {ended:?}"),
         }
     }
     let terminated = Command::new("kill").arg(leaving.child.id().to_string()).status().unwrap();
