Links follow the instance list itself, not its length; three repeats merged

Cause, found on reading: the router looked again at its subsets when the number of gateways changed. An instance that was replaced left the number as it was, so the gateway that came into its place was given to callers and had no links: their first requests were refused. And each request hashed all gateways' names twice, to ask whether the service is this gateway's and how many share an account's limits.

Change: the list that the links follow is kept and compared; which services are ours is worked out once for each list and configuration. Admission needs a count only. One place each now for an instance's address, the version in force, and its figure.

--- /dev/null
+++ b/crates/embedded/tests/subsets.rs
@@ -0,0 +1,67 @@
+//! Links follow the instance list, also where one gateway takes another's place.
+
+use std::time::Duration;
+
+use hooktrestle_core::subset;
+use hooktrestle_embedded::Fleet;
+use hooktrestle_fakes::engine::Behaviour;
+use hooktrestle_schema::Instance;
+use hooktrestle_schema::InstanceRole;
+use hooktrestle_schema::InstanceState;
+use serde_json::json;
+
+fn is_given(gateways: &[String]) -> bool {
+    let instances: Vec<subset::Instance<'_>> =
+        gateways.iter().map(|name| subset::Instance { name, is_near: false }).collect();
+    let chosen = subset::choose("hints", &instances, subset::GATEWAYS_FOR_SERVICE);
+    chosen.into_iter().any(|index| gateways[index] == "entry-1")
+}
+
+fn list(fleet: &Fleet, name: &str) {
+    fleet.fake.list_instance(Instance {
+        name: name.to_owned(),
+        data_centre: "dar-1".to_owned(),
+        role: InstanceRole::Gateway,
+        address: "127.0.0.1:1".to_owned(),
+        state: InstanceState::Live,
+    });
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gateway_links_once_it_is_given_to_callers_though_the_list_is_as_long_as_before() {
+    // `entry-1` and just as many that come before it, by their scores, as are given out.
+    let own = || "entry-1".to_owned();
+    let ahead: Vec<String> = (0..)
+        .map(|number| format!("other-{number}"))
+        .filter(|name| !is_ahead(name))
+        .take(subset::GATEWAYS_FOR_SERVICE)
+        .collect();
+    let behind = (0..).map(|number| format!("late-{number}")).find(|name| is_ahead(name)).unwrap();
+    let all: Vec<String> = ahead.iter().cloned().chain([own()]).collect();
+    assert!(!is_given(&all));
+    let mut fleet = Fleet::start().await.unwrap();
+    ahead.iter().for_each(|name| list(&fleet, name));
+    fleet.add_gateway("entry-1", "dar-1").await.unwrap();
+    fleet.add_engine("hints-1", "dar-1", Behaviour::default()).await.unwrap();
+    fleet
+        .edit(&[
+            ("data_centre:dar-1", json!({ "region": "dar" })),
+            ("service:hints", json!({ "kind": "model" })),
+            ("backend_server:hints-1", json!({ "service": "hints", "data_centre": "dar-1" })),
+        ])
+        .await
+        .unwrap();
+    fleet.wait_in_force(|config| config.servers.len() == 1).await;
+    list(&fleet, &behind);
+    fleet.fake.remove_instance(&ahead[0]);
+    let linked = fleet.wait_linked("hints", 1);
+    tokio::time::timeout(Duration::from_secs(30), linked).await.expect("a link is opened");
+}
+
+/// Whether `entry-1` comes before this name when callers of `hints` are given gateways.
+fn is_ahead(name: &str) -> bool {
+    let pair = ["entry-1".to_owned(), name.to_owned()];
+    let instances: Vec<subset::Instance<'_>> =
+        pair.iter().map(|name| subset::Instance { name, is_near: false }).collect();
+    subset::choose("hints", &instances, 1) == [0]
+}
--- a/crates/hooktrestled/src/admin.rs
+++ b/crates/hooktrestled/src/admin.rs
@@ -30,6 +30,17 @@
     pub(crate) value: i64,
 }
 
+impl Figure {
+    /// The version in force; 0 before the first.
+    pub(crate) fn config_version(version: Option<u64>) -> Figure {
+        Figure {
+            name: "config_version",
+            help: "Version of the configuration in force here",
+            value: version.and_then(|version| version.try_into().ok()).unwrap_or(0),
+        }
+    }
+}
+
 /// What a process says of itself now.
 #[derive(Clone, Debug)]
 pub(crate) struct Observed {
--- a/crates/hooktrestled/src/config_keeper.rs
+++ b/crates/hooktrestled/src/config_keeper.rs
@@ -45,6 +45,11 @@
 /// The configuration in force here; `None` until the first is known.
 pub type Watch = watch::Receiver<Option<InForce>>;
 
+/// The version in force; `None` before the first.
+pub(crate) fn version(watch: &Watch) -> Option<u64> {
+    watch.borrow().as_ref().map(|in_force| in_force.config.version)
+}
+
 /// The actor.
 #[derive(Debug, xtra::Actor)]
 pub struct ConfigKeeper {
--- a/crates/hooktrestled/src/directory.rs
+++ b/crates/hooktrestled/src/directory.rs
@@ -1,6 +1,7 @@
 //! The platform's instance list, polled. It lags; what an instance says of itself goes before it.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -26,6 +27,11 @@
     list.values().filter(is_live).count()
 }
 
+/// Where an instance listens, as the list says.
+pub(crate) fn address(watch: &Watch, name: &str) -> Option<SocketAddr> {
+    watch.borrow().get(name)?.address.parse().ok()
+}
+
 /// Starts polling; it ends when nobody watches any more.
 pub fn start(platform: Platform, poll: Duration) -> Watch {
     let (published, watch) = watch::channel(Arc::default());
--- a/crates/hooktrestled/src/gateway.rs
+++ b/crates/hooktrestled/src/gateway.rs
@@ -68,14 +68,10 @@
 
 impl Observe for Shared {
     async fn observe(&self) -> Observed {
-        let version = self.config.borrow().as_ref().map(|now| now.config.version);
+        let version = config_keeper::version(&self.config);
         let open = *self.open.borrow();
         let figures = vec![
-            Figure {
-                name: "config_version",
-                help: "Version of the configuration in force here",
-                value: version.and_then(|version| version.try_into().ok()).unwrap_or(0),
-            },
+            Figure::config_version(version),
             Figure {
                 name: "open_requests",
                 help: "Requests in flight",
--- a/crates/hooktrestled/src/gateway/drive.rs
+++ b/crates/hooktrestled/src/gateway/drive.rs
@@ -13,6 +13,7 @@
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::id::RequestId;
 use hooktrestle_core::retry::RetryBudget;
+use hooktrestle_core::subset;
 use hooktrestle_core::util::arena::Key;
 use hooktrestle_core::util::hash;
 use hooktrestle_core::verdict::Refusal;
@@ -33,11 +34,11 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+use crate::directory;
 use crate::gateway::Shared;
 use crate::gateway::body;
 use crate::gateway::body::Body;
 use crate::gateway::body::BodyError;
-use crate::gateway::endpoints;
 use crate::gateway::links::Event;
 use crate::gateway::links::Handle;
 use crate::gateway::router::Choice;
@@ -140,10 +141,8 @@
 impl OpenGuard {
     /// Admits a request within its account's limits.
     fn admit(shared: &Shared, incoming: &Incoming) -> Result<OpenGuard, Refusal> {
-        let gateways = {
-            let directory = shared.directory.borrow();
-            endpoints::for_service(&directory, &incoming.service).len()
-        };
+        let live = directory::gateways(&shared.directory.borrow());
+        let gateways = live.min(subset::GATEWAYS_FOR_SERVICE);
         let account = hash::of(&incoming.account);
         let (now, cost) = (shared.clock.now(), incoming.cost_tokens);
         let mut limiter = shared.limiter.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/hooktrestled/src/gateway/http.rs
+++ b/crates/hooktrestled/src/gateway/http.rs
@@ -36,6 +36,7 @@
 use warp::Reply;
 use warp::reply::Response;
 
+use crate::config_keeper;
 use crate::config_keeper::InForce;
 use crate::gateway::Shared;
 use crate::gateway::body::Body;
@@ -136,7 +137,7 @@
 
 /// What operators' tools ask; it names no account and no request.
 fn status(shared: &Shared) -> Response {
-    let version = shared.config.borrow().as_ref().map(|now| now.config.version);
+    let version = config_keeper::version(&shared.config);
     let answer = StatusAnswer {
         instance: shared.identity.instance.clone(),
         data_centre: shared.data_centre.to_string(),
--- a/crates/hooktrestled/src/gateway/links.rs
+++ b/crates/hooktrestled/src/gateway/links.rs
@@ -1,7 +1,6 @@
 //! Keeps one link to each sidecar open, and hands each frame to the request that it is for.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -128,7 +127,7 @@
     let mut backoff = FIRST_BACKOFF;
     while router.is_connected() {
         epoch += 1;
-        let opened = match address(&context, &name) {
+        let opened = match directory::address(&context.directory, &name) {
             Some(address) => {
                 hooktrestle_link::dial(&context.link, &context.identity, address, epoch).await
             }
@@ -155,10 +154,6 @@
     }
 }
 
-fn address(context: &Context, name: &str) -> Option<SocketAddr> {
-    context.directory.borrow().get(name)?.address.parse().ok()
-}
-
 /// Waits out the backoff, or until the instance list changes.
 async fn wait_for_news(context: &Context, backoff: Duration) {
     let mut directory = context.directory.clone();
@@ -198,7 +193,7 @@
 
 async fn beat(context: Context, sender: Sender) {
     loop {
-        let version = context.config.borrow().as_ref().map_or(0, |now| now.config.version);
+        let version = config_keeper::version(&context.config).unwrap_or(0);
         let beat = Frame::Heartbeat(HeartbeatFrame { config_version: version });
         if sender.send(&beat, &[]).await.is_err() {
             return;
--- a/crates/hooktrestled/src/gateway/router.rs
+++ b/crates/hooktrestled/src/gateway/router.rs
@@ -1,5 +1,6 @@
 //! The actor that chooses backend servers and keeps the links' state.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -12,9 +13,9 @@
 use hooktrestle_core::routing::Candidate;
 use hooktrestle_core::routing::Report;
 use hooktrestle_core::subset;
-use hooktrestle_core::subset::Instance;
 use hooktrestle_core::util::arena::Arena;
 use hooktrestle_core::util::arena::Key;
+use hooktrestle_schema::Instance;
 use hooktrestle_schema::LoadFrame;
 use tokio::sync::watch;
 use xtra::Address;
@@ -23,7 +24,6 @@
 use xtra::Mailbox;
 use xtra::WeakAddress;
 
-use crate::directory;
 use crate::gateway::endpoints;
 use crate::gateway::links;
 use crate::gateway::links::Handle;
@@ -44,8 +44,11 @@
     context: links::Context,
     servers: Arena<Server>,
     by_name: HashMap<String, Key<Server>>,
-    /// Version of the configuration, and gateways in the list, that the links follow.
-    followed: (u64, usize),
+    /// Version of the configuration, and the instance list, that the links follow; `None` when they
+    /// have to be looked at again.
+    followed: Option<(u64, Arc<BTreeMap<String, Instance>>)>,
+    /// Services whose callers are given this gateway, by that list.
+    ours: BTreeSet<String>,
     /// Services that callers have asked for here although they are given other gateways.
     asked_for: BTreeSet<String>,
     linked: watch::Sender<u64>,
@@ -111,7 +114,8 @@
         context: context.clone(),
         servers: Arena::default(),
         by_name: HashMap::new(),
-        followed: (0, 0),
+        followed: None,
+        ours: BTreeSet::new(),
         asked_for: BTreeSet::new(),
         linked: watch::Sender::new(0),
         address: Some(address.downgrade()),
@@ -151,36 +155,47 @@
     /// Takes over weights and drains, and opens links to backend servers that are new.
     fn follow_config(&mut self) {
         let Some(config) = self.config() else { return };
-        let list = directory::gateways(&self.context.directory.borrow());
-        if (config.version, list) == self.followed {
+        let list = self.context.directory.borrow().clone();
+        if let Some((version, followed)) = &self.followed
+            && *version == config.version
+            && Arc::ptr_eq(followed, &list)
+        {
             return;
         }
-        self.followed = (config.version, list);
+        self.ours = self.given_to_callers(&config, &list);
+        self.followed = Some((config.version, list));
         for (_, server) in self.servers.iter_mut() {
             server.candidate.weight = 0;
         }
         for (_, service) in config.services.iter() {
-            if self.asked_for.contains(&service.name) || self.is_ours(&service.name) {
+            if self.asked_for.contains(&service.name) || self.ours.contains(&service.name) {
                 self.follow_service(&config, &service.servers);
             }
         }
     }
 
-    /// Whether callers of a service are given this gateway.
-    fn is_ours(&self, service: &str) -> bool {
+    /// The services whose callers are given this gateway.
+    fn given_to_callers(
+        &self,
+        config: &Config,
+        list: &BTreeMap<String, Instance>,
+    ) -> BTreeSet<String> {
         let own = &self.context.identity.instance;
-        let directory = self.context.directory.borrow().clone();
-        endpoints::for_service(&directory, service).iter().any(|instance| instance.name == *own)
+        let is_ours = |service: &str| {
+            endpoints::for_service(list, service).iter().any(|instance| instance.name == *own)
+        };
+        let names = config.services.iter().map(|(_, service)| &service.name);
+        names.filter(|name| is_ours(name)).cloned().collect()
     }
 
     fn follow_service(&mut self, config: &Config, members: &[Key<BackendServer>]) {
         let own_centre = &self.context.data_centre;
-        let instances: Vec<Instance<'_>> = members
+        let instances: Vec<subset::Instance<'_>> = members
             .iter()
             .map(|key| {
                 let record = &config.servers[*key];
                 let is_near = config.data_centres[record.data_centre].name == *own_centre;
-                Instance { name: &record.name, is_near }
+                subset::Instance { name: &record.name, is_near }
             })
             .collect();
         let subject = &self.context.identity.instance;
@@ -282,10 +297,12 @@
     type Return = Option<Choice>;
 
     async fn handle(&mut self, choose: Choose, _: &mut Context<Self>) -> Option<Choice> {
-        if !self.is_ours(&choose.service) && self.asked_for.insert(choose.service.to_string()) {
-            self.followed = (0, 0);
-        }
         self.follow_config();
+        let ours = self.ours.contains(&*choose.service);
+        if !ours && self.asked_for.insert(choose.service.to_string()) {
+            self.followed = None;
+            self.follow_config();
+        }
         let config = self.config()?;
         let service = config.service(&choose.service)?;
         let members = &config.services[service].servers;
--- a/crates/hooktrestled/src/sidecar.rs
+++ b/crates/hooktrestled/src/sidecar.rs
@@ -64,16 +64,12 @@
 
 impl Observe for Observer {
     async fn observe(&self) -> Observed {
-        let version = self.config.borrow().as_ref().map(|now| now.config.version);
+        let version = config_keeper::version(&self.config);
         let Ok(load) = self.desk.send(desk::ReadLoad).await else {
             return Observed { is_ready: false, figures: Vec::new() };
         };
         let figures = vec![
-            Figure {
-                name: "config_version",
-                help: "Version of the configuration in force here",
-                value: version.and_then(|version| version.try_into().ok()).unwrap_or(0),
-            },
+            Figure::config_version(version),
             Figure {
                 name: "queued_requests",
                 help: "Requests that wait for the backend server",
--- a/crates/hooktrestled/src/sidecar/group.rs
+++ b/crates/hooktrestled/src/sidecar/group.rs
@@ -8,7 +8,6 @@
 
 mod session;
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use eyre::Result;
@@ -264,8 +263,3 @@
     }
     Ok(Layout::from_ranks(experts, &columns))
 }
-
-/// Where a sidecar listens, as the instance list says.
-fn address(context: &Context, name: &str) -> Option<SocketAddr> {
-    context.directory.borrow().get(name)?.address.parse().ok()
-}
--- a/crates/hooktrestled/src/sidecar/group/session.rs
+++ b/crates/hooktrestled/src/sidecar/group/session.rs
@@ -25,8 +25,8 @@
 use tokio::time::Instant;
 use tokio::time::timeout;
 
+use crate::directory;
 use crate::sidecar::group::Context;
-use crate::sidecar::group::address;
 
 /// Wait for answers before the orders are given again.
 const REPEAT_AFTER: Duration = Duration::from_millis(200);
@@ -184,7 +184,7 @@
         {
             return Some(link.sender.clone());
         }
-        let address = address(context, &member.name)?;
+        let address = directory::address(&context.directory, &member.name)?;
         member.link_epoch += 1;
         let dialled =
             hooktrestle_link::dial(&context.link, &context.identity, address, member.link_epoch);
--- a/crates/hooktrestled/src/spread.rs
+++ b/crates/hooktrestled/src/spread.rs
@@ -51,7 +51,7 @@
 
     /// The peer has this version: asks for it, once, if it is newer.
     pub(crate) async fn heard(&mut self, version: u64) {
-        let have = self.in_force().map(|in_force| in_force.config.version);
+        let have = config_keeper::version(&self.config);
         let Some(have_version) = have else { return };
         if version <= have_version || version <= self.asked_for {
             return;
