Expert maps: switched by orders of one fenced leader, model checked

Change: core::direct::map_orders (prepare, hold, arm, go, in rounds), expert_plan (few copies that lower the peak), direct::maps (leader, counts, plans), platform/engine. Ruled out: guarding orders by the servers' count of taken orders: trials showed that it does not rise with map orders.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -9,11 +9,14 @@
 //! - [`pool`]: which backend server gets a request.
 //! - [`attempts`]: what follows an attempt: answer, another attempt, or a refusal.
 //! - [`budget`]: how many repeats failures may cost, over a sliding window.
+//! - [`expert_plan`], [`map_orders`]: which rank holds which expert, and how that is changed.
 //! - [`events`]: a stream of events, cut between events only.
 
 pub mod attempts;
 pub mod budget;
 pub mod events;
+pub mod expert_plan;
+pub mod map_orders;
 pub mod members;
 pub mod pool;
 pub mod replica;
--- /dev/null
+++ b/crates/core/src/direct/map_orders.rs
@@ -0,0 +1,504 @@
+//! A group's expert map changed by orders to its ranks, which do not compare maps.
+//!
+//! Every pass is made by all ranks together, and all must hold the same map in it. Orders may be
+//! lost, or carried out seconds later; a leader may die, or freeze and go on, at any point; a rank
+//! may be reborn, which opens the group in a new epoch with the first map and nothing pending.
+//!
+//! A switch goes: `prepare` everywhere, first at rank 0; `hold` a pass at rank 0; `arm` that pass
+//! everywhere; `go` at rank 0 once every rank has acknowledged its `arm`. Why two maps never meet:
+//!
+//! - While the hold stands, the pass does not begin, so a half-armed group makes no pass with it.
+//! - An order that got no answer is repeated as it was until it is acknowledged, and none goes with
+//!   another version or pass before that. So when the lost one comes late, its map is not the newest
+//!   any more, its pass has begun, or what it orders holds already. One case is left: a `hold` that
+//!   comes between `go` and the pass. So the leader watches until the pass has begun.
+//! - Each order carries the leader's fencing token. A new leader's first order that rank 0 accepts
+//!   while it is not armed shuts the old leader out: it can neither hold nor arm rank 0 any more, so
+//!   it never gets to `go`. If rank 0 is armed already, the new leader completes what the old one
+//!   began, to the same pass.
+//! - A switch is never called off where rank 0 is armed; elsewhere only after rank 0 has
+//!   accepted the new leader's map. The old hold is released only once every rank has.
+//!
+//! [`Switch`] goes in rounds: each asks every rank at most one thing, and takes what came back.
+//! `crates/core/tests/map_orders.rs` plays it against ranks that lose, delay and are reborn.
+
+use crate::clock::Millis;
+
+/// A rank as it reports itself; some hundred milliseconds old.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct RankReport {
+    /// Life of the group.
+    pub epoch: u64,
+    /// Whether the group makes passes.
+    pub open: bool,
+    /// Last pass that has begun.
+    pub pass: u64,
+    /// Version of the map in use.
+    pub map: u64,
+    /// Version that is copied in.
+    pub prepared: Option<u64>,
+    /// Version that is armed, and the pass from which it holds.
+    pub armed: Option<(u64, u64)>,
+    /// Pass that does not begin until it is released.
+    pub held: Option<u64>,
+}
+
+/// What a rank is ordered.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum Order {
+    /// Copy the switch's map in, under this version.
+    Prepare {
+        /// Version of the map.
+        version: u64,
+    },
+    /// Use a map from a pass on.
+    Arm {
+        /// Version of the map.
+        version: u64,
+        /// The pass.
+        pass: u64,
+    },
+    /// Do not use it after all.
+    Disarm {
+        /// Version of the map.
+        version: u64,
+    },
+    /// Do not begin a pass.
+    Hold {
+        /// The pass.
+        pass: u64,
+    },
+    /// Begin it.
+    Go {
+        /// The pass.
+        pass: u64,
+    },
+}
+
+/// An order with what guards it.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Guarded {
+    /// What is ordered.
+    pub order: Order,
+    /// The leader's fencing token.
+    pub fence: u64,
+    /// The group's life that it is meant for.
+    pub epoch: u64,
+}
+
+/// What a rank is asked in a round.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Ask {
+    /// Its report.
+    Report,
+    /// To do something.
+    Order(Guarded),
+}
+
+/// What came back.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reply {
+    /// A report.
+    Report(RankReport),
+    /// The order was taken.
+    Taken,
+    /// What is ordered holds already.
+    Holds,
+    /// It does not fit the rank's state.
+    Conflict,
+    /// A higher fencing token was seen.
+    Fenced,
+    /// Nothing: it may have been taken, or may be taken later.
+    Nothing,
+}
+
+/// What comes next.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Next {
+    /// Ask these ranks, all at once.
+    Round(Vec<(usize, Ask)>),
+    /// Look again after a pause.
+    Pause(Millis),
+    /// The new map is in force from its pass on.
+    Switched,
+    /// The group is clean, but this map was not brought in: plan anew.
+    Dropped,
+    /// The group has another epoch or is not open: begin anew later.
+    Changed,
+    /// Another leader has a higher fencing token.
+    Deposed,
+}
+
+/// Times and bounds of a switch.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    /// Pause between two looks: longer than a report is old, so that what was taken before the
+    /// pause shows in the next report.
+    pub look: Millis,
+    /// How far ahead of the newest report a switch is set: the report's age, and the round trips
+    /// that follow, in passes.
+    pub lead_passes: u64,
+    /// Rounds without progress after which the group counts as changed.
+    pub most_idle_rounds: u32,
+}
+
+impl Default for Config {
+    /// Reports of the users' engines are 200 ms old, and their passes take 30 to 90 ms.
+    fn default() -> Self {
+        Config { look: Millis(260), lead_passes: 12, most_idle_rounds: 60 }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Rank {
+    /// The newest report.
+    report: Option<RankReport>,
+    /// Done with the present phase.
+    done: bool,
+    /// Its state is not clear: look first.
+    unclear: bool,
+    /// Version that has to be disarmed first.
+    armed_version: Option<u64>,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Phase {
+    /// Reports of all ranks.
+    Survey,
+    /// The map is brought to all ranks, rank 0 first.
+    Prepare,
+    /// Ranks copy.
+    Copy,
+    /// A pass is held at rank 0.
+    Hold,
+    /// All ranks are armed.
+    Arm,
+    /// The pass is released.
+    Go,
+    /// The pass begins.
+    Watch,
+    /// A predecessor's hold is released; the map is prepared everywhere.
+    Release,
+    /// The switch is over.
+    Over,
+}
+
+/// One switch of one group's map.
+#[derive(Clone, Debug)]
+pub struct Switch {
+    config: Config,
+    fence: u64,
+    phase: Phase,
+    ranks: Vec<Rank>,
+    epoch: Option<u64>,
+    version: u64,
+    pass: u64,
+    /// Whether what is completed is a predecessor's switch.
+    inherited: bool,
+    idle_rounds: u32,
+    /// Whether to pause before the next round: the last one changed nothing, or ranks copy.
+    pause: bool,
+    over: Option<Next>,
+}
+
+/// Versions that one leader can use before they could meet those of the next one.
+const VERSIONS_EACH: u64 = 1_024;
+
+impl Switch {
+    /// A switch of a group with so many ranks, by the leader with this fencing token.
+    pub fn new(config: Config, fence: u64, ranks: usize) -> Switch {
+        Switch {
+            config,
+            fence,
+            phase: Phase::Survey,
+            ranks: vec![Rank::default(); ranks],
+            epoch: None,
+            version: 0,
+            pass: 0,
+            inherited: false,
+            idle_rounds: 0,
+            pause: false,
+            over: None,
+        }
+    }
+
+    /// The group's life, once it is known.
+    pub fn epoch(&self) -> Option<u64> {
+        self.epoch
+    }
+
+    /// Version of the map that is brought in, once it is known.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Whether no order of this switch was given yet, and it would begin with its own map.
+    pub fn is_before_orders(&self) -> bool {
+        self.phase == Phase::Prepare && !self.ranks.iter().any(|rank| rank.done)
+    }
+
+    /// The map version that the ranks used when they were surveyed, if all used the same.
+    pub fn surveyed_map(&self) -> Option<u64> {
+        let mut maps = self.ranks.iter().map(|rank| rank.report.map(|report| report.map));
+        let first = maps.next()??;
+        maps.all(|map| map == Some(first)).then_some(first)
+    }
+
+    /// What to do next.
+    pub fn next(&mut self) -> Next {
+        if let Some(over) = &self.over {
+            return over.clone();
+        }
+        if std::mem::take(&mut self.pause) {
+            return Next::Pause(self.config.look);
+        }
+        self.idle_rounds += 1;
+        if self.idle_rounds > self.config.most_idle_rounds {
+            self.end(Next::Changed);
+            return Next::Changed;
+        }
+        let asks: Vec<(usize, Ask)> = match self.phase {
+            Phase::Survey | Phase::Copy => self.looks(),
+            Phase::Prepare => self.prepares(),
+            Phase::Hold => self.at_first(Order::Hold { pass: self.pass }),
+            Phase::Arm => self.arms(),
+            Phase::Go | Phase::Release => self.at_first(Order::Go { pass: self.pass }),
+            Phase::Watch => vec![(0, Ask::Report)],
+            Phase::Over => Vec::new(),
+        };
+        Next::Round(asks)
+    }
+
+    /// Takes what came back from a round.
+    pub fn take(&mut self, replies: &[(usize, Ask, Reply)]) {
+        let done = self.done();
+        for (rank, ask, reply) in replies {
+            match (ask, reply) {
+                (_, Reply::Report(report)) => self.reported(*rank, *report),
+                (Ask::Order(guarded), reply) => self.answered(*rank, guarded.order, *reply),
+                (Ask::Report, _) => {}
+            }
+            if self.over.is_some() {
+                return;
+            }
+        }
+        let phase = self.phase;
+        let taken = replies.iter().any(|(_, _, reply)| *reply == Reply::Taken);
+        let progress = taken || self.done() > done;
+        self.advance();
+        let waits = matches!(self.phase, Phase::Copy | Phase::Watch);
+        self.pause = if self.phase == phase { !progress } else { waits };
+    }
+
+    fn done(&self) -> usize {
+        self.ranks.iter().filter(|rank| rank.done).count()
+    }
+
+    fn looks(&self) -> Vec<(usize, Ask)> {
+        let open = self.ranks.iter().enumerate().filter(|(_, rank)| !rank.done);
+        open.map(|(index, _)| (index, Ask::Report)).collect()
+    }
+
+    /// Rank 0 alone until it has accepted: see the module.
+    fn prepares(&self) -> Vec<(usize, Ask)> {
+        let first_only = !self.ranks[0].done;
+        let open = self.ranks.iter().enumerate().filter(|(_, rank)| !rank.done);
+        let open = open.filter(|(index, _)| !first_only || *index == 0);
+        open.map(|(index, rank)| {
+            let order = match rank.armed_version {
+                Some(version) => Order::Disarm { version },
+                None => Order::Prepare { version: self.version },
+            };
+            (index, if rank.unclear { Ask::Report } else { self.guarded(order) })
+        })
+        .collect()
+    }
+
+    fn arms(&self) -> Vec<(usize, Ask)> {
+        // Rank 0 first where a predecessor may still be at work: it is shut out there.
+        let first_only = self.inherited && !self.ranks[0].done;
+        let order = Order::Arm { version: self.version, pass: self.pass };
+        let open = self.ranks.iter().enumerate().filter(|(_, rank)| !rank.done);
+        let open = open.filter(|(index, _)| !first_only || *index == 0);
+        open.map(|(index, rank)| {
+            (index, if rank.unclear { Ask::Report } else { self.guarded(order) })
+        })
+        .collect()
+    }
+
+    fn at_first(&self, order: Order) -> Vec<(usize, Ask)> {
+        let ask = if self.ranks[0].unclear { Ask::Report } else { self.guarded(order) };
+        vec![(0, ask)]
+    }
+
+    fn guarded(&self, order: Order) -> Ask {
+        let epoch = self.epoch.unwrap_or_default();
+        Ask::Order(Guarded { order, fence: self.fence, epoch })
+    }
+
+    fn reported(&mut self, index: usize, report: RankReport) {
+        if !report.open || self.epoch.is_some_and(|epoch| epoch != report.epoch) {
+            return self.end(Next::Changed);
+        }
+        self.epoch = Some(report.epoch);
+        let rank = &mut self.ranks[index];
+        rank.report = Some(report);
+        rank.unclear = false;
+        let armed_here = (self.version, self.pass);
+        match self.phase {
+            Phase::Survey => rank.done = true,
+            Phase::Prepare => {
+                rank.done = report.prepared == Some(self.version);
+                rank.armed_version = report.armed.map(|(version, _)| version);
+                if index == 0 && rank.armed_version.is_some() {
+                    // A predecessor armed it: complete that.
+                    self.restart();
+                }
+            }
+            Phase::Copy => rank.done = report.prepared == Some(self.version),
+            Phase::Arm if report.armed == Some(armed_here) => rank.done = true,
+            // The pass has begun, so its hold was released: all ranks had been armed by then.
+            Phase::Arm if report.pass >= self.pass => self.restart(),
+            // Another leader has replaced what was to be completed.
+            Phase::Arm if self.inherited && report.prepared != Some(self.version) => {
+                self.restart();
+            }
+            Phase::Arm => {}
+            Phase::Hold => self.seen_hold(report.held),
+            Phase::Go | Phase::Release => rank.done = report.held != Some(self.pass),
+            Phase::Watch if report.held == Some(self.pass) => self.enter(Phase::Go),
+            Phase::Watch => rank.done = report.pass >= self.pass,
+            Phase::Over => {}
+        }
+    }
+
+    fn seen_hold(&mut self, held: Option<u64>) {
+        match held {
+            Some(pass) if pass == self.pass => self.ranks[0].done = true,
+            // Whoever holds another pass comes first.
+            Some(_) => self.restart(),
+            None => self.set_pass(),
+        }
+    }
+
+    fn answered(&mut self, index: usize, order: Order, reply: Reply) {
+        let rank = &mut self.ranks[index];
+        match reply {
+            Reply::Fenced => self.end(Next::Deposed),
+            Reply::Taken | Reply::Holds => {
+                self.idle_rounds = 0;
+                match order {
+                    Order::Disarm { .. } => rank.armed_version = None,
+                    _ => rank.done = true,
+                }
+            }
+            Reply::Conflict => rank.unclear = true,
+            Reply::Nothing | Reply::Report(_) => {}
+        }
+    }
+
+    fn advance(&mut self) {
+        let all = self.ranks.iter().all(|rank| rank.done);
+        let first = self.ranks[0].done;
+        match self.phase {
+            Phase::Survey if all => self.surveyed(),
+            Phase::Prepare if all => self.enter(Phase::Copy),
+            Phase::Copy if all => self.copied(),
+            Phase::Hold if first => self.enter(Phase::Arm),
+            Phase::Arm if all => self.enter(Phase::Go),
+            Phase::Go if first => self.enter(Phase::Watch),
+            Phase::Watch if first => {
+                let done = if self.inherited { Next::Dropped } else { Next::Switched };
+                self.end(done);
+            }
+            // What a predecessor held is released; now the own switch goes on.
+            Phase::Release if first => {
+                self.set_pass();
+                self.enter(Phase::Hold);
+            }
+            _ => {}
+        }
+    }
+
+    fn surveyed(&mut self) {
+        let reports = || self.ranks.iter().filter_map(|rank| rank.report);
+        let known = reports().flat_map(|report| {
+            [Some(report.map), report.prepared, report.armed.map(|(version, _)| version)]
+        });
+        let newest = known.flatten().max().unwrap_or_default();
+        let held = self.ranks[0].report.and_then(|report| report.held);
+        let armed = reports().find_map(|report| report.armed);
+        let prepared: Vec<Option<u64>> = reports()
+            .map(|report| report.armed.map(|(version, _)| version).or(report.prepared))
+            .collect();
+        let same = prepared.first().copied().flatten();
+        let complete = same.filter(|_| prepared.iter().all(|version| *version == same));
+        match (held, armed, complete) {
+            (None, None, _) => {
+                self.version = self.fresh_version(newest);
+                self.enter(Phase::Prepare);
+            }
+            // Released by a predecessor: it takes effect with the next passes.
+            (None, Some(_), _) => self.restart(),
+            // All ranks have what a predecessor began to arm: complete it. Where none is armed, the
+            // hold may be one that another leader is about to release.
+            (Some(pass), Some(armed), Some(version)) if armed == (version, pass) => {
+                (self.pass, self.version, self.inherited) = (pass, version, true);
+                self.enter(Phase::Arm);
+            }
+            // The own map replaces what was begun, then the hold is released.
+            (Some(_), _, _) => {
+                self.version = self.fresh_version(newest);
+                self.enter(Phase::Prepare);
+            }
+        }
+    }
+
+    /// A version above all that a rank can have had: those of leaders before this one are lower,
+    /// and its own count up.
+    fn fresh_version(&self, newest: u64) -> u64 {
+        (newest + 1).max(self.fence.saturating_mul(VERSIONS_EACH))
+    }
+
+    fn copied(&mut self) {
+        // These reports show the rank after it accepted the map, so a predecessor's hold shows too.
+        match self.ranks[0].report.and_then(|report| report.held) {
+            Some(pass) => {
+                self.pass = pass;
+                self.enter(Phase::Release);
+            }
+            None => {
+                self.set_pass();
+                self.enter(Phase::Hold);
+            }
+        }
+    }
+
+    fn set_pass(&mut self) {
+        let newest = self.ranks.iter().filter_map(|rank| rank.report.map(|report| report.pass));
+        self.pass = newest.max().unwrap_or_default() + self.config.lead_passes;
+    }
+
+    fn enter(&mut self, phase: Phase) {
+        self.phase = phase;
+        self.idle_rounds = 0;
+        for rank in &mut self.ranks {
+            rank.done = false;
+            rank.unclear = false;
+            rank.armed_version = None;
+        }
+    }
+
+    /// Looks at all ranks anew.
+    fn restart(&mut self) {
+        let spent = self.idle_rounds;
+        self.enter(Phase::Survey);
+        self.idle_rounds = spent;
+        self.inherited = false;
+    }
+
+    fn end(&mut self, over: Next) {
+        self.phase = Phase::Over;
+        self.over = Some(over);
+    }
+}
--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -167,6 +167,15 @@
         found.into_iter().map(|member| member.callers_at).collect()
     }
 
+    /// Whether this gateway is the first by name of those that live and are ready.
+    pub fn is_first_ready(&self, now: Millis) -> bool {
+        let others = self
+            .others
+            .values()
+            .filter(|heard| self.lives(heard, now) && heard.member.readiness == Readiness::Ready);
+        others.map(|heard| &heard.member.name).all(|name| *name > self.own.name)
+    }
+
     /// Where the other gateways that live are told news.
     pub fn living_peers(&self, now: Millis) -> Vec<SocketAddr> {
         let living = self.others.values().filter(|heard| self.lives(heard, now));
--- a/crates/core/src/direct/pool.rs
+++ b/crates/core/src/direct/pool.rs
@@ -166,6 +166,12 @@
         open.map(|(_, server)| &server.listed)
     }
 
+    /// Servers of a service that may be given work.
+    pub fn open_of(&self, service: &str) -> Vec<Key<Server>> {
+        let Some(found) = self.services.get(service) else { return Vec::new() };
+        found.servers.iter().copied().filter(|key| self.servers[*key].is_open()).collect()
+    }
+
     /// Chooses a server of a service that is not in `tried`, and counts its turn. `cost` is the
     /// work of the request over that of a usual one. Servers that rest are chosen only if no other
     /// is left.
--- /dev/null
+++ b/crates/core/tests/map_orders.rs
@@ -0,0 +1,360 @@
+//! Switches of expert maps against ranks that lose orders, carry them out late and are reborn, and
+//! leaders that die, freeze and meet their successors.
+//!
+//! Each schedule is drawn from a seed. In every pass all ranks must use one map, and once faults
+//! end, no group stays held.
+
+use hooktrestle_core::direct::map_orders::Ask;
+use hooktrestle_core::direct::map_orders::Config;
+use hooktrestle_core::direct::map_orders::Guarded;
+use hooktrestle_core::direct::map_orders::Next;
+use hooktrestle_core::direct::map_orders::Order;
+use hooktrestle_core::direct::map_orders::RankReport;
+use hooktrestle_core::direct::map_orders::Reply;
+use hooktrestle_core::direct::map_orders::Switch;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+/// Ticks that a report is late by, at most.
+const REPORT_LAG: usize = 3;
+
+/// Ticks that copying a map takes.
+const COPY_TICKS: u64 = 4;
+
+/// Ticks after which a late order is carried out, at most.
+const MOST_LATE: u64 = 60;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Rank {
+    report: RankReport,
+    fence: u64,
+    newest_version: u64,
+    copying: Option<(u64, u64)>,
+}
+
+/// A group that keeps to the published rules of orders.
+struct Group {
+    now: u64,
+    ranks: Vec<Rank>,
+    /// Reports of earlier ticks, the newest last.
+    history: Vec<Vec<RankReport>>,
+    late: Vec<(u64, usize, Guarded)>,
+    passes_with_two_maps: u64,
+    /// Whether the group has work, without which it makes no passes.
+    busy: bool,
+    checks_fences: bool,
+}
+
+impl Group {
+    fn new(ranks: usize) -> Group {
+        let report = RankReport { epoch: 1, open: true, ..RankReport::default() };
+        let rank = Rank { report, ..Rank::default() };
+        Group {
+            now: 0,
+            ranks: vec![rank; ranks],
+            history: vec![vec![report; ranks]],
+            late: Vec::new(),
+            passes_with_two_maps: 0,
+            busy: true,
+            checks_fences: true,
+        }
+    }
+
+    fn order(&mut self, index: usize, guarded: Guarded) -> Reply {
+        let (now, checks_fences) = (self.now, self.checks_fences);
+        let rank = &mut self.ranks[index];
+        if guarded.epoch != rank.report.epoch {
+            return Reply::Conflict;
+        }
+        if checks_fences && guarded.fence < rank.fence {
+            return Reply::Fenced;
+        }
+        let report = &mut rank.report;
+        let fits = match guarded.order {
+            Order::Prepare { version } => {
+                let fits = report.armed.is_none() && version > rank.newest_version;
+                if fits {
+                    rank.newest_version = version;
+                    report.prepared = None;
+                    rank.copying = Some((version, now + COPY_TICKS));
+                }
+                fits
+            }
+            Order::Arm { version, pass } => {
+                if report.armed == Some((version, pass)) {
+                    return Reply::Holds;
+                }
+                let fits = report.prepared == Some(version) && pass > report.pass;
+                if fits {
+                    report.armed = Some((version, pass));
+                }
+                fits
+            }
+            Order::Disarm { version } => {
+                let fits = report.armed.is_some_and(|(armed, _)| armed == version);
+                if fits {
+                    report.armed = None;
+                }
+                fits
+            }
+            Order::Hold { pass } => {
+                let fits = report.held.is_none() && pass > report.pass;
+                if fits {
+                    report.held = Some(pass);
+                }
+                fits
+            }
+            Order::Go { pass } => {
+                let fits = report.held == Some(pass);
+                if fits {
+                    report.held = None;
+                }
+                fits
+            }
+        };
+        if !fits {
+            return Reply::Conflict;
+        }
+        rank.fence = rank.fence.max(guarded.fence);
+        Reply::Taken
+    }
+
+    fn tick(&mut self) {
+        self.now += 1;
+        let now = self.now;
+        let due: Vec<(u64, usize, Guarded)> =
+            self.late.iter().copied().filter(|(at, _, _)| *at <= now).collect();
+        self.late.retain(|(at, _, _)| *at > now);
+        for (_, index, guarded) in due {
+            self.order(index, guarded);
+        }
+        for rank in &mut self.ranks {
+            if let Some((version, at)) = rank.copying
+                && at <= now
+            {
+                rank.copying = None;
+                rank.report.prepared = Some(version);
+            }
+        }
+        self.pass();
+        self.history.push(self.ranks.iter().map(|rank| rank.report).collect());
+    }
+
+    fn pass(&mut self) {
+        let next = self.ranks[0].report.pass + 1;
+        if !self.busy || self.ranks.iter().any(|rank| rank.report.held == Some(next)) {
+            return;
+        }
+        for rank in &mut self.ranks {
+            rank.report.pass = next;
+            if let Some((version, pass)) = rank.report.armed
+                && pass <= next
+            {
+                rank.report.map = version;
+                rank.report.armed = None;
+                rank.report.prepared = None;
+            }
+        }
+        let map = self.ranks[0].report.map;
+        if self.ranks.iter().any(|rank| rank.report.map != map) {
+            self.passes_with_two_maps += 1;
+        }
+    }
+
+    /// A rank dies; the group opens in a new epoch, with the first map and nothing pending.
+    fn reborn(&mut self) {
+        let epoch = self.ranks[0].report.epoch + 1;
+        let pass = self.ranks[0].report.pass;
+        for rank in &mut self.ranks {
+            let report = RankReport { epoch, open: true, pass, ..RankReport::default() };
+            *rank = Rank { report, ..Rank::default() };
+        }
+    }
+
+    fn report(&self, index: usize, lag: usize) -> RankReport {
+        let at = self.history.len().saturating_sub(1 + lag);
+        self.history[at][index]
+    }
+
+    fn is_clean(&self) -> bool {
+        let mut reports = self.ranks.iter().map(|rank| rank.report);
+        reports.all(|report| report.held.is_none())
+    }
+}
+
+/// How orders fare.
+#[derive(Clone, Copy)]
+struct Weather {
+    lost: f64,
+    unanswered: f64,
+    late: f64,
+    reborn: f64,
+    leader_dies: f64,
+    leader_freezes: f64,
+}
+
+const CALM: Weather = Weather {
+    lost: 0.0,
+    unanswered: 0.0,
+    late: 0.0,
+    reborn: 0.0,
+    leader_dies: 0.0,
+    leader_freezes: 0.0,
+};
+
+const STORM: Weather = Weather {
+    lost: 0.1,
+    unanswered: 0.1,
+    late: 0.25,
+    reborn: 0.004,
+    leader_dies: 0.02,
+    leader_freezes: 0.03,
+};
+
+fn ask(group: &mut Group, weather: Weather, index: usize, ask: Ask, rng: &mut ChaCha8Rng) -> Reply {
+    let guarded = match ask {
+        Ask::Report if rng.random_bool(weather.lost) => return Reply::Nothing,
+        Ask::Report => {
+            let lag = rng.random_range(0..=REPORT_LAG);
+            return Reply::Report(group.report(index, lag));
+        }
+        Ask::Order(guarded) => guarded,
+    };
+    if rng.random_bool(weather.lost) {
+        return Reply::Nothing;
+    }
+    if rng.random_bool(weather.late) {
+        let at = group.now + rng.random_range(1..=MOST_LATE);
+        group.late.push((at, index, guarded));
+        return Reply::Nothing;
+    }
+    let reply = group.order(index, guarded);
+    if rng.random_bool(weather.unanswered) { Reply::Nothing } else { reply }
+}
+
+/// A leader with a switch under way, part of whose round may be out.
+struct Leader {
+    switch: Switch,
+    fence: u64,
+    /// Asks of the present round that were not sent yet, and the replies so far.
+    round: Vec<(usize, Ask)>,
+    replies: Vec<(usize, Ask, Reply)>,
+    wakes: u64,
+    over: bool,
+}
+
+impl Leader {
+    fn new(fence: u64, ranks: usize) -> Leader {
+        Leader {
+            switch: Switch::new(config(), fence, ranks),
+            fence,
+            round: Vec::new(),
+            replies: Vec::new(),
+            wakes: 0,
+            over: false,
+        }
+    }
+
+    /// One order or one question; true when a switch was completed.
+    fn step(&mut self, group: &mut Group, weather: Weather, rng: &mut ChaCha8Rng) -> bool {
+        if self.over || self.wakes > group.now {
+            return false;
+        }
+        if rng.random_bool(weather.leader_freezes) {
+            self.wakes = group.now + rng.random_range(1..40);
+            return false;
+        }
+        if let Some((index, one)) = self.round.pop() {
+            let reply = ask(group, weather, index, one, rng);
+            self.replies.push((index, one, reply));
+            if self.round.is_empty() {
+                let replies = std::mem::take(&mut self.replies);
+                self.switch.take(&replies);
+            }
+            return false;
+        }
+        match self.switch.next() {
+            Next::Round(asks) => self.round = asks,
+            Next::Pause(_) => self.wakes = group.now + REPORT_LAG as u64 + 1,
+            Next::Deposed => self.over = true,
+            next => {
+                self.switch = Switch::new(config(), self.fence, group.ranks.len());
+                return next == Next::Switched;
+            }
+        }
+        false
+    }
+}
+
+fn config() -> Config {
+    Config { lead_passes: 6, ..Config::default() }
+}
+
+/// Plays one schedule; returns the switches that were completed.
+fn play(seed: u64, ranks: usize, weather: Weather, group: &mut Group) -> u32 {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut fence = 1;
+    let mut leaders = vec![Leader::new(fence, ranks)];
+    let mut switched = 0;
+    for tick in 0..600 {
+        let calm = tick >= 450;
+        let weather = if calm { CALM } else { weather };
+        if rng.random_bool(weather.reborn) {
+            group.reborn();
+        }
+        group.busy = calm || rng.random_bool(0.9);
+        let succeeded = rng.random_bool(weather.leader_dies) || tick == 450;
+        if succeeded {
+            fence += 1;
+            if rng.random_bool(0.5) {
+                // It died; otherwise it is only believed to be dead, and goes on.
+                leaders.clear();
+            }
+            leaders.push(Leader::new(fence, ranks));
+        }
+        for leader in &mut leaders {
+            for _ in 0..rng.random_range(1..=ranks + 1) {
+                switched += u32::from(leader.step(group, weather, &mut rng));
+            }
+        }
+        group.tick();
+        assert_eq!(group.passes_with_two_maps, 0, "seed {seed}: two maps in a pass, tick {tick}");
+    }
+    switched
+}
+
+#[test]
+fn a_calm_group_switches() {
+    let mut group = Group::new(4);
+    let switched = play(1, 4, CALM, &mut group);
+    assert!(switched >= 10, "{switched} switches in 600 ticks");
+    assert!(group.is_clean() || group.ranks[0].report.pass > 500);
+}
+
+#[test]
+fn no_pass_has_two_maps_and_no_group_stays_held() {
+    let mut total = 0;
+    for seed in 0..4_000 {
+        let ranks = 2 + (seed % 4) as usize;
+        let mut group = Group::new(ranks);
+        total += play(seed, ranks, STORM, &mut group);
+        let stuck = group.history.iter().rev().take(100).map(|reports| reports[0].pass);
+        let (newest, oldest) = (group.ranks[0].report.pass, stuck.last().unwrap());
+        assert!(newest > oldest, "seed {seed}: the group stands still after the storm");
+    }
+    assert!(total > 4_000, "{total} switches in 4,000 schedules: too few to show anything");
+}
+
+#[test]
+fn the_schedules_find_a_group_that_does_not_check_fences() {
+    let broken = (0..4_000).any(|seed| {
+        let played = std::panic::catch_unwind(|| {
+            let mut group = Group::new(3);
+            group.checks_fences = false;
+            play(seed, 3, STORM, &mut group)
+        });
+        played.is_err()
+    });
+    assert!(broken, "the schedules are too tame to tell whether fences matter");
+}
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -10,19 +10,22 @@
 //! 5. [`relay`] passes the answer on as it comes, and takes up a broken stream elsewhere.
 //!
 //! Beside it, [`follow`] keeps the tables of the platform up to date, [`peers`] exchanges them with
-//! other gateways, and [`endpoints`] tells callers which gateways there are. What the platform is
+//! other gateways, [`maps`] moves experts between the ranks of groups as demand changes, and
+//! [`endpoints`] tells callers which gateways there are. What the platform is
 //! like stands behind one trait, [`platform::Platform`].
 
 pub mod callers;
 pub mod connections;
 pub mod dial;
 pub mod endpoints;
+pub mod engine;
 pub mod exchange;
 pub mod follow;
 pub mod forward;
 pub mod gateway;
 pub mod headers;
 pub mod journal;
+pub mod maps;
 pub mod metrics;
 pub mod peers;
 pub mod platform;
--- a/crates/direct/src/platform.rs
+++ b/crates/direct/src/platform.rs
@@ -6,12 +6,17 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hooktrestle_core::direct::map_orders::Guarded;
+use hooktrestle_core::direct::map_orders::RankReport;
+use hooktrestle_core::direct::map_orders::Reply;
 use hooktrestle_core::direct::pool::Listed;
 use hooktrestle_core::direct::replica::Replica;
 use hooktrestle_core::direct::replica::Update;
 use hooktrestle_core::direct::serving::Serving;
 use http::HeaderName;
 use http::HeaderValue;
+use http::Method;
+use http::Uri;
 
 /// A table of the platform that every gateway follows.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -89,6 +94,43 @@
 
 impl std::error::Error for Malformed {}
 
+/// What an engine is asked beside requests.
+#[derive(Clone, Copy, Debug)]
+pub enum EngineAsk<'a> {
+    /// Its report.
+    Report,
+    /// How often each expert was chosen.
+    Counts,
+    /// Which experts its rank holds.
+    Experts,
+    /// To do something; the map goes with an order to prepare one: experts by set and rank.
+    Order(&'a Guarded, &'a [Vec<Vec<u16>>]),
+}
+
+/// An engine as it reports itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EngineReport {
+    /// Its group.
+    pub group: String,
+    /// Its place there.
+    pub rank: usize,
+    /// Ranks of the group.
+    pub size: usize,
+    /// The state of the rank.
+    pub state: RankReport,
+}
+
+/// How often each expert was chosen by a rank's requests.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Counts {
+    /// Life of the group.
+    pub epoch: u64,
+    /// Last pass that has begun.
+    pub pass: u64,
+    /// Set by set, since the rank's start.
+    pub counts: Vec<u64>,
+}
+
 /// Names of the headers that callers, gateways and backend servers agree on.
 #[derive(Clone, Debug)]
 pub struct HeaderNames {
@@ -139,6 +181,26 @@
         value: Option<&str>,
     ) -> impl Future<Output = Result<(), Failure>>;
 
+    /// Claims the lead of a service's expert maps, and returns a fencing token that is higher than
+    /// all before it.
+    fn claim_maps(&self, service: &str, holder: &str)
+    -> impl Future<Output = Result<u64, Failure>>;
+
+    /// How an engine is asked.
+    fn engine_ask(&self, ask: &EngineAsk<'_>) -> (Method, Uri, Bytes);
+
+    /// An engine's report; `None` if it belongs to no group.
+    fn engine_report(&self, body: &[u8]) -> Option<EngineReport>;
+
+    /// An engine's counts.
+    fn engine_counts(&self, body: &[u8]) -> Option<Counts>;
+
+    /// The version of a rank's map, and its experts set by set.
+    fn engine_experts(&self, body: &[u8]) -> Option<(u64, Vec<Vec<u16>>)>;
+
+    /// What the status of an answer to an order means.
+    fn engine_order_reply(&self, status: u16) -> Reply;
+
     /// The configuration that a replica of [`Table::Configuration`] holds, if any.
     ///
     /// # Errors
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -26,6 +26,7 @@
 use crate::endpoints::Question;
 use crate::follow;
 use crate::gateway::Gateway;
+use crate::maps;
 use crate::peers;
 use crate::peers::Peers;
 use crate::platform::Platform;
@@ -82,6 +83,7 @@
         tokio::task::spawn_local(follow::follow(gateway.clone(), table));
     }
     tokio::task::spawn_local(follow::keep_listed(gateway.clone()));
+    tokio::task::spawn_local(maps::run(gateway.clone()));
     let exchanging = peers.clone();
     let exchanger = gateway.clone();
     tokio::task::spawn_local(async move { exchanging.run(exchanger).await });
