Expert maps: shorter switches, fewer copies, demand followed ahead

Cause: a switch took 2.3 s of the 4 s for which demand stays the same; most of it was waiting for reports that are 200 ms old, and for copies (148 ms each, one rank after the other's limit). Change: after a switch of its own a leader looks at rank 0 only; a pass that has begun is tried again a little later at once; three copies a rank and switch, each has to gain 0.06 of the mean load; counts of one rank each 250 ms; two averages.

--- a/crates/core/src/direct/expert_plan.rs
+++ b/crates/core/src/direct/expert_plan.rs
@@ -20,14 +20,12 @@
 pub const MOST_RANKS: usize = 64;
 
 /// Bounds of a plan.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Limits {
-    /// Ranks of the group.
-    pub ranks: usize,
     /// Experts that a rank can hold.
     pub places: usize,
-    /// Experts that may be new to a rank.
-    pub new_at_rank: usize,
+    /// Experts that may be new to each rank.
+    pub new_at: Vec<usize>,
     /// Part of the mean load that one copy has to gain.
     pub price: f64,
 }
@@ -80,9 +78,9 @@
 /// If there is not one share for each expert, or more than [`MOST_RANKS`] ranks.
 pub fn plan(current: &[Holders], shares: &[f64], limits: &Limits) -> Vec<Holders> {
     assert_eq!(current.len(), shares.len(), "one share for each expert");
-    assert!(limits.ranks <= MOST_RANKS, "at most {MOST_RANKS} ranks");
+    assert!(limits.new_at.len() <= MOST_RANKS, "at most {MOST_RANKS} ranks");
     let mut search = Search::new(current, shares, limits);
-    let most_changes = limits.ranks * limits.new_at_rank.max(1);
+    let most_changes = 2 * limits.new_at.iter().sum::<usize>() + limits.new_at.len();
     for _ in 0..most_changes {
         let Some(change) = search.best() else { break };
         search.apply(change);
@@ -104,7 +102,7 @@
 
 impl<'a> Search<'a> {
     fn new(start: &'a [Holders], shares: &'a [f64], limits: &'a Limits) -> Search<'a> {
-        let ranks = limits.ranks;
+        let ranks = limits.new_at.len();
         let held = |rank: usize| start.iter().filter(|mask| *mask >> rank & 1 == 1).count();
         Search {
             start,
@@ -126,7 +124,7 @@
         }
         let before = norm(&self.loads);
         let slowest =
-            (0..self.limits.ranks).max_by(|a, b| self.loads[*a].total_cmp(&self.loads[*b]))?;
+            (0..self.loads.len()).max_by(|a, b| self.loads[*a].total_cmp(&self.loads[*b]))?;
         let mut best: Option<(f64, Change)> = None;
         for change in self.candidates(slowest) {
             let Some(copies) = self.allowed(&change) else { continue };
@@ -153,7 +151,7 @@
             if mask != bit {
                 found.push(Change { first: (expert, mask & !bit), second: None });
             }
-            for target in 0..self.limits.ranks {
+            for target in 0..self.loads.len() {
                 if mask >> target & 1 == 1 || self.loads[target] >= self.mean {
                     continue;
                 }
@@ -205,8 +203,8 @@
             let gained = mask & !self.holders[expert];
             let copied = gained & !self.start[expert];
             copies += copied.count_ones() as usize;
-            for rank in 0..self.limits.ranks {
-                if copied >> rank & 1 == 1 && self.new[rank] >= self.limits.new_at_rank {
+            for rank in 0..self.loads.len() {
+                if copied >> rank & 1 == 1 && self.new[rank] >= self.limits.new_at[rank] {
                     return None;
                 }
             }
@@ -242,7 +240,7 @@
         for (expert, mask) in change.parts() {
             let old = std::mem::replace(&mut self.holders[expert], mask);
             let start = self.start[expert];
-            for rank in 0..self.limits.ranks {
+            for rank in 0..self.loads.len() {
                 let at = |mask: Holders| usize::from(mask >> rank & 1 == 1);
                 self.used[rank] = self.used[rank] + at(mask) - at(old);
                 self.new[rank] = self.new[rank] + at(mask & !start) - at(old & !start);
--- a/crates/core/src/direct/map_orders.rs
+++ b/crates/core/src/direct/map_orders.rs
@@ -129,23 +129,48 @@
     Deposed,
 }
 
+/// What a leader knows of a group before a switch.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Start {
+    /// Nothing: all ranks are looked at first.
+    Unknown,
+    /// Its own last switch was completed, and this is what it brought in.
+    Settled {
+        /// Life of the group.
+        epoch: u64,
+        /// Version of the map in use.
+        version: u64,
+    },
+}
+
 /// Times and bounds of a switch.
 #[derive(Clone, Copy, Debug)]
 pub struct Config {
     /// Pause between two looks: longer than a report is old, so that what was taken before the
     /// pause shows in the next report.
     pub look: Millis,
-    /// How far ahead of the newest report a switch is set: the report's age, and the round trips
-    /// that follow, in passes.
+    /// How far ahead of the newest report a switch is set, in passes: the report's age. If the pass
+    /// has begun already, one that is later by half of this is tried at once. A pass that is held
+    /// for the round trips that follow costs less than one that is far ahead.
     pub lead_passes: u64,
+    /// Pause before an order is repeated that a rank was not ready for.
+    pub retry: Millis,
+    /// Conflicts of a phase after which ranks are looked at.
+    pub most_tries: u32,
     /// Rounds without progress after which the group counts as changed.
     pub most_idle_rounds: u32,
 }
 
 impl Default for Config {
-    /// Reports of the users' engines are 200 ms old, and their passes take 30 to 90 ms.
+    /// Reports of the users' engines are 200 ms old, and their passes take 35 to 90 ms.
     fn default() -> Self {
-        Config { look: Millis(260), lead_passes: 12, most_idle_rounds: 60 }
+        Config {
+            look: Millis(250),
+            lead_passes: 6,
+            retry: Millis(40),
+            most_tries: 12,
+            most_idle_rounds: 60,
+        }
     }
 }
 
@@ -196,8 +221,16 @@
     /// Whether what is completed is a predecessor's switch.
     inherited: bool,
     idle_rounds: u32,
-    /// Whether to pause before the next round: the last one changed nothing, or ranks copy.
-    pause: bool,
+    /// Conflicts that were to be expected, in this phase.
+    tries: u32,
+    /// How long the ranks copy.
+    copy: Millis,
+    /// Whether the group's state is the own last switch: most looks are left out then.
+    settled: bool,
+    /// Whether a hold was ordered more than once, so that a lost one may come late.
+    hold_repeated: bool,
+    /// How long to wait before the next round.
+    pause: Option<Millis>,
     over: Option<Next>,
 }
 
@@ -205,9 +238,10 @@
 const VERSIONS_EACH: u64 = 1_024;
 
 impl Switch {
-    /// A switch of a group with so many ranks, by the leader with this fencing token.
-    pub fn new(config: Config, fence: u64, ranks: usize) -> Switch {
-        Switch {
+    /// A switch of a group with so many ranks, by the leader with this fencing token. `copy` is how
+    /// long the rank with the most to copy is expected to take.
+    pub fn new(config: Config, fence: u64, ranks: usize, start: Start, copy: Millis) -> Switch {
+        let mut switch = Switch {
             config,
             fence,
             phase: Phase::Survey,
@@ -217,9 +251,20 @@
             pass: 0,
             inherited: false,
             idle_rounds: 0,
-            pause: false,
+            tries: 0,
+            copy,
+            settled: false,
+            hold_repeated: false,
+            pause: None,
             over: None,
+        };
+        if let Start::Settled { epoch, version } = start {
+            switch.epoch = Some(epoch);
+            switch.version = switch.fresh_version(version);
+            switch.settled = true;
+            switch.phase = Phase::Prepare;
         }
+        switch
     }
 
     /// The group's life, once it is known.
@@ -249,8 +294,13 @@
         if let Some(over) = &self.over {
             return over.clone();
         }
-        if std::mem::take(&mut self.pause) {
-            return Next::Pause(self.config.look);
+        if let Some(pause) = self.pause.take() {
+            return Next::Pause(pause);
+        }
+        if self.settled && self.phase == Phase::Copy {
+            // The ranks are done by now; one that is not refuses to be armed for a moment.
+            self.enter(Phase::Hold);
+            self.ranks[0].unclear = true;
         }
         self.idle_rounds += 1;
         if self.idle_rounds > self.config.most_idle_rounds {
@@ -271,7 +321,7 @@
 
     /// Takes what came back from a round.
     pub fn take(&mut self, replies: &[(usize, Ask, Reply)]) {
-        let done = self.done();
+        let (done, tries) = (self.done(), self.tries);
         for (rank, ask, reply) in replies {
             match (ask, reply) {
                 (_, Reply::Report(report)) => self.reported(*rank, *report),
@@ -283,11 +333,31 @@
             }
         }
         let phase = self.phase;
-        let taken = replies.iter().any(|(_, _, reply)| *reply == Reply::Taken);
-        let progress = taken || self.done() > done;
+        let progress = self.done() > done;
+        let conflict = replies.iter().any(|(_, _, reply)| *reply == Reply::Conflict);
         self.advance();
-        let waits = matches!(self.phase, Phase::Copy | Phase::Watch);
-        self.pause = if self.phase == phase { !progress } else { waits };
+        self.pause = if self.phase != phase {
+            self.pause_of_entry()
+        } else if self.tries > tries {
+            self.pause_of_try()
+        } else {
+            let looks = matches!(phase, Phase::Survey | Phase::Copy | Phase::Watch);
+            (conflict || (looks && !progress)).then_some(self.config.look)
+        };
+    }
+
+    fn pause_of_entry(&mut self) -> Option<Millis> {
+        match self.phase {
+            Phase::Copy if self.settled => Some(std::mem::take(&mut self.copy)),
+            Phase::Copy => Some(std::mem::take(&mut self.copy) + self.config.look),
+            Phase::Watch => Some(self.config.look),
+            _ => None,
+        }
+    }
+
+    /// A later pass is tried at once; a map that is armed is in force after some passes.
+    fn pause_of_try(&self) -> Option<Millis> {
+        (self.phase != Phase::Hold).then_some(self.config.retry)
     }
 
     fn done(&self) -> usize {
@@ -382,6 +452,7 @@
     }
 
     fn answered(&mut self, index: usize, order: Order, reply: Reply) {
+        let may_try_again = self.may_try_again();
         let rank = &mut self.ranks[index];
         match reply {
             Reply::Fenced => self.end(Next::Deposed),
@@ -392,11 +463,30 @@
                     _ => rank.done = true,
                 }
             }
+            Reply::Conflict if may_try_again => {
+                self.tries += 1;
+                self.idle_rounds = 0;
+                if self.phase == Phase::Hold {
+                    self.pass += self.config.lead_passes.div_ceil(2);
+                }
+            }
             Reply::Conflict => rank.unclear = true,
-            Reply::Nothing | Reply::Report(_) => {}
+            Reply::Nothing => self.hold_repeated |= self.phase == Phase::Hold,
+            Reply::Report(_) => {}
         }
     }
 
+    /// Whether a conflict is what is to be expected now and then: the pass had begun, the last map
+    /// is not in force yet, or a rank still copies.
+    fn may_try_again(&self) -> bool {
+        let expected = match self.phase {
+            Phase::Hold => true,
+            Phase::Prepare | Phase::Arm => self.settled,
+            _ => false,
+        };
+        expected && self.tries < self.config.most_tries
+    }
+
     fn advance(&mut self) {
         let all = self.ranks.iter().all(|rank| rank.done);
         let first = self.ranks[0].done;
@@ -406,6 +496,8 @@
             Phase::Copy if all => self.copied(),
             Phase::Hold if first => self.enter(Phase::Arm),
             Phase::Arm if all => self.enter(Phase::Go),
+            // Nothing is late that could hold the pass again.
+            Phase::Go if first && self.settled && !self.hold_repeated => self.end(Next::Switched),
             Phase::Go if first => self.enter(Phase::Watch),
             Phase::Watch if first => {
                 let done = if self.inherited { Next::Dropped } else { Next::Switched };
@@ -482,6 +574,7 @@
     fn enter(&mut self, phase: Phase) {
         self.phase = phase;
         self.idle_rounds = 0;
+        self.tries = 0;
         for rank in &mut self.ranks {
             rank.done = false;
             rank.unclear = false;
@@ -495,6 +588,7 @@
         self.enter(Phase::Survey);
         self.idle_rounds = spent;
         self.inherited = false;
+        self.settled = false;
     }
 
     fn end(&mut self, over: Next) {
--- a/crates/core/tests/map_orders.rs
+++ b/crates/core/tests/map_orders.rs
@@ -4,6 +4,7 @@
 //! Each schedule is drawn from a seed. In every pass all ranks must use one map, and once faults
 //! end, no group stays held.
 
+use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::map_orders::Ask;
 use hooktrestle_core::direct::map_orders::Config;
 use hooktrestle_core::direct::map_orders::Guarded;
@@ -11,6 +12,7 @@
 use hooktrestle_core::direct::map_orders::Order;
 use hooktrestle_core::direct::map_orders::RankReport;
 use hooktrestle_core::direct::map_orders::Reply;
+use hooktrestle_core::direct::map_orders::Start;
 use hooktrestle_core::direct::map_orders::Switch;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -247,7 +249,7 @@
 impl Leader {
     fn new(fence: u64, ranks: usize) -> Leader {
         Leader {
-            switch: Switch::new(config(), fence, ranks),
+            switch: Switch::new(config(), fence, ranks, Start::Unknown, Millis::ZERO),
             fence,
             round: Vec::new(),
             replies: Vec::new(),
@@ -279,7 +281,14 @@
             Next::Pause(_) => self.wakes = group.now + REPORT_LAG as u64 + 1,
             Next::Deposed => self.over = true,
             next => {
-                self.switch = Switch::new(config(), self.fence, group.ranks.len());
+                let start = match self.switch.epoch() {
+                    Some(epoch) if next == Next::Switched => {
+                        Start::Settled { epoch, version: self.switch.version() }
+                    }
+                    _ => Start::Unknown,
+                };
+                let ranks = group.ranks.len();
+                self.switch = Switch::new(config(), self.fence, ranks, start, Millis::ZERO);
                 return next == Next::Switched;
             }
         }
@@ -288,7 +297,7 @@
 }
 
 fn config() -> Config {
-    Config { lead_passes: 6, ..Config::default() }
+    Config { lead_passes: 4, ..Config::default() }
 }
 
 /// Plays one schedule; returns the switches that were completed.
@@ -340,7 +349,10 @@
         let mut group = Group::new(ranks);
         total += play(seed, ranks, STORM, &mut group);
         let before = group.history[group.history.len() - 100][0].pass;
-        assert!(group.ranks[0].report.pass > before, "seed {seed}: the group stands still after the storm");
+        assert!(
+            group.ranks[0].report.pass > before,
+            "seed {seed}: the group stands still after the storm"
+        );
     }
     assert!(total > 4_000, "{total} switches in 4,000 schedules: too few to show anything");
 }
--- a/crates/direct/src/maps.rs
+++ b/crates/direct/src/maps.rs
@@ -14,12 +14,14 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::expert_plan;
 use hooktrestle_core::direct::expert_plan::Holders;
 use hooktrestle_core::direct::map_orders;
 use hooktrestle_core::direct::map_orders::Ask;
 use hooktrestle_core::direct::map_orders::Next;
 use hooktrestle_core::direct::map_orders::Reply;
+use hooktrestle_core::direct::map_orders::Start;
 use hooktrestle_core::direct::map_orders::Switch;
 use hooktrestle_core::direct::members::Readiness;
 use hooktrestle_core::direct::pool::Server;
@@ -36,27 +38,39 @@
 const LEAD_EVERY: Duration = Duration::from_millis(500);
 
 /// Time between two readings of counts.
-const COUNTS_EVERY: Duration = Duration::from_millis(400);
+const COUNTS_EVERY: Duration = Duration::from_millis(250);
 
 /// Ranks whose counts are read each time. Readings are priced, and a rank's own requests are a
 /// sample of all.
-const RANKS_READ: usize = 3;
+const RANKS_READ: usize = 2;
 
 /// Time after which a reading counts for half.
-const HALF_LIFE_MS: f64 = 900.0;
+const HALF_LIFE_MS: f64 = 250.0;
+
+/// Half-life of the slow average over that of the fast one.
+const SLOWER: f64 = 2.0;
+
+/// How far ahead of the counts demand is followed, in differences of the two averages.
+const AHEAD: f64 = 1.0;
+
+/// Readings that are passed over while groups have no work.
+const IDLE_READINGS: u32 = 4;
 
 /// Pause between two plans of a group.
-const PLAN_EVERY: Duration = Duration::from_millis(200);
+const PLAN_EVERY: Duration = Duration::from_millis(100);
 
 /// Copies that a rank makes for one switch, over all sets: a copy takes 148 ms at the users, and
 /// demand shifts every few seconds.
-const COPIES_EACH: usize = 8;
+const COPIES_EACH: usize = 3;
+
+/// Added to the time that copies take by the link's rate: round trips, and a late start.
+const COPY_MARGIN: Millis = Millis(30);
 
 /// Part of the mean load of one set that a copy has to gain.
-const COPY_PRICE: f64 = 0.015;
+const COPY_PRICE: f64 = 0.06;
 
 /// Part of the present peak that a switch has to gain.
-const LEAST_GAIN: f64 = 0.04;
+const LEAST_GAIN: f64 = 0.08;
 
 /// Chosen experts on which an estimate has to rest, for each expert.
 const LEAST_COUNTS_EACH: f64 = 4.0;
@@ -119,6 +133,10 @@
     lead: Rc<Lead>,
     groups: RefCell<BTreeMap<String, Vec<Option<Key<Server>>>>>,
     demand: RefCell<Demand>,
+    /// Which rank is read next.
+    turn: Cell<usize>,
+    /// Readings passed over since the last.
+    passed_over: Cell<u32>,
 }
 
 async fn lead_service<P: Platform>(
@@ -145,6 +163,8 @@
         fence,
         lead,
         groups: RefCell::default(),
+        turn: Cell::new(0),
+        passed_over: Cell::new(0),
     });
     let mut started: Vec<String> = Vec::new();
     while !service.lead.is_over() {
@@ -198,10 +218,15 @@
         if ranks.is_empty() {
             return;
         }
-        // The same ranks each time: what is counted is what came between two readings.
+        let passed_over = self.passed_over.get();
+        if !self.demand.borrow().busy && passed_over < IDLE_READINGS {
+            return self.passed_over.set(passed_over + 1);
+        }
+        self.passed_over.set(0);
+        // The same few ranks, in turn: what is counted is what came between two readings.
         let stride = (ranks.len() / RANKS_READ).max(1);
-        let read: Vec<Key<Server>> =
-            ranks.iter().copied().step_by(stride).take(RANKS_READ).collect();
+        let turn = self.turn.replace(self.turn.get().wrapping_add(1)) % RANKS_READ.min(ranks.len());
+        let read = [ranks[turn * stride]];
         let counts = read.iter().map(|key| engine::counts(&self.gateway, *key));
         let counts = join_all(counts).await;
         let now = self.gateway.now().0 as f64;
@@ -219,50 +244,72 @@
     }
 }
 
-/// How often experts were chosen lately.
+/// How often experts were chosen lately, in two averages: where the fast one is ahead of the slow
+/// one, demand is changing, and is followed ahead of what was counted.
 struct Demand {
     experts: usize,
-    sums: Vec<f64>,
+    fast: Vec<f64>,
+    slow: Vec<f64>,
     last: BTreeMap<Key<Server>, (u64, Vec<u64>)>,
     faded_ms: f64,
+    /// Whether the newest reading showed work.
+    busy: bool,
 }
 
 impl Demand {
     fn new(shape: &ExpertShape) -> Demand {
+        let sums = vec![0.0; shape.sets * shape.experts];
         Demand {
             experts: shape.experts,
-            sums: vec![0.0; shape.sets * shape.experts],
+            fast: sums.clone(),
+            slow: sums,
             last: BTreeMap::new(),
             faded_ms: 0.0,
+            busy: true,
         }
     }
 
     fn fade(&mut self, now_ms: f64) {
-        let kept = 0.5f64.powf((now_ms - self.faded_ms) / HALF_LIFE_MS);
+        let span = now_ms - self.faded_ms;
         self.faded_ms = now_ms;
-        self.sums.iter_mut().for_each(|sum| *sum *= kept);
+        for (sums, half_life) in
+            [(&mut self.fast, HALF_LIFE_MS), (&mut self.slow, SLOWER * HALF_LIFE_MS)]
+        {
+            let kept = 0.5f64.powf(span / half_life);
+            sums.iter_mut().for_each(|sum| *sum *= kept);
+        }
     }
 
     fn take(&mut self, key: Key<Server>, epoch: u64, counts: Vec<u64>) {
-        if counts.len() != self.sums.len() {
+        if counts.len() != self.fast.len() {
             return;
         }
         if let Some((known_epoch, known)) = self.last.get(&key)
             && *known_epoch == epoch
         {
-            for ((sum, new), old) in self.sums.iter_mut().zip(&counts).zip(known) {
-                *sum += new.saturating_sub(*old) as f64;
+            self.busy = counts != *known;
+            for (index, (new, old)) in counts.iter().zip(known).enumerate() {
+                let chosen = new.saturating_sub(*old) as f64;
+                self.fast[index] += chosen;
+                self.slow[index] += chosen;
             }
         }
         self.last.insert(key, (epoch, counts));
     }
 
-    /// Each expert's counts in a set; `None` while there are too few.
-    fn of_set(&self, set: usize) -> Option<&[f64]> {
-        let from = set * self.experts;
-        let counts = self.sums.get(from..from + self.experts)?;
-        let enough = counts.iter().sum::<f64>() >= LEAST_COUNTS_EACH * self.experts as f64;
-        enough.then_some(counts)
+    /// Each expert's share of a set as it is expected to be; `None` while there are too few counts.
+    fn of_set(&self, set: usize) -> Option<Vec<f64>> {
+        let places = set * self.experts..(set + 1) * self.experts;
+        let (fast, slow) = (self.fast.get(places.clone())?, self.slow.get(places)?);
+        let (all_fast, all_slow) = (fast.iter().sum::<f64>(), slow.iter().sum::<f64>());
+        if all_fast < LEAST_COUNTS_EACH * self.experts as f64 {
+            return None;
+        }
+        let shares = fast.iter().zip(slow).map(|(fast, slow)| {
+            let (fast, slow) = (fast / all_fast, slow / all_slow);
+            (fast + AHEAD * (fast - slow)).max(0.0)
+        });
+        Some(shares.collect())
     }
 }
 
@@ -271,6 +318,8 @@
     epoch: u64,
     version: u64,
     layout: Layout,
+    /// What the next switch need not look at.
+    start: Start,
     /// Whether a predecessor left a switch half done: a hold would stand for good.
     unsettled: bool,
 }
@@ -291,7 +340,9 @@
         let planned = planned.or_else(|| before.unsettled.then(|| before.layout.clone()));
         let Some(planned) = planned else { continue };
         let map = by_rank(&planned, ranks.len());
-        let begun = Switch::new(map_orders::Config::default(), service.fence, ranks.len());
+        let config = map_orders::Config::default();
+        let copy = copy_time(&service.shape, &before.layout, &planned, ranks.len());
+        let begun = Switch::new(config, service.fence, ranks.len(), before.start, copy);
         let (done, ended) = carry_out(&service, &ranks, begun, before, &map).await;
         match ended {
             Next::Switched => {
@@ -299,7 +350,8 @@
                 let version = done.version();
                 let line = format_args!("group {group}: map {version} in force");
                 service.gateway.journal.state(line);
-                known = Some(Known { epoch, version, layout: planned, unsettled: false });
+                let start = Start::Settled { epoch, version };
+                known = Some(Known { epoch, version, layout: planned, start, unsettled: false });
             }
             Next::Deposed => {
                 let line = format_args!("group {group}: another leader has a higher fence");
@@ -347,7 +399,8 @@
     }
     let unsettled =
         reports.iter().any(|report| report.state.held.is_some() || report.state.armed.is_some());
-    Some(Known { epoch: first.epoch, version: first.map, layout, unsettled })
+    let (epoch, version) = (first.epoch, first.map);
+    Some(Known { epoch, version, layout, start: Start::Unknown, unsettled })
 }
 
 /// A better layout, if it is worth a switch.
@@ -359,22 +412,19 @@
     let mut planned = layout.clone();
     // The sets with the most to gain first: copies are few.
     let mut sets: Vec<usize> = (0..shape.sets).collect();
-    let skew = |set: usize| {
-        demand.of_set(set).map_or(1.0, |shares| expert_plan::skew(&layout[set], shares, ranks))
-    };
+    let demands: Option<Vec<Vec<f64>>> = sets.iter().map(|set| demand.of_set(*set)).collect();
+    let demands = demands?;
+    let skew = |set: usize| expert_plan::skew(&layout[set], &demands[set], ranks);
     sets.sort_by(|a, b| skew(*b).total_cmp(&skew(*a)));
     for set in sets {
-        let shares = demand.of_set(set)?;
+        let shares = &demands[set];
         let limits = expert_plan::Limits {
-            ranks,
             places: shape.places,
-            new_at_rank: copies_left.iter().copied().min().unwrap_or_default().min(shape.spare),
+            new_at: copies_left.iter().map(|left| (*left).min(shape.spare)).collect(),
             price: COPY_PRICE,
         };
         before += expert_plan::skew(&layout[set], shares, ranks);
-        if limits.new_at_rank > 0 {
-            planned[set] = expert_plan::plan(&layout[set], shares, &limits);
-        }
+        planned[set] = expert_plan::plan(&layout[set], shares, &limits);
         after += expert_plan::skew(&planned[set], shares, ranks);
         let new = expert_plan::new_at(&layout[set], &planned[set], ranks);
         for (left, new) in copies_left.iter_mut().zip(new) {
@@ -384,6 +434,19 @@
     (after < before * (1.0 - LEAST_GAIN)).then_some(planned)
 }
 
+/// How long the rank with the most to copy takes.
+fn copy_time(shape: &ExpertShape, from: &Layout, to: &Layout, ranks: usize) -> Millis {
+    let mut copies = vec![0; ranks];
+    for (from, to) in from.iter().zip(to) {
+        let new = expert_plan::new_at(from, to, ranks);
+        copies.iter_mut().zip(new).for_each(|(sum, new)| *sum += new);
+    }
+    let most = copies.into_iter().max().unwrap_or_default() as f64;
+    let megabit = 8.0 * shape.expert_mb;
+    let copied = Millis((1_000.0 * most * megabit / shape.link_mbps.max(1.0)) as u64);
+    if most > 0.0 { copied + COPY_MARGIN } else { copied }
+}
+
 /// The experts by set and rank.
 fn by_rank(layout: &Layout, ranks: usize) -> Vec<Vec<Vec<u16>>> {
     let of_rank = |set: &Vec<Holders>, rank: usize| {
