Sidecars: the leader of expert maps asks and orders through the machine of each server

Weighed: no process there (as before), the whole request path through it (one more hop and one more thing to die under a stream), or only questions and orders. Change: the last. crates/direct/src/sidecar.rs passes questions and orders on to the engine beside it; where none answers, the engine is asked as before.

--- /dev/null
+++ b/crates/core/src/direct/map_orders/messages.rs
@@ -0,0 +1,122 @@
+//! What passes between a leader and its ranks, and between a switch and whoever carries it out.
+
+use crate::clock::Millis;
+
+/// A rank as it reports itself; some hundred milliseconds old.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct RankReport {
+    /// Life of the group.
+    pub epoch: u64,
+    /// Whether the group makes passes.
+    pub open: bool,
+    /// Last pass that has begun.
+    pub pass: u64,
+    /// Version of the map in use.
+    pub map: u64,
+    /// Version that is copied in.
+    pub prepared: Option<u64>,
+    /// Version that is armed, and the pass from which it holds.
+    pub armed: Option<(u64, u64)>,
+    /// Pass that does not begin until it is released.
+    pub held: Option<u64>,
+}
+
+/// What a rank is ordered.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum Order {
+    /// Copy the switch's map in, under this version.
+    Prepare {
+        /// Version of the map.
+        version: u64,
+    },
+    /// Use a map from a pass on.
+    Arm {
+        /// Version of the map.
+        version: u64,
+        /// The pass.
+        pass: u64,
+    },
+    /// Do not use it after all.
+    Disarm {
+        /// Version of the map.
+        version: u64,
+    },
+    /// Do not begin a pass.
+    Hold {
+        /// The pass.
+        pass: u64,
+    },
+    /// Begin it.
+    Go {
+        /// The pass.
+        pass: u64,
+    },
+}
+
+/// An order with what guards it.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Guarded {
+    /// What is ordered.
+    pub order: Order,
+    /// The leader's fencing token.
+    pub fence: u64,
+    /// The group's life that it is meant for.
+    pub epoch: u64,
+}
+
+/// What a rank is asked in a round.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Ask {
+    /// Its report.
+    Report,
+    /// To do something.
+    Order(Guarded),
+}
+
+/// What came back.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reply {
+    /// A report.
+    Report(RankReport),
+    /// The order was taken.
+    Taken,
+    /// What is ordered holds already.
+    Holds,
+    /// It does not fit the rank's state.
+    Conflict,
+    /// A higher fencing token was seen.
+    Fenced,
+    /// Nothing: it may have been taken, or may be taken later.
+    Nothing,
+}
+
+/// What comes next.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Next {
+    /// Ask these ranks, all at once.
+    Round(Vec<(usize, Ask)>),
+    /// Look again after a pause.
+    Pause(Millis),
+    /// The new map is in force from its pass on.
+    Switched,
+    /// The group is clean, but this map was not brought in: plan anew.
+    Dropped,
+    /// The group has another epoch or is not open: begin anew later.
+    Changed,
+    /// Another leader has a higher fencing token.
+    Deposed,
+}
+
+/// What a leader knows of a group before a switch.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Start {
+    /// Nothing: all ranks are looked at first.
+    Unknown,
+    /// Its own last switch was completed, and this is what it brought in.
+    Settled {
+        /// Life of the group.
+        epoch: u64,
+        /// Version of the map in use.
+        version: u64,
+    },
+}
--- a/crates/direct/src/connections.rs
+++ b/crates/direct/src/connections.rs
@@ -95,7 +95,20 @@
     ///
     /// The server cannot be reached in time.
     pub async fn open(server: Key<Server>, address: SocketAddr) -> io::Result<Connection> {
-        let stream = dial::dial(address, DIAL_TIMEOUT).await?;
+        Connection::open_within(server, address, DIAL_TIMEOUT).await
+    }
+
+    /// The same, with another bound on the time.
+    ///
+    /// # Errors
+    ///
+    /// As [`Connection::open`].
+    pub async fn open_within(
+        server: Key<Server>,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> io::Result<Connection> {
+        let stream = dial::dial(address, timeout).await?;
         let (sender, driver) =
             http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
         let task = tokio::task::spawn_local(async move {
--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -1,5 +1,6 @@
 //! Short questions and orders to a backend server's engine, beside the requests that it serves.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -25,28 +26,35 @@
 /// milliseconds unless the answer is lost.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Longest wait for a connection to a sidecar, before the engine is asked directly.
+const SIDECAR_TIMEOUT: Duration = Duration::from_millis(60);
+
 /// Asks an engine, and returns its status and answer; `None` if there was none in time.
 async fn ask<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     server: Key<Server>,
     ask: &EngineAsk<'_>,
 ) -> Option<(StatusCode, Bytes)> {
-    time::timeout(ANSWER_TIMEOUT, exchange(gateway, server, ask)).await.ok()?
+    time::timeout(ANSWER_TIMEOUT, exchange(gateway, server, ask, Path::Any)).await.ok()?
+}
+
+/// How an engine is reached.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Path {
+    /// Through the process beside it.
+    Sidecar,
+    /// The same, or directly where there is none: that is priced, and disturbs the group.
+    Any,
 }
 
 async fn exchange<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     server: Key<Server>,
     ask: &EngineAsk<'_>,
+    path: Path,
 ) -> Option<(StatusCode, Bytes)> {
+    let (mut connection, through_sidecar) = connect(gateway, server, path).await?;
     let listed = gateway.with_pool(|pool| pool.server(server).listed.clone());
-    let mut connection = match gateway.connections.idle(server) {
-        Some(connection) => connection,
-        None => {
-            gateway.metrics.dialled.inc();
-            Connection::open(server, listed.address).await.ok()?
-        }
-    };
     let (method, uri, body) = gateway.platform.engine_ask(ask);
     let request = Request::builder()
         .method(method)
@@ -60,8 +68,36 @@
     let (head, body) = answer.into_parts();
     connection.note_answer(&head.headers);
     let body = body.collect().await.ok()?.to_bytes();
-    gateway.connections.keep(connection);
-    Some((head.status, body))
+    let kept = if through_sidecar { &gateway.sidecars } else { &gateway.connections };
+    kept.keep(connection);
+    // What a sidecar could not ask has no answer.
+    (head.status != StatusCode::BAD_GATEWAY).then_some((head.status, body))
+}
+
+/// A connection to the process beside the server, or to the server itself where there is none.
+async fn connect<P: Platform>(
+    gateway: &Rc<Gateway<P>>,
+    server: Key<Server>,
+    path: Path,
+) -> Option<(Connection, bool)> {
+    if let Some(connection) = gateway.sidecars.idle(server) {
+        return Some((connection, true));
+    }
+    let address = gateway.with_pool(|pool| pool.server(server).listed.address);
+    if gateway.sidecars_port > 0 {
+        let beside = SocketAddr::new(address.ip(), gateway.sidecars_port);
+        if let Ok(connection) = Connection::open_within(server, beside, SIDECAR_TIMEOUT).await {
+            return Some((connection, true));
+        }
+    }
+    if path == Path::Sidecar {
+        return None;
+    }
+    if let Some(connection) = gateway.connections.idle(server) {
+        return Some((connection, false));
+    }
+    gateway.metrics.dialled.inc();
+    Some((Connection::open(server, address).await.ok()?, false))
 }
 
 /// An engine's report, if it gives one.
@@ -76,9 +112,15 @@
     gateway.platform.engine_report(&body)
 }
 
-/// How often the requests of an engine's rank have chosen each expert since its start.
-pub async fn counts<P: Platform>(gateway: &Rc<Gateway<P>>, server: Key<Server>) -> Option<Counts> {
-    let (status, body) = ask(gateway, server, &EngineAsk::Counts).await?;
+/// How often the requests of an engine's rank have chosen each expert since its start; through the
+/// process beside it only, or however it can be asked.
+pub async fn counts<P: Platform>(
+    gateway: &Rc<Gateway<P>>,
+    server: Key<Server>,
+    path: Path,
+) -> Option<Counts> {
+    let exchange = exchange(gateway, server, &EngineAsk::Counts, path);
+    let (status, body) = time::timeout(ANSWER_TIMEOUT, exchange).await.ok()??;
     if !status.is_success() {
         return None;
     }
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -77,6 +77,10 @@
     pub metrics: Metrics,
     /// Connections to backend servers.
     pub connections: Connections,
+    /// Connections to the processes beside them.
+    pub sidecars: Connections,
+    /// Port on which those listen; 0 if there are none.
+    pub sidecars_port: u16,
     /// Wakes those that end when the process stops.
     pub stop: Notify,
     serving: RefCell<Rc<Serving>>,
@@ -94,13 +98,15 @@
 
 impl<P: Platform> Gateway<P> {
     /// A gateway that knows nothing yet.
-    pub fn new(platform: P, own: Member, budget: budget::Config) -> Gateway<P> {
+    pub fn new(platform: P, own: Member, budget: budget::Config, sidecars_port: u16) -> Gateway<P> {
         Gateway {
             platform,
             clock: SteadyClock::default(),
             journal: Journal::default(),
             metrics: Metrics::default(),
             connections: Connections::default(),
+            sidecars: Connections::default(),
+            sidecars_port,
             stop: Notify::new(),
             serving: RefCell::default(),
             pool: RefCell::new(Pool::new(pool::Config::default())),
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -10,7 +10,8 @@
 //! 5. [`relay`] passes the answer on as it comes, and takes up a broken stream elsewhere.
 //!
 //! Beside it, [`follow`] keeps the tables of the platform up to date, [`peers`] exchanges them with
-//! other gateways, [`maps`] moves experts between the ranks of groups as demand changes, and
+//! other gateways, [`maps`] moves experts between the ranks of groups as demand changes, through
+//! [`sidecar`], the process beside each backend server, where there is one, and
 //! [`endpoints`] tells callers which gateways there are. What the platform is
 //! like stands behind one trait, [`platform::Platform`].
 
@@ -33,5 +34,6 @@
 pub mod relay;
 pub mod request;
 pub mod settings;
+pub mod sidecar;
 
 pub use gateway::Gateway;
--- a/crates/direct/src/maps.rs
+++ b/crates/direct/src/maps.rs
@@ -30,7 +30,9 @@
 use tokio::time;
 
 use crate::engine;
+use crate::engine::Path;
 use crate::gateway::Gateway;
+use crate::platform::Counts;
 use crate::platform::EngineAsk;
 use crate::platform::Platform;
 
@@ -211,32 +213,51 @@
         }
     }
 
-    /// Reads the counts of some ranks.
+    /// Reads how often experts were chosen since the last reading.
     async fn read_counts(&self) {
         let ranks: Vec<Key<Server>> =
             self.groups.borrow().values().flatten().filter_map(|rank| *rank).collect();
         if ranks.is_empty() {
             return;
         }
+        let mut read = self.read_beside(&ranks).await;
+        if read.is_empty() {
+            read.extend(self.read_from_afar(&ranks).await);
+        }
+        let now = self.gateway.now().0 as f64;
+        let mut demand = self.demand.borrow_mut();
+        demand.fade(now);
+        demand.busy = false;
+        for (key, counts) in read {
+            demand.take(key, counts.epoch, counts.counts);
+        }
+    }
+
+    /// Reads all ranks through the processes beside them, which costs nothing.
+    async fn read_beside(&self, ranks: &[Key<Server>]) -> Vec<(Key<Server>, Counts)> {
+        if self.gateway.sidecars_port == 0 {
+            return Vec::new();
+        }
+        let asked = ranks
+            .iter()
+            .map(|key| async { (*key, engine::counts(&self.gateway, *key, Path::Sidecar).await) });
+        let answers = join_all(asked).await;
+        answers.into_iter().filter_map(|(key, counts)| Some((key, counts?))).collect()
+    }
+
+    /// Reads one of a few ranks, always the same, in turn: what is counted is what came between two
+    /// readings. Each has a price, so none is made while the groups have no work.
+    async fn read_from_afar(&self, ranks: &[Key<Server>]) -> Option<(Key<Server>, Counts)> {
         let passed_over = self.passed_over.get();
         if !self.demand.borrow().busy && passed_over < IDLE_READINGS {
-            return self.passed_over.set(passed_over + 1);
+            self.passed_over.set(passed_over + 1);
+            return None;
         }
         self.passed_over.set(0);
-        // The same few ranks, in turn: what is counted is what came between two readings.
         let stride = (ranks.len() / RANKS_READ).max(1);
         let turn = self.turn.replace(self.turn.get().wrapping_add(1)) % RANKS_READ.min(ranks.len());
-        let read = [ranks[turn * stride]];
-        let counts = read.iter().map(|key| engine::counts(&self.gateway, *key));
-        let counts = join_all(counts).await;
-        let now = self.gateway.now().0 as f64;
-        let mut demand = self.demand.borrow_mut();
-        demand.fade(now);
-        for (key, counts) in read.into_iter().zip(counts) {
-            if let Some(counts) = counts {
-                demand.take(key, counts.epoch, counts.counts);
-            }
-        }
+        let key = ranks[turn * stride];
+        Some((key, engine::counts(&self.gateway, key, Path::Any).await?))
     }
 
     fn ranks_of(&self, group: &str) -> Option<Vec<Key<Server>>> {
@@ -287,7 +308,7 @@
         if let Some((known_epoch, known)) = self.last.get(&key)
             && *known_epoch == epoch
         {
-            self.busy = counts != *known;
+            self.busy |= counts != *known;
             for (index, (new, old)) in counts.iter().zip(known).enumerate() {
                 let chosen = new.saturating_sub(*old) as f64;
                 self.fast[index] += chosen;
@@ -340,7 +361,9 @@
         let planned = planned.or_else(|| before.unsettled.then(|| before.layout.clone()));
         let Some(planned) = planned else { continue };
         let map = by_rank(&planned, ranks.len());
-        let config = map_orders::Config::default();
+        let beside = service.gateway.sidecars_port > 0;
+        let config =
+            if beside { map_orders::Config::fresh() } else { map_orders::Config::default() };
         let copy = copy_time(&service.shape, &before.layout, &planned, ranks.len());
         let begun = Switch::new(config, service.fence, ranks.len(), before.start, copy);
         let (done, ended) = carry_out(&service, &ranks, begun, before, &map).await;
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -62,7 +62,8 @@
     let mut hang_up = signal(SignalKind::hangup())?;
     let listen = &settings.listen;
     let own = own_member(settings)?;
-    let gateway = Rc::new(Gateway::new(platform, own, budget_config(settings)));
+    let gateway =
+        Rc::new(Gateway::new(platform, own, budget_config(settings), listen.sidecars_port));
     let peers = Rc::new(Peers::default());
     peers.set_seeds(settings::addresses(&settings.platform.seeds));
 
@@ -111,6 +112,7 @@
             () = time::sleep(HOUSEKEEPING) => {}
         }
         gateway.connections.sweep();
+        gateway.sidecars.sweep();
         let now = modified(&file);
         if told || now != seen {
             seen = now;
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -9,6 +9,7 @@
 use std::path::Path;
 
 use hooktrestle_schema::DirectSettings;
+use hooktrestle_schema::SidecarRoleSettings;
 use hooktrestle_schema::range;
 use ini::Ini;
 use serde_json::Map;
@@ -83,6 +84,37 @@
     if faults.is_empty() { Ok(settings) } else { Err(failed(faults)) }
 }
 
+/// Reads and checks the settings file of a process beside a backend server.
+///
+/// # Errors
+///
+/// As [`load`].
+pub fn load_sidecar(path: &Path) -> Result<SidecarRoleSettings, SettingsError> {
+    let file = path.display().to_string();
+    let failed = |faults| SettingsError { file: file.clone(), faults };
+    let text = fs::read_to_string(path)
+        .map_err(|error| failed(vec![format!("cannot be read: {error}")]))?;
+    let ini = Ini::load_from_str(&text).map_err(|error| {
+        failed(vec![format!("line {}: {}: correct the line", error.line, error.msg)])
+    })?;
+    let Some(properties) = ini.section(Some("sidecar")) else {
+        return Err(failed(vec!["section [sidecar] is missing: add it".to_owned()]));
+    };
+    let mut faults = Vec::new();
+    let values = read_section("sidecar", "SidecarRoleSettings", properties, &mut faults);
+    let addresses =
+        ["listen", "engine"].map(|name| (name, values.get(name).and_then(Value::as_str)));
+    for (name, text) in addresses {
+        if text.is_some_and(|text| text.parse::<SocketAddr>().is_err()) {
+            faults.push(format!("[sidecar] {name}: must be IP:PORT"));
+        }
+    }
+    if !faults.is_empty() {
+        return Err(failed(faults));
+    }
+    serde_json::from_value(Value::Object(values)).map_err(|error| failed(vec![error.to_string()]))
+}
+
 /// The addresses in a comma-separated list; those that are none are passed over.
 pub fn addresses(list: &str) -> Vec<SocketAddr> {
     list.split(',').filter_map(|text| text.trim().parse().ok()).collect()
--- /dev/null
+++ b/crates/direct/src/sidecar.rs
@@ -0,0 +1,139 @@
+//! The process beside a backend server: it passes questions and orders on to the engine there.
+//!
+//! An engine answers its own machine with a fresh report and at no price, and takes orders from
+//! there at no price; from elsewhere reports are late, and each question disturbs the group. So the
+//! leader of a service's maps asks through this process, and directly only where it is not there.
+//! It decides nothing and keeps nothing: what guards an order is in the order.
+
+use std::cell::RefCell;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eyre::Result;
+use eyre::WrapErr;
+use eyre::eyre;
+use hooktrestle_schema::SidecarRoleSettings;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use hyper::client::conn::http1 as client;
+use hyper::client::conn::http1::SendRequest;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::time;
+
+use crate::dial;
+use crate::headers;
+
+/// Longest wait for the engine; its answers come within a few milliseconds.
+const ENGINE_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Largest order that is passed on: a map of 64 ranks and 256 experts has some 100 KB.
+const MOST_ORDER_BYTES: usize = 1 << 20;
+
+/// Pause after a failure to accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// The engine beside this process.
+struct Engine {
+    address: SocketAddr,
+    kept: RefCell<Vec<SendRequest<Full<Bytes>>>>,
+}
+
+/// Runs until the process is told to stop.
+///
+/// # Errors
+///
+/// The address cannot be listened on.
+pub async fn run(settings: &SidecarRoleSettings) -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let listener = TcpListener::bind(&settings.listen)
+        .await
+        .wrap_err_with(|| format!("cannot listen on {}", settings.listen))?;
+    let engine = Rc::new(Engine { address: settings.engine.parse()?, kept: RefCell::default() });
+    spdlog::info!("sidecar of {} started", settings.engine);
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    if dial::prepare(&stream).is_ok() {
+                        tokio::task::spawn_local(serve(engine.clone(), stream));
+                    }
+                }
+                Err(error) => {
+                    spdlog::warn!("the leader is not accepted: {error}");
+                    time::sleep(ACCEPT_PAUSE).await;
+                }
+            },
+        }
+    }
+    // Whoever asks next goes to the engine directly.
+    spdlog::info!("sidecar of {} stopped", settings.engine);
+    Ok(())
+}
+
+async fn serve(engine: Rc<Engine>, stream: tokio::net::TcpStream) {
+    let service = service_fn(|request: Request<Incoming>| {
+        let engine = engine.clone();
+        async move { Ok::<_, Infallible>(answer(&engine, request).await) }
+    });
+    let mut builder = http1::Builder::new();
+    let connection =
+        builder.auto_date_header(false).serve_connection(TokioIo::new(stream), service);
+    // What went wrong with the connection is the leader's to see.
+    drop(connection.await);
+}
+
+async fn answer(engine: &Engine, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    match time::timeout(ENGINE_TIMEOUT, engine.pass_on(request)).await {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(_)) | Err(_) => {
+            // No verdict on an order: it may have been taken.
+            let mut answer = Response::new(Full::default());
+            *answer.status_mut() = StatusCode::BAD_GATEWAY;
+            answer
+        }
+    }
+}
+
+impl Engine {
+    async fn pass_on(&self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>> {
+        let (mut head, body) = request.into_parts();
+        let body = Limited::new(body, MOST_ORDER_BYTES).collect().await;
+        let body = body.map_err(|error| eyre!("the order cannot be read: {error}"))?.to_bytes();
+        headers::strip_connection(&mut head.headers);
+        let kept = self.kept.borrow_mut().pop().filter(SendRequest::is_ready);
+        let mut sender = match kept {
+            Some(sender) => sender,
+            None => self.connect().await?,
+        };
+        let answer = sender.send_request(Request::from_parts(head, Full::new(body))).await?;
+        let (mut head, body) = answer.into_parts();
+        let body = body.collect().await?.to_bytes();
+        self.kept.borrow_mut().push(sender);
+        headers::strip_connection(&mut head.headers);
+        Ok(Response::from_parts(head, Full::new(body)))
+    }
+
+    async fn connect(&self) -> Result<SendRequest<Full<Bytes>>> {
+        let stream = dial::dial(self.address, ENGINE_TIMEOUT).await?;
+        let (sender, driver) = client::handshake(TokioIo::new(stream)).await?;
+        tokio::task::spawn_local(async move {
+            // What went wrong is told to whoever waits for an answer on it.
+            drop(driver.await);
+        });
+        Ok(sender)
+    }
+}
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -303,6 +303,9 @@
     pub peers: ::std::string::String,
     ///Where the platform asks whether the gateway is ready.
     pub readiness: ::std::string::String,
+    ///Port on which the process beside each backend server listens; 0 if there are none.
+    #[serde(default)]
+    pub sidecars_port: u16,
 }
 ///Section `[platform]`.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
@@ -1057,6 +1060,14 @@
     pub id: RequestId,
     pub verdict: Verdict,
 }
+///Section `[sidecar]` of a process beside a backend server that passes orders on to its engine.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct SidecarRoleSettings {
+    ///The engine beside this process.
+    pub engine: ::std::string::String,
+    ///Where the leader of the maps connects.
+    pub listen: ::std::string::String,
+}
 ///Section `[sidecar]`.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
--- a/xtask/src/style.rs
+++ b/xtask/src/style.rs
@@ -48,7 +48,7 @@
 ];
 
 /// Last parts of the names of numeric fields in the schema: units, and what counts something.
-const UNITS: [&str; 28] = [
+const UNITS: [&str; 29] = [
     "ms",
     "bytes",
     "tokens",
@@ -77,6 +77,7 @@
     "parts",
     "steps",
     "percent",
+    "port",
 ];
 
 /// One place that breaks a rule.
