--- a/crates/core/src/direct/attempts.rs
+++ b/crates/core/src/direct/attempts.rs
@@ -36,9 +36,13 @@
 /// Failures to connect after which a request is given up.
 const MOST_UNSENT: u32 = 4;
 
-/// When a caller whose request was not run shall come back: about the time in which a full server
-/// takes its next request.
-pub const COME_BACK: Millis = Millis(100);
+/// When a caller whose request was not run shall come back, where servers are full: about the time in
+/// which one takes its next request.
+const COME_BACK_FULL: Millis = Millis(150);
+
+/// The same where no server is there: the users' groups take 600 ms to open again once their last
+/// rank is back.
+const COME_BACK_NONE: Millis = Millis(800);
 
 /// The attempts of one request.
 #[derive(Clone, Debug)]
@@ -119,7 +123,9 @@
         let may_have_run = self.may_have_run();
         let verdict = if may_have_run { Verdict::MayHaveRun } else { Verdict::NotRun };
         let refusal = Refusal { verdict, cause, retry_after: None };
-        if may_have_run { refusal } else { refusal.retry_after(COME_BACK) }
+        let come_back =
+            if cause == Cause::NoBackendServer { COME_BACK_NONE } else { COME_BACK_FULL };
+        if may_have_run { refusal } else { refusal.retry_after(come_back) }
     }
 
     fn give_up(&self, fate: Fate) -> Next {
--- a/crates/core/src/direct/map_orders.rs
+++ b/crates/core/src/direct/map_orders.rs
@@ -102,8 +102,6 @@
     Watch,
     /// A predecessor's hold is released; the map is prepared everywhere.
     Release,
-    /// The switch is over.
-    Over,
 }
 
 /// One switch of one group's map.
@@ -170,6 +168,23 @@
         self.epoch
     }
 
+    /// What the switch is at, for logs.
+    pub fn describe(&self) -> String {
+        let open = self.ranks.iter().enumerate().filter(|(_, rank)| !rank.done);
+        let open: Vec<String> =
+            open.map(|(index, rank)| format!("{index}:{:?}", rank.report)).collect();
+        format!(
+            "{:?} version={} pass={} epoch={:?} idle_rounds={} tries={} not done: {}",
+            self.phase,
+            self.version,
+            self.pass,
+            self.epoch,
+            self.idle_rounds,
+            self.tries,
+            open.join(" ")
+        )
+    }
+
     /// Version of the map that is brought in, once it is known.
     pub fn version(&self) -> u64 {
         self.version
@@ -212,7 +227,6 @@
             Phase::Arm => self.arms(),
             Phase::Go | Phase::Release => self.at_first(Order::Go { pass: self.pass }),
             Phase::Watch => vec![(0, Ask::Report)],
-            Phase::Over => Vec::new(),
         };
         Next::Round(asks)
     }
@@ -336,7 +350,6 @@
             Phase::Go | Phase::Release => rank.done = report.held != Some(self.pass),
             Phase::Watch if report.held == Some(self.pass) => self.enter(Phase::Go),
             Phase::Watch => rank.done = report.pass >= self.pass,
-            Phase::Over => {}
         }
     }
 
@@ -490,7 +503,6 @@
     }
 
     fn end(&mut self, over: Next) {
-        self.phase = Phase::Over;
         self.over = Some(over);
     }
 }
--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -52,10 +52,10 @@
 }
 
 impl Default for Config {
-    /// Heartbeats come each second and cross the fleet in about two rounds; a minute covers the
+    /// Heartbeats come each 0.6 s and cross the fleet in two or three rounds; a minute covers the
     /// cuts that the users' deployments list.
     fn default() -> Self {
-        Config { suspect: Millis(4_000), forget: Millis(60_000) }
+        Config { suspect: Millis(3_000), forget: Millis(60_000) }
     }
 }
 
--- a/crates/core/src/direct/pool.rs
+++ b/crates/core/src/direct/pool.rs
@@ -96,11 +96,17 @@
     index: usize,
     /// Whether the list still has it.
     present: bool,
+    /// When its row changed last, by the store's counter.
+    revision: u64,
     rests_until: Millis,
     /// Failures to connect in a row.
     unreachable: u32,
     /// Share of failed requests, the newest counting most.
     failing: f64,
+    /// Another server has its address.
+    replaced: bool,
+    /// Its group stands still, as its engine reported.
+    standing: bool,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -115,21 +121,48 @@
     config: Config,
     servers: Arena<Server>,
     by_id: HashMap<String, Key<Server>>,
+    /// Who has an address, of all that were ever listed there.
+    by_address: HashMap<SocketAddr, Key<Server>>,
     services: HashMap<String, Service>,
 }
 
 impl Pool {
     /// A pool that knows no server.
     pub fn new(config: Config) -> Pool {
-        Pool { config, servers: Arena::default(), by_id: HashMap::new(), services: HashMap::new() }
+        Pool {
+            config,
+            servers: Arena::default(),
+            by_id: HashMap::new(),
+            by_address: HashMap::new(),
+            services: HashMap::new(),
+        }
+    }
+
+    /// Takes a server as it is listed now, and when its row changed. Of two that are listed at one
+    /// address, the one that changed last has it: a server that died is listed for some seconds.
+    pub fn list(&mut self, listed: Listed, revision: u64) {
+        let address = listed.address;
+        let id = listed.id.clone();
+        self.keep(listed, revision);
+        let Some(key) = self.by_id.get(&id).copied() else { return };
+        let holder = self.by_address.entry(address).or_insert(key);
+        if *holder == key {
+            return;
+        }
+        let replaced = if self.servers[*holder].revision < revision {
+            std::mem::replace(holder, key)
+        } else {
+            key
+        };
+        self.servers[replaced].replaced = true;
     }
 
-    /// Takes a server as it is listed now.
-    pub fn list(&mut self, listed: Listed) {
+    fn keep(&mut self, listed: Listed, revision: u64) {
         if let Some(key) = self.by_id.get(&listed.id) {
             let server = &mut self.servers[*key];
             server.present = true;
             server.listed = listed;
+            server.revision = revision;
             return;
         }
         let service = self.services.entry(listed.service.clone()).or_default();
@@ -138,9 +171,12 @@
             listed,
             index: service.servers.len(),
             present: true,
+            revision,
             rests_until: Millis::ZERO,
             unreachable: 0,
             failing: 0.0,
+            replaced: false,
+            standing: false,
         };
         let key = self.servers.push(server);
         service.servers.push(key);
@@ -166,15 +202,15 @@
         open.map(|(_, server)| &server.listed)
     }
 
-    /// Servers of a service that may be given work.
-    pub fn open_of(&self, service: &str) -> Vec<Key<Server>> {
+    /// Servers of a service that are listed, leaving or not.
+    pub fn present_of(&self, service: &str) -> Vec<Key<Server>> {
         let Some(found) = self.services.get(service) else { return Vec::new() };
-        found.servers.iter().copied().filter(|key| self.servers[*key].is_open()).collect()
+        found.servers.iter().copied().filter(|key| self.is_present(*key)).collect()
     }
 
     /// Chooses a server of a service that is not in `tried`, and counts its turn. `cost` is the
     /// work of the request over that of a usual one. Servers that rest are chosen only if no other
-    /// is left.
+    /// is left, and those whose group stands still never: they refuse.
     pub fn choose<R: Rng>(
         &mut self,
         service: &str,
@@ -188,6 +224,7 @@
             for (key, candidate) in found.servers.iter().zip(&mut found.candidates) {
                 let server = &self.servers[*key];
                 candidate.usable = server.is_open()
+                    && !server.standing
                     && (resting || server.rests_until <= now)
                     && !tried.contains(key);
             }
@@ -200,6 +237,27 @@
         None
     }
 
+    /// Whether the platform still lists a server, leaving or not, and nothing has shown that another
+    /// one has its address.
+    pub fn is_present(&self, key: Key<Server>) -> bool {
+        let server = &self.servers[key];
+        server.present && !server.replaced
+    }
+
+    /// Another server was found to have this one's address.
+    pub fn replace(&mut self, key: Key<Server>) {
+        self.servers[key].replaced = true;
+    }
+
+    /// An engine reported whether its group stands still; returns whether that is new.
+    pub fn set_standing(&mut self, key: Key<Server>, standing: bool) -> bool {
+        let server = &mut self.servers[key];
+        if !standing {
+            server.rests_until = Millis::ZERO;
+        }
+        std::mem::replace(&mut server.standing, standing) != standing
+    }
+
     /// A server told its load.
     pub fn report(&mut self, key: Key<Server>, running: u32, queued: u32, now: Millis) {
         let report =
@@ -216,6 +274,7 @@
         }
         let config = self.config;
         let server = &mut self.servers[key];
+        server.replaced |= ending == Ending::Replaced;
         let failed = matches!(ending, Ending::Failed | Ending::Lost);
         if failed || ending == Ending::Answered {
             let result = f64::from(u8::from(failed));
@@ -224,10 +283,9 @@
         server.unreachable =
             if ending == Ending::Unreachable { (server.unreachable + 1).min(8) } else { 0 };
         let rest = match ending {
-            Ending::Answered => Millis::ZERO,
+            Ending::Answered | Ending::Replaced => Millis::ZERO,
             Ending::Full => config.full,
             Ending::Stalled => config.stalled,
-            Ending::Replaced => config.most,
             Ending::Unreachable => Millis(config.unreachable.0 << (server.unreachable - 1)),
             Ending::Failed | Ending::Lost if server.failing > config.failing_share => {
                 Millis(config.unreachable.0 * 2)
@@ -247,6 +305,6 @@
 impl Server {
     /// Whether it may be given work.
     pub fn is_open(&self) -> bool {
-        self.present && !self.listed.leaving
+        self.present && !self.replaced && !self.listed.leaving
     }
 }
--- a/crates/core/src/direct/replica.rs
+++ b/crates/core/src/direct/replica.rs
@@ -57,6 +57,11 @@
         self.rows.get(key).and_then(|row| row.value.as_deref())
     }
 
+    /// The store's counter when a row changed last.
+    pub fn revision_of(&self, key: &str) -> u64 {
+        self.rows.get(key).map_or(0, |row| row.revision)
+    }
+
     /// Rows that exist, in order of their keys.
     pub fn rows(&self) -> impl Iterator<Item = (&str, &str)> {
         self.rows.iter().filter_map(|(key, row)| Some((key.as_str(), row.value.as_deref()?)))
--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -100,12 +100,15 @@
     Some((Connection::open(server, address).await.ok()?, false))
 }
 
-/// An engine's report, if it gives one.
+/// An engine's report, if it gives one; through the process beside it only, or however it can be
+/// asked.
 pub async fn report<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     server: Key<Server>,
+    path: Path,
 ) -> Option<EngineReport> {
-    let (status, body) = ask(gateway, server, &EngineAsk::Report).await?;
+    let exchange = exchange(gateway, server, &EngineAsk::Report, path);
+    let (status, body) = time::timeout(ANSWER_TIMEOUT, exchange).await.ok()??;
     if !status.is_success() {
         return None;
     }
@@ -146,6 +149,10 @@
     order: &EngineAsk<'_>,
 ) -> Reply {
     match ask(gateway, server, order).await {
+        Some((status, _)) if gateway.platform.is_other_server(status.as_u16()) => {
+            gateway.with_pool(|pool| pool.replace(server));
+            Reply::Nothing
+        }
         Some((status, _)) => gateway.platform.engine_order_reply(status.as_u16()),
         None => Reply::Nothing,
     }
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -118,7 +118,11 @@
     if head.headers.contains_key(&names.not_run)
         || gateway.platform.is_other_server(head.status.as_u16())
     {
-        turn.end(refusal(gateway, &head));
+        let ending = refusal(gateway, &head);
+        turn.end(ending);
+        if ending == Ending::Stalled {
+            gateway.stalled.notify_one();
+        }
         drain(gateway, body, connection);
         return Err(Fate::NotRun);
     }
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -81,6 +81,8 @@
     pub sidecars: Connections,
     /// Port on which those listen; 0 if there are none.
     pub sidecars_port: u16,
+    /// Wakes whoever looks after groups that stand still.
+    pub stalled: Notify,
     /// Wakes those that end when the process stops.
     pub stop: Notify,
     serving: RefCell<Rc<Serving>>,
@@ -107,6 +109,7 @@
             connections: Connections::default(),
             sidecars: Connections::default(),
             sidecars_port,
+            stalled: Notify::new(),
             stop: Notify::new(),
             serving: RefCell::default(),
             pool: RefCell::new(Pool::new(pool::Config::default())),
@@ -285,7 +288,7 @@
                     if listed.leaving {
                         self.journal.state(format_args!("server {id} is leaving, from {source}"));
                     }
-                    pool.list(listed);
+                    pool.list(listed, replica.revision_of(id));
                 }
                 Some(Err(error)) => {
                     self.journal.state(format_args!("server passed over: {error}"));
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -35,5 +35,6 @@
 pub mod request;
 pub mod settings;
 pub mod sidecar;
+pub mod standing;
 
 pub use gateway::Gateway;
--- a/crates/direct/src/maps.rs
+++ b/crates/direct/src/maps.rs
@@ -39,6 +39,10 @@
 /// Time between two looks at who leads.
 const LEAD_EVERY: Duration = Duration::from_millis(500);
 
+/// Time from the start of the process in which it only hears who else there is: where many start at
+/// once, each would claim the lead.
+const LISTEN_FIRST: Millis = Millis(1_200);
+
 /// Time between two readings of counts.
 const COUNTS_EVERY: Duration = Duration::from_millis(250);
 
@@ -103,10 +107,10 @@
 
 /// Whether this gateway is the one that all would pick: the first by name of those that live.
 fn is_candidate<P: Platform>(gateway: &Gateway<P>) -> bool {
-    if gateway.readiness() != Readiness::Ready {
+    let now = gateway.now();
+    if gateway.readiness() != Readiness::Ready || now < LISTEN_FIRST {
         return false;
     }
-    let now = gateway.now();
     gateway.with_members(|members| members.is_first_ready(now))
 }
 
@@ -191,13 +195,16 @@
 impl<P: Platform> Service<P> {
     /// Asks servers that are in no known group for their place.
     async fn find_groups(&self) {
-        let servers = self.gateway.with_pool(|pool| pool.open_of(&self.name));
+        let servers = self.gateway.with_pool(|pool| pool.present_of(&self.name));
         let new: Vec<Key<Server>> = {
-            let groups = self.groups.borrow();
+            let mut groups = self.groups.borrow_mut();
+            for rank in groups.values_mut().flatten() {
+                *rank = rank.filter(|key| servers.contains(key));
+            }
             let placed = |key: &Key<Server>| groups.values().flatten().any(|at| *at == Some(*key));
             servers.into_iter().filter(|key| !placed(key)).collect()
         };
-        let reports = new.iter().map(|key| engine::report(&self.gateway, *key));
+        let reports = new.iter().map(|key| engine::report(&self.gateway, *key, Path::Any));
         let reports = join_all(reports).await;
         let mut groups = self.groups.borrow_mut();
         for (key, report) in new.into_iter().zip(reports) {
@@ -260,6 +267,10 @@
         Some((key, engine::counts(&self.gateway, key, Path::Any).await?))
     }
 
+    fn are_present(&self, ranks: &[Key<Server>]) -> bool {
+        self.gateway.with_pool(|pool| ranks.iter().all(|key| pool.is_present(*key)))
+    }
+
     fn ranks_of(&self, group: &str) -> Option<Vec<Key<Server>>> {
         self.groups.borrow().get(group)?.iter().copied().collect()
     }
@@ -382,7 +393,8 @@
                 service.lead.end();
             }
             other => {
-                service.gateway.journal.state(format_args!("group {group}: {other:?}"));
+                let line = format_args!("group {group}: {other:?} at {}", done.describe());
+                service.gateway.journal.state(line);
                 known = None;
             }
         }
@@ -391,7 +403,7 @@
 
 /// Reads a group's map: from its version where that is the first one, else from its ranks.
 async fn learn<P: Platform>(service: &Service<P>, ranks: &[Key<Server>]) -> Option<Known> {
-    let reports = ranks.iter().map(|key| engine::report(&service.gateway, *key));
+    let reports = ranks.iter().map(|key| engine::report(&service.gateway, *key, Path::Any));
     let reports: Option<Vec<_>> = join_all(reports).await.into_iter().collect();
     let reports = reports?;
     let first = reports.first()?.state;
@@ -489,6 +501,7 @@
 ) -> (Switch, Next) {
     loop {
         match switch.step() {
+            Next::Round(_) if !service.are_present(ranks) => return (switch, Next::Changed),
             Next::Round(asks) => {
                 // The map was planned from another one: it may need more copies than planned.
                 let moved = switch.surveyed_map().is_some_and(|map| map != before.version);
@@ -515,7 +528,7 @@
     map: &[Vec<Vec<u16>>],
 ) -> Reply {
     match ask {
-        Ask::Report => match engine::report(&service.gateway, key).await {
+        Ask::Report => match engine::report(&service.gateway, key, Path::Any).await {
             Some(report) => Reply::Report(report.state),
             None => Reply::Nothing,
         },
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -35,7 +35,7 @@
 use crate::platform::Table;
 
 /// Time between two rounds while the store answers.
-const ROUND: Duration = Duration::from_millis(900);
+const ROUND: Duration = Duration::from_millis(600);
 
 /// The same while it does not, or while this gateway knows too little to serve.
 const HASTY_ROUND: Duration = Duration::from_millis(250);
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -32,6 +32,7 @@
 use crate::platform::Platform;
 use crate::platform::Table;
 use crate::settings;
+use crate::standing;
 
 /// Connections that wait to be accepted: a flood of callers is not turned away by the kernel.
 const BACKLOG: u32 = 1_024;
@@ -85,6 +86,7 @@
     }
     tokio::task::spawn_local(follow::keep_listed(gateway.clone()));
     tokio::task::spawn_local(maps::run(gateway.clone()));
+    tokio::task::spawn_local(standing::watch(gateway.clone()));
     let exchanging = peers.clone();
     let exchanger = gateway.clone();
     tokio::task::spawn_local(async move { exchanging.run(exchanger).await });
