Replicas: one that was read whole hands others a whole copy, not the changes since

Found by crates/core/tests/direct_tables.rs replicas_are_the_store_at_their_revision, red before: a row that was removed before the whole copy was never told, so a peer that was behind kept it (a server that had left stayed in use there). Tests of routes, accounts, replicas, members, pool, attempts, budget, events and plans.

--- a/crates/core/src/direct/replica.rs
+++ b/crates/core/src/direct/replica.rs
@@ -42,7 +42,7 @@
 pub struct Replica {
     revision: u64,
     rows: BTreeMap<String, Row>,
-    /// Revision up to which removals have been forgotten.
+    /// Revision up to which removals are not known.
     forgotten: u64,
 }
 
@@ -76,6 +76,8 @@
         let mut changed = Vec::new();
         if update.whole {
             self.remove_untold(update, &mut changed);
+            // What was removed before this copy was never told: others need a whole one, too.
+            self.forgotten = self.forgotten.max(update.revision);
         }
         for change in &update.changes {
             let known = self.rows.get(&change.key);
--- /dev/null
+++ b/crates/core/tests/direct_requests.rs
@@ -0,0 +1,252 @@
+//! What a gateway decides about requests: servers, attempts, repeats, streams, and where experts go.
+
+use std::net::SocketAddr;
+
+use hooktrestle_core::clock::Millis;
+use hooktrestle_core::direct::attempts;
+use hooktrestle_core::direct::attempts::Attempts;
+use hooktrestle_core::direct::attempts::Fate;
+use hooktrestle_core::direct::attempts::Next;
+use hooktrestle_core::direct::budget;
+use hooktrestle_core::direct::budget::RepeatBudget;
+use hooktrestle_core::direct::events::Events;
+use hooktrestle_core::direct::expert_plan;
+use hooktrestle_core::direct::pool;
+use hooktrestle_core::direct::pool::Ending;
+use hooktrestle_core::direct::pool::Listed;
+use hooktrestle_core::direct::pool::Pool;
+use hooktrestle_core::direct::pool::Server;
+use hooktrestle_core::util::arena::Key;
+use hooktrestle_schema::Cause;
+use hooktrestle_schema::Verdict;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+fn listed(id: &str, port: u16, leaving: bool) -> Listed {
+    Listed {
+        id: id.to_owned(),
+        service: "hints".to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], port)),
+        data_centre: String::new(),
+        slots: 4,
+        leaving,
+    }
+}
+
+fn pool(ids: &[&str]) -> Pool {
+    let mut pool = Pool::new(pool::Config::default());
+    for (index, id) in ids.iter().enumerate() {
+        pool.list(listed(id, 1_000 + index as u16, false), 1);
+    }
+    pool
+}
+
+fn chosen(pool: &mut Pool, tried: &[Key<Server>], now: u64) -> Option<String> {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let key = pool.choose("hints", tried, 1.0, Millis(now), &mut rng)?;
+    pool.ended(key, Ending::Answered, Millis(now));
+    Some(pool.server(key).listed.id.clone())
+}
+
+#[test]
+fn servers_that_leave_or_are_gone_get_no_work() {
+    let mut pool = pool(&["a", "b", "c"]);
+    pool.list(listed("a", 1_000, true), 2);
+    pool.unlist("b");
+    for _ in 0..10 {
+        assert_eq!(chosen(&mut pool, &[], 0).as_deref(), Some("c"));
+    }
+    pool.unlist("c");
+    assert_eq!(chosen(&mut pool, &[], 0), None);
+}
+
+#[test]
+fn of_two_servers_at_one_address_the_newer_row_has_it() {
+    for first_is_older in [true, false] {
+        let mut pool = Pool::new(pool::Config::default());
+        let mut rows = vec![(listed("dead", 1_000, false), 3), (listed("new", 1_000, false), 9)];
+        if !first_is_older {
+            rows.reverse();
+        }
+        for (listed, revision) in rows {
+            pool.list(listed, revision);
+        }
+        for _ in 0..4 {
+            assert_eq!(chosen(&mut pool, &[], 0).as_deref(), Some("new"));
+        }
+    }
+}
+
+#[test]
+fn a_name_that_another_server_answered_for_is_never_used_again() {
+    let mut pool = pool(&["a"]);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let key = pool.choose("hints", &[], 1.0, Millis(0), &mut rng).unwrap();
+    pool.ended(key, Ending::Replaced, Millis(0));
+    assert_eq!(chosen(&mut pool, &[], 1_000_000), None);
+}
+
+#[test]
+fn a_server_that_cannot_be_reached_rests_unless_no_other_is_left() {
+    let mut pool = pool(&["a", "b"]);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let key = pool.choose("hints", &[], 1.0, Millis(0), &mut rng).unwrap();
+    let other = if pool.server(key).listed.id == "a" { "b" } else { "a" };
+    pool.ended(key, Ending::Unreachable, Millis(0));
+    for _ in 0..10 {
+        assert_eq!(chosen(&mut pool, &[], 100).as_deref(), Some(other));
+    }
+    pool.unlist(other);
+    assert!(chosen(&mut pool, &[], 100).is_some(), "resting is better than refusing");
+    pool.set_standing(key, true);
+    assert_eq!(chosen(&mut pool, &[], 100), None, "a group that stands still refuses");
+}
+
+fn key() -> Key<Server> {
+    Key::from_index(0)
+}
+
+#[test]
+fn only_what_cannot_have_run_is_refused_as_not_run() {
+    let fates = [Fate::NotSent, Fate::NotRun, Fate::MayHaveRun, Fate::Failed];
+    for first in fates {
+        for second in fates {
+            let mut attempts = Attempts::new(9, true);
+            attempts.after(key(), first, || true);
+            attempts.after(key(), second, || true);
+            let refusal = attempts.refuse(Cause::NoBackendServer);
+            let ran = |fate| matches!(fate, Fate::MayHaveRun | Fate::Failed);
+            let not_run = !ran(first) && !ran(second);
+            assert_eq!(refusal.verdict == Verdict::NotRun, not_run, "{first:?}, {second:?}");
+            assert_eq!(attempts::status(&refusal) == 503, not_run, "{first:?}, {second:?}");
+        }
+    }
+}
+
+#[test]
+fn an_attempt_that_is_out_may_run() {
+    let mut attempts = Attempts::new(2, true);
+    attempts.begin();
+    assert_eq!(attempts.refuse(Cause::DeadlinePassed).verdict, Verdict::MayHaveRun);
+    attempts.after(key(), Fate::NotRun, || true);
+    assert_eq!(attempts.refuse(Cause::DeadlinePassed).verdict, Verdict::NotRun);
+}
+
+#[test]
+fn what_must_not_run_twice_is_not_sent_again_unless_it_did_not_run() {
+    let mut once = Attempts::new(3, false);
+    assert_eq!(once.after(key(), Fate::NotRun, || true), Next::Again);
+    assert!(matches!(once.after(key(), Fate::MayHaveRun, || true), Next::GiveUp(_)));
+    let mut failed = Attempts::new(3, false);
+    assert_eq!(failed.after(key(), Fate::Failed, || true), Next::PassOn);
+}
+
+#[test]
+fn attempts_and_the_budget_bound_what_is_sent() {
+    let mut attempts = Attempts::new(2, true);
+    assert_eq!(attempts.after(key(), Fate::MayHaveRun, || true), Next::Again);
+    assert!(matches!(attempts.after(key(), Fate::MayHaveRun, || true), Next::GiveUp(_)));
+    let mut poor = Attempts::new(2, true);
+    assert!(matches!(poor.after(key(), Fate::NotRun, || false), Next::GiveUp(_)));
+    let mut unsent = Attempts::new(2, true);
+    for _ in 0..3 {
+        assert_eq!(unsent.after(key(), Fate::NotSent, || false), Next::Again);
+    }
+    assert!(matches!(unsent.after(key(), Fate::NotSent, || false), Next::GiveUp(_)));
+}
+
+proptest! {
+    /// In every window, the repeats of all gateways stay within the operators' bound, also when each
+    /// gateway was replaced by a new process in the middle of it.
+    #[test]
+    fn repeats_stay_within_the_bound_in_every_window(
+        events in vec((0u64..120, 0usize..4, any::<bool>()), 1..400),
+        restart_at in 0u64..6_000,
+    ) {
+        let config = budget::Config { ratio: 0.2, slack: 12.0, window: Millis(1_000) };
+        let mut budgets = vec![RepeatBudget::new(config); 4];
+        let (mut now, mut requests, mut repeats) = (0, Vec::new(), Vec::new());
+        let mut restarted = false;
+        for (pause, gateway, is_request) in events {
+            now += pause;
+            if now >= restart_at && !restarted {
+                budgets = vec![RepeatBudget::new(config); 4];
+                restarted = true;
+            }
+            if is_request {
+                budgets[gateway].request(Millis(now));
+                requests.push(now);
+            } else if budgets[gateway].take(Millis(now), 4) {
+                repeats.push(now);
+            }
+            let in_window = |times: &[u64]| times.iter().filter(|at| now - **at < 1_000).count();
+            // A repeat earned by a request of the window before counts against that window too.
+            let earned = requests.iter().filter(|at| now - **at < 2_000).count();
+            let bound = 0.2 * earned as f64 + 12.0;
+            prop_assert!(in_window(&repeats) as f64 <= bound);
+        }
+    }
+
+    /// However a stream is cut into pieces, and wherever its server breaks off, the caller gets whole
+    /// events, in order, each once.
+    #[test]
+    fn callers_get_whole_events_each_once(
+        lengths in vec(0usize..30, 1..20),
+        cuts in vec(1usize..40, 1..40),
+        breaks_after in 0usize..400,
+    ) {
+        let texts: Vec<String> = lengths.iter().enumerate()
+            .map(|(id, length)| format!("id: {id}\ndata: {}\n\n", "x".repeat(*length)))
+            .collect();
+        let whole: Vec<u8> = texts.concat().into_bytes();
+        let mut events = Events::default();
+        let mut passed = Vec::new();
+        let mut feed = |events: &mut Events, bytes: &[u8]| {
+            let mut rest = bytes;
+            for cut in cuts.iter().cycle() {
+                if rest.is_empty() {
+                    break;
+                }
+                let (piece, others) = rest.split_at((*cut).min(rest.len()));
+                passed.extend(events.push(piece));
+                rest = others;
+            }
+        };
+        feed(&mut events, &whole[..breaks_after.min(whole.len())]);
+        events.broke_off();
+        // The next server goes on after the last whole event; one that ignores that begins anew.
+        feed(&mut events, &whole);
+        passed.extend(events.end());
+        prop_assert_eq!(passed, whole);
+    }
+
+    /// A plan keeps to places, new experts and copies, leaves no expert nowhere, and is no worse.
+    #[test]
+    fn plans_keep_their_bounds(
+        shares in vec(0.0f64..1.0, 16),
+        hot in 0usize..16,
+        new_at in 0usize..4,
+    ) {
+        let ranks = 4;
+        let mut shares = shares;
+        shares[hot] += 6.0;
+        let before = expert_plan::dealt(16, ranks);
+        let limits = expert_plan::Limits { places: 6, new_at: vec![new_at; ranks], price: 0.01 };
+        let after = expert_plan::plan(&before, &shares, &limits);
+        prop_assert!(after.iter().all(|holders| *holders != 0 && *holders < 1 << ranks));
+        for rank in 0..ranks {
+            let held = after.iter().filter(|holders| **holders >> rank & 1 == 1).count();
+            prop_assert!(held <= limits.places);
+        }
+        let new = expert_plan::new_at(&before, &after, ranks);
+        prop_assert!(new.into_iter().all(|new| new <= new_at));
+        let skew = |holders: &[u64]| expert_plan::skew(holders, &shares, ranks);
+        // The peak is measured by a norm, which may let the maximum rise a little.
+        prop_assert!(skew(&after) <= skew(&before) * 1.1);
+        if new_at >= 2 {
+            prop_assert!(skew(&after) < 0.8 * skew(&before), "a hot expert is spread");
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/direct_tables.rs
@@ -0,0 +1,188 @@
+//! What a gateway knows: routes and accounts, replicas of tables, other gateways.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use hooktrestle_core::clock::Millis;
+use hooktrestle_core::direct::members::Config;
+use hooktrestle_core::direct::members::Member;
+use hooktrestle_core::direct::members::Members;
+use hooktrestle_core::direct::members::Readiness;
+use hooktrestle_core::direct::replica::Change;
+use hooktrestle_core::direct::replica::Replica;
+use hooktrestle_core::direct::replica::Update;
+use hooktrestle_core::direct::serving::Account;
+use hooktrestle_core::direct::serving::CallerLimits;
+use hooktrestle_core::direct::serving::Denial;
+use hooktrestle_core::direct::serving::Route;
+use hooktrestle_core::direct::serving::RouteKind;
+use hooktrestle_core::direct::serving::Serving;
+use hooktrestle_core::direct::serving::Split;
+use proptest::collection::vec;
+use proptest::prelude::*;
+
+fn route(host: &str, prefix: &str, anonymous: bool) -> Route {
+    Route {
+        name: prefix.to_owned(),
+        host: host.to_owned(),
+        path_prefix: prefix.to_owned(),
+        kind: RouteKind::Repeatable,
+        timeout_ms: Millis(2_000),
+        objective_ms: Millis(300),
+        priority: 1,
+        splits: vec![Split { service: "hints".to_owned(), weight: 1 }],
+        most_attempts: 2,
+        anonymous,
+        resumable: false,
+    }
+}
+
+fn serving(routes: Vec<Route>) -> Serving {
+    let account = Account { name: "paper".to_owned(), keys: vec!["k1".to_owned()], priority: None };
+    Serving::new(7, routes, Vec::new(), vec![account], CallerLimits::default())
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let all = ["/", "/a/", "/a/b/"].map(|prefix| route("one.example", prefix, true));
+    let serving = serving(all.to_vec());
+    let found = |host: &str, path: &str| {
+        let (key, _) = serving.admit(host, path, None)?;
+        Ok(serving.route(key).path_prefix.clone())
+    };
+    assert_eq!(found("one.example", "/a/b/c"), Ok("/a/b/".to_owned()));
+    assert_eq!(found("one.example", "/a/bc"), Ok("/a/".to_owned()));
+    assert_eq!(found("ONE.example:80", "/ab"), Ok("/".to_owned()));
+    assert_eq!(found("two.example", "/a/b/c"), Err(Denial::NoRoute));
+}
+
+#[test]
+fn keys_are_asked_for_unless_a_route_is_anonymous() {
+    let serving = serving(vec![route("h", "/open/", true), route("h", "/shut/", false)]);
+    let admit = |path: &str, key| serving.admit("h", path, key).map(|(_, account)| account);
+    assert_eq!(admit("/shut/", None), Err(Denial::UnknownKey));
+    assert_eq!(admit("/shut/", Some("k2")), Err(Denial::UnknownKey));
+    assert_eq!(admit("/open/", Some("k2")), Ok(None));
+    let known = admit("/shut/", Some("k1")).unwrap().map(|key| serving.account(key).name.clone());
+    assert_eq!(known.as_deref(), Some("paper"));
+}
+
+/// A store with one table, kept as the list of all its changes.
+#[derive(Default)]
+struct History(Vec<Change>);
+
+impl History {
+    fn change(&mut self, key: u8, value: Option<u8>) {
+        let revision = self.0.len() as u64 + 1;
+        let value = value.map(|value| value.to_string());
+        self.0.push(Change { key: key.to_string(), revision, value });
+    }
+
+    /// The slow, obvious way: all changes up to a revision, in order.
+    fn rows(&self, revision: u64) -> BTreeMap<String, String> {
+        let mut rows = BTreeMap::new();
+        for change in self.0.iter().filter(|change| change.revision <= revision) {
+            match &change.value {
+                Some(value) => rows.insert(change.key.clone(), value.clone()),
+                None => rows.remove(&change.key),
+            };
+        }
+        rows
+    }
+
+    fn whole(&self, revision: u64) -> Update {
+        let newest = |key: &str| {
+            let changes = self.0.iter().rev();
+            let mut known = changes.filter(|change| change.revision <= revision);
+            known.find(|change| change.key == key).cloned()
+        };
+        let changes = self.rows(revision).into_keys().filter_map(|key| newest(&key)).collect();
+        Update { revision, whole: true, changes }
+    }
+
+    fn since(&self, from: u64, to: u64) -> Update {
+        let range = self.0.iter().filter(|change| change.revision > from && change.revision <= to);
+        Update { revision: to, whole: false, changes: range.cloned().collect() }
+    }
+}
+
+fn rows(replica: &Replica) -> BTreeMap<String, String> {
+    replica.rows().map(|(key, value)| (key.to_owned(), value.to_owned())).collect()
+}
+
+proptest! {
+    /// Two gateways, fed by the store and by each other in any order, old copies among them: each
+    /// holds exactly the store's rows at its revision, and its revision never falls.
+    #[test]
+    fn replicas_are_the_store_at_their_revision(
+        changes in vec((0u8..6, proptest::option::of(0u8..4)), 1..40),
+        steps in vec((0u8..4, 0usize..2, 0.0f64..1.0), 1..60),
+    ) {
+        let mut history = History::default();
+        for (key, value) in changes {
+            history.change(key, value);
+        }
+        let newest = history.0.len() as u64;
+        let mut replicas = [Replica::default(), Replica::default()];
+        for (step, index, part) in steps {
+            let before = replicas[index].revision();
+            let upto = (part * newest as f64) as u64;
+            let update = match step {
+                0 => Some(history.whole(upto)),
+                // The feed goes on from what is known.
+                1 if before > 0 => Some(history.since(before, before.max(upto))),
+                _ => replicas[1 - index].since(before),
+            };
+            if let Some(update) = update {
+                replicas[index].take(&update);
+            }
+            prop_assert!(replicas[index].revision() >= before);
+            prop_assert_eq!(rows(&replicas[index]), history.rows(replicas[index].revision()));
+        }
+    }
+}
+
+fn member(name: &str, heartbeat: u64) -> Member {
+    let port = 1_000 + u16::from(name.as_bytes()[0]);
+    let address = SocketAddr::from(([127, 0, 0, 1], port));
+    Member {
+        name: name.to_owned(),
+        incarnation: 1,
+        heartbeat,
+        callers_at: address,
+        peers_at: address,
+        data_centre: format!("hall-{name}"),
+        readiness: Readiness::Ready,
+    }
+}
+
+#[test]
+fn a_gateway_whose_heartbeat_stands_still_is_not_given_to_callers() {
+    let config = Config { suspect: Millis(3_000), forget: Millis(60_000) };
+    let mut members = Members::new(config, member("a", 1));
+    members.set_readiness(Readiness::Ready);
+    members.hear(&member("b", 1), Millis(0));
+    let both = members.for_callers("hall-b", Millis(1_000));
+    assert_eq!(both[0], member("b", 1).callers_at, "the nearest comes first");
+    // The same heartbeat, told again by a third, shows nothing.
+    members.hear(&member("b", 1), Millis(2_900));
+    assert_eq!(members.for_callers("hall-b", Millis(3_000)), [member("a", 1).callers_at]);
+    members.hear(&member("b", 2), Millis(3_100));
+    assert_eq!(members.for_callers("hall-b", Millis(3_200)).len(), 2);
+}
+
+#[test]
+fn a_restarted_gateway_outlives_the_word_of_its_earlier_process() {
+    let mut members = Members::new(Config::default(), member("a", 0));
+    members.hear(&Member { incarnation: 9, ..member("a", 55) }, Millis(0));
+    assert_eq!(members.own().incarnation, 10);
+}
+
+#[test]
+fn callers_always_get_an_address() {
+    let mut members = Members::new(Config::default(), member("a", 1));
+    members.set_readiness(Readiness::Starting);
+    assert_eq!(members.for_callers("x", Millis(0)), [member("a", 1).callers_at]);
+    members.hear(&member("b", 1), Millis(0));
+    assert_eq!(members.for_callers("x", Millis(0)), [member("b", 1).callers_at]);
+}
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -53,6 +53,21 @@
 /// How much before the longest stop the process ends by itself.
 const STOP_MARGIN: Millis = Millis(500);
 
+/// A gateway whose tasks run.
+pub struct Started<P> {
+    /// What its tasks share.
+    pub gateway: Rc<Gateway<P>>,
+    /// Where callers connect.
+    pub callers_at: SocketAddr,
+    /// Where callers ask which gateways to use.
+    pub endpoints_at: SocketAddr,
+    /// Where it is asked whether it is ready.
+    pub readiness_at: SocketAddr,
+    /// Where other gateways connect.
+    pub peers_at: SocketAddr,
+    peers: Rc<Peers>,
+}
+
 /// Runs a gateway until it is told to stop.
 ///
 /// # Errors
@@ -61,24 +76,47 @@
 pub async fn run<P: Platform>(settings: &DirectSettings, file: PathBuf, platform: P) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hang_up = signal(SignalKind::hangup())?;
-    let listen = &settings.listen;
-    let own = own_member(settings)?;
-    let gateway =
-        Rc::new(Gateway::new(platform, own, budget_config(settings), listen.sidecars_port));
-    let peers = Rc::new(Peers::default());
-    peers.set_seeds(settings::addresses(&settings.platform.seeds));
+    let started = start(settings, platform)?;
+    keep_house(&started, file, &mut hang_up, &mut terminate).await;
+    stop(&started, Millis(settings.instance.stop_within_s * 1_000)).await;
+    Ok(())
+}
 
+/// Starts a gateway's tasks on the present local set.
+///
+/// # Errors
+///
+/// An address cannot be listened on.
+pub fn start<P: Platform>(settings: &DirectSettings, platform: P) -> Result<Started<P>> {
+    let listen = &settings.listen;
     let callers_listener = bind(&listen.callers)?;
     let peers_listener = bind(&listen.peers)?;
-    let questions =
-        [(&listen.endpoints, Question::Endpoints), (&listen.readiness, Question::Readiness)];
-    for (address, question) in questions {
-        tokio::task::spawn_local(endpoints::serve(gateway.clone(), bind(address)?, question));
-    }
+    let endpoints_listener = bind(&listen.endpoints)?;
+    let readiness_listener = bind(&listen.readiness)?;
+    let started = Started {
+        callers_at: callers_listener.local_addr()?,
+        endpoints_at: endpoints_listener.local_addr()?,
+        readiness_at: readiness_listener.local_addr()?,
+        peers_at: peers_listener.local_addr()?,
+        peers: Rc::new(Peers::default()),
+        gateway: Rc::new(Gateway::new(
+            platform,
+            own_member(settings, callers_listener.local_addr()?, peers_listener.local_addr()?),
+            budget_config(settings),
+            listen.sidecars_port,
+        )),
+    };
+    let gateway = &started.gateway;
+    started.peers.set_seeds(settings::addresses(&settings.platform.seeds));
     if !listen.metrics.is_empty() {
         let listener = bind(&listen.metrics)?;
         tokio::task::spawn_local(endpoints::serve(gateway.clone(), listener, Question::Metrics));
     }
+    let questions =
+        [(endpoints_listener, Question::Endpoints), (readiness_listener, Question::Readiness)];
+    for (listener, question) in questions {
+        tokio::task::spawn_local(endpoints::serve(gateway.clone(), listener, question));
+    }
     tokio::task::spawn_local(callers::serve(gateway.clone(), callers_listener));
     tokio::task::spawn_local(peers::serve(gateway.clone(), peers_listener));
     for table in [Table::Configuration, Table::Servers] {
@@ -87,20 +125,15 @@
     tokio::task::spawn_local(follow::keep_listed(gateway.clone()));
     tokio::task::spawn_local(maps::run(gateway.clone()));
     tokio::task::spawn_local(standing::watch(gateway.clone()));
-    let exchanging = peers.clone();
-    let exchanger = gateway.clone();
-    tokio::task::spawn_local(async move { exchanging.run(exchanger).await });
+    let (peers, exchanger) = (started.peers.clone(), gateway.clone());
+    tokio::task::spawn_local(async move { peers.run(exchanger).await });
     gateway.journal.state(format_args!("{} started", settings.instance.name));
-
-    keep_house(&gateway, &peers, file, &mut hang_up, &mut terminate).await;
-    stop(&gateway, &peers, Millis(settings.instance.stop_within_s * 1_000)).await;
-    Ok(())
+    Ok(started)
 }
 
 /// Looks after settings and idle connections until the process is told to stop.
 async fn keep_house<P: Platform>(
-    gateway: &Rc<Gateway<P>>,
-    peers: &Peers,
+    started: &Started<P>,
     file: PathBuf,
     hang_up: &mut Signal,
     terminate: &mut Signal,
@@ -113,12 +146,12 @@
             _ = hang_up.recv() => told = true,
             () = time::sleep(HOUSEKEEPING) => {}
         }
-        gateway.connections.sweep();
-        gateway.sidecars.sweep();
+        started.gateway.connections.sweep();
+        started.gateway.sidecars.sweep();
         let now = modified(&file);
         if told || now != seen {
             seen = now;
-            reload(gateway, peers, &file);
+            reload(&started.gateway, &started.peers, &file);
         }
     }
 }
@@ -138,7 +171,8 @@
 
 /// Finishes what is in flight: callers are sent elsewhere first, then the process ends once
 /// nothing comes any more.
-async fn stop<P: Platform>(gateway: &Rc<Gateway<P>>, peers: &Peers, within: Millis) {
+pub async fn stop<P: Platform>(started: &Started<P>, within: Millis) {
+    let Started { gateway, peers, .. } = started;
     let began = gateway.now();
     gateway.begin_stop();
     gateway.journal.state(format_args!("stopping, {} in flight", gateway.in_flight()));
@@ -173,19 +207,19 @@
     }
 }
 
-fn own_member(settings: &DirectSettings) -> Result<Member> {
+fn own_member(settings: &DirectSettings, callers_at: SocketAddr, peers_at: SocketAddr) -> Member {
     let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    Ok(Member {
+    Member {
         name: settings.instance.name.clone(),
         // Only has to rise from one process to the next; should the time of day have gone back,
         // others tell of the earlier process and it is outlived.
         incarnation: since_epoch.map_or(0, |since| since.as_millis() as u64),
         heartbeat: 0,
-        callers_at: settings.listen.callers.parse()?,
-        peers_at: settings.listen.peers.parse()?,
+        callers_at,
+        peers_at,
         data_centre: settings.instance.data_centre.clone(),
         readiness: Readiness::Starting,
-    })
+    }
 }
 
 fn bind(address: &str) -> Result<TcpListener> {
