--- a/crates/core/tests/direct_requests.rs
+++ b/crates/core/tests/direct_requests.rs
@@ -1,5 +1,7 @@
 //! What a gateway decides about requests: servers, attempts, repeats, streams, and where experts go.
 
+mod support;
+
 use std::net::SocketAddr;
 
 use hooktrestle_core::clock::Millis;
@@ -23,6 +25,7 @@
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use support::seeded;
 
 fn listed(id: &str, port: u16, leaving: bool) -> Listed {
     Listed {
@@ -158,6 +161,8 @@
 }
 
 proptest! {
+    #![proptest_config(seeded(400, "tests/direct_requests.regressions"))]
+
     /// In every window, the repeats of all gateways stay within the operators' bound, also when each
     /// gateway was replaced by a new process in the middle of it.
     #[test]
--- a/crates/core/tests/direct_tables.rs
+++ b/crates/core/tests/direct_tables.rs
@@ -1,5 +1,7 @@
 //! What a gateway knows: routes and accounts, replicas of tables, other gateways.
 
+mod support;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -20,6 +22,7 @@
 use hooktrestle_core::direct::serving::Split;
 use proptest::collection::vec;
 use proptest::prelude::*;
+use support::seeded;
 
 fn route(host: &str, prefix: &str, anonymous: bool) -> Route {
     Route {
@@ -111,6 +114,8 @@
 }
 
 proptest! {
+    #![proptest_config(seeded(400, "tests/direct_tables.regressions"))]
+
     /// Two gateways, fed by the store and by each other in any order, old copies among them: each
     /// holds exactly the store's rows at its revision, and its revision never falls.
     #[test]
@@ -142,6 +147,20 @@
     }
 }
 
+#[test]
+fn a_removal_from_before_a_whole_copy_reaches_peers() {
+    let mut history = History::default();
+    history.change(1, Some(1));
+    let mut behind = Replica::default();
+    behind.take(&history.whole(1));
+    history.change(1, None);
+    history.change(2, Some(2));
+    let mut fresh = Replica::default();
+    fresh.take(&history.whole(3));
+    behind.take(&fresh.since(behind.revision()).unwrap());
+    assert_eq!(rows(&behind), history.rows(3));
+}
+
 fn member(name: &str, heartbeat: u64) -> Member {
     let port = 1_000 + u16::from(name.as_bytes()[0]);
     let address = SocketAddr::from(([127, 0, 0, 1], port));
