--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -23,9 +23,16 @@
 /// Pause before a table is read again that was read from the past.
 const STALE_PAUSE: Duration = Duration::from_millis(400);
 
+/// Pause after a change: more often than not others follow, and each call has a price. It delays what
+/// is due within two seconds.
+const GATHER: Duration = Duration::from_millis(200);
+
 /// Time between two looks at the table of gateways: it is needed only by those that no other
 /// gateway knows.
-const MEMBERS_EVERY: Duration = Duration::from_secs(10);
+const MEMBERS_EVERY: Duration = Duration::from_secs(30);
+
+/// The same while no other gateway is known to live.
+const ALONE_EVERY: Duration = Duration::from_secs(2);
 
 /// Follows a table until the process ends.
 pub async fn follow<P: Platform>(gateway: Rc<Gateway<P>>, table: Table) {
@@ -46,6 +53,9 @@
                 gateway.note_store(true, &"");
                 gateway.take(table, &update, "store");
                 whole = false;
+                if !update.changes.is_empty() {
+                    time::sleep(GATHER).await;
+                }
             }
             Err(Failure::HistoryGone) => {
                 gateway.journal.state(format_args!("{} is read anew", table.name()));
@@ -76,6 +86,9 @@
                 found.iter().for_each(|member| members.hear_listed(member, now));
             });
         }
-        time::sleep(if listed { MEMBERS_EVERY } else { 2 * PAUSE }).await;
+        let now = gateway.now();
+        let alone = gateway.with_members(|members| members.living(now)) == 1;
+        let pause = if alone { ALONE_EVERY } else { MEMBERS_EVERY };
+        time::sleep(if listed { pause } else { 2 * PAUSE }).await;
     }
 }
