--- a/crates/direct/src/sidecar.rs
+++ b/crates/direct/src/sidecar.rs
@@ -58,6 +58,7 @@
 /// The address cannot be listened on.
 pub async fn run(settings: &SidecarRoleSettings) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
+    let mut hang_up = signal(SignalKind::hangup())?;
     let listener = TcpListener::bind(&settings.listen)
         .await
         .wrap_err_with(|| format!("cannot listen on {}", settings.listen))?;
@@ -66,6 +67,8 @@
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
+            // Its two addresses are those of its machine, and stay as long as the process lives.
+            _ = hang_up.recv() => spdlog::info!("settings are not read again"),
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
                     if dial::prepare(&stream).is_ok() {
