A planned stop takes no stream that it would have to cut off; answers to callers are kept 1 s

Ruled out: the store, the servers (they were at work). Change: answers may be kept for 1 s; streams are refused as not run, to come back at once, after 3/8 of the stop.

--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -12,8 +12,10 @@
 
 use bytes::Bytes;
 use futures_util::Stream;
+use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::attempts;
 use hooktrestle_core::verdict::Refusal;
+use hooktrestle_schema::Cause;
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
@@ -145,13 +147,17 @@
     gateway.metrics.requests.inc();
     let read = request::read(&gateway, parts, body).await;
     let reply = match read {
+        Ok(request) if request.is_stream() && !gateway.takes_streams() => {
+            // Another gateway can take it at once.
+            Err(Refusal::not_run(Cause::Leaving).retry_after(Millis::ZERO))
+        }
         Ok(request) => {
             let reply = forward::forward(&gateway, &request).await;
             Ok((request, reply))
         }
         Err(Unread::Refused(refusal)) => Err(refusal),
         // Nobody is there to read it.
-        Err(Unread::BrokenOff) => Err(Refusal::not_run(hooktrestle_schema::Cause::Cancelled)),
+        Err(Unread::BrokenOff) => Err(Refusal::not_run(Cause::Cancelled)),
     };
     let (head, content) = match reply {
         Ok((_, Reply::Whole(head, body))) => {
--- a/crates/direct/src/endpoints.rs
+++ b/crates/direct/src/endpoints.rs
@@ -24,8 +24,8 @@
 use crate::platform::Platform;
 
 /// How long callers may keep an answer. Some keep it three times as long, so it also bounds how
-/// long a stopping gateway has callers: three times this is less than a planned stop may take.
-const KEEP_ENDPOINTS: Duration = Duration::from_secs(2);
+/// long a stopping gateway has callers: no longer than it takes streams.
+const KEEP_ENDPOINTS: Duration = Duration::from_secs(1);
 
 /// Longest time that a connection for short questions lives.
 const CONNECTION_LIFE: Duration = Duration::from_secs(30);
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -56,6 +56,10 @@
     }
 }
 
+/// Part of a planned stop in which streams are still taken, as a fraction: 3 of the users' 8 s, so
+/// that 4.5 s are left for streams of 1 to 2 s.
+const STREAM_PART: (u64, u64) = (3, 8);
+
 /// Where a process stands in its life.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Phase {
@@ -94,6 +98,8 @@
     phase: Cell<Phase>,
     in_flight: Cell<usize>,
     last_request: Cell<Millis>,
+    /// When streams are taken no more, while the process stops.
+    last_stream: Cell<Millis>,
     /// Whether the store answered last.
     store_answers: Cell<bool>,
 }
@@ -120,6 +126,7 @@
             phase: Cell::new(Phase::Running),
             in_flight: Cell::new(0),
             last_request: Cell::new(Millis::ZERO),
+            last_stream: Cell::new(Millis::MAX),
             store_answers: Cell::new(false),
         }
     }
@@ -187,12 +194,18 @@
         self.phase.get()
     }
 
-    /// The process was told to stop.
-    pub fn begin_stop(&self) {
+    /// The process was told to stop within a time.
+    pub fn begin_stop(&self, within: Millis) {
         self.phase.set(Phase::Stopping);
+        self.last_stream.set(self.now() + Millis(within.0 * STREAM_PART.0 / STREAM_PART.1));
         self.stop.notify_waiters();
     }
 
+    /// Whether a stream that begins now can be expected to end before the process does.
+    pub fn takes_streams(&self) -> bool {
+        self.now() < self.last_stream.get()
+    }
+
     /// Requests that have no whole answer yet.
     pub fn in_flight(&self) -> usize {
         self.in_flight.get()
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -43,9 +43,9 @@
 /// Time between two looks at what is left while the process stops.
 const STOP_TICK: Duration = Duration::from_millis(50);
 
-/// Shortest planned stop: callers ask twice a second or so which gateways there are, and the
+/// Shortest planned stop: some callers keep an answer three times as long as they may, and the
 /// platform asks each second whether this one is ready.
-const LEAST_STOP: Millis = Millis(2_500);
+const LEAST_STOP: Millis = Millis(3_300);
 
 /// Time without a new request after which a process that stops is not needed any more.
 const QUIET: Millis = Millis(1_000);
@@ -174,7 +174,7 @@
 pub async fn stop<P: Platform>(started: &Started<P>, within: Millis) {
     let Started { gateway, peers, .. } = started;
     let began = gateway.now();
-    gateway.begin_stop();
+    gateway.begin_stop(within);
     gateway.journal.state(format_args!("stopping, {} in flight", gateway.in_flight()));
     let name = gateway.with_members(|members| members.own().name.clone());
     let unlisted = gateway.platform.write_member(&name, None);
