--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -35,7 +35,24 @@
     server: Key<Server>,
     ask: &EngineAsk<'_>,
 ) -> Option<(StatusCode, Bytes)> {
-    time::timeout(ANSWER_TIMEOUT, exchange(gateway, server, ask, Path::Any)).await.ok()?
+    ask_by(gateway, server, ask, Path::Any).await
+}
+
+/// The same, over a given path. A sidecar that gave no answer is passed by for a while: its process
+/// may be frozen, and its machine still take connections.
+async fn ask_by<P: Platform>(
+    gateway: &Rc<Gateway<P>>,
+    server: Key<Server>,
+    ask: &EngineAsk<'_>,
+    path: Path,
+) -> Option<(StatusCode, Bytes)> {
+    let through_sidecar = gateway.uses_sidecar(server);
+    let answer = time::timeout(ANSWER_TIMEOUT, exchange(gateway, server, ask, path)).await;
+    let answer = answer.unwrap_or_default();
+    if answer.is_none() && through_sidecar {
+        gateway.pass_sidecar_by(server);
+    }
+    answer
 }
 
 /// How an engine is reached.
@@ -80,11 +97,11 @@
     server: Key<Server>,
     path: Path,
 ) -> Option<(Connection, bool)> {
-    if let Some(connection) = gateway.sidecars.idle(server) {
-        return Some((connection, true));
-    }
     let address = gateway.with_pool(|pool| pool.server(server).listed.address);
-    if gateway.sidecars_port > 0 {
+    if gateway.uses_sidecar(server) {
+        if let Some(connection) = gateway.sidecars.idle(server) {
+            return Some((connection, true));
+        }
         let beside = SocketAddr::new(address.ip(), gateway.sidecars_port);
         if let Ok(connection) = Connection::open_within(server, beside, SIDECAR_TIMEOUT).await {
             return Some((connection, true));
@@ -107,8 +124,7 @@
     server: Key<Server>,
     path: Path,
 ) -> Option<EngineReport> {
-    let exchange = exchange(gateway, server, &EngineAsk::Report, path);
-    let (status, body) = time::timeout(ANSWER_TIMEOUT, exchange).await.ok()??;
+    let (status, body) = ask_by(gateway, server, &EngineAsk::Report, path).await?;
     if !status.is_success() {
         return None;
     }
@@ -122,8 +138,7 @@
     server: Key<Server>,
     path: Path,
 ) -> Option<Counts> {
-    let exchange = exchange(gateway, server, &EngineAsk::Counts, path);
-    let (status, body) = time::timeout(ANSWER_TIMEOUT, exchange).await.ok()??;
+    let (status, body) = ask_by(gateway, server, &EngineAsk::Counts, path).await?;
     if !status.is_success() {
         return None;
     }
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -19,9 +19,11 @@
 use hooktrestle_core::direct::members::Readiness;
 use hooktrestle_core::direct::pool;
 use hooktrestle_core::direct::pool::Pool;
+use hooktrestle_core::direct::pool::Server;
 use hooktrestle_core::direct::replica::Replica;
 use hooktrestle_core::direct::replica::Update;
 use hooktrestle_core::direct::serving::Serving;
+use hooktrestle_core::util::arena::Key;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -56,6 +58,10 @@
     }
 }
 
+/// How long a sidecar that gave no answer is passed by. Freezes at the users last some seconds, and
+/// asking directly has a price.
+const PASS_BY: Millis = Millis(1_000);
+
 /// Part of a planned stop in which streams are still taken, as a fraction: 3 of the users' 8 s, so
 /// that 4.5 s are left for streams of 1 to 2 s.
 const STREAM_PART: (u64, u64) = (3, 8);
@@ -95,6 +101,8 @@
     replicas: RefCell<BTreeMap<Table, Replica>>,
     budgets: RefCell<HashMap<String, RepeatBudget>>,
     budget: Cell<budget::Config>,
+    /// Sidecars that gave no answer, and until when they are not asked.
+    passed_by: RefCell<HashMap<Key<Server>, Millis>>,
     phase: Cell<Phase>,
     in_flight: Cell<usize>,
     last_request: Cell<Millis>,
@@ -123,6 +131,7 @@
             replicas: RefCell::new(Table::ALL.map(|table| (table, Replica::default())).into()),
             budgets: RefCell::default(),
             budget: Cell::new(budget),
+            passed_by: RefCell::default(),
             phase: Cell::new(Phase::Running),
             in_flight: Cell::new(0),
             last_request: Cell::new(Millis::ZERO),
@@ -223,6 +232,17 @@
         InFlight { gateway: self.clone() }
     }
 
+    /// Whether a server's engine is asked through the process beside it.
+    pub fn uses_sidecar(&self, server: Key<Server>) -> bool {
+        let until = self.passed_by.borrow().get(&server).copied().unwrap_or_default();
+        self.sidecars_port > 0 && until <= self.now()
+    }
+
+    /// The process beside a server gave no answer: the engine is asked directly for a while.
+    pub fn pass_sidecar_by(&self, server: Key<Server>) {
+        self.passed_by.borrow_mut().insert(server, self.now() + PASS_BY);
+    }
+
     /// Whether the store answered when it was asked last.
     pub fn store_answers(&self) -> bool {
         self.store_answers.get()
