--- a/crates/direct/src/maps.rs
+++ b/crates/direct/src/maps.rs
@@ -67,7 +67,7 @@
 
 /// Copies that a rank makes for one switch, over all sets: a copy takes 148 ms at the users, and
 /// demand shifts every few seconds.
-const COPIES_EACH: usize = 3;
+const COPIES_EACH: usize = 2;
 
 /// Added to the time that copies take by the link's rate: round trips, and a late start.
 const COPY_MARGIN: Millis = Millis(30);
