--- a/crates/direct/src/maps.rs
+++ b/crates/direct/src/maps.rs
@@ -37,11 +37,11 @@
 use crate::platform::Platform;
 
 /// Time between two looks at who leads.
-const LEAD_EVERY: Duration = Duration::from_millis(500);
+const LEAD_EVERY: Duration = Duration::from_millis(250);
 
 /// Time from the start of the process in which it only hears who else there is: where many start at
 /// once, each would claim the lead.
-const LISTEN_FIRST: Millis = Millis(1_200);
+const LISTEN_FIRST: Millis = Millis(500);
 
 /// Time between two readings of counts.
 const COUNTS_EVERY: Duration = Duration::from_millis(250);
