--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -42,17 +42,17 @@
     ("repeats", "DirectRepeatSettings"),
 ];
 
+/// The same of a process beside a backend server.
+const SIDECAR_SECTIONS: [(&str, &str); 1] = [("sidecar", "SidecarRoleSettings")];
+
 /// Reads and checks a settings file.
 ///
 /// # Errors
 ///
 /// Every fault in the file, with what is allowed there.
 pub fn load(path: &Path) -> Result<DirectSettings, SettingsError> {
-    let file = path.display().to_string();
-    match fs::read_to_string(path) {
-        Ok(text) => parse(&file, &text),
-        Err(error) => Err(SettingsError { file, faults: vec![format!("cannot be read: {error}")] }),
-    }
+    let (file, text) = read(path)?;
+    parse(&file, &text)
 }
 
 /// Checks the text of a settings file; `file` names it in errors.
@@ -62,23 +62,11 @@
 /// As [`load`].
 pub fn parse(file: &str, text: &str) -> Result<DirectSettings, SettingsError> {
     let failed = |faults| SettingsError { file: file.to_owned(), faults };
-    let ini = Ini::load_from_str(text).map_err(|error| {
-        failed(vec![format!("line {}: {}: correct the line", error.line, error.msg)])
-    })?;
-    let mut faults = Vec::new();
-    let mut object = Map::new();
-    for (section, definition) in SECTIONS {
-        let Some(properties) = ini.section(Some(section)) else {
-            faults.push(format!("section [{section}] is missing: add it"));
-            continue;
-        };
-        let values = read_section(section, definition, properties, &mut faults);
-        object.insert(section.to_owned(), Value::Object(values));
-    }
+    let (values, faults) = read_sections(text, &SECTIONS).map_err(failed)?;
     if !faults.is_empty() {
         return Err(failed(faults));
     }
-    let settings: DirectSettings = serde_json::from_value(Value::Object(object))
+    let settings: DirectSettings = serde_json::from_value(Value::Object(values))
         .map_err(|error| failed(vec![error.to_string()]))?;
     let faults = address_faults(&settings);
     if faults.is_empty() { Ok(settings) } else { Err(failed(faults)) }
@@ -90,29 +78,16 @@
 ///
 /// As [`load`].
 pub fn load_sidecar(path: &Path) -> Result<SidecarRoleSettings, SettingsError> {
-    let file = path.display().to_string();
+    let (file, text) = read(path)?;
     let failed = |faults| SettingsError { file: file.clone(), faults };
-    let text = fs::read_to_string(path)
-        .map_err(|error| failed(vec![format!("cannot be read: {error}")]))?;
-    let ini = Ini::load_from_str(&text).map_err(|error| {
-        failed(vec![format!("line {}: {}: correct the line", error.line, error.msg)])
-    })?;
-    let Some(properties) = ini.section(Some("sidecar")) else {
-        return Err(failed(vec!["section [sidecar] is missing: add it".to_owned()]));
-    };
-    let mut faults = Vec::new();
-    let values = read_section("sidecar", "SidecarRoleSettings", properties, &mut faults);
-    let addresses =
-        ["listen", "engine"].map(|name| (name, values.get(name).and_then(Value::as_str)));
-    for (name, text) in addresses {
-        if text.is_some_and(|text| text.parse::<SocketAddr>().is_err()) {
-            faults.push(format!("[sidecar] {name}: must be IP:PORT"));
-        }
-    }
+    let (mut values, mut faults) = read_sections(&text, &SIDECAR_SECTIONS).map_err(failed)?;
+    // A section that is missing is among the faults.
+    let values = values.remove("sidecar").unwrap_or_default();
+    faults.extend(sidecar_address_faults(&values));
     if !faults.is_empty() {
         return Err(failed(faults));
     }
-    serde_json::from_value(Value::Object(values)).map_err(|error| failed(vec![error.to_string()]))
+    serde_json::from_value(values).map_err(|error| failed(vec![error.to_string()]))
 }
 
 /// The addresses in a comma-separated list; those that are none are passed over.
@@ -120,6 +95,35 @@
     list.split(',').filter_map(|text| text.trim().parse().ok()).collect()
 }
 
+/// The name and the text of a file.
+fn read(path: &Path) -> Result<(String, String), SettingsError> {
+    let file = path.display().to_string();
+    match fs::read_to_string(path) {
+        Ok(text) => Ok((file, text)),
+        Err(error) => Err(SettingsError { file, faults: vec![format!("cannot be read: {error}")] }),
+    }
+}
+
+/// The values by section, and what is wrong with them; or why there are no sections at all.
+fn read_sections(
+    text: &str,
+    sections: &[(&str, &str)],
+) -> Result<(Map<String, Value>, Vec<String>), Vec<String>> {
+    let ini = Ini::load_from_str(text)
+        .map_err(|error| vec![format!("line {}: {}: correct the line", error.line, error.msg)])?;
+    let mut values = Map::new();
+    let mut faults = Vec::new();
+    for (section, definition) in sections {
+        let Some(properties) = ini.section(Some(*section)) else {
+            faults.push(format!("section [{section}] is missing: add it"));
+            continue;
+        };
+        let read = read_section(section, definition, properties, &mut faults);
+        values.insert((*section).to_owned(), Value::Object(read));
+    }
+    Ok((values, faults))
+}
+
 fn read_section(
     section: &str,
     definition: &str,
@@ -157,3 +161,12 @@
     let wrong = all.filter(|(_, text)| text.parse::<SocketAddr>().is_err());
     wrong.map(|(name, text)| format!("{name}: `{text}` given; it must be IP:PORT")).collect()
 }
+
+fn sidecar_address_faults(values: &Value) -> Vec<String> {
+    let is_wrong = |name: &&str| {
+        let text = values.get(*name).and_then(Value::as_str);
+        text.is_some_and(|text| text.parse::<SocketAddr>().is_err())
+    };
+    let wrong = ["listen", "engine"].into_iter().filter(is_wrong);
+    wrong.map(|name| format!("[sidecar] {name}: must be IP:PORT")).collect()
+}
