--- a/crates/direct/src/connections.rs
+++ b/crates/direct/src/connections.rs
@@ -11,9 +11,7 @@
 use hooktrestle_core::util::arena::Key;
 use http::HeaderMap;
 use http_body_util::Full;
-use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
-use hyper_util::rt::TokioIo;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
@@ -108,14 +106,7 @@
         address: SocketAddr,
         timeout: Duration,
     ) -> io::Result<Connection> {
-        let stream = dial::dial(address, timeout).await?;
-        let (sender, driver) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
-        let task = tokio::task::spawn_local(async move {
-            // What went wrong is told to whoever waits for an answer on it.
-            drop(driver.await);
-        });
-        let driver = task.abort_handle();
+        let (sender, driver) = dial::dial_http(address, timeout).await?;
         Ok(Connection { sender, driver, server, used: false, kept: KEPT_UNTOLD })
     }
 
--- a/crates/direct/src/dial.rs
+++ b/crates/direct/src/dial.rs
@@ -4,9 +4,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
 use tokio::time;
 
 /// Longest time that sent bytes stay unacknowledged, and that an idle peer may be silent. A cut
@@ -32,6 +38,26 @@
     Ok(stream)
 }
 
+/// Opens a connection for HTTP/1.1 requests. It is driven by a task of the present local set until
+/// the sender is dropped, or the task is aborted.
+///
+/// # Errors
+///
+/// As [`dial`].
+pub async fn dial_http(
+    address: SocketAddr,
+    timeout: Duration,
+) -> io::Result<(SendRequest<Full<Bytes>>, AbortHandle)> {
+    let stream = dial(address, timeout).await?;
+    let (sender, driver) =
+        http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+    let task = tokio::task::spawn_local(async move {
+        // What went wrong is told to whoever waits for an answer on it.
+        drop(driver.await);
+    });
+    Ok((sender, task.abort_handle()))
+}
+
 /// Sets the options that notice a silent peer, on a connection dialled or accepted.
 ///
 /// # Errors
--- a/crates/direct/src/sidecar.rs
+++ b/crates/direct/src/sidecar.rs
@@ -23,7 +23,6 @@
 use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::body::Incoming;
-use hyper::client::conn::http1 as client;
 use hyper::client::conn::http1::SendRequest;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -131,12 +130,7 @@
     }
 
     async fn connect(&self) -> Result<SendRequest<Full<Bytes>>> {
-        let stream = dial::dial(self.address, ENGINE_TIMEOUT).await?;
-        let (sender, driver) = client::handshake(TokioIo::new(stream)).await?;
-        tokio::task::spawn_local(async move {
-            // What went wrong is told to whoever waits for an answer on it.
-            drop(driver.await);
-        });
+        let (sender, _) = dial::dial_http(self.address, ENGINE_TIMEOUT).await?;
         Ok(sender)
     }
 }
