--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -34,7 +34,7 @@
 use tokio::time;
 use tokio::time::Instant;
 
-use crate::dial;
+use crate::accept;
 use crate::forward;
 use crate::forward::Reply;
 use crate::gateway::Gateway;
@@ -50,21 +50,14 @@
 /// Smallest buffer that the HTTP library takes.
 const LEAST_HEADER_BYTES: usize = 8_192;
 
-/// Pause after a failure to accept, which is for want of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// Accepts callers until the process ends.
 pub async fn serve<P: Platform>(gateway: Rc<Gateway<P>>, listener: TcpListener) {
+    let note = |error: &io::Error| {
+        gateway.journal.state(format_args!("callers are not accepted: {error}"));
+    };
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_connection(gateway.clone(), stream));
-            }
-            Err(error) => {
-                gateway.journal.state(format_args!("callers are not accepted: {error}"));
-                time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
+        let stream = accept::next(&listener, note).await;
+        tokio::task::spawn_local(serve_connection(gateway.clone(), stream));
     }
 }
 
@@ -82,9 +75,6 @@
 type Watch = Rc<Cell<Activity>>;
 
 async fn serve_connection<P: Platform>(gateway: Rc<Gateway<P>>, stream: TcpStream) {
-    if dial::prepare(&stream).is_err() {
-        return;
-    }
     let watch: Watch = Rc::new(Cell::new(Activity::Resting(Instant::now())));
     let limits = gateway.serving().limits;
     let io = Watched { inner: TokioIo::new(stream), watch: watch.clone() };
--- a/crates/direct/src/endpoints.rs
+++ b/crates/direct/src/endpoints.rs
@@ -1,6 +1,7 @@
 //! Short questions: which gateways to use, whether this one is ready, and its metrics.
 
 use std::convert::Infallible;
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -19,7 +20,7 @@
 use tokio::net::TcpListener;
 use tokio::time;
 
-use crate::dial;
+use crate::accept;
 use crate::gateway::Gateway;
 use crate::platform::Platform;
 
@@ -50,16 +51,11 @@
     listener: TcpListener,
     question: Question,
 ) {
+    let note = |error: &io::Error| {
+        gateway.journal.state(format_args!("{question:?} is not accepted: {error}"));
+    };
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) if dial::prepare(&stream).is_ok() => stream,
-            Ok(_) => continue,
-            Err(error) => {
-                gateway.journal.state(format_args!("{question:?} is not accepted: {error}"));
-                time::sleep(Duration::from_millis(50)).await;
-                continue;
-            }
-        };
+        let stream = accept::next(&listener, note).await;
         let gateway = gateway.clone();
         tokio::task::spawn_local(async move {
             let service = service_fn(|request: Request<Incoming>| {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -3,7 +3,7 @@
 //! One thread, one [`Gateway`] that all tasks share, and tasks that carry out what
 //! [`hooktrestle_core::direct`] decides. The way of a request:
 //!
-//! 1. [`callers`] accepts connections and watches how long they rest.
+//! 1. [`callers`] takes connections from [`accept`] and watches how long they rest.
 //! 2. [`request`] reads one request and admits it under the configuration in force.
 //! 3. [`forward`] sends it, again where that is allowed, and finds its one answer.
 //! 4. [`exchange`] is one attempt, over a connection from [`connections`].
@@ -15,6 +15,7 @@
 //! [`endpoints`] tells callers which gateways there are. What the platform is
 //! like stands behind one trait, [`platform::Platform`].
 
+pub mod accept;
 pub mod callers;
 pub mod connections;
 pub mod dial;
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -6,6 +6,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -29,6 +30,7 @@
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
 
+use crate::accept;
 use crate::dial;
 use crate::gateway::Gateway;
 use crate::platform::Platform;
@@ -53,25 +55,20 @@
 
 /// Accepts other gateways until the process ends.
 pub async fn serve<P: Platform>(gateway: Rc<Gateway<P>>, listener: TcpListener) {
+    let note = |error: &io::Error| {
+        gateway.journal.state(format_args!("peers are not accepted: {error}"));
+    };
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let gateway = gateway.clone();
-                tokio::task::spawn_local(async move {
-                    // The other side sees the close and dials again.
-                    drop(answer_peer(gateway, stream).await);
-                });
-            }
-            Err(error) => {
-                gateway.journal.state(format_args!("peers are not accepted: {error}"));
-                time::sleep(Duration::from_millis(50)).await;
-            }
-        }
+        let stream = accept::next(&listener, note).await;
+        let gateway = gateway.clone();
+        tokio::task::spawn_local(async move {
+            // The other side sees the close and dials again.
+            drop(answer_peer(gateway, stream).await);
+        });
     }
 }
 
 async fn answer_peer<P: Platform>(gateway: Rc<Gateway<P>>, stream: TcpStream) -> eyre::Result<()> {
-    dial::prepare(&stream)?;
     let accepted = tokio_tungstenite::accept_async(stream);
     let mut socket = time::timeout(EXCHANGE_TIMEOUT, accepted).await??;
     while let Some(message) = socket.next().await {
--- a/crates/direct/src/sidecar.rs
+++ b/crates/direct/src/sidecar.rs
@@ -7,6 +7,7 @@
 
 use std::cell::RefCell;
 use std::convert::Infallible;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -28,10 +29,12 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::time;
 
+use crate::accept;
 use crate::dial;
 use crate::headers;
 
@@ -41,9 +44,6 @@
 /// Largest order that is passed on: a map of 64 ranks and 256 experts has some 100 KB.
 const MOST_ORDER_BYTES: usize = 1 << 20;
 
-/// Pause after a failure to accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// The engine beside this process.
 struct Engine {
     address: SocketAddr,
@@ -63,22 +63,15 @@
         .wrap_err_with(|| format!("cannot listen on {}", settings.listen))?;
     let engine = Rc::new(Engine { address: settings.engine.parse()?, kept: RefCell::default() });
     spdlog::info!("sidecar of {} started", settings.engine);
+    let note = |error: &io::Error| spdlog::warn!("the leader is not accepted: {error}");
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             // Its two addresses are those of its machine, and stay as long as the process lives.
             _ = hang_up.recv() => spdlog::info!("settings are not read again"),
-            accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => {
-                    if dial::prepare(&stream).is_ok() {
-                        tokio::task::spawn_local(serve(engine.clone(), stream));
-                    }
-                }
-                Err(error) => {
-                    spdlog::warn!("the leader is not accepted: {error}");
-                    time::sleep(ACCEPT_PAUSE).await;
-                }
-            },
+            stream = accept::next(&listener, note) => {
+                tokio::task::spawn_local(serve(engine.clone(), stream));
+            }
         }
     }
     // Whoever asks next goes to the engine directly.
@@ -86,7 +79,7 @@
     Ok(())
 }
 
-async fn serve(engine: Rc<Engine>, stream: tokio::net::TcpStream) {
+async fn serve(engine: Rc<Engine>, stream: TcpStream) {
     let service = service_fn(|request: Request<Incoming>| {
         let engine = engine.clone();
         async move { Ok::<_, Infallible>(answer(&engine, request).await) }
