--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -6,6 +6,7 @@
 use std::fmt;
 use std::ops::Add;
 use std::ops::Sub;
+use std::time::Duration;
 
 /// A moment, or a span, on one process's monotonic clock.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -40,6 +41,19 @@
     }
 }
 
+impl From<Duration> for Millis {
+    /// Cut to whole milliseconds; saturates.
+    fn from(span: Duration) -> Millis {
+        Millis(u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
+    }
+}
+
+impl From<Millis> for Duration {
+    fn from(span: Millis) -> Duration {
+        Duration::from_millis(span.0)
+    }
+}
+
 impl fmt::Display for Millis {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{} ms", self.0)
--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -116,9 +116,9 @@
 fn expiry<P: Platform>(activity: Activity, gateway: &Gateway<P>) -> Instant {
     let limits = gateway.serving().limits;
     match activity {
-        Activity::Resting(since) => since + Duration::from_millis(limits.idle_ms.0),
-        Activity::Reading(since) => since + Duration::from_millis(limits.header_ms.0),
-        Activity::Answering => Instant::now() + Duration::from_millis(limits.idle_ms.0),
+        Activity::Resting(since) => since + Duration::from(limits.idle_ms),
+        Activity::Reading(since) => since + Duration::from(limits.header_ms),
+        Activity::Answering => Instant::now() + Duration::from(limits.idle_ms),
     }
 }
 
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -7,7 +7,6 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::Duration;
 
 use hooktrestle_core::clock::Clock;
 use hooktrestle_core::clock::Millis;
@@ -23,39 +22,14 @@
 use hooktrestle_core::direct::replica::Update;
 use hooktrestle_core::direct::serving::Serving;
 use tokio::sync::Notify;
-use tokio::time::Instant;
 
+use crate::clock::TimerClock;
 use crate::connections::Connections;
 use crate::journal::Journal;
 use crate::metrics::Metrics;
 use crate::platform::Platform;
 use crate::platform::Table;
 
-/// Milliseconds since the process started.
-#[derive(Clone, Copy, Debug)]
-pub struct SteadyClock {
-    start: Instant,
-}
-
-impl Default for SteadyClock {
-    fn default() -> Self {
-        SteadyClock { start: Instant::now() }
-    }
-}
-
-impl SteadyClock {
-    /// The moment of a time of this clock.
-    pub fn instant(&self, at: Millis) -> Instant {
-        self.start + Duration::from_millis(at.0)
-    }
-}
-
-impl Clock for SteadyClock {
-    fn now(&self) -> Millis {
-        Millis(u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX))
-    }
-}
-
 /// Part of a planned stop in which streams are still taken, as a fraction: 3 of the users' 8 s, so
 /// that 4.5 s are left for streams of 1 to 2 s.
 const STREAM_PART: (u64, u64) = (3, 8);
@@ -74,7 +48,7 @@
     /// The platform that it runs on.
     pub platform: P,
     /// Time.
-    pub clock: SteadyClock,
+    pub clock: TimerClock,
     /// Log lines.
     pub journal: Journal,
     /// Counters and histograms.
@@ -109,7 +83,7 @@
     pub fn new(platform: P, own: Member, budget: budget::Config, sidecars_port: u16) -> Gateway<P> {
         Gateway {
             platform,
-            clock: SteadyClock::default(),
+            clock: TimerClock::default(),
             journal: Journal::default(),
             metrics: Metrics::default(),
             connections: Connections::default(),
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -17,6 +17,7 @@
 
 pub mod accept;
 pub mod callers;
+pub mod clock;
 pub mod connections;
 pub mod dial;
 pub mod endpoints;
--- a/crates/direct/src/maps.rs
+++ b/crates/direct/src/maps.rs
@@ -515,7 +515,7 @@
                 let replies = join_all(asked).await;
                 switch.take(&replies);
             }
-            Next::Pause(span) => time::sleep(Duration::from_millis(span.0)).await,
+            Next::Pause(span) => time::sleep(Duration::from(span)).await,
             ended => return (switch, ended),
         }
     }
--- a/crates/hooktrestled/src/clock.rs
+++ b/crates/hooktrestled/src/clock.rs
@@ -19,6 +19,6 @@
 
 impl Clock for MonotonicClock {
     fn now(&self) -> Millis {
-        Millis(u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX))
+        Millis::from(self.start.elapsed())
     }
 }
