--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -19,7 +19,7 @@
 #[derive(Debug)]
 pub struct SettingsError {
     file: String,
-    faults: Vec<String>,
+    faults: Faults,
 }
 
 impl fmt::Display for SettingsError {
@@ -34,6 +34,12 @@
 
 impl std::error::Error for SettingsError {}
 
+/// What is wrong with a file, one line each.
+type Faults = Vec<String>;
+
+/// Values by section, or by field.
+type Values = Map<String, Value>;
+
 /// Sections and the schema's definitions of them.
 const SECTIONS: [(&str, &str); 4] = [
     ("instance", "DirectInstanceSettings"),
@@ -105,14 +111,11 @@
 }
 
 /// The values by section, and what is wrong with them; or why there are no sections at all.
-fn read_sections(
-    text: &str,
-    sections: &[(&str, &str)],
-) -> Result<(Map<String, Value>, Vec<String>), Vec<String>> {
+fn read_sections(text: &str, sections: &[(&str, &str)]) -> Result<(Values, Faults), Faults> {
     let ini = Ini::load_from_str(text)
         .map_err(|error| vec![format!("line {}: {}: correct the line", error.line, error.msg)])?;
-    let mut values = Map::new();
-    let mut faults = Vec::new();
+    let mut values = Values::new();
+    let mut faults = Faults::new();
     for (section, definition) in sections {
         let Some(properties) = ini.section(Some(*section)) else {
             faults.push(format!("section [{section}] is missing: add it"));
@@ -128,9 +131,9 @@
     section: &str,
     definition: &str,
     properties: &ini::Properties,
-    faults: &mut Vec<String>,
-) -> Map<String, Value> {
-    let mut values = Map::new();
+    faults: &mut Faults,
+) -> Values {
+    let mut values = Values::new();
     for field in range::fields(definition) {
         match properties.get(&field.name).map(|text| range::parse(&field, text)) {
             Some(Ok(value)) => drop(values.insert(field.name, value)),
@@ -147,7 +150,7 @@
     values
 }
 
-fn address_faults(settings: &DirectSettings) -> Vec<String> {
+fn address_faults(settings: &DirectSettings) -> Faults {
     let listen = &settings.listen;
     let needed = [
         ("[listen] callers", &listen.callers),
@@ -162,7 +165,7 @@
     wrong.map(|(name, text)| format!("{name}: `{text}` given; it must be IP:PORT")).collect()
 }
 
-fn sidecar_address_faults(values: &Value) -> Vec<String> {
+fn sidecar_address_faults(values: &Value) -> Faults {
     let is_wrong = |name: &&str| {
         let text = values.get(*name).and_then(Value::as_str);
         text.is_some_and(|text| text.parse::<SocketAddr>().is_err())
