--- a/crates/direct/src/maps.rs
+++ b/crates/direct/src/maps.rs
@@ -6,6 +6,14 @@
 //!
 //! The leader reads now and then, from some ranks, how often each expert was chosen; all groups of a
 //! service serve the same demand, so one estimate serves all of them.
+//!
+//! - [`demand`]: the estimate.
+//! - [`group`]: one group's map, read, planned anew and switched.
+//! - [`layout`]: what a better map is, and what it costs to bring it in.
+
+mod demand;
+mod group;
+mod layout;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -16,13 +24,6 @@
 use futures_util::future::join_all;
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::expert_plan;
-use hooktrestle_core::direct::expert_plan::Holders;
-use hooktrestle_core::direct::map_orders;
-use hooktrestle_core::direct::map_orders::Ask;
-use hooktrestle_core::direct::map_orders::Next;
-use hooktrestle_core::direct::map_orders::Reply;
-use hooktrestle_core::direct::map_orders::Start;
-use hooktrestle_core::direct::map_orders::Switch;
 use hooktrestle_core::direct::members::Readiness;
 use hooktrestle_core::direct::pool::Server;
 use hooktrestle_core::direct::serving::ExpertShape;
@@ -32,8 +33,8 @@
 use crate::engine;
 use crate::engine::Path;
 use crate::gateway::Gateway;
+use crate::maps::demand::Demand;
 use crate::platform::Counts;
-use crate::platform::EngineAsk;
 use crate::platform::Platform;
 
 /// Time between two looks at who leads.
@@ -50,40 +51,9 @@
 /// sample of all.
 const RANKS_READ: usize = 2;
 
-/// Time after which a reading counts for half.
-const HALF_LIFE_MS: f64 = 250.0;
-
-/// Half-life of the slow average over that of the fast one.
-const SLOWER: f64 = 2.0;
-
-/// How far ahead of the counts demand is followed, in differences of the two averages.
-const AHEAD: f64 = 1.0;
-
 /// Readings that are passed over while groups have no work.
 const IDLE_READINGS: u32 = 4;
 
-/// Pause between two plans of a group.
-const PLAN_EVERY: Duration = Duration::from_millis(100);
-
-/// Copies that a rank makes for one switch, over all sets: a copy takes 148 ms at the users, and
-/// demand shifts every few seconds.
-const COPIES_EACH: usize = 3;
-
-/// Added to the time that copies take by the link's rate: round trips, and a late start.
-const COPY_MARGIN: Millis = Millis(30);
-
-/// Part of the mean load of one set that a copy has to gain.
-const COPY_PRICE: f64 = 0.06;
-
-/// Part of the present peak that a switch has to gain.
-const LEAST_GAIN: f64 = 0.08;
-
-/// Chosen experts on which an estimate has to rest, for each expert.
-const LEAST_COUNTS_EACH: f64 = 4.0;
-
-/// A group's experts: set by set, the ranks that hold each.
-type Layout = Vec<Vec<Holders>>;
-
 /// Leads the maps of services, one task for each service, until the process ends.
 pub async fn run<P: Platform>(gateway: Rc<Gateway<P>>) {
     let mut led: BTreeMap<String, Rc<Lead>> = BTreeMap::new();
@@ -180,10 +150,10 @@
         }
         service.find_groups().await;
         let names: Vec<String> = service.groups.borrow().keys().cloned().collect();
-        for group in names {
-            if !started.contains(&group) {
-                started.push(group.clone());
-                tokio::task::spawn_local(lead_group(service.clone(), group));
+        for name in names {
+            if !started.contains(&name) {
+                started.push(name.clone());
+                tokio::task::spawn_local(group::lead(service.clone(), name));
             }
         }
         service.read_counts().await;
@@ -275,265 +245,3 @@
         self.groups.borrow().get(group)?.iter().copied().collect()
     }
 }
-
-/// How often experts were chosen lately, in two averages: where the fast one is ahead of the slow
-/// one, demand is changing, and is followed ahead of what was counted.
-struct Demand {
-    experts: usize,
-    fast: Vec<f64>,
-    slow: Vec<f64>,
-    last: BTreeMap<Key<Server>, (u64, Vec<u64>)>,
-    faded_ms: f64,
-    /// Whether the newest reading showed work.
-    busy: bool,
-}
-
-impl Demand {
-    fn new(shape: &ExpertShape) -> Demand {
-        let sums = vec![0.0; shape.sets * shape.experts];
-        Demand {
-            experts: shape.experts,
-            fast: sums.clone(),
-            slow: sums,
-            last: BTreeMap::new(),
-            faded_ms: 0.0,
-            busy: true,
-        }
-    }
-
-    fn fade(&mut self, now_ms: f64) {
-        let span = now_ms - self.faded_ms;
-        self.faded_ms = now_ms;
-        for (sums, half_life) in
-            [(&mut self.fast, HALF_LIFE_MS), (&mut self.slow, SLOWER * HALF_LIFE_MS)]
-        {
-            let kept = 0.5f64.powf(span / half_life);
-            sums.iter_mut().for_each(|sum| *sum *= kept);
-        }
-    }
-
-    fn take(&mut self, key: Key<Server>, epoch: u64, counts: Vec<u64>) {
-        if counts.len() != self.fast.len() {
-            return;
-        }
-        if let Some((known_epoch, known)) = self.last.get(&key)
-            && *known_epoch == epoch
-        {
-            self.busy |= counts != *known;
-            for (index, (new, old)) in counts.iter().zip(known).enumerate() {
-                let chosen = new.saturating_sub(*old) as f64;
-                self.fast[index] += chosen;
-                self.slow[index] += chosen;
-            }
-        }
-        self.last.insert(key, (epoch, counts));
-    }
-
-    /// Each expert's share of a set as it is expected to be; `None` while there are too few counts.
-    fn of_set(&self, set: usize) -> Option<Vec<f64>> {
-        let places = set * self.experts..(set + 1) * self.experts;
-        let (fast, slow) = (self.fast.get(places.clone())?, self.slow.get(places)?);
-        let (all_fast, all_slow) = (fast.iter().sum::<f64>(), slow.iter().sum::<f64>());
-        if all_fast < LEAST_COUNTS_EACH * self.experts as f64 {
-            return None;
-        }
-        let shares = fast.iter().zip(slow).map(|(fast, slow)| {
-            let (fast, slow) = (fast / all_fast, slow / all_slow);
-            (fast + AHEAD * (fast - slow)).max(0.0)
-        });
-        Some(shares.collect())
-    }
-}
-
-/// A group's map as its leader knows it.
-struct Known {
-    epoch: u64,
-    version: u64,
-    layout: Layout,
-    /// What the next switch need not look at.
-    start: Start,
-    /// Whether a predecessor left a switch half done: a hold would stand for good.
-    unsettled: bool,
-}
-
-async fn lead_group<P: Platform>(service: Rc<Service<P>>, group: String) {
-    let mut known: Option<Known> = None;
-    while !service.lead.is_over() {
-        time::sleep(PLAN_EVERY).await;
-        let Some(ranks) = service.ranks_of(&group) else { continue };
-        if known.is_none() {
-            known = learn(&service, &ranks).await;
-            if known.is_none() {
-                time::sleep(LEAD_EVERY).await;
-            }
-        }
-        let Some(before) = &known else { continue };
-        let planned = plan(&service, &before.layout, ranks.len());
-        let planned = planned.or_else(|| before.unsettled.then(|| before.layout.clone()));
-        let Some(planned) = planned else { continue };
-        let map = by_rank(&planned, ranks.len());
-        let beside = service.gateway.sidecars_port > 0;
-        let config =
-            if beside { map_orders::Config::fresh() } else { map_orders::Config::default() };
-        let copy = copy_time(&service.shape, &before.layout, &planned, ranks.len());
-        let begun = Switch::new(config, service.fence, ranks.len(), before.start, copy);
-        let (done, ended) = carry_out(&service, &ranks, begun, before, &map).await;
-        match ended {
-            Next::Switched => {
-                let epoch = done.epoch().unwrap_or_default();
-                let version = done.version();
-                let line = format_args!("group {group}: map {version} in force");
-                service.gateway.journal.state(line);
-                let start = Start::Settled { epoch, version };
-                known = Some(Known { epoch, version, layout: planned, start, unsettled: false });
-            }
-            Next::Deposed => {
-                let line = format_args!("group {group}: another leader has a higher fence");
-                service.gateway.journal.state(line);
-                service.lead.end();
-            }
-            other => {
-                let line = format_args!("group {group}: {other:?} at {}", done.describe());
-                service.gateway.journal.state(line);
-                known = None;
-            }
-        }
-    }
-}
-
-/// Reads a group's map: from its version where that is the first one, else from its ranks.
-async fn learn<P: Platform>(service: &Service<P>, ranks: &[Key<Server>]) -> Option<Known> {
-    let reports = ranks.iter().map(|key| engine::report(&service.gateway, *key, Path::Any));
-    let reports: Option<Vec<_>> = join_all(reports).await.into_iter().collect();
-    let reports = reports?;
-    let first = reports.first()?.state;
-    let same = reports.iter().all(|report| {
-        let state = report.state;
-        state.open && state.epoch == first.epoch && state.map == first.map
-    });
-    if !same {
-        return None;
-    }
-    let (sets, experts) = (service.shape.sets, service.shape.experts);
-    let mut layout: Layout = vec![vec![0; experts]; sets];
-    if first.map == 0 {
-        layout = vec![expert_plan::dealt(experts, ranks.len()); sets];
-    } else {
-        let told = ranks.iter().map(|key| engine::experts(&service.gateway, *key));
-        for (rank, told) in join_all(told).await.into_iter().enumerate() {
-            let (version, held) = told?;
-            if version != first.map {
-                return None;
-            }
-            for (set, held) in held.iter().enumerate().take(sets) {
-                for expert in held {
-                    *layout[set].get_mut(usize::from(*expert))? |= 1 << rank;
-                }
-            }
-        }
-    }
-    let unsettled =
-        reports.iter().any(|report| report.state.held.is_some() || report.state.armed.is_some());
-    let (epoch, version) = (first.epoch, first.map);
-    Some(Known { epoch, version, layout, start: Start::Unknown, unsettled })
-}
-
-/// A better layout, if it is worth a switch.
-fn plan<P: Platform>(service: &Service<P>, layout: &Layout, ranks: usize) -> Option<Layout> {
-    let demand = service.demand.borrow();
-    let shape = &service.shape;
-    let mut copies_left = vec![COPIES_EACH; ranks];
-    let (mut before, mut after) = (0.0, 0.0);
-    let mut planned = layout.clone();
-    // The sets with the most to gain first: copies are few.
-    let mut sets: Vec<usize> = (0..shape.sets).collect();
-    let demands: Option<Vec<Vec<f64>>> = sets.iter().map(|set| demand.of_set(*set)).collect();
-    let demands = demands?;
-    let skew = |set: usize| expert_plan::skew(&layout[set], &demands[set], ranks);
-    sets.sort_by(|a, b| skew(*b).total_cmp(&skew(*a)));
-    for set in sets {
-        let shares = &demands[set];
-        let limits = expert_plan::Limits {
-            places: shape.places,
-            new_at: copies_left.iter().map(|left| (*left).min(shape.spare)).collect(),
-            price: COPY_PRICE,
-        };
-        before += expert_plan::skew(&layout[set], shares, ranks);
-        planned[set] = expert_plan::plan(&layout[set], shares, &limits);
-        after += expert_plan::skew(&planned[set], shares, ranks);
-        let new = expert_plan::new_at(&layout[set], &planned[set], ranks);
-        for (left, new) in copies_left.iter_mut().zip(new) {
-            *left = left.saturating_sub(new);
-        }
-    }
-    (after < before * (1.0 - LEAST_GAIN)).then_some(planned)
-}
-
-/// How long the rank with the most to copy takes.
-fn copy_time(shape: &ExpertShape, from: &Layout, to: &Layout, ranks: usize) -> Millis {
-    let mut copies = vec![0; ranks];
-    for (from, to) in from.iter().zip(to) {
-        let new = expert_plan::new_at(from, to, ranks);
-        copies.iter_mut().zip(new).for_each(|(sum, new)| *sum += new);
-    }
-    let most = copies.into_iter().max().unwrap_or_default() as f64;
-    let megabit = 8.0 * shape.expert_mb;
-    let copied = Millis((1_000.0 * most * megabit / shape.link_mbps.max(1.0)) as u64);
-    if most > 0.0 { copied + COPY_MARGIN } else { copied }
-}
-
-/// The experts by set and rank.
-fn by_rank(layout: &Layout, ranks: usize) -> Vec<Vec<Vec<u16>>> {
-    let of_rank = |set: &Vec<Holders>, rank: usize| {
-        let held = set.iter().enumerate().filter(|(_, mask)| **mask >> rank & 1 == 1);
-        held.map(|(expert, _)| expert as u16).collect::<Vec<u16>>()
-    };
-    layout.iter().map(|set| (0..ranks).map(|rank| of_rank(set, rank)).collect()).collect()
-}
-
-/// Brings a map in, round by round.
-async fn carry_out<P: Platform>(
-    service: &Service<P>,
-    ranks: &[Key<Server>],
-    mut switch: Switch,
-    before: &Known,
-    map: &[Vec<Vec<u16>>],
-) -> (Switch, Next) {
-    loop {
-        match switch.step() {
-            Next::Round(_) if !service.are_present(ranks) => return (switch, Next::Changed),
-            Next::Round(asks) => {
-                // The map was planned from another one: it may need more copies than planned.
-                let moved = switch.surveyed_map().is_some_and(|map| map != before.version);
-                let stale = moved || switch.epoch().is_some_and(|epoch| epoch != before.epoch);
-                if stale && switch.is_before_orders() {
-                    return (switch, Next::Changed);
-                }
-                let asked = asks.iter().map(|(rank, ask)| async {
-                    (*rank, *ask, ask_rank(service, ranks[*rank], *ask, map).await)
-                });
-                let replies = join_all(asked).await;
-                switch.take(&replies);
-            }
-            Next::Pause(span) => time::sleep(Duration::from(span)).await,
-            ended => return (switch, ended),
-        }
-    }
-}
-
-async fn ask_rank<P: Platform>(
-    service: &Service<P>,
-    key: Key<Server>,
-    ask: Ask,
-    map: &[Vec<Vec<u16>>],
-) -> Reply {
-    match ask {
-        Ask::Report => match engine::report(&service.gateway, key, Path::Any).await {
-            Some(report) => Reply::Report(report.state),
-            None => Reply::Nothing,
-        },
-        Ask::Order(guarded) => {
-            engine::order(&service.gateway, key, &EngineAsk::Order(&guarded, map)).await
-        }
-    }
-}
--- /dev/null
+++ b/crates/direct/src/maps/group.rs
@@ -0,0 +1,204 @@
+//! One group's map: read, planned anew as demand changes, and switched by orders to its ranks.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use hooktrestle_core::direct::expert_plan;
+use hooktrestle_core::direct::map_orders;
+use hooktrestle_core::direct::map_orders::Ask;
+use hooktrestle_core::direct::map_orders::Next;
+use hooktrestle_core::direct::map_orders::Reply;
+use hooktrestle_core::direct::map_orders::Start;
+use hooktrestle_core::direct::map_orders::Switch;
+use hooktrestle_core::direct::pool::Server;
+use hooktrestle_core::util::arena::Key;
+use tokio::time;
+
+use crate::engine;
+use crate::engine::Path;
+use crate::maps::LEAD_EVERY;
+use crate::maps::Service;
+use crate::maps::layout;
+use crate::maps::layout::Layout;
+use crate::platform::EngineAsk;
+use crate::platform::EngineReport;
+use crate::platform::Platform;
+
+/// Pause between two plans of a group.
+const PLAN_EVERY: Duration = Duration::from_millis(100);
+
+/// A group's map as its leader knows it.
+struct Known {
+    epoch: u64,
+    version: u64,
+    layout: Layout,
+    /// What the next switch need not look at.
+    start: Start,
+    /// Whether a predecessor left a switch half done: a hold would stand for good.
+    unsettled: bool,
+}
+
+/// Follows demand with one group's map, as long as the lead of its service goes on.
+pub(super) async fn lead<P: Platform>(service: Rc<Service<P>>, group: String) {
+    let mut known: Option<Known> = None;
+    while !service.lead.is_over() {
+        time::sleep(PLAN_EVERY).await;
+        let Some(ranks) = service.ranks_of(&group) else { continue };
+        if known.is_none() {
+            known = learn(&service, &ranks).await;
+            if known.is_none() {
+                time::sleep(LEAD_EVERY).await;
+            }
+        }
+        let Some(before) = &known else { continue };
+        let Some(planned) = next_layout(&service, before, ranks.len()) else { continue };
+        let switch = begin(&service, before, &planned, ranks.len());
+        let map = layout::by_rank(&planned, ranks.len());
+        let (done, ended) = carry_out(&service, &ranks, switch, before, &map).await;
+        known = conclude(&service, &group, planned, &done, &ended);
+    }
+}
+
+/// What a group is to be switched to, if to anything.
+fn next_layout<P: Platform>(service: &Service<P>, before: &Known, ranks: usize) -> Option<Layout> {
+    let demand = service.demand.borrow();
+    let planned = layout::plan(&service.shape, &demand, &before.layout, ranks);
+    planned.or_else(|| before.unsettled.then(|| before.layout.clone()))
+}
+
+fn begin<P: Platform>(
+    service: &Service<P>,
+    before: &Known,
+    planned: &Layout,
+    ranks: usize,
+) -> Switch {
+    let beside = service.gateway.sidecars_port > 0;
+    let config = if beside { map_orders::Config::fresh() } else { map_orders::Config::default() };
+    let copy = layout::copy_time(&service.shape, &before.layout, planned, ranks);
+    Switch::new(config, service.fence, ranks, before.start, copy)
+}
+
+/// What is known of the group after a switch; `None` if it has to be read anew.
+fn conclude<P: Platform>(
+    service: &Service<P>,
+    group: &str,
+    planned: Layout,
+    done: &Switch,
+    ended: &Next,
+) -> Option<Known> {
+    let journal = &service.gateway.journal;
+    match ended {
+        Next::Switched => {
+            let epoch = done.epoch().unwrap_or_default();
+            let version = done.version();
+            journal.state(format_args!("group {group}: map {version} in force"));
+            let start = Start::Settled { epoch, version };
+            Some(Known { epoch, version, layout: planned, start, unsettled: false })
+        }
+        Next::Deposed => {
+            journal.state(format_args!("group {group}: another leader has a higher fence"));
+            service.lead.end();
+            None
+        }
+        other => {
+            journal.state(format_args!("group {group}: {other:?} at {}", done.describe()));
+            None
+        }
+    }
+}
+
+/// Reads a group's map: from its version where that is the first one, else from its ranks.
+async fn learn<P: Platform>(service: &Service<P>, ranks: &[Key<Server>]) -> Option<Known> {
+    let reports = ranks.iter().map(|key| engine::report(&service.gateway, *key, Path::Any));
+    let reports: Option<Vec<EngineReport>> = join_all(reports).await.into_iter().collect();
+    let reports = reports?;
+    let first = reports.first()?.state;
+    let same = reports.iter().all(|report| {
+        let state = report.state;
+        state.open && state.epoch == first.epoch && state.map == first.map
+    });
+    if !same {
+        return None;
+    }
+    let layout = if first.map == 0 {
+        let shape = &service.shape;
+        vec![expert_plan::dealt(shape.experts, ranks.len()); shape.sets]
+    } else {
+        read_layout(service, ranks, first.map).await?
+    };
+    let unsettled =
+        reports.iter().any(|report| report.state.held.is_some() || report.state.armed.is_some());
+    let (epoch, version) = (first.epoch, first.map);
+    Some(Known { epoch, version, layout, start: Start::Unknown, unsettled })
+}
+
+/// Asks all ranks which experts they hold; `None` if one does not tell, or uses another map.
+async fn read_layout<P: Platform>(
+    service: &Service<P>,
+    ranks: &[Key<Server>],
+    map: u64,
+) -> Option<Layout> {
+    let (sets, experts) = (service.shape.sets, service.shape.experts);
+    let mut layout: Layout = vec![vec![0; experts]; sets];
+    let told = ranks.iter().map(|key| engine::experts(&service.gateway, *key));
+    for (rank, told) in join_all(told).await.into_iter().enumerate() {
+        let (version, held) = told?;
+        if version != map {
+            return None;
+        }
+        for (set, held) in held.iter().enumerate().take(sets) {
+            for expert in held {
+                *layout[set].get_mut(usize::from(*expert))? |= 1 << rank;
+            }
+        }
+    }
+    Some(layout)
+}
+
+/// Brings a map in, round by round.
+async fn carry_out<P: Platform>(
+    service: &Service<P>,
+    ranks: &[Key<Server>],
+    mut switch: Switch,
+    before: &Known,
+    map: &[Vec<Vec<u16>>],
+) -> (Switch, Next) {
+    loop {
+        match switch.step() {
+            Next::Round(_) if !service.are_present(ranks) => return (switch, Next::Changed),
+            Next::Round(asks) => {
+                // The map was planned from another one: it may need more copies than planned.
+                let moved = switch.surveyed_map().is_some_and(|map| map != before.version);
+                let stale = moved || switch.epoch().is_some_and(|epoch| epoch != before.epoch);
+                if stale && switch.is_before_orders() {
+                    return (switch, Next::Changed);
+                }
+                let asked = asks.iter().map(|(rank, ask)| async {
+                    (*rank, *ask, ask_rank(service, ranks[*rank], *ask, map).await)
+                });
+                let replies = join_all(asked).await;
+                switch.take(&replies);
+            }
+            Next::Pause(span) => time::sleep(Duration::from(span)).await,
+            ended => return (switch, ended),
+        }
+    }
+}
+
+async fn ask_rank<P: Platform>(
+    service: &Service<P>,
+    key: Key<Server>,
+    ask: Ask,
+    map: &[Vec<Vec<u16>>],
+) -> Reply {
+    match ask {
+        Ask::Report => match engine::report(&service.gateway, key, Path::Any).await {
+            Some(report) => Reply::Report(report.state),
+            None => Reply::Nothing,
+        },
+        Ask::Order(guarded) => {
+            engine::order(&service.gateway, key, &EngineAsk::Order(&guarded, map)).await
+        }
+    }
+}
