--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -1,13 +1,13 @@
 //! Callers' connections: accepted, watched while they rest, and closed in order when the process
 //! stops.
 
+mod body;
+mod watch;
+
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::io;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::Context;
-use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -21,11 +21,8 @@
 use http::StatusCode;
 use http::header;
 use http::response::Parts;
-use http_body::Body;
-use http_body::SizeHint;
 use hyper::body::Frame;
 use hyper::body::Incoming;
-use hyper::rt::ReadBufCursor;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -35,21 +32,30 @@
 use tokio::time::Instant;
 
 use crate::accept;
+use crate::callers::body::CallerBody;
+use crate::callers::body::Content;
+use crate::callers::watch::Activity;
+use crate::callers::watch::Guard;
+use crate::callers::watch::Watch;
+use crate::callers::watch::Watched;
 use crate::forward;
 use crate::forward::Reply;
 use crate::gateway::Gateway;
-use crate::gateway::InFlight;
 use crate::gateway::Phase;
 use crate::headers;
 use crate::platform::Platform;
 use crate::relay;
 use crate::relay::BrokenOff;
 use crate::request;
+use crate::request::Request;
 use crate::request::Unread;
 
 /// Smallest buffer that the HTTP library takes.
 const LEAST_HEADER_BYTES: usize = 8_192;
 
+/// Shortest time between two looks at a connection, however short the bounds: each look wakes a task.
+const LEAST_LOOK: Duration = Duration::from_millis(100);
+
 /// Accepts callers until the process ends.
 pub async fn serve<P: Platform>(gateway: Rc<Gateway<P>>, listener: TcpListener) {
     let note = |error: &io::Error| {
@@ -61,19 +67,6 @@
     }
 }
 
-/// What a connection is at, and since when.
-#[derive(Clone, Copy)]
-enum Activity {
-    /// Nothing of a request has come.
-    Resting(Instant),
-    /// A request's head is coming.
-    Reading(Instant),
-    /// A request has no whole answer yet.
-    Answering,
-}
-
-type Watch = Rc<Cell<Activity>>;
-
 async fn serve_connection<P: Platform>(gateway: Rc<Gateway<P>>, stream: TcpStream) {
     let watch: Watch = Rc::new(Cell::new(Activity::Resting(Instant::now())));
     let limits = gateway.serving().limits;
@@ -90,7 +83,7 @@
     let mut connection = std::pin::pin!(connection);
     let mut stopping = false;
     loop {
-        let until = expiry(watch.get(), &gateway).min(Instant::now() + limits_check(&gateway));
+        let until = expiry(watch.get(), &gateway).min(Instant::now() + look_every(&gateway));
         tokio::select! {
             // What went wrong with the connection is the caller's to see.
             _ = connection.as_mut() => return,
@@ -109,8 +102,8 @@
 }
 
 /// How often a connection's activity is looked at: the shortest bound that is to be kept.
-fn limits_check<P: Platform>(gateway: &Gateway<P>) -> Duration {
-    Duration::from_millis(gateway.serving().limits.header_ms.0.max(100))
+fn look_every<P: Platform>(gateway: &Gateway<P>) -> Duration {
+    Duration::from(gateway.serving().limits.header_ms).max(LEAST_LOOK)
 }
 
 fn expiry<P: Platform>(activity: Activity, gateway: &Gateway<P>) -> Instant {
@@ -135,21 +128,7 @@
     let (parts, body) = request.into_parts();
     let id = parts.headers.get(&gateway.platform.headers().request_id).cloned();
     gateway.metrics.requests.inc();
-    let read = request::read(&gateway, parts, body).await;
-    let reply = match read {
-        Ok(request) if request.is_stream() && !gateway.takes_streams() => {
-            // Another gateway can take it at once.
-            Err(Refusal::not_run(Cause::Leaving).retry_after(Millis::ZERO))
-        }
-        Ok(request) => {
-            let reply = forward::forward(&gateway, &request).await;
-            Ok((request, reply))
-        }
-        Err(Unread::Refused(refusal)) => Err(refusal),
-        // Nobody is there to read it.
-        Err(Unread::BrokenOff) => Err(Refusal::not_run(Cause::Cancelled)),
-    };
-    let (head, content) = match reply {
+    let (head, content) = match reply(&gateway, parts, body).await {
         Ok((_, Reply::Whole(head, body))) => {
             gateway.metrics.answered.inc();
             (passed_on(head), Content::Whole(Some(body)))
@@ -160,24 +139,54 @@
             (head, Content::Stream(Box::pin(frames)))
         }
         Ok((_, Reply::Refused(refusal))) | Err(refusal) => {
-            let shown = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("?");
-            let held = gateway.now().since(came);
-            let (verdict, cause) = (refusal.verdict, refusal.cause);
-            let line = format_args!("refused after {held}: {cause} verdict={verdict}");
-            gateway.journal.request(shown, line);
-            gateway.metrics.refused.inc();
+            note_refused(&gateway, id.as_ref(), came, &refusal);
             refused(&refusal, id, &gateway)
         }
     };
     gateway.metrics.head_ms.observe(gateway.now().since(came).0 as f64);
-    let mut response =
-        Response::from_parts(head, CallerBody { content, _guard: guard, _in_flight: in_flight });
+    let mut response = Response::from_parts(head, CallerBody::new(content, guard, in_flight));
     if gateway.phase() == Phase::Stopping {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(response)
 }
 
+/// The reply to a request, and the request for as long as its answer takes; or why it is refused
+/// before any server was tried.
+async fn reply<P: Platform>(
+    gateway: &Rc<Gateway<P>>,
+    parts: http::request::Parts,
+    body: Incoming,
+) -> Result<(Request, Reply<P>), Refusal> {
+    match request::read(gateway, parts, body).await {
+        Ok(request) if request.is_stream() && !gateway.takes_streams() => {
+            // Another gateway can take it at once.
+            Err(Refusal::not_run(Cause::Leaving).retry_after(Millis::ZERO))
+        }
+        Ok(request) => {
+            let reply = forward::forward(gateway, &request).await;
+            Ok((request, reply))
+        }
+        Err(Unread::Refused(refusal)) => Err(refusal),
+        // Nobody is there to read it.
+        Err(Unread::BrokenOff) => Err(Refusal::not_run(Cause::Cancelled)),
+    }
+}
+
+fn note_refused<P: Platform>(
+    gateway: &Gateway<P>,
+    id: Option<&HeaderValue>,
+    came: Millis,
+    refusal: &Refusal,
+) {
+    let shown = id.and_then(|id| id.to_str().ok()).unwrap_or("?");
+    let held = gateway.now().since(came);
+    let (verdict, cause) = (refusal.verdict, refusal.cause);
+    let line = format_args!("refused after {held}: {cause} verdict={verdict}");
+    gateway.journal.request(shown, line);
+    gateway.metrics.refused.inc();
+}
+
 fn passed_on(mut head: Parts) -> Parts {
     headers::strip_connection(&mut head.headers);
     // What the server spoke concerns its connection only.
@@ -209,113 +218,3 @@
     let body = serde_json::to_vec(&refusal.body()).unwrap_or_default();
     (response.into_parts().0, Content::Whole(Some(Bytes::from(body))))
 }
-
-/// The connection rests again once its answer is written.
-struct Guard {
-    watch: Watch,
-}
-
-impl Drop for Guard {
-    fn drop(&mut self) {
-        self.watch.set(Activity::Resting(Instant::now()));
-    }
-}
-
-enum Content<S> {
-    Whole(Option<Bytes>),
-    Stream(Pin<Box<S>>),
-}
-
-/// The body of an answer to a caller.
-struct CallerBody<S, P: Platform> {
-    content: Content<S>,
-    _guard: Guard,
-    _in_flight: InFlight<P>,
-}
-
-impl<S, P: Platform> Body for CallerBody<S, P>
-where
-    S: Stream<Item = Result<Frame<Bytes>, BrokenOff>>,
-{
-    type Data = Bytes;
-    type Error = BrokenOff;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
-        match &mut self.content {
-            Content::Whole(bytes) => {
-                let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
-                Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
-            }
-            Content::Stream(frames) => frames.as_mut().poll_next(context),
-        }
-    }
-
-    fn is_end_stream(&self) -> bool {
-        match &self.content {
-            Content::Whole(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
-            Content::Stream(_) => false,
-        }
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        match &self.content {
-            Content::Whole(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
-            }
-            Content::Stream(_) => SizeHint::default(),
-        }
-    }
-}
-
-/// A connection that notes when the first bytes of a request come.
-struct Watched {
-    inner: TokioIo<TcpStream>,
-    watch: Watch,
-}
-
-impl hyper::rt::Read for Watched {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: ReadBufCursor<'_>,
-    ) -> Poll<io::Result<()>> {
-        let polled = Pin::new(&mut self.inner).poll_read(context, buffer);
-        if let (Poll::Ready(Ok(())), Activity::Resting(_)) = (&polled, self.watch.get()) {
-            self.watch.set(Activity::Reading(Instant::now()));
-        }
-        polled
-    }
-}
-
-impl hyper::rt::Write for Watched {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(context, bytes)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_shutdown(context)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.inner.is_write_vectored()
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        pieces: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write_vectored(context, pieces)
-    }
-}
--- /dev/null
+++ b/crates/direct/src/callers/body.rs
@@ -0,0 +1,73 @@
+//! The body of an answer to a caller.
+
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use futures_util::Stream;
+use http_body::Body;
+use http_body::SizeHint;
+use hyper::body::Frame;
+
+use crate::callers::watch::Guard;
+use crate::gateway::InFlight;
+use crate::platform::Platform;
+use crate::relay::BrokenOff;
+
+/// An answer's bytes, or the frames of its stream.
+pub(super) enum Content<S> {
+    Whole(Option<Bytes>),
+    Stream(Pin<Box<S>>),
+}
+
+/// The body of an answer to a caller.
+pub(super) struct CallerBody<S, P: Platform> {
+    content: Content<S>,
+    _guard: Guard,
+    _in_flight: InFlight<P>,
+}
+
+impl<S, P: Platform> CallerBody<S, P> {
+    /// The request is in flight, and its connection does not rest, as long as this lives.
+    pub(super) fn new(content: Content<S>, guard: Guard, in_flight: InFlight<P>) -> Self {
+        CallerBody { content, _guard: guard, _in_flight: in_flight }
+    }
+}
+
+impl<S, P: Platform> Body for CallerBody<S, P>
+where
+    S: Stream<Item = Result<Frame<Bytes>, BrokenOff>>,
+{
+    type Data = Bytes;
+    type Error = BrokenOff;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        match &mut self.content {
+            Content::Whole(bytes) => {
+                let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
+                Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
+            }
+            Content::Stream(frames) => frames.as_mut().poll_next(context),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match &self.content {
+            Content::Whole(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+            Content::Stream(_) => false,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.content {
+            Content::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+            Content::Stream(_) => SizeHint::default(),
+        }
+    }
+}
--- a/xtask/src/style.rs
+++ b/xtask/src/style.rs
@@ -20,7 +20,7 @@
 const PLATFORM_WORDS: &str = "platform/words.txt";
 
 /// Modules that every request goes through.
-const REQUEST_PATH: [&str; 16] = [
+const REQUEST_PATH: [&str; 18] = [
     "crates/core/src/attempt.rs",
     "crates/core/src/direct/attempts.rs",
     "crates/core/src/direct/events.rs",
@@ -29,6 +29,8 @@
     "crates/core/src/fair_queue.rs",
     "crates/core/src/routing.rs",
     "crates/direct/src/callers.rs",
+    "crates/direct/src/callers/body.rs",
+    "crates/direct/src/callers/watch.rs",
     "crates/direct/src/exchange.rs",
     "crates/direct/src/forward.rs",
     "crates/direct/src/relay.rs",
