--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -21,6 +21,7 @@
 use crate::connections::Connection;
 use crate::gateway::Gateway;
 use crate::headers;
+use crate::platform::HeaderNames;
 use crate::platform::Platform;
 use crate::request::Request;
 
@@ -95,7 +96,7 @@
 ) -> Result<Answer<P>, Fate> {
     let mut turn = turn;
     let sent = send(gateway, request, turn.server(), after_event).await;
-    let (response, mut connection, reused) = match sent {
+    let Sent { response, mut connection, reused } = match sent {
         Ok(sent) => sent,
         Err(unsent) => {
             turn.end(if unsent == Fate::NotSent { Ending::Unreachable } else { Ending::Lost });
@@ -105,9 +106,7 @@
     let (head, body) = response.into_parts();
     connection.note_answer(&head.headers);
     let names = gateway.platform.headers();
-    let answered = head.headers.get(&names.request_id);
-    let own = answered.map_or(!reused, |id| *id == request.id);
-    if !own {
+    if !is_answer_to(request, names, &head, reused) {
         turn.end(Ending::Lost);
         let place = turn.server().index();
         let line = format_args!("server={place} answered another request: connection closed");
@@ -115,9 +114,7 @@
         return Err(Fate::MayHaveRun);
     }
     note_load(gateway, turn.server(), &head);
-    if head.headers.contains_key(&names.not_run)
-        || gateway.platform.is_other_server(head.status.as_u16())
-    {
+    if is_refusal(gateway, &head) {
         let ending = refusal(gateway, &head);
         turn.end(ending);
         if ending == Ending::Stalled {
@@ -136,6 +133,26 @@
     Ok(Answer { head, body, connection, turn })
 }
 
+/// Whether an answer belongs to the request. One that does not say so can on a new connection only.
+fn is_answer_to(request: &Request, names: &HeaderNames, head: &Parts, reused: bool) -> bool {
+    let answered = head.headers.get(&names.request_id);
+    answered.map_or(!reused, |id| *id == request.id)
+}
+
+/// Whether the server says that it did not run the request.
+fn is_refusal<P: Platform>(gateway: &Gateway<P>, head: &Parts) -> bool {
+    head.headers.contains_key(&gateway.platform.headers().not_run)
+        || gateway.platform.is_other_server(head.status.as_u16())
+}
+
+/// A request that was sent, up to the head of an answer.
+struct Sent {
+    response: Response<Incoming>,
+    connection: Connection,
+    /// Whether an earlier request was answered on the connection.
+    reused: bool,
+}
+
 /// Sends on an idle connection where one is left, else on a new one. Requests that must not run
 /// twice get a new one always: on a kept one they may cross its close, or meet an answer that
 /// belongs to an earlier request, and could not be sent again.
@@ -144,7 +161,7 @@
     request: &Request,
     server: Key<Server>,
     after_event: Option<u64>,
-) -> Result<(Response<Incoming>, Connection, bool), Fate> {
+) -> Result<Sent, Fate> {
     loop {
         let kept = if request.route().repeats() { gateway.connections.idle(server) } else { None };
         let fresh = kept.is_none();
@@ -157,7 +174,7 @@
         match connection.sender().try_send_request(message).await {
             Ok(response) => {
                 gateway.metrics.attempts.inc();
-                return Ok((response, connection, reused));
+                return Ok(Sent { response, connection, reused });
             }
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
@@ -208,6 +225,7 @@
     message
 }
 
+/// Notes the load that a server tells: requests that run and requests that wait.
 fn note_load<P: Platform>(gateway: &Gateway<P>, server: Key<Server>, head: &Parts) {
     let Some(text) = headers::text(&head.headers, &gateway.platform.headers().load) else { return };
     let mut counts = text.split(',').filter_map(|count| count.trim().parse::<u32>().ok());
@@ -217,6 +235,7 @@
     }
 }
 
+/// How a refusal ends the server's part.
 fn refusal<P: Platform>(gateway: &Gateway<P>, head: &Parts) -> Ending {
     if gateway.platform.is_other_server(head.status.as_u16()) {
         return Ending::Replaced;
