--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -7,7 +7,7 @@
 use tokio::time;
 
 use crate::gateway::Gateway;
-use crate::peers;
+use crate::peers::news;
 use crate::platform::Failure;
 use crate::platform::Platform;
 use crate::platform::Table;
@@ -75,13 +75,13 @@
     loop {
         if !listed {
             let own = gateway.with_members(|members| members.own().clone());
-            let value = peers::member_text(&own);
+            let value = news::member_text(&own);
             listed = gateway.platform.write_member(&own.name, Some(&value)).await.is_ok();
         }
         if let Ok(update) = gateway.platform.read(Table::Members).await {
             let now = gateway.now();
             let texts = update.changes.iter().filter_map(|change| change.value.as_deref());
-            let found: Vec<Member> = texts.filter_map(peers::member_of_text).collect();
+            let found: Vec<Member> = texts.filter_map(news::member_of_text).collect();
             gateway.with_members(|members| {
                 found.iter().for_each(|member| members.hear_listed(member, now));
             });
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -4,6 +4,8 @@
 //! does not answer it. Both tell what they know, and give each other what is lacking. So whatever
 //! reaches one gateway reaches all within a few rounds, also those that the store turns away.
 
+pub(crate) mod news;
+
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
@@ -11,19 +13,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
-use hooktrestle_core::direct::members::Member;
 use hooktrestle_core::direct::members::Readiness;
-use hooktrestle_core::direct::replica::Change;
-use hooktrestle_core::direct::replica::Update;
-use hooktrestle_schema as schema;
-use hooktrestle_schema::MemberNews;
 use hooktrestle_schema::PeerNews;
-use hooktrestle_schema::TableChange;
-use hooktrestle_schema::TableKnown;
-use hooktrestle_schema::TableNews;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::time;
@@ -33,8 +26,11 @@
 use crate::accept;
 use crate::dial;
 use crate::gateway::Gateway;
+use crate::peers::news::decode;
+use crate::peers::news::encode;
+use crate::peers::news::own_news;
+use crate::peers::news::take;
 use crate::platform::Platform;
-use crate::platform::Table;
 
 /// Time between two rounds while the store answers.
 const ROUND: Duration = Duration::from_millis(600);
@@ -48,8 +44,9 @@
 /// Idle connections to other gateways that are kept.
 const MOST_KEPT: usize = 8;
 
-/// Nesting of a message; it is four levels deep.
-const DEPTH_LIMIT: usize = 16;
+/// Rounds from one that asks a seed to the next: a seed may know the other side after a cut, and
+/// most rounds are better spent on gateways that are known to live.
+const SEED_ROUNDS: usize = 8;
 
 type Socket = WebSocketStream<TcpStream>;
 
@@ -96,7 +93,7 @@
 
     /// Exchanges news until the process ends.
     pub async fn run<P: Platform>(&self, gateway: Rc<Gateway<P>>) {
-        let mut seed = 0;
+        let mut round = 0;
         loop {
             let now = gateway.now();
             let readiness = gateway.readiness();
@@ -106,16 +103,8 @@
                 members.forget(now);
                 members.draw(now, &mut rand::rng())
             });
-            // Seeds are asked now and then also later: after a cut they may know the other side.
-            let seeds = self.seeds.borrow().clone();
-            let own = gateway.with_members(|members| members.own().peers_at);
-            seed += 1;
-            let from_seeds = if drawn.is_none() || seed % 8 == 0 || seed < seeds.len() {
-                seeds.get(seed % seeds.len().max(1)).copied().filter(|address| *address != own)
-            } else {
-                None
-            };
-            if let Some(address) = from_seeds.or(drawn) {
+            round += 1;
+            if let Some(address) = self.seed(&gateway, round, drawn.is_none()).or(drawn) {
                 self.exchange(&gateway, address).await;
             }
             let hasty = !gateway.store_answers() || readiness == Readiness::Starting;
@@ -123,6 +112,22 @@
         }
     }
 
+    /// The seed to ask in a round, if one is: each in the first rounds, and then now and then, or
+    /// while `alone`.
+    fn seed<P: Platform>(
+        &self,
+        gateway: &Gateway<P>,
+        round: usize,
+        alone: bool,
+    ) -> Option<SocketAddr> {
+        let seeds = self.seeds.borrow();
+        if !alone && !round.is_multiple_of(SEED_ROUNDS) && round >= seeds.len() {
+            return None;
+        }
+        let own = gateway.with_members(|members| members.own().peers_at);
+        seeds.get(round % seeds.len().max(1)).copied().filter(|address| *address != own)
+    }
+
     /// Tells all that live, at once.
     pub async fn announce<P: Platform>(&self, gateway: &Rc<Gateway<P>>) {
         let now = gateway.now();
@@ -190,111 +195,3 @@
     }
     Err(eyre::eyre!("the connection was closed"))
 }
-
-/// What this gateway knows, and what one that knows `known` lacks.
-fn own_news<P: Platform>(gateway: &Gateway<P>, known: &[TableKnown]) -> PeerNews {
-    let members = gateway.with_members(|members| members.tell());
-    let lacks = known.iter().filter_map(|known| {
-        let update = gateway.since(Table::of_name(&known.table)?, known.revision)?;
-        Some(table_news(&known.table, update))
-    });
-    PeerNews {
-        members: members.iter().map(member_news).collect(),
-        known: [Table::Configuration, Table::Servers]
-            .map(|table| TableKnown {
-                table: table.name().to_owned(),
-                revision: gateway.revision(table),
-            })
-            .to_vec(),
-        news: lacks.collect(),
-    }
-}
-
-fn take<P: Platform>(gateway: &Gateway<P>, news: &PeerNews) {
-    let now = gateway.now();
-    gateway.with_members(|members| {
-        let told = news.members.iter().filter_map(member);
-        told.for_each(|member| members.hear(&member, now));
-    });
-    for table_news in &news.news {
-        if let Some(table) = Table::of_name(&table_news.table) {
-            gateway.take(table, &update(table_news), "peer");
-        }
-    }
-}
-
-fn table_news(table: &str, update: Update) -> TableNews {
-    let changes = update.changes.into_iter().map(|change| TableChange {
-        key: change.key,
-        revision: change.revision,
-        value: change.value,
-    });
-    TableNews {
-        table: table.to_owned(),
-        revision: update.revision,
-        whole: update.whole,
-        changes: changes.collect(),
-    }
-}
-
-fn update(news: &TableNews) -> Update {
-    let changes = news.changes.iter().map(|change| Change {
-        key: change.key.clone(),
-        revision: change.revision,
-        value: change.value.clone(),
-    });
-    Update { revision: news.revision, whole: news.whole, changes: changes.collect() }
-}
-
-fn member_news(member: &Member) -> MemberNews {
-    MemberNews {
-        name: member.name.clone(),
-        incarnation: member.incarnation,
-        heartbeat_number: member.heartbeat,
-        callers_at: member.callers_at.to_string(),
-        peers_at: member.peers_at.to_string(),
-        data_centre: member.data_centre.clone(),
-        readiness: match member.readiness {
-            Readiness::Starting => schema::Readiness::Starting,
-            Readiness::Ready => schema::Readiness::Ready,
-            Readiness::Leaving => schema::Readiness::Leaving,
-        },
-    }
-}
-
-fn member(news: &MemberNews) -> Option<Member> {
-    Some(Member {
-        name: news.name.clone(),
-        incarnation: news.incarnation,
-        heartbeat: news.heartbeat_number,
-        callers_at: news.callers_at.parse().ok()?,
-        peers_at: news.peers_at.parse().ok()?,
-        data_centre: news.data_centre.clone(),
-        readiness: match news.readiness {
-            schema::Readiness::Starting => Readiness::Starting,
-            schema::Readiness::Ready => Readiness::Ready,
-            schema::Readiness::Leaving => Readiness::Leaving,
-        },
-    })
-}
-
-/// A gateway as it stands in [`Table::Members`].
-pub fn member_text(member: &Member) -> String {
-    // The type has only fields that JSON can hold.
-    serde_json::to_string(&member_news(member)).unwrap_or_default()
-}
-
-/// The gateway that a value of [`Table::Members`] lists.
-pub fn member_of_text(text: &str) -> Option<Member> {
-    member(&serde_json::from_str::<MemberNews>(text).ok()?)
-}
-
-fn encode(news: &PeerNews) -> Message {
-    let mut bytes = Vec::new();
-    ciborium::into_writer(news, &mut bytes).expect("news are representable in CBOR");
-    Message::Binary(Bytes::from(bytes))
-}
-
-fn decode(bytes: Bytes) -> eyre::Result<PeerNews> {
-    Ok(ciborium::de::from_reader_with_recursion_limit(bytes.as_ref(), DEPTH_LIMIT)?)
-}
