--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -1,7 +1,9 @@
 //! The life of a gateway process: listeners, signals, changed settings, a planned stop.
 
+use std::fs;
 use std::io;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
@@ -50,6 +52,10 @@
 /// Time without a new request after which a process that stops is not needed any more.
 const QUIET: Millis = Millis(1_000);
 
+/// Longest time in which others are told of a stop: the store may not answer, and callers are due
+/// their answers meanwhile.
+const TELL_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// How much before the longest stop the process ends by itself.
 const STOP_MARGIN: Millis = Millis(500);
 
@@ -106,8 +112,8 @@
             listen.sidecars_port,
         )),
     };
-    let gateway = &started.gateway;
     started.peers.set_seeds(settings::addresses(&settings.platform.seeds));
+    let gateway = &started.gateway;
     if !listen.metrics.is_empty() {
         let listener = bind(&listen.metrics)?;
         tokio::task::spawn_local(endpoints::serve(gateway.clone(), listener, Question::Metrics));
@@ -119,6 +125,14 @@
     }
     tokio::task::spawn_local(callers::serve(gateway.clone(), callers_listener));
     tokio::task::spawn_local(peers::serve(gateway.clone(), peers_listener));
+    spawn_upkeep(&started);
+    gateway.journal.state(format_args!("{} started", settings.instance.name));
+    Ok(started)
+}
+
+/// Starts what keeps the gateway's knowledge up to date.
+fn spawn_upkeep<P: Platform>(started: &Started<P>) {
+    let gateway = &started.gateway;
     for table in [Table::Configuration, Table::Servers] {
         tokio::task::spawn_local(follow::follow(gateway.clone(), table));
     }
@@ -127,8 +141,6 @@
     tokio::task::spawn_local(standing::watch(gateway.clone()));
     let (peers, exchanger) = (started.peers.clone(), gateway.clone());
     tokio::task::spawn_local(async move { peers.run(exchanger).await });
-    gateway.journal.state(format_args!("{} started", settings.instance.name));
-    Ok(started)
 }
 
 /// Looks after settings and idle connections until the process is told to stop.
@@ -156,7 +168,7 @@
     }
 }
 
-fn reload<P: Platform>(gateway: &Gateway<P>, peers: &Peers, file: &std::path::Path) {
+fn reload<P: Platform>(gateway: &Gateway<P>, peers: &Peers, file: &Path) {
     match settings::load(file) {
         Ok(settings) => {
             gateway.set_budget(budget_config(&settings));
@@ -181,7 +193,7 @@
     let announced = peers.announce(gateway);
     let told = async { tokio::join!(announced, unlisted) };
     // Who is not told now finds out when heartbeats stop.
-    drop(time::timeout(Duration::from_secs(1), told).await);
+    drop(time::timeout(TELL_TIMEOUT, told).await);
     loop {
         let now = gateway.now();
         let spent = now.since(began);
@@ -194,8 +206,8 @@
     gateway.journal.state(format_args!("stopped, {} in flight", gateway.in_flight()));
 }
 
-fn modified(file: &std::path::Path) -> Option<SystemTime> {
-    std::fs::metadata(file).and_then(|metadata| metadata.modified()).ok()
+fn modified(file: &Path) -> Option<SystemTime> {
+    fs::metadata(file).and_then(|metadata| metadata.modified()).ok()
 }
 
 fn budget_config(settings: &DirectSettings) -> budget::Config {
