--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -72,11 +72,6 @@
 }
 
 impl<P: Platform> Answer<P> {
-    /// Whether the server says that it failed.
-    pub fn is_failure(&self) -> bool {
-        self.head.status.is_server_error()
-    }
-
     /// The body was read to its end: the connection can serve another request.
     pub fn recycle(self, gateway: &Gateway<P>) {
         gateway.connections.keep(self.connection);
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -3,40 +3,40 @@
 //! One thread, one [`Gateway`] that all tasks share, and tasks that carry out what
 //! [`hooktrestle_core::direct`] decides. The way of a request:
 //!
-//! 1. [`callers`] takes connections from [`accept`] and watches how long they rest.
-//! 2. [`request`] reads one request and admits it under the configuration in force.
-//! 3. [`forward`] sends it, again where that is allowed, and finds its one answer.
-//! 4. [`exchange`] is one attempt, over a connection from [`connections`].
-//! 5. [`relay`] passes the answer on as it comes, and takes up a broken stream elsewhere.
+//! 1. `callers` takes connections from `accept` and watches how long they rest.
+//! 2. `request` reads one request and admits it under the configuration in force.
+//! 3. `forward` sends it, again where that is allowed, and finds its one answer.
+//! 4. `exchange` is one attempt, over a connection from `connections`.
+//! 5. `relay` passes the answer on as it comes, and takes up a broken stream elsewhere.
 //!
-//! Beside it, [`follow`] keeps the tables of the platform up to date, [`peers`] exchanges them with
-//! other gateways, [`maps`] moves experts between the ranks of groups as demand changes, through
+//! Beside it, `follow` keeps the tables of the platform up to date, `peers` exchanges them with
+//! other gateways, `maps` moves experts between the ranks of groups as demand changes, through
 //! [`sidecar`], the process beside each backend server, where there is one, and
-//! [`endpoints`] tells callers which gateways there are. What the platform is
+//! `endpoints` tells callers which gateways there are. What the platform is
 //! like stands behind one trait, [`platform::Platform`].
 
-pub mod accept;
-pub mod callers;
-pub mod clock;
-pub mod connections;
+mod accept;
+mod callers;
+mod clock;
+mod connections;
 pub mod dial;
-pub mod endpoints;
-pub mod engine;
-pub mod exchange;
-pub mod follow;
-pub mod forward;
-pub mod gateway;
-pub mod headers;
-pub mod journal;
-pub mod maps;
-pub mod metrics;
-pub mod peers;
+mod endpoints;
+mod engine;
+mod exchange;
+mod follow;
+mod forward;
+mod gateway;
+mod headers;
+mod journal;
+mod maps;
+mod metrics;
+mod peers;
 pub mod platform;
 pub mod process;
-pub mod relay;
-pub mod request;
+mod relay;
+mod request;
 pub mod settings;
 pub mod sidecar;
-pub mod standing;
+mod standing;
 
 pub use gateway::Gateway;
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -64,8 +64,6 @@
     pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
-    /// When it came.
-    pub came: Millis,
     /// When the caller or its route gives it up.
     pub deadline: Millis,
     /// Work that it is, in usual requests.
@@ -127,7 +125,6 @@
         uri,
         headers,
         body,
-        came,
         deadline,
         cost,
     })
