--- a/crates/core/src/direct/events.rs
+++ b/crates/core/src/direct/events.rs
@@ -19,11 +19,6 @@
         self.last_id
     }
 
-    /// Whether part of an event is held.
-    pub fn is_amid(&self) -> bool {
-        !self.held.is_empty()
-    }
-
     /// Takes bytes as they came, and returns the whole events that are new to the caller.
     pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
         self.held.extend_from_slice(bytes);
