--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -29,15 +29,6 @@
 /// Longest wait for a connection to a sidecar, before the engine is asked directly.
 const SIDECAR_TIMEOUT: Duration = Duration::from_millis(60);
 
-/// Asks an engine, and returns its status and answer; `None` if there was none in time.
-async fn ask<P: Platform>(
-    gateway: &Rc<Gateway<P>>,
-    server: Key<Server>,
-    ask: &EngineAsk<'_>,
-) -> Option<(StatusCode, Bytes)> {
-    time::timeout(ANSWER_TIMEOUT, exchange(gateway, server, ask, Path::Any)).await.ok()?
-}
-
 /// How an engine is reached.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Path {
@@ -47,15 +38,36 @@
     Any,
 }
 
+/// Asks an engine, and returns its status and answer; `None` if there was none in time.
+async fn ask<P: Platform>(
+    gateway: &Rc<Gateway<P>>,
+    server: Key<Server>,
+    question: &EngineAsk<'_>,
+    path: Path,
+) -> Option<(StatusCode, Bytes)> {
+    time::timeout(ANSWER_TIMEOUT, exchange(gateway, server, question, path)).await.ok()?
+}
+
+/// The same, where only an answer that says success is of use.
+async fn ask_body<P: Platform>(
+    gateway: &Rc<Gateway<P>>,
+    server: Key<Server>,
+    question: &EngineAsk<'_>,
+    path: Path,
+) -> Option<Bytes> {
+    let (status, body) = ask(gateway, server, question, path).await?;
+    status.is_success().then_some(body)
+}
+
 async fn exchange<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     server: Key<Server>,
-    ask: &EngineAsk<'_>,
+    question: &EngineAsk<'_>,
     path: Path,
 ) -> Option<(StatusCode, Bytes)> {
     let (mut connection, through_sidecar) = connect(gateway, server, path).await?;
     let listed = gateway.with_pool(|pool| pool.server(server).listed.clone());
-    let (method, uri, body) = gateway.platform.engine_ask(ask);
+    let (method, uri, body) = gateway.platform.engine_ask(question);
     let request = Request::builder()
         .method(method)
         .uri(uri)
@@ -107,11 +119,7 @@
     server: Key<Server>,
     path: Path,
 ) -> Option<EngineReport> {
-    let exchange = exchange(gateway, server, &EngineAsk::Report, path);
-    let (status, body) = time::timeout(ANSWER_TIMEOUT, exchange).await.ok()??;
-    if !status.is_success() {
-        return None;
-    }
+    let body = ask_body(gateway, server, &EngineAsk::Report, path).await?;
     gateway.platform.engine_report(&body)
 }
 
@@ -122,11 +130,7 @@
     server: Key<Server>,
     path: Path,
 ) -> Option<Counts> {
-    let exchange = exchange(gateway, server, &EngineAsk::Counts, path);
-    let (status, body) = time::timeout(ANSWER_TIMEOUT, exchange).await.ok()??;
-    if !status.is_success() {
-        return None;
-    }
+    let body = ask_body(gateway, server, &EngineAsk::Counts, path).await?;
     gateway.platform.engine_counts(&body)
 }
 
@@ -135,10 +139,7 @@
     gateway: &Rc<Gateway<P>>,
     server: Key<Server>,
 ) -> Option<(u64, Vec<Vec<u16>>)> {
-    let (status, body) = ask(gateway, server, &EngineAsk::Experts).await?;
-    if !status.is_success() {
-        return None;
-    }
+    let body = ask_body(gateway, server, &EngineAsk::Experts, Path::Any).await?;
     gateway.platform.engine_experts(&body)
 }
 
@@ -148,7 +149,7 @@
     server: Key<Server>,
     order: &EngineAsk<'_>,
 ) -> Reply {
-    match ask(gateway, server, order).await {
+    match ask(gateway, server, order, Path::Any).await {
         Some((status, _)) if gateway.platform.is_other_server(status.as_u16()) => {
             gateway.with_pool(|pool| pool.replace(server));
             Reply::Nothing
