--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -73,21 +73,13 @@
         };
         let server = turn.server();
         attempts.begin();
-        let fate = match exchange::attempt(gateway, request, turn, None).await {
-            Ok(answer) if request.is_stream() && answer.head.status == StatusCode::OK => {
-                return Tried::Stream(answer);
+        let fate = match try_server(gateway, request, turn).await {
+            Outcome::Answered(answer) => return answer,
+            Outcome::Failed(head, body) => {
+                failure = Some((head, body));
+                Fate::Failed
             }
-            Ok(answer) => match whole(gateway, answer).await {
-                Some((head, body)) if !head.status.is_server_error() => {
-                    return Tried::Whole(head, body);
-                }
-                Some(failed) => {
-                    failure = Some(failed);
-                    Fate::Failed
-                }
-                None => Fate::MayHaveRun,
-            },
-            Err(fate) => fate,
+            Outcome::Unanswered(fate) => fate,
         };
         let next = attempts.after(server, fate, || gateway.take_repeat(&request.service));
         let sent = attempts.sent();
@@ -104,6 +96,35 @@
     }
 }
 
+/// What one attempt gave.
+enum Outcome<P: Platform> {
+    /// What the caller gets.
+    Answered(Tried<P>),
+    /// A whole answer that says the server failed.
+    Failed(Parts, Bytes),
+    /// No whole answer.
+    Unanswered(Fate),
+}
+
+async fn try_server<P: Platform>(
+    gateway: &Rc<Gateway<P>>,
+    request: &Request,
+    turn: Turn<P>,
+) -> Outcome<P> {
+    let answer = match exchange::attempt(gateway, request, turn, None).await {
+        Ok(answer) => answer,
+        Err(fate) => return Outcome::Unanswered(fate),
+    };
+    if request.is_stream() && answer.head.status == StatusCode::OK {
+        return Outcome::Answered(Tried::Stream(answer));
+    }
+    match whole(gateway, answer).await {
+        Some((head, body)) if head.status.is_server_error() => Outcome::Failed(head, body),
+        Some((head, body)) => Outcome::Answered(Tried::Whole(head, body)),
+        None => Outcome::Unanswered(Fate::MayHaveRun),
+    }
+}
+
 /// A turn of a server that was not tried yet.
 pub fn next_turn<P: Platform>(
     gateway: &Rc<Gateway<P>>,
