--- a/crates/core/src/direct/map_orders.rs
+++ b/crates/core/src/direct/map_orders.rs
@@ -170,9 +170,8 @@
 
     /// What the switch is at, for logs.
     pub fn describe(&self) -> String {
-        let open = self.ranks.iter().enumerate().filter(|(_, rank)| !rank.done);
         let open: Vec<String> =
-            open.map(|(index, rank)| format!("{index}:{:?}", rank.report)).collect();
+            self.open(false).map(|(index, rank)| format!("{index}:{:?}", rank.report)).collect();
         format!(
             "{:?} version={} pass={} epoch={:?} idle_rounds={} tries={} not done: {}",
             self.phase,
@@ -276,44 +275,43 @@
         self.ranks.iter().filter(|rank| rank.done).count()
     }
 
-    fn looks(&self) -> Vec<(usize, Ask)> {
+    /// Ranks that are not done with the present phase; only rank 0 of them if `first_only`.
+    fn open(&self, first_only: bool) -> impl Iterator<Item = (usize, &Rank)> {
         let open = self.ranks.iter().enumerate().filter(|(_, rank)| !rank.done);
-        open.map(|(index, _)| (index, Ask::Report)).collect()
+        open.filter(move |(index, _)| !first_only || *index == 0)
+    }
+
+    fn looks(&self) -> Vec<(usize, Ask)> {
+        self.open(false).map(|(index, _)| (index, Ask::Report)).collect()
     }
 
     /// Rank 0 alone until it has accepted: see the module.
     fn prepares(&self) -> Vec<(usize, Ask)> {
         let first_only = !self.ranks[0].done;
-        let open = self.ranks.iter().enumerate().filter(|(_, rank)| !rank.done);
-        let open = open.filter(|(index, _)| !first_only || *index == 0);
-        open.map(|(index, rank)| {
-            let order = match rank.armed_version {
-                Some(version) => Order::Disarm { version },
-                None => Order::Prepare { version: self.version },
-            };
-            (index, if rank.unclear { Ask::Report } else { self.guarded(order) })
-        })
-        .collect()
+        let ordered = |rank: &Rank| match rank.armed_version {
+            Some(version) => Order::Disarm { version },
+            None => Order::Prepare { version: self.version },
+        };
+        let open = self.open(first_only);
+        open.map(|(index, rank)| (index, self.ask(rank, ordered(rank)))).collect()
     }
 
     fn arms(&self) -> Vec<(usize, Ask)> {
         // Rank 0 first where a predecessor may still be at work: it is shut out there.
         let first_only = self.inherited && !self.ranks[0].done;
         let order = Order::Arm { version: self.version, pass: self.pass };
-        let open = self.ranks.iter().enumerate().filter(|(_, rank)| !rank.done);
-        let open = open.filter(|(index, _)| !first_only || *index == 0);
-        open.map(|(index, rank)| {
-            (index, if rank.unclear { Ask::Report } else { self.guarded(order) })
-        })
-        .collect()
+        self.open(first_only).map(|(index, rank)| (index, self.ask(rank, order))).collect()
     }
 
     fn at_first(&self, order: Order) -> Vec<(usize, Ask)> {
-        let ask = if self.ranks[0].unclear { Ask::Report } else { self.guarded(order) };
-        vec![(0, ask)]
+        vec![(0, self.ask(&self.ranks[0], order))]
     }
 
-    fn guarded(&self, order: Order) -> Ask {
+    /// An order to a rank, or a look at it first.
+    fn ask(&self, rank: &Rank, order: Order) -> Ask {
+        if rank.unclear {
+            return Ask::Report;
+        }
         let epoch = self.epoch.unwrap_or_default();
         Ask::Order(Guarded { order, fence: self.fence, epoch })
     }
