--- a/crates/core/src/direct/expert_plan.rs
+++ b/crates/core/src/direct/expert_plan.rs
@@ -13,6 +13,9 @@
 /// Exponent of the norm: high enough to be close to the maximum of some ranks.
 const NORM: i32 = 8;
 
+/// Part of the mean load below which a gain is a rounding error.
+const LEAST_GAIN: f64 = 1e-6;
+
 /// The ranks that hold an expert, one bit each.
 pub type Holders = u64;
 
@@ -131,7 +134,7 @@
             self.weigh(&change);
             let gain = before - norm(&self.scratch) - self.limits.price * self.mean * copies as f64;
             let rate = gain / copies.max(1) as f64;
-            let least = 1e-6 * self.mean;
+            let least = LEAST_GAIN * self.mean;
             if gain > least && best.as_ref().is_none_or(|(known, _)| rate > *known) {
                 best = Some((rate, change));
             }
--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -59,6 +59,9 @@
     }
 }
 
+/// Of so many draws, one takes gateways that were silent, too. A first guess.
+const SILENT_DRAWS: u8 = 4;
+
 #[derive(Clone, Debug)]
 struct Heard {
     member: Member,
@@ -184,7 +187,7 @@
 
     /// Another gateway to exchange news with, drawn at random; now and then one that was silent.
     pub fn draw<R: Rng>(&self, now: Millis, rng: &mut R) -> Option<SocketAddr> {
-        let silent_too = rng.random_range(0..4u8) == 0 || self.living(now) == 1;
+        let silent_too = rng.random_range(0..SILENT_DRAWS) == 0 || self.living(now) == 1;
         let all = self.others.values();
         let open: Vec<&Heard> = all.filter(|heard| silent_too || self.lives(heard, now)).collect();
         if open.is_empty() {
--- a/crates/core/src/direct/pool.rs
+++ b/crates/core/src/direct/pool.rs
@@ -87,6 +87,10 @@
 /// How much the newest result counts in the share of failed requests.
 const NEWEST_RESULT: f64 = 0.25;
 
+/// Failures to connect in a row that are counted: a bound on the doublings of a rest, so that none
+/// overflows. The longest rest is reached long before.
+const MOST_UNREACHABLE: u32 = 8;
+
 /// One life of a backend server.
 #[derive(Clone, Debug)]
 pub struct Server {
@@ -280,8 +284,11 @@
             let result = f64::from(u8::from(failed));
             server.failing += (result - server.failing) * NEWEST_RESULT;
         }
-        server.unreachable =
-            if ending == Ending::Unreachable { (server.unreachable + 1).min(8) } else { 0 };
+        server.unreachable = if ending == Ending::Unreachable {
+            (server.unreachable + 1).min(MOST_UNREACHABLE)
+        } else {
+            0
+        };
         let rest = match ending {
             Ending::Answered | Ending::Replaced => Millis::ZERO,
             Ending::Full => config.full,
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -39,6 +39,13 @@
 /// Bounds of a request's cost, in usual requests: hints are often far off.
 const COST_RANGE: (f64, f64) = (0.25, 4.0);
 
+/// When a caller shall come back while no configuration is known: about the pause between two calls
+/// to the store.
+const COME_BACK_UNREADY: Millis = Millis(200);
+
+/// The priority that goes last, as [`Route`] says.
+const LOWEST_PRIORITY: u8 = 9;
+
 /// Why there is no request.
 pub enum Unread {
     /// Refuse it.
@@ -101,7 +108,7 @@
     let serving = gateway.serving();
     if serving.version == 0 {
         let refusal = Refusal::not_run(Cause::NotReady);
-        return Err(Unread::Refused(refusal.retry_after(Millis(200))));
+        return Err(Unread::Refused(refusal.retry_after(COME_BACK_UNREADY)));
     }
     let (route, account) = admit(&serving, &parts)?;
     let names = gateway.platform.headers();
@@ -175,7 +182,10 @@
     }
     let own = account.and_then(|account| account.priority);
     let priority = own.unwrap_or(serving.route(route).priority);
-    headers.insert(names.priority.clone(), HeaderValue::from(u16::from(priority.min(9))));
+    headers.insert(
+        names.priority.clone(),
+        HeaderValue::from(u16::from(priority.min(LOWEST_PRIORITY))),
+    );
     headers
 }
 
