--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -2,6 +2,8 @@
 //!
 //! One thread runs them all, so cells suffice: nothing is borrowed across an await.
 
+mod tables;
+
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -19,7 +21,6 @@
 use hooktrestle_core::direct::pool;
 use hooktrestle_core::direct::pool::Pool;
 use hooktrestle_core::direct::replica::Replica;
-use hooktrestle_core::direct::replica::Update;
 use hooktrestle_core::direct::serving::Serving;
 use tokio::sync::Notify;
 
@@ -125,33 +126,6 @@
         act(&mut self.members.borrow_mut())
     }
 
-    /// How much is known of a table.
-    pub fn revision(&self, table: Table) -> u64 {
-        self.replicas.borrow().get(&table).map_or(0, Replica::revision)
-    }
-
-    /// What another gateway lacks of a table.
-    pub fn since(&self, table: Table, revision: u64) -> Option<Update> {
-        self.replicas.borrow().get(&table)?.since(revision)
-    }
-
-    /// Takes news of a table, from the store or from another gateway, and brings it into force.
-    pub fn take(&self, table: Table, update: &Update, source: &'static str) {
-        let changed = match self.replicas.borrow_mut().get_mut(&table) {
-            Some(replica) => replica.take(update),
-            None => return,
-        };
-        if changed.is_empty() {
-            return;
-        }
-        match table {
-            Table::Configuration => self.configure(source),
-            Table::Servers => self.relist(&changed, source),
-            // Read when peers are chosen.
-            Table::Members => {}
-        }
-    }
-
     /// Whether this gateway takes requests: it has a configuration and servers, and does not stop.
     pub fn readiness(&self) -> Readiness {
         if self.phase.get() == Phase::Stopping {
@@ -244,50 +218,6 @@
         let budget = budgets.entry(service.to_owned());
         act(budget.or_insert_with(|| RepeatBudget::new(self.budget.get())))
     }
-
-    fn configure(&self, source: &str) {
-        let decoded = match self.replicas.borrow().get(&Table::Configuration) {
-            Some(replica) => self.platform.serving(replica),
-            None => return,
-        };
-        match decoded {
-            Ok(Some(serving)) if serving.version > self.serving.borrow().version => {
-                let version = serving.version;
-                *self.serving.borrow_mut() = Rc::new(serving);
-                self.journal.state(format_args!("configuration {version} in force, from {source}"));
-            }
-            Ok(_) => {}
-            Err(error) => {
-                let version = self.serving.borrow().version;
-                self.journal.state(format_args!("configuration {version} stays in force: {error}"));
-            }
-        }
-    }
-
-    fn relist(&self, changed: &[String], source: &str) {
-        let replicas = self.replicas.borrow();
-        let Some(replica) = replicas.get(&Table::Servers) else { return };
-        let mut pool = self.pool.borrow_mut();
-        for id in changed {
-            let listed = replica.get(id).map(|value| self.platform.listed(id, value));
-            match listed {
-                Some(Ok(listed)) => {
-                    if listed.leaving {
-                        self.journal.state(format_args!("server {id} is leaving, from {source}"));
-                    }
-                    pool.list(listed, replica.revision_of(id));
-                }
-                Some(Err(error)) => {
-                    self.journal.state(format_args!("server passed over: {error}"));
-                    pool.unlist(id);
-                }
-                None => {
-                    self.journal.state(format_args!("server {id} is gone, from {source}"));
-                    pool.unlist(id);
-                }
-            }
-        }
-    }
 }
 
 /// A request without a whole answer.
