--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -16,6 +16,8 @@
 use hooktrestle_core::direct::attempts::Next;
 use hooktrestle_core::direct::events::Events;
 use hooktrestle_core::direct::pool::Ending;
+use hooktrestle_core::direct::pool::Server;
+use hooktrestle_core::util::arena::Key;
 use http::StatusCode;
 use http::header;
 use http_body_util::BodyExt;
@@ -149,27 +151,16 @@
     drop(broken);
     relay.events.broke_off();
     let mut fate = Fate::MayHaveRun;
-    loop {
-        let gateway = relay.gateway.clone();
-        let service = &relay.request.service;
-        let covered = || relay.resumable && gateway.take_repeat(service);
-        let next = relay.attempts.after(server, fate, covered);
-        let after = relay.events.last_id();
-        let line =
-            format_args!("stream broke off at server={} after={after:?}: {next:?}", server.index());
-        gateway.journal.request(relay.request.id_text(), line);
-        if next != Next::Again {
-            return false;
-        }
-        let Some(turn) = forward::next_turn(&gateway, &relay.request, &relay.attempts) else {
-            return false;
-        };
+    while goes_on(relay, server, fate) {
+        let turn = forward::next_turn(&relay.gateway, &relay.request, &relay.attempts);
+        let Some(turn) = turn else { return false };
         server = turn.server();
         relay.attempts.begin();
-        let attempt = exchange::attempt(&gateway, &relay.request, turn, after);
+        let after = relay.events.last_id();
+        let attempt = exchange::attempt(&relay.gateway, &relay.request, turn, after);
         fate = match time::timeout_at(relay.deadline, attempt).await {
             Ok(Ok(answer)) if answer.head.status == StatusCode::OK => {
-                gateway.metrics.resumed.inc();
+                relay.gateway.metrics.resumed.inc();
                 relay.source = Some(answer);
                 return true;
             }
@@ -178,4 +169,17 @@
             Err(_) => return false,
         };
     }
+    false
+}
+
+/// Whether one more server may be asked for the rest of the stream, after `server`.
+fn goes_on<P: Platform>(relay: &mut Relay<P>, server: Key<Server>, fate: Fate) -> bool {
+    let Relay { gateway, request, attempts, events, resumable, .. } = relay;
+    let covered = || *resumable && gateway.take_repeat(&request.service);
+    let next = attempts.after(server, fate, covered);
+    let after = events.last_id();
+    let line =
+        format_args!("stream broke off at server={} after={after:?}: {next:?}", server.index());
+    gateway.journal.request(request.id_text(), line);
+    next == Next::Again
 }
