--- a/crates/direct/src/maps.rs
+++ b/crates/direct/src/maps.rs
@@ -121,16 +121,7 @@
     shape: ExpertShape,
     lead: Rc<Lead>,
 ) {
-    let holder = gateway
-        .with_members(|members| format!("{} {}", members.own().name, members.own().incarnation));
-    let fence = match gateway.platform.claim_maps(&name, &holder).await {
-        Ok(fence) => fence,
-        Err(failure) => {
-            gateway.journal.state(format_args!("maps of {name} are not led: {failure}"));
-            return lead.end();
-        }
-    };
-    gateway.journal.state(format_args!("maps of {name} are led with fence {fence}"));
+    let Some(fence) = claim(&gateway, &name).await else { return lead.end() };
     let service = Rc::new(Service {
         gateway,
         demand: RefCell::new(Demand::new(&shape)),
@@ -162,6 +153,22 @@
     service.gateway.journal.state(format_args!("maps of {} are not led any more", service.name));
 }
 
+/// Claims the lead of a service's maps, and returns its fencing token.
+async fn claim<P: Platform>(gateway: &Gateway<P>, service: &str) -> Option<u64> {
+    let holder = gateway
+        .with_members(|members| format!("{} {}", members.own().name, members.own().incarnation));
+    match gateway.platform.claim_maps(service, &holder).await {
+        Ok(fence) => {
+            gateway.journal.state(format_args!("maps of {service} are led with fence {fence}"));
+            Some(fence)
+        }
+        Err(failure) => {
+            gateway.journal.state(format_args!("maps of {service} are not led: {failure}"));
+            None
+        }
+    }
+}
+
 impl<P: Platform> Service<P> {
     /// Asks servers that are in no known group for their place.
     async fn find_groups(&self) {
