--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -29,25 +29,27 @@
 /// Longest wait for a connection to a sidecar, before the engine is asked directly.
 const SIDECAR_TIMEOUT: Duration = Duration::from_millis(60);
 
-/// Asks an engine, and returns its status and answer; `None` if there was none in time.
-async fn ask<P: Platform>(
-    gateway: &Rc<Gateway<P>>,
-    server: Key<Server>,
-    ask: &EngineAsk<'_>,
-) -> Option<(StatusCode, Bytes)> {
-    ask_by(gateway, server, ask, Path::Any).await
+/// How an engine is reached.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Path {
+    /// Through the process beside it.
+    Sidecar,
+    /// The same, or directly where there is none: that is priced, and disturbs the group.
+    Any,
 }
 
-/// The same, over a given path. A sidecar that gave no answer is passed by for a while: its process
-/// may be frozen, and its machine still take connections.
-async fn ask_by<P: Platform>(
+/// Asks an engine, and returns its status and answer; `None` if there was none in time. A sidecar
+/// that gave no answer is passed by for a while: its process may be frozen, and its machine still
+/// take connections.
+async fn ask<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     server: Key<Server>,
-    ask: &EngineAsk<'_>,
+    question: &EngineAsk<'_>,
     path: Path,
 ) -> Option<(StatusCode, Bytes)> {
     let through_sidecar = gateway.uses_sidecar(server);
-    let answer = time::timeout(ANSWER_TIMEOUT, exchange(gateway, server, ask, path)).await;
+    let answer = time::timeout(ANSWER_TIMEOUT, exchange(gateway, server, question, path)).await;
+    // Too late is no answer.
     let answer = answer.unwrap_or_default();
     if answer.is_none() && through_sidecar {
         gateway.pass_sidecar_by(server);
@@ -55,24 +57,26 @@
     answer
 }
 
-/// How an engine is reached.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Path {
-    /// Through the process beside it.
-    Sidecar,
-    /// The same, or directly where there is none: that is priced, and disturbs the group.
-    Any,
+/// The same, where only an answer that says success is of use.
+async fn ask_body<P: Platform>(
+    gateway: &Rc<Gateway<P>>,
+    server: Key<Server>,
+    question: &EngineAsk<'_>,
+    path: Path,
+) -> Option<Bytes> {
+    let (status, body) = ask(gateway, server, question, path).await?;
+    status.is_success().then_some(body)
 }
 
 async fn exchange<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     server: Key<Server>,
-    ask: &EngineAsk<'_>,
+    question: &EngineAsk<'_>,
     path: Path,
 ) -> Option<(StatusCode, Bytes)> {
     let (mut connection, through_sidecar) = connect(gateway, server, path).await?;
     let listed = gateway.with_pool(|pool| pool.server(server).listed.clone());
-    let (method, uri, body) = gateway.platform.engine_ask(ask);
+    let (method, uri, body) = gateway.platform.engine_ask(question);
     let request = Request::builder()
         .method(method)
         .uri(uri)
@@ -124,10 +128,7 @@
     server: Key<Server>,
     path: Path,
 ) -> Option<EngineReport> {
-    let (status, body) = ask_by(gateway, server, &EngineAsk::Report, path).await?;
-    if !status.is_success() {
-        return None;
-    }
+    let body = ask_body(gateway, server, &EngineAsk::Report, path).await?;
     gateway.platform.engine_report(&body)
 }
 
@@ -138,10 +139,7 @@
     server: Key<Server>,
     path: Path,
 ) -> Option<Counts> {
-    let (status, body) = ask_by(gateway, server, &EngineAsk::Counts, path).await?;
-    if !status.is_success() {
-        return None;
-    }
+    let body = ask_body(gateway, server, &EngineAsk::Counts, path).await?;
     gateway.platform.engine_counts(&body)
 }
 
@@ -150,10 +148,7 @@
     gateway: &Rc<Gateway<P>>,
     server: Key<Server>,
 ) -> Option<(u64, Vec<Vec<u16>>)> {
-    let (status, body) = ask(gateway, server, &EngineAsk::Experts).await?;
-    if !status.is_success() {
-        return None;
-    }
+    let body = ask_body(gateway, server, &EngineAsk::Experts, Path::Any).await?;
     gateway.platform.engine_experts(&body)
 }
 
@@ -163,7 +158,7 @@
     server: Key<Server>,
     order: &EngineAsk<'_>,
 ) -> Reply {
-    match ask(gateway, server, order).await {
+    match ask(gateway, server, order, Path::Any).await {
         Some((status, _)) if gateway.platform.is_other_server(status.as_u16()) => {
             gateway.with_pool(|pool| pool.replace(server));
             Reply::Nothing
--- a/crates/direct/src/sidecar.rs
+++ b/crates/direct/src/sidecar.rs
@@ -7,6 +7,7 @@
 
 use std::cell::RefCell;
 use std::convert::Infallible;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,16 +24,17 @@
 use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::body::Incoming;
-use hyper::client::conn::http1 as client;
 use hyper::client::conn::http1::SendRequest;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::time;
 
+use crate::accept;
 use crate::dial;
 use crate::headers;
 
@@ -42,9 +44,6 @@
 /// Largest order that is passed on: a map of 64 ranks and 256 experts has some 100 KB.
 const MOST_ORDER_BYTES: usize = 1 << 20;
 
-/// Pause after a failure to accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// The engine beside this process.
 struct Engine {
     address: SocketAddr,
@@ -64,22 +63,15 @@
         .wrap_err_with(|| format!("cannot listen on {}", settings.listen))?;
     let engine = Rc::new(Engine { address: settings.engine.parse()?, kept: RefCell::default() });
     spdlog::info!("sidecar of {} started", settings.engine);
+    let note = |error: &io::Error| spdlog::warn!("the leader is not accepted: {error}");
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             // Its two addresses are those of its machine, and stay as long as the process lives.
             _ = hang_up.recv() => spdlog::info!("settings are not read again"),
-            accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => {
-                    if dial::prepare(&stream).is_ok() {
-                        tokio::task::spawn_local(serve(engine.clone(), stream));
-                    }
-                }
-                Err(error) => {
-                    spdlog::warn!("the leader is not accepted: {error}");
-                    time::sleep(ACCEPT_PAUSE).await;
-                }
-            },
+            stream = accept::next(&listener, note) => {
+                tokio::task::spawn_local(serve(engine.clone(), stream));
+            }
         }
     }
     // Whoever asks next goes to the engine directly.
@@ -87,7 +79,7 @@
     Ok(())
 }
 
-async fn serve(engine: Rc<Engine>, stream: tokio::net::TcpStream) {
+async fn serve(engine: Rc<Engine>, stream: TcpStream) {
     let service = service_fn(|request: Request<Incoming>| {
         let engine = engine.clone();
         async move { Ok::<_, Infallible>(answer(&engine, request).await) }
@@ -131,12 +123,7 @@
     }
 
     async fn connect(&self) -> Result<SendRequest<Full<Bytes>>> {
-        let stream = dial::dial(self.address, ENGINE_TIMEOUT).await?;
-        let (sender, driver) = client::handshake(TokioIo::new(stream)).await?;
-        tokio::task::spawn_local(async move {
-            // What went wrong is told to whoever waits for an answer on it.
-            drop(driver.await);
-        });
+        let (sender, _) = dial::dial_http(self.address, ENGINE_TIMEOUT).await?;
         Ok(sender)
     }
 }
