--- a/crates/core/src/direct/pool.rs
+++ b/crates/core/src/direct/pool.rs
@@ -36,8 +36,10 @@
 /// How an attempt at a server ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Ending {
-    /// A whole answer, or one that the caller did not wait for.
+    /// An answer.
     Answered,
+    /// The caller did not wait for one.
+    Left,
     /// An answer that says the server failed.
     Failed,
     /// The server refused for want of room.
@@ -100,15 +102,17 @@
     index: usize,
     /// Whether the list still has it.
     present: bool,
-    /// When its row changed last, by the store's counter.
-    revision: u64,
+    /// When its row was first seen to have changed, by the store's counter.
+    first_revision: u64,
     rests_until: Millis,
     /// Failures to connect in a row.
     unreachable: u32,
     /// Share of failed requests, the newest counting most.
     failing: f64,
-    /// Another server has its address.
+    /// Another server has its address, by the list.
     replaced: bool,
+    /// Another server answered at its address: for good, since names are not used again.
+    disproved: bool,
     /// Its group stands still, as its engine reported.
     standing: bool,
 }
@@ -126,7 +130,7 @@
     servers: Arena<Server>,
     by_id: HashMap<String, Key<Server>>,
     /// Who has an address, of all that were ever listed there.
-    by_address: HashMap<SocketAddr, Key<Server>>,
+    by_address: HashMap<SocketAddr, Vec<Key<Server>>>,
     services: HashMap<String, Service>,
 }
 
@@ -142,32 +146,39 @@
         }
     }
 
-    /// Takes a server as it is listed now, and when its row changed. Of two that are listed at one
-    /// address, the one that changed last has it: a server that died is listed for some seconds.
+    /// Takes a server as it is listed now, and when its row changed. Of those that are listed at one
+    /// address, the one that was listed last has it: a server that died is listed for some seconds.
     pub fn list(&mut self, listed: Listed, revision: u64) {
         let address = listed.address;
-        let id = listed.id.clone();
         self.keep(listed, revision);
-        let Some(key) = self.by_id.get(&id).copied() else { return };
-        let holder = self.by_address.entry(address).or_insert(key);
-        if *holder == key {
-            return;
-        }
-        let replaced = if self.servers[*holder].revision < revision {
-            std::mem::replace(holder, key)
-        } else {
-            key
+        self.settle(address);
+    }
+
+    /// Decides who has an address. Rows may change late, so the first revision of each counts.
+    fn settle(&mut self, address: SocketAddr) {
+        let Some(keys) = self.by_address.get(&address) else { return };
+        let claims = |key: &Key<Server>| {
+            let server = &self.servers[*key];
+            server.present && !server.disproved && server.listed.address == address
         };
-        self.servers[replaced].replaced = true;
+        let claiming = keys.iter().copied().filter(claims);
+        let holder = claiming.max_by_key(|key| self.servers[*key].first_revision);
+        for key in keys {
+            self.servers[*key].replaced = Some(*key) != holder;
+        }
     }
 
     fn keep(&mut self, listed: Listed, revision: u64) {
         if let Some(key) = self.by_id.get(&listed.id) {
             let server = &mut self.servers[*key];
-            server.present = true;
-            server.listed = listed;
-            server.revision = revision;
-            return;
+            let known = &server.listed;
+            if known.service == listed.service && known.address == listed.address {
+                server.present = true;
+                server.listed = listed;
+                return;
+            }
+            // Names are not used again; should one be, it is another server.
+            server.present = false;
         }
         let service = self.services.entry(listed.service.clone()).or_default();
         let id = listed.id.clone();
@@ -175,14 +186,17 @@
             listed,
             index: service.servers.len(),
             present: true,
-            revision,
+            first_revision: revision,
             rests_until: Millis::ZERO,
             unreachable: 0,
             failing: 0.0,
             replaced: false,
+            disproved: false,
             standing: false,
         };
+        let address = server.listed.address;
         let key = self.servers.push(server);
+        self.by_address.entry(address).or_default().push(key);
         service.servers.push(key);
         service.candidates.push(Candidate { weight: 1, ..Candidate::default() });
         self.by_id.insert(id, key);
@@ -191,7 +205,10 @@
     /// A server has gone from the list.
     pub fn unlist(&mut self, id: &str) {
         if let Some(key) = self.by_id.get(id) {
-            self.servers[*key].present = false;
+            let server = &mut self.servers[*key];
+            server.present = false;
+            let address = server.listed.address;
+            self.settle(address);
         }
     }
 
@@ -250,7 +267,9 @@
 
     /// Another server was found to have this one's address.
     pub fn replace(&mut self, key: Key<Server>) {
-        self.servers[key].replaced = true;
+        self.servers[key].disproved = true;
+        let address = self.servers[key].listed.address;
+        self.settle(address);
     }
 
     /// An engine reported whether its group stands still; returns whether that is new.
@@ -276,9 +295,11 @@
         if let Some(candidate) = self.candidate(key) {
             candidate.ended();
         }
+        if ending == Ending::Replaced {
+            self.replace(key);
+        }
         let config = self.config;
         let server = &mut self.servers[key];
-        server.replaced |= ending == Ending::Replaced;
         let failed = matches!(ending, Ending::Failed | Ending::Lost);
         if failed || ending == Ending::Answered {
             let result = f64::from(u8::from(failed));
@@ -290,7 +311,7 @@
             0
         };
         let rest = match ending {
-            Ending::Answered | Ending::Replaced => Millis::ZERO,
+            Ending::Answered | Ending::Left | Ending::Replaced => Millis::ZERO,
             Ending::Full => config.full,
             Ending::Stalled => config.stalled,
             Ending::Unreachable => Millis(config.unreachable.0 << (server.unreachable - 1)),
--- a/crates/core/tests/direct_requests.rs
+++ b/crates/core/tests/direct_requests.rs
@@ -82,6 +82,41 @@
     }
 }
 
+#[test]
+fn a_server_whose_address_has_another_does_not_get_it_back() {
+    let mut pool = Pool::new(pool::Config::default());
+    pool.list(listed("dead", 1_000, false), 3);
+    pool.list(listed("new", 1_000, false), 9);
+    // Its row changes once more, late.
+    pool.list(listed("dead", 1_000, true), 12);
+    assert_eq!(chosen(&mut pool, &[], 0).as_deref(), Some("new"));
+}
+
+#[test]
+fn whoever_answers_at_an_address_has_it_whatever_the_list_says() {
+    let mut pool = Pool::new(pool::Config::default());
+    // Read whole after a restart: the row of the dead one changed last.
+    pool.list(listed("new", 1_000, false), 9);
+    pool.list(listed("dead", 1_000, false), 12);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let key = pool.choose("hints", &[], 1.0, Millis(0), &mut rng).unwrap();
+    assert_eq!(pool.server(key).listed.id, "dead");
+    pool.ended(key, Ending::Replaced, Millis(0));
+    assert_eq!(chosen(&mut pool, &[], 0).as_deref(), Some("new"));
+    pool.unlist("dead");
+    assert_eq!(chosen(&mut pool, &[], 0).as_deref(), Some("new"));
+}
+
+#[test]
+fn a_name_that_is_used_again_elsewhere_is_another_server() {
+    let mut pool = pool(&["a", "b"]);
+    pool.list(listed("a", 7_000, false), 5);
+    pool.unlist("b");
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let key = pool.choose("hints", &[], 1.0, Millis(0), &mut rng).unwrap();
+    assert_eq!(pool.server(key).listed.address.port(), 7_000);
+}
+
 #[test]
 fn a_name_that_another_server_answered_for_is_never_used_again() {
     let mut pool = pool(&["a"]);
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -32,13 +32,16 @@
 pub struct Turn<P: Platform> {
     gateway: Rc<Gateway<P>>,
     server: Key<Server>,
-    ending: Ending,
+    /// When its request is given up.
+    deadline: Millis,
+    /// How it ended, once that is known.
+    ending: Option<Ending>,
 }
 
 impl<P: Platform> Turn<P> {
-    /// The pool gave a turn to `server`.
-    pub fn new(gateway: Rc<Gateway<P>>, server: Key<Server>) -> Turn<P> {
-        Turn { gateway, server, ending: Ending::Answered }
+    /// The pool gave a turn to `server`, for a request that is given up at `deadline`.
+    pub fn new(gateway: Rc<Gateway<P>>, server: Key<Server>, deadline: Millis) -> Turn<P> {
+        Turn { gateway, server, deadline, ending: None }
     }
 
     /// The server.
@@ -46,16 +49,19 @@
         self.server
     }
 
-    /// Notes how it ended, if not by an answer.
+    /// Notes how it ended.
     pub fn end(&mut self, ending: Ending) {
-        self.ending = ending;
+        self.ending = Some(ending);
     }
 }
 
 impl<P: Platform> Drop for Turn<P> {
     fn drop(&mut self) {
         let now = self.gateway.now();
-        self.gateway.with_pool(|pool| pool.ended(self.server, self.ending, now));
+        // Without an answer the caller left, which says nothing of the server, or its time was over.
+        let unanswered = if now >= self.deadline { Ending::Lost } else { Ending::Left };
+        let ending = self.ending.unwrap_or(unanswered);
+        self.gateway.with_pool(|pool| pool.ended(self.server, ending, now));
     }
 }
 
@@ -122,9 +128,8 @@
         turn.end(Ending::Lost);
         return Err(Fate::MayHaveRun);
     }
-    if head.status.is_server_error() {
-        turn.end(Ending::Failed);
-    }
+    let failed = head.status.is_server_error();
+    turn.end(if failed { Ending::Failed } else { Ending::Answered });
     Ok(Answer { head, body, connection, turn })
 }
 
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -7,6 +7,7 @@
 use tokio::time;
 
 use crate::gateway::Gateway;
+use crate::gateway::Phase;
 use crate::peers::news;
 use crate::platform::Failure;
 use crate::platform::Platform;
@@ -69,10 +70,11 @@
     }
 }
 
-/// Lists this gateway, and reads who else is listed, now and then.
+/// Lists this gateway, and reads who else is listed, now and then, until it stops.
 pub async fn keep_listed<P: Platform>(gateway: Rc<Gateway<P>>) {
     let mut listed = false;
-    loop {
+    // A process that stops is taken off the list, and must not come back onto it.
+    while gateway.phase() == Phase::Running {
         if !listed {
             let own = gateway.with_members(|members| members.own().clone());
             let value = news::member_text(&own);
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -135,7 +135,7 @@
     let (service, cost) = (&request.service, request.cost);
     let chosen = gateway
         .with_pool(|pool| pool.choose(service, attempts.tried(), cost, now, &mut rand::rng()));
-    chosen.map(|server| Turn::new(gateway.clone(), server))
+    chosen.map(|server| Turn::new(gateway.clone(), server, request.deadline))
 }
 
 /// Reads an answer to its end; `None` if it was broken off.
