Expert maps: a version names one map for good

Cause: the next version was worked out from the ranks' reports, which do not name a version that is still being copied. A switch that was left after rank 0 had accepted 12301 was followed by one with the same number and other experts; rank 0 answered that it holds. Change: a leader gives each version out once, and claims the lead anew when its range is used up; before, the range of 1,024 could have met the next leader's.

--- a/crates/core/src/direct/map_orders.rs
+++ b/crates/core/src/direct/map_orders.rs
@@ -12,6 +12,9 @@
 //!   another version or pass before that. So when the lost one comes late, its map is not the newest
 //!   any more, its pass has begun, or what it orders holds already. One case is left: a `hold` that
 //!   comes between `go` and the pass. So the leader watches until the pass has begun.
+//! - Ranks compare versions, not maps: one that has a version answers that it holds, whatever is in
+//!   the map that comes. So each version names one map for good, also where a switch was left before
+//!   all ranks had it: [`Versions`] gives each out once.
 //! - Each order carries the leader's fencing token. A new leader's first order that rank 0 accepts
 //!   while it is not armed shuts the old leader out: it can neither hold nor arm rank 0 any more, so
 //!   it never gets to `go`. If rank 0 is armed already, the new leader completes what the old one
@@ -23,6 +26,7 @@
 //! `crates/core/tests/map_orders.rs` plays it against ranks that lose, delay and are reborn.
 
 mod messages;
+mod versions;
 
 pub use messages::Ask;
 pub use messages::Guarded;
@@ -31,6 +35,7 @@
 pub use messages::RankReport;
 pub use messages::Reply;
 pub use messages::Start;
+pub use versions::Versions;
 
 use crate::clock::Millis;
 
@@ -108,7 +113,7 @@
 #[derive(Clone, Debug)]
 pub struct Switch {
     config: Config,
-    fence: u64,
+    versions: Versions,
     phase: Phase,
     ranks: Vec<Rank>,
     epoch: Option<u64>,
@@ -130,16 +135,19 @@
     over: Option<Next>,
 }
 
-/// Versions that one leader can use before they could meet those of the next one.
-const VERSIONS_EACH: u64 = 1_024;
-
 impl Switch {
-    /// A switch of a group with so many ranks, by the leader with this fencing token. `copy` is how
-    /// long the rank with the most to copy is expected to take.
-    pub fn new(config: Config, fence: u64, ranks: usize, start: Start, copy: Millis) -> Switch {
+    /// A switch of a group with so many ranks, by the leader that has these versions left. `copy` is
+    /// how long the rank with the most to copy is expected to take.
+    pub fn new(
+        config: Config,
+        versions: Versions,
+        ranks: usize,
+        start: Start,
+        copy: Millis,
+    ) -> Switch {
         let mut switch = Switch {
             config,
-            fence,
+            versions,
             phase: Phase::Survey,
             ranks: vec![Rank::default(); ranks],
             epoch: None,
@@ -154,15 +162,19 @@
             pause: None,
             over: None,
         };
-        if let Start::Settled { epoch, version } = start {
+        if let Start::Settled { epoch } = start {
             switch.epoch = Some(epoch);
-            switch.version = switch.fresh_version(version);
             switch.settled = true;
-            switch.phase = Phase::Prepare;
+            switch.prepare_above(0);
         }
         switch
     }
 
+    /// What its leader has left of versions: the next switch begins with these.
+    pub fn versions(&self) -> Versions {
+        self.versions
+    }
+
     /// The group's life, once it is known.
     pub fn epoch(&self) -> Option<u64> {
         self.epoch
@@ -313,7 +325,7 @@
             return Ask::Report;
         }
         let epoch = self.epoch.unwrap_or_default();
-        Ask::Order(Guarded { order, fence: self.fence, epoch })
+        Ask::Order(Guarded { order, fence: self.versions.fence(), epoch })
     }
 
     fn reported(&mut self, index: usize, report: RankReport) {
@@ -435,10 +447,7 @@
         let same = prepared.first().copied().flatten();
         let complete = same.filter(|_| prepared.iter().all(|version| *version == same));
         match (held, armed, complete) {
-            (None, None, _) => {
-                self.version = self.fresh_version(newest);
-                self.enter(Phase::Prepare);
-            }
+            (None, None, _) => self.prepare_above(newest),
             // Released by a predecessor: it takes effect with the next passes.
             (None, Some(_), _) => self.restart(),
             // All ranks have what a predecessor began to arm: complete it. Where none is armed, the
@@ -448,17 +457,19 @@
                 self.enter(Phase::Arm);
             }
             // The own map replaces what was begun, then the hold is released.
-            (Some(_), _, _) => {
-                self.version = self.fresh_version(newest);
-                self.enter(Phase::Prepare);
-            }
+            (Some(_), _, _) => self.prepare_above(newest),
         }
     }
 
-    /// A version above all that a rank can have had: those of leaders before this one are lower,
-    /// and its own count up.
-    fn fresh_version(&self, newest: u64) -> u64 {
-        (newest + 1).max(self.fence.saturating_mul(VERSIONS_EACH))
+    /// Begins to bring in the own map, under a version above all that the ranks told.
+    fn prepare_above(&mut self, newest: u64) {
+        match self.versions.take_above(newest) {
+            Some(version) => {
+                self.version = version;
+                self.enter(Phase::Prepare);
+            }
+            None => self.end(Next::UsedUp),
+        }
     }
 
     fn copied(&mut self) {
--- a/crates/core/src/direct/map_orders/messages.rs
+++ b/crates/core/src/direct/map_orders/messages.rs
@@ -105,6 +105,8 @@
     Changed,
     /// Another leader has a higher fencing token.
     Deposed,
+    /// No version is left for this fencing token: claim a new one.
+    UsedUp,
 }
 
 /// What a leader knows of a group before a switch.
@@ -112,11 +114,9 @@
 pub enum Start {
     /// Nothing: all ranks are looked at first.
     Unknown,
-    /// Its own last switch was completed, and this is what it brought in.
+    /// Its own last switch was completed, and nothing else was begun since.
     Settled {
         /// Life of the group.
         epoch: u64,
-        /// Version of the map in use.
-        version: u64,
     },
 }
--- a/crates/core/tests/map_orders.rs
+++ b/crates/core/tests/map_orders.rs
@@ -1,8 +1,8 @@
 //! Switches of expert maps against ranks that lose orders, carry them out late and are reborn, and
 //! leaders that die, freeze and meet their successors.
 //!
-//! Each schedule is drawn from a seed. In every pass all ranks must use one map, and once faults
-//! end, no group stays held.
+//! Each schedule is drawn from a seed. In every pass all ranks must use one map, by version and by
+//! content, and once faults end, no group stays held.
 
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::map_orders::Ask;
@@ -14,6 +14,7 @@
 use hooktrestle_core::direct::map_orders::Reply;
 use hooktrestle_core::direct::map_orders::Start;
 use hooktrestle_core::direct::map_orders::Switch;
+use hooktrestle_core::direct::map_orders::Versions;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -27,12 +28,29 @@
 /// Ticks after which a late order is carried out, at most.
 const MOST_LATE: u64 = 60;
 
+/// Tells maps of one version apart: each switch that is planned has a content of its own, and 0 is
+/// the map that groups begin with.
+type Content = u64;
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Rank {
     report: RankReport,
     fence: u64,
     newest_version: u64,
+    /// Version that is copied in, and when that is done.
     copying: Option<(u64, u64)>,
+    /// Content of what is copied in, prepared or armed.
+    next: Content,
+    /// Content of the map in use.
+    used: Content,
+}
+
+impl Rank {
+    /// Whether this version was accepted and waits to be armed, or is.
+    fn has(&self, version: u64) -> bool {
+        self.report.prepared == Some(version)
+            || self.copying.is_some_and(|(copied, _)| copied == version)
+    }
 }
 
 /// A group that keeps to the published rules of orders.
@@ -41,7 +59,9 @@
     ranks: Vec<Rank>,
     /// Reports of earlier ticks, the newest last.
     history: Vec<Vec<RankReport>>,
-    late: Vec<(u64, usize, Guarded)>,
+    late: Vec<(u64, usize, Guarded, Content)>,
+    /// Content of the newest switch that was planned.
+    planned: Content,
     passes_with_two_maps: u64,
     /// Whether the group has work, without which it makes no passes.
     busy: bool,
@@ -57,13 +77,20 @@
             ranks: vec![rank; ranks],
             history: vec![vec![report; ranks]],
             late: Vec::new(),
+            planned: 0,
             passes_with_two_maps: 0,
             busy: true,
             checks_fences: true,
         }
     }
 
-    fn order(&mut self, index: usize, guarded: Guarded) -> Reply {
+    /// Plans a switch, whose map differs from all before it.
+    fn plan(&mut self) -> Content {
+        self.planned += 1;
+        self.planned
+    }
+
+    fn order(&mut self, index: usize, guarded: Guarded, content: Content) -> Reply {
         let (now, checks_fences) = (self.now, self.checks_fences);
         let rank = &mut self.ranks[index];
         if guarded.epoch != rank.report.epoch {
@@ -72,6 +99,12 @@
         if checks_fences && guarded.fence < rank.fence {
             return Reply::Fenced;
         }
+        if let Order::Prepare { version } = guarded.order
+            && rank.has(version)
+        {
+            // Ranks compare versions, not maps.
+            return Reply::Holds;
+        }
         let report = &mut rank.report;
         let fits = match guarded.order {
             Order::Prepare { version } => {
@@ -80,6 +113,7 @@
                     rank.newest_version = version;
                     report.prepared = None;
                     rank.copying = Some((version, now + COPY_TICKS));
+                    rank.next = content;
                 }
                 fits
             }
@@ -125,11 +159,11 @@
     fn tick(&mut self) {
         self.now += 1;
         let now = self.now;
-        let due: Vec<(u64, usize, Guarded)> =
-            self.late.iter().copied().filter(|(at, _, _)| *at <= now).collect();
-        self.late.retain(|(at, _, _)| *at > now);
-        for (_, index, guarded) in due {
-            self.order(index, guarded);
+        let due: Vec<(u64, usize, Guarded, Content)> =
+            self.late.iter().copied().filter(|(at, ..)| *at <= now).collect();
+        self.late.retain(|(at, ..)| *at > now);
+        for (_, index, guarded, content) in due {
+            self.order(index, guarded, content);
         }
         for rank in &mut self.ranks {
             if let Some((version, at)) = rank.copying
@@ -154,12 +188,13 @@
                 && pass <= next
             {
                 rank.report.map = version;
+                rank.used = rank.next;
                 rank.report.armed = None;
                 rank.report.prepared = None;
             }
         }
-        let map = self.ranks[0].report.map;
-        if self.ranks.iter().any(|rank| rank.report.map != map) {
+        let map = |rank: &Rank| (rank.report.map, rank.used);
+        if self.ranks.iter().any(|rank| map(rank) != map(&self.ranks[0])) {
             self.passes_with_two_maps += 1;
         }
     }
@@ -194,6 +229,8 @@
     reborn: f64,
     leader_dies: f64,
     leader_freezes: f64,
+    /// A switch is left where it is before a round: a rank is not listed for a moment.
+    withdrawn: f64,
 }
 
 const CALM: Weather = Weather {
@@ -203,6 +240,7 @@
     reborn: 0.0,
     leader_dies: 0.0,
     leader_freezes: 0.0,
+    withdrawn: 0.0,
 };
 
 const STORM: Weather = Weather {
@@ -212,9 +250,16 @@
     reborn: 0.004,
     leader_dies: 0.02,
     leader_freezes: 0.03,
+    withdrawn: 0.02,
 };
 
-fn ask(group: &mut Group, weather: Weather, index: usize, ask: Ask, rng: &mut ChaCha8Rng) -> Reply {
+fn ask(
+    group: &mut Group,
+    weather: Weather,
+    index: usize,
+    (ask, content): (Ask, Content),
+    rng: &mut ChaCha8Rng,
+) -> Reply {
     let guarded = match ask {
         Ask::Report if rng.random_bool(weather.lost) => return Reply::Nothing,
         Ask::Report => {
@@ -228,17 +273,18 @@
     }
     if rng.random_bool(weather.late) {
         let at = group.now + rng.random_range(1..=MOST_LATE);
-        group.late.push((at, index, guarded));
+        group.late.push((at, index, guarded, content));
         return Reply::Nothing;
     }
-    let reply = group.order(index, guarded);
+    let reply = group.order(index, guarded, content);
     if rng.random_bool(weather.unanswered) { Reply::Nothing } else { reply }
 }
 
 /// A leader with a switch under way, part of whose round may be out.
 struct Leader {
     switch: Switch,
-    fence: u64,
+    /// What the switch's map holds.
+    content: Content,
     /// Asks of the present round that were not sent yet, and the replies so far.
     round: Vec<(usize, Ask)>,
     replies: Vec<(usize, Ask, Reply)>,
@@ -247,10 +293,17 @@
 }
 
 impl Leader {
-    fn new(fence: u64, ranks: usize) -> Leader {
+    fn new(fence: u64, group: &mut Group) -> Leader {
+        let ranks = group.ranks.len();
         Leader {
-            switch: Switch::new(config(), fence, ranks, Start::Unknown, Millis::ZERO),
-            fence,
+            switch: Switch::new(
+                config(),
+                Versions::of_fence(fence),
+                ranks,
+                Start::Unknown,
+                Millis::ZERO,
+            ),
+            content: group.plan(),
             round: Vec::new(),
             replies: Vec::new(),
             wakes: 0,
@@ -268,7 +321,7 @@
             return false;
         }
         if let Some((index, one)) = self.round.pop() {
-            let reply = ask(group, weather, index, one, rng);
+            let reply = ask(group, weather, index, (one, self.content), rng);
             self.replies.push((index, one, reply));
             if self.round.is_empty() {
                 let replies = std::mem::take(&mut self.replies);
@@ -277,23 +330,31 @@
             return false;
         }
         match self.switch.step() {
+            Next::Round(_) if rng.random_bool(weather.withdrawn) => {
+                self.begin(Start::Unknown, group);
+            }
             Next::Round(asks) => self.round = asks,
             Next::Pause(_) => self.wakes = group.now + REPORT_LAG as u64 + 1,
             Next::Deposed => self.over = true,
             next => {
                 let start = match self.switch.epoch() {
-                    Some(epoch) if next == Next::Switched => {
-                        Start::Settled { epoch, version: self.switch.version() }
-                    }
+                    Some(epoch) if next == Next::Switched => Start::Settled { epoch },
                     _ => Start::Unknown,
                 };
-                let ranks = group.ranks.len();
-                self.switch = Switch::new(config(), self.fence, ranks, start, Millis::ZERO);
+                self.begin(start, group);
                 return next == Next::Switched;
             }
         }
         false
     }
+
+    /// Plans and begins the next switch.
+    fn begin(&mut self, start: Start, group: &mut Group) {
+        let ranks = group.ranks.len();
+        let versions = self.switch.versions();
+        self.switch = Switch::new(config(), versions, ranks, start, Millis::ZERO);
+        self.content = group.plan();
+    }
 }
 
 fn config() -> Config {
@@ -304,7 +365,7 @@
 fn play(seed: u64, ranks: usize, weather: Weather, group: &mut Group) -> u32 {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut fence = 1;
-    let mut leaders = vec![Leader::new(fence, ranks)];
+    let mut leaders = vec![Leader::new(fence, group)];
     let mut switched = 0;
     for tick in 0..600 {
         let calm = tick >= 450;
@@ -320,7 +381,7 @@
                 // It died; otherwise it is only believed to be dead, and goes on.
                 leaders.clear();
             }
-            leaders.push(Leader::new(fence, ranks));
+            leaders.push(Leader::new(fence, group));
         }
         for leader in &mut leaders {
             for _ in 0..rng.random_range(1..=ranks + 1) {
@@ -369,3 +430,14 @@
     });
     assert!(broken, "the schedules are too tame to tell whether fences matter");
 }
+
+#[test]
+fn a_version_is_given_out_once_and_stays_below_those_of_the_next_leader() {
+    let mut first = Versions::of_fence(3);
+    let mut taken: Vec<u64> = std::iter::from_fn(|| first.take_above(0)).collect();
+    assert_eq!(first.take_above(0), None, "none is left");
+    taken.dedup();
+    let next = Versions::of_fence(4).take_above(0).expect("a new leader has versions");
+    assert!(taken.is_sorted() && taken.iter().all(|version| *version < next));
+    assert_eq!(Versions::of_fence(3).take_above(next), None, "the next leader's are not its own");
+}
--- a/crates/direct/src/maps/group.rs
+++ b/crates/direct/src/maps/group.rs
@@ -11,6 +11,7 @@
 use hooktrestle_core::direct::map_orders::Reply;
 use hooktrestle_core::direct::map_orders::Start;
 use hooktrestle_core::direct::map_orders::Switch;
+use hooktrestle_core::direct::map_orders::Versions;
 use hooktrestle_core::direct::pool::Server;
 use hooktrestle_core::util::arena::Key;
 use tokio::time;
@@ -42,6 +43,7 @@
 /// Follows demand with one group's map, as long as the lead of its service goes on.
 pub(super) async fn lead<P: Platform>(service: Rc<Service<P>>, group: String) {
     let mut known: Option<Known> = None;
+    let mut versions = Versions::of_fence(service.fence);
     while !service.lead.is_over() {
         time::sleep(PLAN_EVERY).await;
         let Some(ranks) = service.ranks_of(&group) else { continue };
@@ -53,9 +55,10 @@
         }
         let Some(before) = &known else { continue };
         let Some(planned) = next_layout(&service, before, ranks.len()) else { continue };
-        let switch = begin(&service, before, &planned, ranks.len());
+        let switch = begin(&service, versions, before, &planned, ranks.len());
         let map = layout::by_rank(&planned, ranks.len());
         let (done, ended) = carry_out(&service, &ranks, switch, before, &map).await;
+        versions = done.versions();
         known = conclude(&service, &group, planned, &done, &ended);
     }
 }
@@ -69,6 +72,7 @@
 
 fn begin<P: Platform>(
     service: &Service<P>,
+    versions: Versions,
     before: &Known,
     planned: &Layout,
     ranks: usize,
@@ -76,7 +80,7 @@
     let beside = service.gateway.sidecars_port > 0;
     let config = if beside { map_orders::Config::fresh() } else { map_orders::Config::default() };
     let copy = layout::copy_time(&service.shape, &before.layout, planned, ranks);
-    Switch::new(config, service.fence, ranks, before.start, copy)
+    Switch::new(config, versions, ranks, before.start, copy)
 }
 
 /// What is known of the group after a switch; `None` if it has to be read anew.
@@ -93,7 +97,7 @@
             let epoch = done.epoch().unwrap_or_default();
             let version = done.version();
             journal.state(format_args!("group {group}: map {version} in force"));
-            let start = Start::Settled { epoch, version };
+            let start = Start::Settled { epoch };
             Some(Known { epoch, version, layout: planned, start, unsettled: false })
         }
         Next::Deposed => {
@@ -101,6 +105,12 @@
             service.lead.end();
             None
         }
+        Next::UsedUp => {
+            journal
+                .state(format_args!("group {group}: no version is left, the lead is claimed anew"));
+            service.lead.end();
+            None
+        }
         other => {
             journal.state(format_args!("group {group}: {other:?} at {}", done.describe()));
             None
