Expert maps: a switch that holds a pass goes on though a rank is not listed

Change: only before a hold a switch ends for that. A rank that is gone indeed answers nothing, and the switch ends as before. Test: red without it (the hold was left).

--- a/crates/core/src/direct/map_orders.rs
+++ b/crates/core/src/direct/map_orders.rs
@@ -213,6 +213,14 @@
         maps.all(|map| map == Some(first)).then_some(first)
     }
 
+    /// A rank is not listed any more: the switch ends, unless a pass may be held for it. A held group
+    /// stands still until the switch goes on, and a rank that only lost its row still takes orders.
+    pub fn withdraw(&mut self) {
+        if !matches!(self.phase, Phase::Hold | Phase::Arm | Phase::Go | Phase::Watch) {
+            self.end(Next::Changed);
+        }
+    }
+
     /// What to do next.
     pub fn step(&mut self) -> Next {
         if let Some(over) = &self.over {
--- a/crates/core/tests/map_orders.rs
+++ b/crates/core/tests/map_orders.rs
@@ -329,10 +329,10 @@
             }
             return false;
         }
+        if rng.random_bool(weather.withdrawn) {
+            self.switch.withdraw();
+        }
         match self.switch.step() {
-            Next::Round(_) if rng.random_bool(weather.withdrawn) => {
-                self.begin(Start::Unknown, group);
-            }
             Next::Round(asks) => self.round = asks,
             Next::Pause(_) => self.wakes = group.now + REPORT_LAG as u64 + 1,
             Next::Deposed => self.over = true,
@@ -441,3 +441,24 @@
     assert!(taken.is_sorted() && taken.iter().all(|version| *version < next));
     assert_eq!(Versions::of_fence(3).take_above(next), None, "the next leader's are not its own");
 }
+
+#[test]
+fn a_switch_that_holds_a_pass_is_not_left_when_a_rank_is_not_listed() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut group = Group::new(3);
+    let mut leader = Leader::new(1, &mut group);
+    let mut held = false;
+    for _ in 0..200 {
+        held |= group.ranks[0].report.held.is_some();
+        if held {
+            leader.switch.withdraw();
+        }
+        if leader.step(&mut group, CALM, &mut rng) {
+            break;
+        }
+        group.tick();
+    }
+    assert!(held, "no pass was held");
+    assert!(group.is_clean(), "the hold was left");
+    assert_ne!(group.ranks[0].report.map, 0, "the map is in force");
+}
--- a/crates/direct/src/maps/group.rs
+++ b/crates/direct/src/maps/group.rs
@@ -175,8 +175,10 @@
     map: &[Vec<Vec<u16>>],
 ) -> (Switch, Next) {
     loop {
+        if !service.are_present(ranks) {
+            switch.withdraw();
+        }
         match switch.step() {
-            Next::Round(_) if !service.are_present(ranks) => return (switch, Next::Changed),
             Next::Round(asks) => {
                 // The map was planned from another one: it may need more copies than planned.
                 let moved = switch.surveyed_map().is_some_and(|map| map != before.version);
