Expert maps: whoever leads goes on leading, and a fresh claim is left alone

In a planned restart of one machine after the other the lead moved twice for the first by name. Ruled out: slow starts (all had the configuration within 20 ms) and the engines (open 0.7 s before the last change of the lead). Change: gateways tell each other with which token they lead; the highest stays until it is silent. A claim names holder and time by the store's clock, and others leave it alone for 1.2 s. A leader that was replaced waits 5 s before it claims again.

--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -40,6 +40,8 @@
     pub data_centre: String,
     /// Whether callers are sent there.
     pub readiness: Readiness,
+    /// Fencing token with which it leads expert maps; 0 if it does not.
+    pub lead_fence: u64,
 }
 
 /// Times of a [`Members`].
@@ -97,6 +99,18 @@
         self.own.readiness = readiness;
     }
 
+    /// This gateway leads expert maps with a fencing token.
+    pub fn begin_lead(&mut self, fence: u64) {
+        self.own.lead_fence = fence;
+    }
+
+    /// The lead with this token is over; one that began since goes on.
+    pub fn end_lead(&mut self, fence: u64) {
+        if self.own.lead_fence == fence {
+            self.own.lead_fence = 0;
+        }
+    }
+
     /// Takes what another gateway tells of any gateway.
     pub fn hear(&mut self, told: &Member, now: Millis) {
         if told.name == self.own.name {
@@ -170,13 +184,19 @@
         found.into_iter().map(|member| member.callers_at).collect()
     }
 
-    /// Whether this gateway is the first by name of those that live and are ready.
-    pub fn is_first_ready(&self, now: Millis) -> bool {
-        let others = self
-            .others
-            .values()
-            .filter(|heard| self.lives(heard, now) && heard.member.readiness == Readiness::Ready);
-        others.map(|heard| &heard.member.name).all(|name| *name > self.own.name)
+    /// Whether this gateway is the one that shall lead expert maps, as far as it has heard. Whoever
+    /// leads goes on until it stops or is silent: each new leader has to learn the groups and their
+    /// demand anew. Of several the one with the highest token stays; while there is none, it is the
+    /// first by name.
+    pub fn shall_lead(&self, now: Millis) -> bool {
+        let others = self.others.values().filter(|heard| self.lives(heard, now));
+        let ready =
+            others.map(|heard| &heard.member).filter(|member| member.readiness == Readiness::Ready);
+        let highest = ready.clone().map(|member| member.lead_fence).max().unwrap_or_default();
+        if self.own.lead_fence > 0 || highest > 0 {
+            return self.own.lead_fence > highest;
+        }
+        ready.map(|member| &member.name).all(|name| *name > self.own.name)
     }
 
     /// Where the other gateways that live are told news.
--- a/crates/core/tests/direct_tables.rs
+++ b/crates/core/tests/direct_tables.rs
@@ -165,6 +165,7 @@
     let port = 1_000 + u16::from(name.as_bytes()[0]);
     let address = SocketAddr::from(([127, 0, 0, 1], port));
     Member {
+        lead_fence: 0,
         name: name.to_owned(),
         incarnation: 1,
         heartbeat,
@@ -205,3 +206,37 @@
     members.hear(&member("b", 1), Millis(0));
     assert_eq!(members.for_callers("x", Millis(0)), [member("b", 1).callers_at]);
 }
+
+#[test]
+fn whoever_leads_goes_on_until_it_is_silent() {
+    let config = Config { suspect: Millis(3_000), forget: Millis(60_000) };
+    let mut members = Members::new(config, member("b", 1));
+    members.set_readiness(Readiness::Ready);
+    assert!(members.shall_lead(Millis(0)), "it knows no other");
+    members.hear(&Member { lead_fence: 7, ..member("c", 1) }, Millis(0));
+    assert!(!members.shall_lead(Millis(100)), "another leads");
+    members.hear(&member("a", 1), Millis(2_000));
+    assert!(!members.shall_lead(Millis(3_500)), "nobody leads, and another is first by name");
+    assert!(members.shall_lead(Millis(6_000)), "all others are silent");
+    members.begin_lead(9);
+    members.hear(&member("a", 2), Millis(6_100));
+    assert!(members.shall_lead(Millis(6_200)), "it leads, though another is first by name");
+    members.hear(&Member { lead_fence: 8, ..member("a", 3) }, Millis(6_300));
+    assert!(members.shall_lead(Millis(6_400)), "the other has a lower token");
+    members.hear(&Member { lead_fence: 10, ..member("a", 4) }, Millis(6_500));
+    assert!(!members.shall_lead(Millis(6_600)), "the other has a higher token");
+    members.end_lead(9);
+    members.hear(&Member { readiness: Readiness::Leaving, ..member("a", 5) }, Millis(6_700));
+    assert!(members.shall_lead(Millis(6_800)), "who leaves leads no more");
+}
+
+#[test]
+fn the_end_of_an_earlier_lead_does_not_end_the_next() {
+    let mut members = Members::new(Config::default(), member("a", 1));
+    members.begin_lead(3);
+    members.begin_lead(4);
+    members.end_lead(3);
+    assert_eq!(members.own().lead_fence, 4);
+    members.end_lead(4);
+    assert_eq!(members.own().lead_fence, 0);
+}
--- a/crates/direct/src/maps.rs
+++ b/crates/direct/src/maps.rs
@@ -1,7 +1,7 @@
 //! Moves experts between the ranks of groups as demand changes.
 //!
-//! One gateway leads the maps of a service: the one that all who know the same gateways would pick,
-//! with a fencing token from the store. What it believes of its lead need not be true: orders carry
+//! One gateway leads the maps of a service, with a fencing token from the store, until it stops or
+//! the others do not hear of it any more. What it believes of its lead need not be true: orders carry
 //! the token, and [`hooktrestle_core::direct::map_orders`] says why two leaders do no harm.
 //!
 //! The leader reads now and then, from some ranks, how often each expert was chosen; all groups of a
@@ -34,6 +34,7 @@
 use crate::engine::Path;
 use crate::gateway::Gateway;
 use crate::maps::demand::Demand;
+use crate::platform::Claim;
 use crate::platform::Counts;
 use crate::platform::Platform;
 
@@ -44,6 +45,14 @@
 /// once, each would claim the lead.
 const LISTEN_FIRST: Millis = Millis(500);
 
+/// How long a claim keeps others from claiming: two rounds of news between gateways, after which they
+/// have heard who leads.
+const CLAIM_PROTECTED: Millis = Millis(1_200);
+
+/// How long a leader that was replaced does not claim again: where it cannot hear of the other, the
+/// two would take the lead from each other all the while. Cuts at the users last some 5 s.
+const YIELD_WHEN_DEPOSED: Millis = Millis(5_000);
+
 /// Time between two readings of counts.
 const COUNTS_EVERY: Duration = Duration::from_millis(250);
 
@@ -64,7 +73,7 @@
             .values()
             .filter_map(|service| service.experts.map(|shape| (service.name.clone(), shape)));
         for (service, shape) in grouped {
-            let known = led.get(&service).is_some_and(|lead| !lead.is_over());
+            let known = led.get(&service).is_some_and(|lead| !lead.may_follow(gateway.now()));
             if !known && is_candidate(&gateway) {
                 let lead = Rc::new(Lead::default());
                 led.insert(service.clone(), lead.clone());
@@ -75,19 +84,21 @@
     }
 }
 
-/// Whether this gateway is the one that all would pick: the first by name of those that live.
+/// Whether this gateway is the one that shall lead, as far as it has heard.
 fn is_candidate<P: Platform>(gateway: &Gateway<P>) -> bool {
     let now = gateway.now();
     if gateway.readiness() != Readiness::Ready || now < LISTEN_FIRST {
         return false;
     }
-    gateway.with_members(|members| members.is_first_ready(now))
+    gateway.with_members(|members| members.shall_lead(now))
 }
 
 /// A lead that was begun, and whether it goes on.
 #[derive(Default)]
 struct Lead {
     over: Cell<bool>,
+    /// When the next one may be claimed.
+    follow_at: Cell<Millis>,
 }
 
 impl Lead {
@@ -98,6 +109,16 @@
     fn end(&self) {
         self.over.set(true);
     }
+
+    /// It ends, since another gateway leads; none follows here for `span`.
+    fn yield_for(&self, span: Millis, now: Millis) {
+        self.follow_at.set(now + span);
+        self.end();
+    }
+
+    fn may_follow(&self, now: Millis) -> bool {
+        self.is_over() && self.follow_at.get() <= now
+    }
 }
 
 /// What one leader knows of a service.
@@ -121,7 +142,8 @@
     shape: ExpertShape,
     lead: Rc<Lead>,
 ) {
-    let Some(fence) = claim(&gateway, &name).await else { return lead.end() };
+    let Some(fence) = claim(&gateway, &name, &lead).await else { return };
+    gateway.with_members(|members| members.begin_lead(fence));
     let service = Rc::new(Service {
         gateway,
         demand: RefCell::new(Demand::new(&shape)),
@@ -150,23 +172,28 @@
         service.read_counts().await;
         time::sleep(COUNTS_EVERY).await;
     }
+    service.gateway.with_members(|members| members.end_lead(service.fence));
     service.gateway.journal.state(format_args!("maps of {} are not led any more", service.name));
 }
 
-/// Claims the lead of a service's maps, and returns its fencing token.
-async fn claim<P: Platform>(gateway: &Gateway<P>, service: &str) -> Option<u64> {
-    let holder = gateway
-        .with_members(|members| format!("{} {}", members.own().name, members.own().incarnation));
-    match gateway.platform.claim_maps(service, &holder).await {
-        Ok(fence) => {
+/// Claims the lead of a service's maps, and returns its fencing token; ends the lead without one.
+async fn claim<P: Platform>(gateway: &Gateway<P>, service: &str, lead: &Lead) -> Option<u64> {
+    let holder = gateway.with_members(|members| members.own().name.clone());
+    match gateway.platform.claim_maps(service, &holder, CLAIM_PROTECTED).await {
+        Ok(Claim::Held(fence)) => {
             gateway.journal.state(format_args!("maps of {service} are led with fence {fence}"));
-            Some(fence)
+            return Some(fence);
+        }
+        Ok(Claim::HeldBy(other)) => {
+            gateway.journal.state(format_args!("maps of {service} are led by {other}"));
+            lead.yield_for(CLAIM_PROTECTED, gateway.now());
         }
         Err(failure) => {
             gateway.journal.state(format_args!("maps of {service} are not led: {failure}"));
-            None
+            lead.end();
         }
     }
+    None
 }
 
 impl<P: Platform> Service<P> {
--- a/crates/direct/src/maps/group.rs
+++ b/crates/direct/src/maps/group.rs
@@ -20,6 +20,7 @@
 use crate::engine::Path;
 use crate::maps::LEAD_EVERY;
 use crate::maps::Service;
+use crate::maps::YIELD_WHEN_DEPOSED;
 use crate::maps::layout;
 use crate::maps::layout::Layout;
 use crate::platform::EngineAsk;
@@ -102,7 +103,7 @@
         }
         Next::Deposed => {
             journal.state(format_args!("group {group}: another leader has a higher fence"));
-            service.lead.end();
+            service.lead.yield_for(YIELD_WHEN_DEPOSED, service.gateway.now());
             None
         }
         Next::UsedUp => {
--- a/crates/direct/src/peers/news.rs
+++ b/crates/direct/src/peers/news.rs
@@ -89,6 +89,7 @@
             Readiness::Ready => schema::Readiness::Ready,
             Readiness::Leaving => schema::Readiness::Leaving,
         },
+        lead_fence_number: member.lead_fence,
     }
 }
 
@@ -105,6 +106,7 @@
             schema::Readiness::Ready => Readiness::Ready,
             schema::Readiness::Leaving => Readiness::Leaving,
         },
+        lead_fence: news.lead_fence_number,
     })
 }
 
--- a/crates/direct/src/platform.rs
+++ b/crates/direct/src/platform.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::map_orders::Guarded;
 use hooktrestle_core::direct::map_orders::RankReport;
 use hooktrestle_core::direct::map_orders::Reply;
@@ -77,6 +78,15 @@
 
 impl std::error::Error for Failure {}
 
+/// What became of a claim.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Claim {
+    /// It stands, with a fencing token that is higher than all before it.
+    Held(u64),
+    /// Another instance has claimed not long ago.
+    HeldBy(String),
+}
+
 /// A value of a table that cannot be understood.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Malformed {
@@ -181,10 +191,14 @@
         value: Option<&str>,
     ) -> impl Future<Output = Result<(), Failure>>;
 
-    /// Claims the lead of a service's expert maps, and returns a fencing token that is higher than
-    /// all before it.
-    fn claim_maps(&self, service: &str, holder: &str)
-    -> impl Future<Output = Result<u64, Failure>>;
+    /// Claims the lead of a service's expert maps for the instance `holder`, unless another one did
+    /// so less than `protected` ago.
+    fn claim_maps(
+        &self,
+        service: &str,
+        holder: &str,
+        protected: Millis,
+    ) -> impl Future<Output = Result<Claim, Failure>>;
 
     /// How an engine is asked.
     fn engine_ask(&self, ask: &EngineAsk<'_>) -> (Method, Uri, Bytes);
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -702,6 +702,14 @@
     ///0 for the holder of the lease.
     pub proposer_number: u32,
 }
+///Who claimed the lead of a service's expert maps last.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct MapClaim {
+    ///When, by the store's clock.
+    pub claimed_ms: u64,
+    ///Name of its instance.
+    pub holder: ::std::string::String,
+}
 ///How things stand at a rank that has joined a ballot.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct MapJoined {
@@ -797,6 +805,9 @@
     ///Rises while its process lives.
     pub heartbeat_number: u64,
     pub incarnation: u64,
+    ///Fencing token with which it leads expert maps; 0 if it does not.
+    #[serde(default)]
+    pub lead_fence_number: u64,
     pub name: ::std::string::String,
     ///IP number and port.
     pub peers_at: ::std::string::String,
