Orders: a sidecar whose engine gives no answer is asked again, after 60 ms

The sidecar waited 200 ms for its engine and said 502; the leader took that for a silent sidecar and asked the engine directly for a second, with 250 ms for each lost answer. Change: 502 means that the engine is silent; the wait beside it is 60 ms.

--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -54,7 +54,8 @@
     if answer.is_none() && through_sidecar {
         gateway.pass_sidecar_by(server);
     }
-    answer
+    // A sidecar says so where the engine gave no answer.
+    answer.filter(|(status, _)| *status != StatusCode::BAD_GATEWAY)
 }
 
 /// The same, where only an answer that says success is of use.
@@ -91,8 +92,7 @@
     let body = body.collect().await.ok()?.to_bytes();
     let kept = if through_sidecar { &gateway.sidecars } else { &gateway.connections };
     kept.keep(connection);
-    // What a sidecar could not ask has no answer.
-    (head.status != StatusCode::BAD_GATEWAY).then_some((head.status, body))
+    Some((head.status, body))
 }
 
 /// A connection to the process beside the server, or to the server itself where there is none.
--- a/crates/direct/src/sidecar.rs
+++ b/crates/direct/src/sidecar.rs
@@ -38,8 +38,9 @@
 use crate::dial;
 use crate::headers;
 
-/// Longest wait for the engine; its answers come within a few milliseconds.
-const ENGINE_TIMEOUT: Duration = Duration::from_millis(200);
+/// Longest wait for the engine: on its own machine its answers come within a few milliseconds, and a
+/// group may be held until an order that got none is repeated.
+const ENGINE_TIMEOUT: Duration = Duration::from_millis(60);
 
 /// Largest order that is passed on: a map of 64 ranks and 256 experts has some 100 KB.
 const MOST_ORDER_BYTES: usize = 1 << 20;
