Map orders: further ahead where orders get no answer; holds that come late are released

Change: once an order got no answer, the switch is set 8 passes further ahead (20 where engines are asked from afar), so that repeats go on while passes are made.

--- a/crates/core/src/direct/map_orders.rs
+++ b/crates/core/src/direct/map_orders.rs
@@ -11,7 +11,8 @@
 //! - An order that got no answer is repeated as it was until it is acknowledged, and none goes with
 //!   another version or pass before that. So when the lost one comes late, its map is not the newest
 //!   any more, its pass has begun, or what it orders holds already. One case is left: a `hold` that
-//!   comes between `go` and the pass. So the leader watches until the pass has begun.
+//!   comes between `go` and the pass. So the leader watches until the pass has begun, and releases
+//!   that hold, too: all ranks are armed by then.
 //! - Ranks compare versions, not maps: one that has a version answers that it holds, whatever is in
 //!   the map that comes. So each version names one map for good, also where a switch was left before
 //!   all ranks had it: [`Versions`] gives each out once.
@@ -49,6 +50,9 @@
     /// has begun already, one that is later by half of this is tried at once. A pass that is held
     /// for the round trips that follow costs less than one that is far ahead.
     pub lead_passes: u64,
+    /// How much further ahead it is set once an order got no answer: more may get none, and the group
+    /// would stand still until they are repeated.
+    pub doubtful_passes: u64,
     /// Pause before an order is repeated that a rank was not ready for.
     pub retry: Millis,
     /// Conflicts of a phase after which ranks are looked at.
@@ -63,6 +67,7 @@
         Config {
             look: Millis(250),
             lead_passes: 6,
+            doubtful_passes: 20,
             retry: Millis(40),
             most_tries: 12,
             most_idle_rounds: 100,
@@ -71,9 +76,10 @@
 }
 
 impl Config {
-    /// Where reports are fresh: a look shows what was taken before it.
+    /// Where reports are fresh: a look shows what was taken before it, and what gets no answer is
+    /// repeated after 60 ms.
     pub fn fresh() -> Config {
-        Config { look: Millis(40), lead_passes: 2, ..Config::default() }
+        Config { look: Millis(40), lead_passes: 2, doubtful_passes: 8, ..Config::default() }
     }
 }
 
@@ -118,7 +124,10 @@
     ranks: Vec<Rank>,
     epoch: Option<u64>,
     version: u64,
+    /// The pass from which the map holds.
     pass: u64,
+    /// The pass that is held: the same, unless a hold came late.
+    held: u64,
     /// Whether what is completed is a predecessor's switch.
     inherited: bool,
     idle_rounds: u32,
@@ -128,6 +137,8 @@
     copy: Millis,
     /// Whether the group's state is the own last switch: most looks are left out then.
     settled: bool,
+    /// Whether an order got no answer.
+    doubtful: bool,
     /// Whether a hold was ordered more than once, so that a lost one may come late.
     hold_repeated: bool,
     /// How long to wait before the next round.
@@ -153,11 +164,13 @@
             epoch: None,
             version: 0,
             pass: 0,
+            held: 0,
             inherited: false,
             idle_rounds: 0,
             tries: 0,
             copy,
             settled: false,
+            doubtful: false,
             hold_repeated: false,
             pause: None,
             over: None,
@@ -244,7 +257,7 @@
             Phase::Prepare => self.prepares(),
             Phase::Hold => self.at_first(Order::Hold { pass: self.pass }),
             Phase::Arm => self.arms(),
-            Phase::Go | Phase::Release => self.at_first(Order::Go { pass: self.pass }),
+            Phase::Go | Phase::Release => self.at_first(Order::Go { pass: self.held }),
             Phase::Watch => vec![(0, Ask::Report)],
         };
         Next::Round(asks)
@@ -365,9 +378,20 @@
             }
             Phase::Arm => {}
             Phase::Hold => self.seen_hold(report.held),
-            Phase::Go | Phase::Release => rank.done = report.held != Some(self.pass),
-            Phase::Watch if report.held == Some(self.pass) => self.enter(Phase::Go),
-            Phase::Watch => rank.done = report.pass >= self.pass,
+            Phase::Go | Phase::Release => rank.done = report.held != Some(self.held),
+            Phase::Watch => self.watched(report),
+        }
+    }
+
+    /// All ranks are armed, so what holds a pass up to theirs came late, and is released as well. A
+    /// later one may be that of another leader, whose ranks are not armed yet.
+    fn watched(&mut self, report: RankReport) {
+        match report.held {
+            Some(held) if held <= self.pass => {
+                self.held = held;
+                self.enter(Phase::Go);
+            }
+            _ => self.ranks[0].done = report.pass >= self.pass,
         }
     }
 
@@ -400,7 +424,10 @@
                 }
             }
             Reply::Conflict => rank.unclear = true,
-            Reply::Nothing => self.hold_repeated |= self.phase == Phase::Hold,
+            Reply::Nothing => {
+                self.doubtful = true;
+                self.hold_repeated |= self.phase == Phase::Hold;
+            }
             Reply::Report(_) => {}
         }
     }
@@ -423,7 +450,10 @@
             Phase::Survey if all => self.surveyed(),
             Phase::Prepare if all => self.enter(Phase::Copy),
             Phase::Copy if all => self.copied(),
-            Phase::Hold if first => self.enter(Phase::Arm),
+            Phase::Hold if first => {
+                self.held = self.pass;
+                self.enter(Phase::Arm);
+            }
             Phase::Arm if all => self.enter(Phase::Go),
             // Nothing is late that could hold the pass again.
             Phase::Go if first && self.settled && !self.hold_repeated => self.end(Next::Switched),
@@ -458,10 +488,13 @@
             (None, None, _) => self.prepare_above(newest),
             // Released by a predecessor: it takes effect with the next passes.
             (None, Some(_), _) => self.restart(),
-            // All ranks have what a predecessor began to arm: complete it. Where none is armed, the
-            // hold may be one that another leader is about to release.
-            (Some(pass), Some(armed), Some(version)) if armed == (version, pass) => {
-                (self.pass, self.version, self.inherited) = (pass, version, true);
+            // All ranks have what a predecessor began to arm: complete it. A hold of an earlier pass
+            // came late, after `go`, and nothing else would release it: no rank takes a new map while
+            // it is armed. Where none is armed, the hold may be one that another leader is about to
+            // release.
+            (Some(held), Some((armed, pass)), Some(version)) if armed == version && held <= pass => {
+                (self.pass, self.held, self.version) = (pass, held, version);
+                self.inherited = true;
                 self.enter(Phase::Arm);
             }
             // The own map replaces what was begun, then the hold is released.
@@ -484,7 +517,7 @@
         // These reports show the rank after it accepted the map, so a predecessor's hold shows too.
         match self.ranks[0].report.and_then(|report| report.held) {
             Some(pass) => {
-                self.pass = pass;
+                self.held = pass;
                 self.enter(Phase::Release);
             }
             None => {
@@ -496,7 +529,8 @@
 
     fn set_pass(&mut self) {
         let newest = self.ranks.iter().filter_map(|rank| rank.report.map(|report| report.pass));
-        self.pass = newest.max().unwrap_or_default() + self.config.lead_passes;
+        let doubt = if self.doubtful { self.config.doubtful_passes } else { 0 };
+        self.pass = newest.max().unwrap_or_default() + self.config.lead_passes + doubt;
     }
 
     fn enter(&mut self, phase: Phase) {
