--- a/crates/core/src/direct/budget.rs
+++ b/crates/core/src/direct/budget.rs
@@ -37,6 +37,11 @@
         RepeatBudget { config, requests: VecDeque::new(), repeats: VecDeque::new() }
     }
 
+    /// Other bounds, from now on. What was spent counts on.
+    pub fn set_config(&mut self, config: Config) {
+        self.config = config;
+    }
+
     /// A request for the service came.
     pub fn request(&mut self, now: Millis) {
         self.expire(now);
--- a/crates/core/src/direct/map_orders.rs
+++ b/crates/core/src/direct/map_orders.rs
@@ -492,7 +492,9 @@
             // came late, after `go`, and nothing else would release it: no rank takes a new map while
             // it is armed. Where none is armed, the hold may be one that another leader is about to
             // release.
-            (Some(held), Some((armed, pass)), Some(version)) if armed == version && held <= pass => {
+            (Some(held), Some((armed, pass)), Some(version))
+                if armed == version && held <= pass =>
+            {
                 (self.pass, self.held, self.version) = (pass, held, version);
                 self.inherited = true;
                 self.enter(Phase::Arm);
--- a/crates/core/src/direct/pool.rs
+++ b/crates/core/src/direct/pool.rs
@@ -98,10 +98,8 @@
 pub struct Server {
     /// As listed last.
     pub listed: Listed,
-    /// Place among the candidates of its service.
-    index: usize,
-    /// Whether the list still has it.
-    present: bool,
+    /// Place among the candidates of its service; `None` unless the list has it.
+    place: Option<usize>,
     /// When its row was first seen to have changed, by the store's counter.
     first_revision: u64,
     rests_until: Millis,
@@ -117,6 +115,7 @@
     standing: bool,
 }
 
+/// The listed servers of a service, in two arrays of the same order.
 #[derive(Clone, Debug, Default)]
 struct Service {
     servers: Vec<Key<Server>>,
@@ -129,7 +128,7 @@
     config: Config,
     servers: Arena<Server>,
     by_id: HashMap<String, Key<Server>>,
-    /// Who has an address, of all that were ever listed there.
+    /// Who is listed at an address.
     by_address: HashMap<SocketAddr, Vec<Key<Server>>>,
     services: HashMap<String, Service>,
 }
@@ -159,7 +158,7 @@
         let Some(keys) = self.by_address.get(&address) else { return };
         let claims = |key: &Key<Server>| {
             let server = &self.servers[*key];
-            server.present && !server.disproved && server.listed.address == address
+            !server.disproved && server.listed.address == address
         };
         let claiming = keys.iter().copied().filter(claims);
         let holder = claiming.max_by_key(|key| self.servers[*key].first_revision);
@@ -173,19 +172,20 @@
             let server = &mut self.servers[*key];
             let known = &server.listed;
             if known.service == listed.service && known.address == listed.address {
-                server.present = true;
+                let key = *key;
                 server.listed = listed;
+                self.place(key);
                 return;
             }
             // Names are not used again; should one be, it is another server.
-            server.present = false;
+            let (key, address) = (*key, known.address);
+            self.displace(key);
+            self.settle(address);
         }
-        let service = self.services.entry(listed.service.clone()).or_default();
         let id = listed.id.clone();
         let server = Server {
             listed,
-            index: service.servers.len(),
-            present: true,
+            place: None,
             first_revision: revision,
             rests_until: Millis::ZERO,
             unreachable: 0,
@@ -194,21 +194,50 @@
             disproved: false,
             standing: false,
         };
-        let address = server.listed.address;
         let key = self.servers.push(server);
-        self.by_address.entry(address).or_default().push(key);
+        self.place(key);
+        self.by_id.insert(id, key);
+    }
+
+    /// Puts a server among those that are listed, unless it is there.
+    fn place(&mut self, key: Key<Server>) {
+        let server = &mut self.servers[key];
+        if server.place.is_some() {
+            return;
+        }
+        let service = self.services.entry(server.listed.service.clone()).or_default();
+        server.place = Some(service.servers.len());
         service.servers.push(key);
         service.candidates.push(Candidate { weight: 1, ..Candidate::default() });
-        self.by_id.insert(id, key);
+        self.by_address.entry(server.listed.address).or_default().push(key);
+    }
+
+    /// Takes a server from those that are listed; what it was found to be is kept, as its row may
+    /// come back.
+    fn displace(&mut self, key: Key<Server>) {
+        let server = &mut self.servers[key];
+        let Some(place) = server.place.take() else { return };
+        if let Some(service) = self.services.get_mut(&server.listed.service) {
+            service.servers.swap_remove(place);
+            service.candidates.swap_remove(place);
+            if let Some(moved) = service.servers.get(place) {
+                self.servers[*moved].place = Some(place);
+            }
+        }
+        let address = self.servers[key].listed.address;
+        if let Some(keys) = self.by_address.get_mut(&address) {
+            keys.retain(|other| *other != key);
+            if keys.is_empty() {
+                self.by_address.remove(&address);
+            }
+        }
     }
 
     /// A server has gone from the list.
     pub fn unlist(&mut self, id: &str) {
-        if let Some(key) = self.by_id.get(id) {
-            let server = &mut self.servers[*key];
-            server.present = false;
-            let address = server.listed.address;
-            self.settle(address);
+        if let Some(key) = self.by_id.get(id).copied() {
+            self.displace(key);
+            self.settle(self.servers[key].listed.address);
         }
     }
 
@@ -262,7 +291,7 @@
     /// one has its address.
     pub fn is_present(&self, key: Key<Server>) -> bool {
         let server = &self.servers[key];
-        server.present && !server.replaced
+        server.place.is_some() && !server.replaced
     }
 
     /// Another server was found to have this one's address.
@@ -326,13 +355,13 @@
     fn candidate(&mut self, key: Key<Server>) -> Option<&mut Candidate> {
         let server = &self.servers[key];
         let service = self.services.get_mut(&server.listed.service)?;
-        service.candidates.get_mut(server.index)
+        service.candidates.get_mut(server.place?)
     }
 }
 
 impl Server {
     /// Whether it may be given work.
     pub fn is_open(&self) -> bool {
-        self.present && !self.replaced && !self.listed.leaving
+        self.place.is_some() && !self.replaced && !self.listed.leaving
     }
 }
--- a/crates/core/tests/direct_requests.rs
+++ b/crates/core/tests/direct_requests.rs
@@ -195,9 +195,77 @@
     assert!(matches!(unsent.after(key(), Fate::NotSent, || false), Next::GiveUp(_)));
 }
 
+#[test]
+fn a_server_whose_row_comes_back_gets_work_and_keeps_its_turns_apart() {
+    let mut pool = pool(&["a", "b", "c"]);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let held = pool.choose("hints", &[], 1.0, Millis(0), &mut rng).unwrap();
+    let id = pool.server(held).listed.id.clone();
+    let port = pool.server(held).listed.address.port();
+    pool.unlist(&id);
+    // It ends while it is not listed; whoever stands in its place now has nothing to do with it.
+    pool.ended(held, Ending::Unreachable, Millis(0));
+    pool.list(listed(&id, port, false), 5);
+    assert_eq!(pool.present_of("hints").len(), 3);
+    let others = pool.present_of("hints").into_iter().filter(|key| *key != held);
+    let tried: Vec<Key<Server>> = others.collect();
+    assert_eq!(chosen(&mut pool, &tried, 9_000), Some(id));
+}
+
+/// The bounds of a service change while it has repeats out.
+#[test]
+fn changed_bounds_hold_at_once_and_what_was_spent_counts_on() {
+    let config = budget::Config { ratio: 0.0, slack: 4.0, window: Millis(1_000) };
+    let mut budget = RepeatBudget::new(config);
+    assert!(budget.take(Millis(0), 1) && budget.take(Millis(0), 1));
+    assert!(!budget.take(Millis(0), 1), "half of the slack is spent");
+    budget.set_config(budget::Config { slack: 6.0, ..config });
+    assert!(budget.take(Millis(1), 1));
+    assert!(!budget.take(Millis(1), 1));
+    budget.set_config(budget::Config { slack: 2.0, ..config });
+    assert!(!budget.take(Millis(2), 1));
+}
+
 proptest! {
     #![proptest_config(seeded(400, "tests/direct_requests.regressions"))]
 
+    /// Lives come and go, and rows come back: whoever is chosen is listed and not leaving, and
+    /// somebody is as long as there is one.
+    #[test]
+    fn only_listed_servers_are_chosen_however_lives_come_and_go(
+        changes in vec((0u16..12, 0u8..3), 1..300),
+    ) {
+        let mut pool = Pool::new(pool::Config::default());
+        let mut open = std::collections::BTreeSet::new();
+        let mut rng = ChaCha8Rng::seed_from_u64(3);
+        let mut running = Vec::new();
+        for (step, (number, change)) in changes.into_iter().enumerate() {
+            let id = format!("s{number}");
+            match change {
+                0 => {
+                    pool.unlist(&id);
+                    open.remove(&id);
+                }
+                kind => {
+                    pool.list(listed(&id, 1_000 + number, kind == 2), step as u64);
+                    if kind == 2 { open.remove(&id) } else { open.insert(id) };
+                }
+            }
+            let found: std::collections::BTreeSet<String> =
+                pool.open().map(|listed| listed.id.clone()).collect();
+            prop_assert_eq!(&found, &open);
+            let now = Millis(step as u64);
+            let key = pool.choose("hints", &[], 1.0, now, &mut rng);
+            let id = key.map(|key| pool.server(key).listed.id.clone());
+            prop_assert_eq!(id.is_some(), !open.is_empty());
+            prop_assert!(id.is_none_or(|id| open.contains(&id)));
+            running.extend(key);
+            if step % 3 == 2 {
+                running.drain(..).for_each(|key| pool.ended(key, Ending::Answered, now));
+            }
+        }
+    }
+
     /// In every window, the repeats of all gateways stay within the operators' bound, also when each
     /// gateway was replaced by a new process in the middle of it.
     #[test]
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -225,9 +225,10 @@
         covered
     }
 
-    /// Bounds from changed settings, for services that are met from now on.
+    /// Bounds from changed settings, for all services.
     pub fn set_budget(&self, config: budget::Config) {
         self.budget.set(config);
+        self.budgets.borrow_mut().values_mut().for_each(|budget| budget.set_config(config));
     }
 
     fn with_budget<T>(&self, service: &str, act: impl FnOnce(&mut RepeatBudget) -> T) -> T {
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -7,7 +7,7 @@
 pub(crate) mod news;
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -81,7 +81,8 @@
 /// Connections to other gateways.
 #[derive(Default)]
 pub struct Peers {
-    kept: RefCell<HashMap<SocketAddr, Socket>>,
+    /// Idle connections, the one used last at the end.
+    kept: RefCell<VecDeque<(SocketAddr, Socket)>>,
     seeds: RefCell<Vec<SocketAddr>>,
 }
 
@@ -141,8 +142,14 @@
         futures_util::future::join_all(told).await;
     }
 
+    fn take_kept(&self, address: SocketAddr) -> Option<Socket> {
+        let mut kept = self.kept.borrow_mut();
+        let place = kept.iter().position(|(known, _)| *known == address)?;
+        kept.remove(place).map(|(_, socket)| socket)
+    }
+
     async fn exchange<P: Platform>(&self, gateway: &Rc<Gateway<P>>, address: SocketAddr) {
-        let kept = self.kept.borrow_mut().remove(&address);
+        let kept = self.take_kept(address);
         let again = kept.is_some();
         let mut done = time::timeout(EXCHANGE_TIMEOUT, exchange(gateway, address, kept)).await;
         if again && !matches!(done, Ok(Ok(_))) {
@@ -152,9 +159,11 @@
         match done {
             Ok(Ok(socket)) => {
                 let mut kept = self.kept.borrow_mut();
-                if kept.len() < MOST_KEPT {
-                    kept.insert(address, socket);
+                if kept.len() >= MOST_KEPT {
+                    // The gateway at its other end may be long gone.
+                    kept.pop_front();
                 }
+                kept.push_back((address, socket));
             }
             Ok(Err(_)) | Err(_) => {
                 let now = gateway.now();
