Map orders: all ranks are looked at before a pass is held

In a switch that follows another, the look between copying and holding had been left out when reports were 0.2 s old; beside the engine they are fresh and free. Change: the look is back where reports are fresh. What is left open is the time of two round trips. Test: red without it.

--- a/crates/core/src/direct/map_orders.rs
+++ b/crates/core/src/direct/map_orders.rs
@@ -53,6 +53,9 @@
     /// How much further ahead it is set once an order got no answer: more may get none, and the group
     /// would stand still until they are repeated.
     pub doubtful_passes: u64,
+    /// Whether all ranks are looked at before a pass is held, also where they should be done: one that
+    /// does not answer then would leave the group standing still until it is back.
+    pub looks_before_hold: bool,
     /// Pause before an order is repeated that a rank was not ready for.
     pub retry: Millis,
     /// Conflicts of a phase after which ranks are looked at.
@@ -68,6 +71,7 @@
             look: Millis(250),
             lead_passes: 6,
             doubtful_passes: 20,
+            looks_before_hold: false,
             retry: Millis(40),
             most_tries: 12,
             most_idle_rounds: 100,
@@ -79,7 +83,13 @@
     /// Where reports are fresh: a look shows what was taken before it, and what gets no answer is
     /// repeated after 60 ms.
     pub fn fresh() -> Config {
-        Config { look: Millis(40), lead_passes: 2, doubtful_passes: 8, ..Config::default() }
+        Config {
+            look: Millis(40),
+            lead_passes: 2,
+            doubtful_passes: 8,
+            looks_before_hold: true,
+            ..Config::default()
+        }
     }
 }
 
@@ -242,7 +252,7 @@
         if let Some(pause) = self.pause.take() {
             return Next::Pause(pause);
         }
-        if self.settled && self.phase == Phase::Copy {
+        if self.settled && self.phase == Phase::Copy && !self.config.looks_before_hold {
             // The ranks are done by now; one that is not refuses to be armed for a moment.
             self.enter(Phase::Hold);
             self.ranks[0].unclear = true;
--- a/crates/core/tests/map_orders.rs
+++ b/crates/core/tests/map_orders.rs
@@ -462,3 +462,41 @@
     assert!(group.is_clean(), "the hold was left");
     assert_ne!(group.ranks[0].report.map, 0, "the map is in force");
 }
+
+/// Carries out a switch whose rank `silent`, if any, answers no report; stops where a pass is held.
+fn reaches_a_hold(group: &mut Group, start: Start, silent: Option<usize>) -> bool {
+    let config = Config { lead_passes: 4, ..Config::fresh() };
+    let versions = Versions::of_fence(group.now + 1);
+    let mut switch = Switch::new(config, versions, group.ranks.len(), start, Millis::ZERO);
+    let content = group.plan();
+    for _ in 0..60 {
+        match switch.step() {
+            Next::Round(asks) => {
+                let replies: Vec<(usize, Ask, Reply)> = asks
+                    .into_iter()
+                    .map(|(index, ask)| match ask {
+                        Ask::Report if silent == Some(index) => (index, ask, Reply::Nothing),
+                        Ask::Report => (index, ask, Reply::Report(group.report(index, 0))),
+                        Ask::Order(guarded) => (index, ask, group.order(index, guarded, content)),
+                    })
+                    .collect();
+                switch.take(&replies);
+            }
+            Next::Pause(_) => group.tick(),
+            _ => return false,
+        }
+        if group.ranks[0].report.held.is_some() {
+            return true;
+        }
+    }
+    false
+}
+
+#[test]
+fn no_pass_is_held_while_a_rank_does_not_answer() {
+    let settled = Start::Settled { epoch: 1 };
+    for start in [Start::Unknown, settled] {
+        assert!(reaches_a_hold(&mut Group::new(3), start, None));
+        assert!(!reaches_a_hold(&mut Group::new(3), start, Some(2)), "{start:?}");
+    }
+}
