Expert maps: the order that holds a pass goes through the sidecar of another group

Ruled out: sidecars alone (the engine's own address does not answer either). Change: a sidecar passes an order on to another engine where the order names one; holds go through a server of another group, whose machine the held group does not need. Where there is one group only, or that sidecar is silent, as before.

--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -21,6 +21,7 @@
 use crate::platform::EngineAsk;
 use crate::platform::EngineReport;
 use crate::platform::Platform;
+use crate::sidecar;
 
 /// Longest wait for an answer. Orders that get none are repeated; a server answers within a few
 /// milliseconds unless the answer is lost.
@@ -34,6 +35,9 @@
 pub enum Path {
     /// Through the process beside it.
     Sidecar,
+    /// Through the process beside another server. That is priced, but what happens to the other
+    /// server's machine does not keep this one from being reached.
+    Beside(Key<Server>),
     /// The same, or directly where there is none: that is priced, and disturbs the group.
     Any,
 }
@@ -47,12 +51,16 @@
     question: &EngineAsk<'_>,
     path: Path,
 ) -> Option<(StatusCode, Bytes)> {
-    let through_sidecar = gateway.uses_sidecar(server);
+    let asked_through = match path {
+        Path::Beside(other) => other,
+        Path::Sidecar | Path::Any => server,
+    };
+    let through_sidecar = gateway.uses_sidecar(asked_through);
     let answer = time::timeout(ANSWER_TIMEOUT, exchange(gateway, server, question, path)).await;
     // Too late is no answer.
     let answer = answer.unwrap_or_default();
     if answer.is_none() && through_sidecar {
-        gateway.pass_sidecar_by(server);
+        gateway.pass_sidecar_by(asked_through);
     }
     // A sidecar says so where the engine gave no answer.
     answer.filter(|(status, _)| *status != StatusCode::BAD_GATEWAY)
@@ -78,14 +86,16 @@
     let (mut connection, through_sidecar) = connect(gateway, server, path).await?;
     let listed = gateway.with_pool(|pool| pool.server(server).listed.clone());
     let (method, uri, body) = gateway.platform.engine_ask(question);
-    let request = Request::builder()
+    let mut request = Request::builder()
         .method(method)
         .uri(uri)
         .header(header::HOST, listed.address.to_string())
         .header(header::CONTENT_TYPE, "application/json")
-        .header(&gateway.platform.headers().expect_server, listed.id)
-        .body(Full::new(body))
-        .ok()?;
+        .header(&gateway.platform.headers().expect_server, listed.id);
+    if let Path::Beside(_) = path {
+        request = request.header(sidecar::ENGINE_HEADER, listed.address.to_string());
+    }
+    let request = request.body(Full::new(body)).ok()?;
     let answer = connection.sender().send_request(request).await.ok()?;
     let (head, body) = answer.into_parts();
     connection.note_answer(&head.headers);
@@ -101,19 +111,16 @@
     server: Key<Server>,
     path: Path,
 ) -> Option<(Connection, bool)> {
-    let address = gateway.with_pool(|pool| pool.server(server).listed.address);
-    if gateway.uses_sidecar(server) {
-        if let Some(connection) = gateway.sidecars.idle(server) {
-            return Some((connection, true));
-        }
-        let beside = SocketAddr::new(address.ip(), gateway.sidecars_port);
-        if let Ok(connection) = Connection::open_within(server, beside, SIDECAR_TIMEOUT).await {
-            return Some((connection, true));
-        }
+    if let Path::Beside(other) = path {
+        return Some((connect_sidecar(gateway, other).await?, true));
+    }
+    if let Some(connection) = connect_sidecar(gateway, server).await {
+        return Some((connection, true));
     }
     if path == Path::Sidecar {
         return None;
     }
+    let address = gateway.with_pool(|pool| pool.server(server).listed.address);
     if let Some(connection) = gateway.connections.idle(server) {
         return Some((connection, false));
     }
@@ -121,6 +128,22 @@
     Some((Connection::open(server, address).await.ok()?, false))
 }
 
+/// A connection to the process beside a server, unless there is none or it is passed by.
+async fn connect_sidecar<P: Platform>(
+    gateway: &Gateway<P>,
+    server: Key<Server>,
+) -> Option<Connection> {
+    if !gateway.uses_sidecar(server) {
+        return None;
+    }
+    if let Some(connection) = gateway.sidecars.idle(server) {
+        return Some(connection);
+    }
+    let ip = gateway.with_pool(|pool| pool.server(server).listed.address.ip());
+    let beside = SocketAddr::new(ip, gateway.sidecars_port);
+    Connection::open_within(server, beside, SIDECAR_TIMEOUT).await.ok()
+}
+
 /// An engine's report, if it gives one; through the process beside it only, or however it can be
 /// asked.
 pub async fn report<P: Platform>(
@@ -157,8 +180,9 @@
     gateway: &Rc<Gateway<P>>,
     server: Key<Server>,
     order: &EngineAsk<'_>,
+    path: Path,
 ) -> Reply {
-    match ask(gateway, server, order, Path::Any).await {
+    match ask(gateway, server, order, path).await {
         Some((status, _)) if gateway.platform.is_other_server(status.as_u16()) => {
             gateway.with_pool(|pool| pool.replace(server));
             Reply::Nothing
--- a/crates/direct/src/maps/group.rs
+++ b/crates/direct/src/maps/group.rs
@@ -8,6 +8,7 @@
 use hooktrestle_core::direct::map_orders;
 use hooktrestle_core::direct::map_orders::Ask;
 use hooktrestle_core::direct::map_orders::Next;
+use hooktrestle_core::direct::map_orders::Order;
 use hooktrestle_core::direct::map_orders::Reply;
 use hooktrestle_core::direct::map_orders::Start;
 use hooktrestle_core::direct::map_orders::Switch;
@@ -18,6 +19,7 @@
 
 use crate::engine;
 use crate::engine::Path;
+use crate::gateway::Gateway;
 use crate::maps::LEAD_EVERY;
 use crate::maps::Service;
 use crate::maps::YIELD_WHEN_DEPOSED;
@@ -58,7 +60,8 @@
         let Some(planned) = next_layout(&service, before, ranks.len()) else { continue };
         let switch = begin(&service, versions, before, &planned, ranks.len());
         let map = layout::by_rank(&planned, ranks.len());
-        let (done, ended) = carry_out(&service, &ranks, switch, before, &map).await;
+        let asked = Asked { ranks: &ranks, relay: service.relay_for(&group), map: &map };
+        let (done, ended) = carry_out(&service, &asked, switch, before).await;
         versions = done.versions();
         known = conclude(&service, &group, planned, &done, &ended);
     }
@@ -167,16 +170,24 @@
     Some(layout)
 }
 
+/// Who is asked in a switch, and about what.
+struct Asked<'a> {
+    ranks: &'a [Key<Server>],
+    /// A server of another group, through whose sidecar passes are held.
+    relay: Option<Key<Server>>,
+    /// The map: experts by set and rank.
+    map: &'a [Vec<Vec<u16>>],
+}
+
 /// Brings a map in, round by round.
 async fn carry_out<P: Platform>(
     service: &Service<P>,
-    ranks: &[Key<Server>],
+    asked: &Asked<'_>,
     mut switch: Switch,
     before: &Known,
-    map: &[Vec<Vec<u16>>],
 ) -> (Switch, Next) {
     loop {
-        if !service.are_present(ranks) {
+        if !service.are_present(asked.ranks) {
             switch.withdraw();
         }
         match switch.step() {
@@ -187,10 +198,10 @@
                 if stale && switch.is_before_orders() {
                     return (switch, Next::Changed);
                 }
-                let asked = asks.iter().map(|(rank, ask)| async {
-                    (*rank, *ask, ask_rank(service, ranks[*rank], *ask, map).await)
+                let replies = asks.iter().map(|(rank, ask)| async {
+                    (*rank, *ask, ask_rank(service, asked, *rank, *ask).await)
                 });
-                let replies = join_all(asked).await;
+                let replies = join_all(replies).await;
                 switch.take(&replies);
             }
             Next::Pause(span) => time::sleep(Duration::from(span)).await,
@@ -201,17 +212,38 @@
 
 async fn ask_rank<P: Platform>(
     service: &Service<P>,
-    key: Key<Server>,
+    asked: &Asked<'_>,
+    rank: usize,
     ask: Ask,
-    map: &[Vec<Vec<u16>>],
 ) -> Reply {
+    let key = asked.ranks[rank];
     match ask {
         Ask::Report => match engine::report(&service.gateway, key, Path::Any).await {
             Some(report) => Reply::Report(report.state),
             None => Reply::Nothing,
         },
         Ask::Order(guarded) => {
-            engine::order(&service.gateway, key, &EngineAsk::Order(&guarded, map)).await
+            let order = EngineAsk::Order(&guarded, asked.map);
+            engine::order(
+                &service.gateway,
+                key,
+                &order,
+                asked.path_of(&service.gateway, guarded.order),
+            )
+            .await
+        }
+    }
+}
+
+impl Asked<'_> {
+    /// How an order reaches its rank. While a pass is held the group stands still until its rank can
+    /// be reached again; so the order that holds it goes through a machine that no rank of the group
+    /// needs, should that machine freeze or go dark upon it.
+    fn path_of<P: Platform>(&self, gateway: &Gateway<P>, order: Order) -> Path {
+        let relay = self.relay.filter(|relay| gateway.uses_sidecar(*relay));
+        match (order, relay) {
+            (Order::Hold { .. }, Some(relay)) => Path::Beside(relay),
+            _ => Path::Any,
         }
     }
 }
--- a/crates/direct/src/sidecar.rs
+++ b/crates/direct/src/sidecar.rs
@@ -6,6 +6,7 @@
 //! It decides nothing and keeps nothing: what guards an order is in the order.
 
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
@@ -17,6 +18,7 @@
 use eyre::WrapErr;
 use eyre::eyre;
 use hooktrestle_schema::SidecarRoleSettings;
+use http::HeaderMap;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -38,6 +40,9 @@
 use crate::dial;
 use crate::headers;
 
+/// Names another engine that is to be asked, by its address. Without it, it is the one beside.
+pub(crate) const ENGINE_HEADER: &str = "hooktrestle-engine";
+
 /// Longest wait for the engine: on its own machine its answers come within a few milliseconds, and a
 /// group may be held until an order that got none is repeated.
 const ENGINE_TIMEOUT: Duration = Duration::from_millis(60);
@@ -45,10 +50,10 @@
 /// Largest order that is passed on: a map of 64 ranks and 256 experts has some 100 KB.
 const MOST_ORDER_BYTES: usize = 1 << 20;
 
-/// The engine beside this process.
-struct Engine {
-    address: SocketAddr,
-    kept: RefCell<Vec<SendRequest<Full<Bytes>>>>,
+/// The engine beside this process, and idle connections to it and to others.
+struct Engines {
+    beside: SocketAddr,
+    kept: RefCell<HashMap<SocketAddr, Vec<SendRequest<Full<Bytes>>>>>,
 }
 
 /// Runs until the process is told to stop.
@@ -62,7 +67,7 @@
     let listener = TcpListener::bind(&settings.listen)
         .await
         .wrap_err_with(|| format!("cannot listen on {}", settings.listen))?;
-    let engine = Rc::new(Engine { address: settings.engine.parse()?, kept: RefCell::default() });
+    let engines = Rc::new(Engines { beside: settings.engine.parse()?, kept: RefCell::default() });
     spdlog::info!("sidecar of {} started", settings.engine);
     let note = |error: &io::Error| spdlog::warn!("the leader is not accepted: {error}");
     loop {
@@ -71,7 +76,7 @@
             // Its two addresses are those of its machine, and stay as long as the process lives.
             _ = hang_up.recv() => spdlog::info!("settings are not read again"),
             stream = accept::next(&listener, note) => {
-                tokio::task::spawn_local(serve(engine.clone(), stream));
+                tokio::task::spawn_local(serve(engines.clone(), stream));
             }
         }
     }
@@ -80,10 +85,10 @@
     Ok(())
 }
 
-async fn serve(engine: Rc<Engine>, stream: TcpStream) {
+async fn serve(engines: Rc<Engines>, stream: TcpStream) {
     let service = service_fn(|request: Request<Incoming>| {
-        let engine = engine.clone();
-        async move { Ok::<_, Infallible>(answer(&engine, request).await) }
+        let engines = engines.clone();
+        async move { Ok::<_, Infallible>(answer(&engines, request).await) }
     });
     let mut builder = http1::Builder::new();
     let connection =
@@ -92,8 +97,8 @@
     drop(connection.await);
 }
 
-async fn answer(engine: &Engine, request: Request<Incoming>) -> Response<Full<Bytes>> {
-    match time::timeout(ENGINE_TIMEOUT, engine.pass_on(request)).await {
+async fn answer(engines: &Engines, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    match time::timeout(ENGINE_TIMEOUT, engines.pass_on(request)).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(_)) | Err(_) => {
             // No verdict on an order: it may have been taken.
@@ -104,27 +109,29 @@
     }
 }
 
-impl Engine {
+impl Engines {
     async fn pass_on(&self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>> {
         let (mut head, body) = request.into_parts();
         let body = Limited::new(body, MOST_ORDER_BYTES).collect().await;
         let body = body.map_err(|error| eyre!("the order cannot be read: {error}"))?.to_bytes();
         headers::strip_connection(&mut head.headers);
-        let kept = self.kept.borrow_mut().pop().filter(SendRequest::is_ready);
-        let mut sender = match kept {
+        let address = self.asked(&mut head.headers)?;
+        let kept = self.kept.borrow_mut().get_mut(&address).and_then(Vec::pop);
+        let mut sender = match kept.filter(SendRequest::is_ready) {
             Some(sender) => sender,
-            None => self.connect().await?,
+            None => dial::dial_http(address, ENGINE_TIMEOUT).await?.0,
         };
         let answer = sender.send_request(Request::from_parts(head, Full::new(body))).await?;
         let (mut head, body) = answer.into_parts();
         let body = body.collect().await?.to_bytes();
-        self.kept.borrow_mut().push(sender);
+        self.kept.borrow_mut().entry(address).or_default().push(sender);
         headers::strip_connection(&mut head.headers);
         Ok(Response::from_parts(head, Full::new(body)))
     }
 
-    async fn connect(&self) -> Result<SendRequest<Full<Bytes>>> {
-        let (sender, _) = dial::dial_http(self.address, ENGINE_TIMEOUT).await?;
-        Ok(sender)
+    /// Which engine is asked.
+    fn asked(&self, headers: &mut HeaderMap) -> Result<SocketAddr> {
+        let Some(named) = headers.remove(ENGINE_HEADER) else { return Ok(self.beside) };
+        named.to_str()?.parse().wrap_err("the engine's address is not IP:PORT")
     }
 }
