Slow ranks: fewer experts, no new requests, and their streams are taken up elsewhere

Cause: all ranks of a group wait for the slowest in every pass. With one of 16 engines five times slower for 6.5 s, passes of its group took 272 ms instead of 55 until the last stream at that rank was over, 7 s later (reports logged in a copy); half of all streams were late. Ruled out: experts alone (the map gave the slow rank few after one switch, 0.9 s after the start, and passes stayed at 272 ms), late findings (0.15 s after the start). Change: the leader reads each rank's pace with its counts. Plans weigh a rank's tokens by its pace. What it finds it tells the gateways, who hand the newest on at once (core/src/direct/slow.rs, wire.json SlowServers); they give a slow server requests only if no other is left, and take its streams up at another server after the next event, within the route's attempts and the repeat budget. A finding wears off after 4 s.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -7,6 +7,7 @@
 //! - [`replica`]: a table of the platform as this process knows it, from the store or from peers.
 //! - [`members`]: which gateways there are.
 //! - [`pool`]: which backend server gets a request.
+//! - [`slow`]: which backend servers are slow, as one gateway finds and all tell each other.
 //! - [`attempts`]: what follows an attempt: answer, another attempt, or a refusal.
 //! - [`budget`]: how many repeats failures may cost, over a sliding window.
 //! - [`expert_plan`], [`map_orders`]: which rank holds which expert, and how that is changed.
@@ -21,3 +22,4 @@
 pub mod pool;
 pub mod replica;
 pub mod serving;
+pub mod slow;
--- a/crates/core/src/direct/attempts.rs
+++ b/crates/core/src/direct/attempts.rs
@@ -86,6 +86,11 @@
         self.may_have_run || self.pending
     }
 
+    /// Whether the attempt that is out may be followed by another one.
+    pub fn has_another(&self) -> bool {
+        self.sent + 1 < self.most
+    }
+
     /// An attempt begins: until its fate is known, the request may run.
     pub fn begin(&mut self) {
         self.pending = true;
--- a/crates/core/src/direct/budget.rs
+++ b/crates/core/src/direct/budget.rs
@@ -51,16 +51,21 @@
     /// Takes one repeat if this gateway's part of the bound has one left.
     #[must_use]
     pub fn take(&mut self, now: Millis, gateways: usize) -> bool {
-        self.expire(now);
-        let slack = self.config.slack / gateways.max(1) as f64;
-        let most = PART_SPENT * (self.config.ratio * self.requests.len() as f64 + slack);
-        let covered = (self.repeats.len() as f64) + 1.0 <= most;
+        let covered = self.covers(now, gateways);
         if covered {
             self.repeats.push_back(now);
         }
         covered
     }
 
+    /// Whether this gateway's part of the bound has a repeat left.
+    pub fn covers(&mut self, now: Millis, gateways: usize) -> bool {
+        self.expire(now);
+        let slack = self.config.slack / gateways.max(1) as f64;
+        let most = PART_SPENT * (self.config.ratio * self.requests.len() as f64 + slack);
+        (self.repeats.len() as f64) + 1.0 <= most
+    }
+
     fn expire(&mut self, now: Millis) {
         let window = self.config.window;
         for times in [&mut self.requests, &mut self.repeats] {
--- a/crates/core/src/direct/expert_plan.rs
+++ b/crates/core/src/direct/expert_plan.rs
@@ -7,6 +7,9 @@
 //! [`placement`](crate::placement), which fills every slot, it works where places stay free and
 //! where the number of experts that are new to a rank is bounded.
 //!
+//! Ranks may differ in speed: one that is slow for a while is given fewer tokens, or all others would
+//! wait for it in every pass.
+//!
 //! The peak is measured by a high norm, not by the maximum: where several ranks are equally loaded,
 //! no single change lowers the maximum at all.
 
@@ -31,6 +34,8 @@
     pub new_at: Vec<usize>,
     /// Part of the mean load that one copy has to gain.
     pub price: f64,
+    /// How long each rank takes for a token, over the usual time.
+    pub paces: Vec<f64>,
 }
 
 /// The placement that groups begin with: experts dealt out in turn.
@@ -38,27 +43,33 @@
     (0..experts).map(|expert| 1 << (expert % ranks.max(1))).collect()
 }
 
-/// Each rank's tokens.
-pub fn loads(holders: &[Holders], shares: &[f64], ranks: usize) -> Vec<f64> {
-    let mut loads = vec![0.0; ranks];
+/// Each rank's load: the time that it takes for its tokens, in usual tokens.
+pub fn loads(holders: &[Holders], shares: &[f64], paces: &[f64]) -> Vec<f64> {
+    let mut loads = vec![0.0; paces.len()];
     for (mask, share) in holders.iter().zip(shares) {
         let each = share / f64::from(mask.count_ones().max(1));
-        for (rank, load) in loads.iter_mut().enumerate() {
+        for (rank, (load, pace)) in loads.iter_mut().zip(paces).enumerate() {
             if mask >> rank & 1 == 1 {
-                *load += each;
+                *load += each * pace;
             }
         }
     }
     loads
 }
 
-/// Load of the slowest rank over the mean load.
-pub fn skew(holders: &[Holders], shares: &[f64], ranks: usize) -> f64 {
-    let slowest = loads(holders, shares, ranks).into_iter().fold(0.0, f64::max);
-    let mean = shares.iter().sum::<f64>() / ranks as f64;
+/// Load of the slowest rank over what each would have if they shared the tokens by their paces.
+pub fn skew(holders: &[Holders], shares: &[f64], paces: &[f64]) -> f64 {
+    let slowest = loads(holders, shares, paces).into_iter().fold(0.0, f64::max);
+    let mean = mean_load(shares, paces);
     if mean > 0.0 { slowest / mean } else { 1.0 }
 }
 
+/// The load of each rank if they shared the tokens by their paces.
+fn mean_load(shares: &[f64], paces: &[f64]) -> f64 {
+    let tokens_a_time: f64 = paces.iter().map(|pace| 1.0 / pace).sum();
+    shares.iter().sum::<f64>() / tokens_a_time
+}
+
 /// Experts that are new to each rank.
 pub fn new_at(from: &[Holders], to: &[Holders], ranks: usize) -> Vec<usize> {
     let is_new =
@@ -78,10 +89,12 @@
 ///
 /// # Panics
 ///
-/// If there is not one share for each expert, or more than [`MOST_RANKS`] ranks.
+/// If there is not one share for each expert and one pace for each rank, or more than [`MOST_RANKS`]
+/// ranks.
 pub fn plan(current: &[Holders], shares: &[f64], limits: &Limits) -> Vec<Holders> {
     assert_eq!(current.len(), shares.len(), "one share for each expert");
     assert!(limits.new_at.len() <= MOST_RANKS, "at most {MOST_RANKS} ranks");
+    assert_eq!(limits.new_at.len(), limits.paces.len(), "one pace for each rank");
     let mut search = Search::new(current, shares, limits);
     let most_changes = 2 * limits.new_at.iter().sum::<usize>() + limits.new_at.len();
     for _ in 0..most_changes {
@@ -112,10 +125,10 @@
             shares,
             limits,
             holders: start.to_vec(),
-            loads: loads(start, shares, ranks),
+            loads: loads(start, shares, &limits.paces),
             used: (0..ranks).map(held).collect(),
             new: vec![0; ranks],
-            mean: shares.iter().sum::<f64>() / ranks as f64,
+            mean: mean_load(shares, &limits.paces),
             scratch: vec![0.0; ranks],
         }
     }
@@ -227,12 +240,13 @@
         let (old, share) = (self.holders[expert], self.shares[expert]);
         let before = share / f64::from(old.count_ones().max(1));
         let after = share / f64::from(mask.count_ones().max(1));
-        for (rank, load) in self.scratch.iter_mut().enumerate() {
+        let ranks = self.scratch.iter_mut().zip(&self.limits.paces);
+        for (rank, (load, pace)) in ranks.enumerate() {
             if old >> rank & 1 == 1 {
-                *load -= before;
+                *load -= before * pace;
             }
             if mask >> rank & 1 == 1 {
-                *load += after;
+                *load += after * pace;
             }
         }
     }
--- a/crates/core/src/direct/pool.rs
+++ b/crates/core/src/direct/pool.rs
@@ -67,6 +67,8 @@
     pub unreachable: Millis,
     /// Longest rest.
     pub most: Millis,
+    /// How long a server counts as slow unless that is told again.
+    pub slow: Millis,
     /// Share of failed requests from which a server rests.
     pub failing_share: f64,
 }
@@ -81,6 +83,8 @@
             stalled: Millis(300),
             unreachable: Millis(500),
             most: Millis(4_000),
+            // Findings are told each second; one that leads no more may have told the last.
+            slow: Millis(4_000),
             failing_share: 0.5,
         }
     }
@@ -103,6 +107,8 @@
     /// When its row was first seen to have changed, by the store's counter.
     first_revision: u64,
     rests_until: Millis,
+    /// Until when it counts as slow.
+    slow_until: Millis,
     /// Failures to connect in a row.
     unreachable: u32,
     /// Share of failed requests, the newest counting most.
@@ -188,6 +194,7 @@
             place: None,
             first_revision: revision,
             rests_until: Millis::ZERO,
+            slow_until: Millis::ZERO,
             unreachable: 0,
             failing: 0.0,
             replaced: false,
@@ -259,8 +266,8 @@
     }
 
     /// Chooses a server of a service that is not in `tried`, and counts its turn. `cost` is the
-    /// work of the request over that of a usual one. Servers that rest are chosen only if no other
-    /// is left, and those whose group stands still never: they refuse.
+    /// work of the request over that of a usual one. Servers that rest or are slow are chosen only
+    /// if no other is left, and those whose group stands still never: they refuse.
     pub fn choose<R: Rng>(
         &mut self,
         service: &str,
@@ -273,10 +280,8 @@
         for resting in [false, true] {
             for (key, candidate) in found.servers.iter().zip(&mut found.candidates) {
                 let server = &self.servers[*key];
-                candidate.usable = server.is_open()
-                    && !server.standing
-                    && (resting || server.rests_until <= now)
-                    && !tried.contains(key);
+                let fit = if resting { server.is_fit() } else { server.is_swift(now) };
+                candidate.usable = fit && !tried.contains(key);
             }
             let config = &self.config.routing;
             let chosen = routing::choose(config, &mut found.candidates, &[], cost, now, rng);
@@ -287,6 +292,27 @@
         None
     }
 
+    /// Whether a server counts as slow.
+    pub fn is_slow(&self, key: Key<Server>, now: Millis) -> bool {
+        self.servers[key].slow_until > now
+    }
+
+    /// Whether a service has a server beside `server` and those in `tried` that has room, as far as
+    /// is known, and is not slow.
+    pub fn has_other(
+        &self,
+        service: &str,
+        server: Key<Server>,
+        tried: &[Key<Server>],
+        now: Millis,
+    ) -> bool {
+        let Some(found) = self.services.get(service) else { return false };
+        found
+            .servers
+            .iter()
+            .any(|key| *key != server && !tried.contains(key) && self.servers[*key].is_swift(now))
+    }
+
     /// Whether the platform still lists a server, leaving or not, and nothing has shown that another
     /// one has its address.
     pub fn is_present(&self, key: Key<Server>) -> bool {
@@ -310,6 +336,17 @@
         std::mem::replace(&mut server.standing, standing) != standing
     }
 
+    /// Servers of a service were found slow, and all others of it are not; that holds until it is told
+    /// again, or for a while.
+    pub fn set_slow(&mut self, service: &str, ids: &[String], now: Millis) {
+        let Some(found) = self.services.get(service) else { return };
+        for key in &found.servers {
+            let server = &mut self.servers[*key];
+            let slow = ids.contains(&server.listed.id);
+            server.slow_until = if slow { now + self.config.slow } else { Millis::ZERO };
+        }
+    }
+
     /// A server told its load.
     pub fn report(&mut self, key: Key<Server>, running: u32, queued: u32, now: Millis) {
         let report =
@@ -360,6 +397,16 @@
 }
 
 impl Server {
+    /// Whether it may be given work, and its group makes passes.
+    fn is_fit(&self) -> bool {
+        self.is_open() && !self.standing
+    }
+
+    /// The same, where it neither rests nor is slow.
+    fn is_swift(&self, now: Millis) -> bool {
+        self.is_fit() && self.rests_until.max(self.slow_until) <= now
+    }
+
     /// Whether it may be given work.
     pub fn is_open(&self) -> bool {
         self.place.is_some() && !self.replaced && !self.listed.leaving
--- a/crates/core/tests/direct_requests.rs
+++ b/crates/core/tests/direct_requests.rs
@@ -18,6 +18,8 @@
 use hooktrestle_core::direct::pool::Listed;
 use hooktrestle_core::direct::pool::Pool;
 use hooktrestle_core::direct::pool::Server;
+use hooktrestle_core::direct::slow::Finding;
+use hooktrestle_core::direct::slow::Findings;
 use hooktrestle_core::util::arena::Key;
 use hooktrestle_schema::Cause;
 use hooktrestle_schema::Verdict;
@@ -212,6 +214,37 @@
     assert_eq!(chosen(&mut pool, &tried, 9_000), Some(id));
 }
 
+#[test]
+fn a_slow_server_gets_work_only_where_no_other_is_left() {
+    let mut pool = pool(&["a", "b"]);
+    let slow = |ids: &[&str]| ids.iter().map(ToString::to_string).collect::<Vec<String>>();
+    pool.set_slow("hints", &slow(&["a"]), Millis(0));
+    for _ in 0..4 {
+        assert_eq!(chosen(&mut pool, &[], 0).as_deref(), Some("b"));
+    }
+    let b = pool.present_of("hints")[1];
+    assert_eq!(chosen(&mut pool, &[b], 0).as_deref(), Some("a"));
+    // Found again it stays slow; otherwise the finding wears off.
+    pool.set_slow("hints", &slow(&["a", "b"]), Millis(3_000));
+    assert!(chosen(&mut pool, &[], 4_500).is_some(), "both are slow");
+    pool.set_slow("hints", &slow(&["b"]), Millis(5_000));
+    assert_eq!(chosen(&mut pool, &[], 5_000).as_deref(), Some("a"));
+    let a = pool.present_of("hints")[0];
+    assert_eq!(chosen(&mut pool, &[a], 9_000).as_deref(), Some("b"));
+    assert!(!pool.is_slow(b, Millis(9_000)));
+}
+
+#[test]
+fn the_newest_finding_of_the_newest_leader_counts() {
+    let finding = |fence, number| Finding { fence, number, servers: Vec::new() };
+    let mut findings = Findings::default();
+    assert!(findings.take("hints", &finding(2, 5)));
+    assert!(!findings.take("hints", &finding(2, 5)), "told again by another gateway");
+    assert!(!findings.take("hints", &finding(1, 9)), "of a leader that was replaced");
+    assert!(findings.take("hints", &finding(3, 1)));
+    assert!(findings.take("notes", &finding(1, 1)), "each service by itself");
+}
+
 /// The bounds of a service change while it has repeats out.
 #[test]
 fn changed_bounds_hold_at_once_and_what_was_spent_counts_on() {
@@ -266,6 +299,29 @@
         }
     }
 
+    /// A rank that is slow ends up with fewer tokens, and the passes with less than it cost before.
+    #[test]
+    fn a_slow_rank_is_given_fewer_tokens(
+        shares in vec(0.2f64..1.0, 16),
+        slow in 0usize..4,
+        pace in 3.0f64..20.0,
+    ) {
+        let mut paces = vec![1.0; 4];
+        paces[slow] = pace;
+        let before = expert_plan::dealt(16, 4);
+        let limits = expert_plan::Limits {
+            places: 8,
+            new_at: vec![4; 4],
+            price: 0.01,
+            paces: paces.clone(),
+        };
+        let after = expert_plan::plan(&before, &shares, &limits);
+        let tokens = |holders: &[u64]| expert_plan::loads(holders, &shares, &[1.0; 4])[slow];
+        prop_assert!(tokens(&after) < 0.7 * tokens(&before));
+        let skew = |holders: &[u64]| expert_plan::skew(holders, &shares, &paces);
+        prop_assert!(skew(&after) < 0.8 * skew(&before));
+    }
+
     /// In every window, the repeats of all gateways stay within the operators' bound, also when each
     /// gateway was replaced by a new process in the middle of it.
     #[test]
@@ -341,7 +397,13 @@
         let mut shares = shares;
         shares[hot] += 6.0;
         let before = expert_plan::dealt(16, ranks);
-        let limits = expert_plan::Limits { places: 6, new_at: vec![new_at; ranks], price: 0.01 };
+        let paces = vec![1.0; ranks];
+        let limits = expert_plan::Limits {
+            places: 6,
+            new_at: vec![new_at; ranks],
+            price: 0.01,
+            paces: paces.clone(),
+        };
         let after = expert_plan::plan(&before, &shares, &limits);
         prop_assert!(after.iter().all(|holders| *holders != 0 && *holders < 1 << ranks));
         for rank in 0..ranks {
@@ -350,7 +412,7 @@
         }
         let new = expert_plan::new_at(&before, &after, ranks);
         prop_assert!(new.into_iter().all(|new| new <= new_at));
-        let skew = |holders: &[u64]| expert_plan::skew(holders, &shares, ranks);
+        let skew = |holders: &[u64]| expert_plan::skew(holders, &shares, &paces);
         // The peak is measured by a norm, which may let the maximum rise a little.
         prop_assert!(skew(&after) <= skew(&before) * 1.1);
         if new_at >= 2 {
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -23,6 +23,8 @@
 use hooktrestle_core::direct::pool::Server;
 use hooktrestle_core::direct::replica::Replica;
 use hooktrestle_core::direct::serving::Serving;
+use hooktrestle_core::direct::slow::Finding;
+use hooktrestle_core::direct::slow::Findings;
 use hooktrestle_core::util::arena::Key;
 use tokio::sync::Notify;
 
@@ -41,6 +43,10 @@
 /// that 4.5 s are left for streams of 1 to 2 s.
 const STREAM_PART: (u64, u64) = (3, 8);
 
+/// Rounds of news that follow at once on one that cannot wait: with each gateway that hears of it
+/// telling two others, it reaches all but a few, and these in the next round.
+const URGENT_ROUNDS: u32 = 2;
+
 /// Where a process stands in its life.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Phase {
@@ -70,6 +76,11 @@
     pub stalled: Notify,
     /// Wakes those that end when the process stops.
     pub stop: Notify,
+    /// Wakes whoever exchanges news with other gateways: there is some that cannot wait.
+    pub urgent: Notify,
+    /// Rounds of news that are still to be made at once.
+    urgent_rounds: Cell<u32>,
+    findings: RefCell<Findings>,
     serving: RefCell<Rc<Serving>>,
     pool: RefCell<Pool>,
     members: RefCell<Members>,
@@ -100,6 +111,9 @@
             sidecars_port,
             stalled: Notify::new(),
             stop: Notify::new(),
+            urgent: Notify::new(),
+            urgent_rounds: Cell::new(0),
+            findings: RefCell::default(),
             serving: RefCell::default(),
             pool: RefCell::new(Pool::new(pool::Config::default())),
             members: RefCell::new(Members::new(members::Config::default(), own)),
@@ -191,6 +205,30 @@
         self.passed_by.borrow_mut().insert(server, self.now() + PASS_BY);
     }
 
+    /// What the leaders of expert maps found of servers.
+    pub fn with_findings<T>(&self, act: impl FnOnce(&Findings) -> T) -> T {
+        act(&self.findings.borrow())
+    }
+
+    /// Takes a finding, from the own lead or from another gateway, and hands it on at once if it is
+    /// new.
+    pub fn take_finding(&self, service: &str, finding: &Finding) {
+        if !self.findings.borrow_mut().take(service, finding) {
+            return;
+        }
+        let now = self.now();
+        self.with_pool(|pool| pool.set_slow(service, &finding.servers, now));
+        self.urgent_rounds.set(URGENT_ROUNDS);
+        self.urgent.notify_one();
+    }
+
+    /// Takes one of the rounds of news that are to be made at once, if one is left.
+    pub fn take_urgent_round(&self) -> bool {
+        let left = self.urgent_rounds.get();
+        self.urgent_rounds.set(left.saturating_sub(1));
+        left > 0
+    }
+
     /// Whether the store answered when it was asked last.
     pub fn store_answers(&self) -> bool {
         self.store_answers.get()
@@ -225,6 +263,13 @@
         covered
     }
 
+    /// Whether this gateway's part of the budget has a repeat at a service left.
+    pub fn covers_repeat(&self, service: &str) -> bool {
+        let now = self.now();
+        let gateways = self.members.borrow().living(now);
+        self.with_budget(service, |budget| budget.covers(now, gateways))
+    }
+
     /// Bounds from changed settings, for all services.
     pub fn set_budget(&self, config: budget::Config) {
         self.budget.set(config);
--- a/crates/direct/src/maps/group.rs
+++ b/crates/direct/src/maps/group.rs
@@ -57,7 +57,7 @@
             }
         }
         let Some(before) = &known else { continue };
-        let Some(planned) = next_layout(&service, before, ranks.len()) else { continue };
+        let Some(planned) = next_layout(&service, before, &ranks) else { continue };
         let switch = begin(&service, versions, before, &planned, ranks.len());
         let map = layout::by_rank(&planned, ranks.len());
         let asked = Asked { ranks: &ranks, relay: service.relay_for(&group), map: &map };
@@ -68,9 +68,14 @@
 }
 
 /// What a group is to be switched to, if to anything.
-fn next_layout<P: Platform>(service: &Service<P>, before: &Known, ranks: usize) -> Option<Layout> {
+fn next_layout<P: Platform>(
+    service: &Service<P>,
+    before: &Known,
+    ranks: &[Key<Server>],
+) -> Option<Layout> {
     let demand = service.demand.borrow();
-    let planned = layout::plan(&service.shape, &demand, &before.layout, ranks);
+    let paces = service.paces_of(ranks);
+    let planned = layout::plan(&service.shape, &demand, &before.layout, &paces);
     planned.or_else(|| before.unsettled.then(|| before.layout.clone()))
 }
 
--- a/crates/direct/src/maps/layout.rs
+++ b/crates/direct/src/maps/layout.rs
@@ -23,13 +23,15 @@
 /// A group's experts: set by set, the ranks that hold each.
 pub(super) type Layout = Vec<Vec<Holders>>;
 
-/// A better layout, if it is worth a switch.
+/// A better layout, if it is worth a switch. `paces` are the times that the ranks take for a token,
+/// over the usual time.
 pub(super) fn plan(
     shape: &ExpertShape,
     demand: &Demand,
     layout: &Layout,
-    ranks: usize,
+    paces: &[f64],
 ) -> Option<Layout> {
+    let ranks = paces.len();
     let mut copies_left = vec![COPIES_EACH; ranks];
     let (mut before, mut after) = (0.0, 0.0);
     let mut planned = layout.clone();
@@ -37,7 +39,7 @@
     let mut sets: Vec<usize> = (0..shape.sets).collect();
     let demands: Option<Vec<Vec<f64>>> = sets.iter().map(|set| demand.of_set(*set)).collect();
     let demands = demands?;
-    let skew = |set: usize| expert_plan::skew(&layout[set], &demands[set], ranks);
+    let skew = |set: usize| expert_plan::skew(&layout[set], &demands[set], paces);
     sets.sort_by(|a, b| skew(*b).total_cmp(&skew(*a)));
     for set in sets {
         let shares = &demands[set];
@@ -45,10 +47,11 @@
             places: shape.places,
             new_at: copies_left.iter().map(|left| (*left).min(shape.spare)).collect(),
             price: COPY_PRICE,
+            paces: paces.to_vec(),
         };
-        before += expert_plan::skew(&layout[set], shares, ranks);
+        before += expert_plan::skew(&layout[set], shares, paces);
         planned[set] = expert_plan::plan(&layout[set], shares, &limits);
-        after += expert_plan::skew(&planned[set], shares, ranks);
+        after += expert_plan::skew(&planned[set], shares, paces);
         let new = expert_plan::new_at(&layout[set], &planned[set], ranks);
         for (left, new) in copies_left.iter_mut().zip(new) {
             *left = left.saturating_sub(new);
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -109,7 +109,14 @@
                 self.exchange(&gateway, address).await;
             }
             let hasty = !gateway.store_answers() || readiness == Readiness::Starting;
-            time::sleep(if hasty { HASTY_ROUND } else { ROUND }).await;
+            if gateway.take_urgent_round() {
+                continue;
+            }
+            let pause = time::sleep(if hasty { HASTY_ROUND } else { ROUND });
+            tokio::select! {
+                () = pause => {}
+                () = gateway.urgent.notified() => {}
+            }
         }
     }
 
--- a/crates/direct/src/peers/news.rs
+++ b/crates/direct/src/peers/news.rs
@@ -5,9 +5,11 @@
 use hooktrestle_core::direct::members::Readiness;
 use hooktrestle_core::direct::replica::Change;
 use hooktrestle_core::direct::replica::Update;
+use hooktrestle_core::direct::slow::Finding;
 use hooktrestle_schema as schema;
 use hooktrestle_schema::MemberNews;
 use hooktrestle_schema::PeerNews;
+use hooktrestle_schema::SlowServers;
 use hooktrestle_schema::TableChange;
 use hooktrestle_schema::TableKnown;
 use hooktrestle_schema::TableNews;
@@ -36,6 +38,16 @@
             })
             .to_vec(),
         news: lacks.collect(),
+        slow: gateway.with_findings(|findings| findings.all().map(slow_servers).collect()),
+    }
+}
+
+fn slow_servers((service, finding): (&str, &Finding)) -> SlowServers {
+    SlowServers {
+        service: service.to_owned(),
+        lead_fence_number: finding.fence,
+        finding_number: finding.number,
+        servers: finding.servers.clone(),
     }
 }
 
@@ -46,6 +58,11 @@
         let told = news.members.iter().filter_map(member);
         told.for_each(|member| members.hear(&member, now));
     });
+    for told in &news.slow {
+        let (fence, number) = (told.lead_fence_number, told.finding_number);
+        let finding = Finding { fence, number, servers: told.servers.clone() };
+        gateway.take_finding(&told.service, &finding);
+    }
     for table_news in &news.news {
         if let Some(table) = Table::of_name(&table_news.table) {
             gateway.take(table, &update(table_news), "peer");
--- a/crates/direct/src/platform.rs
+++ b/crates/direct/src/platform.rs
@@ -118,7 +118,7 @@
 }
 
 /// An engine as it reports itself.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct EngineReport {
     /// Its group.
     pub group: String,
@@ -126,6 +126,8 @@
     pub rank: usize,
     /// Ranks of the group.
     pub size: usize,
+    /// How long its work takes, over the usual time.
+    pub pace: f64,
     /// The state of the rank.
     pub state: RankReport,
 }
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -2,7 +2,8 @@
 //!
 //! Whole events are passed on as they come. If the server breaks off, the stream is taken up at
 //! another one after the last event that the caller has, where the route allows that; else the
-//! caller's connection is closed, so that the answer does not look complete.
+//! caller's connection is closed, so that the answer does not look complete. A stream leaves a server
+//! that was found slow in the same way, if it can: all streams of its group wait for that server.
 
 use std::fmt;
 use std::rc::Rc;
@@ -82,6 +83,15 @@
     stream::unfold(relay, next_frame)
 }
 
+/// Why a stream leaves a server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Reason {
+    /// The server broke off, or was silent.
+    BrokenOff,
+    /// It is slow.
+    Slow,
+}
+
 /// What the source gave.
 enum Piece {
     Bytes(Bytes),
@@ -94,6 +104,9 @@
     mut relay: Relay<P>,
 ) -> Option<(Result<Frame<Bytes>, BrokenOff>, Relay<P>)> {
     loop {
+        if leaves_slow_server(&relay) && !resume(&mut relay, Reason::Slow).await {
+            return Some((Err(BrokenOff), relay));
+        }
         match next_piece(&mut relay).await? {
             Piece::Bytes(bytes) => {
                 let passed = relay.events.push(&bytes);
@@ -111,7 +124,7 @@
                 return rest.map(|rest| (Ok(Frame::data(rest)), relay));
             }
             Piece::Broken => {
-                if !resume(&mut relay).await {
+                if !resume(&mut relay, Reason::BrokenOff).await {
                     return Some((Err(BrokenOff), relay));
                 }
             }
@@ -143,15 +156,31 @@
     }
 }
 
+/// Whether the stream is at a slow server, and can be taken up at one that is not.
+fn leaves_slow_server<P: Platform>(relay: &Relay<P>) -> bool {
+    let Relay { gateway, request, attempts, source, resumable, .. } = relay;
+    let Some(source) = source else { return false };
+    let now = gateway.now();
+    let server = source.turn.server();
+    gateway.with_pool(|pool| {
+        pool.is_slow(server, now) && pool.has_other(&request.service, server, attempts.tried(), now)
+    }) && *resumable
+        && attempts.has_another()
+        && gateway.covers_repeat(&request.service)
+}
+
 /// Takes the stream up at another server, after the last event that was passed on.
-async fn resume<P: Platform>(relay: &mut Relay<P>) -> bool {
-    let Some(mut broken) = relay.source.take() else { return false };
-    broken.turn.end(Ending::Lost);
-    let mut server = broken.turn.server();
-    drop(broken);
+async fn resume<P: Platform>(relay: &mut Relay<P>, reason: Reason) -> bool {
+    let Some(mut left) = relay.source.take() else { return false };
+    left.turn.end(match reason {
+        Reason::BrokenOff => Ending::Lost,
+        Reason::Slow => Ending::Left,
+    });
+    let mut server = left.turn.server();
+    drop(left);
     relay.events.broke_off();
     let mut fate = Fate::MayHaveRun;
-    while goes_on(relay, server, fate) {
+    while goes_on(relay, server, fate, reason) {
         let turn = forward::next_turn(&relay.gateway, &relay.request, &relay.attempts);
         let Some(turn) = turn else { return false };
         server = turn.server();
@@ -173,13 +202,18 @@
 }
 
 /// Whether one more server may be asked for the rest of the stream, after `server`.
-fn goes_on<P: Platform>(relay: &mut Relay<P>, server: Key<Server>, fate: Fate) -> bool {
+fn goes_on<P: Platform>(
+    relay: &mut Relay<P>,
+    server: Key<Server>,
+    fate: Fate,
+    reason: Reason,
+) -> bool {
     let Relay { gateway, request, attempts, events, resumable, .. } = relay;
     let covered = || *resumable && gateway.take_repeat(&request.service);
     let next = attempts.after(server, fate, covered);
     let after = events.last_id();
     let line =
-        format_args!("stream broke off at server={} after={after:?}: {next:?}", server.index());
+        format_args!("stream left server={} {reason:?} after={after:?}: {next:?}", server.index());
     gateway.journal.request(request.id_text(), line);
     next == Next::Again
 }
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -819,6 +819,8 @@
     pub known: ::std::vec::Vec<TableKnown>,
     pub members: ::std::vec::Vec<MemberNews>,
     pub news: ::std::vec::Vec<TableNews>,
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub slow: ::std::vec::Vec<SlowServers>,
 }
 ///Section `[platform]`.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
@@ -1107,6 +1109,16 @@
     #[serde(default = "defaults::default_u64::<u64, 30000>")]
     pub switch_ms: u64,
 }
+///Backend servers of a service that the leader of its expert maps found slow.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct SlowServers {
+    ///Rises with each finding of one leader.
+    pub finding_number: u64,
+    ///The leader's fencing token.
+    pub lead_fence_number: u64,
+    pub servers: ::std::vec::Vec<::std::string::String>,
+    pub service: ::std::string::String,
+}
 ///An accepted configuration, whole: the content of one snapshot object.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct Snapshot {
