--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`demand`]: seeded demand for experts over a day.
 //! - [`placement`]: which expert stands on which rank: skew against moved bytes.
+//! - [`plans`]: the same where every copy has a price, on the users' platform: time and gain.
 //! - [`routing`]: which backend server gets a request.
 //! - [`control`]: what control costs a node.
 //! - [`path`]: what the path adds to a call.
@@ -16,5 +17,6 @@
 pub mod demand;
 pub mod path;
 pub mod placement;
+pub mod plans;
 pub mod routing;
 pub mod switch;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,6 +1,7 @@
 //! `hooktrestle-bench`: measurements, each against a naive version in the same run.
 
 mod control_report;
+mod plans_report;
 mod process_report;
 mod report;
 mod routing_report;
@@ -31,6 +32,8 @@
                 /// One JSON object for each policy (with --counts).
                 optional --json
             }
+            /// Plans of where experts go on the users' platform: how long one takes, and its gain.
+            cmd plans {}
             /// Time to the first token under different ways to choose a backend server.
             cmd routing {}
             /// What control costs a node, and at the size aimed at.
@@ -54,6 +57,10 @@
                 Ok(())
             }
         },
+        flags::HooktrestleBenchCmd::Plans(_) => {
+            plans_report::print();
+            Ok(())
+        }
         flags::HooktrestleBenchCmd::Routing(_) => {
             routing_report::print();
             Ok(())
--- /dev/null
+++ b/crates/bench/src/plans_report.rs
@@ -0,0 +1,30 @@
+//! What `hooktrestle-bench plans` prints.
+
+use hooktrestle_bench::plans::Shape;
+use hooktrestle_bench::plans::measure;
+
+/// Seed of the demand.
+const SEED: u64 = 20_261_202;
+
+/// The users' deployments today and next, and the size aimed at.
+const SHAPES: [(usize, usize, usize, usize); 3] =
+    [(8, 64, 11, 6), (32, 128, 5, 12), (64, 256, 5, 12)];
+
+/// Prints a row for each shape, with all ranks alike and with one that is slow.
+pub(crate) fn print() {
+    println!(
+        "{:>5} {:>7} {:>6} {:>4} {:>8} {:>9} {:>7} {:>8}",
+        "ranks", "experts", "places", "sets", "one slow", "plan ms", "dealt", "planned"
+    );
+    for (ranks, experts, places, sets) in SHAPES {
+        for one_slow in [false, true] {
+            let outcome = measure(Shape { ranks, experts, places, sets, one_slow }, SEED);
+            let plan_ms = outcome.plan.as_secs_f64() * 1_000.0;
+            println!(
+                "{ranks:>5} {experts:>7} {places:>6} {sets:>4} {one_slow:>8} {plan_ms:>9.1} \
+                 {:>7.3} {:>8.3}",
+                outcome.dealt, outcome.planned
+            );
+        }
+    }
+}
