Stop: nothing is taken at its very end

Cause: a stopping gateway refused streams after 3/8 of its stop, other requests never. Change: after 6/8 of a stop every new request is refused as not run.

--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -159,7 +159,7 @@
     body: Incoming,
 ) -> Result<(Request, Reply<P>), Refusal> {
     match request::read(gateway, parts, body).await {
-        Ok(request) if request.is_stream() && !gateway.takes_streams() => {
+        Ok(request) if !gateway.takes(request.route().kind) => {
             // Another gateway can take it at once.
             Err(Refusal::not_run(Cause::Leaving).retry_after(Millis::ZERO))
         }
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -22,6 +22,7 @@
 use hooktrestle_core::direct::pool::Pool;
 use hooktrestle_core::direct::pool::Server;
 use hooktrestle_core::direct::replica::Replica;
+use hooktrestle_core::direct::serving::RouteKind;
 use hooktrestle_core::direct::serving::Serving;
 use hooktrestle_core::direct::slow::Finding;
 use hooktrestle_core::direct::slow::Findings;
@@ -43,6 +44,10 @@
 /// that 4.5 s are left for streams of 1 to 2 s.
 const STREAM_PART: (u64, u64) = (3, 8);
 
+/// The same for all other requests: 6 of the users' 8 s. They take some tenths of a second, and the
+/// process ends half a second before it has to.
+const REQUEST_PART: (u64, u64) = (6, 8);
+
 /// Rounds of news that follow at once on one that cannot wait: with each gateway that hears of it
 /// telling two others, it reaches all but a few, and these in the next round.
 const URGENT_ROUNDS: u32 = 2;
@@ -94,6 +99,8 @@
     last_request: Cell<Millis>,
     /// When streams are taken no more, while the process stops.
     last_stream: Cell<Millis>,
+    /// When nothing is taken any more, while the process stops.
+    last_taken: Cell<Millis>,
     /// Whether the store answered last.
     store_answers: Cell<bool>,
 }
@@ -125,6 +132,7 @@
             in_flight: Cell::new(0),
             last_request: Cell::new(Millis::ZERO),
             last_stream: Cell::new(Millis::MAX),
+            last_taken: Cell::new(Millis::MAX),
             store_answers: Cell::new(false),
         }
     }
@@ -168,13 +176,19 @@
     /// The process was told to stop within a time.
     pub fn begin_stop(&self, within: Millis) {
         self.phase.set(Phase::Stopping);
-        self.last_stream.set(self.now() + Millis(within.0 * STREAM_PART.0 / STREAM_PART.1));
+        let after = |(part, of): (u64, u64)| self.now() + Millis(within.0 * part / of);
+        self.last_stream.set(after(STREAM_PART));
+        self.last_taken.set(after(REQUEST_PART));
         self.stop.notify_waiters();
     }
 
-    /// Whether a stream that begins now can be expected to end before the process does.
-    pub fn takes_streams(&self) -> bool {
-        self.now() < self.last_stream.get()
+    /// Whether a request that comes now can be expected to end before the process does.
+    pub fn takes(&self, kind: RouteKind) -> bool {
+        let last = match kind {
+            RouteKind::Stream => &self.last_stream,
+            RouteKind::Repeatable | RouteKind::Once => &self.last_taken,
+        };
+        self.now() < last.get()
     }
 
     /// Requests that have no whole answer yet.
