Logs: a request's steps are JSON behind its id, and `hooktrestle explain` tells them

Log lines about requests were text with keys; a failed request was traced by reading them. Each step is now a type of the schema (RequestStep), written by gateways and read by the tool, which tells the way in plain words, how it ended and what to look at. The fate of an attempt is the schema's type too: one copy of it.

--- /dev/null
+++ b/crates/cli/src/explain.rs
@@ -0,0 +1,179 @@
+//! The way of one request, told from the log lines of gateways.
+//!
+//! A gateway logs a line for each decision about a request that is not simply its first server's
+//! answer: `request=ID` and the step as JSON ([`RequestStep`]).
+
+use std::fs::File;
+use std::io;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use eyre::Result;
+use eyre::WrapErr;
+use hooktrestle_schema::AttemptFate;
+use hooktrestle_schema::Cause;
+use hooktrestle_schema::LeaveReason;
+use hooktrestle_schema::NextStep;
+use hooktrestle_schema::RequestStep;
+use hooktrestle_schema::Verdict;
+use serde::Serialize;
+
+/// Ends what a log line tells of itself: time, and whatever a collector put before it.
+const LEVEL: &str = "[info]";
+
+/// A step, and where its line says it comes from.
+#[derive(Debug, PartialEq, Serialize)]
+struct Found {
+    origin: String,
+    step: RequestStep,
+}
+
+/// Prints the steps of request `id` in the files, or in standard input where there is none.
+pub fn print(id: &str, files: &[PathBuf], json: bool) -> Result<ExitCode> {
+    let mut found = Vec::new();
+    let mut unread = 0;
+    if files.is_empty() {
+        unread += collect(io::stdin().lock(), id, &mut found)?;
+    }
+    for path in files {
+        let file = File::open(path).wrap_err_with(|| format!("{}", path.display()))?;
+        unread += collect(BufReader::new(file), id, &mut found)
+            .wrap_err_with(|| format!("{}", path.display()))?;
+    }
+    if unread > 0 {
+        eprintln!("hooktrestle: {unread} lines of request {id} are not understood: passed over");
+    }
+    if found.is_empty() {
+        eprintln!(
+            "hooktrestle: no line tells of request {id}: its first server answered it, its lines were \
+             dropped (look for `lines about requests were dropped`), or it came to another gateway"
+        );
+        return Ok(ExitCode::FAILURE);
+    }
+    if json {
+        println!("{}", serde_json::to_string_pretty(&found)?);
+        return Ok(ExitCode::SUCCESS);
+    }
+    for Found { origin, step } in &found {
+        println!("{origin}  {}", told(step));
+    }
+    if let Some(last) = found.last() {
+        println!("{}", ended(&last.step));
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Adds the steps of a request; returns how many of its lines were not understood.
+fn collect(lines: impl BufRead, id: &str, found: &mut Vec<Found>) -> io::Result<usize> {
+    let mut unread = 0;
+    let mark = format!("request={id} ");
+    for line in lines.lines() {
+        let line = line?;
+        let Some((before, step)) = line.split_once(&mark) else { continue };
+        match serde_json::from_str(step.trim_end()) {
+            Ok(step) => {
+                let origin = before.split(LEVEL).next().unwrap_or(before).trim().to_owned();
+                found.push(Found { origin, step });
+            }
+            Err(_) => unread += 1,
+        }
+    }
+    Ok(unread)
+}
+
+/// A step in plain words.
+fn told(step: &RequestStep) -> String {
+    match step {
+        RequestStep::Attempt(step) => {
+            format!("server {}: {}; {}", step.server_number, fate(step.fate), next(step.next))
+        }
+        RequestStep::Connection(step) => {
+            let kind = if step.fresh { "new" } else { "kept" };
+            let sent = if step.unsent { "nothing was sent" } else { "the request was sent" };
+            format!(
+                "server {}: its {kind} connection failed, {sent}: {}",
+                step.server_number, step.error
+            )
+        }
+        RequestStep::OtherAnswer(step) => {
+            format!(
+                "server {} answered another request: its connection is closed",
+                step.server_number
+            )
+        }
+        RequestStep::Leave(step) => {
+            let why = match step.reason {
+                LeaveReason::BrokenOff => "broke off or was silent",
+                LeaveReason::Slow => "was found slow",
+            };
+            let after =
+                step.after_event_number.map_or("before its first event".to_owned(), |event| {
+                    format!("after event {event}")
+                });
+            format!("server {} {why}, {after}; {}", step.server_number, next(step.next))
+        }
+        RequestStep::Refused(step) => {
+            format!("refused after {} ms: {} ({})", step.held_ms, step.cause, step.verdict)
+        }
+    }
+}
+
+fn fate(fate: AttemptFate) -> &'static str {
+    match fate {
+        AttemptFate::NotSent => "it was not reached",
+        AttemptFate::NotRun => "it said that it did not run the request",
+        AttemptFate::MayHaveRun => "no whole answer came, so it may have run",
+        AttemptFate::Failed => "it answered that it failed",
+    }
+}
+
+fn next(next: NextStep) -> &'static str {
+    match next {
+        NextStep::Again => "another server is tried",
+        NextStep::PassOn => "that answer is passed on",
+        NextStep::GiveUp => "the gateway gives up",
+    }
+}
+
+/// How it ended, and what to look at, from its last step.
+fn ended(last: &RequestStep) -> String {
+    match last {
+        RequestStep::Refused(step) => {
+            let ran = match step.verdict {
+                Verdict::NotRun => "It did not run, and the caller was told so.",
+                Verdict::MayHaveRun | Verdict::Ran => {
+                    "It may have run, so it was not sent again and the caller was promised nothing."
+                }
+            };
+            format!("{ran} {}", advice(step.cause))
+        }
+        RequestStep::Attempt(step) if step.next == NextStep::PassOn => {
+            "The caller got the server's own failure.".to_owned()
+        }
+        RequestStep::Leave(step) if step.next != NextStep::Again => {
+            "The caller's connection was closed in the middle of the stream: no attempt or no repeat \
+             was left, or the route does not let streams be resumed."
+                .to_owned()
+        }
+        _ => "No later line tells of it: the next server answered.".to_owned(),
+    }
+}
+
+fn advice(cause: Cause) -> &'static str {
+    match cause {
+        Cause::UnknownService | Cause::UnknownKey => {
+            "Look at the last `configuration N in force` line of that gateway: is N the newest?"
+        }
+        Cause::NoBackendServer => {
+            "Look for `servers are in groups that stand still` and `is gone` around that time."
+        }
+        Cause::BackendFailed | Cause::DeadlinePassed => {
+            "Look whether other requests name the same servers at that time."
+        }
+        Cause::Leaving => "The gateway was stopping; another one takes it at once.",
+        Cause::NotReady => "The gateway had no configuration yet: look for `store lost`.",
+        _ => "The cause says why.",
+    }
+}
--- a/crates/cli/src/flags.rs
+++ b/crates/cli/src/flags.rs
@@ -40,6 +40,14 @@
             /// Prints JSON.
             optional --json
         }
+        /// Tells the way of one request from log lines of gateways: each step, and why it ended so.
+        cmd explain {
+            /// Prints JSON.
+            optional --json
+            required id: String
+            /// Log files; standard input where none is named.
+            repeated files: PathBuf
+        }
         /// Prints all rows as CSV.
         cmd export {}
         /// Writes the rows of a CSV file, all or none.
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 //! Exit status: 0 done; 1 refused or failed, with the reason on standard error; 2 the command line
 //! is wrong; 3 (`--wait`, `status`) not in force everywhere.
 
+mod explain;
 mod flags;
 mod rows;
 mod status;
@@ -34,28 +35,34 @@
 
 async fn run(flags: flags::Hooktrestle) -> Result<ExitCode> {
     let url = flags.platform.unwrap_or_else(|| "http://127.0.0.1:7400".to_owned());
-    let platform = Platform::new(hooktrestle_platform::Config {
-        table_url: url.clone(),
-        object_url: url.clone(),
-        instances_url: format!("{url}/v1/instances"),
-        timeout: PLATFORM_TIMEOUT,
-    })?;
+    // Not every command needs it.
+    let platform = || {
+        Platform::new(hooktrestle_platform::Config {
+            table_url: url.clone(),
+            object_url: url.clone(),
+            instances_url: format!("{url}/v1/instances"),
+            timeout: PLATFORM_TIMEOUT,
+        })
+    };
     match flags.subcommand {
-        HooktrestleCmd::Get(get) => rows::get(&platform, &get.row).await,
+        HooktrestleCmd::Get(get) => rows::get(&platform()?, &get.row).await,
         HooktrestleCmd::Set(set) => {
             let how = rows::How { dry_run: set.dry_run, wait: set.wait };
-            rows::set(&platform, &set.row, &set.fields, how).await
+            rows::set(&platform()?, &set.row, &set.fields, how).await
         }
         HooktrestleCmd::Drain(drain) => {
             let how = rows::How { dry_run: false, wait: drain.wait };
-            rows::set(&platform, &drain.row, &["drain=true".to_owned()], how).await
+            rows::set(&platform()?, &drain.row, &["drain=true".to_owned()], how).await
         }
         HooktrestleCmd::Undrain(undrain) => {
             let how = rows::How { dry_run: false, wait: undrain.wait };
-            rows::set(&platform, &undrain.row, &["drain=false".to_owned()], how).await
+            rows::set(&platform()?, &undrain.row, &["drain=false".to_owned()], how).await
         }
-        HooktrestleCmd::Status(flags) => status::print(&platform, flags.json).await,
-        HooktrestleCmd::Export(_) => rows::export(&platform).await,
-        HooktrestleCmd::Import(import) => rows::import(&platform, &import.file).await,
+        HooktrestleCmd::Status(flags) => status::print(&platform()?, flags.json).await,
+        HooktrestleCmd::Explain(explain) => {
+            explain::print(&explain.id, &explain.files, explain.json)
+        }
+        HooktrestleCmd::Export(_) => rows::export(&platform()?).await,
+        HooktrestleCmd::Import(import) => rows::import(&platform()?, &import.file).await,
     }
 }
--- a/crates/core/src/direct/attempts.rs
+++ b/crates/core/src/direct/attempts.rs
@@ -1,7 +1,9 @@
 //! What follows an attempt: the answer is passed on, another server is tried, or the request is
 //! given up, at once and with a true verdict.
 
+pub use hooktrestle_schema::AttemptFate as Fate;
 use hooktrestle_schema::Cause;
+use hooktrestle_schema::NextStep;
 use hooktrestle_schema::Verdict;
 
 use crate::clock::Millis;
@@ -9,19 +11,6 @@
 use crate::util::arena::Key;
 use crate::verdict::Refusal;
 
-/// What became of one attempt.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Fate {
-    /// Nothing was sent: the server cannot have run it.
-    NotSent,
-    /// The server said that it did not run it and will not.
-    NotRun,
-    /// It was sent, and no whole answer of this request came.
-    MayHaveRun,
-    /// A whole answer came that says the server failed.
-    Failed,
-}
-
 /// What to do next.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Next {
@@ -33,6 +22,17 @@
     GiveUp(Refusal),
 }
 
+impl Next {
+    /// The same for logs, without the refusal.
+    pub fn step(&self) -> NextStep {
+        match self {
+            Next::Again => NextStep::Again,
+            Next::PassOn => NextStep::PassOn,
+            Next::GiveUp(_) => NextStep::GiveUp,
+        }
+    }
+}
+
 /// Failures to connect after which a request is given up.
 const MOST_UNSENT: u32 = 4;
 
--- a/crates/core/src/util/arena.rs
+++ b/crates/core/src/util/arena.rs
@@ -20,6 +20,11 @@
         Key { index, of: PhantomData }
     }
 
+    /// The same as a number, for logs.
+    pub fn number(self) -> u32 {
+        self.index
+    }
+
     /// The index behind the key.
     pub fn index(self) -> usize {
         self.index as usize
--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -16,6 +16,7 @@
 use hooktrestle_core::direct::attempts;
 use hooktrestle_core::verdict::Refusal;
 use hooktrestle_schema::Cause;
+use hooktrestle_schema::RefusedStep;
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
@@ -180,10 +181,9 @@
     refusal: &Refusal,
 ) {
     let shown = id.and_then(|id| id.to_str().ok()).unwrap_or("?");
-    let held = gateway.now().since(came);
+    let held_ms = gateway.now().since(came).0;
     let (verdict, cause) = (refusal.verdict, refusal.cause);
-    let line = format_args!("refused after {held}: {cause} verdict={verdict}");
-    gateway.journal.request(shown, line);
+    gateway.journal.request(shown, RefusedStep { held_ms, cause, verdict });
     gateway.metrics.refused.inc();
 }
 
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -10,6 +10,8 @@
 use hooktrestle_core::direct::pool::Ending;
 use hooktrestle_core::direct::pool::Server;
 use hooktrestle_core::util::arena::Key;
+use hooktrestle_schema::ConnectionStep;
+use hooktrestle_schema::OtherAnswerStep;
 use http::HeaderValue;
 use http::Response;
 use http::response::Parts;
@@ -109,9 +111,8 @@
     let names = gateway.platform.headers();
     if !is_answer_to(request, names, &head, reused) {
         turn.end(Ending::Lost);
-        let place = turn.server().index();
-        let line = format_args!("server={place} answered another request: connection closed");
-        gateway.journal.request(request.id_text(), line);
+        let step = OtherAnswerStep { server_number: turn.server().number() };
+        gateway.journal.request(request.id_text(), step);
         return Err(Fate::MayHaveRun);
     }
     note_load(gateway, turn.server(), &head);
@@ -182,10 +183,9 @@
                     // The server had closed the kept connection: nothing was written.
                     continue;
                 }
-                let place = server.index();
-                let error = error.error();
-                let line = format_args!("server={place} fresh={fresh} unsent={unsent}: {error}");
-                gateway.journal.request(request.id_text(), line);
+                let error = error.error().to_string();
+                let step = ConnectionStep { server_number: server.number(), fresh, unsent, error };
+                gateway.journal.request(request.id_text(), step);
                 return Err(if unsent { Fate::NotSent } else { Fate::MayHaveRun });
             }
         }
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -8,6 +8,7 @@
 use hooktrestle_core::direct::attempts::Next;
 use hooktrestle_core::direct::pool::Ending;
 use hooktrestle_core::verdict::Refusal;
+use hooktrestle_schema::AttemptStep;
 use hooktrestle_schema::Cause;
 use http::StatusCode;
 use http::response::Parts;
@@ -82,9 +83,9 @@
             Outcome::Unanswered(fate) => fate,
         };
         let next = attempts.after(server, fate, || gateway.take_repeat(&request.service));
-        let sent = attempts.sent();
-        let line = format_args!("server={} sent={sent} {fate:?}: {next:?}", server.index());
-        gateway.journal.request(request.id_text(), line);
+        let (server_number, sent_number) = (server.number(), attempts.sent());
+        let step = AttemptStep { server_number, sent_number, fate, next: next.step() };
+        gateway.journal.request(request.id_text(), step);
         match (next, failure.take()) {
             (Next::Again, kept) => failure = kept,
             (_, Some((head, body))) => return Tried::Whole(head, body),
--- a/crates/direct/src/journal.rs
+++ b/crates/direct/src/journal.rs
@@ -6,6 +6,7 @@
 use std::cell::Cell;
 use std::fmt::Arguments;
 
+use hooktrestle_schema::RequestStep;
 use spdlog::info;
 use tokio::time::Instant;
 
@@ -32,8 +33,8 @@
         info!("{line}");
     }
 
-    /// A decision about a request; dropped beyond the bound.
-    pub fn request(&self, id: &str, line: Arguments<'_>) {
+    /// A step of a request's way, as JSON behind its id; dropped beyond the bound.
+    pub fn request(&self, id: &str, step: impl Into<RequestStep>) {
         if self.since.get().elapsed().as_secs() >= 1 {
             let dropped = self.dropped.replace(0);
             if dropped > 0 {
@@ -47,6 +48,8 @@
             return;
         }
         self.written.set(self.written.get() + 1);
-        info!("request={id} {line}");
+        // A step has only fields that JSON can hold.
+        let step = serde_json::to_string(&step.into()).unwrap_or_default();
+        info!("request={id} {step}");
     }
 }
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -19,6 +19,8 @@
 use hooktrestle_core::direct::pool::Ending;
 use hooktrestle_core::direct::pool::Server;
 use hooktrestle_core::util::arena::Key;
+use hooktrestle_schema::LeaveReason;
+use hooktrestle_schema::LeaveStep;
 use http::StatusCode;
 use http::header;
 use http_body_util::BodyExt;
@@ -83,15 +85,6 @@
     stream::unfold(relay, next_frame)
 }
 
-/// Why a stream leaves a server.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Reason {
-    /// The server broke off, or was silent.
-    BrokenOff,
-    /// It is slow.
-    Slow,
-}
-
 /// What the source gave.
 enum Piece {
     Bytes(Bytes),
@@ -104,7 +97,7 @@
     mut relay: Relay<P>,
 ) -> Option<(Result<Frame<Bytes>, BrokenOff>, Relay<P>)> {
     loop {
-        if leaves_slow_server(&relay) && !resume(&mut relay, Reason::Slow).await {
+        if leaves_slow_server(&relay) && !resume(&mut relay, LeaveReason::Slow).await {
             return Some((Err(BrokenOff), relay));
         }
         match next_piece(&mut relay).await? {
@@ -124,7 +117,7 @@
                 return rest.map(|rest| (Ok(Frame::data(rest)), relay));
             }
             Piece::Broken => {
-                if !resume(&mut relay, Reason::BrokenOff).await {
+                if !resume(&mut relay, LeaveReason::BrokenOff).await {
                     return Some((Err(BrokenOff), relay));
                 }
             }
@@ -170,11 +163,11 @@
 }
 
 /// Takes the stream up at another server, after the last event that was passed on.
-async fn resume<P: Platform>(relay: &mut Relay<P>, reason: Reason) -> bool {
+async fn resume<P: Platform>(relay: &mut Relay<P>, reason: LeaveReason) -> bool {
     let Some(mut left) = relay.source.take() else { return false };
     left.turn.end(match reason {
-        Reason::BrokenOff => Ending::Lost,
-        Reason::Slow => Ending::Left,
+        LeaveReason::BrokenOff => Ending::Lost,
+        LeaveReason::Slow => Ending::Left,
     });
     let mut server = left.turn.server();
     drop(left);
@@ -206,14 +199,13 @@
     relay: &mut Relay<P>,
     server: Key<Server>,
     fate: Fate,
-    reason: Reason,
+    reason: LeaveReason,
 ) -> bool {
     let Relay { gateway, request, attempts, events, resumable, .. } = relay;
     let covered = || *resumable && gateway.take_repeat(&request.service);
     let next = attempts.after(server, fate, covered);
-    let after = events.last_id();
-    let line =
-        format_args!("stream left server={} {reason:?} after={after:?}: {next:?}", server.index());
-    gateway.journal.request(request.id_text(), line);
+    let (server_number, after_event_number) = (server.number(), events.last_id());
+    let step = LeaveStep { server_number, reason, after_event_number, next: next.step() };
+    gateway.journal.request(request.id_text(), step);
     next == Next::Again
 }
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -19,6 +19,79 @@
     #[serde(default = "defaults::default_u64::<u32, 100>")]
     pub weight: u32,
 }
+///What became of one attempt at a backend server.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum AttemptFate {
+    #[serde(rename = "not-sent")]
+    NotSent,
+    #[serde(rename = "not-run")]
+    NotRun,
+    #[serde(rename = "may-have-run")]
+    MayHaveRun,
+    #[serde(rename = "failed")]
+    Failed,
+}
+impl ::std::fmt::Display for AttemptFate {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::NotSent => f.write_str("not-sent"),
+            Self::NotRun => f.write_str("not-run"),
+            Self::MayHaveRun => f.write_str("may-have-run"),
+            Self::Failed => f.write_str("failed"),
+        }
+    }
+}
+impl ::std::str::FromStr for AttemptFate {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "not-sent" => Ok(Self::NotSent),
+            "not-run" => Ok(Self::NotRun),
+            "may-have-run" => Ok(Self::MayHaveRun),
+            "failed" => Ok(Self::Failed),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for AttemptFate {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for AttemptFate {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///An attempt ended without an answer for the caller.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct AttemptStep {
+    pub fate: AttemptFate,
+    pub next: NextStep,
+    ///How often the request was sent by then.
+    pub sent_number: u32,
+    ///Counts servers in the order in which the gateway first heard of them.
+    pub server_number: u32,
+}
 ///A backend server, as operators edit it; its key is the name of its instance.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -204,6 +277,16 @@
     pub parts: u32,
     pub version: u64,
 }
+///A connection to a server failed.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ConnectionStep {
+    pub error: ::std::string::String,
+    ///Whether it was opened for this request.
+    pub fresh: bool,
+    pub server_number: u32,
+    ///Whether nothing of the request was written.
+    pub unsent: bool,
+}
 ///Either way: the receiver of a body has room for more of it.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct CreditFrame {
@@ -659,6 +742,71 @@
     ///Instance and incarnation.
     pub holder: ::std::string::String,
 }
+///Why a stream left a server.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum LeaveReason {
+    #[serde(rename = "broken-off")]
+    BrokenOff,
+    #[serde(rename = "slow")]
+    Slow,
+}
+impl ::std::fmt::Display for LeaveReason {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::BrokenOff => f.write_str("broken-off"),
+            Self::Slow => f.write_str("slow"),
+        }
+    }
+}
+impl ::std::str::FromStr for LeaveReason {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "broken-off" => Ok(Self::BrokenOff),
+            "slow" => Ok(Self::Slow),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for LeaveReason {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for LeaveReason {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///A stream left a server.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct LeaveStep {
+    ///The last event that the caller has.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub after_event_number: ::std::option::Option<u64>,
+    pub next: NextStep,
+    pub reason: LeaveReason,
+    pub server_number: u32,
+}
 ///Section `[links]`.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -813,6 +961,70 @@
     pub peers_at: ::std::string::String,
     pub readiness: Readiness,
 }
+///What a gateway does after an attempt.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum NextStep {
+    #[serde(rename = "again")]
+    Again,
+    #[serde(rename = "pass-on")]
+    PassOn,
+    #[serde(rename = "give-up")]
+    GiveUp,
+}
+impl ::std::fmt::Display for NextStep {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Again => f.write_str("again"),
+            Self::PassOn => f.write_str("pass-on"),
+            Self::GiveUp => f.write_str("give-up"),
+        }
+    }
+}
+impl ::std::str::FromStr for NextStep {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "again" => Ok(Self::Again),
+            "pass-on" => Ok(Self::PassOn),
+            "give-up" => Ok(Self::GiveUp),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for NextStep {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for NextStep {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///A server answered another request; its connection is closed.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct OtherAnswerStep {
+    pub server_number: u32,
+}
 ///Gateway to gateway: what each knows, and what the other was found to lack. The one that asks sends one with no news; it is answered by one.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct PeerNews {
@@ -919,6 +1131,14 @@
     pub spent: bool,
     pub verdict: Verdict,
 }
+///The caller was refused.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct RefusedStep {
+    pub cause: Cause,
+    ///Time since the request came.
+    pub held_ms: u64,
+    pub verdict: Verdict,
+}
 ///Gateway to sidecar: a new request. Its body follows in `Body` frames.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct RequestFrame {
@@ -950,6 +1170,45 @@
     pub attempt: u32,
     pub number: u64,
 }
+///What a gateway logs of a request's way, one line each.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub enum RequestStep {
+    #[serde(rename = "attempt")]
+    Attempt(AttemptStep),
+    #[serde(rename = "connection")]
+    Connection(ConnectionStep),
+    #[serde(rename = "other-answer")]
+    OtherAnswer(OtherAnswerStep),
+    #[serde(rename = "leave")]
+    Leave(LeaveStep),
+    #[serde(rename = "refused")]
+    Refused(RefusedStep),
+}
+impl ::std::convert::From<AttemptStep> for RequestStep {
+    fn from(value: AttemptStep) -> Self {
+        Self::Attempt(value)
+    }
+}
+impl ::std::convert::From<ConnectionStep> for RequestStep {
+    fn from(value: ConnectionStep) -> Self {
+        Self::Connection(value)
+    }
+}
+impl ::std::convert::From<OtherAnswerStep> for RequestStep {
+    fn from(value: OtherAnswerStep) -> Self {
+        Self::OtherAnswer(value)
+    }
+}
+impl ::std::convert::From<LeaveStep> for RequestStep {
+    fn from(value: LeaveStep) -> Self {
+        Self::Leave(value)
+    }
+}
+impl ::std::convert::From<RefusedStep> for RequestStep {
+    fn from(value: RefusedStep) -> Self {
+        Self::Refused(value)
+    }
+}
 ///A condition of a transaction: the row must have just this version.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct RowCheck {
