--- a/crates/core/src/direct/map_orders.rs
+++ b/crates/core/src/direct/map_orders.rs
@@ -26,9 +26,11 @@
 //! [`Switch`] goes in rounds: each asks every rank at most one thing, and takes what came back.
 //! `crates/core/tests/map_orders.rs` plays it against ranks that lose, delay and are reborn.
 
+mod config;
 mod messages;
 mod versions;
 
+pub use config::Config;
 pub use messages::Ask;
 pub use messages::Guarded;
 pub use messages::Next;
@@ -40,59 +42,6 @@
 
 use crate::clock::Millis;
 
-/// Times and bounds of a switch.
-#[derive(Clone, Copy, Debug)]
-pub struct Config {
-    /// Pause between two looks: longer than a report is old, so that what was taken before the
-    /// pause shows in the next report.
-    pub look: Millis,
-    /// How far ahead of the newest report a switch is set, in passes: the report's age. If the pass
-    /// has begun already, one that is later by half of this is tried at once. A pass that is held
-    /// for the round trips that follow costs less than one that is far ahead.
-    pub lead_passes: u64,
-    /// How much further ahead it is set once an order got no answer: more may get none, and the group
-    /// would stand still until they are repeated.
-    pub doubtful_passes: u64,
-    /// Whether all ranks are looked at before a pass is held, also where they should be done: one that
-    /// does not answer then would leave the group standing still until it is back.
-    pub looks_before_hold: bool,
-    /// Pause before an order is repeated that a rank was not ready for.
-    pub retry: Millis,
-    /// Conflicts of a phase after which ranks are looked at.
-    pub most_tries: u32,
-    /// Rounds without progress after which the group counts as changed.
-    pub most_idle_rounds: u32,
-}
-
-impl Default for Config {
-    /// Reports of the users' engines are 200 ms old, and their passes take 35 to 90 ms.
-    fn default() -> Self {
-        Config {
-            look: Millis(250),
-            lead_passes: 6,
-            doubtful_passes: 20,
-            looks_before_hold: false,
-            retry: Millis(40),
-            most_tries: 12,
-            most_idle_rounds: 100,
-        }
-    }
-}
-
-impl Config {
-    /// Where reports are fresh: a look shows what was taken before it, and what gets no answer is
-    /// repeated after 60 ms.
-    pub fn fresh() -> Config {
-        Config {
-            look: Millis(40),
-            lead_passes: 2,
-            doubtful_passes: 8,
-            looks_before_hold: true,
-            ..Config::default()
-        }
-    }
-}
-
 #[derive(Clone, Copy, Debug, Default)]
 struct Rank {
     /// The newest report.
