--- a/crates/core/src/direct/map_orders.rs
+++ b/crates/core/src/direct/map_orders.rs
@@ -180,9 +180,7 @@
 
     /// The map version that the ranks used when they were surveyed, if all used the same.
     pub fn surveyed_map(&self) -> Option<u64> {
-        let mut maps = self.ranks.iter().map(|rank| rank.report.map(|report| report.map));
-        let first = maps.next()??;
-        maps.all(|map| map == Some(first)).then_some(first)
+        same_of_all(self.ranks.iter().map(|rank| rank.report.map(|report| report.map)))
     }
 
     /// A rank is not listed any more: the switch ends, unless a pass may be held for it. A held group
@@ -263,6 +261,16 @@
         (self.phase != Phase::Hold).then_some(self.config.retry)
     }
 
+    /// The newest reports of all ranks that gave one.
+    fn reports(&self) -> impl Iterator<Item = RankReport> {
+        self.ranks.iter().filter_map(|rank| rank.report)
+    }
+
+    /// The pass that rank 0 holds, as it reported last.
+    fn held_at_first(&self) -> Option<u64> {
+        self.ranks[0].report.and_then(|report| report.held)
+    }
+
     fn done(&self) -> usize {
         self.ranks.iter().filter(|rank| rank.done).count()
     }
@@ -316,32 +324,41 @@
         let rank = &mut self.ranks[index];
         rank.report = Some(report);
         rank.unclear = false;
-        let armed_here = (self.version, self.pass);
         match self.phase {
             Phase::Survey => rank.done = true,
-            Phase::Prepare => {
-                rank.done = report.prepared == Some(self.version);
-                rank.armed_version = report.armed.map(|(version, _)| version);
-                if index == 0 && rank.armed_version.is_some() {
-                    // A predecessor armed it: complete that.
-                    self.restart();
-                }
-            }
+            Phase::Prepare => self.seen_prepare(index, report),
             Phase::Copy => rank.done = report.prepared == Some(self.version),
-            Phase::Arm if report.armed == Some(armed_here) => rank.done = true,
-            // The pass has begun, so its hold was released: all ranks had been armed by then.
-            Phase::Arm if report.pass >= self.pass => self.restart(),
-            // Another leader has replaced what was to be completed.
-            Phase::Arm if self.inherited && report.prepared != Some(self.version) => {
-                self.restart();
-            }
-            Phase::Arm => {}
             Phase::Hold => self.seen_hold(report.held),
+            Phase::Arm => self.seen_arm(index, report),
             Phase::Go | Phase::Release => rank.done = report.held != Some(self.held),
             Phase::Watch => self.watched(report),
         }
     }
 
+    /// What a predecessor armed is completed if rank 0 is armed, too; elsewhere it is disarmed first.
+    fn seen_prepare(&mut self, index: usize, report: RankReport) {
+        let rank = &mut self.ranks[index];
+        rank.done = report.prepared == Some(self.version);
+        rank.armed_version = report.armed_version();
+        if index == 0 && rank.armed_version.is_some() {
+            self.restart();
+        }
+    }
+
+    fn seen_arm(&mut self, index: usize, report: RankReport) {
+        if report.armed == Some((self.version, self.pass)) {
+            self.ranks[index].done = true;
+            return;
+        }
+        // Its hold was released then: all ranks had been armed by then.
+        let has_begun = report.pass >= self.pass;
+        // Another leader has replaced what was to be completed.
+        let is_replaced = self.inherited && report.prepared != Some(self.version);
+        if has_begun || is_replaced {
+            self.restart();
+        }
+    }
+
     /// All ranks are armed, so what holds a pass up to theirs came late, and is released as well. A
     /// later one may be that of another leader, whose ranks are not armed yet.
     fn watched(&mut self, report: RankReport) {
@@ -431,19 +448,11 @@
     }
 
     fn surveyed(&mut self) {
-        let reports = || self.ranks.iter().filter_map(|rank| rank.report);
-        let known = reports().flat_map(|report| {
-            [Some(report.map), report.prepared, report.armed.map(|(version, _)| version)]
-        });
-        let newest = known.flatten().max().unwrap_or_default();
-        let held = self.ranks[0].report.and_then(|report| report.held);
-        let armed = reports().find_map(|report| report.armed);
-        let prepared: Vec<Option<u64>> = reports()
-            .map(|report| report.armed.map(|(version, _)| version).or(report.prepared))
-            .collect();
-        let same = prepared.first().copied().flatten();
-        let complete = same.filter(|_| prepared.iter().all(|version| *version == same));
-        match (held, armed, complete) {
+        let newest = self.reports().map(|report| report.newest_version()).max();
+        let newest = newest.unwrap_or_default();
+        let armed = self.reports().find_map(|report| report.armed);
+        let complete = same_of_all(self.reports().map(|report| report.pending_version()));
+        match (self.held_at_first(), armed, complete) {
             (None, None, _) => self.prepare_above(newest),
             // Released by a predecessor: it takes effect with the next passes.
             (None, Some(_), _) => self.restart(),
@@ -476,7 +485,7 @@
 
     fn copied(&mut self) {
         // These reports show the rank after it accepted the map, so a predecessor's hold shows too.
-        match self.ranks[0].report.and_then(|report| report.held) {
+        match self.held_at_first() {
             Some(pass) => {
                 self.held = pass;
                 self.enter(Phase::Release);
@@ -489,7 +498,7 @@
     }
 
     fn set_pass(&mut self) {
-        let newest = self.ranks.iter().filter_map(|rank| rank.report.map(|report| report.pass));
+        let newest = self.reports().map(|report| report.pass);
         let doubt = if self.doubtful { self.config.doubtful_passes } else { 0 };
         self.pass = newest.max().unwrap_or_default() + self.config.lead_passes + doubt;
     }
@@ -518,3 +527,9 @@
         self.over = Some(over);
     }
 }
+
+/// The version that all name, if all name the same.
+fn same_of_all(mut versions: impl Iterator<Item = Option<u64>>) -> Option<u64> {
+    let first = versions.next()??;
+    versions.all(|version| version == Some(first)).then_some(first)
+}
--- a/crates/core/src/direct/map_orders/messages.rs
+++ b/crates/core/src/direct/map_orders/messages.rs
@@ -21,6 +21,24 @@
     pub held: Option<u64>,
 }
 
+impl RankReport {
+    /// Version that is armed.
+    pub(super) fn armed_version(&self) -> Option<u64> {
+        self.armed.map(|(version, _)| version)
+    }
+
+    /// Version that is armed or, if none is, waits to be.
+    pub(super) fn pending_version(&self) -> Option<u64> {
+        self.armed_version().or(self.prepared)
+    }
+
+    /// The newest version that it names.
+    pub(super) fn newest_version(&self) -> u64 {
+        let pending = self.armed_version().max(self.prepared);
+        self.map.max(pending.unwrap_or_default())
+    }
+}
+
 /// What a rank is ordered.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum Order {
