--- a/crates/core/tests/map_orders.rs
+++ b/crates/core/tests/map_orders.rs
@@ -4,13 +4,12 @@
 //! Each schedule is drawn from a seed. In every pass all ranks must use one map, by version and by
 //! content, and once faults end, no group stays held.
 
+mod ranks;
+
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::map_orders::Ask;
 use hooktrestle_core::direct::map_orders::Config;
-use hooktrestle_core::direct::map_orders::Guarded;
 use hooktrestle_core::direct::map_orders::Next;
-use hooktrestle_core::direct::map_orders::Order;
-use hooktrestle_core::direct::map_orders::RankReport;
 use hooktrestle_core::direct::map_orders::Reply;
 use hooktrestle_core::direct::map_orders::Start;
 use hooktrestle_core::direct::map_orders::Switch;
@@ -18,208 +17,15 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use ranks::Content;
+use ranks::Group;
 
 /// Ticks that a report is late by, at most.
 const REPORT_LAG: usize = 3;
 
-/// Ticks that copying a map takes.
-const COPY_TICKS: u64 = 4;
-
 /// Ticks after which a late order is carried out, at most.
 const MOST_LATE: u64 = 60;
 
-/// Tells maps of one version apart: each switch that is planned has a content of its own, and 0 is
-/// the map that groups begin with.
-type Content = u64;
-
-#[derive(Clone, Copy, Debug, Default)]
-struct Rank {
-    report: RankReport,
-    fence: u64,
-    newest_version: u64,
-    /// Version that is copied in, and when that is done.
-    copying: Option<(u64, u64)>,
-    /// Content of what is copied in, prepared or armed.
-    next: Content,
-    /// Content of the map in use.
-    used: Content,
-}
-
-impl Rank {
-    /// Whether this version was accepted and waits to be armed, or is.
-    fn has(&self, version: u64) -> bool {
-        self.report.prepared == Some(version)
-            || self.copying.is_some_and(|(copied, _)| copied == version)
-    }
-}
-
-/// A group that keeps to the published rules of orders.
-struct Group {
-    now: u64,
-    ranks: Vec<Rank>,
-    /// Reports of earlier ticks, the newest last.
-    history: Vec<Vec<RankReport>>,
-    late: Vec<(u64, usize, Guarded, Content)>,
-    /// Content of the newest switch that was planned.
-    planned: Content,
-    passes_with_two_maps: u64,
-    /// Whether the group has work, without which it makes no passes.
-    busy: bool,
-    checks_fences: bool,
-}
-
-impl Group {
-    fn new(ranks: usize) -> Group {
-        let report = RankReport { epoch: 1, open: true, ..RankReport::default() };
-        let rank = Rank { report, ..Rank::default() };
-        Group {
-            now: 0,
-            ranks: vec![rank; ranks],
-            history: vec![vec![report; ranks]],
-            late: Vec::new(),
-            planned: 0,
-            passes_with_two_maps: 0,
-            busy: true,
-            checks_fences: true,
-        }
-    }
-
-    /// Plans a switch, whose map differs from all before it.
-    fn plan(&mut self) -> Content {
-        self.planned += 1;
-        self.planned
-    }
-
-    fn order(&mut self, index: usize, guarded: Guarded, content: Content) -> Reply {
-        let (now, checks_fences) = (self.now, self.checks_fences);
-        let rank = &mut self.ranks[index];
-        if guarded.epoch != rank.report.epoch {
-            return Reply::Conflict;
-        }
-        if checks_fences && guarded.fence < rank.fence {
-            return Reply::Fenced;
-        }
-        if let Order::Prepare { version } = guarded.order
-            && rank.has(version)
-        {
-            // Ranks compare versions, not maps.
-            return Reply::Holds;
-        }
-        let report = &mut rank.report;
-        let fits = match guarded.order {
-            Order::Prepare { version } => {
-                let fits = report.armed.is_none() && version > rank.newest_version;
-                if fits {
-                    rank.newest_version = version;
-                    report.prepared = None;
-                    rank.copying = Some((version, now + COPY_TICKS));
-                    rank.next = content;
-                }
-                fits
-            }
-            Order::Arm { version, pass } => {
-                if report.armed == Some((version, pass)) {
-                    return Reply::Holds;
-                }
-                let fits = report.prepared == Some(version) && pass > report.pass;
-                if fits {
-                    report.armed = Some((version, pass));
-                }
-                fits
-            }
-            Order::Disarm { version } => {
-                let fits = report.armed.is_some_and(|(armed, _)| armed == version);
-                if fits {
-                    report.armed = None;
-                }
-                fits
-            }
-            Order::Hold { pass } => {
-                let fits = report.held.is_none() && pass > report.pass;
-                if fits {
-                    report.held = Some(pass);
-                }
-                fits
-            }
-            Order::Go { pass } => {
-                let fits = report.held == Some(pass);
-                if fits {
-                    report.held = None;
-                }
-                fits
-            }
-        };
-        if !fits {
-            return Reply::Conflict;
-        }
-        rank.fence = rank.fence.max(guarded.fence);
-        Reply::Taken
-    }
-
-    fn tick(&mut self) {
-        self.now += 1;
-        let now = self.now;
-        let due: Vec<(u64, usize, Guarded, Content)> =
-            self.late.iter().copied().filter(|(at, ..)| *at <= now).collect();
-        self.late.retain(|(at, ..)| *at > now);
-        for (_, index, guarded, content) in due {
-            self.order(index, guarded, content);
-        }
-        for rank in &mut self.ranks {
-            if let Some((version, at)) = rank.copying
-                && at <= now
-            {
-                rank.copying = None;
-                rank.report.prepared = Some(version);
-            }
-        }
-        self.pass();
-        self.history.push(self.ranks.iter().map(|rank| rank.report).collect());
-    }
-
-    fn pass(&mut self) {
-        let next = self.ranks[0].report.pass + 1;
-        if !self.busy || self.ranks.iter().any(|rank| rank.report.held == Some(next)) {
-            return;
-        }
-        for rank in &mut self.ranks {
-            rank.report.pass = next;
-            if let Some((version, pass)) = rank.report.armed
-                && pass <= next
-            {
-                rank.report.map = version;
-                rank.used = rank.next;
-                rank.report.armed = None;
-                rank.report.prepared = None;
-            }
-        }
-        let map = |rank: &Rank| (rank.report.map, rank.used);
-        if self.ranks.iter().any(|rank| map(rank) != map(&self.ranks[0])) {
-            self.passes_with_two_maps += 1;
-        }
-    }
-
-    /// A rank dies; the group opens in a new epoch, with the first map and nothing pending.
-    fn reborn(&mut self) {
-        let epoch = self.ranks[0].report.epoch + 1;
-        let pass = self.ranks[0].report.pass;
-        for rank in &mut self.ranks {
-            let report = RankReport { epoch, open: true, pass, ..RankReport::default() };
-            *rank = Rank { report, ..Rank::default() };
-        }
-    }
-
-    fn report(&self, index: usize, lag: usize) -> RankReport {
-        let at = self.history.len().saturating_sub(1 + lag);
-        self.history[at][index]
-    }
-
-    fn is_clean(&self) -> bool {
-        let mut reports = self.ranks.iter().map(|rank| rank.report);
-        reports.all(|report| report.held.is_none())
-    }
-}
-
 /// How orders fare.
 #[derive(Clone, Copy)]
 struct Weather {
