--- a/crates/direct/src/maps.rs
+++ b/crates/direct/src/maps.rs
@@ -10,10 +10,12 @@
 //! - [`demand`]: the estimate.
 //! - [`group`]: one group's map, read, planned anew and switched.
 //! - [`layout`]: what a better map is, and what it costs to bring it in.
+//! - [`paces`]: how fast ranks are, and which servers are told to be slow.
 
 mod demand;
 mod group;
 mod layout;
+mod paces;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -27,7 +29,6 @@
 use hooktrestle_core::direct::members::Readiness;
 use hooktrestle_core::direct::pool::Server;
 use hooktrestle_core::direct::serving::ExpertShape;
-use hooktrestle_core::direct::slow::Finding;
 use hooktrestle_core::util::arena::Key;
 use tokio::time;
 
@@ -35,6 +36,7 @@
 use crate::engine::Path;
 use crate::gateway::Gateway;
 use crate::maps::demand::Demand;
+use crate::maps::paces::Paces;
 use crate::platform::Claim;
 use crate::platform::Counts;
 use crate::platform::Platform;
@@ -61,16 +63,6 @@
 /// sample of all.
 const RANKS_READ: usize = 2;
 
-/// Pace from which a server is given no requests while others have room: all ranks of its group wait
-/// for it.
-const SLOW_PACE: f64 = 1.4;
-
-/// Time between two tellings while servers are slow.
-const TELL_EVERY: Millis = Millis(1_000);
-
-/// Bounds of what a rank tells of its pace: beyond the upper one it gets next to no tokens anyway.
-const PACES: (f64, f64) = (0.1, 100.0);
-
 /// Readings that are passed over while groups have no work.
 const IDLE_READINGS: u32 = 4;
 
@@ -132,12 +124,6 @@
     }
 }
 
-/// A leader's last finding.
-struct Told {
-    finding: Finding,
-    at: Millis,
-}
-
 /// What one leader knows of a service.
 struct Service<P: Platform> {
     gateway: Rc<Gateway<P>>,
@@ -147,10 +133,7 @@
     lead: Rc<Lead>,
     groups: RefCell<BTreeMap<String, Vec<Option<Key<Server>>>>>,
     demand: RefCell<Demand>,
-    /// How long each rank's work takes over the usual time, as far as it was told.
-    paces: RefCell<BTreeMap<Key<Server>, f64>>,
-    /// What was told of slow ones.
-    told: RefCell<Told>,
+    paces: RefCell<Paces>,
     /// Which rank is read next.
     turn: Cell<usize>,
     /// Readings passed over since the last.
@@ -173,11 +156,7 @@
         fence,
         lead,
         groups: RefCell::default(),
-        paces: RefCell::default(),
-        told: RefCell::new(Told {
-            finding: Finding { fence, ..Finding::default() },
-            at: Millis::ZERO,
-        }),
+        paces: RefCell::new(Paces::new(fence)),
         turn: Cell::new(0),
         passed_over: Cell::new(0),
     });
@@ -283,50 +262,6 @@
         answers.into_iter().filter_map(|(key, counts)| Some((key, counts?))).collect()
     }
 
-    /// Reads how fast the ranks are, where that costs nothing. One that does not tell counts as usual.
-    async fn read_paces(&self, ranks: &[Key<Server>]) {
-        if self.gateway.sidecars_port == 0 {
-            return;
-        }
-        let asked = ranks.iter().map(|key| async {
-            let report = engine::report(&self.gateway, *key, Path::Sidecar).await?;
-            Some((*key, report.pace.clamp(PACES.0, PACES.1)))
-        });
-        let told = join_all(asked).await.into_iter().flatten().collect();
-        self.paces.replace(told);
-        self.tell_slow();
-    }
-
-    /// Tells all gateways which servers are slow, where that has changed, and each second while some
-    /// are.
-    fn tell_slow(&self) {
-        let paces = self.paces.borrow();
-        let slow = paces.iter().filter(|(_, pace)| **pace >= SLOW_PACE);
-        let id =
-            |key: &Key<Server>| self.gateway.with_pool(|pool| pool.server(*key).listed.id.clone());
-        let servers: Vec<String> = slow.map(|(key, _)| id(key)).collect();
-        let now = self.gateway.now();
-        let mut told = self.told.borrow_mut();
-        let is_due = !servers.is_empty() && now.since(told.at) >= TELL_EVERY;
-        if servers == told.finding.servers && !is_due {
-            return;
-        }
-        if servers != told.finding.servers {
-            let (all, name) = (paces.len(), &self.name);
-            let journal = &self.gateway.journal;
-            journal.state(format_args!("{} of {all} servers of {name} are slow", servers.len()));
-        }
-        told.at = now;
-        told.finding.number += 1;
-        told.finding.servers = servers;
-        self.gateway.take_finding(&self.name, &told.finding);
-    }
-
-    fn paces_of(&self, ranks: &[Key<Server>]) -> Vec<f64> {
-        let paces = self.paces.borrow();
-        ranks.iter().map(|key| paces.get(key).copied().unwrap_or(1.0)).collect()
-    }
-
     /// Reads one of a few ranks, always the same, in turn: what is counted is what came between two
     /// readings. Each has a price, so none is made while the groups have no work.
     async fn read_from_afar(&self, ranks: &[Key<Server>]) -> Option<(Key<Server>, Counts)> {
