--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -2,6 +2,7 @@
 //!
 //! One thread runs them all, so cells suffice: nothing is borrowed across an await.
 
+mod findings;
 mod tables;
 
 use std::cell::Cell;
@@ -24,7 +25,6 @@
 use hooktrestle_core::direct::replica::Replica;
 use hooktrestle_core::direct::serving::RouteKind;
 use hooktrestle_core::direct::serving::Serving;
-use hooktrestle_core::direct::slow::Finding;
 use hooktrestle_core::direct::slow::Findings;
 use hooktrestle_core::util::arena::Key;
 use tokio::sync::Notify;
@@ -48,10 +48,6 @@
 /// process ends half a second before it has to.
 const REQUEST_PART: (u64, u64) = (6, 8);
 
-/// Rounds of news that follow at once on one that cannot wait: with each gateway that hears of it
-/// telling two others, it reaches all but a few, and these in the next round.
-const URGENT_ROUNDS: u32 = 2;
-
 /// Where a process stands in its life.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Phase {
@@ -219,30 +215,6 @@
         self.passed_by.borrow_mut().insert(server, self.now() + PASS_BY);
     }
 
-    /// What the leaders of expert maps found of servers.
-    pub fn with_findings<T>(&self, act: impl FnOnce(&Findings) -> T) -> T {
-        act(&self.findings.borrow())
-    }
-
-    /// Takes a finding, from the own lead or from another gateway, and hands it on at once if it is
-    /// new.
-    pub fn take_finding(&self, service: &str, finding: &Finding) {
-        if !self.findings.borrow_mut().take(service, finding) {
-            return;
-        }
-        let now = self.now();
-        self.with_pool(|pool| pool.set_slow(service, &finding.servers, now));
-        self.urgent_rounds.set(URGENT_ROUNDS);
-        self.urgent.notify_one();
-    }
-
-    /// Takes one of the rounds of news that are to be made at once, if one is left.
-    pub fn take_urgent_round(&self) -> bool {
-        let left = self.urgent_rounds.get();
-        self.urgent_rounds.set(left.saturating_sub(1));
-        left > 0
-    }
-
     /// Whether the store answered when it was asked last.
     pub fn store_answers(&self) -> bool {
         self.store_answers.get()
