--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -35,11 +35,21 @@
 pub enum Path {
     /// Through the process beside it.
     Sidecar,
+    /// The same, or directly where there is none: that is priced, and disturbs the group.
+    Any,
     /// Through the process beside another server. That is priced, but what happens to the other
     /// server's machine does not keep this one from being reached.
     Beside(Key<Server>),
-    /// The same, or directly where there is none: that is priced, and disturbs the group.
-    Any,
+}
+
+impl Path {
+    /// The server beside which the process is that `server` is asked through.
+    fn sidecar_of(self, server: Key<Server>) -> Key<Server> {
+        match self {
+            Path::Beside(other) => other,
+            Path::Sidecar | Path::Any => server,
+        }
+    }
 }
 
 /// Asks an engine, and returns its status and answer; `None` if there was none in time. A sidecar
@@ -51,10 +61,7 @@
     question: &EngineAsk<'_>,
     path: Path,
 ) -> Option<(StatusCode, Bytes)> {
-    let asked_through = match path {
-        Path::Beside(other) => other,
-        Path::Sidecar | Path::Any => server,
-    };
+    let asked_through = path.sidecar_of(server);
     let through_sidecar = gateway.uses_sidecar(asked_through);
     let answer = time::timeout(ANSWER_TIMEOUT, exchange(gateway, server, question, path)).await;
     // Too late is no answer.
@@ -84,6 +91,24 @@
     path: Path,
 ) -> Option<(StatusCode, Bytes)> {
     let (mut connection, through_sidecar) = connect(gateway, server, path).await?;
+    let request = request(gateway, server, question, path)?;
+    let answer = connection.sender().send_request(request).await.ok()?;
+    let (head, body) = answer.into_parts();
+    connection.note_answer(&head.headers);
+    let body = body.collect().await.ok()?.to_bytes();
+    let kept = if through_sidecar { &gateway.sidecars } else { &gateway.connections };
+    kept.keep(connection);
+    Some((head.status, body))
+}
+
+/// The request that asks a server's engine; `None` if the platform names a header or URI that HTTP
+/// does not allow.
+fn request<P: Platform>(
+    gateway: &Gateway<P>,
+    server: Key<Server>,
+    question: &EngineAsk<'_>,
+    path: Path,
+) -> Option<Request<Full<Bytes>>> {
     let listed = gateway.with_pool(|pool| pool.server(server).listed.clone());
     let (method, uri, body) = gateway.platform.engine_ask(question);
     let mut request = Request::builder()
@@ -95,29 +120,19 @@
     if let Path::Beside(_) = path {
         request = request.header(sidecar::ENGINE_HEADER, listed.address.to_string());
     }
-    let request = request.body(Full::new(body)).ok()?;
-    let answer = connection.sender().send_request(request).await.ok()?;
-    let (head, body) = answer.into_parts();
-    connection.note_answer(&head.headers);
-    let body = body.collect().await.ok()?.to_bytes();
-    let kept = if through_sidecar { &gateway.sidecars } else { &gateway.connections };
-    kept.keep(connection);
-    Some((head.status, body))
+    request.body(Full::new(body)).ok()
 }
 
-/// A connection to the process beside the server, or to the server itself where there is none.
+/// A connection on which the engine is reached, and whether it is one to a sidecar.
 async fn connect<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     server: Key<Server>,
     path: Path,
 ) -> Option<(Connection, bool)> {
-    if let Path::Beside(other) = path {
-        return Some((connect_sidecar(gateway, other).await?, true));
-    }
-    if let Some(connection) = connect_sidecar(gateway, server).await {
+    if let Some(connection) = connect_sidecar(gateway, path.sidecar_of(server)).await {
         return Some((connection, true));
     }
-    if path == Path::Sidecar {
+    if path != Path::Any {
         return None;
     }
     let address = gateway.with_pool(|pool| pool.server(server).listed.address);
@@ -144,8 +159,7 @@
     Connection::open_within(server, beside, SIDECAR_TIMEOUT).await.ok()
 }
 
-/// An engine's report, if it gives one; through the process beside it only, or however it can be
-/// asked.
+/// An engine's report, if it gives one.
 pub async fn report<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     server: Key<Server>,
@@ -155,8 +169,7 @@
     gateway.platform.engine_report(&body)
 }
 
-/// How often the requests of an engine's rank have chosen each expert since its start; through the
-/// process beside it only, or however it can be asked.
+/// How often the requests of an engine's rank have chosen each expert since its start.
 pub async fn counts<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     server: Key<Server>,
@@ -175,7 +188,7 @@
     gateway.platform.engine_experts(&body)
 }
 
-/// Gives an order.
+/// Gives an order. An answer that names another server shows that this one has lost its address.
 pub async fn order<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     server: Key<Server>,
