--- a/crates/core/src/direct/map_orders.rs
+++ b/crates/core/src/direct/map_orders.rs
@@ -26,9 +26,11 @@
 //! [`Switch`] goes in rounds: each asks every rank at most one thing, and takes what came back.
 //! `crates/core/tests/map_orders.rs` plays it against ranks that lose, delay and are reborn.
 
+mod config;
 mod messages;
 mod versions;
 
+pub use config::Config;
 pub use messages::Ask;
 pub use messages::Guarded;
 pub use messages::Next;
@@ -40,59 +42,6 @@
 
 use crate::clock::Millis;
 
-/// Times and bounds of a switch.
-#[derive(Clone, Copy, Debug)]
-pub struct Config {
-    /// Pause between two looks: longer than a report is old, so that what was taken before the
-    /// pause shows in the next report.
-    pub look: Millis,
-    /// How far ahead of the newest report a switch is set, in passes: the report's age. If the pass
-    /// has begun already, one that is later by half of this is tried at once. A pass that is held
-    /// for the round trips that follow costs less than one that is far ahead.
-    pub lead_passes: u64,
-    /// How much further ahead it is set once an order got no answer: more may get none, and the group
-    /// would stand still until they are repeated.
-    pub doubtful_passes: u64,
-    /// Whether all ranks are looked at before a pass is held, also where they should be done: one that
-    /// does not answer then would leave the group standing still until it is back.
-    pub looks_before_hold: bool,
-    /// Pause before an order is repeated that a rank was not ready for.
-    pub retry: Millis,
-    /// Conflicts of a phase after which ranks are looked at.
-    pub most_tries: u32,
-    /// Rounds without progress after which the group counts as changed.
-    pub most_idle_rounds: u32,
-}
-
-impl Default for Config {
-    /// Reports of the users' engines are 200 ms old, and their passes take 35 to 90 ms.
-    fn default() -> Self {
-        Config {
-            look: Millis(250),
-            lead_passes: 6,
-            doubtful_passes: 20,
-            looks_before_hold: false,
-            retry: Millis(40),
-            most_tries: 12,
-            most_idle_rounds: 100,
-        }
-    }
-}
-
-impl Config {
-    /// Where reports are fresh: a look shows what was taken before it, and what gets no answer is
-    /// repeated after 60 ms.
-    pub fn fresh() -> Config {
-        Config {
-            look: Millis(40),
-            lead_passes: 2,
-            doubtful_passes: 8,
-            looks_before_hold: true,
-            ..Config::default()
-        }
-    }
-}
-
 #[derive(Clone, Copy, Debug, Default)]
 struct Rank {
     /// The newest report.
@@ -231,9 +180,7 @@
 
     /// The map version that the ranks used when they were surveyed, if all used the same.
     pub fn surveyed_map(&self) -> Option<u64> {
-        let mut maps = self.ranks.iter().map(|rank| rank.report.map(|report| report.map));
-        let first = maps.next()??;
-        maps.all(|map| map == Some(first)).then_some(first)
+        same_of_all(self.ranks.iter().map(|rank| rank.report.map(|report| report.map)))
     }
 
     /// A rank is not listed any more: the switch ends, unless a pass may be held for it. A held group
@@ -314,6 +261,16 @@
         (self.phase != Phase::Hold).then_some(self.config.retry)
     }
 
+    /// The newest reports of all ranks that gave one.
+    fn reports(&self) -> impl Iterator<Item = RankReport> {
+        self.ranks.iter().filter_map(|rank| rank.report)
+    }
+
+    /// The pass that rank 0 holds, as it reported last.
+    fn held_at_first(&self) -> Option<u64> {
+        self.ranks[0].report.and_then(|report| report.held)
+    }
+
     fn done(&self) -> usize {
         self.ranks.iter().filter(|rank| rank.done).count()
     }
@@ -367,32 +324,41 @@
         let rank = &mut self.ranks[index];
         rank.report = Some(report);
         rank.unclear = false;
-        let armed_here = (self.version, self.pass);
         match self.phase {
             Phase::Survey => rank.done = true,
-            Phase::Prepare => {
-                rank.done = report.prepared == Some(self.version);
-                rank.armed_version = report.armed.map(|(version, _)| version);
-                if index == 0 && rank.armed_version.is_some() {
-                    // A predecessor armed it: complete that.
-                    self.restart();
-                }
-            }
+            Phase::Prepare => self.seen_prepare(index, report),
             Phase::Copy => rank.done = report.prepared == Some(self.version),
-            Phase::Arm if report.armed == Some(armed_here) => rank.done = true,
-            // The pass has begun, so its hold was released: all ranks had been armed by then.
-            Phase::Arm if report.pass >= self.pass => self.restart(),
-            // Another leader has replaced what was to be completed.
-            Phase::Arm if self.inherited && report.prepared != Some(self.version) => {
-                self.restart();
-            }
-            Phase::Arm => {}
             Phase::Hold => self.seen_hold(report.held),
+            Phase::Arm => self.seen_arm(index, report),
             Phase::Go | Phase::Release => rank.done = report.held != Some(self.held),
             Phase::Watch => self.watched(report),
         }
     }
 
+    /// What a predecessor armed is completed if rank 0 is armed, too; elsewhere it is disarmed first.
+    fn seen_prepare(&mut self, index: usize, report: RankReport) {
+        let rank = &mut self.ranks[index];
+        rank.done = report.prepared == Some(self.version);
+        rank.armed_version = report.armed_version();
+        if index == 0 && rank.armed_version.is_some() {
+            self.restart();
+        }
+    }
+
+    fn seen_arm(&mut self, index: usize, report: RankReport) {
+        if report.armed == Some((self.version, self.pass)) {
+            self.ranks[index].done = true;
+            return;
+        }
+        // Its hold was released then: all ranks had been armed by then.
+        let has_begun = report.pass >= self.pass;
+        // Another leader has replaced what was to be completed.
+        let is_replaced = self.inherited && report.prepared != Some(self.version);
+        if has_begun || is_replaced {
+            self.restart();
+        }
+    }
+
     /// All ranks are armed, so what holds a pass up to theirs came late, and is released as well. A
     /// later one may be that of another leader, whose ranks are not armed yet.
     fn watched(&mut self, report: RankReport) {
@@ -482,19 +448,11 @@
     }
 
     fn surveyed(&mut self) {
-        let reports = || self.ranks.iter().filter_map(|rank| rank.report);
-        let known = reports().flat_map(|report| {
-            [Some(report.map), report.prepared, report.armed.map(|(version, _)| version)]
-        });
-        let newest = known.flatten().max().unwrap_or_default();
-        let held = self.ranks[0].report.and_then(|report| report.held);
-        let armed = reports().find_map(|report| report.armed);
-        let prepared: Vec<Option<u64>> = reports()
-            .map(|report| report.armed.map(|(version, _)| version).or(report.prepared))
-            .collect();
-        let same = prepared.first().copied().flatten();
-        let complete = same.filter(|_| prepared.iter().all(|version| *version == same));
-        match (held, armed, complete) {
+        let newest = self.reports().map(|report| report.newest_version()).max();
+        let newest = newest.unwrap_or_default();
+        let armed = self.reports().find_map(|report| report.armed);
+        let complete = same_of_all(self.reports().map(|report| report.pending_version()));
+        match (self.held_at_first(), armed, complete) {
             (None, None, _) => self.prepare_above(newest),
             // Released by a predecessor: it takes effect with the next passes.
             (None, Some(_), _) => self.restart(),
@@ -527,7 +485,7 @@
 
     fn copied(&mut self) {
         // These reports show the rank after it accepted the map, so a predecessor's hold shows too.
-        match self.ranks[0].report.and_then(|report| report.held) {
+        match self.held_at_first() {
             Some(pass) => {
                 self.held = pass;
                 self.enter(Phase::Release);
@@ -540,7 +498,7 @@
     }
 
     fn set_pass(&mut self) {
-        let newest = self.ranks.iter().filter_map(|rank| rank.report.map(|report| report.pass));
+        let newest = self.reports().map(|report| report.pass);
         let doubt = if self.doubtful { self.config.doubtful_passes } else { 0 };
         self.pass = newest.max().unwrap_or_default() + self.config.lead_passes + doubt;
     }
@@ -569,3 +527,9 @@
         self.over = Some(over);
     }
 }
+
+/// The version that all name, if all name the same.
+fn same_of_all(mut versions: impl Iterator<Item = Option<u64>>) -> Option<u64> {
+    let first = versions.next()??;
+    versions.all(|version| version == Some(first)).then_some(first)
+}
