The lead of expert maps is not told while most ranks do not answer

With its lead not told, the next by name was cut off as well and failed to claim it each half second, while the others waited for it. Ruled out: a held pass (0.0 s), a leader replaced too often (one change of the lead). Change: where most ranks do not answer for 0.6 s the leader goes on, but does not tell of its lead, so that another claims it. Gateways tell each other whether the store answers them, and only such claim. Tests: direct_tables.rs.

--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -40,6 +40,8 @@
     pub data_centre: String,
     /// Whether callers are sent there.
     pub readiness: Readiness,
+    /// Whether the platform's store answers it.
+    pub store_answers: bool,
     /// Fencing token with which it leads expert maps; 0 if it does not.
     pub lead_fence: u64,
 }
@@ -75,13 +77,15 @@
 pub struct Members {
     config: Config,
     own: Member,
+    /// Fencing token with which it leads expert maps, told to others or not; 0 if it does not.
+    lead_fence: u64,
     others: BTreeMap<String, Heard>,
 }
 
 impl Members {
     /// A gateway that has heard of none other.
     pub fn new(config: Config, own: Member) -> Members {
-        Members { config, own, others: BTreeMap::new() }
+        Members { config, own, lead_fence: 0, others: BTreeMap::new() }
     }
 
     /// This gateway.
@@ -99,14 +103,27 @@
         self.own.readiness = readiness;
     }
 
+    /// Says whether the platform's store answers this gateway.
+    pub fn set_store_answers(&mut self, answers: bool) {
+        self.own.store_answers = answers;
+    }
+
     /// This gateway leads expert maps with a fencing token.
     pub fn begin_lead(&mut self, fence: u64) {
+        self.lead_fence = fence;
         self.own.lead_fence = fence;
     }
 
+    /// Whether others are told of the lead. Where they are not, one of them may take it over; until
+    /// then it goes on.
+    pub fn tell_lead(&mut self, told: bool) {
+        self.own.lead_fence = if told { self.lead_fence } else { 0 };
+    }
+
     /// The lead with this token is over; one that began since goes on.
     pub fn end_lead(&mut self, fence: u64) {
-        if self.own.lead_fence == fence {
+        if self.lead_fence == fence {
+            self.lead_fence = 0;
             self.own.lead_fence = 0;
         }
     }
@@ -187,16 +204,19 @@
     /// Whether this gateway is the one that shall lead expert maps, as far as it has heard. Whoever
     /// leads goes on until it stops or is silent: each new leader has to learn the groups and their
     /// demand anew. Of several the one with the highest token stays; while there is none, it is the
-    /// first by name.
+    /// first by name of those whom the store answers.
     pub fn shall_lead(&self, now: Millis) -> bool {
         let others = self.others.values().filter(|heard| self.lives(heard, now));
         let ready =
             others.map(|heard| &heard.member).filter(|member| member.readiness == Readiness::Ready);
         let highest = ready.clone().map(|member| member.lead_fence).max().unwrap_or_default();
-        if self.own.lead_fence > 0 || highest > 0 {
-            return self.own.lead_fence > highest;
+        if self.lead_fence > 0 || highest > 0 {
+            return self.lead_fence > highest;
         }
-        ready.map(|member| &member.name).all(|name| *name > self.own.name)
+        // Whoever cannot reach the store cannot claim the lead.
+        let able = ready.filter(|member| member.store_answers);
+        let first = able.map(|member| &member.name).all(|name| *name > self.own.name);
+        first && self.own.store_answers
     }
 
     /// Where the other gateways that live are told news.
--- a/crates/core/tests/direct_tables.rs
+++ b/crates/core/tests/direct_tables.rs
@@ -166,6 +166,7 @@
     let address = SocketAddr::from(([127, 0, 0, 1], port));
     Member {
         lead_fence: 0,
+        store_answers: true,
         name: name.to_owned(),
         incarnation: 1,
         heartbeat,
@@ -230,6 +231,36 @@
     assert!(members.shall_lead(Millis(6_800)), "who leaves leads no more");
 }
 
+#[test]
+fn whoever_the_store_does_not_answer_claims_no_lead() {
+    let mut members = Members::new(Config::default(), member("b", 1));
+    members.set_readiness(Readiness::Ready);
+    members.hear(&member("a", 1), Millis(0));
+    assert!(!members.shall_lead(Millis(100)), "another is first by name");
+    members.hear(&Member { store_answers: false, ..member("a", 2) }, Millis(200));
+    assert!(members.shall_lead(Millis(300)), "that one could not claim it");
+    members.set_store_answers(false);
+    assert!(!members.shall_lead(Millis(300)));
+    members.begin_lead(1);
+    assert!(members.shall_lead(Millis(300)), "whoever leads needs no store");
+}
+
+#[test]
+fn a_lead_that_is_not_told_goes_on_until_another_gateway_has_it() {
+    let mut members = Members::new(Config::default(), member("b", 1));
+    members.set_readiness(Readiness::Ready);
+    members.hear(&member("a", 1), Millis(0));
+    members.begin_lead(3);
+    members.tell_lead(false);
+    assert_eq!(members.own().lead_fence, 0, "others do not hear of it");
+    assert!(members.shall_lead(Millis(100)), "nobody else leads");
+    members.tell_lead(true);
+    assert_eq!(members.own().lead_fence, 3);
+    members.tell_lead(false);
+    members.hear(&Member { lead_fence: 4, ..member("a", 2) }, Millis(200));
+    assert!(!members.shall_lead(Millis(300)));
+}
+
 #[test]
 fn the_end_of_an_earlier_lead_does_not_end_the_next() {
     let mut members = Members::new(Config::default(), member("a", 1));
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -97,8 +97,6 @@
     last_stream: Cell<Millis>,
     /// When nothing is taken any more, while the process stops.
     last_taken: Cell<Millis>,
-    /// Whether the store answered last.
-    store_answers: Cell<bool>,
 }
 
 impl<P: Platform> Gateway<P> {
@@ -129,7 +127,6 @@
             last_request: Cell::new(Millis::ZERO),
             last_stream: Cell::new(Millis::MAX),
             last_taken: Cell::new(Millis::MAX),
-            store_answers: Cell::new(false),
         }
     }
 
@@ -217,14 +214,15 @@
 
     /// Whether the store answered when it was asked last.
     pub fn store_answers(&self) -> bool {
-        self.store_answers.get()
+        self.with_members(|members| members.own().store_answers)
     }
 
     /// Notes whether the store answers, and logs a change.
     pub fn note_store(&self, answers: bool, reason: &dyn std::fmt::Display) {
-        if self.store_answers.replace(answers) == answers {
+        if self.store_answers() == answers {
             return;
         }
+        self.with_members(|members| members.set_store_answers(answers));
         if answers {
             self.journal.state(format_args!("store regained"));
         } else {
--- a/crates/direct/src/maps.rs
+++ b/crates/direct/src/maps.rs
@@ -56,6 +56,10 @@
 /// two would take the lead from each other all the while. Cuts at the users last some 5 s.
 const YIELD_WHEN_DEPOSED: Millis = Millis(5_000);
 
+/// How long most ranks may not answer a leader that tells others of its lead: some readings, so that
+/// a lost packet is none, and much less than the 5 s that cuts at the users last.
+const UNREACHED_MOST: Millis = Millis(600);
+
 /// Time between two readings of counts.
 const COUNTS_EVERY: Duration = Duration::from_millis(250);
 
@@ -134,6 +138,8 @@
     groups: RefCell<BTreeMap<String, Vec<Option<Key<Server>>>>>,
     demand: RefCell<Demand>,
     paces: RefCell<Paces>,
+    /// Since when most ranks have not answered.
+    unreached_since: Cell<Option<Millis>>,
     /// Which rank is read next.
     turn: Cell<usize>,
     /// Readings passed over since the last.
@@ -157,6 +163,7 @@
         lead,
         groups: RefCell::default(),
         paces: RefCell::new(Paces::new(fence)),
+        unreached_since: Cell::new(None),
         turn: Cell::new(0),
         passed_over: Cell::new(0),
     });
@@ -259,7 +266,30 @@
             .iter()
             .map(|key| async { (*key, engine::counts(&self.gateway, *key, Path::Sidecar).await) });
         let answers = join_all(asked).await;
-        answers.into_iter().filter_map(|(key, counts)| Some((key, counts?))).collect()
+        let read: Vec<(Key<Server>, Counts)> =
+            answers.into_iter().filter_map(|(key, counts)| Some((key, counts?))).collect();
+        self.note_reached(read.len(), ranks.len());
+        read
+    }
+
+    /// Notes how many ranks answered. Where most do not, it is this gateway that is cut off: it does
+    /// not tell of its lead any more, so that one that reaches them takes over.
+    fn note_reached(&self, reached: usize, all: usize) {
+        let now = self.gateway.now();
+        if 2 * reached >= all {
+            if self.unreached_since.take().is_some() {
+                self.gateway.with_members(|members| members.tell_lead(true));
+            }
+            return;
+        }
+        let since = self.unreached_since.get().unwrap_or(now);
+        if self.unreached_since.replace(Some(since)).is_none() {
+            let line = format_args!("{reached} of {all} ranks of {} are reached", self.name);
+            self.gateway.journal.state(line);
+        }
+        if now.since(since) >= UNREACHED_MOST {
+            self.gateway.with_members(|members| members.tell_lead(false));
+        }
     }
 
     /// Reads one of a few ranks, always the same, in turn: what is counted is what came between two
--- a/crates/direct/src/peers/news.rs
+++ b/crates/direct/src/peers/news.rs
@@ -106,6 +106,7 @@
             Readiness::Ready => schema::Readiness::Ready,
             Readiness::Leaving => schema::Readiness::Leaving,
         },
+        store_answers: member.store_answers,
         lead_fence_number: member.lead_fence,
     }
 }
@@ -123,6 +124,7 @@
             schema::Readiness::Ready => Readiness::Ready,
             schema::Readiness::Leaving => Readiness::Leaving,
         },
+        store_answers: news.store_answers,
         lead_fence: news.lead_fence_number,
     })
 }
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -231,6 +231,7 @@
         peers_at,
         data_centre: settings.instance.data_centre.clone(),
         readiness: Readiness::Starting,
+        store_answers: false,
         lead_fence: 0,
     }
 }
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -960,6 +960,9 @@
     ///IP number and port.
     pub peers_at: ::std::string::String,
     pub readiness: Readiness,
+    ///Whether the platform's store answers it.
+    #[serde(default = "defaults::default_bool::<true>")]
+    pub store_answers: bool,
 }
 ///What a gateway does after an attempt.
 #[derive(
@@ -1531,6 +1534,9 @@
 }
 /// Generation of default values for serde.
 pub mod defaults {
+    pub(super) fn default_bool<const V: bool>() -> bool {
+        V
+    }
     pub(super) fn default_i64<T, const V: i64>() -> T
     where
         T: ::std::convert::TryFrom<i64>,
