--- a/crates/core/src/direct/pool.rs
+++ b/crates/core/src/direct/pool.rs
@@ -366,37 +366,44 @@
         }
         let config = self.config;
         let server = &mut self.servers[key];
+        server.count(ending);
+        let rest = server.rest_after(ending, &config).min(config.most);
+        server.rests_until = server.rests_until.max(now + rest);
+    }
+
+    fn candidate(&mut self, key: Key<Server>) -> Option<&mut Candidate> {
+        let server = &self.servers[key];
+        let service = self.services.get_mut(&server.listed.service)?;
+        service.candidates.get_mut(server.place?)
+    }
+}
+
+impl Server {
+    /// Counts how an attempt ended.
+    fn count(&mut self, ending: Ending) {
         let failed = matches!(ending, Ending::Failed | Ending::Lost);
         if failed || ending == Ending::Answered {
             let result = f64::from(u8::from(failed));
-            server.failing += (result - server.failing) * NEWEST_RESULT;
+            self.failing += (result - self.failing) * NEWEST_RESULT;
         }
-        server.unreachable = if ending == Ending::Unreachable {
-            (server.unreachable + 1).min(MOST_UNREACHABLE)
-        } else {
-            0
-        };
-        let rest = match ending {
+        let unreachable = if ending == Ending::Unreachable { self.unreachable + 1 } else { 0 };
+        self.unreachable = unreachable.min(MOST_UNREACHABLE);
+    }
+
+    /// How long it rests after an ending that was counted, if nothing bounds that.
+    fn rest_after(&self, ending: Ending, config: &Config) -> Millis {
+        match ending {
             Ending::Answered | Ending::Left | Ending::Replaced => Millis::ZERO,
             Ending::Full => config.full,
             Ending::Stalled => config.stalled,
-            Ending::Unreachable => Millis(config.unreachable.0 << (server.unreachable - 1)),
-            Ending::Failed | Ending::Lost if server.failing > config.failing_share => {
+            Ending::Unreachable => Millis(config.unreachable.0 << (self.unreachable - 1)),
+            Ending::Failed | Ending::Lost if self.failing > config.failing_share => {
                 Millis(config.unreachable.0 * 2)
             }
             Ending::Failed | Ending::Lost => Millis::ZERO,
-        };
-        server.rests_until = server.rests_until.max(now + rest.min(config.most));
-    }
-
-    fn candidate(&mut self, key: Key<Server>) -> Option<&mut Candidate> {
-        let server = &self.servers[key];
-        let service = self.services.get_mut(&server.listed.service)?;
-        service.candidates.get_mut(server.place?)
+        }
     }
-}
 
-impl Server {
     /// Whether it may be given work, and its group makes passes.
     fn is_fit(&self) -> bool {
         self.is_open() && !self.standing
