--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -166,17 +166,15 @@
 
     /// How many gateways live, itself included.
     pub fn living(&self, now: Millis) -> usize {
-        1 + self.others.values().filter(|heard| self.lives(heard, now)).count()
+        1 + self.living_others(now).count()
     }
 
     /// Where callers in `data_centre` connect, the nearest first. Never empty: a gateway that can
     /// name no other names itself, and one that is stopping names others where it can.
     pub fn for_callers(&self, data_centre: &str, now: Millis) -> Vec<SocketAddr> {
         let ready = |member: &Member| member.readiness == Readiness::Ready;
-        let others = self.others.values();
-        let living = others.filter(|heard| self.lives(heard, now) && ready(&heard.member));
-        let own = Some(&self.own).filter(|own| ready(own));
-        let mut found: Vec<&Member> = living.map(|heard| &heard.member).chain(own).collect();
+        let living = self.living_others(now).chain([&self.own]);
+        let mut found: Vec<&Member> = living.filter(|member| ready(member)).collect();
         found.sort_by_key(|member| member.data_centre != data_centre);
         if found.is_empty() {
             found.push(&self.own);
@@ -189,9 +187,8 @@
     /// demand anew. Of several the one with the highest token stays; while there is none, it is the
     /// first by name.
     pub fn shall_lead(&self, now: Millis) -> bool {
-        let others = self.others.values().filter(|heard| self.lives(heard, now));
-        let ready =
-            others.map(|heard| &heard.member).filter(|member| member.readiness == Readiness::Ready);
+        let living = self.living_others(now);
+        let ready = living.filter(|member| member.readiness == Readiness::Ready);
         let highest = ready.clone().map(|member| member.lead_fence).max().unwrap_or_default();
         if self.own.lead_fence > 0 || highest > 0 {
             return self.own.lead_fence > highest;
@@ -201,8 +198,7 @@
 
     /// Where the other gateways that live are told news.
     pub fn living_peers(&self, now: Millis) -> Vec<SocketAddr> {
-        let living = self.others.values().filter(|heard| self.lives(heard, now));
-        living.map(|heard| heard.member.peers_at).collect()
+        self.living_others(now).map(|member| member.peers_at).collect()
     }
 
     /// Another gateway to exchange news with, drawn at random; now and then one that was silent.
@@ -216,6 +212,12 @@
         Some(open[rng.random_range(0..open.len())].member.peers_at)
     }
 
+    /// The other gateways that live, by name.
+    fn living_others(&self, now: Millis) -> impl Iterator<Item = &Member> + Clone {
+        let living = self.others.values().filter(move |heard| self.lives(heard, now));
+        living.map(|heard| &heard.member)
+    }
+
     fn lives(&self, heard: &Heard, now: Millis) -> bool {
         now.since(heard.at) < self.config.suspect
     }
