--- a/crates/direct/src/maps.rs
+++ b/crates/direct/src/maps.rs
@@ -20,6 +20,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -131,6 +132,7 @@
     shape: ExpertShape,
     fence: u64,
     lead: Rc<Lead>,
+    /// The servers of each group by rank, as far as they are known.
     groups: RefCell<BTreeMap<String, Vec<Option<Key<Server>>>>>,
     demand: RefCell<Demand>,
     paces: RefCell<Paces>,
@@ -148,30 +150,17 @@
 ) {
     let Some(fence) = claim(&gateway, &name, &lead).await else { return };
     gateway.with_members(|members| members.begin_lead(fence));
-    let service = Rc::new(Service {
-        gateway,
-        demand: RefCell::new(Demand::new(&shape)),
-        name,
-        shape,
-        fence,
-        lead,
-        groups: RefCell::default(),
-        paces: RefCell::new(Paces::new(fence)),
-        turn: Cell::new(0),
-        passed_over: Cell::new(0),
-    });
-    let mut started: Vec<String> = Vec::new();
+    let service = Rc::new(Service::new(gateway, name, shape, fence, lead));
+    let mut started: BTreeSet<String> = BTreeSet::new();
     while !service.lead.is_over() {
         if !is_candidate(&service.gateway) {
             service.lead.end();
             break;
         }
         service.find_groups().await;
-        let names: Vec<String> = service.groups.borrow().keys().cloned().collect();
-        for name in names {
-            if !started.contains(&name) {
-                started.push(name.clone());
-                tokio::task::spawn_local(group::lead(service.clone(), name));
+        for name in service.groups.borrow().keys() {
+            if started.insert(name.clone()) {
+                tokio::task::spawn_local(group::lead(service.clone(), name.clone()));
             }
         }
         service.read_counts().await;
@@ -202,6 +191,28 @@
 }
 
 impl<P: Platform> Service<P> {
+    /// Nothing is known of it yet but its shape.
+    fn new(
+        gateway: Rc<Gateway<P>>,
+        name: String,
+        shape: ExpertShape,
+        fence: u64,
+        lead: Rc<Lead>,
+    ) -> Service<P> {
+        Service {
+            gateway,
+            demand: RefCell::new(Demand::new(&shape)),
+            name,
+            shape,
+            fence,
+            lead,
+            groups: RefCell::default(),
+            paces: RefCell::new(Paces::new(fence)),
+            turn: Cell::new(0),
+            passed_over: Cell::new(0),
+        }
+    }
+
     /// Asks servers that are in no known group for their place.
     async fn find_groups(&self) {
         let servers = self.gateway.with_pool(|pool| pool.present_of(&self.name));
