--- a/crates/direct/src/maps/group.rs
+++ b/crates/direct/src/maps/group.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use hooktrestle_core::direct::expert_plan;
 use hooktrestle_core::direct::map_orders;
 use hooktrestle_core::direct::map_orders::Ask;
 use hooktrestle_core::direct::map_orders::Next;
@@ -32,6 +31,9 @@
 /// Pause between two plans of a group.
 const PLAN_EVERY: Duration = Duration::from_millis(100);
 
+/// Version of the map that groups begin with.
+const FIRST_MAP: u64 = 0;
+
 /// A group's map as its leader knows it.
 struct Known {
     epoch: u64,
@@ -43,6 +45,15 @@
     unsettled: bool,
 }
 
+impl Known {
+    /// Whether the ranks of a switch told of another map, or of another life of their group. What is
+    /// planned from this one may need more copies then.
+    fn is_outdated(&self, switch: &Switch) -> bool {
+        let moved = switch.surveyed_map().is_some_and(|map| map != self.version);
+        moved || switch.epoch().is_some_and(|epoch| epoch != self.epoch)
+    }
+}
+
 /// Follows demand with one group's map, as long as the lead of its service goes on.
 pub(super) async fn lead<P: Platform>(service: Rc<Service<P>>, group: String) {
     let mut known: Option<Known> = None;
@@ -140,11 +151,9 @@
     if !same {
         return None;
     }
-    let layout = if first.map == 0 {
-        let shape = &service.shape;
-        vec![expert_plan::dealt(shape.experts, ranks.len()); shape.sets]
-    } else {
-        read_layout(service, ranks, first.map).await?
+    let layout = match first.map {
+        FIRST_MAP => layout::first(&service.shape, ranks.len()),
+        map => read_layout(service, ranks, map).await?,
     };
     let unsettled =
         reports.iter().any(|report| report.state.held.is_some() || report.state.armed.is_some());
@@ -197,10 +206,7 @@
         }
         match switch.step() {
             Next::Round(asks) => {
-                // The map was planned from another one: it may need more copies than planned.
-                let moved = switch.surveyed_map().is_some_and(|map| map != before.version);
-                let stale = moved || switch.epoch().is_some_and(|epoch| epoch != before.epoch);
-                if stale && switch.is_before_orders() {
+                if before.is_outdated(&switch) && switch.is_before_orders() {
                     return (switch, Next::Changed);
                 }
                 let replies = asks.iter().map(|(rank, ask)| async {
@@ -229,13 +235,8 @@
         },
         Ask::Order(guarded) => {
             let order = EngineAsk::Order(&guarded, asked.map);
-            engine::order(
-                &service.gateway,
-                key,
-                &order,
-                asked.path_of(&service.gateway, guarded.order),
-            )
-            .await
+            let path = asked.path_of(&service.gateway, guarded.order);
+            engine::order(&service.gateway, key, &order, path).await
         }
     }
 }
--- a/crates/direct/src/maps/layout.rs
+++ b/crates/direct/src/maps/layout.rs
@@ -23,6 +23,11 @@
 /// A group's experts: set by set, the ranks that hold each.
 pub(super) type Layout = Vec<Vec<Holders>>;
 
+/// The layout that groups begin with.
+pub(super) fn first(shape: &ExpertShape, ranks: usize) -> Layout {
+    vec![expert_plan::dealt(shape.experts, ranks); shape.sets]
+}
+
 /// A better layout, if it is worth a switch. `paces` are the times that the ranks take for a token,
 /// over the usual time.
 pub(super) fn plan(
