--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -115,13 +115,8 @@
                 }
             }
             Piece::End => {
-                let rest = relay.events.end();
-                if let Some(source) = relay.source.take() {
-                    source.recycle(&relay.gateway);
-                }
-                relay.gateway.metrics.answered.inc();
-                let rest = Some(Bytes::from(rest)).filter(|rest| !rest.is_empty());
-                return rest.map(|rest| (Ok(Frame::data(rest)), relay));
+                let rest = end(&mut relay)?;
+                return Some((Ok(Frame::data(rest)), relay));
             }
             Piece::Broken => {
                 if !resume(&mut relay, Reason::BrokenOff).await {
@@ -136,6 +131,16 @@
     }
 }
 
+/// The source has ended as it should: what is left to pass on, if anything.
+fn end<P: Platform>(relay: &mut Relay<P>) -> Option<Bytes> {
+    let rest = relay.events.end();
+    if let Some(source) = relay.source.take() {
+        source.recycle(&relay.gateway);
+    }
+    relay.gateway.metrics.answered.inc();
+    Some(Bytes::from(rest)).filter(|rest| !rest.is_empty())
+}
+
 /// The next piece of the source; `None` if the stream is over.
 async fn next_piece<P: Platform>(relay: &mut Relay<P>) -> Option<Piece> {
     let source = relay.source.as_mut()?;
@@ -160,25 +165,30 @@
 fn leaves_slow_server<P: Platform>(relay: &Relay<P>) -> bool {
     let Relay { gateway, request, attempts, source, resumable, .. } = relay;
     let Some(source) = source else { return false };
-    let now = gateway.now();
-    let server = source.turn.server();
-    gateway.with_pool(|pool| {
+    if !*resumable || !attempts.has_another() {
+        return false;
+    }
+    let (now, server) = (gateway.now(), source.turn.server());
+    let is_better_elsewhere = gateway.with_pool(|pool| {
         pool.is_slow(server, now) && pool.has_other(&request.service, server, attempts.tried(), now)
-    }) && *resumable
-        && attempts.has_another()
-        && gateway.covers_repeat(&request.service)
+    });
+    is_better_elsewhere && gateway.covers_repeat(&request.service)
 }
 
-/// Takes the stream up at another server, after the last event that was passed on.
-async fn resume<P: Platform>(relay: &mut Relay<P>, reason: Reason) -> bool {
-    let Some(mut left) = relay.source.take() else { return false };
+/// Leaves the source, and returns its server; `None` if there is none.
+fn leave<P: Platform>(relay: &mut Relay<P>, reason: Reason) -> Option<Key<Server>> {
+    let mut left = relay.source.take()?;
     left.turn.end(match reason {
         Reason::BrokenOff => Ending::Lost,
         Reason::Slow => Ending::Left,
     });
-    let mut server = left.turn.server();
-    drop(left);
     relay.events.broke_off();
+    Some(left.turn.server())
+}
+
+/// Takes the stream up at another server, after the last event that was passed on.
+async fn resume<P: Platform>(relay: &mut Relay<P>, reason: Reason) -> bool {
+    let Some(mut server) = leave(relay, reason) else { return false };
     let mut fate = Fate::MayHaveRun;
     while goes_on(relay, server, fate, reason) {
         let turn = forward::next_turn(&relay.gateway, &relay.request, &relay.attempts);
