--- a/crates/bench/src/plans.rs
+++ b/crates/bench/src/plans.rs
@@ -17,6 +17,9 @@
 /// Part of the mean load that one copy has to gain; what the leader uses.
 const PRICE: f64 = 0.06;
 
+/// How long the rank that is slow takes, over the usual time.
+const SLOW_PACE: f64 = 5.0;
+
 /// Switches after which the skew is told: about 2 s at the users.
 const SWITCHES: usize = 4;
 
@@ -49,16 +52,7 @@
 /// Plans some switches of a group, one copy a rank and set each.
 pub fn measure(shape: Shape, seed: u64) -> Outcome {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let mut paces = vec![1.0; shape.ranks];
-    if shape.one_slow {
-        paces[shape.ranks / 2] = 5.0;
-    }
-    let limits = Limits {
-        places: shape.places,
-        new_at: vec![1; shape.ranks],
-        price: PRICE,
-        paces: paces.clone(),
-    };
+    let limits = limits(&shape);
     let demands: Vec<Vec<f64>> =
         (0..shape.sets).map(|_| popularity(shape.experts, &mut rng)).collect();
     let dealt = vec![expert_plan::dealt(shape.experts, shape.ranks); shape.sets];
@@ -70,15 +64,27 @@
         }
     }
     let plan = began.elapsed() / SWITCHES as u32;
-    let skew = |layout: &[Vec<Holders>]| {
-        let each = layout.iter().zip(&demands);
-        let sum: f64 =
-            each.map(|(holders, shares)| expert_plan::skew(holders, shares, &paces)).sum();
-        sum / shape.sets as f64
-    };
+    let skew = |layout: &[Vec<Holders>]| mean_skew(layout, &demands, &limits.paces);
     Outcome { plan, dealt: skew(&dealt), planned: skew(&layout) }
 }
 
+/// Bounds of one plan: a copy a rank, at the paces of the shape's ranks.
+fn limits(shape: &Shape) -> Limits {
+    let mut paces = vec![1.0; shape.ranks];
+    if shape.one_slow {
+        paces[shape.ranks / 2] = SLOW_PACE;
+    }
+    Limits { places: shape.places, new_at: vec![1; shape.ranks], price: PRICE, paces }
+}
+
+/// Mean skew of the sets of a layout, each under its own demand.
+fn mean_skew(layout: &[Vec<Holders>], demands: &[Vec<f64>], paces: &[f64]) -> f64 {
+    let each = layout.iter().zip(demands);
+    let sum: f64 = each.map(|(holders, shares)| expert_plan::skew(holders, shares, paces)).sum();
+    sum / layout.len() as f64
+}
+
+/// How popular each expert of a set is: a power law, in an order that is drawn.
 fn popularity(experts: usize, rng: &mut ChaCha8Rng) -> Vec<f64> {
     let mut shares: Vec<f64> = (1..=experts).map(|place| (place as f64).powf(-EXPONENT)).collect();
     shares.shuffle(rng);
--- a/crates/bench/src/plans_report.rs
+++ b/crates/bench/src/plans_report.rs
@@ -6,7 +6,8 @@
 /// Seed of the demand.
 const SEED: u64 = 20_261_202;
 
-/// The users' deployments today and next, and the size aimed at.
+/// The users' deployments today and next, and the size aimed at: ranks of a group, experts in each set,
+/// experts of a set that a rank holds at most, sets of layers.
 const SHAPES: [(usize, usize, usize, usize); 3] =
     [(8, 64, 11, 6), (32, 128, 5, 12), (64, 256, 5, 12)];
 
