--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -1,8 +1,9 @@
 //! News between gateways: who lives, and what changed in the platform's tables.
 //!
-//! Each gateway asks another one, drawn at random, about once a second, more often while the store
-//! does not answer it. Both tell what they know, and give each other what is lacking. So whatever
-//! reaches one gateway reaches all within a few rounds, also those that the store turns away.
+//! Each gateway asks another one, drawn at random, in each round: more often while the store does not
+//! answer it, and at once where news cannot wait. Both tell what they know, and give each other what
+//! is lacking. So whatever reaches one gateway reaches all within a few rounds, also those that the
+//! store turns away.
 
 pub(crate) mod news;
 
