Links: a run lasts until its end is written, so that a stop cuts nothing off

Cause: a sidecar that stops waits for what runs, and a run counted as over once its last frame was queued at the link. Where the link's task had not written it yet, the process ended first, and the caller's stream was cut off in the middle. Found: a_terminated_sidecar_ends_what_runs_and_exits_with_0 failed once beside load. Ruled out: the bound of the stop (20 s there). Change: Sender::flush waits until what was queued is with the operating system; a run ends with it. Test: crates/link/tests/links.rs, red without the flush.

--- a/crates/hooktrestled/src/sidecar/run.rs
+++ b/crates/hooktrestled/src/sidecar/run.rs
@@ -232,8 +232,10 @@
         true
     }
 
+    /// Sends the end. What was only queued would be lost if the process stopped once nothing runs, so
+    /// the run lasts until all of it is written.
     async fn finish(&mut self) -> bool {
-        self.frame(&[], true).await
+        self.frame(&[], true).await && self.job.sender.flush().await.is_ok()
     }
 
     async fn frame(&mut self, payload: &[u8], last: bool) -> bool {
--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -14,6 +14,7 @@
 use rand::RngExt;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 use tokio::time::timeout;
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
@@ -70,10 +71,18 @@
     pub receiver: Receiver,
 }
 
+/// What waits to be written.
+#[derive(Debug)]
+enum Outgoing {
+    Message(Bytes),
+    /// Somebody wants to know when all before this was written.
+    Flush(oneshot::Sender<()>),
+}
+
 /// The half of a link that writes; clones share it.
 #[derive(Clone, Debug)]
 pub struct Sender {
-    outbox: mpsc::Sender<Bytes>,
+    outbox: mpsc::Sender<Outgoing>,
 }
 
 impl Sender {
@@ -83,8 +92,21 @@
     ///
     /// The link is closed.
     pub async fn send(&self, frame: &Frame, payload: &[u8]) -> Result<(), Error> {
-        let sent = self.outbox.send(codec::encode(frame, payload)).await;
-        sent.map_err(|_| Error::new(ErrorKind::Closed))
+        let message = Outgoing::Message(codec::encode(frame, payload));
+        self.outbox.send(message).await.map_err(|_| Error::new(ErrorKind::Closed))
+    }
+
+    /// Waits until all that was queued here is with the operating system, which delivers it also if
+    /// the process ends.
+    ///
+    /// # Errors
+    ///
+    /// The link is closed.
+    pub async fn flush(&self) -> Result<(), Error> {
+        let (written, waiting) = oneshot::channel();
+        let queued = self.outbox.send(Outgoing::Flush(written)).await;
+        queued.map_err(|_| Error::new(ErrorKind::Closed))?;
+        waiting.await.map_err(|_| Error::new(ErrorKind::Closed))
     }
 
     /// Waits until the link is closed.
@@ -226,19 +248,26 @@
 }
 
 /// Writes what is queued; flushes only when the queue is empty, so that busy links batch.
-async fn write_all(mut sink: SplitSink<Socket, Message>, mut inbox: mpsc::Receiver<Bytes>) {
-    while let Some(message) = inbox.recv().await {
-        if sink.feed(Message::Binary(message)).await.is_err() {
-            return;
-        }
-        while let Ok(message) = inbox.try_recv() {
-            if sink.feed(Message::Binary(message)).await.is_err() {
-                return;
+async fn write_all(mut sink: SplitSink<Socket, Message>, mut inbox: mpsc::Receiver<Outgoing>) {
+    let mut waiting = Vec::new();
+    while let Some(first) = inbox.recv().await {
+        let mut next = Some(first);
+        while let Some(outgoing) = next {
+            match outgoing {
+                Outgoing::Message(message) => {
+                    if sink.feed(Message::Binary(message)).await.is_err() {
+                        return;
+                    }
+                }
+                Outgoing::Flush(written) => waiting.push(written),
             }
+            next = inbox.try_recv().ok();
         }
         if sink.flush().await.is_err() {
             return;
         }
+        // Who does not wait any more need not know.
+        waiting.drain(..).for_each(|written| drop(written.send(())));
     }
     // The peer may be gone already; there is nobody to tell.
     let _ = sink.close().await;
--- /dev/null
+++ b/crates/link/tests/links.rs
@@ -0,0 +1,61 @@
+//! Links between two processes: what was written arrives, also if the writing process then ends.
+
+use std::time::Duration;
+
+use hooktrestle_link::Config;
+use hooktrestle_link::Identity;
+use hooktrestle_link::auth::Keys;
+use hooktrestle_schema::BodyFrame;
+use hooktrestle_schema::Frame;
+use hooktrestle_schema::RequestId;
+use tokio::net::TcpListener;
+use tokio::runtime::Builder;
+
+const FRAMES: u64 = 400;
+
+fn config() -> Config {
+    let keys = Keys::parse("key").unwrap();
+    Config { keys, frame_limit: 1 << 20, silence: Duration::from_secs(20) }
+}
+
+fn identity(instance: &str) -> Identity {
+    Identity { instance: instance.to_owned(), incarnation: 1 }
+}
+
+fn body(sequence: u64) -> Frame {
+    let id = RequestId { number: 1, attempt: 0 };
+    Frame::Body(BodyFrame { id, sequence, last: sequence + 1 == FRAMES })
+}
+
+#[test]
+fn what_was_flushed_arrives_though_the_process_ends_at_once() {
+    let reading = Builder::new_current_thread().enable_all().build().unwrap();
+    let listener = reading.block_on(TcpListener::bind("127.0.0.1:0")).unwrap();
+    let address = listener.local_addr().unwrap();
+    let process = std::thread::spawn(move || {
+        let writing = Builder::new_current_thread().enable_all().build().unwrap();
+        writing.block_on(async move {
+            let (config, own) = (config(), identity("hints-1"));
+            let opened = hooktrestle_link::dial(&config, &own, address, 1).await.unwrap();
+            let sender = opened.sender;
+            for sequence in 0..FRAMES {
+                sender.send(&body(sequence), &[7; 1_000]).await.unwrap();
+            }
+            sender.flush().await.unwrap();
+        });
+        // Here the process ends: the runtime is dropped with whatever was not written.
+    });
+    let last = reading.block_on(async move {
+        let (stream, _) = listener.accept().await.unwrap();
+        let (config, own) = (config(), identity("entry-1"));
+        let opened = hooktrestle_link::accept(&config, &own, stream).await.unwrap();
+        let mut receiver = opened.receiver;
+        let mut last = None;
+        while let Ok((Frame::Body(frame), _)) = receiver.next().await {
+            last = Some(frame.sequence);
+        }
+        last
+    });
+    process.join().unwrap();
+    assert_eq!(last, Some(FRAMES - 1));
+}
