--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -266,8 +266,10 @@
         if sink.flush().await.is_err() {
             return;
         }
-        // Who does not wait any more need not know.
-        waiting.drain(..).for_each(|written| drop(written.send(())));
+        for written in waiting.drain(..) {
+            // Who does not wait any more need not know.
+            let _ = written.send(());
+        }
     }
     // The peer may be gone already; there is nobody to tell.
     let _ = sink.close().await;
