--- a/crates/direct/src/maps.rs
+++ b/crates/direct/src/maps.rs
@@ -24,6 +24,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::future::join;
 use futures_util::future::join_all;
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::expert_plan;
@@ -31,6 +32,7 @@
 use hooktrestle_core::direct::pool::Server;
 use hooktrestle_core::direct::serving::ExpertShape;
 use hooktrestle_core::util::arena::Key;
+use tokio::sync::Notify;
 use tokio::time;
 
 use crate::engine;
@@ -61,8 +63,18 @@
 /// a lost packet is none, and much less than the 5 s that cuts at the users last.
 const UNREACHED_MOST: Millis = Millis(600);
 
-/// Time between two readings of counts.
-const COUNTS_EVERY: Duration = Duration::from_millis(250);
+/// Time between two readings of counts. A shift of demand is known after one or two: with 250 ms, worth
+/// of days with trouble is 0.658 in place of 0.717 with groups of 24 ranks (without processor time).
+const COUNTS_EVERY: Duration = Duration::from_millis(120);
+
+/// Ranks whose counts are read through the processes beside them, if the own data centre has not that
+/// many: a rank's own requests are a sample of all. Reading all 72 ranks of three data centres took
+/// 0.026 of worth for bytes between them, and 0.03 for the time that these took on the leader's link.
+const RANKS_NEARBY: usize = 12;
+
+/// Readings of counts from one reading of paces to the next: ranks turn slow for seconds, and all of
+/// them are asked.
+const COUNTS_A_PACE: u32 = 2;
 
 /// Ranks whose counts are read each time. Readings are priced, and a rank's own requests are a
 /// sample of all.
@@ -142,6 +154,10 @@
     paces: RefCell<Paces>,
     /// Since when most ranks have not answered.
     unreached_since: Cell<Option<Millis>>,
+    /// Wakes whoever plans: counts were read.
+    counted: Notify,
+    /// Readings so far.
+    ticks: Cell<u32>,
     /// Which rank is read next.
     turn: Cell<usize>,
     /// Readings passed over since the last.
@@ -215,6 +231,8 @@
             groups: RefCell::default(),
             paces: RefCell::new(Paces::new(fence)),
             unreached_since: Cell::new(None),
+            counted: Notify::new(),
+            ticks: Cell::new(0),
             turn: Cell::new(0),
             passed_over: Cell::new(0),
         }
@@ -254,9 +272,15 @@
         if ranks.is_empty() {
             return;
         }
-        self.read_paces(&ranks).await;
-        let mut read = self.read_beside(&ranks).await;
-        if read.is_empty() {
+        let tick = self.ticks.replace(self.ticks.get().wrapping_add(1));
+        let with_paces = tick.is_multiple_of(COUNTS_A_PACE);
+        let paces = async {
+            if with_paces {
+                self.read_paces(&ranks).await;
+            }
+        };
+        let (mut read, ()) = join(self.read_beside(&ranks), paces).await;
+        if read.is_empty() && with_paces {
             read.extend(self.read_from_afar(&ranks).await);
         }
         let now = self.gateway.now().0 as f64;
@@ -266,21 +290,31 @@
         for (key, counts) in read {
             demand.take(key, counts.epoch, counts.counts);
         }
+        drop(demand);
+        self.counted.notify_waiters();
     }
 
-    /// Reads all ranks through the processes beside them, which costs nothing.
+    /// Reads ranks nearby through the processes beside them, which costs nothing.
     async fn read_beside(&self, ranks: &[Key<Server>]) -> Vec<(Key<Server>, Counts)> {
         if self.gateway.sidecars_port == 0 {
             return Vec::new();
         }
-        let asked = ranks
-            .iter()
-            .map(|key| async { (*key, engine::counts(&self.gateway, *key, Path::Sidecar).await) });
-        let answers = join_all(asked).await;
-        let read: Vec<(Key<Server>, Counts)> =
-            answers.into_iter().filter_map(|(key, counts)| Some((key, counts?))).collect();
-        self.note_reached(read.len(), ranks.len());
-        read
+        let asked = self.nearby(ranks).into_iter().map(|key| async move {
+            Some((key, engine::counts(&self.gateway, key, Path::Sidecar).await?))
+        });
+        join_all(asked).await.into_iter().flatten().collect()
+    }
+
+    /// The ranks in the own data centre, and as many others as make up [`RANKS_NEARBY`].
+    fn nearby(&self, ranks: &[Key<Server>]) -> Vec<Key<Server>> {
+        let own = self.gateway.with_members(|members| members.own().data_centre.clone());
+        let (mut near, far): (Vec<_>, Vec<_>) = self.gateway.with_pool(|pool| {
+            let is_near = |key: &Key<Server>| pool.server(*key).listed.data_centre == own;
+            ranks.iter().copied().partition(is_near)
+        });
+        let lacking = RANKS_NEARBY.saturating_sub(near.len());
+        near.extend(far.into_iter().take(lacking));
+        near
     }
 
     /// Notes how many ranks answered. Where most do not, it is this gateway that is cut off: it does
--- a/crates/direct/src/maps/group.rs
+++ b/crates/direct/src/maps/group.rs
@@ -28,8 +28,8 @@
 use crate::platform::EngineReport;
 use crate::platform::Platform;
 
-/// Pause between two plans of a group.
-const PLAN_EVERY: Duration = Duration::from_millis(100);
+/// Longest time until a group is looked at again where no counts are read.
+const LOOK_EVERY: Duration = Duration::from_millis(250);
 
 /// Version of the map that groups begin with.
 const FIRST_MAP: u64 = 0;
@@ -59,7 +59,8 @@
     let mut known: Option<Known> = None;
     let mut versions = Versions::of_fence(service.fence);
     while !service.lead.is_over() {
-        time::sleep(PLAN_EVERY).await;
+        // What was planned from the same counts before would be planned again.
+        drop(time::timeout(LOOK_EVERY, service.counted.notified()).await);
         let Some(ranks) = service.ranks_of(&group) else { continue };
         if known.is_none() {
             known = learn(&service, &ranks).await;
