--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -53,13 +53,24 @@
     pub suspect: Millis,
     /// Time without a heartbeat after which it is not asked again.
     pub forget: Millis,
+    /// Gateways of each data centre that follow the store closely.
+    pub close_followers: usize,
+    /// Time without an exchange of news after which this one follows the store closely, too.
+    pub alone: Millis,
 }
 
 impl Default for Config {
     /// Heartbeats come each 0.6 s and cross the fleet in two or three rounds; a minute covers the
-    /// cuts that the users' deployments list.
+    /// cuts that the users' deployments list. Three close followers: of nine in three data centres one
+    /// is left where half of all machines fail at once, but for once in 500 times. Exchanges are made
+    /// each 0.6 s and time out after 0.5 s, so 1.5 s are two that failed.
     fn default() -> Self {
-        Config { suspect: Millis(3_000), forget: Millis(60_000) }
+        Config {
+            suspect: Millis(3_000),
+            forget: Millis(60_000),
+            close_followers: 3,
+            alone: Millis(1_500),
+        }
     }
 }
 
@@ -80,12 +91,14 @@
     /// Fencing token with which it leads expert maps, told to others or not; 0 if it does not.
     lead_fence: u64,
     others: BTreeMap<String, Heard>,
+    /// When news were exchanged last.
+    exchanged_at: Option<Millis>,
 }
 
 impl Members {
     /// A gateway that has heard of none other.
     pub fn new(config: Config, own: Member) -> Members {
-        Members { config, own, lead_fence: 0, others: BTreeMap::new() }
+        Members { config, own, lead_fence: 0, others: BTreeMap::new(), exchanged_at: None }
     }
 
     /// This gateway.
@@ -216,6 +229,26 @@
         first && self.own.store_answers
     }
 
+    /// News were exchanged with another gateway.
+    pub fn exchanged(&mut self, now: Millis) {
+        self.exchanged_at = Some(now);
+    }
+
+    /// Whether this gateway follows the store closely: the first by name of each data centre do, of
+    /// those whom the store answers, and whoever hears of no other. The rest hear from them what the
+    /// store's answers to themselves lack.
+    pub fn follows_closely(&self, now: Millis) -> bool {
+        let is_alone = self.exchanged_at.is_none_or(|at| now.since(at) >= self.config.alone);
+        let goes_before = |member: &&Member| {
+            member.data_centre == self.own.data_centre
+                && member.readiness == Readiness::Ready
+                && member.store_answers
+                && member.name < self.own.name
+        };
+        let before = self.living_others(now).filter(goes_before).count();
+        is_alone || before < self.config.close_followers
+    }
+
     /// Where the other gateways that live are told news.
     pub fn living_peers(&self, now: Millis) -> Vec<SocketAddr> {
         self.living_others(now).map(|member| member.peers_at).collect()
--- a/crates/core/tests/direct_tables.rs
+++ b/crates/core/tests/direct_tables.rs
@@ -177,9 +177,45 @@
     }
 }
 
+/// A gateway in one data centre with all others.
+fn neighbour(name: &str) -> Member {
+    Member { data_centre: "hall".to_owned(), ..member(name, 1) }
+}
+
+#[test]
+fn few_of_each_data_centre_follow_the_store_closely_and_others_take_their_place() {
+    let now = Millis(10_000);
+    let mut members = Members::new(Config::default(), neighbour("d"));
+    assert!(members.follows_closely(now), "it has heard of no other");
+    members.exchanged(now);
+    members.hear(&neighbour("a"), now);
+    members.hear(&neighbour("b"), now);
+    members.hear(&member("c", 1), now);
+    assert!(members.follows_closely(now), "two of its data centre come before it");
+    members.hear(&neighbour("c2"), now);
+    assert!(!members.follows_closely(now));
+    members.hear(&Member { heartbeat: 2, store_answers: false, ..neighbour("b") }, now);
+    assert!(members.follows_closely(now), "the store does not answer one of them");
+    members.hear(&Member { heartbeat: 3, ..neighbour("b") }, now);
+    assert!(!members.follows_closely(now));
+    members.unreachable(neighbour("a").peers_at, now);
+    assert!(members.follows_closely(now), "one of them cannot be reached");
+}
+
+#[test]
+fn a_gateway_that_exchanges_no_news_follows_the_store_closely() {
+    let mut members = Members::new(Config::default(), neighbour("d"));
+    for name in ["a", "b", "c"] {
+        members.hear(&neighbour(name), Millis(1_000));
+    }
+    members.exchanged(Millis(1_000));
+    assert!(!members.follows_closely(Millis(2_400)));
+    assert!(members.follows_closely(Millis(2_500)));
+}
+
 #[test]
 fn a_gateway_whose_heartbeat_stands_still_is_not_given_to_callers() {
-    let config = Config { suspect: Millis(3_000), forget: Millis(60_000) };
+    let config = Config { suspect: Millis(3_000), forget: Millis(60_000), ..Config::default() };
     let mut members = Members::new(config, member("a", 1));
     members.set_readiness(Readiness::Ready);
     members.hear(&member("b", 1), Millis(0));
@@ -210,7 +246,7 @@
 
 #[test]
 fn whoever_leads_goes_on_until_it_is_silent() {
-    let config = Config { suspect: Millis(3_000), forget: Millis(60_000) };
+    let config = Config { suspect: Millis(3_000), forget: Millis(60_000), ..Config::default() };
     let mut members = Members::new(config, member("b", 1));
     members.set_readiness(Readiness::Ready);
     assert!(members.shall_lead(Millis(0)), "it knows no other");
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -18,6 +18,10 @@
 /// and its time-out stay below three seconds. Calls are priced, so it is not much shorter.
 const WAIT: Duration = Duration::from_millis(2_000);
 
+/// The same where others of the data centre follow closely: what a lost answer hides comes from them.
+/// Three times the wait, a third of the calls while nothing changes.
+const LOOSE_WAIT: Duration = Duration::from_millis(6_000);
+
 /// Pause after a call that failed.
 const PAUSE: Duration = Duration::from_millis(250);
 
@@ -28,6 +32,14 @@
 /// is due within two seconds.
 const GATHER: Duration = Duration::from_millis(200);
 
+/// The same where others follow closely. What they learn meanwhile comes with news from them; where it
+/// does not, it is late by one second of the two that are allowed. With [`LOOSE_WAIT`], half of the
+/// calls of 32 gateways, 0.015 to 0.02 of worth.
+const LOOSE_GATHER: Duration = Duration::from_millis(1_000);
+
+/// Time between two looks at whether a gateway still follows loosely.
+const LOOK_EVERY: Duration = Duration::from_millis(500);
+
 /// Time between two looks at the table of gateways: it is needed only by those that no other
 /// gateway knows.
 const MEMBERS_EVERY: Duration = Duration::from_secs(30);
@@ -39,10 +51,17 @@
 pub async fn follow<P: Platform>(gateway: Rc<Gateway<P>>, table: Table) {
     let mut whole = true;
     loop {
+        let closely = follows_closely(&gateway);
         let asked = if whole {
             gateway.platform.read(table).await
         } else {
-            gateway.platform.follow(table, gateway.revision(table), WAIT).await
+            let wait = if closely { WAIT } else { LOOSE_WAIT };
+            let asked = gateway.platform.follow(table, gateway.revision(table), wait);
+            tokio::select! {
+                asked = asked => asked,
+                // Those that followed closely are gone, or this gateway is cut off from them.
+                () = until_close(&gateway), if !closely => continue,
+            }
         };
         match asked {
             Ok(update) if whole && update.revision < gateway.revision(table) => {
@@ -55,7 +74,7 @@
                 gateway.take(table, &update, "store");
                 whole = false;
                 if !update.changes.is_empty() {
-                    time::sleep(GATHER).await;
+                    time::sleep(if closely { GATHER } else { LOOSE_GATHER }).await;
                 }
             }
             Err(Failure::HistoryGone) => {
@@ -70,6 +89,18 @@
     }
 }
 
+fn follows_closely<P: Platform>(gateway: &Gateway<P>) -> bool {
+    let now = gateway.now();
+    gateway.with_members(|members| members.follows_closely(now))
+}
+
+/// Waits until this gateway shall follow closely.
+async fn until_close<P: Platform>(gateway: &Gateway<P>) {
+    while !follows_closely(gateway) {
+        time::sleep(LOOK_EVERY).await;
+    }
+}
+
 /// Lists this gateway, and reads who else is listed, now and then, until it stops.
 pub async fn keep_listed<P: Platform>(gateway: Rc<Gateway<P>>) {
     let mut listed = false;
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -166,6 +166,8 @@
         }
         match done {
             Ok(Ok(socket)) => {
+                let now = gateway.now();
+                gateway.with_members(|members| members.exchanged(now));
                 let mut kept = self.kept.borrow_mut();
                 if kept.len() >= MOST_KEPT {
                     // The gateway at its other end may be long gone.
