--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -9,6 +9,7 @@
 //! - [`pool`]: which backend server gets a request.
 //! - [`slow`]: which backend servers are slow, as one gateway finds and all tell each other.
 //! - [`attempts`]: what follows an attempt: answer, another attempt, or a refusal.
+//! - [`outage`]: when callers come back while no server can take a request.
 //! - [`budget`]: how many repeats failures may cost, over a sliding window.
 //! - [`expert_demand`], [`expert_plan`], [`expert_layout`]: how often experts are chosen, and which
 //!   rank shall hold which.
@@ -24,6 +25,7 @@
 pub mod expert_plan;
 pub mod map_orders;
 pub mod members;
+pub mod outage;
 pub mod passes;
 pub mod pool;
 pub mod replica;
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -121,6 +121,7 @@
         turn.end(ending);
         if ending == Ending::Stalled {
             gateway.stalled.notify_one();
+            gateway.note_out(&request.service);
         }
         drain(gateway, body, connection);
         return Err(Fate::NotRun);
@@ -131,6 +132,7 @@
     }
     let failed = head.status.is_server_error();
     turn.end(if failed { Ending::Failed } else { Ending::Answered });
+    gateway.note_taken(&request.service);
     Ok(Answer { head, body, connection, turn })
 }
 
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -67,9 +67,12 @@
     let mut failure = None;
     loop {
         let Some(turn) = next_turn(gateway, request, attempts) else {
+            if attempts.tried().is_empty() {
+                gateway.note_out(&request.service);
+            }
             return match failure {
                 Some((head, body)) => Tried::Whole(head, body),
-                None => Tried::Refused(attempts.refuse(Cause::NoBackendServer)),
+                None => refused(gateway, request, attempts.refuse(Cause::NoBackendServer)),
             };
         };
         let server = turn.server();
@@ -89,7 +92,7 @@
         match (next, failure.take()) {
             (Next::Again, kept) => failure = kept,
             (_, Some((head, body))) => return Tried::Whole(head, body),
-            (Next::GiveUp(refusal), None) => return Tried::Refused(refusal),
+            (Next::GiveUp(refusal), None) => return refused(gateway, request, refusal),
             (Next::PassOn, None) => {
                 return Tried::Refused(attempts.refuse(Cause::BackendFailed));
             }
@@ -97,6 +100,15 @@
     }
 }
 
+/// A refusal, with a time to come back at which servers are expected to take requests again.
+fn refused<P: Platform>(gateway: &Gateway<P>, request: &Request, refusal: Refusal) -> Tried<P> {
+    let may_return = refusal.retry_after.is_some();
+    match gateway.come_back(&request.service).filter(|_| may_return) {
+        Some(after) => Tried::Refused(refusal.retry_after(after)),
+        None => Tried::Refused(refusal),
+    }
+}
+
 /// What one attempt gave.
 enum Outcome<P: Platform> {
     /// What the caller gets.
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -19,6 +19,8 @@
 use hooktrestle_core::direct::members::Member;
 use hooktrestle_core::direct::members::Members;
 use hooktrestle_core::direct::members::Readiness;
+use hooktrestle_core::direct::outage;
+use hooktrestle_core::direct::outage::Outages;
 use hooktrestle_core::direct::pool;
 use hooktrestle_core::direct::pool::Pool;
 use hooktrestle_core::direct::pool::Server;
@@ -27,6 +29,7 @@
 use hooktrestle_core::direct::serving::Serving;
 use hooktrestle_core::direct::slow::Findings;
 use hooktrestle_core::util::arena::Key;
+use rand::RngExt;
 use tokio::sync::Notify;
 
 use crate::clock::TimerClock;
@@ -87,6 +90,7 @@
     members: RefCell<Members>,
     replicas: RefCell<BTreeMap<Table, Replica>>,
     budgets: RefCell<HashMap<String, RepeatBudget>>,
+    outages: RefCell<HashMap<String, Outages>>,
     budget: Cell<budget::Config>,
     /// Sidecars that gave no answer, and until when they are not asked.
     passed_by: RefCell<HashMap<Key<Server>, Millis>>,
@@ -120,6 +124,7 @@
             members: RefCell::new(Members::new(members::Config::default(), own)),
             replicas: RefCell::new(Table::ALL.map(|table| (table, Replica::default())).into()),
             budgets: RefCell::default(),
+            outages: RefCell::default(),
             budget: Cell::new(budget),
             passed_by: RefCell::default(),
             phase: Cell::new(Phase::Running),
@@ -254,6 +259,31 @@
         self.with_budget(service, |budget| budget.covers(now, gateways))
     }
 
+    /// No server of a service could take a request.
+    pub fn note_out(&self, service: &str) {
+        let now = self.now();
+        let mut outages = self.outages.borrow_mut();
+        if let Some(known) = outages.get_mut(service) {
+            return known.began(now);
+        }
+        let mut new = Outages::new(outage::Config::default());
+        new.began(now);
+        outages.insert(service.to_owned(), new);
+    }
+
+    /// A server of a service has taken a request.
+    pub fn note_taken(&self, service: &str) {
+        if let Some(known) = self.outages.borrow_mut().get_mut(service) {
+            known.ended(self.now());
+        }
+    }
+
+    /// When a caller that is refused now shall come back, if no server of the service takes requests.
+    pub fn come_back(&self, service: &str) -> Option<Millis> {
+        let part = rand::rng().random();
+        self.outages.borrow().get(service)?.come_back(self.now(), part)
+    }
+
     /// Bounds from changed settings, for all services.
     pub fn set_budget(&self, config: budget::Config) {
         self.budget.set(config);
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -39,9 +39,12 @@
 /// Bounds of a request's cost, in usual requests: hints are often far off.
 const COST_RANGE: (f64, f64) = (0.25, 4.0);
 
-/// When a caller shall come back while no configuration is known: about the pause between two calls
-/// to the store.
-const COME_BACK_UNREADY: Millis = Millis(200);
+/// When a caller shall come back while no configuration is known, by how long the process has run: one
+/// that starts reads it within 0.1 s, but after a loss of power groups form anew meanwhile.
+const COME_BACK_UNREADY: Millis = Millis(2_000);
+
+/// The same at least: a gateway that is still without one has no answer from the store.
+const COME_BACK_LEAST: Millis = Millis(800);
 
 /// The priority that goes last, as [`Route`] says.
 const LOWEST_PRIORITY: u8 = 9;
@@ -108,7 +111,8 @@
     let serving = gateway.serving();
     if serving.version == 0 {
         let refusal = Refusal::not_run(Cause::NotReady);
-        return Err(Unread::Refused(refusal.retry_after(COME_BACK_UNREADY)));
+        let left = COME_BACK_UNREADY.since(came).max(COME_BACK_LEAST);
+        return Err(Unread::Refused(refusal.retry_after(left)));
     }
     let (route, account) = admit(&serving, &parts)?;
     let names = gateway.platform.headers();
