--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -8,6 +8,7 @@
 //! - [`members`]: which gateways there are.
 //! - [`pool`]: which backend server gets a request.
 //! - [`slow`]: which backend servers are slow, as one gateway finds and all tell each other.
+//! - [`admission`]: how many streams a service bears, by how long its passes take.
 //! - [`attempts`]: what follows an attempt: answer, another attempt, or a refusal.
 //! - [`outage`]: when callers come back while no server can take a request.
 //! - [`budget`]: how many repeats failures may cost, over a sliding window.
@@ -17,6 +18,7 @@
 //! - [`passes`]: how long the passes of groups take.
 //! - [`events`]: a stream of events, cut between events only.
 
+pub mod admission;
 pub mod attempts;
 pub mod budget;
 pub mod events;
--- a/crates/core/src/direct/pool.rs
+++ b/crates/core/src/direct/pool.rs
@@ -292,6 +292,20 @@
         None
     }
 
+    /// Part of the slots of a service's open servers that is taken, as they told last.
+    pub fn busy_part(&self, service: &str) -> f64 {
+        let Some(found) = self.services.get(service) else { return 0.0 };
+        let (mut taken, mut slots) = (0, 0);
+        for (key, candidate) in found.servers.iter().zip(&found.candidates) {
+            let server = &self.servers[*key];
+            if server.is_open() {
+                taken += candidate.report.running_requests + candidate.report.queued_requests;
+                slots += server.listed.slots;
+            }
+        }
+        f64::from(taken) / f64::from(slots.max(1))
+    }
+
     /// Whether a server counts as slow.
     pub fn is_slow(&self, key: Key<Server>, now: Millis) -> bool {
         self.servers[key].slow_until > now
--- a/crates/core/src/direct/serving.rs
+++ b/crates/core/src/direct/serving.rs
@@ -45,6 +45,8 @@
     pub timeout_ms: Millis,
     /// Time within which the first byte is owed.
     pub objective_ms: Millis,
+    /// Longest pause between the events of a stream, where one is owed.
+    pub pause_ms: Option<Millis>,
     /// 0 to 9; 0 goes first.
     pub priority: u8,
     /// Where its requests go.
@@ -144,6 +146,8 @@
     pub name: String,
     /// Connections that one of its servers takes from all callers together.
     pub most_connections: u32,
+    /// Length of a pass of its engines with next to no work; zero where that is not told.
+    pub least_pass_ms: f64,
     /// Its engine's experts, if groups of ranks serve it.
     pub experts: Option<ExpertShape>,
 }
--- a/crates/core/tests/direct_tables.rs
+++ b/crates/core/tests/direct_tables.rs
@@ -32,6 +32,7 @@
         kind: RouteKind::Repeatable,
         timeout_ms: Millis(2_000),
         objective_ms: Millis(300),
+        pause_ms: None,
         priority: 1,
         splits: vec![Split { service: "hints".to_owned(), weight: 1 }],
         most_attempts: 2,
--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -164,7 +164,8 @@
             // Another gateway can take it at once.
             Err(Refusal::not_run(Cause::Leaving).retry_after(Millis::ZERO))
         }
-        Ok(request) => {
+        Ok(mut request) => {
+            enter(gateway, &mut request).await?;
             let reply = forward::forward(gateway, &request).await;
             Ok((request, reply))
         }
@@ -174,6 +175,25 @@
     }
 }
 
+/// Lets a stream in, after a wait if need be, where a pause between its events is owed.
+async fn enter<P: Platform>(
+    gateway: &Rc<Gateway<P>>,
+    request: &mut Request,
+) -> Result<(), Refusal> {
+    let busy = gateway.with_pool(|pool| pool.busy_part(&request.service));
+    let Some(asked) = request.asks_entry(busy) else { return Ok(()) };
+    match gateway.entrance(&request.service).enter(asked).await {
+        Ok(permit) => {
+            request.permit = Some(permit);
+            Ok(())
+        }
+        Err(after) => {
+            gateway.metrics.crowded.inc();
+            Err(Refusal::not_run(Cause::QueueFull).retry_after(after))
+        }
+    }
+}
+
 fn note_refused<P: Platform>(
     gateway: &Gateway<P>,
     id: Option<&HeaderValue>,
--- /dev/null
+++ b/crates/direct/src/entrance.rs
@@ -0,0 +1,168 @@
+//! Where streams of a service begin: at once, after a wait, or not here and now.
+//!
+//! [`Admission`] decides; this keeps those that wait, by priority and then by deadline, and lets the
+//! first of them in as soon as there is room. A caller that was refused once comes back with less time
+//! left, so it goes before one that comes for the first time.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use hooktrestle_core::clock::Clock;
+use hooktrestle_core::clock::Millis;
+use hooktrestle_core::direct::admission::Admission;
+use hooktrestle_core::direct::admission::Entry;
+use hooktrestle_core::direct::admission::Owed;
+use tokio::sync::oneshot;
+
+use crate::clock::TimerClock;
+
+/// Who goes first: priority, deadline, then order of arrival.
+type Rank = (u8, Millis, u64);
+
+/// The entrance of one service.
+#[derive(Debug)]
+pub struct Entrance {
+    clock: TimerClock,
+    admission: RefCell<Admission>,
+    waiting: RefCell<BTreeMap<Rank, (Owed, oneshot::Sender<Permit>)>>,
+    arrivals: Cell<u64>,
+}
+
+/// A stream that asks for entry.
+#[derive(Clone, Copy, Debug)]
+pub struct Asked {
+    /// What its route and service owe.
+    pub owed: Owed,
+    /// 0 goes first.
+    pub priority: u8,
+    /// When it is given up.
+    pub deadline: Millis,
+    /// When its first event is owed.
+    pub first_due: Millis,
+    /// Part of the service's slots that is taken.
+    pub busy: f64,
+}
+
+impl Entrance {
+    /// Nobody has entered yet.
+    pub fn new(clock: TimerClock) -> Rc<Entrance> {
+        Rc::new(Entrance {
+            clock,
+            admission: RefCell::new(Admission::new(Default::default())),
+            waiting: RefCell::default(),
+            arrivals: Cell::new(0),
+        })
+    }
+
+    /// Lets a stream in, at once or after a wait.
+    ///
+    /// # Errors
+    ///
+    /// Its turn would come too late; it may come back after this time.
+    pub async fn enter(self: &Rc<Self>, asked: Asked) -> Result<Permit, Millis> {
+        let now = self.clock.now();
+        let left_ms = asked.first_due.since(now).0 as f64;
+        let entry = self.admission.borrow_mut().enter(asked.owed, left_ms, asked.busy, now);
+        match entry {
+            Entry::Admitted => return Ok(Permit::new(self.clone(), now)),
+            Entry::Refused(after) => return Err(after),
+            Entry::Waits => {}
+        }
+        let (sender, mut receiver) = oneshot::channel();
+        let number = self.arrivals.replace(self.arrivals.get() + 1);
+        let rank = (asked.priority, asked.deadline, number);
+        self.waiting.borrow_mut().insert(rank, (asked.owed, sender));
+        let _place = Place { entrance: self, rank };
+        self.admission.borrow_mut().began_to_wait();
+        let first_ms = self.admission.borrow().first_ms();
+        let latest = Millis(asked.first_due.0.saturating_sub(first_ms as u64));
+        tokio::select! {
+            permit = &mut receiver => if let Ok(permit) = permit { return Ok(permit) },
+            () = tokio::time::sleep_until(self.clock.instant(latest)) => {}
+        }
+        // The estimate was off: what was held is sent rather than held in vain.
+        Ok(Permit::new(self.clone(), self.clock.now()))
+    }
+
+    /// Does something with what is known of passes.
+    pub fn with_admission<T>(&self, act: impl FnOnce(&mut Admission) -> T) -> T {
+        act(&mut self.admission.borrow_mut())
+    }
+
+    /// Lets in those that wait, as far as there is room.
+    fn release(self: &Rc<Self>) {
+        let now = self.clock.now();
+        loop {
+            let mut waiting = self.waiting.borrow_mut();
+            let Some(first) = waiting.first_entry() else { return };
+            if !self.admission.borrow().has_room(first.get().0, now) {
+                return;
+            }
+            let (_, sender) = first.remove();
+            drop(waiting);
+            // One that has left gives its permit back.
+            drop(sender.send(Permit::new(self.clone(), now)));
+        }
+    }
+}
+
+/// A place among those that wait.
+struct Place<'a> {
+    entrance: &'a Entrance,
+    rank: Rank,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.entrance.waiting.borrow_mut().remove(&self.rank);
+        self.entrance.admission.borrow_mut().waited();
+    }
+}
+
+/// A stream that was let in, until this is dropped.
+#[derive(Debug)]
+pub struct Permit {
+    entrance: Rc<Entrance>,
+    since: Millis,
+    last_event: Option<Millis>,
+    /// Whether it has left the server at which it began.
+    moved: bool,
+}
+
+impl Permit {
+    fn new(entrance: Rc<Entrance>, now: Millis) -> Permit {
+        entrance.admission.borrow_mut().began();
+        Permit { entrance, since: now, last_event: None, moved: false }
+    }
+
+    /// An event of the stream came; returns the pause since the one before it.
+    pub fn saw_event(&mut self) -> Option<Millis> {
+        let now = self.entrance.clock.now();
+        let pause = self.last_event.replace(now).map(|last| now.since(last));
+        let mut admission = self.entrance.admission.borrow_mut();
+        match pause {
+            Some(pause) => admission.saw_pass(pause.0 as f64, now),
+            None if !self.moved => admission.saw_first(now.since(self.since).0 as f64),
+            None => {}
+        }
+        drop(admission);
+        self.entrance.release();
+        pause
+    }
+
+    /// The stream goes on at another server: the pause says nothing of passes.
+    pub fn moved(&mut self) {
+        self.moved = true;
+        self.last_event = None;
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let took = self.entrance.clock.now().since(self.since).0 as f64;
+        self.entrance.admission.borrow_mut().ended(self.last_event.is_some().then_some(took));
+        self.entrance.release();
+    }
+}
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -34,6 +34,7 @@
 
 use crate::clock::TimerClock;
 use crate::connections::Connections;
+use crate::entrance::Entrance;
 use crate::journal::Journal;
 use crate::metrics::Metrics;
 use crate::platform::Platform;
@@ -91,6 +92,7 @@
     replicas: RefCell<BTreeMap<Table, Replica>>,
     budgets: RefCell<HashMap<String, RepeatBudget>>,
     outages: RefCell<HashMap<String, Outages>>,
+    entrances: RefCell<HashMap<String, Rc<Entrance>>>,
     budget: Cell<budget::Config>,
     /// Sidecars that gave no answer, and until when they are not asked.
     passed_by: RefCell<HashMap<Key<Server>, Millis>>,
@@ -125,6 +127,7 @@
             replicas: RefCell::new(Table::ALL.map(|table| (table, Replica::default())).into()),
             budgets: RefCell::default(),
             outages: RefCell::default(),
+            entrances: RefCell::default(),
             budget: Cell::new(budget),
             passed_by: RefCell::default(),
             phase: Cell::new(Phase::Running),
@@ -284,6 +287,16 @@
         self.outages.borrow().get(service)?.come_back(self.now(), part)
     }
 
+    /// Where streams of a service begin.
+    pub fn entrance(&self, service: &str) -> Rc<Entrance> {
+        let mut entrances = self.entrances.borrow_mut();
+        if let Some(entrance) = entrances.get(service) {
+            return entrance.clone();
+        }
+        let entrance = entrances.entry(service.to_owned());
+        entrance.or_insert_with(|| Entrance::new(self.clock)).clone()
+    }
+
     /// Bounds from changed settings, for all services.
     pub fn set_budget(&self, config: budget::Config) {
         self.budget.set(config);
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -5,9 +5,10 @@
 //!
 //! 1. `callers` takes connections from `accept` and watches how long they rest.
 //! 2. `request` reads one request and admits it under the configuration in force.
-//! 3. `forward` sends it, again where that is allowed, and finds its one answer.
-//! 4. `exchange` is one attempt, over a connection from `connections`.
-//! 5. `relay` passes the answer on as it comes, and takes up a broken stream elsewhere.
+//! 3. `entrance` lets a stream in as far as the passes of its service bear it.
+//! 4. `forward` sends it, again where that is allowed, and finds its one answer.
+//! 5. `exchange` is one attempt, over a connection from `connections`.
+//! 6. `relay` passes the answer on as it comes, and takes up a broken stream elsewhere.
 //!
 //! Beside it, `follow` keeps the tables of the platform up to date, `peers` exchanges them with
 //! other gateways, `maps` moves experts between the ranks of groups as demand changes, through
@@ -17,11 +18,12 @@
 
 mod accept;
 mod callers;
-mod clock;
+pub mod clock;
 mod connections;
 pub mod dial;
 mod endpoints;
 pub mod engine;
+pub mod entrance;
 mod exchange;
 mod follow;
 mod forward;
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -16,6 +16,8 @@
     pub answered: Counter,
     /// Requests refused or failed by the gateway.
     pub refused: Counter,
+    /// Streams refused because passes would be too long with them.
+    pub crowded: Counter,
     /// Attempts at backend servers that were sent.
     pub attempts: Counter,
     /// Streams taken up at another server.
@@ -26,6 +28,8 @@
     pub dialled: Counter,
     /// Milliseconds from a request's head to the head of its answer.
     pub head_ms: Histogram,
+    /// Milliseconds between two events of a stream: the length of a pass of its group.
+    pub pause_ms: Histogram,
     registry: Registry,
 }
 
@@ -36,17 +40,20 @@
             requests: Counter::default(),
             answered: Counter::default(),
             refused: Counter::default(),
+            crowded: Counter::default(),
             attempts: Counter::default(),
             resumed: Counter::default(),
             repeats_denied: Counter::default(),
             dialled: Counter::default(),
             head_ms: Histogram::new(exponential_buckets(start, factor, length)),
+            pause_ms: Histogram::new(exponential_buckets(start, factor, length)),
             registry: Registry::with_prefix("hooktrestle"),
         };
         let counters = [
             ("requests", "Requests that were admitted", &metrics.requests),
             ("answered", "Answers that were passed on whole", &metrics.answered),
             ("refused", "Requests refused or failed by the gateway", &metrics.refused),
+            ("crowded", "Streams refused because passes would be too long", &metrics.crowded),
             ("attempts", "Attempts that were sent", &metrics.attempts),
             ("resumed", "Streams taken up at another server", &metrics.resumed),
             ("repeats_denied", "Repeats beyond the budget", &metrics.repeats_denied),
@@ -57,6 +64,8 @@
         }
         let help = "Milliseconds from a request's head to its answer's head";
         metrics.registry.register("head_ms", help, metrics.head_ms.clone());
+        let help = "Milliseconds between two events of a stream";
+        metrics.registry.register("pause_ms", help, metrics.pause_ms.clone());
         metrics
     }
 }
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -28,6 +28,7 @@
 use tokio::time;
 use tokio::time::Instant;
 
+use crate::entrance::Permit;
 use crate::exchange;
 use crate::exchange::Answer;
 use crate::forward;
@@ -104,6 +105,10 @@
             Piece::Bytes(bytes) => {
                 let passed = relay.events.push(&bytes);
                 if !passed.is_empty() {
+                    let pause = relay.request.permit.as_mut().and_then(Permit::saw_event);
+                    if let Some(pause) = pause {
+                        relay.gateway.metrics.pause_ms.observe(pause.0 as f64);
+                    }
                     return Some((Ok(Frame::data(Bytes::from(passed))), relay));
                 }
             }
@@ -176,6 +181,9 @@
         LeaveReason::Slow => Ending::Left,
     });
     relay.events.broke_off();
+    if let Some(permit) = &mut relay.request.permit {
+        permit.moved();
+    }
     Some(left.turn.server())
 }
 
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use hooktrestle_core::clock::Millis;
+use hooktrestle_core::direct::admission::Owed;
 use hooktrestle_core::direct::serving::AccountKey;
 use hooktrestle_core::direct::serving::Denial;
 use hooktrestle_core::direct::serving::Route;
@@ -23,6 +24,8 @@
 use http_body_util::Limited;
 use hyper::body::Incoming;
 
+use crate::entrance::Asked;
+use crate::entrance::Permit;
 use crate::gateway::Gateway;
 use crate::headers;
 use crate::platform::HeaderNames;
@@ -78,6 +81,12 @@
     pub deadline: Millis,
     /// Work that it is, in usual requests.
     pub cost: f64,
+    /// When it came.
+    pub came: Millis,
+    /// Its priority at backend servers.
+    pub priority: u8,
+    /// Its entry as a stream, once it has one.
+    pub permit: Option<Permit>,
 }
 
 impl Request {
@@ -91,6 +100,20 @@
         self.id.to_str().unwrap_or("?")
     }
 
+    /// What it asks of its service's entrance; `None` where no pause between events is owed.
+    pub fn asks_entry(&self, busy: f64) -> Option<Asked> {
+        let route = self.route();
+        let pause = route.pause_ms.filter(|_| self.is_stream())?;
+        let least_pass_ms = self.serving.services.get(&self.service)?.least_pass_ms;
+        Some(Asked {
+            owed: Owed { pause_ms: pause.0 as f64, least_pass_ms },
+            priority: self.priority,
+            deadline: self.deadline,
+            first_due: self.came + route.objective_ms,
+            busy,
+        })
+    }
+
     /// Whether it is answered by a stream of events.
     pub fn is_stream(&self) -> bool {
         self.route().kind == RouteKind::Stream
@@ -126,7 +149,8 @@
     let service = found.draw(&mut rand::rng()).unwrap_or_default().to_owned();
     let cost = cost(&parts.headers, names);
     let uri = origin_form(&parts.uri);
-    let headers = onward_headers(parts.headers, names, &serving, route, account);
+    let priority = priority(&serving, route, account);
+    let headers = onward_headers(parts.headers, names, &serving, account, priority);
     Ok(Request {
         serving,
         route,
@@ -138,6 +162,9 @@
         body,
         deadline,
         cost,
+        came,
+        priority,
+        permit: None,
     })
 }
 
@@ -170,8 +197,8 @@
     mut headers: HeaderMap,
     names: &HeaderNames,
     serving: &Serving,
-    route: RouteKey,
     account: Option<AccountKey>,
+    priority: u8,
 ) -> HeaderMap {
     headers::strip_connection(&mut headers);
     headers.remove(header::AUTHORIZATION);
@@ -184,15 +211,16 @@
     {
         headers.insert(names.account.clone(), value);
     }
-    let own = account.and_then(|account| account.priority);
-    let priority = own.unwrap_or(serving.route(route).priority);
-    headers.insert(
-        names.priority.clone(),
-        HeaderValue::from(u16::from(priority.min(LOWEST_PRIORITY))),
-    );
+    headers.insert(names.priority.clone(), HeaderValue::from(u16::from(priority)));
     headers
 }
 
+/// The account's priority, or the route's.
+fn priority(serving: &Serving, route: RouteKey, account: Option<AccountKey>) -> u8 {
+    let own = account.and_then(|account| serving.account(account).priority);
+    own.unwrap_or(serving.route(route).priority).min(LOWEST_PRIORITY)
+}
+
 fn cost(headers: &HeaderMap, names: &HeaderNames) -> f64 {
     let counts = headers::text(headers, &names.token_counts).unwrap_or_default();
     let mut counts = counts.split(',').filter_map(|text| text.trim().parse::<f64>().ok());
--- a/xtask/src/style.rs
+++ b/xtask/src/style.rs
@@ -20,8 +20,9 @@
 const PLATFORM_WORDS: &str = "platform/words.txt";
 
 /// Modules that every request goes through.
-const REQUEST_PATH: [&str; 18] = [
+const REQUEST_PATH: [&str; 20] = [
     "crates/core/src/attempt.rs",
+    "crates/core/src/direct/admission.rs",
     "crates/core/src/direct/attempts.rs",
     "crates/core/src/direct/events.rs",
     "crates/core/src/direct/pool.rs",
@@ -31,6 +32,7 @@
     "crates/direct/src/callers.rs",
     "crates/direct/src/callers/body.rs",
     "crates/direct/src/callers/watch.rs",
+    "crates/direct/src/entrance.rs",
     "crates/direct/src/exchange.rs",
     "crates/direct/src/forward.rs",
     "crates/direct/src/relay.rs",
