--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -55,6 +55,8 @@
     pub forget: Millis,
     /// Gateways of each data centre that follow the store closely.
     pub close_followers: usize,
+    /// Time between two exchanges of news by one gateway.
+    pub round: Millis,
     /// Time without an exchange of news after which this one follows the store closely, too.
     pub alone: Millis,
 }
@@ -69,6 +71,7 @@
             suspect: Millis(3_000),
             forget: Millis(60_000),
             close_followers: 3,
+            round: Millis(600),
             alone: Millis(1_500),
         }
     }
@@ -77,6 +80,13 @@
 /// Of so many draws, one takes gateways that were silent, too. A first guess.
 const SILENT_DRAWS: u8 = 4;
 
+/// Rounds of news after those in which as many gateways hear as knew before: the last few are drawn by
+/// chance.
+const SPREAD_TAIL: u64 = 1;
+
+/// Rounds of news that a claim is protected at least, however few gateways its holder has heard of.
+const LEAST_SPREAD: u64 = 4;
+
 #[derive(Clone, Debug)]
 struct Heard {
     member: Member,
@@ -254,6 +264,21 @@
         self.living_others(now).map(|member| member.peers_at).collect()
     }
 
+    /// How long a lead takes to be known by all: in each round at least as many gateways again hear of
+    /// it. Those that were silent count, since whoever has just started has heard of few that live.
+    pub fn spread_time(&self) -> Millis {
+        let known = 1 + self.others.len();
+        let doublings = u64::from(usize::BITS - known.leading_zeros()) + SPREAD_TAIL;
+        Millis(self.config.round.0 * doublings.max(LEAST_SPREAD))
+    }
+
+    /// Whether this gateway leads, tells of it, and has heard of no higher token: only then it begins
+    /// to change a map. One that does not tell may have been replaced, and servers need not check
+    /// fencing tokens.
+    pub fn may_order(&self, now: Millis) -> bool {
+        self.own.lead_fence > 0 && self.shall_lead(now)
+    }
+
     /// Another gateway to exchange news with, drawn at random; now and then one that was silent.
     pub fn draw<R: Rng>(&self, now: Millis, rng: &mut R) -> Option<SocketAddr> {
         let silent_too = rng.random_range(0..SILENT_DRAWS) == 0 || self.living(now) == 1;
--- a/crates/core/tests/direct_tables.rs
+++ b/crates/core/tests/direct_tables.rs
@@ -22,6 +22,8 @@
 use hooktrestle_core::direct::serving::Split;
 use proptest::collection::vec;
 use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use support::seeded;
 
 fn route(host: &str, prefix: &str, anonymous: bool) -> Route {
@@ -308,3 +310,68 @@
     members.end_lead(4);
     assert_eq!(members.own().lead_fence, 0);
 }
+
+/// Rounds of news until all of so many gateways have heard of a lead that one has begun.
+fn rounds_until_all_hear(gateways: usize, seed: u64) -> u64 {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let named = |index: usize| {
+        let address = SocketAddr::from(([127, 0, 0, 1], 1_000 + index as u16));
+        Member { callers_at: address, peers_at: address, ..member(&format!("g{index}"), 1) }
+    };
+    let now = Millis(1_000);
+    let mut all: Vec<Members> = (0..gateways)
+        .map(|index| {
+            let mut members = Members::new(Config::default(), named(index));
+            let others = (0..gateways).filter(|other| *other != index);
+            others.for_each(|other| members.hear(&named(other), now));
+            members
+        })
+        .collect();
+    all[0].begin_lead(5);
+    for round in 1..100 {
+        for asks in 0..gateways {
+            all[asks].beat();
+            let Some(address) = all[asks].draw(now, &mut rng) else { continue };
+            let asked = usize::from(address.port() - 1_000);
+            let told = all[asks].tell();
+            told.iter().for_each(|member| all[asked].hear(member, now));
+            let answer = all[asked].tell();
+            answer.iter().for_each(|member| all[asks].hear(member, now));
+        }
+        let has_heard = |members: &Members| members.tell().iter().any(|told| told.lead_fence == 5);
+        if all.iter().all(has_heard) {
+            return round;
+        }
+    }
+    panic!("news do not spread");
+}
+
+#[test]
+fn a_claim_is_protected_until_all_gateways_have_heard_of_it() {
+    for gateways in [2, 6, 8, 32, 100] {
+        let mut members = Members::new(Config::default(), member("a", 1));
+        for index in 1..gateways {
+            members.hear(&member(&format!("g{index}"), 1), Millis(1_000));
+        }
+        let protected = members.spread_time().0 / Config::default().round.0;
+        for seed in 0..40 {
+            let rounds = rounds_until_all_hear(gateways, seed);
+            assert!(rounds <= protected, "{gateways} gateways: {rounds} of {protected} rounds");
+        }
+    }
+}
+
+#[test]
+fn a_leader_that_is_not_told_of_or_replaced_begins_no_change() {
+    let now = Millis(1_000);
+    let mut members = Members::new(Config::default(), member("a", 1));
+    assert!(!members.may_order(now), "it does not lead");
+    members.begin_lead(5);
+    assert!(members.may_order(now));
+    members.tell_lead(false);
+    assert!(!members.may_order(now), "another may take over");
+    members.tell_lead(true);
+    assert!(members.may_order(now));
+    members.hear(&Member { lead_fence: 6, ..member("b", 1) }, now);
+    assert!(!members.may_order(now), "another has taken over");
+}
--- a/crates/direct/src/maps.rs
+++ b/crates/direct/src/maps.rs
@@ -48,10 +48,6 @@
 /// once, each would claim the lead.
 const LISTEN_FIRST: Millis = Millis(500);
 
-/// How long a claim keeps others from claiming: two rounds of news between gateways, after which they
-/// have heard who leads.
-const CLAIM_PROTECTED: Millis = Millis(1_200);
-
 /// How long a leader that was replaced does not claim again: where it cannot hear of the other, the
 /// two would take the lead from each other all the while. Cuts at the users last some 5 s.
 const YIELD_WHEN_DEPOSED: Millis = Millis(5_000);
@@ -192,15 +188,17 @@
 
 /// Claims the lead of a service's maps, and returns its fencing token; ends the lead without one.
 async fn claim<P: Platform>(gateway: &Gateway<P>, service: &str, lead: &Lead) -> Option<u64> {
-    let holder = gateway.with_members(|members| members.own().name.clone());
-    match gateway.platform.claim_maps(service, &holder, CLAIM_PROTECTED).await {
+    // Until all have heard who leads, nobody else may: one that has not would give orders, too.
+    let (holder, protected) =
+        gateway.with_members(|members| (members.own().name.clone(), members.spread_time()));
+    match gateway.platform.claim_maps(service, &holder, protected).await {
         Ok(Claim::Held(fence)) => {
             gateway.journal.state(format_args!("maps of {service} are led with fence {fence}"));
             return Some(fence);
         }
         Ok(Claim::HeldBy(other)) => {
             gateway.journal.state(format_args!("maps of {service} are led by {other}"));
-            lead.yield_for(CLAIM_PROTECTED, gateway.now());
+            lead.yield_for(protected, gateway.now());
         }
         Err(failure) => {
             gateway.journal.state(format_args!("maps of {service} are not led: {failure}"));
@@ -353,6 +351,12 @@
         Some((key, engine::counts(&self.gateway, key, Path::Any).await?))
     }
 
+    /// Whether a map may begin to be changed.
+    fn may_order(&self) -> bool {
+        let now = self.gateway.now();
+        !self.lead.is_over() && self.gateway.with_members(|members| members.may_order(now))
+    }
+
     fn are_present(&self, ranks: &[Key<Server>]) -> bool {
         self.gateway.with_pool(|pool| ranks.iter().all(|key| pool.is_present(*key)))
     }
--- a/crates/direct/src/maps/group.rs
+++ b/crates/direct/src/maps/group.rs
@@ -68,6 +68,11 @@
                 time::sleep(LEAD_EVERY).await;
             }
         }
+        if !service.may_order() {
+            // Another leader may change the map meanwhile.
+            known = None;
+            continue;
+        }
         let Some(before) = &known else { continue };
         let Some(planned) = next_layout(&service, before, &ranks) else { continue };
         let switch = begin(&service, versions, before, &planned, ranks.len());
@@ -204,7 +209,7 @@
     before: &Known,
 ) -> (Switch, Next) {
     loop {
-        if !service.are_present(asked.ranks) {
+        if !service.are_present(asked.ranks) || !service.may_order() {
             switch.withdraw();
         }
         match switch.step() {
