--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -2,6 +2,7 @@
 //!
 //! One thread runs them all, so cells suffice: nothing is borrowed across an await.
 
+mod by_service;
 mod findings;
 mod tables;
 
@@ -35,6 +36,7 @@
 use crate::clock::TimerClock;
 use crate::connections::Connections;
 use crate::entrance::Entrance;
+use crate::gateway::by_service::ByService;
 use crate::journal::Journal;
 use crate::metrics::Metrics;
 use crate::platform::Platform;
@@ -90,9 +92,9 @@
     pool: RefCell<Pool>,
     members: RefCell<Members>,
     replicas: RefCell<BTreeMap<Table, Replica>>,
-    budgets: RefCell<HashMap<String, RepeatBudget>>,
-    outages: RefCell<HashMap<String, Outages>>,
-    entrances: RefCell<HashMap<String, Rc<Entrance>>>,
+    budgets: ByService<RepeatBudget>,
+    outages: ByService<Outages>,
+    entrances: ByService<Rc<Entrance>>,
     budget: Cell<budget::Config>,
     /// Sidecars that gave no answer, and until when they are not asked.
     passed_by: RefCell<HashMap<Key<Server>, Millis>>,
@@ -125,9 +127,9 @@
             pool: RefCell::new(Pool::new(pool::Config::default())),
             members: RefCell::new(Members::new(members::Config::default(), own)),
             replicas: RefCell::new(Table::ALL.map(|table| (table, Replica::default())).into()),
-            budgets: RefCell::default(),
-            outages: RefCell::default(),
-            entrances: RefCell::default(),
+            budgets: ByService::default(),
+            outages: ByService::default(),
+            entrances: ByService::default(),
             budget: Cell::new(budget),
             passed_by: RefCell::default(),
             phase: Cell::new(Phase::Running),
@@ -265,51 +267,38 @@
     /// No server of a service could take a request.
     pub fn note_out(&self, service: &str) {
         let now = self.now();
-        let mut outages = self.outages.borrow_mut();
-        if let Some(known) = outages.get_mut(service) {
-            return known.began(now);
-        }
-        let mut new = Outages::new(outage::Config::default());
-        new.began(now);
-        outages.insert(service.to_owned(), new);
+        self.with_outages(service, |outages| outages.began(now));
     }
 
     /// A server of a service has taken a request.
     pub fn note_taken(&self, service: &str) {
-        if let Some(known) = self.outages.borrow_mut().get_mut(service) {
-            known.ended(self.now());
-        }
+        let now = self.now();
+        self.with_outages(service, |outages| outages.ended(now));
     }
 
     /// When a caller that is refused now shall come back, if no server of the service takes requests.
     pub fn come_back(&self, service: &str) -> Option<Millis> {
-        let part = rand::rng().random();
-        self.outages.borrow().get(service)?.come_back(self.now(), part)
+        let (now, part) = (self.now(), rand::rng().random());
+        self.with_outages(service, |outages| outages.come_back(now, part))
     }
 
     /// Where streams of a service begin.
     pub fn entrance(&self, service: &str) -> Rc<Entrance> {
-        let mut entrances = self.entrances.borrow_mut();
-        if let Some(entrance) = entrances.get(service) {
-            return entrance.clone();
-        }
-        let entrance = entrances.entry(service.to_owned());
-        entrance.or_insert_with(|| Entrance::new(self.clock)).clone()
+        self.entrances.with(service, || Entrance::new(self.clock), |entrance| entrance.clone())
     }
 
     /// Bounds from changed settings, for all services.
     pub fn set_budget(&self, config: budget::Config) {
         self.budget.set(config);
-        self.budgets.borrow_mut().values_mut().for_each(|budget| budget.set_config(config));
+        self.budgets.for_each(|budget| budget.set_config(config));
     }
 
     fn with_budget<T>(&self, service: &str, act: impl FnOnce(&mut RepeatBudget) -> T) -> T {
-        let mut budgets = self.budgets.borrow_mut();
-        if let Some(budget) = budgets.get_mut(service) {
-            return act(budget);
-        }
-        let budget = budgets.entry(service.to_owned());
-        act(budget.or_insert_with(|| RepeatBudget::new(self.budget.get())))
+        self.budgets.with(service, || RepeatBudget::new(self.budget.get()), act)
+    }
+
+    fn with_outages<T>(&self, service: &str, act: impl FnOnce(&mut Outages) -> T) -> T {
+        self.outages.with(service, || Outages::new(outage::Config::default()), act)
     }
 }
 
