--- a/crates/direct/src/maps.rs
+++ b/crates/direct/src/maps.rs
@@ -57,7 +57,7 @@
 const UNREACHED_MOST: Millis = Millis(600);
 
 /// Time between two readings of counts. A shift of demand is known after one or two: with 250 ms, worth
-/// of days with trouble is 0.658 in place of 0.717 with groups of 24 ranks (without processor time).
+/// of days with trouble is 0.658 in place of 0.713 with groups of 24 ranks (without processor time).
 const COUNTS_EVERY: Duration = Duration::from_millis(120);
 
 /// Ranks whose counts are read through the processes beside them, if the own data centre has not that
