--- a/crates/core/src/direct/admission.rs
+++ b/crates/core/src/direct/admission.rs
@@ -12,14 +12,15 @@
 //! are sent back one after the other, not all at once.
 
 use crate::clock::Millis;
+use crate::direct::attempts::COME_BACK_MOST;
 
 /// Part of the newest stream in the means of what streams take: some tens of them last about 2 s.
 const NEWEST_STREAM: f64 = 0.1;
 
 /// How passes are judged, and whom they admit. Together, on days with bursts of 1.5 and 1.7 times the
-/// traffic: 0.394 to 0.420 of worth in place of 0.343 with groups of 12 ranks, 0.605 in place of 0.597 with
-/// groups of 8; on days without, 0.687 in place of 0.677, and 0.684 in place of 0.678 (without processor
-/// time, three or four seeds each).
+/// traffic: 0.394 to 0.420 of worth in place of 0.343 with groups of 12 ranks, 0.605 in place of 0.597
+/// with groups of 8; on days without, 0.687 in place of 0.677, and 0.684 in place of 0.678 (without
+/// processor time, three or four seeds each).
 #[derive(Clone, Copy, Debug)]
 pub struct Config {
     /// Time after which a pass counts for a third. With 400 ms, and with 100 ms, bursts cost 0.01 to
@@ -39,7 +40,7 @@
     /// Part of the time that is left before the first event is due in which a request may wait. What
     /// is expected of a wait is as often too short as too long.
     pub wait_part: f64,
-    /// Longest time to come back: the users' callers wait for a third of the 8 s that they have.
+    /// Longest time to come back.
     pub most_away: Millis,
 }
 
@@ -52,7 +53,7 @@
             least_busy: 0.5,
             least_aim: 0.2,
             wait_part: 0.5,
-            most_away: Millis(2_600),
+            most_away: COME_BACK_MOST,
         }
     }
 }
@@ -132,7 +133,7 @@
         self.streams_mean += newest * (self.streams as f64 - self.streams_mean);
     }
 
-    /// Streams that this gateway can have, as far as that is known.
+    /// Streams that this gateway can have, one at least, as far as that is known.
     pub fn limit(&self, owed: Owed, now: Millis) -> Option<f64> {
         let seen_at = self.seen_at?;
         if now.since(seen_at) > self.config.stale {
@@ -141,15 +142,13 @@
         let long_ms = self.pass_ms + self.config.deviations * self.deviation_ms;
         let (borne, used) = (owed.pause_ms - owed.least_pass_ms, long_ms - owed.least_pass_ms);
         // Passes as short as they can be bear any number.
-        (used > 0.0).then(|| self.streams_mean * borne.max(0.0) / used)
+        (used > 0.0).then(|| (self.streams_mean * borne.max(0.0) / used).max(1.0))
     }
 
     /// What becomes of a request with this much time until its first event is owed. `busy` is the part
     /// of the service's slots that is taken.
     pub fn enter(&mut self, owed: Owed, left_ms: f64, busy: f64, now: Millis) -> Entry {
-        let Some(limit) = self.limit(owed, now).map(|limit| limit.max(1.0)) else {
-            return Entry::Admitted;
-        };
+        let Some(limit) = self.limit(owed, now) else { return Entry::Admitted };
         let beyond = self.streams as f64 + 1.0 - limit;
         if beyond <= 0.0 || !self.helps_to_refuse(limit, busy) {
             return Entry::Admitted;
@@ -178,7 +177,7 @@
 
     /// Whether one that waits can go now.
     pub fn has_room(&self, owed: Owed, now: Millis) -> bool {
-        self.limit(owed, now).is_none_or(|limit| (self.streams + 1) as f64 <= limit.max(1.0))
+        self.limit(owed, now).is_none_or(|limit| (self.streams + 1) as f64 <= limit)
     }
 
     /// A request begins to wait.
--- a/crates/core/src/direct/attempts.rs
+++ b/crates/core/src/direct/attempts.rs
@@ -42,7 +42,11 @@
 
 /// The same where no server is there: the users' groups take 600 ms to open again once their last
 /// rank is back.
-const COME_BACK_NONE: Millis = Millis(800);
+pub const COME_BACK_NONE: Millis = Millis(800);
+
+/// Longest time after which any caller shall come back: the users' callers wait for a third of the 8 s
+/// that they have.
+pub const COME_BACK_MOST: Millis = Millis(2_600);
 
 /// The attempts of one request.
 #[derive(Clone, Debug)]
--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -111,6 +111,11 @@
         Members { config, own, lead_fence: 0, others: BTreeMap::new(), exchanged_at: None }
     }
 
+    /// Time between two exchanges of news by one gateway.
+    pub fn round(&self) -> Millis {
+        self.config.round
+    }
+
     /// This gateway.
     pub fn own(&self) -> &Member {
         &self.own
--- a/crates/core/src/direct/outage.rs
+++ b/crates/core/src/direct/outage.rs
@@ -5,6 +5,11 @@
 //! the earlier ones did, and at first as long as a group stands and forms anew.
 
 use crate::clock::Millis;
+use crate::direct::attempts::COME_BACK_MOST;
+use crate::direct::attempts::COME_BACK_NONE;
+
+/// Part of the time to come back over which callers are spread.
+const SPREAD: f64 = 0.25;
 
 /// What is expected of an outage, and what is learned from one that is over.
 #[derive(Clone, Copy, Debug)]
@@ -12,9 +17,9 @@
     /// How long the first outage is expected to last: the users' groups stand for 1,500 ms once a rank
     /// is lost, and take 600 ms to open again.
     pub usual: Millis,
-    /// Shortest time to come back: a group opens 600 ms after its last rank is back.
+    /// Shortest time to come back.
     pub least: Millis,
-    /// Longest time to come back: the users' callers wait for a third of the 8 s that they have.
+    /// Longest time to come back.
     pub most: Millis,
     /// Outages that are shorter say nothing: one server of many refused.
     pub noise: Millis,
@@ -26,8 +31,8 @@
     fn default() -> Self {
         Config {
             usual: Millis(2_100),
-            least: Millis(800),
-            most: Millis(2_600),
+            least: COME_BACK_NONE,
+            most: COME_BACK_MOST,
             noise: Millis(300),
             newest: 0.3,
         }
@@ -71,6 +76,3 @@
         Some(Millis(spread_ms as u64).min(most))
     }
 }
-
-/// Part of the time to come back over which callers are spread.
-const SPREAD: f64 = 0.25;
--- a/crates/core/src/direct/passes.rs
+++ b/crates/core/src/direct/passes.rs
@@ -30,17 +30,21 @@
 impl Passes {
     /// A rank told the last pass that has begun, in this life of its group.
     pub fn take(&mut self, rank: Key<Server>, epoch: u64, pass: u64, at: Millis) {
-        let Some(last) = self.told.insert(rank, Told { epoch, pass, at }) else { return };
-        if last.epoch != epoch || pass <= last.pass {
-            // The span goes on until a pass is seen to have begun.
-            if last.epoch == epoch {
-                self.told.insert(rank, last);
+        let last = self.told.get(&rank).copied().filter(|last| last.epoch == epoch);
+        if let Some(last) = last {
+            if pass <= last.pass {
+                // The span goes on until a pass is seen to have begun.
+                return;
             }
-            return;
+            self.count(at.since(last.at), pass - last.pass);
         }
+        self.told.insert(rank, Told { epoch, pass, at });
+    }
+
+    /// So many passes have begun within a span.
+    fn count(&mut self, span: Millis, passes: u64) {
         let (least, most) = LENGTHS_MS;
-        let length = at.since(last.at).0 as f64 / (pass - last.pass) as f64;
-        let length = length.clamp(least, most);
+        let length = (span.0 as f64 / passes as f64).clamp(least, most);
         let mean = self.mean_ms.get_or_insert(length);
         *mean += NEWEST * (length - *mean);
     }
--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -180,7 +180,7 @@
     gateway: &Rc<Gateway<P>>,
     request: &mut Request,
 ) -> Result<(), Refusal> {
-    let busy = gateway.with_pool(|pool| pool.busy_part(&request.service));
+    let busy = || gateway.with_pool(|pool| pool.busy_part(&request.service));
     let Some(asked) = request.asks_entry(busy) else { return Ok(()) };
     match gateway.entrance(&request.service).enter(asked).await {
         Ok(permit) => {
--- a/crates/direct/src/entrance.rs
+++ b/crates/direct/src/entrance.rs
@@ -11,10 +11,12 @@
 
 use hooktrestle_core::clock::Clock;
 use hooktrestle_core::clock::Millis;
+use hooktrestle_core::direct::admission;
 use hooktrestle_core::direct::admission::Admission;
 use hooktrestle_core::direct::admission::Entry;
 use hooktrestle_core::direct::admission::Owed;
 use tokio::sync::oneshot;
+use tokio::time;
 
 use crate::clock::TimerClock;
 
@@ -50,7 +52,7 @@
     pub fn new(clock: TimerClock) -> Rc<Entrance> {
         Rc::new(Entrance {
             clock,
-            admission: RefCell::new(Admission::new(Default::default())),
+            admission: RefCell::new(Admission::new(admission::Config::default())),
             waiting: RefCell::default(),
             arrivals: Cell::new(0),
         })
@@ -80,17 +82,12 @@
         let latest = Millis(asked.first_due.0.saturating_sub(first_ms as u64));
         tokio::select! {
             permit = &mut receiver => if let Ok(permit) = permit { return Ok(permit) },
-            () = tokio::time::sleep_until(self.clock.instant(latest)) => {}
+            () = time::sleep_until(self.clock.instant(latest)) => {}
         }
         // The estimate was off: what was held is sent rather than held in vain.
         Ok(Permit::new(self.clone(), self.clock.now()))
     }
 
-    /// Does something with what is known of passes.
-    pub fn with_admission<T>(&self, act: impl FnOnce(&mut Admission) -> T) -> T {
-        act(&mut self.admission.borrow_mut())
-    }
-
     /// Lets in those that wait, as far as there is room.
     fn release(self: &Rc<Self>) {
         let now = self.clock.now();
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -33,10 +33,8 @@
 use crate::peers::news::take;
 use crate::platform::Platform;
 
-/// Time between two rounds while the store answers.
-const ROUND: Duration = Duration::from_millis(600);
-
-/// The same while it does not, or while this gateway knows too little to serve.
+/// Time between two rounds while the store does not answer, or while this gateway knows too little to
+/// serve.
 const HASTY_ROUND: Duration = Duration::from_millis(250);
 
 /// Longest time for one exchange.
@@ -113,7 +111,8 @@
             if gateway.take_urgent_round() {
                 continue;
             }
-            let pause = time::sleep(if hasty { HASTY_ROUND } else { ROUND });
+            let round_time = gateway.with_members(|members| Duration::from(members.round()));
+            let pause = time::sleep(if hasty { HASTY_ROUND } else { round_time });
             tokio::select! {
                 () = pause => {}
                 () = gateway.urgent.notified() => {}
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::admission::Owed;
+use hooktrestle_core::direct::attempts::COME_BACK_NONE;
 use hooktrestle_core::direct::serving::AccountKey;
 use hooktrestle_core::direct::serving::Denial;
 use hooktrestle_core::direct::serving::Route;
@@ -46,9 +47,6 @@
 /// that starts reads it within 0.1 s, but after a loss of power groups form anew meanwhile.
 const COME_BACK_UNREADY: Millis = Millis(2_000);
 
-/// The same at least: a gateway that is still without one has no answer from the store.
-const COME_BACK_LEAST: Millis = Millis(800);
-
 /// The priority that goes last, as [`Route`] says.
 const LOWEST_PRIORITY: u8 = 9;
 
@@ -100,8 +98,9 @@
         self.id.to_str().unwrap_or("?")
     }
 
-    /// What it asks of its service's entrance; `None` where no pause between events is owed.
-    pub fn asks_entry(&self, busy: f64) -> Option<Asked> {
+    /// What it asks of its service's entrance; `None` where no pause between events is owed. `busy` tells
+    /// the part of the service's slots that is taken.
+    pub fn asks_entry(&self, busy: impl FnOnce() -> f64) -> Option<Asked> {
         let route = self.route();
         let pause = route.pause_ms.filter(|_| self.is_stream())?;
         let least_pass_ms = self.serving.services.get(&self.service)?.least_pass_ms;
@@ -110,7 +109,7 @@
             priority: self.priority,
             deadline: self.deadline,
             first_due: self.came + route.objective_ms,
-            busy,
+            busy: busy(),
         })
     }
 
@@ -134,7 +133,7 @@
     let serving = gateway.serving();
     if serving.version == 0 {
         let refusal = Refusal::not_run(Cause::NotReady);
-        let left = COME_BACK_UNREADY.since(came).max(COME_BACK_LEAST);
+        let left = COME_BACK_UNREADY.since(came).max(COME_BACK_NONE);
         return Err(Unread::Refused(refusal.retry_after(left)));
     }
     let (route, account) = admit(&serving, &parts)?;
