Expert maps for groups of any size: holders are sorted ranks, and a plan weighs only the ranks that a change touches

Cause: the ranks that hold an expert were bits of a 64-bit number, and groups were cut off at 64 ranks without a word. Groups of 96 never got a map: servers refused the orders, the most loaded rank had 3.6 times the mean, and all streams were late. Ruled out: 128 or 256 bits (another bound that is met in silence, and each change weighed all ranks). Change: core/direct/holders.rs; sets of sorted ranks, up to 1,024 of them; a larger group is logged, counted (ranks_unled) and left alone. The search keeps the sum of the loads' powers and weighs what a change touches. Logs name the skew that a plan is made for and how long each part of a switch took. Tests: expert_plans.rs holds the search against a slow one on the same data; groups of 1 to 1,000 ranks (those above 64 panicked).

--- a/crates/bench/src/plans.rs
+++ b/crates/bench/src/plans.rs
@@ -5,8 +5,8 @@
 use std::time::Instant;
 
 use hooktrestle_core::direct::expert_plan;
-use hooktrestle_core::direct::expert_plan::Holders;
 use hooktrestle_core::direct::expert_plan::Limits;
+use hooktrestle_core::direct::holders::Holders;
 use rand::SeedableRng;
 use rand::seq::SliceRandom;
 use rand_chacha::ChaCha8Rng;
--- a/crates/bench/src/plans_report.rs
+++ b/crates/bench/src/plans_report.rs
@@ -8,8 +8,14 @@
 
 /// The users' deployments today and next, and the size aimed at: ranks of a group, experts in each set,
 /// experts of a set that a rank holds at most, sets of layers.
-const SHAPES: [(usize, usize, usize, usize); 3] =
-    [(8, 64, 11, 6), (32, 128, 5, 12), (64, 256, 5, 12)];
+const SHAPES: [(usize, usize, usize, usize); 6] = [
+    (8, 64, 11, 6),
+    (32, 128, 5, 12),
+    (64, 256, 5, 12),
+    (96, 192, 3, 16),
+    (128, 256, 3, 16),
+    (256, 256, 3, 16),
+];
 
 /// Prints a row for each shape, with all ranks alike and with one that is slow.
 pub(crate) fn print() {
--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -12,8 +12,8 @@
 //! - [`attempts`]: what follows an attempt: answer, another attempt, or a refusal.
 //! - [`outage`]: when callers come back while no server can take a request.
 //! - [`budget`]: how many repeats failures may cost, over a sliding window.
-//! - [`expert_demand`], [`expert_plan`], [`expert_layout`]: how often experts are chosen, and which
-//!   rank shall hold which.
+//! - [`expert_demand`], [`expert_plan`], [`expert_layout`], [`holders`]: how often experts are chosen,
+//!   and which rank shall hold which.
 //! - [`map_orders`]: how that is changed.
 //! - [`passes`]: how long the passes of groups take.
 //! - [`events`]: a stream of events, cut between events only.
@@ -25,6 +25,7 @@
 pub mod expert_demand;
 pub mod expert_layout;
 pub mod expert_plan;
+pub mod holders;
 pub mod map_orders;
 pub mod members;
 pub mod outage;
--- a/crates/core/src/direct/expert_layout.rs
+++ b/crates/core/src/direct/expert_layout.rs
@@ -3,7 +3,8 @@
 use crate::clock::Millis;
 use crate::direct::expert_demand::Demand;
 use crate::direct::expert_plan;
-use crate::direct::expert_plan::Holders;
+use crate::direct::holders::Holders;
+use crate::direct::holders::Rank;
 use crate::direct::serving::ExpertShape;
 
 /// Time that the copies of one switch may take at a rank, beyond the first: demand goes on shifting
@@ -31,6 +32,18 @@
 /// A group's experts: set by set, the ranks that hold each.
 pub type Layout = Vec<Vec<Holders>>;
 
+/// A layout that is worth a switch, and why: the load of the slowest rank over the mean, as demand is
+/// estimated, in the mean of the sets.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Planned {
+    /// The layout.
+    pub layout: Layout,
+    /// With the layout as it is.
+    pub skew_before: f64,
+    /// With this one.
+    pub skew_after: f64,
+}
+
 /// The layout that groups begin with.
 pub fn first(shape: &ExpertShape, ranks: usize) -> Layout {
     vec![expert_plan::dealt(shape.experts, ranks); shape.sets]
@@ -43,7 +56,7 @@
     demand: &Demand,
     layout: &Layout,
     paces: &[f64],
-) -> Option<Layout> {
+) -> Option<Planned> {
     let ranks = paces.len();
     let mut copies_left = vec![copies_each(shape); ranks];
     let (mut before, mut after) = (0.0, 0.0);
@@ -72,7 +85,10 @@
     }
     let copy_s = copy_time(shape, layout, &planned, ranks).0 as f64 / 1_000.0;
     let least_gain = LEAST_GAIN + LEAST_GAIN_A_SECOND * copy_s;
-    (after < before * (1.0 - least_gain)).then_some(planned)
+    let sets = shape.sets.max(1) as f64;
+    let (skew_before, skew_after) = (before / sets, after / sets);
+    let is_worth_it = after < before * (1.0 - least_gain);
+    is_worth_it.then_some(Planned { layout: planned, skew_before, skew_after })
 }
 
 /// Copies that a rank makes for one switch, over all sets.
@@ -101,9 +117,25 @@
 
 /// The experts by set and rank.
 pub fn by_rank(layout: &Layout, ranks: usize) -> Vec<Vec<Vec<u16>>> {
-    let of_rank = |set: &Vec<Holders>, rank: usize| {
-        let held = set.iter().enumerate().filter(|(_, mask)| **mask >> rank & 1 == 1);
-        held.map(|(expert, _)| expert as u16).collect::<Vec<u16>>()
+    let of_set = |set: &Vec<Holders>| {
+        let mut held = vec![Vec::new(); ranks];
+        for (expert, holders) in set.iter().enumerate() {
+            holders.iter().for_each(|rank| held[usize::from(rank)].push(expert as u16));
+        }
+        held
     };
-    layout.iter().map(|set| (0..ranks).map(|rank| of_rank(set, rank)).collect()).collect()
+    layout.iter().map(of_set).collect()
+}
+
+/// The reverse, from what each rank told of each set; `None` if one names an expert that is not known.
+pub fn from_ranks(shape: &ExpertShape, by_rank: &[Vec<Vec<u16>>]) -> Option<Layout> {
+    let mut layout: Layout = vec![vec![Holders::default(); shape.experts]; shape.sets];
+    for (rank, sets) in by_rank.iter().enumerate() {
+        for (holders, held) in layout.iter_mut().zip(sets) {
+            for expert in held {
+                holders.get_mut(usize::from(*expert))?.insert(rank as Rank);
+            }
+        }
+    }
+    Some(layout)
 }
--- a/crates/core/src/direct/expert_plan.rs
+++ b/crates/core/src/direct/expert_plan.rs
@@ -12,6 +12,13 @@
 //!
 //! The peak is measured by a high norm, not by the maximum: where several ranks are equally loaded,
 //! no single change lowers the maximum at all.
+//!
+//! A change touches the ranks that hold one or two experts, however many the group has, and only those
+//! are weighed: a plan's time grows with ranks, not with their square. `crates/core/tests/expert_plans.rs`
+//! holds it against a search that weighs all ranks each time.
+
+use crate::direct::holders::Holders;
+use crate::direct::holders::Rank;
 
 /// Exponent of the norm: high enough to be close to the maximum of some ranks.
 const NORM: i32 = 8;
@@ -19,12 +26,6 @@
 /// Part of the mean load below which a gain is a rounding error.
 const LEAST_GAIN: f64 = 1e-6;
 
-/// The ranks that hold an expert, one bit each.
-pub type Holders = u64;
-
-/// Most ranks of a group.
-pub const MOST_RANKS: usize = 64;
-
 /// Bounds of a plan.
 #[derive(Clone, Debug)]
 pub struct Limits {
@@ -40,18 +41,17 @@
 
 /// The placement that groups begin with: experts dealt out in turn.
 pub fn dealt(experts: usize, ranks: usize) -> Vec<Holders> {
-    (0..experts).map(|expert| 1 << (expert % ranks.max(1))).collect()
+    (0..experts).map(|expert| Holders::one((expert % ranks.max(1)) as Rank)).collect()
 }
 
 /// Each rank's load: the time that it takes for its tokens, in usual tokens.
 pub fn loads(holders: &[Holders], shares: &[f64], paces: &[f64]) -> Vec<f64> {
     let mut loads = vec![0.0; paces.len()];
-    for (mask, share) in holders.iter().zip(shares) {
-        let each = share / f64::from(mask.count_ones().max(1));
-        for (rank, (load, pace)) in loads.iter_mut().zip(paces).enumerate() {
-            if mask >> rank & 1 == 1 {
-                *load += each * pace;
-            }
+    for (held_by, share) in holders.iter().zip(shares) {
+        let each = share / held_by.len().max(1) as f64;
+        for rank in held_by.iter() {
+            let rank = usize::from(rank);
+            loads[rank] += each * paces[rank];
         }
     }
     loads
@@ -72,28 +72,43 @@
 
 /// Experts that are new to each rank.
 pub fn new_at(from: &[Holders], to: &[Holders], ranks: usize) -> Vec<usize> {
-    let is_new =
-        |rank: usize| move |(old, new): (&Holders, &Holders)| (new & !old) >> rank & 1 == 1;
-    (0..ranks).map(|rank| from.iter().zip(to).filter(|pair| is_new(rank)(*pair)).count()).collect()
+    let mut new = vec![0; ranks];
+    for (old, held_by) in from.iter().zip(to) {
+        for rank in held_by.iter().filter(|rank| !old.contains(*rank)) {
+            new[usize::from(rank)] += 1;
+        }
+    }
+    new
+}
+
+/// What becomes of the holders of one expert.
+#[derive(Clone, Copy, Debug)]
+struct Edit {
+    expert: usize,
+    gains: Option<Rank>,
+    loses: Option<Rank>,
 }
 
 /// One change of a placement.
 #[derive(Clone, Copy, Debug)]
 struct Change {
-    /// Experts and their new holders; the second may be the first unchanged.
-    first: (usize, Holders),
-    second: Option<(usize, Holders)>,
+    first: Edit,
+    second: Option<Edit>,
+}
+
+impl Change {
+    fn parts(&self) -> impl Iterator<Item = Edit> + use<> {
+        [Some(self.first), self.second].into_iter().flatten()
+    }
 }
 
 /// A better placement for these shares.
 ///
 /// # Panics
 ///
-/// If there is not one share for each expert and one pace for each rank, or more than [`MOST_RANKS`]
-/// ranks.
+/// If there is not one share for each expert and one pace for each rank.
 pub fn plan(current: &[Holders], shares: &[f64], limits: &Limits) -> Vec<Holders> {
     assert_eq!(current.len(), shares.len(), "one share for each expert");
-    assert!(limits.new_at.len() <= MOST_RANKS, "at most {MOST_RANKS} ranks");
     assert_eq!(limits.new_at.len(), limits.paces.len(), "one pace for each rank");
     let mut search = Search::new(current, shares, limits);
     let most_changes = 2 * limits.new_at.iter().sum::<usize>() + limits.new_at.len();
@@ -109,28 +124,40 @@
     shares: &'a [f64],
     limits: &'a Limits,
     holders: Vec<Holders>,
+    /// Experts of each rank, in rising order.
+    held: Vec<Vec<usize>>,
     loads: Vec<f64>,
-    used: Vec<usize>,
+    /// Sum of the loads over the mean, each to the power of the norm.
+    powers: f64,
     new: Vec<usize>,
     mean: f64,
-    scratch: Vec<f64>,
+    /// What a change that is weighed adds to ranks' loads, and which ranks it touches.
+    shifts: Vec<f64>,
+    touched: Vec<usize>,
 }
 
 impl<'a> Search<'a> {
     fn new(start: &'a [Holders], shares: &'a [f64], limits: &'a Limits) -> Search<'a> {
         let ranks = limits.new_at.len();
-        let held = |rank: usize| start.iter().filter(|mask| *mask >> rank & 1 == 1).count();
-        Search {
+        let mut held = vec![Vec::new(); ranks];
+        for (expert, held_by) in start.iter().enumerate() {
+            held_by.iter().for_each(|rank| held[usize::from(rank)].push(expert));
+        }
+        let mut search = Search {
             start,
             shares,
             limits,
             holders: start.to_vec(),
+            held,
             loads: loads(start, shares, &limits.paces),
-            used: (0..ranks).map(held).collect(),
+            powers: 0.0,
             new: vec![0; ranks],
             mean: mean_load(shares, &limits.paces),
-            scratch: vec![0.0; ranks],
-        }
+            shifts: vec![0.0; ranks],
+            touched: Vec::new(),
+        };
+        search.sum_powers();
+        search
     }
 
     /// The change that lowers the peak most for its copies, if one is worth them.
@@ -138,17 +165,15 @@
         if self.mean <= 0.0 {
             return None;
         }
-        let before = norm(&self.loads);
+        let before = norm(self.powers);
         let slowest =
             (0..self.loads.len()).max_by(|a, b| self.loads[*a].total_cmp(&self.loads[*b]))?;
         let mut best: Option<(f64, Change)> = None;
         for change in self.candidates(slowest) {
             let Some(copies) = self.allowed(&change) else { continue };
-            self.weigh(&change);
-            let gain = before - norm(&self.scratch) - self.limits.price * self.mean * copies as f64;
+            let gain = before - self.norm_after(&change) - self.limits.price * copies as f64;
             let rate = gain / copies.max(1) as f64;
-            let least = LEAST_GAIN * self.mean;
-            if gain > least && best.as_ref().is_none_or(|(known, _)| rate > *known) {
+            if gain > LEAST_GAIN && best.as_ref().is_none_or(|(known, _)| rate > *known) {
                 best = Some((rate, change));
             }
         }
@@ -157,29 +182,30 @@
 
     /// Changes that take tokens off a rank.
     fn candidates(&self, slowest: usize) -> Vec<Change> {
-        let bit = 1 << slowest;
+        let from = slowest as Rank;
         let mut found = Vec::new();
-        for expert in 0..self.holders.len() {
-            let mask = self.holders[expert];
-            if mask & bit == 0 || self.shares[expert] <= 0.0 {
+        for &expert in &self.held[slowest] {
+            let held_by = &self.holders[expert];
+            if self.shares[expert] <= 0.0 {
                 continue;
             }
-            if mask != bit {
-                found.push(Change { first: (expert, mask & !bit), second: None });
+            if held_by.len() > 1 {
+                let dropped = Edit { expert, gains: None, loses: Some(from) };
+                found.push(Change { first: dropped, second: None });
             }
             for target in 0..self.loads.len() {
-                if mask >> target & 1 == 1 || self.loads[target] >= self.mean {
+                let to = target as Rank;
+                if self.loads[target] >= self.mean || held_by.contains(to) {
                     continue;
                 }
-                let target_bit = 1 << target;
-                let added = (expert, mask | target_bit);
-                let moved = (expert, (mask | target_bit) & !bit);
-                if self.used[target] < self.limits.places {
+                let added = Edit { expert, gains: Some(to), loses: None };
+                let moved = Edit { expert, gains: Some(to), loses: Some(from) };
+                if self.held[target].len() < self.limits.places {
                     found.push(Change { first: added, second: None });
                     found.push(Change { first: moved, second: None });
                     continue;
                 }
-                self.make_room(target_bit, bit, added, moved, &mut found);
+                self.make_room(to, from, added, moved, &mut found);
             }
         }
         found
@@ -187,96 +213,124 @@
 
     /// The same onto a rank that is full: an expert that stands elsewhere too goes, or one is
     /// exchanged for the other.
-    fn make_room(
-        &self,
-        target_bit: Holders,
-        bit: Holders,
-        added: (usize, Holders),
-        moved: (usize, Holders),
-        found: &mut Vec<Change>,
-    ) {
-        for other in 0..self.holders.len() {
-            let held = self.holders[other];
-            if held & target_bit == 0 || other == added.0 {
-                continue;
-            }
-            if held != target_bit {
-                let gone = Some((other, held & !target_bit));
+    fn make_room(&self, to: Rank, from: Rank, added: Edit, moved: Edit, found: &mut Vec<Change>) {
+        for &other in &self.held[usize::from(to)] {
+            let held_by = &self.holders[other];
+            if held_by.len() > 1 {
+                let gone = Some(Edit { expert: other, gains: None, loses: Some(to) });
                 found.push(Change { first: added, second: gone });
                 found.push(Change { first: moved, second: gone });
             }
-            if held & bit == 0 && self.shares[other] < self.shares[added.0] {
-                let exchanged = Some((other, (held & !target_bit) | bit));
-                found.push(Change { first: moved, second: exchanged });
+            if !held_by.contains(from) && self.shares[other] < self.shares[added.expert] {
+                let exchanged = Edit { expert: other, gains: Some(from), loses: Some(to) };
+                found.push(Change { first: moved, second: Some(exchanged) });
             }
         }
     }
 
-    /// Copies that a change needs; `None` if a rank would have too many experts or new ones.
+    /// Copies that a change needs; `None` if a rank would have too many new experts.
     fn allowed(&self, change: &Change) -> Option<usize> {
         let mut copies = 0;
-        for (expert, mask) in change.parts() {
-            let gained = mask & !self.holders[expert];
-            let copied = gained & !self.start[expert];
-            copies += copied.count_ones() as usize;
-            for rank in 0..self.loads.len() {
-                if copied >> rank & 1 == 1 && self.new[rank] >= self.limits.new_at[rank] {
-                    return None;
-                }
+        for edit in change.parts() {
+            let Some(rank) = edit.gains else { continue };
+            if self.start[edit.expert].contains(rank) {
+                continue;
+            }
+            copies += 1;
+            let rank = usize::from(rank);
+            if self.new[rank] >= self.limits.new_at[rank] {
+                return None;
             }
         }
         Some(copies)
     }
 
-    /// Loads after a change, into `scratch`.
-    fn weigh(&mut self, change: &Change) {
-        self.scratch.copy_from_slice(&self.loads);
-        for (expert, mask) in change.parts() {
-            self.shift(expert, mask);
+    /// The norm as it would be after a change.
+    fn norm_after(&mut self, change: &Change) -> f64 {
+        self.weigh(change);
+        let mut powers = self.powers;
+        for &rank in &self.touched {
+            let load = self.loads[rank];
+            powers += self.power(load + self.shifts[rank]) - self.power(load);
         }
+        self.forget_weighed();
+        norm(powers)
     }
 
-    fn shift(&mut self, expert: usize, mask: Holders) {
-        let (old, share) = (self.holders[expert], self.shares[expert]);
-        let before = share / f64::from(old.count_ones().max(1));
-        let after = share / f64::from(mask.count_ones().max(1));
-        let ranks = self.scratch.iter_mut().zip(&self.limits.paces);
-        for (rank, (load, pace)) in ranks.enumerate() {
-            if old >> rank & 1 == 1 {
-                *load -= before * pace;
-            }
-            if mask >> rank & 1 == 1 {
-                *load += after * pace;
+    /// Notes what a change adds to which ranks' loads.
+    fn weigh(&mut self, change: &Change) {
+        for edit in change.parts() {
+            let held_by = &self.holders[edit.expert];
+            let (before, share) = (held_by.len(), self.shares[edit.expert]);
+            let after =
+                before + usize::from(edit.gains.is_some()) - usize::from(edit.loses.is_some());
+            let each = |holders: usize| share / holders.max(1) as f64;
+            let kept = each(after) - each(before);
+            let paces = &self.limits.paces;
+            let stays = held_by.iter().filter(|rank| Some(*rank) != edit.loses);
+            let shifts = stays.map(|rank| (rank, kept));
+            let gained = edit.gains.map(|rank| (rank, each(after)));
+            let lost = edit.loses.map(|rank| (rank, -each(before)));
+            for (rank, shift) in shifts.chain(gained).chain(lost) {
+                let rank = usize::from(rank);
+                if self.shifts[rank] == 0.0 {
+                    self.touched.push(rank);
+                }
+                self.shifts[rank] += shift * paces[rank];
             }
         }
+        // A rank whose shifts cancelled out on the way may be named twice.
+        self.touched.sort_unstable();
+        self.touched.dedup();
+    }
+
+    fn forget_weighed(&mut self) {
+        for rank in self.touched.drain(..) {
+            self.shifts[rank] = 0.0;
+        }
     }
 
     fn apply(&mut self, change: Change) {
         self.weigh(&change);
-        self.loads.copy_from_slice(&self.scratch);
-        for (expert, mask) in change.parts() {
-            let old = std::mem::replace(&mut self.holders[expert], mask);
-            let start = self.start[expert];
-            for rank in 0..self.loads.len() {
-                let at = |mask: Holders| usize::from(mask >> rank & 1 == 1);
-                self.used[rank] = self.used[rank] + at(mask) - at(old);
-                self.new[rank] = self.new[rank] + at(mask & !start) - at(old & !start);
+        for &rank in &self.touched {
+            self.loads[rank] += self.shifts[rank];
+        }
+        self.forget_weighed();
+        self.sum_powers();
+        for edit in change.parts() {
+            if let Some(rank) = edit.loses {
+                self.lose(edit.expert, rank);
+            }
+            if let Some(rank) = edit.gains {
+                self.gain(edit.expert, rank);
             }
         }
     }
-}
 
-impl Change {
-    fn parts(&self) -> impl Iterator<Item = (usize, Holders)> + use<> {
-        [Some(self.first), self.second].into_iter().flatten()
+    fn gain(&mut self, expert: usize, rank: Rank) {
+        self.holders[expert].insert(rank);
+        let held = &mut self.held[usize::from(rank)];
+        held.insert(held.partition_point(|known| *known < expert), expert);
+        self.new[usize::from(rank)] += usize::from(!self.start[expert].contains(rank));
+    }
+
+    fn lose(&mut self, expert: usize, rank: Rank) {
+        self.holders[expert].remove(rank);
+        self.held[usize::from(rank)].retain(|known| *known != expert);
+        self.new[usize::from(rank)] -= usize::from(!self.start[expert].contains(rank));
+    }
+
+    /// Sums anew: sums that are only added to drift off.
+    fn sum_powers(&mut self) {
+        self.powers = self.loads.iter().map(|load| self.power(*load)).sum();
     }
-}
 
-fn norm(loads: &[f64]) -> f64 {
-    let peak = loads.iter().copied().fold(0.0, f64::max);
-    if peak <= 0.0 {
-        return 0.0;
+    fn power(&self, load: f64) -> f64 {
+        (load / self.mean).max(0.0).powi(NORM)
     }
-    let sum: f64 = loads.iter().map(|load| (load / peak).powi(NORM)).sum();
-    peak * sum.powf(1.0 / f64::from(NORM))
+}
+
+/// The norm of loads, over their mean, from the sum of their powers.
+fn norm(powers: f64) -> f64 {
+    powers.max(0.0).powf(1.0 / f64::from(NORM))
 }
--- a/crates/core/src/direct/map_orders.rs
+++ b/crates/core/src/direct/map_orders.rs
@@ -54,8 +54,9 @@
     armed_version: Option<u64>,
 }
 
+/// A part of a switch.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Phase {
+pub enum Phase {
     /// Reports of all ranks.
     Survey,
     /// The map is brought to all ranks, rank 0 first.
@@ -168,6 +169,11 @@
         )
     }
 
+    /// The part of the switch that is under way.
+    pub fn phase(&self) -> Phase {
+        self.phase
+    }
+
     /// Version of the map that is brought in, once it is known.
     pub fn version(&self) -> u64 {
         self.version
--- a/crates/core/tests/direct_requests.rs
+++ b/crates/core/tests/direct_requests.rs
@@ -13,6 +13,8 @@
 use hooktrestle_core::direct::budget::RepeatBudget;
 use hooktrestle_core::direct::events::Events;
 use hooktrestle_core::direct::expert_plan;
+use hooktrestle_core::direct::holders::Holders;
+use hooktrestle_core::direct::holders::Rank;
 use hooktrestle_core::direct::pool;
 use hooktrestle_core::direct::pool::Ending;
 use hooktrestle_core::direct::pool::Listed;
@@ -316,9 +318,9 @@
             paces: paces.clone(),
         };
         let after = expert_plan::plan(&before, &shares, &limits);
-        let tokens = |holders: &[u64]| expert_plan::loads(holders, &shares, &[1.0; 4])[slow];
+        let tokens = |holders: &[Holders]| expert_plan::loads(holders, &shares, &[1.0; 4])[slow];
         prop_assert!(tokens(&after) < 0.7 * tokens(&before));
-        let skew = |holders: &[u64]| expert_plan::skew(holders, &shares, &paces);
+        let skew = |holders: &[Holders]| expert_plan::skew(holders, &shares, &paces);
         prop_assert!(skew(&after) < 0.8 * skew(&before));
     }
 
@@ -405,14 +407,15 @@
             paces: paces.clone(),
         };
         let after = expert_plan::plan(&before, &shares, &limits);
-        prop_assert!(after.iter().all(|holders| *holders != 0 && *holders < 1 << ranks));
+        prop_assert!(after.iter().all(|holders| !holders.is_empty()));
+        prop_assert!(after.iter().flat_map(|holders| holders.iter()).all(|rank| rank < ranks as Rank));
         for rank in 0..ranks {
-            let held = after.iter().filter(|holders| **holders >> rank & 1 == 1).count();
+            let held = after.iter().filter(|holders| holders.contains(rank as Rank)).count();
             prop_assert!(held <= limits.places);
         }
         let new = expert_plan::new_at(&before, &after, ranks);
         prop_assert!(new.into_iter().all(|new| new <= new_at));
-        let skew = |holders: &[u64]| expert_plan::skew(holders, &shares, &paces);
+        let skew = |holders: &[Holders]| expert_plan::skew(holders, &shares, &paces);
         // The peak is measured by a norm, which may let the maximum rise a little.
         prop_assert!(skew(&after) <= skew(&before) * 1.1);
         if new_at >= 2 {
--- a/crates/core/tests/expert_layouts.rs
+++ b/crates/core/tests/expert_layouts.rs
@@ -41,7 +41,7 @@
         let shape = ExpertShape { places: 20, ..shape(copy_ms) };
         let before = expert_layout::first(&shape, paces.len());
         let after = expert_layout::plan(&shape, &demand(&shape, &hot), &before, &paces)?;
-        expert_plan::new_at(&before[0], &after[0], paces.len()).into_iter().max()
+        expert_plan::new_at(&before[0], &after.layout[0], paces.len()).into_iter().max()
     };
     // One slow copy alone gains less than it costs.
     assert_eq!([400.0, 148.0, 76.0, 40.0].map(copies), [None, Some(1), Some(2), Some(4)]);
--- a/crates/direct/src/maps.rs
+++ b/crates/direct/src/maps.rs
@@ -24,7 +24,7 @@
 use futures_util::future::join_all;
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::expert_demand::Demand;
-use hooktrestle_core::direct::expert_plan;
+use hooktrestle_core::direct::holders::MOST_RANKS;
 use hooktrestle_core::direct::members::Readiness;
 use hooktrestle_core::direct::passes::Passes;
 use hooktrestle_core::direct::pool::Server;
@@ -39,6 +39,7 @@
 use crate::maps::paces::Paces;
 use crate::platform::Claim;
 use crate::platform::Counts;
+use crate::platform::EngineReport;
 use crate::platform::Platform;
 
 /// Time between two looks at who leads.
@@ -143,6 +144,8 @@
     lead: Rc<Lead>,
     /// The servers of each group by rank, as far as they are known.
     groups: RefCell<BTreeMap<String, Vec<Option<Key<Server>>>>>,
+    /// Servers in groups that are too large to be led.
+    unled: RefCell<BTreeSet<Key<Server>>>,
     demand: RefCell<Demand>,
     passes: RefCell<Passes>,
     paces: RefCell<Paces>,
@@ -225,6 +228,7 @@
             fence,
             lead,
             groups: RefCell::default(),
+            unled: RefCell::default(),
             passes: RefCell::default(),
             paces: RefCell::new(Paces::new(fence)),
             unreached_since: Cell::new(None),
@@ -243,18 +247,25 @@
             for rank in groups.values_mut().flatten() {
                 *rank = rank.filter(|key| servers.contains(key));
             }
-            let placed = |key: &Key<Server>| groups.values().flatten().any(|at| *at == Some(*key));
-            servers.into_iter().filter(|key| !placed(key)).collect()
+            let placed: BTreeSet<Key<Server>> =
+                groups.values().flatten().flatten().copied().collect();
+            let mut unled = self.unled.borrow_mut();
+            unled.retain(|key| servers.contains(key));
+            let known = |key: &Key<Server>| placed.contains(key) || unled.contains(key);
+            servers.into_iter().filter(|key| !known(key)).collect()
         };
         let reports = new.iter().map(|key| engine::report(&self.gateway, *key, Path::Any));
         let reports = join_all(reports).await;
         let mut groups = self.groups.borrow_mut();
         for (key, report) in new.into_iter().zip(reports) {
             let Some(report) = report else { continue };
+            if report.size > MOST_RANKS {
+                self.leave_unled(key, &report);
+                continue;
+            }
             let ranks = groups.entry(report.group).or_default();
-            let size = report.size.min(expert_plan::MOST_RANKS);
-            if ranks.len() < size {
-                ranks.resize(size, None);
+            if ranks.len() < report.size {
+                ranks.resize(report.size, None);
             }
             if let Some(place) = ranks.get_mut(report.rank) {
                 *place = Some(key);
@@ -262,6 +273,17 @@
         }
     }
 
+    /// A server is in a group that is too large to be led: its map stays as it is, which is told.
+    fn leave_unled(&self, key: Key<Server>, report: &EngineReport) {
+        self.unled.borrow_mut().insert(key);
+        self.gateway.metrics.ranks_unled.inc();
+        let EngineReport { group, size, .. } = report;
+        let name = &self.name;
+        self.gateway.journal.state(format_args!(
+            "group {group} of {name} is not led: {size} ranks, of at most {MOST_RANKS}"
+        ));
+    }
+
     /// Reads how often experts were chosen since the last reading.
     async fn read_counts(&self) {
         let ranks: Vec<Key<Server>> =
--- a/crates/direct/src/maps/group.rs
+++ b/crates/direct/src/maps/group.rs
@@ -1,15 +1,19 @@
 //! One group's map: read, planned anew as demand changes, and switched by orders to its ranks.
 
+use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::expert_layout;
 use hooktrestle_core::direct::expert_layout::Layout;
+use hooktrestle_core::direct::expert_layout::Planned;
 use hooktrestle_core::direct::map_orders;
 use hooktrestle_core::direct::map_orders::Ask;
 use hooktrestle_core::direct::map_orders::Next;
 use hooktrestle_core::direct::map_orders::Order;
+use hooktrestle_core::direct::map_orders::Phase;
 use hooktrestle_core::direct::map_orders::Reply;
 use hooktrestle_core::direct::map_orders::Start;
 use hooktrestle_core::direct::map_orders::Switch;
@@ -93,7 +97,13 @@
     let demand = service.demand.borrow();
     let paces = service.paces_of(ranks);
     let planned = expert_layout::plan(&service.shape, &demand, &before.layout, &paces);
-    planned.or_else(|| before.unsettled.then(|| before.layout.clone()))
+    let Some(planned) = planned else {
+        return before.unsettled.then(|| before.layout.clone());
+    };
+    let Planned { layout, skew_before, skew_after } = planned;
+    let line = format_args!("skew {skew_before:.2} is to be {skew_after:.2}");
+    service.gateway.journal.state(line);
+    Some(layout)
 }
 
 fn begin<P: Platform>(
@@ -175,21 +185,16 @@
     ranks: &[Key<Server>],
     map: u64,
 ) -> Option<Layout> {
-    let (sets, experts) = (service.shape.sets, service.shape.experts);
-    let mut layout: Layout = vec![vec![0; experts]; sets];
     let told = ranks.iter().map(|key| engine::experts(&service.gateway, *key));
-    for (rank, told) in join_all(told).await.into_iter().enumerate() {
+    let mut by_rank = Vec::with_capacity(ranks.len());
+    for told in join_all(told).await {
         let (version, held) = told?;
         if version != map {
             return None;
         }
-        for (set, held) in held.iter().enumerate().take(sets) {
-            for expert in held {
-                *layout[set].get_mut(usize::from(*expert))? |= 1 << rank;
-            }
-        }
+        by_rank.push(held);
     }
-    Some(layout)
+    expert_layout::from_ranks(&service.shape, &by_rank)
 }
 
 /// Who is asked in a switch, and about what.
@@ -201,6 +206,36 @@
     map: &'a [Vec<Vec<u16>>],
 }
 
+/// How long the parts of a switch took, for logs.
+struct Parts {
+    phase: Phase,
+    since: Millis,
+    took: Vec<(Phase, Millis)>,
+}
+
+impl Parts {
+    fn new(phase: Phase, now: Millis) -> Parts {
+        Parts { phase, since: now, took: Vec::new() }
+    }
+
+    fn note(&mut self, phase: Phase, now: Millis) {
+        if phase != self.phase {
+            self.took.push((self.phase, now.since(self.since)));
+            (self.phase, self.since) = (phase, now);
+        }
+    }
+}
+
+impl fmt::Display for Parts {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (place, (phase, took)) in self.took.iter().enumerate() {
+            let comma = if place > 0 { ", " } else { "" };
+            write!(to, "{comma}{phase:?} {} ms", took.0)?;
+        }
+        Ok(())
+    }
+}
+
 /// Brings a map in, round by round.
 async fn carry_out<P: Platform>(
     service: &Service<P>,
@@ -208,7 +243,9 @@
     mut switch: Switch,
     before: &Known,
 ) -> (Switch, Next) {
+    let mut parts = Parts::new(switch.phase(), service.gateway.now());
     loop {
+        parts.note(switch.phase(), service.gateway.now());
         if !service.are_present(asked.ranks) || !service.may_order() {
             switch.withdraw();
         }
@@ -224,7 +261,12 @@
                 switch.take(&replies);
             }
             Next::Pause(span) => time::sleep(Duration::from(span)).await,
-            ended => return (switch, ended),
+            ended => {
+                parts.note(Phase::Survey, service.gateway.now());
+                let line = format_args!("map {}: {ended:?} after {parts}", switch.version());
+                service.gateway.journal.state(line);
+                return (switch, ended);
+            }
         }
     }
 }
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -26,6 +26,8 @@
     pub repeats_denied: Counter,
     /// Connections opened to backend servers.
     pub dialled: Counter,
+    /// Servers found in groups that are too large for their expert maps to be led.
+    pub ranks_unled: Counter,
     /// Milliseconds from a request's head to the head of its answer.
     pub head_ms: Histogram,
     /// Milliseconds between two events of a stream: the length of a pass of its group.
@@ -45,6 +47,7 @@
             resumed: Counter::default(),
             repeats_denied: Counter::default(),
             dialled: Counter::default(),
+            ranks_unled: Counter::default(),
             head_ms: Histogram::new(exponential_buckets(start, factor, length)),
             pause_ms: Histogram::new(exponential_buckets(start, factor, length)),
             registry: Registry::with_prefix("hooktrestle"),
@@ -58,6 +61,7 @@
             ("resumed", "Streams taken up at another server", &metrics.resumed),
             ("repeats_denied", "Repeats beyond the budget", &metrics.repeats_denied),
             ("dialled", "Connections opened to backend servers", &metrics.dialled),
+            ("ranks_unled", "Servers in groups too large to be led", &metrics.ranks_unled),
         ];
         for (name, help, counter) in counters {
             metrics.registry.register(name, help, counter.clone());
