Control: counts are told as what came since, and orders are packed on the way to sidecars

Cause: a leader read 38 ranks' counts each 120 ms, some 18 kB each (16 sets of 192 experts, as text since the rank's start), 45 Mbit/s, and gave each of 96 ranks a map of 18 kB a switch. A leader with 200 Mbit/s took 0.07 to 0.23 s. Change: core/direct/readings.rs, told by the sidecar, heard by the leader; bodies of a kilobyte and more are packed (flate2) to sidecars; an order's body is built once a switch, not once a rank. Orders still fill a link of 40 Mbit/s where both groups are switched all the time.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -14,6 +14,7 @@
 //! - [`budget`]: how many repeats failures may cost, over a sliding window.
 //! - [`expert_demand`], [`expert_plan`], [`expert_layout`], [`holders`]: how often experts are chosen,
 //!   and which rank shall hold which.
+//! - [`readings`]: how often experts were chosen, told as what came since.
 //! - [`map_orders`]: how that is changed.
 //! - [`passes`]: how long the passes of groups take.
 //! - [`events`]: a stream of events, cut between events only.
@@ -31,6 +32,7 @@
 pub mod outage;
 pub mod passes;
 pub mod pool;
+pub mod readings;
 pub mod replica;
 pub mod serving;
 pub mod slow;
--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -7,9 +7,15 @@
 use bytes::Bytes;
 use hooktrestle_core::direct::map_orders::Reply;
 use hooktrestle_core::direct::pool::Server;
+use hooktrestle_core::direct::readings::Counts;
 use hooktrestle_core::util::arena::Key;
+use hooktrestle_schema::CountsNews;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Method;
 use http::Request;
 use http::StatusCode;
+use http::Uri;
 use http::header;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -17,7 +23,7 @@
 
 use crate::connections::Connection;
 use crate::gateway::Gateway;
-use crate::platform::Counts;
+use crate::packing;
 use crate::platform::EngineAsk;
 use crate::platform::EngineReport;
 use crate::platform::Platform;
@@ -52,13 +58,40 @@
     }
 }
 
+/// A question as it is put to engines, made once however many are asked.
+#[derive(Clone, Debug)]
+pub struct Question {
+    method: Method,
+    uri: Uri,
+    body: Bytes,
+    /// The body as sidecars get it, where that is smaller.
+    packed: Option<Bytes>,
+    /// Headers for sidecars alone.
+    for_sidecar: HeaderMap,
+}
+
+impl Question {
+    /// Spells a question as the platform has it.
+    pub fn new<P: Platform>(gateway: &Gateway<P>, asked: &EngineAsk<'_>) -> Question {
+        let (method, uri, body) = gateway.platform.engine_ask(asked);
+        let packed = (body.len() >= packing::PACKED_FROM).then(|| packing::pack(&body));
+        Question { method, uri, body, packed, for_sidecar: HeaderMap::new() }
+    }
+
+    /// For counts: the sidecar tells only what came since the reading with this number.
+    fn since(mut self, known: u64) -> Question {
+        self.for_sidecar.insert(sidecar::SINCE_HEADER, HeaderValue::from(known));
+        self
+    }
+}
+
 /// Asks an engine, and returns its status and answer; `None` if there was none in time. A sidecar
 /// that gave no answer is passed by for a while: its process may be frozen, and its machine still
 /// take connections.
 async fn ask<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     server: Key<Server>,
-    question: &EngineAsk<'_>,
+    question: &Question,
     path: Path,
 ) -> Option<(StatusCode, Bytes)> {
     let asked_through = path.sidecar_of(server);
@@ -77,7 +110,7 @@
 async fn ask_body<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     server: Key<Server>,
-    question: &EngineAsk<'_>,
+    question: &Question,
     path: Path,
 ) -> Option<Bytes> {
     let (status, body) = ask(gateway, server, question, path).await?;
@@ -87,11 +120,11 @@
 async fn exchange<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     server: Key<Server>,
-    question: &EngineAsk<'_>,
+    question: &Question,
     path: Path,
 ) -> Option<(StatusCode, Bytes)> {
     let (mut connection, through_sidecar) = connect(gateway, server, path).await?;
-    let request = request(gateway, server, question, path)?;
+    let request = request(gateway, server, question, path, through_sidecar)?;
     let answer = connection.sender().send_request(request).await.ok()?;
     let (head, body) = answer.into_parts();
     connection.note_answer(&head.headers);
@@ -106,21 +139,31 @@
 fn request<P: Platform>(
     gateway: &Gateway<P>,
     server: Key<Server>,
-    question: &EngineAsk<'_>,
+    question: &Question,
     path: Path,
+    through_sidecar: bool,
 ) -> Option<Request<Full<Bytes>>> {
     let listed = gateway.with_pool(|pool| pool.server(server).listed.clone());
-    let (method, uri, body) = gateway.platform.engine_ask(question);
     let mut request = Request::builder()
-        .method(method)
-        .uri(uri)
+        .method(&question.method)
+        .uri(&question.uri)
         .header(header::HOST, listed.address.to_string())
         .header(header::CONTENT_TYPE, "application/json")
         .header(&gateway.platform.headers().expect_server, listed.id);
+    let mut body = &question.body;
+    if through_sidecar {
+        for (name, value) in &question.for_sidecar {
+            request = request.header(name, value);
+        }
+        if let Some(packed) = &question.packed {
+            body = packed;
+            request = request.header(header::CONTENT_ENCODING, packing::ENCODING);
+        }
+    }
     if let Path::Beside(_) = path {
         request = request.header(sidecar::ENGINE_HEADER, listed.address.to_string());
     }
-    request.body(Full::new(body)).ok()
+    request.body(Full::new(body.clone())).ok()
 }
 
 /// A connection on which the engine is reached, and whether it is one to a sidecar.
@@ -165,7 +208,8 @@
     server: Key<Server>,
     path: Path,
 ) -> Option<EngineReport> {
-    let body = ask_body(gateway, server, &EngineAsk::Report, path).await?;
+    let question = Question::new(gateway, &EngineAsk::Report);
+    let body = ask_body(gateway, server, &question, path).await?;
     gateway.platform.engine_report(&body)
 }
 
@@ -175,16 +219,31 @@
     server: Key<Server>,
     path: Path,
 ) -> Option<Counts> {
-    let body = ask_body(gateway, server, &EngineAsk::Counts, path).await?;
+    let question = Question::new(gateway, &EngineAsk::Counts);
+    let body = ask_body(gateway, server, &question, path).await?;
     gateway.platform.engine_counts(&body)
 }
 
+/// The same through the process beside the engine, which tells what came since the reading that is
+/// known.
+pub async fn counts_since<P: Platform>(
+    gateway: &Rc<Gateway<P>>,
+    server: Key<Server>,
+    known: u64,
+) -> Option<CountsNews> {
+    let question = Question::new(gateway, &EngineAsk::Counts).since(known);
+    let body = ask_body(gateway, server, &question, Path::Sidecar).await?;
+    let body = packing::unpack(&body, sidecar::MOST_BYTES).ok()?;
+    ciborium::from_reader(body.as_ref()).ok()
+}
+
 /// The experts of an engine's rank, set by set, and the version of that map.
 pub async fn experts<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     server: Key<Server>,
 ) -> Option<(u64, Vec<Vec<u16>>)> {
-    let body = ask_body(gateway, server, &EngineAsk::Experts, Path::Any).await?;
+    let question = Question::new(gateway, &EngineAsk::Experts);
+    let body = ask_body(gateway, server, &question, Path::Any).await?;
     gateway.platform.engine_experts(&body)
 }
 
@@ -192,7 +251,7 @@
 pub async fn order<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     server: Key<Server>,
-    order: &EngineAsk<'_>,
+    order: &Question,
     path: Path,
 ) -> Reply {
     match ask(gateway, server, order, path).await {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -32,6 +32,7 @@
 mod journal;
 mod maps;
 mod metrics;
+mod packing;
 mod peers;
 pub mod platform;
 pub mod process;
--- a/crates/direct/src/maps.rs
+++ b/crates/direct/src/maps.rs
@@ -28,6 +28,8 @@
 use hooktrestle_core::direct::members::Readiness;
 use hooktrestle_core::direct::passes::Passes;
 use hooktrestle_core::direct::pool::Server;
+use hooktrestle_core::direct::readings::Counts;
+use hooktrestle_core::direct::readings::Heard;
 use hooktrestle_core::direct::serving::ExpertShape;
 use hooktrestle_core::util::arena::Key;
 use tokio::sync::Notify;
@@ -38,7 +40,6 @@
 use crate::gateway::Gateway;
 use crate::maps::paces::Paces;
 use crate::platform::Claim;
-use crate::platform::Counts;
 use crate::platform::EngineReport;
 use crate::platform::Platform;
 
@@ -146,6 +147,8 @@
     groups: RefCell<BTreeMap<String, Vec<Option<Key<Server>>>>>,
     /// Servers in groups that are too large to be led.
     unled: RefCell<BTreeSet<Key<Server>>>,
+    /// Readings that were heard last.
+    heard: RefCell<BTreeMap<Key<Server>, Heard>>,
     demand: RefCell<Demand>,
     passes: RefCell<Passes>,
     paces: RefCell<Paces>,
@@ -229,6 +232,7 @@
             lead,
             groups: RefCell::default(),
             unled: RefCell::default(),
+            heard: RefCell::default(),
             passes: RefCell::default(),
             paces: RefCell::new(Paces::new(fence)),
             unreached_since: Cell::new(None),
@@ -247,6 +251,7 @@
             for rank in groups.values_mut().flatten() {
                 *rank = rank.filter(|key| servers.contains(key));
             }
+            self.heard.borrow_mut().retain(|key, _| servers.contains(key));
             let placed: BTreeSet<Key<Server>> =
                 groups.values().flatten().flatten().copied().collect();
             let mut unled = self.unled.borrow_mut();
@@ -321,7 +326,10 @@
             return Vec::new();
         }
         let asked = self.nearby(ranks).into_iter().map(|key| async move {
-            Some((key, engine::counts(&self.gateway, key, Path::Sidecar).await?))
+            let known = self.heard.borrow().get(&key).map_or(0, Heard::known);
+            let news = engine::counts_since(&self.gateway, key, known).await?;
+            let read = self.heard.borrow_mut().entry(key).or_default().take(news)?;
+            Some((key, read))
         });
         join_all(asked).await.into_iter().flatten().collect()
     }
--- a/crates/direct/src/maps/group.rs
+++ b/crates/direct/src/maps/group.rs
@@ -1,5 +1,6 @@
 //! One group's map: read, planned anew as demand changes, and switched by orders to its ranks.
 
+use std::cell::RefCell;
 use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,6 +12,7 @@
 use hooktrestle_core::direct::expert_layout::Planned;
 use hooktrestle_core::direct::map_orders;
 use hooktrestle_core::direct::map_orders::Ask;
+use hooktrestle_core::direct::map_orders::Guarded;
 use hooktrestle_core::direct::map_orders::Next;
 use hooktrestle_core::direct::map_orders::Order;
 use hooktrestle_core::direct::map_orders::Phase;
@@ -24,6 +26,7 @@
 
 use crate::engine;
 use crate::engine::Path;
+use crate::engine::Question;
 use crate::gateway::Gateway;
 use crate::maps::LEAD_EVERY;
 use crate::maps::Service;
@@ -81,7 +84,12 @@
         let Some(planned) = next_layout(&service, before, &ranks) else { continue };
         let switch = begin(&service, versions, before, &planned, ranks.len());
         let map = expert_layout::by_rank(&planned, ranks.len());
-        let asked = Asked { ranks: &ranks, relay: service.relay_for(&group), map: &map };
+        let asked = Asked {
+            ranks: &ranks,
+            relay: service.relay_for(&group),
+            map: &map,
+            newest: RefCell::default(),
+        };
         let (done, ended) = carry_out(&service, &asked, switch, before).await;
         versions = done.versions();
         known = conclude(&service, &group, planned, &done, &ended);
@@ -204,6 +212,9 @@
     relay: Option<Key<Server>>,
     /// The map: experts by set and rank.
     map: &'a [Vec<Vec<u16>>],
+    /// The newest order as it is put to ranks: most rounds give all of them the same, with the whole
+    /// map where it is to be prepared.
+    newest: RefCell<Option<(Guarded, Rc<Question>)>>,
 }
 
 /// How long the parts of a switch took, for logs.
@@ -284,7 +295,7 @@
             None => Reply::Nothing,
         },
         Ask::Order(guarded) => {
-            let order = EngineAsk::Order(&guarded, asked.map);
+            let order = asked.question(&service.gateway, guarded);
             let path = asked.path_of(&service.gateway, guarded.order);
             engine::order(&service.gateway, key, &order, path).await
         }
@@ -292,6 +303,17 @@
 }
 
 impl Asked<'_> {
+    /// An order as it is put to ranks.
+    fn question<P: Platform>(&self, gateway: &Gateway<P>, order: Guarded) -> Rc<Question> {
+        let mut newest = self.newest.borrow_mut();
+        if let Some((_, question)) = newest.as_ref().filter(|(known, _)| *known == order) {
+            return question.clone();
+        }
+        let question = Rc::new(Question::new(gateway, &EngineAsk::Order(&order, self.map)));
+        *newest = Some((order, question.clone()));
+        question
+    }
+
     /// How an order reaches its rank. While a pass is held the group stands still until its rank can
     /// be reached again; so the order that holds it goes through a machine that no rank of the group
     /// needs, should that machine freeze or go dark upon it.
--- a/crates/direct/src/platform.rs
+++ b/crates/direct/src/platform.rs
@@ -11,6 +11,7 @@
 use hooktrestle_core::direct::map_orders::RankReport;
 use hooktrestle_core::direct::map_orders::Reply;
 use hooktrestle_core::direct::pool::Listed;
+use hooktrestle_core::direct::readings::Counts;
 use hooktrestle_core::direct::replica::Replica;
 use hooktrestle_core::direct::replica::Update;
 use hooktrestle_core::direct::serving::Serving;
@@ -132,17 +133,6 @@
     pub state: RankReport,
 }
 
-/// How often each expert was chosen by a rank's requests.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Counts {
-    /// Life of the group.
-    pub epoch: u64,
-    /// Last pass that has begun.
-    pub pass: u64,
-    /// Set by set, since the rank's start.
-    pub counts: Vec<u64>,
-}
-
 /// Names of the headers that callers, gateways and backend servers agree on.
 #[derive(Clone, Debug)]
 pub struct HeaderNames {
--- a/crates/direct/src/sidecar.rs
+++ b/crates/direct/src/sidecar.rs
@@ -3,7 +3,8 @@
 //! An engine answers its own machine with a fresh report and at no price, and takes orders from
 //! there at no price; from elsewhere reports are late, and each question disturbs the group. So the
 //! leader of a service's maps asks through this process, and directly only where it is not there.
-//! It decides nothing and keeps nothing: what guards an order is in the order.
+//! It decides nothing, and keeps only what it told of counts last, so that the next reading is told by
+//! what came since: what guards an order is in the order.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -17,11 +18,16 @@
 use eyre::Result;
 use eyre::WrapErr;
 use eyre::eyre;
+use hooktrestle_core::direct::readings::Counts;
+use hooktrestle_core::direct::readings::Told;
 use hooktrestle_schema::SidecarRoleSettings;
 use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::header;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
@@ -39,35 +45,50 @@
 use crate::accept;
 use crate::dial;
 use crate::headers;
+use crate::packing;
 
 /// Names another engine that is to be asked, by its address. Without it, it is the one beside.
 pub(crate) const ENGINE_HEADER: &str = "hooktrestle-engine";
 
+/// In a question for counts: tell what came since the reading with this number, packed.
+pub(crate) const SINCE_HEADER: &str = "hooktrestle-since";
+
 /// Longest wait for the engine: on its own machine its answers come within a few milliseconds, and a
 /// group may be held until an order that got none is repeated.
 const ENGINE_TIMEOUT: Duration = Duration::from_millis(60);
 
-/// Largest order that is passed on: a map of 64 ranks and 256 experts has some 100 KB.
-const MOST_ORDER_BYTES: usize = 1 << 20;
+/// Largest body that is passed on: a map of 64 ranks and 256 experts has some 100 KB.
+pub(crate) const MOST_BYTES: usize = 1 << 20;
 
 /// The engine beside this process, and idle connections to it and to others.
 struct Engines {
     beside: SocketAddr,
     kept: RefCell<HashMap<SocketAddr, Vec<SendRequest<Full<Bytes>>>>>,
+    /// Understands counts as the engine spells them.
+    counts: DecodeCounts,
+    told: RefCell<Told>,
 }
 
+/// Decodes an engine's answer about its counts.
+pub type DecodeCounts = fn(&[u8]) -> Option<Counts>;
+
 /// Runs until the process is told to stop.
 ///
 /// # Errors
 ///
 /// The address cannot be listened on.
-pub async fn run(settings: &SidecarRoleSettings) -> Result<()> {
+pub async fn run(settings: &SidecarRoleSettings, counts: DecodeCounts) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hang_up = signal(SignalKind::hangup())?;
     let listener = TcpListener::bind(&settings.listen)
         .await
         .wrap_err_with(|| format!("cannot listen on {}", settings.listen))?;
-    let engines = Rc::new(Engines { beside: settings.engine.parse()?, kept: RefCell::default() });
+    let engines = Rc::new(Engines {
+        beside: settings.engine.parse()?,
+        kept: RefCell::default(),
+        counts,
+        told: RefCell::new(Told::new(rand::random())),
+    });
     spdlog::info!("sidecar of {} started", settings.engine);
     let note = |error: &io::Error| spdlog::warn!("the leader is not accepted: {error}");
     loop {
@@ -112,10 +133,16 @@
 impl Engines {
     async fn pass_on(&self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>> {
         let (mut head, body) = request.into_parts();
-        let body = Limited::new(body, MOST_ORDER_BYTES).collect().await;
-        let body = body.map_err(|error| eyre!("the order cannot be read: {error}"))?.to_bytes();
+        let body = Limited::new(body, MOST_BYTES).collect().await;
+        let mut body = body.map_err(|error| eyre!("the order cannot be read: {error}"))?.to_bytes();
         headers::strip_connection(&mut head.headers);
         let address = self.asked(&mut head.headers)?;
+        let since = headers::number(&head.headers, &HeaderName::from_static(SINCE_HEADER));
+        head.headers.remove(SINCE_HEADER);
+        if head.headers.remove(header::CONTENT_ENCODING).is_some() {
+            body = packing::unpack(&body, MOST_BYTES)?;
+            head.headers.insert(header::CONTENT_LENGTH, HeaderValue::from(body.len()));
+        }
         let kept = self.kept.borrow_mut().get_mut(&address).and_then(Vec::pop);
         let mut sender = match kept.filter(SendRequest::is_ready) {
             Some(sender) => sender,
@@ -126,7 +153,19 @@
         let body = body.collect().await?.to_bytes();
         self.kept.borrow_mut().entry(address).or_default().push(sender);
         headers::strip_connection(&mut head.headers);
-        Ok(Response::from_parts(head, Full::new(body)))
+        match since.filter(|_| head.status.is_success()) {
+            Some(known) => self.tell(known, &body),
+            None => Ok(Response::from_parts(head, Full::new(body))),
+        }
+    }
+
+    /// Tells counts to a leader that knows the reading with the number `known`.
+    fn tell(&self, known: u64, answer: &[u8]) -> Result<Response<Full<Bytes>>> {
+        let read = (self.counts)(answer).ok_or_else(|| eyre!("the counts make no sense"))?;
+        let news = self.told.borrow_mut().tell(read, known);
+        let mut body = Vec::new();
+        ciborium::into_writer(&news, &mut body)?;
+        Ok(Response::new(Full::new(packing::pack(&body))))
     }
 
     /// Which engine is asked.
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -287,6 +287,19 @@
     ///Whether nothing of the request was written.
     pub unsent: bool,
 }
+///How often a rank's requests have chosen each expert, set by set, since an earlier reading.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct CountsNews {
+    pub counts: ::std::vec::Vec<u64>,
+    ///Life of the group.
+    pub epoch: u64,
+    ///Last pass that has begun.
+    pub pass_number: u64,
+    ///Names this reading; the next one can be told from here on.
+    pub reading_number: u64,
+    ///The reading that the counts go on from; 0 if they are since the rank's start.
+    pub since_number: u64,
+}
 ///Either way: the receiver of a body has room for more of it.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct CreditFrame {
