Expert maps: a pass is held through the next sidecar when one is passed by, not through the rank's own

Cause: a pass is held through a sidecar of another group, since the machine that gives such an order may freeze upon it. Ruled out: the order lost on the way (it was taken: the group stood still); late releases. Change: all servers of other groups in turn, the first that is not passed by; only without any the engine itself.

--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -85,6 +85,14 @@
     }
 }
 
+/// The way through the process beside the first of these servers that is not passed by. An order that
+/// holds a pass goes so: where the first was passed by it went through the rank's own machine instead,
+/// which froze upon it, and the group stood still for the 7 s of the freeze.
+pub fn beside_one_of<P: Platform>(gateway: &Gateway<P>, servers: &[Key<Server>]) -> Path {
+    let open = servers.iter().find(|server| gateway.uses_sidecar(**server));
+    open.map_or(Path::Any, |server| Path::Beside(*server))
+}
+
 /// Asks an engine, and returns its status and answer; `None` if there was none in time. A sidecar
 /// that gave no answer is passed by for a while: its process may be frozen, and its machine still
 /// take connections.
--- a/crates/direct/src/maps/group.rs
+++ b/crates/direct/src/maps/group.rs
@@ -86,7 +86,7 @@
         let map = expert_layout::by_rank(&planned, ranks.len());
         let asked = Asked {
             ranks: &ranks,
-            relay: service.relay_for(&group),
+            relays: service.beyond(&group),
             map: &map,
             newest: RefCell::default(),
         };
@@ -208,8 +208,8 @@
 /// Who is asked in a switch, and about what.
 struct Asked<'a> {
     ranks: &'a [Key<Server>],
-    /// A server of another group, through whose sidecar passes are held.
-    relay: Option<Key<Server>>,
+    /// Servers of other groups, through whose sidecars passes are held.
+    relays: Vec<Key<Server>>,
     /// The map: experts by set and rank.
     map: &'a [Vec<Vec<u16>>],
     /// The newest order as it is put to ranks: most rounds give all of them the same, with the whole
@@ -318,9 +318,8 @@
     /// be reached again; so the order that holds it goes through a machine that no rank of the group
     /// needs, should that machine freeze or go dark upon it.
     fn path_of<P: Platform>(&self, gateway: &Gateway<P>, order: Order) -> Path {
-        let relay = self.relay.filter(|relay| gateway.uses_sidecar(*relay));
-        match (order, relay) {
-            (Order::Hold { .. }, Some(relay)) => Path::Beside(relay),
+        match order {
+            Order::Hold { .. } => engine::beside_one_of(gateway, &self.relays),
             _ => Path::Any,
         }
     }
