Control at size: most gateways hear of changes from each other, and look at the store each 15 s

Weighed: waiting calls with a longer pause after a change (a second change is late), a few that follow and tell the others (here: who loses sight of them within 3 s, or of all others within 1.5 s, follows itself, so that who is cut off is not late by more). Change: loose followers look each 15 s without waiting; a change of a known table is handed on at once, as findings are.

--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -18,10 +18,12 @@
 /// and its time-out stay below three seconds. Calls are priced, so it is not much shorter.
 const WAIT: Duration = Duration::from_millis(2_000);
 
-/// The same where others of the data centre follow closely: what a lost answer hides comes from them,
-/// and whoever loses sight of them follows closely itself. Nearly all gateways of a large fleet follow
-/// so. It stays below the 20 s of history that the users' store keeps.
-const LOOSE_WAIT: Duration = Duration::from_millis(15_000);
+/// Time between two looks at a table where others of the data centre follow it closely: what changes
+/// meanwhile comes from them, and whoever loses sight of them, or of all others, follows closely itself
+/// within the 3 s in which that is noticed. Nearly all gateways of a large fleet follow so: waiting calls
+/// of 149 gateways were all answered at each change, 1,043 calls for seven of the configuration. It stays
+/// below the 20 s of history that the users' store keeps.
+const LOOSE_EVERY: Duration = Duration::from_millis(15_000);
 
 /// Pause after a call that failed.
 const PAUSE: Duration = Duration::from_millis(250);
@@ -38,11 +40,6 @@
 /// is due within two seconds.
 const GATHER: Duration = Duration::from_millis(200);
 
-/// The same where others follow closely. What they learn meanwhile comes with news from them; where it
-/// does not, it is late by one second of the two that are allowed. With [`LOOSE_WAIT`], half of the
-/// calls of 32 gateways, 0.015 to 0.02 of worth.
-const LOOSE_GATHER: Duration = Duration::from_millis(1_000);
-
 /// Time between two looks at whether a gateway still follows loosely.
 const LOOK_EVERY: Duration = Duration::from_millis(500);
 
@@ -58,17 +55,11 @@
     let mut whole = true;
     let mut pause = PAUSE;
     loop {
-        let closely = follows_closely(&gateway);
         let asked = if whole {
             gateway.platform.read(table).await
         } else {
-            let wait = if closely { WAIT } else { LOOSE_WAIT };
-            let asked = gateway.platform.follow(table, gateway.revision(table), wait);
-            tokio::select! {
-                asked = asked => asked,
-                // Those that followed closely are gone, or this gateway is cut off from them.
-                () = until_close(&gateway), if !closely => continue,
-            }
+            let wait = next_wait(&gateway).await;
+            gateway.platform.follow(table, gateway.revision(table), wait).await
         };
         match asked {
             Ok(update) if whole && update.revision < gateway.revision(table) => {
@@ -81,7 +72,7 @@
                 gateway.take(table, &update, "store");
                 whole = false;
                 if !update.changes.is_empty() {
-                    time::sleep(if closely { GATHER } else { LOOSE_GATHER }).await;
+                    time::sleep(GATHER).await;
                 }
             }
             Err(Failure::HistoryGone) => {
@@ -106,6 +97,18 @@
     gateway.with_members(|members| members.follows_closely(now))
 }
 
+/// How long the next call may wait for changes; where others follow closely, it comes only after a
+/// while, or once they are gone or this gateway is cut off from them.
+async fn next_wait<P: Platform>(gateway: &Gateway<P>) -> Duration {
+    if follows_closely(gateway) {
+        return WAIT;
+    }
+    tokio::select! {
+        () = time::sleep(LOOSE_EVERY) => Duration::ZERO,
+        () = until_close(gateway) => WAIT,
+    }
+}
+
 /// Waits until this gateway shall follow closely.
 async fn until_close<P: Platform>(gateway: &Gateway<P>) {
     while !follows_closely(gateway) {
--- a/crates/direct/src/gateway/tables.rs
+++ b/crates/direct/src/gateway/tables.rs
@@ -22,13 +22,20 @@
 
     /// Takes news of a table, from the store or from another gateway, and brings it into force.
     pub fn take(&self, table: Table, update: &Update, source: &'static str) {
-        let changed = match self.replicas.borrow_mut().get_mut(&table) {
-            Some(replica) => replica.take(update),
+        let (changed, was_known) = match self.replicas.borrow_mut().get_mut(&table) {
+            Some(replica) => {
+                let was_known = replica.revision() > 0;
+                (replica.take(update), was_known)
+            }
             None => return,
         };
         if changed.is_empty() {
             return;
         }
+        if was_known {
+            // Most gateways hear of changes from each other alone.
+            self.hand_on();
+        }
         match table {
             Table::Configuration => self.configure(source),
             Table::Servers => self.relist(&changed, source),
