Members: a test of clocks that jump by hours between two processes of one instance

Nothing decides by the time of day but the incarnation of a process, which only has to rise; where the clock went back, the next process hears of the one before it and outlives it. Shown for jumps of four hours back and ahead.

--- a/crates/core/tests/direct_tables.rs
+++ b/crates/core/tests/direct_tables.rs
@@ -410,6 +410,31 @@
     assert_eq!(b.named(&[a.own().life(), next.life()]), [next]);
 }
 
+/// Incarnations are times of day, and those jump: by hours, ahead and back.
+#[test]
+fn a_process_whose_clock_went_back_is_known_after_two_exchanges() {
+    const HOUR_MS: u64 = 3_600_000;
+    let started = |clock_ms, heartbeat| {
+        let own = Member { incarnation: clock_ms, ..member("a", heartbeat) };
+        Members::new(Config::default(), own)
+    };
+    for (before_ms, after_ms) in [(9 * HOUR_MS, 5 * HOUR_MS), (5 * HOUR_MS, 9 * HOUR_MS)] {
+        let mut all = vec![started(before_ms, 70), Members::new(Config::default(), member("b", 1))];
+        exchange(&mut all, 0, 1, Millis(100));
+        assert_eq!(all[1].living(Millis(200)), 2);
+        // It is killed, and the next process of its instance starts under the other clock.
+        all[0] = started(after_ms, 0);
+        all[0].set_readiness(Readiness::Starting);
+        for at in [3_200, 3_800] {
+            all[0].beat();
+            exchange(&mut all, 0, 1, Millis(at));
+        }
+        assert!(all[0].own().incarnation > before_ms, "it outlives the one before it");
+        assert_eq!(all[1].named(&[all[0].own().life()]), [all[0].own().clone()]);
+        assert_eq!(all[1].living(Millis(6_500)), 2, "it lives by the steady clock");
+    }
+}
+
 /// Rounds of news until all of so many gateways have heard of a lead that one has begun.
 fn rounds_until_all_hear(gateways: usize, seed: u64) -> u64 {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
