Control at size: changes of tables are handed on at once within a data centre; a member tells its memory in bytes

Change: urgent rounds for tables are made with gateways of the own data centre, each of which has some that follow the store closely; findings and claims go to all as before. Tests: news_that_stay_near_are_told_in_the_own_data_centre.

--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -47,7 +47,7 @@
     /// Its data centre.
     pub data_centre: String,
     /// Memory of its instance; 0 if that is not known.
-    pub memory_mb: u64,
+    pub memory_bytes: u64,
     /// Whether callers are sent there.
     pub readiness: Readiness,
     /// Whether the platform's store answers it.
@@ -97,7 +97,7 @@
     /// processor: maps of groups of 96 ranks are in force after 0.25 s where its link has 200 Mbit/s, and
     /// after 0.5 to 0.9 s where it has 40.
     fn lead_order(&self) -> (Reverse<u64>, &str) {
-        (Reverse(self.memory_mb), &self.name)
+        (Reverse(self.memory_bytes), &self.name)
     }
 
     fn with_beat(&self, beat: &Beat) -> Member {
@@ -410,6 +410,13 @@
         self.own.lead_fence > 0 && self.shall_lead(now)
     }
 
+    /// Another gateway of the own data centre to exchange news with, drawn at random.
+    pub fn draw_near<R: Rng>(&self, now: Millis, rng: &mut R) -> Option<SocketAddr> {
+        let is_near = |member: &&Member| member.data_centre == self.own.data_centre;
+        let near: Vec<&Member> = self.living_others(now).filter(is_near).collect();
+        (!near.is_empty()).then(|| near[rng.random_range(0..near.len())].peers_at)
+    }
+
     /// Another gateway to exchange news with, drawn at random; now and then one that was silent.
     pub fn draw<R: Rng>(&self, now: Millis, rng: &mut R) -> Option<SocketAddr> {
         let silent_too = rng.random_range(0..SILENT_DRAWS) == 0 || self.living(now) == 1;
--- a/crates/core/tests/direct_tables.rs
+++ b/crates/core/tests/direct_tables.rs
@@ -177,7 +177,7 @@
         callers_at: address,
         peers_at: address,
         data_centre: format!("hall-{name}"),
-        memory_mb: 0,
+        memory_bytes: 0,
         readiness: Readiness::Ready,
     }
 }
@@ -304,7 +304,7 @@
 
 #[test]
 fn the_lead_goes_to_those_with_the_most_memory_and_then_by_name() {
-    let able = |memory_mb, name| Member { memory_mb, store_answers: true, ..member(name, 1) };
+    let able = |memory_bytes, name| Member { memory_bytes, store_answers: true, ..member(name, 1) };
     let mut members = Members::new(Config::default(), able(512, "c"));
     members.set_readiness(Readiness::Ready);
     members.hear(&able(160, "a"), Millis(0));
@@ -410,6 +410,22 @@
     assert_eq!(b.named(&[a.own().life(), next.life()]), [next]);
 }
 
+#[test]
+fn news_that_stay_near_are_told_in_the_own_data_centre() {
+    let now = Millis(1_000);
+    let mut members = Members::new(Config::default(), neighbour("d"));
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    members.hear(&member("a", 1), now);
+    assert_eq!(members.draw_near(now, &mut rng), None, "nobody lives there");
+    for name in ["b", "c"] {
+        members.hear(&neighbour(name), now);
+    }
+    let near = ["b", "c"].map(|name| Some(neighbour(name).peers_at));
+    let drawn: Vec<_> = (0..40).map(|_| members.draw_near(now, &mut rng)).collect();
+    assert!(drawn.iter().all(|one| near.contains(one)), "{drawn:?}");
+    assert!(near.iter().all(|one| drawn.contains(one)), "each of them in turn");
+}
+
 /// Incarnations are times of day, and those jump: by hours, ahead and back.
 #[test]
 fn a_process_whose_clock_went_back_is_known_after_two_exchanges() {
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -3,7 +3,7 @@
 //! One thread runs them all, so cells suffice: nothing is borrowed across an await.
 
 mod by_service;
-mod findings;
+pub(crate) mod findings;
 mod tables;
 
 use std::cell::Cell;
@@ -37,6 +37,7 @@
 use crate::connections::Connections;
 use crate::entrance::Entrance;
 use crate::gateway::by_service::ByService;
+use crate::gateway::findings::Reach;
 use crate::journal::Journal;
 use crate::metrics::Metrics;
 use crate::platform::Platform;
@@ -86,7 +87,7 @@
     /// Wakes whoever exchanges news with other gateways: there is some that cannot wait.
     pub urgent: Notify,
     /// Rounds of news that are still to be made at once.
-    urgent_rounds: Cell<u32>,
+    urgent_rounds: Cell<Option<(u32, Reach)>>,
     findings: RefCell<Findings>,
     serving: RefCell<Rc<Serving>>,
     pool: RefCell<Pool>,
@@ -121,7 +122,7 @@
             stalled: Notify::new(),
             stop: Notify::new(),
             urgent: Notify::new(),
-            urgent_rounds: Cell::new(0),
+            urgent_rounds: Cell::new(None),
             findings: RefCell::default(),
             serving: RefCell::default(),
             pool: RefCell::new(Pool::new(pool::Config::default())),
--- a/crates/direct/src/gateway/findings.rs
+++ b/crates/direct/src/gateway/findings.rs
@@ -10,6 +10,17 @@
 /// telling two others, it reaches all but a few, and these in the next round.
 const URGENT_ROUNDS: u32 = 2;
 
+/// Whom news that cannot wait are told.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Reach {
+    /// Those of the own data centre: each has some that follow the store closely, and bytes between data
+    /// centres are priced. Told to all, changes of a day on which the configuration grew by 1,400 routes
+    /// took 0.39 GB more between data centres.
+    Near,
+    /// All.
+    All,
+}
+
 impl<P: Platform> Gateway<P> {
     /// What the leaders of expert maps found of servers.
     pub fn with_findings<T>(&self, act: impl FnOnce(&Findings) -> T) -> T {
@@ -24,19 +35,25 @@
         }
         let now = self.now();
         self.with_pool(|pool| pool.set_slow(service, &finding.servers, now));
-        self.hand_on();
+        self.hand_on(Reach::All);
     }
 
     /// Exchanges news at once: there is some that cannot wait.
-    pub fn hand_on(&self) {
-        self.urgent_rounds.set(URGENT_ROUNDS);
+    pub fn hand_on(&self, reach: Reach) {
+        let reach = self.urgent_reach().map_or(reach, |waiting| waiting.max(reach));
+        self.urgent_rounds.set(Some((URGENT_ROUNDS, reach)));
         self.urgent.notify_one();
     }
 
+    /// With whom news are to be exchanged at once, if with anybody.
+    pub fn urgent_reach(&self) -> Option<Reach> {
+        self.urgent_rounds.get().map(|(_, reach)| reach)
+    }
+
     /// Takes one of the rounds of news that are to be made at once, if one is left.
-    pub fn take_urgent_round(&self) -> bool {
-        let left = self.urgent_rounds.get();
-        self.urgent_rounds.set(left.saturating_sub(1));
-        left > 0
+    pub fn take_urgent_round(&self) -> Option<Reach> {
+        let (left, reach) = self.urgent_rounds.get()?;
+        self.urgent_rounds.set((left > 1).then_some((left - 1, reach)));
+        Some(reach)
     }
 }
--- a/crates/direct/src/gateway/tables.rs
+++ b/crates/direct/src/gateway/tables.rs
@@ -6,6 +6,7 @@
 use hooktrestle_core::direct::replica::Update;
 
 use crate::gateway::Gateway;
+use crate::gateway::findings::Reach;
 use crate::platform::Platform;
 use crate::platform::Table;
 
@@ -34,7 +35,7 @@
         }
         if was_known {
             // Most gateways hear of changes from each other alone.
-            self.hand_on();
+            self.hand_on(Reach::Near);
         }
         match table {
             Table::Configuration => self.configure(source),
--- a/crates/direct/src/maps.rs
+++ b/crates/direct/src/maps.rs
@@ -38,6 +38,7 @@
 use crate::engine;
 use crate::engine::Path;
 use crate::gateway::Gateway;
+use crate::gateway::findings::Reach;
 use crate::maps::paces::Paces;
 use crate::platform::Claim;
 use crate::platform::EngineReport;
@@ -183,7 +184,7 @@
 ) {
     let Some(fence) = claim(&gateway, &name, &lead).await else { return };
     gateway.with_members(|members| members.begin_lead(fence));
-    gateway.hand_on();
+    gateway.hand_on(Reach::All);
     let service = Rc::new(Service::new(gateway, name, shape, fence, lead));
     let mut started: BTreeSet<String> = BTreeSet::new();
     while !service.lead.is_over() {
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -27,6 +27,7 @@
 use crate::accept;
 use crate::dial;
 use crate::gateway::Gateway;
+use crate::gateway::findings::Reach;
 use crate::peers::news::answer;
 use crate::peers::news::decode;
 use crate::peers::news::encode;
@@ -95,6 +96,7 @@
     /// Exchanges news until the process ends.
     pub async fn run<P: Platform>(&self, gateway: Rc<Gateway<P>>) {
         let mut round = 0;
+        let mut urgent = None;
         loop {
             let now = gateway.now();
             let readiness = gateway.readiness();
@@ -102,21 +104,26 @@
                 members.beat();
                 members.set_readiness(readiness);
                 members.forget(now);
-                members.draw(now, &mut rand::rng())
+                let near = match urgent {
+                    Some(Reach::Near) => members.draw_near(now, &mut rand::rng()),
+                    Some(Reach::All) | None => None,
+                };
+                near.or_else(|| members.draw(now, &mut rand::rng()))
             });
             round += 1;
             if let Some(address) = self.seed(&gateway, round, drawn.is_none()).or(drawn) {
                 self.exchange(&gateway, address).await;
             }
             let hasty = !gateway.store_answers() || readiness == Readiness::Starting;
-            if gateway.take_urgent_round() {
+            urgent = gateway.take_urgent_round();
+            if urgent.is_some() {
                 continue;
             }
             let round_time = gateway.with_members(|members| Duration::from(members.round()));
             let pause = time::sleep(if hasty { HASTY_ROUND } else { round_time });
             tokio::select! {
                 () = pause => {}
-                () = gateway.urgent.notified() => {}
+                () = gateway.urgent.notified() => urgent = gateway.urgent_reach(),
             }
         }
     }
--- a/crates/direct/src/peers/news.rs
+++ b/crates/direct/src/peers/news.rs
@@ -166,7 +166,7 @@
         callers_at: member.callers_at.to_string(),
         peers_at: member.peers_at.to_string(),
         data_centre: member.data_centre.clone(),
-        memory_mb: member.memory_mb,
+        memory_bytes: member.memory_bytes,
         readiness: match member.readiness {
             Readiness::Starting => schema::Readiness::Starting,
             Readiness::Ready => schema::Readiness::Ready,
@@ -185,7 +185,7 @@
         callers_at: news.callers_at.parse().ok()?,
         peers_at: news.peers_at.parse().ok()?,
         data_centre: news.data_centre.clone(),
-        memory_mb: news.memory_mb,
+        memory_bytes: news.memory_bytes,
         readiness: match news.readiness {
             schema::Readiness::Starting => Readiness::Starting,
             schema::Readiness::Ready => Readiness::Ready,
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -230,7 +230,7 @@
         callers_at,
         peers_at,
         data_centre: settings.instance.data_centre.clone(),
-        memory_mb: memory_mb(),
+        memory_bytes: memory_bytes(),
         readiness: Readiness::Starting,
         store_answers: false,
         lead_fence: 0,
@@ -238,9 +238,9 @@
 }
 
 /// Memory of this instance.
-fn memory_mb() -> u64 {
+fn memory_bytes() -> u64 {
     let told = rustix::system::sysinfo();
-    (told.totalram as u64).saturating_mul(u64::from(told.mem_unit)) >> 20
+    (told.totalram as u64).saturating_mul(u64::from(told.mem_unit))
 }
 
 fn bind(address: &str) -> Result<TcpListener> {
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -971,7 +971,7 @@
     pub lead_fence_number: u64,
     ///Memory of its instance; 0 if that is not known.
     #[serde(default)]
-    pub memory_mb: u64,
+    pub memory_bytes: u64,
     pub name: ::std::string::String,
     ///IP number and port.
     pub peers_at: ::std::string::String,
