Gateways: callers are given the gateways of other data centres alike

Cause: callers take at most 64 addresses; ours were those of the own data centre and then the others by name, so of 149 gateways in five data centres the 33 of the first had some four times the requests of most others (by reckoning), and all callers lose half of their addresses if that one goes. Change: behind the own data centre each gateway has an order of its own. Test: callers_are_given_all_gateways_alike (red with the order by name).

--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -334,12 +334,18 @@
     }
 
     /// Where callers in `data_centre` connect, the nearest first. Never empty: a gateway that can
-    /// name no other names itself, and one that is stopping names others where it can.
+    /// name no other names itself, and one that is stopping names others where it can. Callers are given
+    /// the first of them and draw one of these; so that all are given alike, each gateway has an order
+    /// of its own. By name, 64 of 149 in five data centres were all of the own and all of the first one,
+    /// which had four times the requests of most others (by reckoning).
     pub fn for_callers(&self, data_centre: &str, now: Millis) -> Vec<SocketAddr> {
         let ready = |member: &Member| member.readiness == Readiness::Ready;
         let living = self.living_others(now).chain([&self.own]);
         let mut found: Vec<&Member> = living.filter(|member| ready(member)).collect();
-        found.sort_by_key(|member| member.data_centre != data_centre);
+        let own_order = hash::of(&self.own.name);
+        found.sort_by_cached_key(|member| {
+            (member.data_centre != data_centre, hash::score(own_order, &member.name))
+        });
         if found.is_empty() {
             found.push(&self.own);
         }
--- a/crates/core/tests/direct_tables.rs
+++ b/crates/core/tests/direct_tables.rs
@@ -426,6 +426,30 @@
     assert!(near.iter().all(|one| drawn.contains(one)), "each of them in turn");
 }
 
+/// Callers are given 64 gateways at the most, and draw one of them. Five data centres of 30 gateways.
+#[test]
+fn callers_are_given_all_gateways_alike() {
+    let now = Millis(1_000);
+    let named = |index: usize| {
+        let at = SocketAddr::from(([127, 0, 0, 1], 1_000 + index as u16));
+        let data_centre = format!("hall-{}", index / 30);
+        Member { callers_at: at, peers_at: at, data_centre, ..member(&format!("g{index:03}"), 1) }
+    };
+    let mut drawn = vec![0.0; 150];
+    for asked in 0..150 {
+        let mut members = Members::new(Config::default(), named(asked));
+        (0..150).filter(|other| *other != asked).for_each(|other| members.hear(&named(other), now));
+        let given = members.for_callers(&named(asked).data_centre, now);
+        let near =
+            given.iter().take(30).filter(|at| (at.port() as usize - 1_000) / 30 == asked / 30);
+        assert_eq!(near.count(), 30, "those of the own data centre come first");
+        given.iter().take(64).for_each(|at| drawn[at.port() as usize - 1_000] += 1.0 / 64.0);
+    }
+    let most = drawn.iter().copied().fold(0.0, f64::max);
+    let least = drawn.iter().copied().fold(f64::MAX, f64::min);
+    assert!(least > 0.6 && most < 1.4, "one part in 150 each, more or less: {least} to {most}");
+}
+
 /// Incarnations are times of day, and those jump: by hours, ahead and back.
 #[test]
 fn a_process_whose_clock_went_back_is_known_after_two_exchanges() {
