--- a/crates/direct/tests/entrance.rs
+++ b/crates/direct/tests/entrance.rs
@@ -111,3 +111,30 @@
         assert!(entrance.enter(asked(clock, 1, 8_000)).await.is_ok());
     });
 }
+
+#[test]
+fn whoever_leaves_while_it_waits_takes_no_place() {
+    run(async {
+        let clock = TimerClock::default();
+        let (entrance, mut permits) = with_streams(clock, 121).await;
+        let let_in = Rc::new(RefCell::new(Vec::new()));
+        let mut waiting = Vec::new();
+        for name in ["leaves", "stays"] {
+            let (entrance, let_in) = (entrance.clone(), let_in.clone());
+            waiting.push(task::spawn_local(async move {
+                let permit = entrance.enter(asked(clock, 1, 8_000)).await;
+                let_in.borrow_mut().push((name, permit.is_ok()));
+                std::future::pending::<()>().await;
+            }));
+            task::yield_now().await;
+        }
+        assert!(let_in.borrow().is_empty(), "{let_in:?}: both wait");
+        // Its caller has closed its connection: what was done for it is dropped.
+        waiting[0].abort();
+        permits.truncate(6);
+        for _ in 0..10 {
+            task::yield_now().await;
+        }
+        assert_eq!(*let_in.borrow(), [("stays", true)]);
+    });
+}
