Sight: gateways log and count whom they take for living

Change: a line whenever a gateway is seen otherwise than in the round before (lives, is silent, is forgotten, with its heartbeat), and a gauge gateways_living. Logic unchanged.

--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -8,6 +8,8 @@
 //! number for one life of a gateway and what changes while it lives. Names and addresses go only to
 //! whoever lacks them. With 149 gateways a message has 2 kB in place of 22.
 
+mod sightings;
+
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -17,6 +19,9 @@
 use rand::Rng;
 use rand::RngExt;
 
+pub use self::sightings::Sight;
+pub use self::sightings::Sighting;
+use self::sightings::Sightings;
 use crate::clock::Millis;
 use crate::util::hash;
 
@@ -170,6 +175,7 @@
     lives: HashMap<LifeId, String>,
     /// When news were exchanged last.
     exchanged_at: Option<Millis>,
+    sightings: Sightings,
 }
 
 impl Members {
@@ -182,6 +188,7 @@
             others: BTreeMap::new(),
             lives: HashMap::new(),
             exchanged_at: None,
+            sightings: Sightings::default(),
         }
     }
 
@@ -326,6 +333,18 @@
         self.lives.retain(|_, name| others.contains_key(name));
     }
 
+    /// Which others are seen otherwise than at the look before: they were heard of, fell silent, or
+    /// were forgotten.
+    pub fn look(&mut self, now: Millis) -> Vec<Sighting> {
+        let suspect = self.config.suspect;
+        let known = self.others.iter().map(|(name, heard)| {
+            let lives = now.since(heard.at) < suspect;
+            let sight = if lives { Sight::Living } else { Sight::Silent };
+            (name.as_str(), heard.member.heartbeat, sight)
+        });
+        self.sightings.look(known)
+    }
+
     /// How many gateways live, itself included.
     pub fn living(&self, now: Millis) -> usize {
         1 + self.living_others(now).count()
--- a/crates/core/tests/direct_tables.rs
+++ b/crates/core/tests/direct_tables.rs
@@ -10,6 +10,7 @@
 use hooktrestle_core::direct::members::Member;
 use hooktrestle_core::direct::members::Members;
 use hooktrestle_core::direct::members::Readiness;
+use hooktrestle_core::direct::members::Sighting;
 use hooktrestle_core::direct::replica::Change;
 use hooktrestle_core::direct::replica::Replica;
 use hooktrestle_core::direct::replica::Update;
@@ -233,6 +234,24 @@
     assert_eq!(members.for_callers("hall-b", Millis(3_200)).len(), 2);
 }
 
+#[test]
+fn a_look_tells_who_is_seen_otherwise_than_before() {
+    let mut members = Members::new(Config::default(), member("a", 1));
+    members.hear(&member("b", 7), Millis(0));
+    let look = |members: &mut Members, now| {
+        members.forget(now);
+        let sightings = members.look(now);
+        sightings.iter().map(Sighting::to_string).collect::<Vec<String>>()
+    };
+    assert_eq!(look(&mut members, Millis(100)), ["b lives at heartbeat 7"]);
+    members.hear(&member("b", 8), Millis(600));
+    assert!(look(&mut members, Millis(600)).is_empty());
+    assert_eq!(look(&mut members, Millis(3_600)), ["b is silent at heartbeat 8"]);
+    members.hear_listed(&member("c", 0), Millis(3_700));
+    assert_eq!(look(&mut members, Millis(3_700)), ["c is silent at heartbeat 0"]);
+    assert_eq!(look(&mut members, Millis(60_600)), ["b is forgotten at heartbeat 8"]);
+}
+
 #[test]
 fn a_restarted_gateway_outlives_the_word_of_its_earlier_process() {
     let mut members = Members::new(Config::default(), member("a", 0));
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and histograms.
 
 use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::metrics::histogram::exponential_buckets;
 use prometheus_client::registry::Registry;
@@ -28,6 +29,8 @@
     pub dialled: Counter,
     /// Servers found in groups that are too large for their expert maps to be led.
     pub ranks_unled: Counter,
+    /// Gateways that callers may be sent to, this one included.
+    pub gateways_living: Gauge,
     /// Milliseconds from a request's head to the head of its answer.
     pub head_ms: Histogram,
     /// Milliseconds between two events of a stream: the length of a pass of its group.
@@ -48,6 +51,7 @@
             repeats_denied: Counter::default(),
             dialled: Counter::default(),
             ranks_unled: Counter::default(),
+            gateways_living: Gauge::default(),
             head_ms: Histogram::new(exponential_buckets(start, factor, length)),
             pause_ms: Histogram::new(exponential_buckets(start, factor, length)),
             registry: Registry::with_prefix("hooktrestle"),
@@ -66,6 +70,8 @@
         for (name, help, counter) in counters {
             metrics.registry.register(name, help, counter.clone());
         }
+        let help = "Gateways that are heard of, this one included";
+        metrics.registry.register("gateways_living", help, metrics.gateways_living.clone());
         let help = "Milliseconds from a request's head to its answer's head";
         metrics.registry.register("head_ms", help, metrics.head_ms.clone());
         let help = "Milliseconds between two events of a stream";
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -16,7 +16,9 @@
 
 use futures_util::SinkExt;
 use futures_util::StreamExt;
+use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::members::Readiness;
+use hooktrestle_core::direct::members::Sighting;
 use hooktrestle_schema::PeerNews;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -100,10 +102,10 @@
         loop {
             let now = gateway.now();
             let readiness = gateway.readiness();
+            note_sightings(&gateway, now);
             let drawn = gateway.with_members(|members| {
                 members.beat();
                 members.set_readiness(readiness);
-                members.forget(now);
                 let near = match urgent {
                     Some(Reach::Near) => members.draw_near(now, &mut rand::rng()),
                     Some(Reach::All) | None => None,
@@ -190,6 +192,20 @@
     }
 }
 
+/// Forgets gateways that were silent for long; logs whom callers are sent to from now on, or are not.
+fn note_sightings<P: Platform>(gateway: &Gateway<P>, now: Millis) {
+    let (sightings, living) = gateway.with_members(|members| {
+        members.forget(now);
+        (members.look(now), members.living(now))
+    });
+    gateway.metrics.gateways_living.set(living as i64);
+    if sightings.is_empty() {
+        return;
+    }
+    let line: Vec<String> = sightings.iter().map(Sighting::to_string).collect();
+    gateway.journal.state(format_args!("{living} gateways live: {}", line.join(", ")));
+}
+
 async fn exchange<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     address: SocketAddr,
