--- /dev/null
+++ b/crates/core/tests/departed.rs
@@ -0,0 +1,103 @@
+//! Whoever has left stays gone, whatever is still told of it.
+//!
+//! Seen: 59 s after a gateway had lost power for good, the others gave it to callers again, for five
+//! seconds. Each forgets a gateway that was silent for 60 s, at moments of its own; those that still
+//! remembered it told of it, and whoever had forgotten it took the word of it, with no age, for a sign
+//! of life. The log showed it: forgotten at heartbeat 68, and 0.2 s later living at heartbeat 68.
+//! Whoever starts, comes back from a cut or reads the table of gateways met the same word.
+
+mod fleet;
+
+use std::ops::Range;
+
+use fleet::Fleet;
+use hooktrestle_core::clock::Millis;
+use hooktrestle_core::direct::replica::Change;
+use hooktrestle_core::direct::replica::Replica;
+use hooktrestle_core::direct::replica::Update;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+fn fleet_of(gateways: usize, seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(seed);
+    (0..gateways).for_each(|_| fleet.start());
+    fleet
+}
+
+/// Lets time pass, and fails once somebody names a gateway that is long off.
+fn pass(fleet: &mut Fleet, time: Millis) {
+    let end = fleet.now + time;
+    while fleet.now < end {
+        fleet.step();
+        let named = fleet.named_though_long_off();
+        assert!(named.is_empty(), "at {:?}: {named:?}", fleet.now);
+    }
+}
+
+#[test]
+fn a_gateway_that_went_off_is_not_given_to_callers_again() {
+    for seed in 0..8 {
+        let mut fleet = fleet_of(7, seed);
+        pass(&mut fleet, Millis(4_000));
+        fleet.off(5);
+        pass(&mut fleet, Millis(200_000));
+        assert_eq!(fleet.not_named_though_running(), [], "seed {seed}");
+    }
+}
+
+const STEPS: Range<usize> = 0..30;
+
+/// Gateways go off and come back, new ones start, halves of the fleet are cut off from each other.
+fn trouble(fleet: &mut Fleet, rng: &mut ChaCha8Rng) {
+    let (running, gone) = (fleet.running(), fleet.gone());
+    match rng.random_range(0..6) {
+        0 | 1 if running.len() > 3 => fleet.off(running[rng.random_range(0..running.len())]),
+        2 if !gone.is_empty() => fleet.start_again(gone[rng.random_range(0..gone.len())]),
+        3 if running.len() < 14 => fleet.start(),
+        4 => fleet.cut = Some(rng.random_range(1..8)),
+        _ => fleet.cut = None,
+    }
+}
+
+#[test]
+fn whoever_is_off_is_not_given_to_callers_whatever_starts_is_cut_off_or_listed() {
+    for seed in 0..40 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut fleet = fleet_of(8, seed);
+        pass(&mut fleet, Millis(5_000));
+        for _ in STEPS {
+            trouble(&mut fleet, &mut rng);
+            pass(&mut fleet, Millis(rng.random_range(200..15_000)));
+        }
+        fleet.cut = None;
+        // The table of gateways is read once in this time.
+        pass(&mut fleet, Millis(75_000));
+        assert_eq!(fleet.not_named_though_running(), [], "seed {seed}: who runs is known");
+    }
+}
+
+/// A row that was removed is remembered for a while only, and an answer that was on its way since
+/// before may still name it.
+#[test]
+fn a_row_that_was_removed_does_not_come_back_by_an_old_answer() {
+    let row = |number: u64, revision, value: Option<&str>| Change {
+        key: format!("s{number}"),
+        revision,
+        value: value.map(str::to_owned),
+    };
+    let mut replica = Replica::default();
+    let on_its_way = Update { revision: 1, whole: false, changes: vec![row(0, 1, Some("ready"))] };
+    replica.take(&on_its_way);
+    // More removals than are remembered.
+    for number in 0..400 {
+        let revision = 2 + 2 * number;
+        let listed = row(number, revision, Some("ready"));
+        let removed = row(number, revision + 1, None);
+        replica.take(&Update { revision, whole: false, changes: vec![listed] });
+        replica.take(&Update { revision: revision + 1, whole: false, changes: vec![removed] });
+    }
+    assert_eq!(replica.rows().count(), 0);
+    assert!(replica.take(&on_its_way).is_empty());
+    assert_eq!(replica.get("s0"), None, "it was removed long ago");
+}
