Gateways: what is told of one comes with its age, and does not show by itself that it lives

Change: beats and members carry the time since the gateway lived, to which the time on the way is added; it lives while news of it come within 3 s (as before) and it lived within that and the time that news take to spread. Ages are kept as told, not as moments. All forget one at about the same time, and it is not told of shortly before. Older removals are known by their time.

--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -7,10 +7,13 @@
 //! Each exchange of news names every gateway, so what it says of one is kept short: a [`Beat`], a
 //! number for one life of a gateway and what changes while it lives. Names and addresses go only to
 //! whoever lacks them. With 149 gateways a message has 2 kB in place of 22.
+//!
+//! What is told of a gateway comes with its age. Others remember longer, or have heard less, so that
+//! a word is new here does not show that the gateway lives.
 
 mod sightings;
+mod told;
 
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -22,100 +25,14 @@
 pub use self::sightings::Sight;
 pub use self::sightings::Sighting;
 use self::sightings::Sightings;
+pub use self::told::Beat;
+pub use self::told::LifeId;
+pub use self::told::Member;
+pub use self::told::Readiness;
+pub use self::told::Word;
 use crate::clock::Millis;
 use crate::util::hash;
 
-/// Whether callers are sent to a gateway.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum Readiness {
-    /// It has no configuration yet.
-    Starting,
-    /// It serves.
-    Ready,
-    /// It is stopping.
-    Leaving,
-}
-
-/// A gateway as it tells of itself.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Member {
-    /// Name of its instance.
-    pub name: String,
-    /// Rises each time its process starts.
-    pub incarnation: u64,
-    /// Rises while its process lives.
-    pub heartbeat: u64,
-    /// Where callers connect.
-    pub callers_at: SocketAddr,
-    /// Where other gateways connect.
-    pub peers_at: SocketAddr,
-    /// Its data centre.
-    pub data_centre: String,
-    /// Memory of its instance; 0 if that is not known.
-    pub memory_bytes: u64,
-    /// Whether callers are sent there.
-    pub readiness: Readiness,
-    /// Whether the platform's store answers it.
-    pub store_answers: bool,
-    /// Fencing token with which it leads expert maps; 0 if it does not.
-    pub lead_fence: u64,
-}
-
-/// Stands for one life of a gateway: a hash of its name and incarnation, the same at all gateways.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct LifeId(pub u64);
-
-/// What changes of a gateway while it lives.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Beat {
-    /// Which life of which gateway.
-    pub life: LifeId,
-    /// As [`Member::heartbeat`].
-    pub heartbeat: u64,
-    /// As [`Member::readiness`].
-    pub readiness: Readiness,
-    /// As [`Member::store_answers`].
-    pub store_answers: bool,
-    /// As [`Member::lead_fence`].
-    pub lead_fence: u64,
-}
-
-impl Member {
-    /// Names this life.
-    pub fn life(&self) -> LifeId {
-        LifeId(hash::score(self.incarnation, &self.name))
-    }
-
-    /// What changes of it.
-    pub fn beat(&self) -> Beat {
-        Beat {
-            life: self.life(),
-            heartbeat: self.heartbeat,
-            readiness: self.readiness,
-            store_answers: self.store_answers,
-            lead_fence: self.lead_fence,
-        }
-    }
-
-    /// Who goes before whom in taking the lead: those with more memory, then by name. A leader reads and
-    /// orders hundreds of ranks, and instances with more memory have the larger links and shares of a
-    /// processor: maps of groups of 96 ranks are in force after 0.25 s where its link has 200 Mbit/s, and
-    /// after 0.5 to 0.9 s where it has 40.
-    fn lead_order(&self) -> (Reverse<u64>, &str) {
-        (Reverse(self.memory_bytes), &self.name)
-    }
-
-    fn with_beat(&self, beat: &Beat) -> Member {
-        Member {
-            heartbeat: beat.heartbeat,
-            readiness: beat.readiness,
-            store_answers: beat.store_answers,
-            lead_fence: beat.lead_fence,
-            ..self.clone()
-        }
-    }
-}
-
 /// Times of a [`Members`].
 #[derive(Clone, Copy, Debug)]
 pub struct Config {
@@ -160,7 +77,36 @@
 #[derive(Clone, Debug)]
 struct Heard {
     member: Member,
-    at: Millis,
+    /// When news of it came, or it was read from the platform's table.
+    taken_at: Millis,
+    /// How long ago it had lived then; `None` if nobody has told of it. Not the moment at which it lived:
+    /// that is often before this process began, where its clock has no times.
+    age_then: Option<Millis>,
+    /// Whether it could not be reached since.
+    unreachable: bool,
+}
+
+impl Heard {
+    fn listed(member: &Member, now: Millis) -> Heard {
+        Heard { member: member.clone(), taken_at: now, age_then: None, unreachable: false }
+    }
+
+    /// Takes news of it; whoever lives now has lived at all earlier moments that were told.
+    fn take(&mut self, told: Member, age: Millis, now: Millis) {
+        let least = self.age(now).map_or(age, |known| known.min(age));
+        *self = Heard { member: told, taken_at: now, age_then: Some(least), unreachable: false };
+    }
+
+    /// Time since it lived; `None` if nobody has told of it.
+    fn age(&self, now: Millis) -> Option<Millis> {
+        Some(self.age_then? + now.since(self.taken_at))
+    }
+
+    /// Whether this is news: of a later process, of a later heartbeat, or the first.
+    fn is_behind(&self, told: &Member) -> bool {
+        let known = self.member.moment();
+        told.moment() > known || (self.age_then.is_none() && told.moment() >= known)
+    }
 }
 
 /// All gateways that this one has heard of, itself included.
@@ -238,7 +184,8 @@
     }
 
     /// Takes what another gateway tells of any gateway.
-    pub fn hear(&mut self, told: &Member, now: Millis) {
+    pub fn hear(&mut self, word: &Word, now: Millis) {
+        let told = &word.member;
         if told.name == self.own.name {
             // Word of another process of this instance: outlive it.
             let known = (self.own.incarnation, self.own.heartbeat);
@@ -247,9 +194,11 @@
             }
             return;
         }
-        let known = self.others.get(&told.name);
-        if known.is_none_or(|heard| newer(told, &heard.member)) {
-            self.insert(Heard { member: told.clone(), at: now });
+        let known = self.others.get(&told.name).cloned();
+        let mut heard = known.unwrap_or_else(|| Heard::listed(told, now));
+        if word.age < self.config.forget && heard.is_behind(told) {
+            heard.take(told.clone(), word.age, now);
+            self.insert(heard);
         }
     }
 
@@ -265,58 +214,66 @@
     /// Takes what another gateway tells of those that it knows, and returns the lives that are not
     /// known here: what they are has to be asked.
     pub fn hear_beats(&mut self, beats: &[Beat], now: Millis) -> Vec<LifeId> {
-        let own = self.own.life();
+        let (own, forget) = (self.own.life(), self.config.forget);
         let mut unknown = Vec::new();
-        for beat in beats.iter().filter(|beat| beat.life != own) {
+        // Who would be forgotten at once is not asked for.
+        for beat in beats.iter().filter(|beat| beat.life != own && beat.age < forget) {
             let known = self.lives.get(&beat.life).and_then(|name| self.others.get_mut(name));
             let Some(heard) = known else {
                 unknown.push(beat.life);
                 continue;
             };
             let told = heard.member.with_beat(beat);
-            if newer(&told, &heard.member) {
-                *heard = Heard { member: told, at: now };
+            if heard.is_behind(&told) {
+                heard.take(told, beat.age, now);
             }
         }
         unknown
     }
 
-    /// What is told of all that are known, itself included.
-    pub fn beats(&self) -> Vec<Beat> {
-        self.known().map(Member::beat).collect()
+    /// What is told of all that were heard of, itself included.
+    pub fn beats(&self, now: Millis) -> Vec<Beat> {
+        let others = self.others.values();
+        let beat = |heard: &Heard| Some(heard.member.beat(self.told_age(heard, now)?));
+        others.filter_map(beat).chain([self.own.beat(Millis::ZERO)]).collect()
     }
 
     /// Those that one who told these beats does not know.
-    pub fn lacking(&self, told: &[Beat]) -> Vec<Member> {
+    pub fn lacking(&self, told: &[Beat], now: Millis) -> Vec<Word> {
         let told: HashSet<LifeId> = told.iter().map(|beat| beat.life).collect();
-        self.known().filter(|member| !told.contains(&member.life())).cloned().collect()
+        let others = self.others.values().filter(|heard| !told.contains(&heard.member.life()));
+        let own = (!told.contains(&self.own.life())).then(|| self.own_word());
+        others.filter_map(|heard| self.word(heard, now)).chain(own).collect()
     }
 
-    /// Those of the lives that are known.
-    pub fn named(&self, lives: &[LifeId]) -> Vec<Member> {
+    /// Those of the lives that were heard of.
+    pub fn named(&self, lives: &[LifeId], now: Millis) -> Vec<Word> {
         let known = |life: &LifeId| {
             let other = self.lives.get(life).and_then(|name| self.others.get(name));
             let is_own = *life == self.own.life();
-            other.map(|heard| &heard.member).or(is_own.then_some(&self.own)).cloned()
+            other.and_then(|heard| self.word(heard, now)).or(is_own.then(|| self.own_word()))
         };
         lives.iter().filter_map(known).collect()
     }
 
+    /// What this gateway tells of itself.
+    pub fn own_word(&self) -> Word {
+        Word { member: self.own.clone(), age: Millis::ZERO }
+    }
+
     /// Takes a gateway from the platform's table. That it is listed does not show that it lives: one
     /// that is not known yet is asked, and counts as living once it is heard of.
     pub fn hear_listed(&mut self, listed: &Member, now: Millis) {
         if listed.name != self.own.name && !self.others.contains_key(&listed.name) {
-            let at = now - self.config.suspect;
-            self.insert(Heard { member: listed.clone(), at });
+            self.insert(Heard::listed(listed, now));
         }
     }
 
     /// A gateway could not be reached: callers are not sent there until it is heard of again.
-    pub fn unreachable(&mut self, peers_at: SocketAddr, now: Millis) {
-        let suspect = self.config.suspect;
+    pub fn unreachable(&mut self, peers_at: SocketAddr) {
         let found = self.others.values_mut().find(|heard| heard.member.peers_at == peers_at);
         if let Some(heard) = found {
-            heard.at = heard.at.min(now - suspect);
+            heard.unreachable = true;
         }
     }
 
@@ -325,10 +282,12 @@
         self.others.values().map(|heard| &heard.member).chain([&self.own])
     }
 
-    /// Forgets those that were silent for long.
+    /// Forgets those that were silent for long: by when they lived, so that all forget them at about
+    /// the same time.
     pub fn forget(&mut self, now: Millis) {
         let forget = self.config.forget;
-        self.others.retain(|_, heard| now.since(heard.at) < forget);
+        let silent = |heard: &Heard| heard.age(now).unwrap_or(now.since(heard.taken_at));
+        self.others.retain(|_, heard| silent(heard) < forget);
         let others = &self.others;
         self.lives.retain(|_, name| others.contains_key(name));
     }
@@ -336,12 +295,14 @@
     /// Which others are seen otherwise than at the look before: they were heard of, fell silent, or
     /// were forgotten.
     pub fn look(&mut self, now: Millis) -> Vec<Sighting> {
-        let suspect = self.config.suspect;
-        let known = self.others.iter().map(|(name, heard)| {
-            let lives = now.since(heard.at) < suspect;
-            let sight = if lives { Sight::Living } else { Sight::Silent };
-            (name.as_str(), heard.member.heartbeat, sight)
-        });
+        let sight = |heard: &Heard| match self.lives(heard, now) {
+            true => Sight::Living,
+            false => Sight::Silent,
+        };
+        let seen = |(name, heard): (&String, &Heard)| {
+            (name.clone(), (heard.member.heartbeat, sight(heard)))
+        };
+        let known = self.others.iter().map(seen).collect();
         self.sightings.look(known)
     }
 
@@ -457,12 +418,22 @@
         living.map(|heard| &heard.member)
     }
 
-    fn lives(&self, heard: &Heard, now: Millis) -> bool {
-        now.since(heard.at) < self.config.suspect
+    fn word(&self, heard: &Heard, now: Millis) -> Option<Word> {
+        Some(Word { member: heard.member.clone(), age: self.told_age(heard, now)? })
     }
-}
 
-fn newer(told: &Member, known: &Member) -> bool {
-    (told.incarnation, told.heartbeat, told.readiness)
-        > (known.incarnation, known.heartbeat, known.readiness)
+    /// The age with which a gateway is told of; `None` if it is not. One that is about to be forgotten
+    /// is not told of any more: whoever has just forgotten it would learn of it anew.
+    fn told_age(&self, heard: &Heard, now: Millis) -> Option<Millis> {
+        heard.age(now).filter(|age| *age + self.config.suspect < self.config.forget)
+    }
+
+    /// Whether news of a gateway came lately, and of a time that is not long past: whoever has just
+    /// started, was cut off or had forgotten it is told of those that are gone, too. Who lives has news
+    /// spread within the time added, so nobody who lives is taken for silent for it.
+    fn lives(&self, heard: &Heard, now: Millis) -> bool {
+        let oldest = self.config.suspect + self.spread_time();
+        let lived_lately = heard.age(now).is_some_and(|age| age < oldest);
+        lived_lately && !heard.unreachable && now.since(heard.taken_at) < self.config.suspect
+    }
 }
--- a/crates/core/src/direct/members/sightings.rs
+++ b/crates/core/src/direct/members/sightings.rs
@@ -45,26 +45,21 @@
 }
 
 impl Sightings {
-    /// Takes all that are known, each with its heartbeat and how it is seen, and returns what changed.
-    pub(super) fn look<'a>(
-        &mut self,
-        known: impl Iterator<Item = (&'a str, u64, Sight)>,
-    ) -> Vec<Sighting> {
-        let mut now: BTreeMap<&str, (u64, Sight)> =
-            known.map(|(name, heartbeat, sight)| (name, (heartbeat, sight))).collect();
+    /// Takes all that are known by name, each with its heartbeat and how it is seen, and returns what
+    /// changed.
+    pub(super) fn look(&mut self, mut known: BTreeMap<String, (u64, Sight)>) -> Vec<Sighting> {
         let mut changed = Vec::new();
         self.seen.retain(|name, (heartbeat, sight)| {
-            let (newest, seen) =
-                now.remove(name.as_str()).unwrap_or((*heartbeat, Sight::Forgotten));
+            let (newest, seen) = known.remove(name).unwrap_or((*heartbeat, Sight::Forgotten));
             if seen != *sight {
                 changed.push(Sighting { name: name.clone(), heartbeat: newest, sight: seen });
             }
             (*heartbeat, *sight) = (newest, seen);
             seen != Sight::Forgotten
         });
-        for (name, (heartbeat, sight)) in now {
-            changed.push(Sighting { name: name.to_owned(), heartbeat, sight });
-            self.seen.insert(name.to_owned(), (heartbeat, sight));
+        for (name, (heartbeat, sight)) in known {
+            changed.push(Sighting { name: name.clone(), heartbeat, sight });
+            self.seen.insert(name, (heartbeat, sight));
         }
         changed
     }
--- a/crates/core/src/direct/replica.rs
+++ b/crates/core/src/direct/replica.rs
@@ -74,6 +74,8 @@
             return Vec::new();
         }
         let mut changed = Vec::new();
+        // A row of an earlier time that is not known was removed since, and its removal forgotten.
+        let removed_before = if update.whole { 0 } else { self.forgotten };
         if update.whole {
             self.remove_untold(update, &mut changed);
             // What was removed before this copy was never told: others need a whole one, too.
@@ -81,7 +83,8 @@
         }
         for change in &update.changes {
             let known = self.rows.get(&change.key);
-            if known.is_some_and(|row| row.revision >= change.revision) {
+            let known_up_to = known.map_or(removed_before, |row| row.revision);
+            if known_up_to >= change.revision {
                 continue;
             }
             let same = known.and_then(|row| row.value.as_ref()) == change.value.as_ref();
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -185,8 +185,7 @@
                 kept.push_back((address, socket));
             }
             Ok(Err(_)) | Err(_) => {
-                let now = gateway.now();
-                gateway.with_members(|members| members.unreachable(address, now));
+                gateway.with_members(|members| members.unreachable(address));
             }
         }
     }
@@ -218,11 +217,13 @@
             tokio_tungstenite::client_async(format!("ws://{address}/"), stream).await?.0
         }
     };
+    let asked_at = gateway.now();
     let answer = ask(&mut socket, &question(gateway)).await?;
-    take(gateway, &answer);
+    take(gateway, &answer, asked_at);
     // What the other lacks, it is given at once.
     if let Some(rest) = rest(gateway, &answer) {
-        take(gateway, &ask(&mut socket, &rest).await?);
+        let asked_at = gateway.now();
+        take(gateway, &ask(&mut socket, &rest).await?, asked_at);
     }
     Ok(socket)
 }
--- a/crates/direct/src/peers/news.rs
+++ b/crates/direct/src/peers/news.rs
@@ -1,10 +1,14 @@
 //! What gateways tell each other, between its form on the link and the core's own types.
 
+use std::iter;
+
 use bytes::Bytes;
+use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::members::Beat;
 use hooktrestle_core::direct::members::LifeId;
 use hooktrestle_core::direct::members::Member;
 use hooktrestle_core::direct::members::Readiness;
+use hooktrestle_core::direct::members::Word;
 use hooktrestle_core::direct::replica::Change;
 use hooktrestle_core::direct::replica::Update;
 use hooktrestle_core::direct::slow::Finding;
@@ -26,40 +30,38 @@
 
 /// What is asked first: what this gateway knows.
 pub(super) fn question<P: Platform>(gateway: &Gateway<P>) -> PeerNews {
-    let (own, beats) = gateway.with_members(|members| (members.own().clone(), members.beats()));
-    PeerNews {
-        members: vec![member_news(&own)],
-        beats: beats.iter().map(beat_news).collect(),
-        ..own_news(gateway, &[])
-    }
+    let now = gateway.now();
+    let (own, beats) = gateway.with_members(|members| (members.own_word(), members.beats(now)));
+    PeerNews { members: vec![word_news(&own)], ..with_beats(own_news(gateway, &[]), &beats) }
 }
 
 /// Takes what another gateway told, and returns the answer to it: what the other lacks and, if it told
 /// all that it knows, what this one knows and lacks.
 pub(super) fn answer<P: Platform>(gateway: &Gateway<P>, asked: &PeerNews) -> PeerNews {
-    let told = beats_of(asked);
-    let unknown = take_told(gateway, asked, &told);
+    let now = gateway.now();
+    let told = beats_of(asked, Millis::ZERO);
+    let unknown = take_told(gateway, asked, &told, Millis::ZERO);
     let news = own_news(gateway, &asked.known);
     if told.is_empty() {
         return news;
     }
     let (lacking, beats) =
-        gateway.with_members(|members| (members.lacking(&told), members.beats()));
+        gateway.with_members(|members| (members.lacking(&told, now), members.beats(now)));
     PeerNews {
-        members: lacking.iter().map(member_news).collect(),
-        beats: beats.iter().map(beat_news).collect(),
+        members: lacking.iter().map(word_news).collect(),
         wanted_numbers: unknown.iter().map(|life| life.0).collect(),
-        ..news
+        ..with_beats(news, &beats)
     }
 }
 
 /// What the other was found to lack by its answer, if anything.
 pub(super) fn rest<P: Platform>(gateway: &Gateway<P>, answer: &PeerNews) -> Option<PeerNews> {
     let wanted: Vec<LifeId> = answer.wanted_numbers.iter().copied().map(LifeId).collect();
-    let members = gateway.with_members(|members| members.named(&wanted));
+    let now = gateway.now();
+    let members = gateway.with_members(|members| members.named(&wanted, now));
     let news = own_news(gateway, &answer.known);
     let lacks_nothing = members.is_empty() && news.news.is_empty();
-    let members = members.iter().map(member_news).collect();
+    let members = members.iter().map(word_news).collect();
     (!lacks_nothing).then_some(PeerNews { members, ..news })
 }
 
@@ -72,6 +74,7 @@
     PeerNews {
         members: Vec::new(),
         beats: Vec::new(),
+        beat_ages_ms: Vec::new(),
         wanted_numbers: Vec::new(),
         known: [Table::Configuration, Table::Servers]
             .map(|table| TableKnown {
@@ -93,18 +96,26 @@
     }
 }
 
-/// Takes what another gateway answered.
-pub(super) fn take<P: Platform>(gateway: &Gateway<P>, news: &PeerNews) {
+/// Takes what another gateway answered to what was asked at a time. The answer may have waited since,
+/// as this process may have stood still: what it tells is older by so much at the most.
+pub(super) fn take<P: Platform>(gateway: &Gateway<P>, news: &PeerNews, asked_at: Millis) {
+    let waited = gateway.now().since(asked_at);
     // Whoever it names and this gateway did not know comes with the answer.
-    take_told(gateway, news, &beats_of(news));
+    take_told(gateway, news, &beats_of(news, waited), waited);
 }
 
-/// Takes what another gateway told, with these beats; returns the lives among them that are not known.
-fn take_told<P: Platform>(gateway: &Gateway<P>, news: &PeerNews, beats: &[Beat]) -> Vec<LifeId> {
+/// Takes what another gateway told so long ago, with these beats; returns the lives among them that are
+/// not known.
+fn take_told<P: Platform>(
+    gateway: &Gateway<P>,
+    news: &PeerNews,
+    beats: &[Beat],
+    waited: Millis,
+) -> Vec<LifeId> {
     let now = gateway.now();
     let unknown = gateway.with_members(|members| {
-        let told = news.members.iter().filter_map(member);
-        told.for_each(|member| members.hear(&member, now));
+        let told = news.members.iter().filter_map(|told| word(told, waited));
+        told.for_each(|word| members.hear(&word, now));
         members.hear_beats(beats, now)
     });
     for told in &news.slow {
@@ -156,19 +167,41 @@
     [beat.life.0, beat.heartbeat, state, beat.lead_fence]
 }
 
-fn beats_of(news: &PeerNews) -> Vec<Beat> {
-    news.beats.iter().filter_map(beat).collect()
+/// News with these beats.
+fn with_beats(news: PeerNews, beats: &[Beat]) -> PeerNews {
+    PeerNews {
+        beats: beats.iter().map(beat_news).collect(),
+        beat_ages_ms: beats.iter().map(|beat| beat.age.0).collect(),
+        ..news
+    }
+}
+
+/// The beats that were told, each older by `waited` than it says. A gateway of an earlier version tells
+/// no ages.
+fn beats_of(news: &PeerNews, waited: Millis) -> Vec<Beat> {
+    let ages = news.beat_ages_ms.iter().copied().chain(iter::repeat(0));
+    let told = news.beats.iter().zip(ages);
+    told.filter_map(|(told, age_ms)| beat(told, Millis(age_ms) + waited)).collect()
 }
 
 /// The reverse; `None` for a state of a later version.
-fn beat(&[life, heartbeat, state, lead_fence]: &[u64; 4]) -> Option<Beat> {
+fn beat(&[life, heartbeat, state, lead_fence]: &[u64; 4], age: Millis) -> Option<Beat> {
     let readiness = *STATES.get((state % ANSWERS) as usize)?;
     let store_answers = state / ANSWERS == 1;
-    Some(Beat { life: LifeId(life), heartbeat, readiness, store_answers, lead_fence })
+    Some(Beat { life: LifeId(life), heartbeat, readiness, store_answers, lead_fence, age })
+}
+
+fn word_news(word: &Word) -> MemberNews {
+    MemberNews { age_ms: word.age.0, ..member_news(&word.member) }
+}
+
+fn word(news: &MemberNews, waited: Millis) -> Option<Word> {
+    Some(Word { member: member(news)?, age: Millis(news.age_ms) + waited })
 }
 
 fn member_news(member: &Member) -> MemberNews {
     MemberNews {
+        age_ms: 0,
         name: member.name.clone(),
         incarnation: member.incarnation,
         heartbeat_number: member.heartbeat,
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -960,6 +960,9 @@
 ///A gateway, as it or another one tells of it.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct MemberNews {
+    ///Time since it lived, as far as the one who tells has heard.
+    #[serde(default)]
+    pub age_ms: u64,
     ///IP number and port.
     pub callers_at: ::std::string::String,
     pub data_centre: ::std::string::String,
@@ -1047,6 +1050,9 @@
 ///Gateway to gateway: what each knows, and what the other was found to lack. The one that asks sends one with no news; it is answered by one.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct PeerNews {
+    ///Of each of the beats: time since the gateway lived, as far as the one who tells has heard.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub beat_ages_ms: ::std::vec::Vec<u64>,
     ///Of each gateway that is known: a number for its life, its heartbeat, its state (readiness, 0 to 2, and 4 if the store answers it), its fencing token.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub beats: ::std::vec::Vec<[u64; 4usize]>,
