Gateways: rows of those that are gone for good are removed from the table

Cause: a gateway that lost power leaves its row in the platform's table, and nothing ever removed it. Change: the first of those that live and that the store answers removes rows of whom nobody has told for ten minutes, at its reading of the table; a gateway that misses its own row writes it again (a cut that lasts longer than that; an own write that came late). Who is known from the table alone is known as long as it stands there. Tests, red without it: rows_of_gateways_that_are_gone_are_removed_and_those_of_a_cut_come_back (seven rows, five run), a_gateway_that_lives_lists_itself_again.

--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -40,6 +40,8 @@
     pub suspect: Millis,
     /// Time without a heartbeat after which it is not asked again.
     pub forget: Millis,
+    /// Time in which nobody heard of a gateway that is listed, after which its row is removed.
+    pub unlist: Millis,
     /// Gateways of each data centre that follow the store closely.
     pub close_followers: usize,
     /// Time between two exchanges of news by one gateway.
@@ -52,11 +54,13 @@
     /// Heartbeats come each 0.6 s and cross the fleet in two or three rounds; a minute covers the
     /// cuts that the users' deployments list. Three close followers: of nine in three data centres one
     /// is left where half of all machines fail at once, but for once in 500 times. Exchanges are made
-    /// each 0.6 s and time out after 0.5 s, so 1.5 s are two that failed.
+    /// each 0.6 s and time out after 0.5 s, so 1.5 s are two that failed. Rows of the other side of a
+    /// cut are removed and written again, one call each in ten minutes.
     fn default() -> Self {
         Config {
             suspect: Millis(3_000),
             forget: Millis(60_000),
+            unlist: Millis(600_000),
             close_followers: 3,
             round: Millis(600),
             alone: Millis(1_500),
@@ -261,12 +265,28 @@
         Word { member: self.own.clone(), age: Millis::ZERO }
     }
 
-    /// Takes a gateway from the platform's table. That it is listed does not show that it lives: one
-    /// that is not known yet is asked, and counts as living once it is heard of.
-    pub fn hear_listed(&mut self, listed: &Member, now: Millis) {
-        if listed.name != self.own.name && !self.others.contains_key(&listed.name) {
-            self.insert(Heard::listed(listed, now));
+    /// Takes the platform's table of gateways. That one is listed does not show that it lives: whoever
+    /// is not known yet is asked, and counts as living once it is heard of. Returns the rows to remove:
+    /// of gateways that nobody has heard of for long, and of all gateways one removes them. Left, they
+    /// would be asked, and waited for in taking the lead, for ever. Whoever lives lists itself again.
+    pub fn take_table(&mut self, listed: &[Member], now: Millis) -> Vec<String> {
+        let names: HashSet<&str> = listed.iter().map(|member| member.name.as_str()).collect();
+        let is_listed = |heard: &Heard| names.contains(heard.member.name.as_str());
+        self.others.retain(|_, heard| heard.age_then.is_some() || is_listed(heard));
+        for member in listed {
+            if member.name != self.own.name && !self.others.contains_key(&member.name) {
+                self.insert(Heard::listed(member, now));
+            }
+        }
+        self.forget_lives();
+        if !self.is_first_able(now) {
+            return Vec::new();
         }
+        let unheard = |heard: &&Heard| {
+            heard.age_then.is_none() && now.since(heard.taken_at) >= self.config.unlist
+        };
+        let found = self.others.values().filter(unheard);
+        found.map(|heard| heard.member.name.clone()).collect()
     }
 
     /// A gateway could not be reached: callers are not sent there until it is heard of again.
@@ -283,11 +303,14 @@
     }
 
     /// Forgets those that were silent for long: by when they lived, so that all forget them at about
-    /// the same time.
+    /// the same time. Those that are known from the table alone are known as long as they stand in it.
     pub fn forget(&mut self, now: Millis) {
         let forget = self.config.forget;
-        let silent = |heard: &Heard| heard.age(now).unwrap_or(now.since(heard.taken_at));
-        self.others.retain(|_, heard| silent(heard) < forget);
+        self.others.retain(|_, heard| heard.age(now).is_none_or(|age| age < forget));
+        self.forget_lives();
+    }
+
+    fn forget_lives(&mut self) {
         let others = &self.others;
         self.lives.retain(|_, name| others.contains_key(name));
     }
@@ -342,9 +365,15 @@
             return self.lead_fence > highest;
         }
         // Whoever cannot reach the store cannot claim the lead.
-        let able = ready.filter(|member| member.store_answers);
-        let first = able.map(Member::lead_order).all(|order| order > self.own.lead_order());
-        first && self.own.store_answers
+        self.is_first_able(now)
+    }
+
+    /// Whether this gateway is the first of those that live and that the store answers, in the order of
+    /// [`Members::before`].
+    fn is_first_able(&self, now: Millis) -> bool {
+        let ready = |member: &&Member| member.readiness == Readiness::Ready && member.store_answers;
+        let mut able = self.living_others(now).filter(ready).map(Member::lead_order);
+        able.all(|order| order > self.own.lead_order()) && self.own.store_answers
     }
 
     /// How many gateways go before this one in taking the lead, living or not: those with more memory,
--- a/crates/core/tests/departed.rs
+++ b/crates/core/tests/departed.rs
@@ -90,6 +90,27 @@
     assert!(part < 5e-4, "who runs is known: {missed} of {pairs}");
 }
 
+/// Gateways that lost power have left their rows behind. Each gateway asked them now and then, and counted
+/// them in waiting to take the lead, for as long as the table stood.
+#[test]
+fn rows_of_gateways_that_are_gone_are_removed_and_those_of_a_cut_come_back() {
+    let mut fleet = fleet_of(7, 3);
+    pass(&mut fleet, Millis(4_000));
+    fleet.off(1);
+    fleet.off(5);
+    pass(&mut fleet, Millis(500_000));
+    assert_eq!(fleet.listed().len(), 7, "they may come back");
+    pass(&mut fleet, Millis(300_000));
+    assert_eq!(fleet.listed(), fleet.running());
+    // Both sides reach the store, and not each other.
+    fleet.cut = Some(4);
+    pass(&mut fleet, Millis(1_500_000));
+    fleet.cut = None;
+    pass(&mut fleet, Millis(75_000));
+    assert_eq!(fleet.listed(), fleet.running());
+    assert_eq!(fleet.not_named_though_running(), []);
+}
+
 /// A row that was removed is remembered for a while only, and an answer that was on its way since
 /// before may still name it.
 #[test]
--- a/crates/core/tests/fleet/mod.rs
+++ b/crates/core/tests/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod news;
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use hooktrestle_core::clock::Millis;
@@ -71,7 +72,7 @@
     pub now: Millis,
     running: Vec<Option<Process>>,
     off_at: Vec<Millis>,
-    listed: Vec<Member>,
+    listed: BTreeMap<usize, Member>,
     /// While it is set, numbers below it and the others do not reach each other.
     pub cut: Option<usize>,
     rng: ChaCha8Rng,
@@ -84,7 +85,7 @@
             now: Millis(10_000),
             running: Vec::new(),
             off_at: Vec::new(),
-            listed: Vec::new(),
+            listed: BTreeMap::new(),
             cut: None,
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
@@ -94,16 +95,15 @@
     pub fn start(&mut self) {
         self.running.push(None);
         self.off_at.push(Millis::ZERO);
-        self.listed.push(numbered(self.listed.len(), 0));
         self.start_again(self.running.len() - 1);
     }
 
     /// A gateway that is off starts again.
     pub fn start_again(&mut self, number: usize) {
         let own = numbered(number, self.now.0);
-        self.listed[number] = own.clone();
+        self.listed.insert(number, own.clone());
         let mut members = Members::new(Config::default(), own);
-        self.listed.iter().for_each(|listed| members.hear_listed(listed, Millis::ZERO));
+        members.take_table(&self.table(), Millis::ZERO);
         let next_round = self.now + Millis(self.rng.random_range(0..600));
         let process = Process { members, started_at: self.now, next_round, rounds: 0 };
         self.running[number] = Some(process);
@@ -115,6 +115,15 @@
         self.off_at[number] = self.now;
     }
 
+    fn table(&self) -> Vec<Member> {
+        self.listed.values().cloned().collect()
+    }
+
+    /// Numbers of the gateways that are listed.
+    pub fn listed(&self) -> Vec<usize> {
+        self.listed.keys().copied().collect()
+    }
+
     /// Numbers of the gateways that run.
     pub fn running(&self) -> Vec<usize> {
         (0..self.running.len()).filter(|number| self.running[*number].is_some()).collect()
@@ -145,7 +154,9 @@
         members.forget(now);
         members.beat();
         if now.0 % TABLE_EVERY_MS < members.round().0 {
-            self.listed.iter().for_each(|listed| members.hear_listed(listed, now));
+            self.listed.entry(number).or_insert_with(|| members.own().clone());
+            let given_up = members.take_table(&self.table(), now);
+            self.listed.retain(|_, listed| !given_up.contains(&listed.name));
         }
         let seed = (process.rounds.is_multiple_of(SEED_ROUNDS)).then(|| {
             let seed = self.rng.random_range(0..SEEDS);
--- a/crates/core/tests/gateways.rs
+++ b/crates/core/tests/gateways.rs
@@ -104,7 +104,7 @@
     members.hear(&fresh(&member("b", 8)), Millis(600));
     assert!(look(&mut members, Millis(600)).is_empty());
     assert_eq!(look(&mut members, Millis(3_600)), ["b is silent at heartbeat 8"]);
-    members.hear_listed(&member("c", 0), Millis(3_700));
+    members.take_table(&[member("c", 0)], Millis(3_700));
     assert_eq!(look(&mut members, Millis(3_700)), ["c is silent at heartbeat 0"]);
     assert_eq!(look(&mut members, Millis(60_600)), ["b is forgotten at heartbeat 8"]);
 }
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hooktrestle_core::direct::members::Member;
+use hooktrestle_core::direct::replica::Update;
 use tokio::time;
 
 use crate::gateway::Gateway;
@@ -121,18 +122,15 @@
     let mut listed = false;
     // A process that stops is taken off the list, and must not come back onto it.
     while gateway.phase() == Phase::Running {
+        let own = gateway.with_members(|members| members.own().clone());
         if !listed {
-            let own = gateway.with_members(|members| members.own().clone());
             let value = news::member_text(&own);
             listed = gateway.platform.write_member(&own.name, Some(&value)).await.is_ok();
         }
         if let Ok(update) = gateway.platform.read(Table::Members).await {
-            let now = gateway.now();
-            let texts = update.changes.iter().filter_map(|change| change.value.as_deref());
-            let found: Vec<Member> = texts.filter_map(news::member_of_text).collect();
-            gateway.with_members(|members| {
-                found.iter().for_each(|member| members.hear_listed(member, now));
-            });
+            // Those that could not hear of this gateway have removed its row.
+            listed &= update.changes.iter().any(|change| change.key == own.name);
+            take_table(&gateway, &update).await;
         }
         let now = gateway.now();
         let alone = gateway.with_members(|members| members.living(now)) == 1;
@@ -140,3 +138,19 @@
         time::sleep(if listed { pause } else { 2 * PAUSE }).await;
     }
 }
+
+/// Takes the table of gateways, and removes the rows of those that are gone for good.
+async fn take_table<P: Platform>(gateway: &Gateway<P>, update: &Update) {
+    let now = gateway.now();
+    let texts = update.changes.iter().filter_map(|change| change.value.as_deref());
+    let listed: Vec<Member> = texts.filter_map(news::member_of_text).collect();
+    for name in gateway.with_members(|members| members.take_table(&listed, now)) {
+        match gateway.platform.write_member(&name, None).await {
+            Ok(()) => gateway.journal.state(format_args!("{name} is listed no more")),
+            // It is tried again at the next reading.
+            Err(failure) => {
+                gateway.journal.state(format_args!("{name} stays listed: {failure}"));
+            }
+        }
+    }
+}
