Soak: real gateways under overlapping faults, with what is promised checked while they run

Change: crates/soak with the program hooktrestle-soak: gateways as processes, signals (killed, all killed, paused, stopped, hung up, off for 80 s), proxies that go silent, the store busy, silent, losing answers, turning one away, forgetting; servers that crash, drain, refuse, fail, lose answers, answer twice, forge. Callers keep connections, leave, ask again.

--- /dev/null
+++ b/crates/soak/src/ledger.rs
@@ -0,0 +1,353 @@
+//! What was told to callers, what servers ran, and the promises between the two.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::fmt::Display;
+use std::fmt::Formatter;
+use std::time::Duration;
+
+use hooktrestle_users_standin::server::Arrived;
+use hooktrestle_users_standin::server::Server;
+use tokio::time::Instant;
+
+use crate::schedule::Kind;
+use crate::schedule::PLANNED;
+
+/// Times within which what is promised comes about, while nothing else goes wrong.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// From a server's word that it leaves to the last request that reaches it.
+    pub drain: Duration,
+    /// From a configuration's acceptance until it is in force.
+    pub configuration: Duration,
+    /// From a caller's leaving until its server knows.
+    pub close: Duration,
+    /// From a gateway's end until callers are not given it any more.
+    pub named: Duration,
+    /// From the word to stop until the process has ended.
+    pub stop: Duration,
+    /// Until all gateways serve after the last trouble.
+    pub recovery: Duration,
+}
+
+impl Default for Bounds {
+    /// The users' bounds are 2 s for drains and configurations and half a second for closes; a gateway
+    /// that is silent is given out for 3 s, and for as long as news take to spread (2.4 s) by whoever
+    /// heard of it last. A stop has 8 s. The rest is for a busy machine.
+    fn default() -> Self {
+        Bounds {
+            drain: Duration::from_secs(3),
+            configuration: Duration::from_secs(3),
+            close: Duration::from_secs(1),
+            named: Duration::from_secs(7),
+            stop: Duration::from_secs(9),
+            recovery: Duration::from_secs(20),
+        }
+    }
+}
+
+impl Bounds {
+    /// All of them `times` as long, for machines on which little is to be had.
+    pub fn stretched(times: u32) -> Bounds {
+        let Bounds { drain, configuration, close, named, stop, recovery } = Bounds::default();
+        Bounds {
+            drain: drain * times,
+            configuration: configuration * times,
+            close: close * times,
+            named: named * times,
+            stop: stop * times,
+            recovery: recovery * times,
+        }
+    }
+}
+
+/// Time after a trouble in which time-bounded promises are not judged: what it broke is found out by
+/// time-outs of up to three seconds.
+const SETTLE: Duration = Duration::from_secs(4);
+
+/// What is promised.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Promise {
+    /// A request that must not be repeated runs at most once.
+    AtMostOnce,
+    /// A refusal is true: the request did not run and never will.
+    NotRun,
+    /// An answer is whole and the caller's own.
+    OwnAnswer,
+    /// Servers run only what callers asked.
+    Asked,
+    /// A server that leaves gets no new work.
+    Drain,
+    /// A configuration is in force in time, and never an older one again.
+    Configuration,
+    /// Callers are not given gateways that are long off.
+    Named,
+    /// A caller that has left is noticed through to the server.
+    Close,
+    /// While nothing goes wrong, and in planned stops, requests are answered.
+    Answered,
+    /// A process that is told to stop ends in time, and well.
+    Stop,
+    /// Repeats stay within the operators' bound.
+    Repeats,
+    /// All serve again after the last trouble.
+    Recovery,
+}
+
+/// A promise that was not kept.
+#[derive(Clone, Debug)]
+pub struct Broken {
+    /// Which one.
+    pub promise: Promise,
+    /// From the start of traffic.
+    pub at: Duration,
+    /// What was seen.
+    pub what: String,
+}
+
+impl Display for Broken {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "{:.3} s {:?}: {}", self.at.as_secs_f64(), self.promise, self.what)
+    }
+}
+
+/// What became of a request, as its caller sees it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// The caller waits.
+    Waits,
+    /// A whole success.
+    Answered,
+    /// It did not run and never will.
+    NotRun,
+    /// A failure that promises nothing, or a connection that closed.
+    Open,
+    /// The caller has gone.
+    Left(Instant),
+}
+
+/// A request as its caller knows it.
+#[derive(Clone, Copy, Debug)]
+pub struct Request {
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// When it was sent.
+    pub sent_at: Instant,
+    /// What became of it.
+    pub verdict: Verdict,
+}
+
+/// The bound on repeats that gateways are given: a part of requests and a number, in a window.
+pub const REPEATS: (f64, u32, Duration) = (0.2, 20, Duration::from_secs(10));
+
+/// Everything that was seen.
+pub struct Ledger {
+    start: Instant,
+    /// When what is promised is due.
+    pub bounds: Bounds,
+    requests: RefCell<HashMap<String, Request>>,
+    runs: RefCell<HashMap<String, u32>>,
+    /// Servers that were ever there, with how much of what reached them was looked at, and since when
+    /// they leave.
+    servers: RefCell<Vec<(Server, usize, Option<Instant>)>>,
+    troubles: RefCell<Vec<(Kind, Instant, Instant)>>,
+    broken: RefCell<Vec<Broken>>,
+    /// Of the promises that depend on time, how often each was due.
+    judged: RefCell<BTreeMap<Promise, u32>>,
+    noticed: RefCell<HashSet<String>>,
+    /// Requests that reached servers again after their first time.
+    pub repeats: Cell<u32>,
+}
+
+impl Ledger {
+    /// An empty one; traffic starts now.
+    pub fn new(bounds: Bounds) -> Ledger {
+        Ledger {
+            start: Instant::now(),
+            bounds,
+            requests: RefCell::default(),
+            runs: RefCell::default(),
+            servers: RefCell::default(),
+            troubles: RefCell::default(),
+            broken: RefCell::default(),
+            judged: RefCell::default(),
+            noticed: RefCell::default(),
+            repeats: Cell::new(0),
+        }
+    }
+
+    /// A promise was not kept.
+    pub fn broken(&self, promise: Promise, what: String) {
+        let at = self.start.elapsed();
+        self.broken.borrow_mut().push(Broken { promise, at, what });
+    }
+
+    /// All that was not kept.
+    pub fn findings(&self) -> Vec<Broken> {
+        self.broken.borrow().clone()
+    }
+
+    /// A promise that depends on time was due.
+    pub fn judge(&self, promise: Promise) {
+        *self.judged.borrow_mut().entry(promise).or_default() += 1;
+    }
+
+    /// How often each promise that depends on time was due.
+    pub fn judged(&self) -> BTreeMap<Promise, u32> {
+        self.judged.borrow().clone()
+    }
+
+    /// How many requests were sent, and how many were answered.
+    pub fn served(&self) -> (usize, usize) {
+        let requests = self.requests.borrow();
+        let answered = requests.values().filter(|one| one.verdict == Verdict::Answered).count();
+        (requests.len(), answered)
+    }
+
+    /// A trouble goes on until a moment.
+    pub fn trouble(&self, kind: Kind, from: Instant, until: Instant) {
+        self.troubles.borrow_mut().push((kind, from, until));
+    }
+
+    /// Whether nothing but planned work went on from a moment to now, and had for a while before.
+    pub fn is_calm_since(&self, from: Instant) -> bool {
+        let troubles = self.troubles.borrow();
+        let mut unplanned = troubles.iter().filter(|(kind, ..)| !PLANNED.contains(kind));
+        unplanned.all(|(_, _, until)| *until + SETTLE < from)
+    }
+
+    /// A server has come.
+    pub fn serve(&self, server: &Server) {
+        self.servers.borrow_mut().push((server.clone(), 0, None));
+    }
+
+    /// A server has said that it leaves, and the store has taken that.
+    pub fn leaves(&self, id: &str) {
+        let mut servers = self.servers.borrow_mut();
+        if let Some((_, _, leaving)) = servers.iter_mut().find(|(server, ..)| server.id == id) {
+            *leaving = Some(Instant::now());
+        }
+    }
+
+    /// A caller sends a request.
+    pub fn send(&self, id: &str, repeatable: bool) {
+        let request = Request { repeatable, sent_at: Instant::now(), verdict: Verdict::Waits };
+        self.requests.borrow_mut().insert(id.to_owned(), request);
+    }
+
+    /// What became of it.
+    pub fn end(&self, id: &str, verdict: Verdict) {
+        if let Some(request) = self.requests.borrow_mut().get_mut(id) {
+            request.verdict = verdict;
+        }
+        let ran = self.runs.borrow().get(id).copied().unwrap_or_default();
+        if verdict == Verdict::NotRun && ran > 0 {
+            self.broken(Promise::NotRun, format!("{id} was refused as not run, and ran"));
+        }
+    }
+
+    /// Looks at what has reached servers since the last look.
+    pub fn look(&self) {
+        let mut servers = self.servers.borrow_mut();
+        for (server, seen, leaving) in servers.iter_mut() {
+            for arrived in server.arrived_since(*seen) {
+                *seen += 1;
+                self.judge_arrival(server, &arrived, *leaving);
+            }
+            for arrived in server.unended() {
+                self.judge_close(server, &arrived);
+            }
+        }
+    }
+
+    fn judge_arrival(&self, server: &Server, arrived: &Arrived, leaving: Option<Instant>) {
+        let id = arrived.id();
+        // A look at its health, or at its engine.
+        if id.is_empty() {
+            return;
+        }
+        let request = self.requests.borrow().get(id).copied();
+        let Some(request) = request else {
+            self.broken(Promise::Asked, format!("{} was sent {id}, which nobody asked", server.id));
+            return;
+        };
+        if let Some(since) = leaving.filter(|since| arrived.at > *since + self.bounds.drain)
+            && self.is_calm_since(since)
+        {
+            let late = arrived.at.duration_since(since);
+            self.broken(Promise::Drain, format!("{} was sent {id} {late:?} after", server.id));
+        }
+        if let Verdict::Left(at) = request.verdict
+            && arrived.at > at + self.bounds.close
+            && self.is_calm_since(at)
+        {
+            self.broken(
+                Promise::Close,
+                format!("{id} reached {} after its caller left", server.id),
+            );
+        }
+        if !arrived.ran {
+            return;
+        }
+        let runs = {
+            let mut runs = self.runs.borrow_mut();
+            let runs = runs.entry(id.to_owned()).or_default();
+            *runs += 1;
+            *runs
+        };
+        self.repeats.set(self.repeats.get() + u32::from(runs > 1));
+        if runs > 1 && !request.repeatable {
+            self.broken(Promise::AtMostOnce, format!("{id} ran {runs} times"));
+        }
+        if request.verdict == Verdict::NotRun {
+            self.broken(Promise::NotRun, format!("{id} was refused as not run, and ran later"));
+        }
+    }
+
+    fn judge_close(&self, server: &Server, arrived: &Arrived) {
+        let request = self.requests.borrow().get(arrived.id()).copied();
+        let Some(Verdict::Left(at)) = request.map(|request| request.verdict) else { return };
+        let is_due = at.elapsed() > self.bounds.close && self.is_calm_since(at);
+        if is_due && self.noticed.borrow_mut().insert(arrived.id().to_owned()) {
+            let what = format!("{} still runs {}, whose caller left", server.id, arrived.id());
+            self.broken(Promise::Close, what);
+        }
+    }
+
+    /// Looks at repeats in every window, once all is over.
+    pub fn judge_repeats(&self) {
+        let (ratio, slack, window) = REPEATS;
+        let mut sent: Vec<Instant> =
+            self.requests.borrow().values().map(|request| request.sent_at).collect();
+        sent.sort();
+        let mut arrived: Vec<(Instant, String)> = self
+            .servers
+            .borrow()
+            .iter()
+            .flat_map(|(server, ..)| server.arrived())
+            .filter(|one| !one.id().is_empty())
+            .map(|one| (one.at, one.id().to_owned()))
+            .collect();
+        arrived.sort();
+        let mut known = HashSet::new();
+        let repeated: Vec<Instant> =
+            arrived.into_iter().filter_map(|(at, id)| (!known.insert(id)).then_some(at)).collect();
+        let within = |times: &[Instant], from: Instant, to: Instant| {
+            times.partition_point(|at| *at <= to) - times.partition_point(|at| *at <= from)
+        };
+        for end in &repeated {
+            let Some(from) = end.checked_sub(window) else { continue };
+            let before = from.checked_sub(window).unwrap_or(from);
+            let requests = within(&sent, from, *end).max(within(&sent, before, from));
+            let repeats = within(&repeated, from, *end);
+            if repeats as f64 > ratio * requests as f64 + f64::from(slack) {
+                let what = format!("{repeats} repeats of {requests} requests in a window");
+                self.broken(Promise::Repeats, what);
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,139 @@
+//! `hooktrestle-soak`: seeds of troubles, run one after the other.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use eyre::Result;
+use eyre::ensure;
+use eyre::eyre;
+use hooktrestle_soak::ledger::Bounds;
+use hooktrestle_soak::run;
+use hooktrestle_soak::run::Config;
+use hooktrestle_soak::schedule;
+use hooktrestle_soak::schedule::KINDS;
+use hooktrestle_soak::schedule::Kind;
+use hooktrestle_soak::schedule::Trouble;
+use hooktrestle_soak::shrink::shrink;
+
+/// The gateway's program, beside this one.
+const GATEWAY: &str = "hooktrestle-gateway";
+
+/// Most runs that shrinking a seed may take.
+const SHRINK_TRIES: usize = 24;
+
+mod flags {
+    #![allow(missing_docs)]
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Runs real gateways under overlapping faults, and checks what is promised while they run.
+        /// Exits with 1 if a promise was not kept.
+        cmd hooktrestle-soak {
+            /// First seed; 1 if left out. A seed draws the same troubles on every run.
+            optional --seed seed: u64
+            /// How many seeds to run, one after the other; 1 if left out.
+            optional --seeds count: u64
+            /// Seconds of traffic for a seed; 60 if left out.
+            optional --length-s seconds: u64
+            /// Gateways; 3 if left out.
+            optional --gateways count: usize
+            /// Backend servers; 4 if left out.
+            optional --servers count: usize
+            /// Callers; 12 if left out.
+            optional --callers count: usize
+            /// Faults to draw from, by commas; all if left out. `--list-faults` names them.
+            optional --faults names: String
+            /// Names the faults.
+            optional --list-faults
+            /// How much longer than promised things may take, for busy machines; 1 if left out.
+            optional --stretch times: u32
+            /// The gateway's program; the one beside this program if left out.
+            optional --program file: PathBuf
+            /// Folder for settings and logs of the gateways; one in the folder for temporary files if left out.
+            optional --folder folder: PathBuf
+            /// Prints the troubles of the seeds.
+            optional --troubles
+            /// Finds the fewest troubles with which a seed that fails still does.
+            optional --shrink
+        }
+    }
+}
+
+fn main() -> Result<ExitCode> {
+    let flags = flags::HooktrestleSoak::from_env_or_exit();
+    if flags.list_faults {
+        KINDS.iter().for_each(|(name, _)| println!("{name}"));
+        return Ok(ExitCode::SUCCESS);
+    }
+    let kinds = kinds(flags.faults.as_deref())?;
+    let config = config(&flags)?;
+    let first = flags.seed.unwrap_or(1);
+    let mut failed = 0;
+    for seed in first..first.saturating_add(flags.seeds.unwrap_or(1)) {
+        let troubles = schedule::draw(seed, config.length, &kinds);
+        let report = run::run(&config, seed, &troubles)?;
+        println!("seed {seed}: {} troubles, {report}", troubles.len());
+        if flags.troubles {
+            print(&troubles);
+        }
+        if report.broken.is_empty() {
+            continue;
+        }
+        failed += 1;
+        if flags.shrink {
+            let fails = |some: &[Trouble]| {
+                run::run(&config, seed, some).is_ok_and(|report| !report.broken.is_empty())
+            };
+            println!("  fails still with:");
+            print(&shrink(&troubles, SHRINK_TRIES, fails));
+        }
+    }
+    Ok(if failed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn print(troubles: &[Trouble]) {
+    troubles.iter().for_each(|trouble| println!("  {trouble}"));
+}
+
+fn kinds(names: Option<&str>) -> Result<Vec<Kind>> {
+    match names {
+        Some(names) => {
+            names.split(',').map(|name| name.parse().map_err(|why: String| eyre!(why))).collect()
+        }
+        None => Ok(KINDS.iter().map(|(_, kind)| *kind).collect()),
+    }
+}
+
+fn config(flags: &flags::HooktrestleSoak) -> Result<Config> {
+    let program = match &flags.program {
+        Some(program) => program.clone(),
+        None => std::env::current_exe()?.with_file_name(GATEWAY),
+    };
+    ensure!(
+        program.exists(),
+        "{} is missing: build it, or name it by --program",
+        program.display()
+    );
+    let config = Config {
+        program,
+        folder: flags.folder.clone().unwrap_or_else(default_folder),
+        length: Duration::from_secs(flags.length_s.unwrap_or(60)),
+        gateways: flags.gateways.unwrap_or(3),
+        servers: flags.servers.unwrap_or(4),
+        callers: flags.callers.unwrap_or(12),
+        bounds: Bounds::stretched(flags.stretch.unwrap_or(1)),
+    };
+    ensure!(config.gateways > 0, "--gateways must be 1 or more");
+    ensure!(config.servers > 0, "--servers must be 1 or more");
+    ensure!(
+        config.length > schedule::CALM_END,
+        "--length-s must be more than {:?}",
+        schedule::CALM_END
+    );
+    Ok(config)
+}
+
+fn default_folder() -> PathBuf {
+    std::env::temp_dir().join(format!("hooktrestle-soak-{}", std::process::id()))
+}
--- /dev/null
+++ b/crates/soak/src/schedule.rs
@@ -0,0 +1,183 @@
+//! Which troubles come when: drawn from a seed, overlapping.
+
+use std::fmt::Display;
+use std::fmt::Formatter;
+use std::str::FromStr;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+/// What goes wrong, or is planned.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum Kind {
+    /// A gateway is killed, and started again when it is over.
+    Kill,
+    /// A gateway is killed, and off for longer than others remember it.
+    Off,
+    /// All gateways are killed at once, and started again.
+    KillAll,
+    /// A gateway stands still.
+    Pause,
+    /// A gateway is told to stop, and started again once it has.
+    Stop,
+    /// A gateway is told that its settings have changed.
+    HangUp,
+    /// The store refuses.
+    StoreBusy,
+    /// The store takes calls and says nothing.
+    StoreSilent,
+    /// The store does what it is told and loses the answers.
+    StoreLosesAnswers,
+    /// The store turns one gateway away.
+    StoreTurnsAway,
+    /// The store forgets its history.
+    StoreForgets,
+    /// Connections of a gateway to the store go silent for good; new ones work.
+    StoreMute,
+    /// Connections to a server go silent for good; new ones work.
+    ServerMute,
+    /// A server crashes; another comes when it is over.
+    ServerCrash,
+    /// A server says that it leaves, and another comes.
+    ServerDrain,
+    /// A server refuses what it is sent.
+    ServerRefuses,
+    /// A server fails what it is sent.
+    ServerFails,
+    /// A server runs what it is sent, and loses the answers.
+    ServerLosesAnswers,
+    /// A server answers twice.
+    ServerAnswersTwice,
+    /// A server's answers lack their signature.
+    ServerForges,
+}
+
+/// All kinds, with the names by which they are chosen.
+pub const KINDS: [(&str, Kind); 20] = [
+    ("kill", Kind::Kill),
+    ("off", Kind::Off),
+    ("kill-all", Kind::KillAll),
+    ("pause", Kind::Pause),
+    ("stop", Kind::Stop),
+    ("hang-up", Kind::HangUp),
+    ("store-busy", Kind::StoreBusy),
+    ("store-silent", Kind::StoreSilent),
+    ("store-loses-answers", Kind::StoreLosesAnswers),
+    ("store-turns-away", Kind::StoreTurnsAway),
+    ("store-forgets", Kind::StoreForgets),
+    ("store-mute", Kind::StoreMute),
+    ("server-mute", Kind::ServerMute),
+    ("server-crash", Kind::ServerCrash),
+    ("server-drain", Kind::ServerDrain),
+    ("server-refuses", Kind::ServerRefuses),
+    ("server-fails", Kind::ServerFails),
+    ("server-loses-answers", Kind::ServerLosesAnswers),
+    ("server-answers-twice", Kind::ServerAnswersTwice),
+    ("server-forges", Kind::ServerForges),
+];
+
+impl Display for Kind {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
+        let named = KINDS.iter().find(|(_, kind)| kind == self);
+        formatter.write_str(named.map_or("", |(name, _)| name))
+    }
+}
+
+impl FromStr for Kind {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Kind, String> {
+        let named = KINDS.iter().find(|(name, _)| *name == text);
+        named.map(|(_, kind)| *kind).ok_or_else(|| {
+            let names: Vec<&str> = KINDS.iter().map(|(name, _)| *name).collect();
+            format!("`{text}` is no fault; there are {}", names.join(", "))
+        })
+    }
+}
+
+/// A trouble: what, whom, when.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Trouble {
+    /// When it begins, from the start of traffic.
+    pub at: Duration,
+    /// How long it lasts, where it lasts.
+    pub lasts: Duration,
+    /// What it is.
+    pub kind: Kind,
+    /// Whom it strikes: of all that fit, the one with this number, counted round.
+    pub target: usize,
+}
+
+impl Display for Trouble {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
+        let (at, lasts) = (self.at.as_secs_f64(), self.lasts.as_secs_f64());
+        write!(formatter, "{at:.2} s {} {} for {lasts:.2} s", self.kind, self.target)
+    }
+}
+
+/// Mean time between two troubles: with those that last for two seconds, one or two go on at a time.
+const MEAN_GAP_MS: u64 = 1_300;
+
+/// Time at the end without trouble: all shall be served again before it is over.
+pub const CALM_END: Duration = Duration::from_secs(8);
+
+/// Shortest and longest trouble.
+const LASTS_MS: std::ops::Range<u64> = 300..4_000;
+
+/// One trouble of so many lasts several times as long: others forget and are forgotten meanwhile.
+const LONG_ONE_OF: u32 = 8;
+
+/// Length of a spell of troubles, and of the calm after it, in which only planned work goes on: what is
+/// promised within a time is judged there.
+const SPELL_MS: std::ops::Range<u64> = 5_000..14_000;
+const CALM_MS: u64 = 12_000;
+
+/// Planned work: it is no excuse for anything.
+pub const PLANNED: [Kind; 3] = [Kind::Stop, Kind::HangUp, Kind::ServerDrain];
+
+/// How long a gateway is off that others are to forget: they do after a minute.
+const OFF: Duration = Duration::from_secs(80);
+
+/// The troubles of a seed, in order.
+pub fn draw(seed: u64, length: Duration, kinds: &[Kind]) -> Vec<Trouble> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let end = length.saturating_sub(CALM_END);
+    let planned: Vec<Kind> = kinds.iter().copied().filter(|kind| PLANNED.contains(kind)).collect();
+    let (mut troubles, mut begin) = (Vec::new(), Duration::ZERO);
+    while begin < end {
+        let over = begin + Duration::from_millis(rng.random_range(SPELL_MS));
+        fill(&mut rng, kinds, begin..over.min(end), &mut troubles);
+        begin = over + Duration::from_millis(CALM_MS);
+        fill(&mut rng, &planned, over..begin.min(end), &mut troubles);
+    }
+    // It goes on into the calm, where others have got over it.
+    let is_off = |trouble: &&mut Trouble| trouble.kind == Kind::Off;
+    troubles
+        .iter_mut()
+        .filter(is_off)
+        .for_each(|trouble| trouble.lasts = OFF.min(end - trouble.at));
+    troubles
+}
+
+/// Troubles that begin and end in a span.
+fn fill(
+    rng: &mut ChaCha8Rng,
+    kinds: &[Kind],
+    span: std::ops::Range<Duration>,
+    troubles: &mut Vec<Trouble>,
+) {
+    let mut at = span.start;
+    while !kinds.is_empty() {
+        at += Duration::from_millis(rng.random_range(0..2 * MEAN_GAP_MS));
+        if at >= span.end {
+            return;
+        }
+        let long = rng.random_range(0..LONG_ONE_OF) == 0;
+        let lasts = Duration::from_millis(rng.random_range(LASTS_MS)) * if long { 4 } else { 1 };
+        let kind = kinds[rng.random_range(0..kinds.len())];
+        let target = rng.random_range(0..1_000);
+        troubles.push(Trouble { at, lasts: lasts.min(span.end - at), kind, target });
+    }
+}
--- /dev/null
+++ b/crates/soak/src/site.rs
@@ -0,0 +1,179 @@
+//! The store and the backend servers, and what goes wrong with them.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hooktrestle_users_standin::configuration_with;
+use hooktrestle_users_standin::proxy::Proxy;
+use hooktrestle_users_standin::server::Act;
+use hooktrestle_users_standin::server::Server;
+use hooktrestle_users_standin::store::Mood;
+use hooktrestle_users_standin::store::Store;
+use tokio::task;
+use tokio::time;
+use tokio::time::Instant;
+
+use crate::ledger::Ledger;
+use crate::schedule::Kind;
+
+/// Time for which a server that leaves is listed as leaving, and then serves on.
+const LEAVES: Duration = Duration::from_secs(2);
+
+/// Time after which the row of a server that crashed is gone.
+const LAPSE: Duration = Duration::from_millis(1_500);
+
+/// A server, and the way on which gateways reach it.
+#[derive(Clone)]
+struct Placed {
+    server: Server,
+    way: Proxy,
+}
+
+/// The store and the servers.
+pub struct Site {
+    /// The store, as operators reach it.
+    pub store: Store,
+    ledger: Rc<Ledger>,
+    doors: RefCell<Vec<Store>>,
+    /// Servers that take work.
+    open: RefCell<Vec<Placed>>,
+    begun: Cell<u32>,
+    version: Cell<u64>,
+    accepted_at: Cell<Instant>,
+}
+
+impl Site {
+    /// A store with a configuration, and servers.
+    pub async fn start(servers: usize, ledger: Rc<Ledger>) -> Rc<Site> {
+        let site = Rc::new(Site {
+            store: Store::start().await,
+            ledger,
+            doors: RefCell::default(),
+            open: RefCell::default(),
+            begun: Cell::new(0),
+            version: Cell::new(0),
+            accepted_at: Cell::new(Instant::now()),
+        });
+        site.configure();
+        for _ in 0..servers {
+            site.add_server().await;
+        }
+        site
+    }
+
+    /// The operator changes the configuration.
+    pub fn configure(&self) {
+        let version = self.version.get() + 1;
+        let route = route_of(version);
+        self.store.put("op", "config", &configuration_with(version, &[&route]));
+        self.version.set(version);
+        self.accepted_at.set(Instant::now());
+    }
+
+    /// The newest configuration, and when it was accepted.
+    pub fn newest(&self) -> (u64, Instant) {
+        (self.version.get(), self.accepted_at.get())
+    }
+
+    async fn add_server(&self) {
+        let number = self.begun.get() + 1;
+        self.begun.set(number);
+        let server = Server::start(&format!("s{number}")).await;
+        server.usually(Act::Work);
+        let way = Proxy::open(server.address).await;
+        self.store.put("servers", &server.id, &server.entry_by(way.address, "ready"));
+        self.ledger.serve(&server);
+        self.open.borrow_mut().push(Placed { server, way });
+    }
+
+    fn pick(&self, target: usize) -> Option<Placed> {
+        let open = self.open.borrow();
+        (!open.is_empty()).then(|| open[target % open.len()].clone())
+    }
+
+    fn close(&self, id: &str) {
+        self.open.borrow_mut().retain(|placed| placed.server.id != id);
+    }
+
+    /// A trouble of the store or of a server, until it is over.
+    pub async fn trouble(self: &Rc<Self>, kind: Kind, target: usize, lasts: Duration) {
+        match kind {
+            Kind::StoreBusy => self.mood(Mood::Busy, lasts).await,
+            Kind::StoreSilent => self.mood(Mood::Silent, lasts).await,
+            Kind::StoreLosesAnswers => self.mood(Mood::LosesAnswers, lasts).await,
+            Kind::StoreForgets => self.store.forget_history(),
+            _ => {
+                if let Some(placed) = self.pick(target) {
+                    self.server_trouble(kind, placed, lasts).await;
+                }
+            }
+        }
+    }
+
+    /// One more address of the store, for one gateway.
+    pub async fn door(&self) -> Store {
+        let door = self.store.other_door().await;
+        self.doors.borrow_mut().push(door.clone());
+        door
+    }
+
+    fn set_moods(&self, mood: Mood) {
+        self.doors.borrow().iter().for_each(|door| door.set_mood(mood));
+    }
+
+    async fn mood(&self, mood: Mood, lasts: Duration) {
+        self.set_moods(mood);
+        time::sleep(lasts).await;
+        self.set_moods(Mood::Well);
+    }
+
+    async fn server_trouble(self: &Rc<Self>, kind: Kind, placed: Placed, lasts: Duration) {
+        let Placed { server, way } = placed;
+        let act = match kind {
+            Kind::ServerRefuses => Act::Refuse,
+            Kind::ServerFails => Act::Fail,
+            Kind::ServerLosesAnswers => Act::LoseAnswer,
+            Kind::ServerAnswersTwice => Act::WorkTwice,
+            Kind::ServerForges => Act::Forge("forged".to_owned()),
+            Kind::ServerMute => return way.mute(),
+            Kind::ServerDrain => return self.drain(&server, &way).await,
+            Kind::ServerCrash => return self.crash(&server, lasts).await,
+            _ => return,
+        };
+        server.usually(act);
+        time::sleep(lasts).await;
+        server.usually(Act::Work);
+    }
+
+    async fn crash(&self, server: &Server, lasts: Duration) {
+        self.close(&server.id);
+        server.crash();
+        time::sleep(LAPSE).await;
+        self.store.remove("servers", &server.id);
+        time::sleep(lasts).await;
+        self.add_server().await;
+    }
+
+    async fn drain(self: &Rc<Self>, server: &Server, way: &Proxy) {
+        self.close(&server.id);
+        self.add_server().await;
+        self.store.put("servers", &server.id, &server.entry_by(way.address, "draining"));
+        self.ledger.leaves(&server.id);
+        time::sleep(LEAVES).await;
+        self.store.remove("servers", &server.id);
+        // It serves on for long: who is sent there after its time is seen.
+        let server = server.clone();
+        let patience = self.ledger.bounds.drain * 4;
+        task::spawn_local(async move {
+            time::sleep(patience).await;
+            server.crash();
+        });
+    }
+}
+
+/// The route that one version of the configuration has, and no other.
+pub fn route_of(version: u64) -> String {
+    format!("v{version}")
+}
--- /dev/null
+++ b/crates/soak/tests/ledger.rs
@@ -0,0 +1,162 @@
+//! The ledger finds what it is there to find: each kind of broken promise, brought about on purpose.
+
+use std::time::Duration;
+
+use hooktrestle_soak::ledger::Bounds;
+use hooktrestle_soak::ledger::Ledger;
+use hooktrestle_soak::ledger::Promise;
+use hooktrestle_soak::ledger::Verdict;
+use hooktrestle_users_standin::caller;
+use hooktrestle_users_standin::server::Act;
+use hooktrestle_users_standin::server::Server;
+use reqwest::Client;
+use tokio::runtime::Builder;
+use tokio::task::LocalSet;
+use tokio::time::Instant;
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, test);
+}
+
+/// Nothing is allowed any time.
+fn strict() -> Bounds {
+    Bounds::stretched(0)
+}
+
+async fn server(ledger: &Ledger) -> Server {
+    let server = Server::start("s1").await;
+    server.usually(Act::Work);
+    ledger.serve(&server);
+    server
+}
+
+/// A request that reaches a server.
+async fn reach(server: &Server, id: &str) {
+    let sent = caller::request(&Client::new(), server.address, "/once/0", id, 1_000);
+    sent.send().await.unwrap();
+}
+
+fn found(ledger: &Ledger) -> Vec<Promise> {
+    ledger.look();
+    ledger.findings().iter().map(|broken| broken.promise).collect()
+}
+
+#[test]
+fn a_second_run_of_what_must_not_be_repeated_is_found() {
+    run(async {
+        let ledger = Ledger::new(Bounds::default());
+        let server = server(&ledger).await;
+        for (id, repeatable) in [("may", true), ("must-not", false)] {
+            ledger.send(id, repeatable);
+            reach(&server, id).await;
+            assert_eq!(found(&ledger), []);
+            reach(&server, id).await;
+        }
+        assert_eq!(found(&ledger), [Promise::AtMostOnce]);
+    });
+}
+
+#[test]
+fn a_refusal_of_what_runs_is_found_whichever_comes_first() {
+    run(async {
+        let ledger = Ledger::new(Bounds::default());
+        let server = server(&ledger).await;
+        ledger.send("before", true);
+        reach(&server, "before").await;
+        assert_eq!(found(&ledger), []);
+        ledger.end("before", Verdict::NotRun);
+        ledger.send("after", true);
+        ledger.end("after", Verdict::NotRun);
+        reach(&server, "after").await;
+        assert_eq!(found(&ledger), [Promise::NotRun, Promise::NotRun]);
+    });
+}
+
+#[test]
+fn a_request_that_the_server_refused_has_not_run() {
+    run(async {
+        let ledger = Ledger::new(Bounds::default());
+        let server = server(&ledger).await;
+        server.usually(Act::Refuse);
+        ledger.send("r1", false);
+        reach(&server, "r1").await;
+        ledger.end("r1", Verdict::NotRun);
+        assert_eq!(found(&ledger), []);
+    });
+}
+
+#[test]
+fn what_nobody_asked_is_found() {
+    run(async {
+        let ledger = Ledger::new(Bounds::default());
+        let server = server(&ledger).await;
+        reach(&server, "r1").await;
+        assert_eq!(found(&ledger), [Promise::Asked]);
+    });
+}
+
+#[test]
+fn work_for_a_server_that_left_is_found() {
+    run(async {
+        let ledger = Ledger::new(strict());
+        let server = server(&ledger).await;
+        ledger.send("r1", true);
+        reach(&server, "r1").await;
+        ledger.leaves("s1");
+        assert_eq!(found(&ledger), []);
+        ledger.send("r2", true);
+        reach(&server, "r2").await;
+        assert_eq!(found(&ledger), [Promise::Drain]);
+    });
+}
+
+#[test]
+fn work_for_a_caller_that_left_is_found_until_its_end() {
+    run(async {
+        let ledger = Ledger::new(strict());
+        let server = server(&ledger).await;
+        server.usually(Act::Hang);
+        ledger.send("r1", true);
+        let asked = server.clone();
+        let asks = tokio::task::spawn_local(async move { reach(&asked, "r1").await });
+        while server.unended().is_empty() {
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(found(&ledger), []);
+        ledger.end("r1", Verdict::Left(Instant::now()));
+        assert_eq!(found(&ledger), [Promise::Close]);
+        asks.abort();
+        server.left.notified().await;
+        assert_eq!(found(&ledger), [Promise::Close], "once");
+    });
+}
+
+#[test]
+fn too_many_repeats_are_found() {
+    run(async {
+        let ledger = Ledger::new(Bounds::default());
+        let server = server(&ledger).await;
+        ledger.send("r1", true);
+        for _ in 0..30 {
+            reach(&server, "r1").await;
+        }
+        ledger.judge_repeats();
+        assert_eq!(found(&ledger), [Promise::Repeats]);
+    });
+}
+
+#[test]
+fn what_depends_on_time_is_not_judged_while_something_goes_wrong() {
+    run(async {
+        let ledger = Ledger::new(strict());
+        let server = server(&ledger).await;
+        let now = Instant::now();
+        let kind = "pause".parse().unwrap();
+        ledger.trouble(kind, now, now + Duration::from_secs(1));
+        ledger.send("r1", true);
+        ledger.leaves("s1");
+        reach(&server, "r1").await;
+        assert_eq!(found(&ledger), []);
+    });
+}
