Gateways: connections that rest stay open in a planned stop, and close behind their next answer

Ruled out: a server's fault or a crash (none had gone on for 4 s; the gateway ran on and ended well). Change: nothing is closed at the word to stop; the next answer says so and closes.

--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -82,23 +82,19 @@
     builder.auto_date_header(false).max_buf_size(limits.header_bytes.max(LEAST_HEADER_BYTES));
     let connection = builder.serve_connection(io, service);
     let mut connection = std::pin::pin!(connection);
-    let mut stopping = false;
+    // A connection that rests when the process is told to stop stays: a request may be on its way over it
+    // already. Its answer closes it.
     loop {
         let until = expiry(watch.get(), &gateway).min(Instant::now() + look_every(&gateway));
         tokio::select! {
             // What went wrong with the connection is the caller's to see.
             _ = connection.as_mut() => return,
-            () = gateway.stop.notified(), if !stopping => {}
             () = time::sleep_until(until) => {
                 if expiry(watch.get(), &gateway) <= Instant::now() {
                     return;
                 }
             }
         }
-        if gateway.phase() == Phase::Stopping && !stopping {
-            stopping = true;
-            connection.as_mut().graceful_shutdown();
-        }
     }
 }
 
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -82,8 +82,6 @@
     pub sidecars_port: u16,
     /// Wakes whoever looks after groups that stand still.
     pub stalled: Notify,
-    /// Wakes those that end when the process stops.
-    pub stop: Notify,
     /// Wakes whoever exchanges news with other gateways: there is some that cannot wait.
     pub urgent: Notify,
     /// Rounds of news that are still to be made at once.
@@ -120,7 +118,6 @@
             sidecars: Connections::default(),
             sidecars_port,
             stalled: Notify::new(),
-            stop: Notify::new(),
             urgent: Notify::new(),
             urgent_rounds: Cell::new(None),
             findings: RefCell::default(),
@@ -183,7 +180,6 @@
         let after = |(part, of): (u64, u64)| self.now() + Millis(within.0 * part / of);
         self.last_stream.set(after(STREAM_PART));
         self.last_taken.set(after(REQUEST_PART));
-        self.stop.notify_waiters();
     }
 
     /// Whether a request that comes now can be expected to end before the process does.
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -178,7 +178,7 @@
         let gateway = self.gateways[target % self.gateways.len()].clone();
         match kind {
             Kind::Kill => self.kill(&[gateway], lasts).await,
-            Kind::Off if self.can_spare(&gateway) => self.kill(&[gateway], lasts).await,
+            Kind::Off if self.others_awake(&gateway) > 1 => self.kill(&[gateway], lasts).await,
             Kind::KillAll => self.kill(&self.gateways, lasts).await,
             Kind::Pause => self.pause(&gateway, lasts).await,
             Kind::Stop => self.stop(&gateway).await,
@@ -219,14 +219,15 @@
         self.release(gateway);
     }
 
-    /// Whether callers have somebody else to go to.
-    fn can_spare(&self, gateway: &Gateway) -> bool {
+    fn others_awake(&self, gateway: &Gateway) -> usize {
         let others = self.gateways.iter().filter(|other| other.name != gateway.name);
-        others.filter(|other| other.is_awake()).count() > 0
+        others.filter(|other| other.is_awake()).count()
     }
 
     async fn stop(&self, gateway: &Gateway) {
-        if gateway.held.get() > 0 || gateway.child.borrow().is_none() || !self.can_spare(gateway) {
+        // Planned work leaves callers somebody else to go to.
+        let has_others = self.others_awake(gateway) > 0;
+        if gateway.held.get() > 0 || gateway.child.borrow().is_none() || !has_others {
             return;
         }
         gateway.held.set(1);
