Bench: what one gateway process bears, by open loop over loopback

Cause: MEASUREMENTS.md lacks requests a second a core, memory of an open stream and the time that the gateway on the users' platform adds. Change: hooktrestle-bench load starts the real gateway before a stand-in server, sends at set times, counts from when a request was due where the sender is late, the same straight to the server in the same run; processor time and memory as the kernel tells them.

--- /dev/null
+++ b/crates/bench/src/load.rs
@@ -0,0 +1,240 @@
+//! What one gateway process bears: requests and streams over loopback, before a stand-in server.
+//!
+//! Requests are sent at set times, whatever became of those before (open loop). Where the sender itself
+//! is late, the time counts from when a request was due, so that a stall is felt by all that were due
+//! in it (the correction for coordinated omission). The same is sent straight to the server in the same
+//! run. The processor's time is the gateway's own, as the kernel counts it.
+
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use eyre::Result;
+use eyre::ensure;
+use eyre::eyre;
+use futures_util::StreamExt;
+use hdrhistogram::Histogram;
+use hooktrestle_soak::fleet::Fleet;
+use hooktrestle_soak::ledger::Bounds;
+use hooktrestle_soak::ledger::Ledger;
+use hooktrestle_soak::site::Site;
+use hooktrestle_users_standin::caller;
+use hooktrestle_users_standin::roomy_configuration;
+use hooktrestle_users_standin::server::Act;
+use hooktrestle_users_standin::server::Server;
+use reqwest::Client;
+use tokio::runtime::Builder;
+use tokio::task;
+use tokio::task::LocalSet;
+use tokio::time;
+use tokio::time::Instant;
+
+/// Time between two ticks of the timer: a sender that is late by less is not late.
+const TICK: Duration = Duration::from_millis(1);
+
+/// How long callers wait.
+const DEADLINE_MS: u64 = 3_000;
+
+/// Time between two events of a stream.
+const EVENT_PAUSE: Duration = Duration::from_millis(20);
+
+/// What is measured.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The gateway's program.
+    pub program: PathBuf,
+    /// Folder for its settings and log.
+    pub folder: PathBuf,
+    /// Requests a second, one series each.
+    pub rates_per_s: Vec<u32>,
+    /// Length of a series.
+    pub series: Duration,
+    /// Streams that are open at once.
+    pub streams: u32,
+    /// Events of each.
+    pub events: u32,
+}
+
+/// One series of requests.
+#[derive(Debug)]
+pub struct Series {
+    /// Requests a second.
+    pub rate_per_s: u32,
+    /// Microseconds straight to the server.
+    pub direct_us: Histogram<u64>,
+    /// Microseconds through the gateway.
+    pub through_us: Histogram<u64>,
+    /// The gateway's processor time for a request, in microseconds.
+    pub processor_us: f64,
+    /// Requests without a whole answer, either way.
+    pub failed: u32,
+}
+
+/// Streams that were open at once.
+#[derive(Clone, Copy, Debug)]
+pub struct Streams {
+    /// How many.
+    pub count: u32,
+    /// Of them, those that came whole.
+    pub whole: u32,
+    /// The gateway's memory for an open stream, in bytes.
+    pub bytes: f64,
+    /// The gateway's processor time for an event, in microseconds.
+    pub processor_us: f64,
+}
+
+/// Measures a gateway.
+///
+/// # Errors
+///
+/// The gateway cannot be started or does not serve; what the kernel tells of it cannot be read.
+pub fn measure(config: &Config) -> Result<(Vec<Series>, Streams)> {
+    fs::create_dir_all(&config.folder)?;
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, measure_all(config))
+}
+
+async fn measure_all(config: &Config) -> Result<(Vec<Series>, Streams)> {
+    let ledger = Rc::new(Ledger::new(Bounds::default()));
+    let site = Site::start(0, ledger.clone()).await;
+    let server = Server::start("s1").await;
+    server.usually(Act::Work);
+    server.pause_between_events(EVENT_PAUSE);
+    site.store.put("op", "config", &roomy_configuration(2));
+    site.store.put("servers", &server.id, &server.roomy_entry());
+    let fleet = Fleet::start(1, &config.program, &config.folder, &site, ledger).await?;
+    let gateway = fleet.gateways[0].clone();
+    let client = Client::new();
+    let patience = Instant::now() + Bounds::default().recovery;
+    while !caller::is_ready(&client, gateway.at.readiness).await {
+        ensure!(Instant::now() < patience, "the gateway is not ready");
+        time::sleep(TICK).await;
+    }
+    let process = Process(gateway.process_id().ok_or_else(|| eyre!("the gateway has ended"))?);
+    let (direct, through) = (server.address, gateway.at.callers);
+    let mut all = Vec::new();
+    for rate_per_s in &config.rates_per_s {
+        // Connections are opened before it counts.
+        send(through, *rate_per_s, Duration::from_secs(1)).await?;
+        let (direct_us, failed_direct) = send(direct, *rate_per_s, config.series).await?;
+        let before = process.processor()?;
+        let (through_us, failed_through) = send(through, *rate_per_s, config.series).await?;
+        let spent = process.processor()? - before;
+        let requests = through_us.len() + u64::from(failed_through);
+        all.push(Series {
+            rate_per_s: *rate_per_s,
+            direct_us,
+            through_us,
+            processor_us: spent.as_micros() as f64 / requests.max(1) as f64,
+            failed: failed_direct + failed_through,
+        });
+    }
+    let streams = stream(config, through, &process).await?;
+    fleet.end();
+    Ok((all, streams))
+}
+
+/// Sends requests at set times; how long they took, and how many failed.
+async fn send(
+    to: std::net::SocketAddr,
+    rate_per_s: u32,
+    length: Duration,
+) -> Result<(Histogram<u64>, u32)> {
+    let client = Client::new();
+    let (start, gap) = (Instant::now(), Duration::from_secs(1) / rate_per_s);
+    let count = (length.as_secs_f64() * f64::from(rate_per_s)) as u32;
+    let mut sent = Vec::new();
+    for number in 0..count {
+        let due = start + gap * number;
+        time::sleep_until(due).await;
+        let from = if due.elapsed() > TICK { due } else { Instant::now() };
+        let id = format!("load-{number}");
+        let request = caller::request(&client, to, "/safe/0", &id, DEADLINE_MS);
+        sent.push(task::spawn_local(async move {
+            let answer = request.send().await.ok()?;
+            let is_whole = answer.status().is_success() && answer.text().await.ok()? == id;
+            is_whole.then(|| from.elapsed())
+        }));
+    }
+    let (mut times_us, mut failed) = (Histogram::new(3)?, 0);
+    for one in sent {
+        match one.await? {
+            Some(took) => times_us.record(u64::try_from(took.as_micros())?)?,
+            None => failed += 1,
+        }
+    }
+    Ok((times_us, failed))
+}
+
+/// Opens streams at once and reads them to their ends.
+async fn stream(config: &Config, to: std::net::SocketAddr, process: &Process) -> Result<Streams> {
+    let client = Client::new();
+    let (memory_before, processor_before) = (process.memory_bytes()?, process.processor()?);
+    let path = format!("/brook/{}", config.events);
+    let open: Vec<_> = (0..config.streams)
+        .map(|number| {
+            let id = format!("stream-{number}");
+            let request = caller::request(&client, to, &path, &id, 60 * DEADLINE_MS);
+            task::spawn_local(async move { events(request).await.unwrap_or_default() })
+        })
+        .collect();
+    // All are open in the middle of their events.
+    time::sleep(EVENT_PAUSE * config.events / 2).await;
+    let memory = process.memory_bytes()?.saturating_sub(memory_before);
+    let mut whole = 0;
+    for one in open {
+        whole += u32::from(one.await? == config.events);
+    }
+    let spent = process.processor()? - processor_before;
+    let events = f64::from(config.streams) * f64::from(config.events);
+    Ok(Streams {
+        count: config.streams,
+        whole,
+        bytes: memory as f64 / f64::from(config.streams),
+        processor_us: spent.as_micros() as f64 / events,
+    })
+}
+
+/// How many whole events came.
+async fn events(request: reqwest::RequestBuilder) -> Result<u32> {
+    let mut pieces = request.send().await?.bytes_stream();
+    let (mut ends, mut last) = (0, b' ');
+    while let Some(piece) = pieces.next().await {
+        for byte in piece? {
+            ends += u32::from(last == b'\n' && byte == b'\n');
+            last = byte;
+        }
+    }
+    Ok(ends)
+}
+
+/// A process, as the kernel tells of it.
+struct Process(u32);
+
+impl Process {
+    /// Processor time that all its threads have spent.
+    fn processor(&self) -> Result<Duration> {
+        let told = self.told("stat")?;
+        // Behind the name, which may hold blanks.
+        let fields = told.rsplit(')').next().unwrap_or_default();
+        let ticks: Vec<u64> =
+            fields.split_whitespace().skip(11).take(2).map(str::parse).collect::<Result<_, _>>()?;
+        let a_second = rustix::param::clock_ticks_per_second();
+        Ok(Duration::from_secs(ticks.iter().sum::<u64>()) / u32::try_from(a_second)?)
+    }
+
+    /// Memory that it has now.
+    fn memory_bytes(&self) -> Result<u64> {
+        let told = self.told("status")?;
+        let line = told.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kilobytes = line.and_then(|line| line.split_whitespace().next());
+        Ok(kilobytes.ok_or_else(|| eyre!("no VmRSS"))?.parse::<u64>()? * 1_024)
+    }
+
+    fn told(&self, file: &str) -> Result<String> {
+        let path = Path::new("/proc").join(self.0.to_string()).join(file);
+        Ok(fs::read_to_string(path)?)
+    }
+}
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,6 +1,7 @@
 //! `hooktrestle-bench`: measurements, each against a naive version in the same run.
 
 mod control_report;
+mod load_report;
 mod plans_report;
 mod process_report;
 mod report;
@@ -40,6 +41,11 @@
             cmd control {}
             /// What the path adds to a call, against direct calls.
             cmd path {}
+            /// What one gateway process on the users' platform bears: requests and streams over loopback.
+            cmd load {
+                /// The gateway's program; the one beside this program if left out.
+                optional --program file: PathBuf
+            }
             /// Steps that a switch of expert maps holds up.
             cmd switch {}
             /// Time from an operator's write to in force everywhere.
@@ -67,6 +73,7 @@
         }
         flags::HooktrestleBenchCmd::Control(_) => control_report::print(),
         flags::HooktrestleBenchCmd::Path(_) => process_report::path(),
+        flags::HooktrestleBenchCmd::Load(flags) => load_report::print(flags.program),
         flags::HooktrestleBenchCmd::Switch(_) => process_report::switch(),
         flags::HooktrestleBenchCmd::Config(_) => process_report::config(),
     }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -87,9 +87,13 @@
         !held && self.woke_at.get().elapsed() > WAKES
     }
 
+    /// The id of its process, if one runs.
+    pub fn process_id(&self) -> Option<u32> {
+        self.child.borrow().as_ref().and_then(Child::id)
+    }
+
     fn signal(&self, signal: Signal) {
-        let id = self.child.borrow().as_ref().and_then(Child::id);
-        if let Some(pid) = id.and_then(|id| Pid::from_raw(id.cast_signed())) {
+        if let Some(pid) = self.process_id().and_then(|id| Pid::from_raw(id.cast_signed())) {
             // It may have ended by itself, and is found to have then.
             let _ = kill_process(pid, signal);
         }
