--- a/crates/bench/src/load_report.rs
+++ b/crates/bench/src/load_report.rs
@@ -4,27 +4,17 @@
 use std::time::Duration;
 
 use eyre::Result;
-use eyre::ensure;
 use hooktrestle_bench::load;
 use hooktrestle_bench::load::Config;
-
-/// The gateway's program, beside this one.
-const GATEWAY: &str = "hooktrestle-gateway";
+use hooktrestle_soak::fleet;
 
 /// Microseconds of a core in a second.
 const CORE_US: f64 = 1_000_000.0;
 
 /// Measures and prints.
 pub(crate) fn print(program: Option<PathBuf>) -> Result<()> {
-    let beside = std::env::current_exe()?.with_file_name(GATEWAY);
-    let program = program.unwrap_or(beside);
-    ensure!(
-        program.exists(),
-        "{} is missing: build it, or name it by --program",
-        program.display()
-    );
     let config = Config {
-        program,
+        program: fleet::program(program)?,
         folder: std::env::temp_dir().join(format!("hooktrestle-load-{}", std::process::id())),
         rates_per_s: vec![100, 400, 1_600],
         series: Duration::from_secs(10),
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -14,6 +14,7 @@
 
 use eyre::Result;
 use eyre::WrapErr;
+use eyre::ensure;
 use hooktrestle_users_standin::proxy::Proxy;
 use hooktrestle_users_standin::store::Mood;
 use hooktrestle_users_standin::store::Store;
@@ -30,6 +31,7 @@
 use crate::ledger::REPEATS;
 use crate::schedule::Kind;
 use crate::site::Site;
+use crate::ways;
 
 /// Longest planned stop, as the gateways are told.
 const STOP_WITHIN_S: u64 = 8;
@@ -40,6 +42,9 @@
 /// Time in which a process that has started or woken hears what there is.
 const WAKES: Duration = Duration::from_secs(4);
 
+/// The gateway's program.
+const PROGRAM: &str = "hooktrestle-gateway";
+
 /// First port of the first gateway; each has four.
 const FIRST_PORT: u16 = 4_000;
 
@@ -120,6 +125,22 @@
     ledger: Rc<Ledger>,
 }
 
+/// The gateway's program: the one that was named, or the one beside the program that asks.
+///
+/// # Errors
+///
+/// There is none.
+pub fn program(named: Option<PathBuf>) -> Result<PathBuf> {
+    let beside = std::env::current_exe()?.with_file_name(PROGRAM);
+    let program = named.unwrap_or(beside);
+    ensure!(
+        program.exists(),
+        "{} is missing: build it, or name it by --program",
+        program.display()
+    );
+    Ok(program)
+}
+
 impl Fleet {
     /// Starts so many gateways of a program; their settings and logs go into a folder.
     ///
@@ -187,7 +208,11 @@
             Kind::Pause => self.pause(&gateway, lasts).await,
             Kind::Stop => self.stop(&gateway).await,
             Kind::HangUp => gateway.signal(Signal::HUP),
-            Kind::StoreMute => gateway.way.mute(),
+            Kind::StoreMute
+            | Kind::StoreReset
+            | Kind::StoreSlow
+            | Kind::StoreHoldsRequests
+            | Kind::StoreHoldsAnswers => ways::trouble(&gateway.way, kind, lasts).await,
             Kind::StoreTurnsAway => {
                 gateway.store.set_mood(Mood::Busy);
                 time::sleep(lasts).await;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`schedule`]: which troubles come when, drawn from a seed.
 //! - [`fleet`]: the gateways, and signals to them; it ends only what it started.
 //! - [`site`]: the store and the servers, and what goes wrong with them.
+//! - [`ways`]: what goes wrong between the gateways and those.
 //! - [`callers`]: who asks, waits, leaves and asks again.
 //! - [`ledger`]: what was told to callers, what servers ran, and the promises between the two.
 //! - [`run`]: one run of one seed.
@@ -24,3 +25,4 @@
 pub mod schedule;
 pub mod shrink;
 pub mod site;
+pub mod ways;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -7,6 +7,7 @@
 use eyre::Result;
 use eyre::ensure;
 use eyre::eyre;
+use hooktrestle_soak::fleet;
 use hooktrestle_soak::ledger::Bounds;
 use hooktrestle_soak::run;
 use hooktrestle_soak::run::Config;
@@ -16,9 +17,6 @@
 use hooktrestle_soak::schedule::Trouble;
 use hooktrestle_soak::shrink::shrink;
 
-/// The gateway's program, beside this one.
-const GATEWAY: &str = "hooktrestle-gateway";
-
 /// Most runs that shrinking a seed may take.
 const SHRINK_TRIES: usize = 24;
 
@@ -106,17 +104,8 @@
 }
 
 fn config(flags: &flags::HooktrestleSoak) -> Result<Config> {
-    let program = match &flags.program {
-        Some(program) => program.clone(),
-        None => std::env::current_exe()?.with_file_name(GATEWAY),
-    };
-    ensure!(
-        program.exists(),
-        "{} is missing: build it, or name it by --program",
-        program.display()
-    );
     let config = Config {
-        program,
+        program: fleet::program(flags.program.clone())?,
         folder: flags.folder.clone().unwrap_or_else(default_folder),
         length: Duration::from_secs(flags.length_s.unwrap_or(60)),
         gateways: flags.gateways.unwrap_or(3),
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -36,8 +36,24 @@
     StoreForgets,
     /// Connections of a gateway to the store go silent for good; new ones work.
     StoreMute,
+    /// Connections of a gateway to the store are reset.
+    StoreReset,
+    /// The way of a gateway to the store is slow.
+    StoreSlow,
+    /// What a gateway sends to the store is held up.
+    StoreHoldsRequests,
+    /// What the store sends to a gateway is held up.
+    StoreHoldsAnswers,
     /// Connections to a server go silent for good; new ones work.
     ServerMute,
+    /// Connections to a server are reset.
+    ServerReset,
+    /// The way to a server is slow.
+    ServerSlow,
+    /// What is sent to a server is held up.
+    ServerHoldsRequests,
+    /// What a server sends is held up.
+    ServerHoldsAnswers,
     /// A server crashes; another comes when it is over.
     ServerCrash,
     /// A server says that it leaves, and another comes.
@@ -55,7 +71,7 @@
 }
 
 /// All kinds, with the names by which they are chosen.
-pub const KINDS: [(&str, Kind); 20] = [
+pub const KINDS: [(&str, Kind); 28] = [
     ("kill", Kind::Kill),
     ("off", Kind::Off),
     ("kill-all", Kind::KillAll),
@@ -68,7 +84,15 @@
     ("store-turns-away", Kind::StoreTurnsAway),
     ("store-forgets", Kind::StoreForgets),
     ("store-mute", Kind::StoreMute),
+    ("store-reset", Kind::StoreReset),
+    ("store-slow", Kind::StoreSlow),
+    ("store-holds-requests", Kind::StoreHoldsRequests),
+    ("store-holds-answers", Kind::StoreHoldsAnswers),
     ("server-mute", Kind::ServerMute),
+    ("server-reset", Kind::ServerReset),
+    ("server-slow", Kind::ServerSlow),
+    ("server-holds-requests", Kind::ServerHoldsRequests),
+    ("server-holds-answers", Kind::ServerHoldsAnswers),
     ("server-crash", Kind::ServerCrash),
     ("server-drain", Kind::ServerDrain),
     ("server-refuses", Kind::ServerRefuses),
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -17,6 +17,7 @@
 
 use crate::ledger::Ledger;
 use crate::schedule::Kind;
+use crate::ways;
 
 /// Time for which a server that leaves is listed as leaving, and then serves on.
 const LEAVES: Duration = Duration::from_secs(2);
@@ -104,11 +105,24 @@
             Kind::StoreSilent => self.mood(Mood::Silent, lasts).await,
             Kind::StoreLosesAnswers => self.mood(Mood::LosesAnswers, lasts).await,
             Kind::StoreForgets => self.store.forget_history(),
-            _ => {
+            Kind::ServerMute
+            | Kind::ServerReset
+            | Kind::ServerSlow
+            | Kind::ServerHoldsRequests
+            | Kind::ServerHoldsAnswers
+            | Kind::ServerCrash
+            | Kind::ServerDrain
+            | Kind::ServerRefuses
+            | Kind::ServerFails
+            | Kind::ServerLosesAnswers
+            | Kind::ServerAnswersTwice
+            | Kind::ServerForges => {
                 if let Some(placed) = self.pick(target) {
                     self.server_trouble(kind, placed, lasts).await;
                 }
             }
+            // The gateways' own.
+            _ => {}
         }
     }
 
@@ -137,10 +151,9 @@
             Kind::ServerLosesAnswers => Act::LoseAnswer,
             Kind::ServerAnswersTwice => Act::WorkTwice,
             Kind::ServerForges => Act::Forge("forged".to_owned()),
-            Kind::ServerMute => return way.mute(),
             Kind::ServerDrain => return self.drain(&server, &way).await,
             Kind::ServerCrash => return self.crash(&server, lasts).await,
-            _ => return,
+            _ => return ways::trouble(&way, kind, lasts).await,
         };
         server.usually(act);
         time::sleep(lasts).await;
