Findings of slow servers come with their age, and are told only as long as they hold

Change: findings carry their age; one that holds no more (4 s, as before) is neither taken nor told. Test, red without it: a_finding_is_as_old_as_it_was_told_and_is_told_no_more_once_it_holds_no_more.

--- a/crates/core/src/direct/pool.rs
+++ b/crates/core/src/direct/pool.rs
@@ -10,6 +10,7 @@
 use rand::Rng;
 
 use crate::clock::Millis;
+use crate::direct::slow;
 use crate::routing;
 use crate::routing::Candidate;
 use crate::routing::Report;
@@ -83,8 +84,7 @@
             stalled: Millis(300),
             unreachable: Millis(500),
             most: Millis(4_000),
-            // Findings are told each second; one that leads no more may have told the last.
-            slow: Millis(4_000),
+            slow: slow::LASTS,
             failing_share: 0.5,
         }
     }
@@ -350,14 +350,15 @@
         std::mem::replace(&mut server.standing, standing) != standing
     }
 
-    /// Servers of a service were found slow, and all others of it are not; that holds until it is told
-    /// again, or for a while.
-    pub fn set_slow(&mut self, service: &str, ids: &[String], now: Millis) {
+    /// Servers of a service were found slow so long ago, and all others of it were not; that holds until
+    /// it is told again, or for a while.
+    pub fn set_slow(&mut self, service: &str, ids: &[String], age: Millis, now: Millis) {
         let Some(found) = self.services.get(service) else { return };
+        let until = now + self.config.slow - age;
         for key in &found.servers {
             let server = &mut self.servers[*key];
             let slow = ids.contains(&server.listed.id);
-            server.slow_until = if slow { now + self.config.slow } else { Millis::ZERO };
+            server.slow_until = if slow { until } else { Millis::ZERO };
         }
     }
 
--- a/crates/core/src/direct/slow.rs
+++ b/crates/core/src/direct/slow.rs
@@ -6,6 +6,12 @@
 
 use std::collections::BTreeMap;
 
+use crate::clock::Millis;
+
+/// How long a finding holds. Findings are told each second; one that leads no more may have told the
+/// last.
+pub const LASTS: Millis = Millis(4_000);
+
 /// What a leader found.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Finding {
@@ -15,27 +21,36 @@
     pub number: u64,
     /// Names of the slow servers.
     pub servers: Vec<String>,
+    /// Time since it was found, as far as the one who tells has heard.
+    pub age: Millis,
 }
 
 /// The newest finding for each service.
 #[derive(Clone, Debug, Default)]
 pub struct Findings {
-    by_service: BTreeMap<String, Finding>,
+    /// With the time at which each was taken.
+    by_service: BTreeMap<String, (Finding, Millis)>,
 }
 
 impl Findings {
-    /// Takes a finding; returns whether it is newer than what was known.
-    pub fn take(&mut self, service: &str, finding: &Finding) -> bool {
-        let known = self.by_service.get(service).map(|known| (known.fence, known.number));
+    /// Takes a finding; returns whether it holds and is newer than what was known. One that holds no
+    /// more is not taken: whoever has just started is told of servers that were slow long ago, too.
+    pub fn take(&mut self, service: &str, finding: &Finding, now: Millis) -> bool {
+        let known = self.by_service.get(service).map(|(known, _)| (known.fence, known.number));
         let newer = known.is_none_or(|known| (finding.fence, finding.number) > known);
-        if newer {
-            self.by_service.insert(service.to_owned(), finding.clone());
+        let holds = finding.age < LASTS;
+        if newer && holds {
+            self.by_service.insert(service.to_owned(), (finding.clone(), now));
         }
-        newer
+        newer && holds
     }
 
-    /// All of it, by service.
-    pub fn all(&self) -> impl Iterator<Item = (&str, &Finding)> {
-        self.by_service.iter().map(|(service, finding)| (service.as_str(), finding))
+    /// Those that hold, by service, each with its age.
+    pub fn all(&self, now: Millis) -> impl Iterator<Item = (&str, Finding)> {
+        let aged = self.by_service.iter().map(move |(service, (finding, taken_at))| {
+            let age = finding.age + now.since(*taken_at);
+            (service.as_str(), Finding { age, ..finding.clone() })
+        });
+        aged.filter(|(_, finding)| finding.age < LASTS)
     }
 }
--- a/crates/core/tests/direct_requests.rs
+++ b/crates/core/tests/direct_requests.rs
@@ -220,31 +220,53 @@
 fn a_slow_server_gets_work_only_where_no_other_is_left() {
     let mut pool = pool(&["a", "b"]);
     let slow = |ids: &[&str]| ids.iter().map(ToString::to_string).collect::<Vec<String>>();
-    pool.set_slow("hints", &slow(&["a"]), Millis(0));
+    pool.set_slow("hints", &slow(&["a"]), Millis::ZERO, Millis(0));
     for _ in 0..4 {
         assert_eq!(chosen(&mut pool, &[], 0).as_deref(), Some("b"));
     }
     let b = pool.present_of("hints")[1];
     assert_eq!(chosen(&mut pool, &[b], 0).as_deref(), Some("a"));
     // Found again it stays slow; otherwise the finding wears off.
-    pool.set_slow("hints", &slow(&["a", "b"]), Millis(3_000));
+    pool.set_slow("hints", &slow(&["a", "b"]), Millis::ZERO, Millis(3_000));
     assert!(chosen(&mut pool, &[], 4_500).is_some(), "both are slow");
-    pool.set_slow("hints", &slow(&["b"]), Millis(5_000));
+    pool.set_slow("hints", &slow(&["b"]), Millis::ZERO, Millis(5_000));
     assert_eq!(chosen(&mut pool, &[], 5_000).as_deref(), Some("a"));
     let a = pool.present_of("hints")[0];
     assert_eq!(chosen(&mut pool, &[a], 9_000).as_deref(), Some("b"));
     assert!(!pool.is_slow(b, Millis(9_000)));
 }
 
+fn finding(fence: u64, number: u64, age_ms: u64) -> Finding {
+    Finding { fence, number, servers: vec!["a".to_owned()], age: Millis(age_ms) }
+}
+
 #[test]
 fn the_newest_finding_of_the_newest_leader_counts() {
-    let finding = |fence, number| Finding { fence, number, servers: Vec::new() };
     let mut findings = Findings::default();
-    assert!(findings.take("hints", &finding(2, 5)));
-    assert!(!findings.take("hints", &finding(2, 5)), "told again by another gateway");
-    assert!(!findings.take("hints", &finding(1, 9)), "of a leader that was replaced");
-    assert!(findings.take("hints", &finding(3, 1)));
-    assert!(findings.take("notes", &finding(1, 1)), "each service by itself");
+    let mut take =
+        |service, fence, number| findings.take(service, &finding(fence, number, 0), Millis::ZERO);
+    assert!(take("hints", 2, 5));
+    assert!(!take("hints", 2, 5), "told again by another gateway");
+    assert!(!take("hints", 1, 9), "of a leader that was replaced");
+    assert!(take("hints", 3, 1));
+    assert!(take("notes", 1, 1), "each service by itself");
+}
+
+/// Findings were told for ever, and without their age: a gateway that started long after a leader had
+/// gone left servers alone that had been slow once.
+#[test]
+fn a_finding_is_as_old_as_it_was_told_and_is_told_no_more_once_it_holds_no_more() {
+    let mut findings = Findings::default();
+    assert!(findings.take("hints", &finding(2, 5, 3_000), Millis(0)));
+    let told: Vec<Finding> = findings.all(Millis(900)).map(|(_, finding)| finding).collect();
+    assert_eq!(told, [finding(2, 5, 3_900)]);
+    assert_eq!(findings.all(Millis(1_000)).count(), 0);
+    let mut begun = Findings::default();
+    assert!(!begun.take("hints", &finding(2, 5, 4_000), Millis(0)));
+    let mut pool = pool(&["a", "b"]);
+    let [a, _] = pool.present_of("hints")[..] else { panic!("two servers") };
+    pool.set_slow("hints", &["a".to_owned()], Millis(3_000), Millis(0));
+    assert!(pool.is_slow(a, Millis(999)) && !pool.is_slow(a, Millis(1_000)));
 }
 
 /// The bounds of a service change while it has repeats out.
--- a/crates/direct/src/gateway/findings.rs
+++ b/crates/direct/src/gateway/findings.rs
@@ -30,11 +30,11 @@
     /// Takes a finding, from the own lead or from another gateway, and hands it on at once if it is
     /// new.
     pub fn take_finding(&self, service: &str, finding: &Finding) {
-        if !self.findings.borrow_mut().take(service, finding) {
+        let now = self.now();
+        if !self.findings.borrow_mut().take(service, finding, now) {
             return;
         }
-        let now = self.now();
-        self.with_pool(|pool| pool.set_slow(service, &finding.servers, now));
+        self.with_pool(|pool| pool.set_slow(service, &finding.servers, finding.age, now));
         self.hand_on(Reach::All);
     }
 
--- a/crates/direct/src/peers/news.rs
+++ b/crates/direct/src/peers/news.rs
@@ -71,6 +71,7 @@
         let update = gateway.since(Table::of_name(&known.table)?, known.revision)?;
         Some(table_news(&known.table, update))
     });
+    let now = gateway.now();
     PeerNews {
         members: Vec::new(),
         beats: Vec::new(),
@@ -83,16 +84,17 @@
             })
             .to_vec(),
         news: lacks.collect(),
-        slow: gateway.with_findings(|findings| findings.all().map(slow_servers).collect()),
+        slow: gateway.with_findings(|findings| findings.all(now).map(slow_servers).collect()),
     }
 }
 
-fn slow_servers((service, finding): (&str, &Finding)) -> SlowServers {
+fn slow_servers((service, finding): (&str, Finding)) -> SlowServers {
     SlowServers {
+        age_ms: finding.age.0,
         service: service.to_owned(),
         lead_fence_number: finding.fence,
         finding_number: finding.number,
-        servers: finding.servers.clone(),
+        servers: finding.servers,
     }
 }
 
@@ -120,7 +122,8 @@
     });
     for told in &news.slow {
         let (fence, number) = (told.lead_fence_number, told.finding_number);
-        let finding = Finding { fence, number, servers: told.servers.clone() };
+        let age = Millis(told.age_ms) + waited;
+        let finding = Finding { fence, number, servers: told.servers.clone(), age };
         gateway.take_finding(&told.service, &finding);
     }
     for table_news in &news.news {
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -1403,6 +1403,9 @@
 ///Backend servers of a service that the leader of its expert maps found slow.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct SlowServers {
+    ///Time since it was found, as far as the one who tells has heard.
+    #[serde(default)]
+    pub age_ms: u64,
     ///Rises with each finding of one leader.
     pub finding_number: u64,
     ///The leader's fencing token.
