--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -29,6 +29,7 @@
 use crate::ledger::Ledger;
 use crate::ledger::Promise;
 use crate::ledger::REPEATS;
+use crate::ledger::RepeatBound;
 use crate::schedule::Kind;
 use crate::site::Site;
 use crate::ways;
@@ -320,7 +321,7 @@
 }
 
 fn settings_text(name: &str, at: &Addresses, store: SocketAddr, seeds: &str) -> String {
-    let (ratio, slack, window) = REPEATS;
+    let RepeatBound { ratio, slack, window } = REPEATS;
     let Addresses { callers, endpoints, readiness, peers } = at;
     format!(
         "[instance]\nname = {name}\ndata_centre = hall\nstop_within_s = {STOP_WITHIN_S}\n\
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -140,8 +140,29 @@
     pub verdict: Verdict,
 }
 
-/// The bound on repeats that gateways are given: a part of requests and a number, in a window.
-pub const REPEATS: (f64, u32, Duration) = (0.2, 20, Duration::from_secs(10));
+/// A bound on repeats.
+#[derive(Clone, Copy, Debug)]
+pub struct RepeatBound {
+    /// Part of the requests.
+    pub ratio: f64,
+    /// Beyond that part, so many.
+    pub slack: u32,
+    /// In a window of this length.
+    pub window: Duration,
+}
+
+/// The bound that gateways are given.
+pub const REPEATS: RepeatBound =
+    RepeatBound { ratio: 0.2, slack: 20, window: Duration::from_secs(10) };
+
+/// A server that was there.
+struct Watched {
+    server: Server,
+    /// How much of what reached it was looked at.
+    seen: usize,
+    /// Since when it leaves, if it does.
+    leaving: Option<Instant>,
+}
 
 /// Everything that was seen.
 pub struct Ledger {
@@ -150,9 +171,7 @@
     pub bounds: Bounds,
     requests: RefCell<HashMap<String, Request>>,
     runs: RefCell<HashMap<String, u32>>,
-    /// Servers that were ever there, with how much of what reached them was looked at, and since when
-    /// they leave.
-    servers: RefCell<Vec<(Server, usize, Option<Instant>)>>,
+    servers: RefCell<Vec<Watched>>,
     troubles: RefCell<Vec<(Kind, Instant, Instant)>>,
     broken: RefCell<Vec<Broken>>,
     /// Of the promises that depend on time, how often each was due.
@@ -221,14 +240,15 @@
 
     /// A server has come.
     pub fn serve(&self, server: &Server) {
-        self.servers.borrow_mut().push((server.clone(), 0, None));
+        let watched = Watched { server: server.clone(), seen: 0, leaving: None };
+        self.servers.borrow_mut().push(watched);
     }
 
     /// A server has said that it leaves, and the store has taken that.
     pub fn leaves(&self, id: &str) {
         let mut servers = self.servers.borrow_mut();
-        if let Some((_, _, leaving)) = servers.iter_mut().find(|(server, ..)| server.id == id) {
-            *leaving = Some(Instant::now());
+        if let Some(watched) = servers.iter_mut().find(|watched| watched.server.id == id) {
+            watched.leaving = Some(Instant::now());
         }
     }
 
@@ -252,7 +272,7 @@
     /// Looks at what has reached servers since the last look.
     pub fn look(&self) {
         let mut servers = self.servers.borrow_mut();
-        for (server, seen, leaving) in servers.iter_mut() {
+        for Watched { server, seen, leaving } in servers.iter_mut() {
             for arrived in server.arrived_since(*seen) {
                 *seen += 1;
                 self.judge_arrival(server, &arrived, *leaving);
@@ -319,7 +339,7 @@
 
     /// Looks at repeats in every window, once all is over.
     pub fn judge_repeats(&self) {
-        let (ratio, slack, window) = REPEATS;
+        let RepeatBound { ratio, slack, window } = REPEATS;
         let mut sent: Vec<Instant> =
             self.requests.borrow().values().map(|request| request.sent_at).collect();
         sent.sort();
@@ -327,7 +347,7 @@
             .servers
             .borrow()
             .iter()
-            .flat_map(|(server, ..)| server.arrived())
+            .flat_map(|watched| watched.server.arrived())
             .filter(|one| !one.id().is_empty())
             .map(|one| (one.at, one.id().to_owned()))
             .collect();
