--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -263,9 +263,11 @@
         gateway.held.set(1);
         let told_at = Instant::now();
         gateway.signal(Signal::TERM);
+        let mut alone = true;
         loop {
             time::sleep(LOOK_EVERY).await;
-            let alone = gateway.held.get() == 1;
+            // Time that it stood still is not its own.
+            alone &= gateway.held.get() == 1;
             match gateway.ended() {
                 Some(well) => {
                     if alone && !well {
