--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -261,13 +261,14 @@
             return;
         }
         gateway.held.set(1);
-        let told_at = Instant::now();
         gateway.signal(Signal::TERM);
-        let mut alone = true;
+        // Time in which something else held it is not its own.
+        let (mut own, mut looked_at) = (Duration::ZERO, Instant::now());
         loop {
             time::sleep(LOOK_EVERY).await;
-            // Time that it stood still is not its own.
-            alone &= gateway.held.get() == 1;
+            let alone = gateway.held.get() == 1;
+            own += if alone { looked_at.elapsed() } else { Duration::ZERO };
+            looked_at = Instant::now();
             match gateway.ended() {
                 Some(well) => {
                     if alone && !well {
@@ -279,7 +280,7 @@
                 }
                 // Something else has ended it, or holds it.
                 None if gateway.child.borrow().is_none() => break,
-                None if alone && told_at.elapsed() > self.ledger.bounds.stop => {
+                None if alone && own > self.ledger.bounds.stop => {
                     let what = format!("{} does not end", gateway.name);
                     self.ledger.broken(Promise::Stop, what);
                     break;
