Maps: a pass is held through another gateway, so a frozen machine does not hold its group

Cause: the hold was given through the machine beside rank 0, or beside a rank of another group that switches at the same moment. Traced by orders logged with their way and answer. Change: the hold goes through another gateway in turn (relays.rs); gateways relay orders on the sidecars' port ([listen] relay).

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -16,6 +16,7 @@
 //!   and which rank shall hold which.
 //! - [`readings`]: how often experts were chosen, told as what came since.
 //! - [`map_orders`]: how that is changed.
+//! - [`relays`]: gateways through which orders go that no machine of their group should give.
 //! - [`passes`]: how long the passes of groups take.
 //! - [`events`]: a stream of events, cut between events only.
 
@@ -33,6 +34,7 @@
 pub mod passes;
 pub mod pool;
 pub mod readings;
+pub mod relays;
 pub mod replica;
 pub mod serving;
 pub mod slow;
--- a/crates/core/src/direct/map_orders.rs
+++ b/crates/core/src/direct/map_orders.rs
@@ -32,6 +32,7 @@
 
 pub use config::Config;
 pub use messages::Ask;
+pub use messages::Giver;
 pub use messages::Guarded;
 pub use messages::Next;
 pub use messages::Order;
--- a/crates/core/src/direct/map_orders/messages.rs
+++ b/crates/core/src/direct/map_orders/messages.rs
@@ -71,6 +71,26 @@
     },
 }
 
+/// Who gives an order to its rank.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Giver {
+    /// The machine beside the rank: at no price, and none other reaches the rank while it stands still.
+    Beside,
+    /// A machine that no rank of the group needs.
+    Elsewhere,
+}
+
+impl Order {
+    /// Who gives it. From the hold on the group waits until all ranks were reached: whoever gives that
+    /// order may stand still upon it, and must not be one that is needed then.
+    pub fn giver(self) -> Giver {
+        match self {
+            Order::Hold { .. } => Giver::Elsewhere,
+            _ => Giver::Beside,
+        }
+    }
+}
+
 /// An order with what guards it.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Guarded {
--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -17,6 +17,7 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 
 use rand::Rng;
@@ -408,6 +409,12 @@
         self.living_others(now).map(|member| member.peers_at).collect()
     }
 
+    /// Addresses of the other instances whose gateways live and serve.
+    pub fn ready_instances(&self, now: Millis) -> Vec<IpAddr> {
+        let ready = self.living_others(now).filter(|member| member.readiness == Readiness::Ready);
+        ready.map(|member| member.callers_at.ip()).collect()
+    }
+
     /// How long a lead takes to be known by all: in each round at least as many gateways again hear of
     /// it. Those that were silent count, since whoever has just started has heard of few that live.
     pub fn spread_time(&self) -> Millis {
--- a/crates/core/tests/ranks/mod.rs
+++ b/crates/core/tests/ranks/mod.rs
@@ -1,4 +1,5 @@
 //! A stand-in for a group of ranks that keeps to the published rules of map orders, tick by tick.
+#![allow(dead_code, reason = "each test program uses a part")]
 
 use hooktrestle_core::direct::map_orders::Guarded;
 use hooktrestle_core::direct::map_orders::Order;
--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -1,5 +1,6 @@
 //! Short questions and orders to a backend server's engine, beside the requests that it serves.
 
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -41,19 +42,9 @@
     Sidecar,
     /// The same, or directly where there is none: that is priced, and disturbs the group.
     Any,
-    /// Through the process beside another server. That is priced, but what happens to the other
-    /// server's machine does not keep this one from being reached.
-    Beside(Key<Server>),
-}
-
-impl Path {
-    /// The server beside which the process is that `server` is asked through.
-    fn sidecar_of(self, server: Key<Server>) -> Key<Server> {
-        match self {
-            Path::Beside(other) => other,
-            Path::Sidecar | Path::Any => server,
-        }
-    }
+    /// Through another gateway. That is priced, but what happens to that gateway does not keep any
+    /// server from being reached.
+    Through(IpAddr),
 }
 
 /// A question as it is put to engines, made once however many are asked.
@@ -82,30 +73,25 @@
     }
 }
 
-/// The way through the process beside the first of these servers that is not passed by. An order that
-/// holds a pass goes so: where the first was passed by it went through the rank's own machine instead,
-/// which froze upon it, and the group stood still for the 7 s of the freeze.
-pub fn beside_one_of<P: Platform>(gateway: &Gateway<P>, servers: &[Key<Server>]) -> Path {
-    let open = servers.iter().find(|server| gateway.uses_sidecar(**server));
-    open.map_or(Path::Any, |server| Path::Beside(*server))
-}
-
-/// Asks an engine, and returns its status and answer; `None` if there was none in time. A sidecar
-/// that gave no answer is passed by for a while: its process may be frozen, and its machine still
-/// take connections.
+/// Asks an engine, and returns its status and answer; `None` if there was none in time. A sidecar or
+/// a relaying gateway that gave no answer is passed by for a while: its process may be frozen, and its
+/// machine still take connections.
 async fn ask<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     server: Key<Server>,
     question: &Question,
     path: Path,
 ) -> Option<(StatusCode, Bytes)> {
-    let asked_through = path.sidecar_of(server);
-    let through_sidecar = gateway.uses_sidecar(asked_through);
+    let through_sidecar = gateway.uses_sidecar(server);
     let answer = time::timeout(ANSWER_TIMEOUT, exchange(gateway, server, question, path)).await;
     // Too late is no answer.
     let answer = answer.unwrap_or_default();
-    if answer.is_none() && through_sidecar {
-        gateway.pass_sidecar_by(asked_through);
+    match path {
+        Path::Through(relay) if answer.is_none() => gateway.pass_relay_by(relay),
+        Path::Sidecar | Path::Any if answer.is_none() && through_sidecar => {
+            gateway.pass_sidecar_by(server);
+        }
+        _ => {}
     }
     // A sidecar says so where the engine gave no answer.
     answer.filter(|(status, _)| *status != StatusCode::BAD_GATEWAY)
@@ -122,20 +108,32 @@
     status.is_success().then_some(body)
 }
 
+/// Who is at the other end of a connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum End {
+    Engine,
+    Sidecar,
+    Relay,
+}
+
 async fn exchange<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     server: Key<Server>,
     question: &Question,
     path: Path,
 ) -> Option<(StatusCode, Bytes)> {
-    let (mut connection, through_sidecar) = connect(gateway, server, path).await?;
-    let request = request(gateway, server, question, path, through_sidecar)?;
+    let (mut connection, end) = connect(gateway, server, path).await?;
+    let request = request(gateway, server, question, end)?;
     let answer = connection.sender().send_request(request).await.ok()?;
     let (head, body) = answer.into_parts();
     connection.note_answer(&head.headers);
     let body = body.collect().await.ok()?.to_bytes();
-    let kept = if through_sidecar { &gateway.sidecars } else { &gateway.connections };
-    kept.keep(connection);
+    match end {
+        End::Engine => gateway.connections.keep(connection),
+        End::Sidecar => gateway.sidecars.keep(connection),
+        // One order a switch, and each through another gateway.
+        End::Relay => drop(connection),
+    }
     Some((head.status, body))
 }
 
@@ -145,8 +143,7 @@
     gateway: &Gateway<P>,
     server: Key<Server>,
     question: &Question,
-    path: Path,
-    through_sidecar: bool,
+    end: End,
 ) -> Option<Request<Full<Bytes>>> {
     let listed = gateway.with_pool(|pool| pool.server(server).listed.clone());
     let mut request = Request::builder()
@@ -156,7 +153,7 @@
         .header(header::CONTENT_TYPE, "application/json")
         .header(&gateway.platform.headers().expect_server, listed.id);
     let mut body = &question.body;
-    if through_sidecar {
+    if end != End::Engine {
         if let Some(known) = question.since {
             request = request.header(sidecar::SINCE_HEADER, known);
         }
@@ -165,30 +162,35 @@
             request = request.header(header::CONTENT_ENCODING, packing::ENCODING);
         }
     }
-    if let Path::Beside(_) = path {
+    if end == End::Relay {
         request = request.header(sidecar::ENGINE_HEADER, listed.address.to_string());
     }
     request.body(Full::new(body.clone())).ok()
 }
 
-/// A connection on which the engine is reached, and whether it is one to a sidecar.
+/// A connection on which the engine is reached, and who is at its other end.
 async fn connect<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     server: Key<Server>,
     path: Path,
-) -> Option<(Connection, bool)> {
-    if let Some(connection) = connect_sidecar(gateway, path.sidecar_of(server)).await {
-        return Some((connection, true));
+) -> Option<(Connection, End)> {
+    if let Path::Through(relay) = path {
+        let at = SocketAddr::new(relay, gateway.sidecars_port);
+        let opened = Connection::open_within(server, at, SIDECAR_TIMEOUT).await;
+        return Some((opened.ok()?, End::Relay));
+    }
+    if let Some(connection) = connect_sidecar(gateway, server).await {
+        return Some((connection, End::Sidecar));
     }
     if path != Path::Any {
         return None;
     }
     let address = gateway.with_pool(|pool| pool.server(server).listed.address);
     if let Some(connection) = gateway.connections.idle(server) {
-        return Some((connection, false));
+        return Some((connection, End::Engine));
     }
     gateway.metrics.dialled.inc();
-    Some((Connection::open(server, address).await.ok()?, false))
+    Some((Connection::open(server, address).await.ok()?, End::Engine))
 }
 
 /// A connection to the process beside a server, unless there is none or it is passed by.
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -10,6 +10,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::net::IpAddr;
 use std::rc::Rc;
 
 use hooktrestle_core::clock::Clock;
@@ -25,6 +26,7 @@
 use hooktrestle_core::direct::pool;
 use hooktrestle_core::direct::pool::Pool;
 use hooktrestle_core::direct::pool::Server;
+use hooktrestle_core::direct::relays::Relays;
 use hooktrestle_core::direct::replica::Replica;
 use hooktrestle_core::direct::serving::RouteKind;
 use hooktrestle_core::direct::serving::Serving;
@@ -97,6 +99,7 @@
     budget: Cell<budget::Config>,
     /// Sidecars that gave no answer, and until when they are not asked.
     passed_by: RefCell<HashMap<Key<Server>, Millis>>,
+    relays: RefCell<Relays>,
     phase: Cell<Phase>,
     in_flight: Cell<usize>,
     last_request: Cell<Millis>,
@@ -130,6 +133,7 @@
             entrances: ByService::default(),
             budget: Cell::new(budget),
             passed_by: RefCell::default(),
+            relays: RefCell::default(),
             phase: Cell::new(Phase::Running),
             in_flight: Cell::new(0),
             last_request: Cell::new(Millis::ZERO),
@@ -219,6 +223,21 @@
         self.passed_by.borrow_mut().insert(server, self.now() + PASS_BY);
     }
 
+    /// The gateway through which an order goes that no machine of its group should give.
+    pub fn next_relay(&self) -> Option<IpAddr> {
+        if self.sidecars_port == 0 {
+            return None;
+        }
+        let now = self.now();
+        let living = self.with_members(|members| members.ready_instances(now));
+        self.relays.borrow_mut().next(&living, now)
+    }
+
+    /// A gateway relayed nothing: it is passed by for a while.
+    pub fn pass_relay_by(&self, relay: IpAddr) {
+        self.relays.borrow_mut().gave_none(relay, self.now());
+    }
+
     /// Whether the store answered when it was asked last.
     pub fn store_answers(&self) -> bool {
         self.with_members(|members| members.own().store_answers)
--- a/crates/direct/src/maps.rs
+++ b/crates/direct/src/maps.rs
@@ -406,14 +406,6 @@
         self.gateway.with_pool(|pool| ranks.iter().all(|key| pool.is_present(*key)))
     }
 
-    /// The servers of other groups than this one.
-    fn beyond(&self, group: &str) -> Vec<Key<Server>> {
-        let groups = self.groups.borrow();
-        let others = groups.iter().filter(|(name, _)| *name != group);
-        // Its first rank is the one that its own passes are held at.
-        others.flat_map(|(_, ranks)| ranks.iter().rev().flatten()).copied().collect()
-    }
-
     fn ranks_of(&self, group: &str) -> Option<Vec<Key<Server>>> {
         self.groups.borrow().get(group)?.iter().copied().collect()
     }
--- a/crates/direct/src/maps/group.rs
+++ b/crates/direct/src/maps/group.rs
@@ -12,6 +12,7 @@
 use hooktrestle_core::direct::expert_layout::Planned;
 use hooktrestle_core::direct::map_orders;
 use hooktrestle_core::direct::map_orders::Ask;
+use hooktrestle_core::direct::map_orders::Giver;
 use hooktrestle_core::direct::map_orders::Guarded;
 use hooktrestle_core::direct::map_orders::Next;
 use hooktrestle_core::direct::map_orders::Order;
@@ -84,12 +85,7 @@
         let Some(planned) = next_layout(&service, before, &ranks) else { continue };
         let switch = begin(&service, versions, before, &planned, ranks.len());
         let map = expert_layout::by_rank(&planned, ranks.len());
-        let asked = Asked {
-            ranks: &ranks,
-            relays: service.beyond(&group),
-            map: &map,
-            newest: RefCell::default(),
-        };
+        let asked = Asked { ranks: &ranks, map: &map, newest: RefCell::default() };
         let (done, ended) = carry_out(&service, &asked, switch, before).await;
         versions = done.versions();
         known = conclude(&service, &group, planned, &done, &ended);
@@ -208,8 +204,6 @@
 /// Who is asked in a switch, and about what.
 struct Asked<'a> {
     ranks: &'a [Key<Server>],
-    /// Servers of other groups, through whose sidecars passes are held.
-    relays: Vec<Key<Server>>,
     /// The map: experts by set and rank.
     map: &'a [Vec<Vec<u16>>],
     /// The newest order as it is put to ranks: most rounds give all of them the same, with the whole
@@ -314,13 +308,11 @@
         question
     }
 
-    /// How an order reaches its rank. While a pass is held the group stands still until its rank can
-    /// be reached again; so the order that holds it goes through a machine that no rank of the group
-    /// needs, should that machine freeze or go dark upon it.
+    /// How an order reaches its rank; through the rank's own machine where no other gateway lives.
     fn path_of<P: Platform>(&self, gateway: &Gateway<P>, order: Order) -> Path {
-        match order {
-            Order::Hold { .. } => engine::beside_one_of(gateway, &self.relays),
-            _ => Path::Any,
+        match order.giver() {
+            Giver::Elsewhere => gateway.next_relay().map_or(Path::Any, Path::Through),
+            Giver::Beside => Path::Any,
         }
     }
 }
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -34,6 +34,7 @@
 use crate::platform::Platform;
 use crate::platform::Table;
 use crate::settings;
+use crate::sidecar;
 use crate::standing;
 
 /// Connections that wait to be accepted: a flood of callers is not turned away by the kernel.
@@ -114,6 +115,9 @@
     };
     started.peers.set_seeds(settings::addresses(&settings.platform.seeds));
     let gateway = &started.gateway;
+    if !listen.relay.is_empty() {
+        tokio::task::spawn_local(sidecar::relay(gateway.clone(), bind(&listen.relay)?));
+    }
     if !listen.metrics.is_empty() {
         let listener = bind(&listen.metrics)?;
         tokio::task::spawn_local(endpoints::serve(gateway.clone(), listener, Question::Metrics));
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -159,8 +159,9 @@
         ("[listen] peers", &listen.peers),
         ("[platform] store", &settings.platform.store),
     ];
-    let metrics = Some(("[listen] metrics", &listen.metrics)).filter(|(_, text)| !text.is_empty());
-    let all = needed.into_iter().chain(metrics);
+    let optional = [("[listen] relay", &listen.relay), ("[listen] metrics", &listen.metrics)];
+    let given = optional.into_iter().filter(|(_, text)| !text.is_empty());
+    let all = needed.into_iter().chain(given);
     let wrong = all.filter(|(_, text)| text.parse::<SocketAddr>().is_err());
     wrong.map(|(name, text)| format!("{name}: `{text}` given; it must be IP:PORT")).collect()
 }
--- a/crates/direct/src/sidecar.rs
+++ b/crates/direct/src/sidecar.rs
@@ -5,6 +5,9 @@
 //! leader of a service's maps asks through this process, and directly only where it is not there.
 //! It decides nothing, and keeps only what it told of counts last, so that the next reading is told by
 //! what came since: what guards an order is in the order.
+//!
+//! Gateways relay in the same way, to engines that are named: [`hooktrestle_core::direct::relays`] says
+//! which orders go through them.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -44,8 +47,10 @@
 
 use crate::accept;
 use crate::dial;
+use crate::gateway::Gateway;
 use crate::headers;
 use crate::packing;
+use crate::platform::Platform;
 
 /// Names another engine that is to be asked, by its address. Without it, it is the one beside.
 pub(crate) const ENGINE_HEADER: &str = "hooktrestle-engine";
@@ -62,7 +67,8 @@
 
 /// The engine beside this process, and idle connections to it and to others.
 struct Engines {
-    beside: SocketAddr,
+    /// None at a gateway, which has none beside it.
+    beside: Option<SocketAddr>,
     kept: RefCell<HashMap<SocketAddr, Vec<SendRequest<Full<Bytes>>>>>,
     /// Understands counts as the engine spells them.
     counts: DecodeCounts,
@@ -83,12 +89,7 @@
     let listener = TcpListener::bind(&settings.listen)
         .await
         .wrap_err_with(|| format!("cannot listen on {}", settings.listen))?;
-    let engines = Rc::new(Engines {
-        beside: settings.engine.parse()?,
-        kept: RefCell::default(),
-        counts,
-        told: RefCell::new(Told::new(rand::random())),
-    });
+    let engines = Rc::new(Engines::new(Some(settings.engine.parse()?), counts));
     spdlog::info!("sidecar of {} started", settings.engine);
     let note = |error: &io::Error| spdlog::warn!("the leader is not accepted: {error}");
     loop {
@@ -106,6 +107,19 @@
     Ok(())
 }
 
+/// Relays questions and orders to the engines that they name, until the process ends.
+pub(crate) async fn relay<P: Platform>(gateway: Rc<Gateway<P>>, listener: TcpListener) {
+    // Counts are read through the processes beside engines alone.
+    let engines = Rc::new(Engines::new(None, |_| None));
+    let note = |error: &io::Error| {
+        gateway.journal.state(format_args!("the leader is not accepted: {error}"));
+    };
+    loop {
+        let stream = accept::next(&listener, note).await;
+        tokio::task::spawn_local(serve(engines.clone(), stream));
+    }
+}
+
 async fn serve(engines: Rc<Engines>, stream: TcpStream) {
     let service = service_fn(|request: Request<Incoming>| {
         let engines = engines.clone();
@@ -131,6 +145,15 @@
 }
 
 impl Engines {
+    fn new(beside: Option<SocketAddr>, counts: DecodeCounts) -> Engines {
+        Engines {
+            beside,
+            kept: RefCell::default(),
+            counts,
+            told: RefCell::new(Told::new(rand::random())),
+        }
+    }
+
     async fn pass_on(&self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>> {
         let (mut head, body) = request.into_parts();
         let body = Limited::new(body, MOST_BYTES).collect().await;
@@ -170,7 +193,9 @@
 
     /// Which engine is asked.
     fn asked(&self, headers: &mut HeaderMap) -> Result<SocketAddr> {
-        let Some(named) = headers.remove(ENGINE_HEADER) else { return Ok(self.beside) };
+        let Some(named) = headers.remove(ENGINE_HEADER) else {
+            return self.beside.ok_or_else(|| eyre!("no engine is named, and none is beside"));
+        };
         named.to_str()?.parse().wrap_err("the engine's address is not IP:PORT")
     }
 }
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -399,6 +399,9 @@
     pub peers: ::std::string::String,
     ///Where the platform asks whether the gateway is ready.
     pub readiness: ::std::string::String,
+    ///Where orders to engines are relayed for the gateway that leads their map: on the sidecars' port of this instance; empty for nowhere.
+    #[serde(default)]
+    pub relay: ::std::string::String,
     ///Port on which the process beside each backend server listens; 0 if there are none.
     #[serde(default)]
     pub sidecars_port: u16,
