--- a/crates/direct/src/dial.rs
+++ b/crates/direct/src/dial.rs
@@ -39,7 +39,9 @@
 }
 
 /// Opens a connection for HTTP/1.1 requests. It is driven by a task of the present local set until
-/// the sender is dropped, or the task is aborted.
+/// the sender is dropped, or the task is aborted. Closed, it is reset: what was sent and is still held on
+/// the way to a machine that stands still is taken back, so that no server reads a request whose caller
+/// has left. Where an answer was read to its end, nothing is left to be lost.
 ///
 /// # Errors
 ///
@@ -49,6 +51,7 @@
     timeout: Duration,
 ) -> io::Result<(SendRequest<Full<Bytes>>, AbortHandle)> {
     let stream = dial(address, timeout).await?;
+    SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
     let (sender, driver) =
         http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
     let task = tokio::task::spawn_local(async move {
