Requests at a server that says nothing are taken elsewhere once later ones were answered by others

Change: a repeatable request is taken from a server after three usual times to an answer, 300 ms at least, if two later ones were answered elsewhere a usual time ago; the server rests as one that cannot be reached. While all servers stand still none is taken.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -10,6 +10,7 @@
 //! - [`slow`]: which backend servers are slow, as one gateway finds and all tell each other.
 //! - [`admission`]: how many streams a service bears, by how long its passes take.
 //! - [`attempts`]: what follows an attempt: answer, another attempt, or a refusal.
+//! - [`overtaken`]: requests at a server that says nothing while later ones are answered elsewhere.
 //! - [`outage`]: when callers come back while no server can take a request.
 //! - [`budget`]: how many repeats failures may cost, over a sliding window.
 //! - [`expert_demand`], [`expert_plan`], [`expert_layout`], [`holders`]: how often experts are chosen,
@@ -31,6 +32,7 @@
 pub mod map_orders;
 pub mod members;
 pub mod outage;
+pub mod overtaken;
 pub mod passes;
 pub mod pool;
 pub mod readings;
--- a/crates/core/src/direct/pool.rs
+++ b/crates/core/src/direct/pool.rs
@@ -53,6 +53,8 @@
     Unreachable,
     /// The connection was lost, or carried no answer in the protocol.
     Lost,
+    /// Nothing came, while requests that were sent later were answered by others.
+    Overtaken,
 }
 
 /// How long servers rest.
@@ -64,7 +66,7 @@
     pub full: Millis,
     /// After a refusal because the group stands still.
     pub stalled: Millis,
-    /// After the first failure to connect, and doubled with each further one.
+    /// After the first failure to connect or overtaken request, and doubled with each further one.
     pub unreachable: Millis,
     /// Longest rest.
     pub most: Millis,
@@ -109,7 +111,7 @@
     rests_until: Millis,
     /// Until when it counts as slow.
     slow_until: Millis,
-    /// Failures to connect in a row.
+    /// Failures to connect, and requests that were overtaken, in a row.
     unreachable: u32,
     /// Share of failed requests, the newest counting most.
     failing: f64,
@@ -401,7 +403,8 @@
             let result = f64::from(u8::from(failed));
             self.failing += (result - self.failing) * NEWEST_RESULT;
         }
-        let unreachable = if ending == Ending::Unreachable { self.unreachable + 1 } else { 0 };
+        let is_silent = matches!(ending, Ending::Unreachable | Ending::Overtaken);
+        let unreachable = if is_silent { self.unreachable + 1 } else { 0 };
         self.unreachable = unreachable.min(MOST_UNREACHABLE);
     }
 
@@ -411,7 +414,9 @@
             Ending::Answered | Ending::Left | Ending::Replaced => Millis::ZERO,
             Ending::Full => config.full,
             Ending::Stalled => config.stalled,
-            Ending::Unreachable => Millis(config.unreachable.0 << (self.unreachable - 1)),
+            Ending::Unreachable | Ending::Overtaken => {
+                Millis(config.unreachable.0 << (self.unreachable - 1))
+            }
             Ending::Failed | Ending::Lost if self.failing > config.failing_share => {
                 Millis(config.unreachable.0 * 2)
             }
--- /dev/null
+++ b/crates/core/tests/overtaken.rs
@@ -0,0 +1,101 @@
+//! Requests at a server that says nothing: left where others overtake them, and only there.
+
+use hooktrestle_core::clock::Millis;
+use hooktrestle_core::direct::overtaken::Config;
+use hooktrestle_core::direct::overtaken::Heads;
+use hooktrestle_core::direct::overtaken::Next;
+use hooktrestle_core::direct::pool::Listed;
+use hooktrestle_core::direct::pool::Pool;
+use hooktrestle_core::direct::pool::Server;
+use hooktrestle_core::util::arena::Key;
+
+const SERVERS: usize = 6;
+
+fn servers() -> Vec<Key<Server>> {
+    let mut pool = Pool::new(Default::default());
+    for number in 0..SERVERS {
+        let listed = Listed {
+            id: format!("s{number}"),
+            service: "hints".to_owned(),
+            address: ([10, 0, 0, number as u8], 80).into(),
+            data_centre: "a".to_owned(),
+            slots: 4,
+            leaving: false,
+        };
+        pool.list(listed, number as u64 + 1);
+    }
+    pool.present_of("hints")
+}
+
+/// Requests each 40 ms to one server after the other, answered after 160 ms. From 2 s on `is_silent`
+/// servers say nothing for 4 s, and then answer at once. Returns how long each request waited until it
+/// was answered or left, and whether it was left.
+fn play(is_silent: impl Fn(usize) -> bool) -> Vec<(u64, bool)> {
+    let keys = servers();
+    let mut heads = Heads::new(Config::default());
+    let mut waiting: Vec<(usize, u64, u64)> = Vec::new();
+    let mut ended = Vec::new();
+    for now in (0..9_000).step_by(10) {
+        if now % 40 == 0 {
+            let server = (now as usize / 40) % SERVERS;
+            let due = now + 160;
+            let held = is_silent(server) && (2_000..6_000).contains(&due);
+            waiting.push((server, now, if held { 6_000 } else { due }));
+        }
+        waiting.retain(|(server, sent, due)| {
+            let (key, sent_at) = (keys[*server], Millis(*sent));
+            if *due <= now {
+                heads.began(key, sent_at, Millis(now));
+                ended.push((now - sent, false));
+                return false;
+            }
+            let left = heads.next(key, sent_at, Millis(now)) == Next::Leave;
+            if left {
+                ended.push((now - sent, true));
+            }
+            !left
+        });
+    }
+    ended
+}
+
+#[test]
+fn a_request_at_a_frozen_machine_is_left_within_a_second() {
+    let ended = play(|server| server == 3);
+    let left: Vec<u64> =
+        ended.iter().filter(|(_, left)| *left).map(|(waited, _)| *waited).collect();
+    assert!(left.len() > 10, "{left:?}");
+    assert!(left.iter().all(|waited| *waited <= 600), "{left:?}");
+    let longest = ended.iter().map(|(waited, _)| *waited).max();
+    assert!(longest <= Some(600), "{longest:?}");
+}
+
+#[test]
+fn no_request_is_left_while_all_servers_stand_still() {
+    let ended = play(|_| true);
+    assert!(ended.iter().all(|(_, left)| !left));
+    assert!(ended.iter().any(|(waited, _)| *waited > 3_000), "they stood still");
+}
+
+#[test]
+fn a_request_that_is_slow_by_itself_waits_as_long_as_three_usual_ones() {
+    let keys = servers();
+    let mut heads = Heads::new(Config::default());
+    for number in 0..20 {
+        heads.began(keys[1], Millis(1_000 + number), Millis(1_400 + number));
+    }
+    assert_eq!(heads.next(keys[0], Millis(900), Millis(2_000)), Next::Wait(Millis(2_100)));
+    assert_eq!(heads.next(keys[0], Millis(900), Millis(2_100)), Next::Leave);
+    assert_eq!(
+        heads.next(keys[1], Millis(900), Millis(2_100)),
+        Next::Wait(Millis(2_200)),
+        "its own answers show nothing against a server"
+    );
+}
+
+#[test]
+fn nothing_is_left_before_any_answer_is_known() {
+    let heads = Heads::new(Config::default());
+    let key = servers()[0];
+    assert_eq!(heads.next(key, Millis(0), Millis(90_000)), Next::Wait(Millis(90_100)));
+}
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -1,12 +1,14 @@
 //! One attempt at one backend server: sent on a kept connection or a new one, up to the head of
 //! the answer.
 
+use std::future;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::attempts::Fate;
+use hooktrestle_core::direct::overtaken;
 use hooktrestle_core::direct::pool::Ending;
 use hooktrestle_core::direct::pool::Server;
 use hooktrestle_core::util::arena::Key;
@@ -98,7 +100,16 @@
     after_event: Option<u64>,
 ) -> Result<Answer<P>, Fate> {
     let mut turn = turn;
-    let sent = send(gateway, request, turn.server(), after_event).await;
+    let sent_at = gateway.now();
+    let sent = tokio::select! {
+        biased;
+        sent = send(gateway, request, turn.server(), after_event) => sent,
+        () = overtaken(gateway, request, turn.server(), sent_at) => {
+            gateway.metrics.overtaken.inc();
+            turn.end(Ending::Overtaken);
+            return Err(Fate::MayHaveRun);
+        }
+    };
     let Sent { response, mut connection, reused } = match sent {
         Ok(sent) => sent,
         Err(unsent) => {
@@ -133,9 +144,32 @@
     let failed = head.status.is_server_error();
     turn.end(if failed { Ending::Failed } else { Ending::Answered });
     gateway.note_taken(&request.service);
+    let now = gateway.now();
+    gateway.with_heads(&request.service, |heads| heads.began(turn.server(), sent_at, now));
     Ok(Answer { head, body, connection, turn })
 }
 
+/// Waits until a request that was sent to a server is overtaken by others; for ever where it may
+/// not be sent again.
+async fn overtaken<P: Platform>(
+    gateway: &Gateway<P>,
+    request: &Request,
+    server: Key<Server>,
+    sent_at: Millis,
+) {
+    if !request.route().repeats() {
+        return future::pending().await;
+    }
+    loop {
+        let now = gateway.now();
+        let next = gateway.with_heads(&request.service, |heads| heads.next(server, sent_at, now));
+        match next {
+            overtaken::Next::Wait(until) => time::sleep(Duration::from(until.since(now))).await,
+            overtaken::Next::Leave => return,
+        }
+    }
+}
+
 /// Whether an answer belongs to the request. One that does not say so can on a new connection only.
 fn is_answer_to(request: &Request, names: &HeaderNames, head: &Parts, reused: bool) -> bool {
     let answered = head.headers.get(&names.request_id);
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -23,6 +23,8 @@
 use hooktrestle_core::direct::members::Readiness;
 use hooktrestle_core::direct::outage;
 use hooktrestle_core::direct::outage::Outages;
+use hooktrestle_core::direct::overtaken;
+use hooktrestle_core::direct::overtaken::Heads;
 use hooktrestle_core::direct::pool;
 use hooktrestle_core::direct::pool::Pool;
 use hooktrestle_core::direct::pool::Server;
@@ -96,6 +98,7 @@
     budgets: ByService<RepeatBudget>,
     outages: ByService<Outages>,
     entrances: ByService<Rc<Entrance>>,
+    heads: ByService<Heads>,
     budget: Cell<budget::Config>,
     /// Sidecars that gave no answer, and until when they are not asked.
     passed_by: RefCell<HashMap<Key<Server>, Millis>>,
@@ -131,6 +134,7 @@
             budgets: ByService::default(),
             outages: ByService::default(),
             entrances: ByService::default(),
+            heads: ByService::default(),
             budget: Cell::new(budget),
             passed_by: RefCell::default(),
             relays: RefCell::default(),
@@ -303,6 +307,11 @@
         self.entrances.with(service, || Entrance::new(self.clock), |entrance| entrance.clone())
     }
 
+    /// Does something with the answers of a service, as they began.
+    pub fn with_heads<T>(&self, service: &str, act: impl FnOnce(&mut Heads) -> T) -> T {
+        self.heads.with(service, || Heads::new(overtaken::Config::default()), act)
+    }
+
     /// Bounds from changed settings, for all services.
     pub fn set_budget(&self, config: budget::Config) {
         self.budget.set(config);
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -27,6 +27,8 @@
     pub repeats_denied: Counter,
     /// Connections opened to backend servers.
     pub dialled: Counter,
+    /// Requests taken from a server that said nothing while later ones were answered by others.
+    pub overtaken: Counter,
     /// Servers found in groups that are too large for their expert maps to be led.
     pub ranks_unled: Counter,
     /// Gateways that callers may be sent to, this one included.
@@ -50,6 +52,7 @@
             resumed: Counter::default(),
             repeats_denied: Counter::default(),
             dialled: Counter::default(),
+            overtaken: Counter::default(),
             ranks_unled: Counter::default(),
             gateways_living: Gauge::default(),
             head_ms: Histogram::new(exponential_buckets(start, factor, length)),
@@ -65,6 +68,7 @@
             ("resumed", "Streams taken up at another server", &metrics.resumed),
             ("repeats_denied", "Repeats beyond the budget", &metrics.repeats_denied),
             ("dialled", "Connections opened to backend servers", &metrics.dialled),
+            ("overtaken", "Requests taken from a silent server", &metrics.overtaken),
             ("ranks_unled", "Servers in groups too large to be led", &metrics.ranks_unled),
         ];
         for (name, help, counter) in counters {
