--- a/crates/core/src/direct/pool.rs
+++ b/crates/core/src/direct/pool.rs
@@ -32,6 +32,15 @@
     pub slots: u32,
     /// Whether it is leaving.
     pub leaving: bool,
+    /// When it started, in Unix ms, if it tells. Tells lives apart where one keeps the name of the last.
+    pub started_unix_ms: Option<u64>,
+}
+
+impl Listed {
+    /// Whether this tells of a life before the one that `newer` tells of.
+    fn is_life_before(&self, newer: &Listed) -> bool {
+        self.started_unix_ms < newer.started_unix_ms
+    }
 }
 
 /// How an attempt at a server ended.
@@ -179,13 +188,18 @@
         if let Some(key) = self.by_id.get(&listed.id) {
             let server = &mut self.servers[*key];
             let known = &server.listed;
-            if known.service == listed.service && known.address == listed.address {
+            if listed.is_life_before(known) {
+                // It arrives late: another life has the name by now.
+                return;
+            }
+            let is_same_place = known.service == listed.service && known.address == listed.address;
+            if is_same_place && known.started_unix_ms == listed.started_unix_ms {
                 let key = *key;
                 server.listed = listed;
                 self.place(key);
                 return;
             }
-            // Names are not used again; should one be, it is another server.
+            // Another server, of which nothing is known yet.
             let (key, address) = (*key, known.address);
             self.displace(key);
             self.settle(address);
--- a/crates/core/tests/direct_requests.rs
+++ b/crates/core/tests/direct_requests.rs
@@ -39,6 +39,7 @@
         data_centre: String::new(),
         slots: 4,
         leaving,
+        started_unix_ms: None,
     }
 }
 
@@ -121,6 +122,39 @@
     assert_eq!(pool.server(key).listed.address.port(), 7_000);
 }
 
+/// A server may start again under the name that it had. What was found of the life before says nothing
+/// of this one, and what is told of it later changes nothing.
+#[test]
+fn a_server_that_is_born_anew_under_its_name_is_another_server() {
+    let mut pool = Pool::new(pool::Config::default());
+    let life =
+        |born, leaving| Listed { started_unix_ms: Some(born), ..listed("s", 1_000, leaving) };
+    pool.list(life(500, false), 1);
+    let first = pool.present_of("hints")[0];
+    pool.report(first, 4, 9, Millis(10));
+    pool.set_standing(first, true);
+    pool.ended(first, Ending::Unreachable, Millis(10));
+    assert_eq!(chosen(&mut pool, &[], 11), None);
+    pool.list(life(600, false), 2);
+    let second = pool.present_of("hints")[0];
+    assert_ne!(first, second, "nothing that is kept by its key is taken over");
+    assert!(!pool.is_present(first));
+    assert_eq!(chosen(&mut pool, &[], 12).as_deref(), Some("s"));
+    pool.list(life(500, true), 3);
+    assert_eq!(
+        chosen(&mut pool, &[], 13).as_deref(),
+        Some("s"),
+        "an older life leaves, not this one"
+    );
+    pool.ended(first, Ending::Unreachable, Millis(14));
+    assert_eq!(pool.present_of("hints"), vec![second]);
+    assert_eq!(
+        chosen(&mut pool, &[], 15).as_deref(),
+        Some("s"),
+        "an attempt at the older life ended"
+    );
+}
+
 #[test]
 fn a_name_that_another_server_answered_for_is_never_used_again() {
     let mut pool = pool(&["a"]);
--- a/crates/core/tests/overtaken.rs
+++ b/crates/core/tests/overtaken.rs
@@ -21,6 +21,7 @@
             data_centre: "a".to_owned(),
             slots: 4,
             leaving: false,
+            started_unix_ms: None,
         };
         pool.list(listed, number as u64 + 1);
     }
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -9,6 +9,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::IpAddr;
 use std::rc::Rc;
@@ -103,6 +104,8 @@
     /// Sidecars that gave no answer, and until when they are not asked.
     passed_by: RefCell<HashMap<Key<Server>, Millis>>,
     relays: RefCell<Relays>,
+    /// Rows of the list of servers that name none, as far as they were logged.
+    passed_over: RefCell<BTreeSet<String>>,
     phase: Cell<Phase>,
     in_flight: Cell<usize>,
     last_request: Cell<Millis>,
@@ -138,6 +141,7 @@
             budget: Cell::new(budget),
             passed_by: RefCell::default(),
             relays: RefCell::default(),
+            passed_over: RefCell::default(),
             phase: Cell::new(Phase::Running),
             in_flight: Cell::new(0),
             last_request: Cell::new(Millis::ZERO),
--- a/crates/direct/src/gateway/tables.rs
+++ b/crates/direct/src/gateway/tables.rs
@@ -7,9 +7,14 @@
 
 use crate::gateway::Gateway;
 use crate::gateway::findings::Reach;
+use crate::platform::Malformed;
 use crate::platform::Platform;
 use crate::platform::Table;
 
+/// Rows that name no server and are told in the log, in the life of a process: another writer may put
+/// any number there.
+const MOST_PASSED_OVER_TOLD: usize = 64;
+
 impl<P: Platform> Gateway<P> {
     /// How much is known of a table.
     pub fn revision(&self, table: Table) -> u64 {
@@ -78,7 +83,7 @@
                     pool.list(listed, replica.revision_of(id));
                 }
                 Some(Err(error)) => {
-                    self.journal.state(format_args!("server passed over: {error}"));
+                    self.note_no_server(id, &error);
                     pool.unlist(id);
                 }
                 None => {
@@ -88,4 +93,13 @@
             }
         }
     }
+
+    /// A row of the list names no server: counted, and logged once a row, for so many rows.
+    fn note_no_server(&self, id: &str, error: &Malformed) {
+        self.metrics.rows_passed_over.inc();
+        let mut told = self.passed_over.borrow_mut();
+        if told.len() < MOST_PASSED_OVER_TOLD && told.insert(id.to_owned()) {
+            self.journal.state(format_args!("server passed over: {error}"));
+        }
+    }
 }
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -29,6 +29,8 @@
     pub dialled: Counter,
     /// Requests taken from a server that said nothing while later ones were answered by others.
     pub overtaken: Counter,
+    /// Rows of the list of servers that named none.
+    pub rows_passed_over: Counter,
     /// Servers found in groups that are too large for their expert maps to be led.
     pub ranks_unled: Counter,
     /// Gateways that callers may be sent to, this one included.
@@ -53,6 +55,7 @@
             repeats_denied: Counter::default(),
             dialled: Counter::default(),
             overtaken: Counter::default(),
+            rows_passed_over: Counter::default(),
             ranks_unled: Counter::default(),
             gateways_living: Gauge::default(),
             head_ms: Histogram::new(exponential_buckets(start, factor, length)),
@@ -69,6 +72,7 @@
             ("repeats_denied", "Repeats beyond the budget", &metrics.repeats_denied),
             ("dialled", "Connections opened to backend servers", &metrics.dialled),
             ("overtaken", "Requests taken from a silent server", &metrics.overtaken),
+            ("rows_passed_over", "Rows that named no server", &metrics.rows_passed_over),
             ("ranks_unled", "Servers in groups too large to be led", &metrics.ranks_unled),
         ];
         for (name, help, counter) in counters {
