--- a/crates/core/src/direct/relays.rs
+++ b/crates/core/src/direct/relays.rs
@@ -2,9 +2,9 @@
 //!
 //! While a pass is held, its group stands still until every rank has been reached again. Whoever gave
 //! the `hold` may freeze or go dark upon it, and a rank whose own machine stands still is reached by
-//! nobody: given through the rank's machine, or through that of another rank, a freeze of 3 to 5 s held
-//! a group of 63 ranks for 3.9 s each. A gateway other than the leader carries no rank, so its freeze
-//! costs one repetition of the order through the next.
+//! nobody: given through the rank's machine, or through that of another rank, each freeze of 3 to 5 s
+//! held its group for as long. A gateway other than the leader carries no rank, so its freeze costs one
+//! repetition of the order through the next, 250 ms.
 
 use std::collections::HashMap;
 use std::net::IpAddr;
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -100,21 +100,12 @@
     after_event: Option<u64>,
 ) -> Result<Answer<P>, Fate> {
     let mut turn = turn;
-    let sent_at = gateway.now();
-    let sent = tokio::select! {
-        biased;
-        sent = send(gateway, request, turn.server(), after_event) => sent,
-        () = overtaken(gateway, request, turn.server(), sent_at) => {
-            gateway.metrics.overtaken.inc();
-            turn.end(Ending::Overtaken);
-            return Err(Fate::MayHaveRun);
-        }
-    };
-    let Sent { response, mut connection, reused } = match sent {
+    let sent = send(gateway, request, turn.server(), after_event).await;
+    let Sent { response, mut connection, reused, sent_at } = match sent {
         Ok(sent) => sent,
-        Err(unsent) => {
-            turn.end(if unsent == Fate::NotSent { Ending::Unreachable } else { Ending::Lost });
-            return Err(unsent);
+        Err(NoAnswer { fate, ending }) => {
+            turn.end(ending);
+            return Err(fate);
         }
     };
     let (head, body) = response.into_parts();
@@ -188,6 +179,25 @@
     connection: Connection,
     /// Whether an earlier request was answered on the connection.
     reused: bool,
+    /// When it was sent.
+    sent_at: Millis,
+}
+
+/// A request that got no head of an answer.
+struct NoAnswer {
+    fate: Fate,
+    ending: Ending,
+}
+
+impl NoAnswer {
+    /// Nothing was sent, or the connection was lost.
+    fn of_connection(unsent: bool) -> NoAnswer {
+        if unsent {
+            NoAnswer { fate: Fate::NotSent, ending: Ending::Unreachable }
+        } else {
+            NoAnswer { fate: Fate::MayHaveRun, ending: Ending::Lost }
+        }
+    }
 }
 
 /// Sends on an idle connection where one is left, else on a new one. Requests that must not run
@@ -198,7 +208,7 @@
     request: &Request,
     server: Key<Server>,
     after_event: Option<u64>,
-) -> Result<Sent, Fate> {
+) -> Result<Sent, NoAnswer> {
     loop {
         let kept = if request.route().repeats() { gateway.connections.idle(server) } else { None };
         let fresh = kept.is_none();
@@ -208,10 +218,19 @@
         };
         let reused = connection.used();
         let message = message(gateway, request, server, after_event);
-        match connection.sender().try_send_request(message).await {
+        let sent_at = gateway.now();
+        let answered = tokio::select! {
+            biased;
+            answered = connection.sender().try_send_request(message) => answered,
+            () = overtaken(gateway, request, server, sent_at) => {
+                gateway.metrics.overtaken.inc();
+                return Err(NoAnswer { fate: Fate::MayHaveRun, ending: Ending::Overtaken });
+            }
+        };
+        match answered {
             Ok(response) => {
                 gateway.metrics.attempts.inc();
-                return Ok(Sent { response, connection, reused });
+                return Ok(Sent { response, connection, reused, sent_at });
             }
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
@@ -222,7 +241,7 @@
                 let error = error.error().to_string();
                 let step = ConnectionStep { server_number: server.number(), fresh, unsent, error };
                 gateway.journal.request(request.id_text(), step);
-                return Err(if unsent { Fate::NotSent } else { Fate::MayHaveRun });
+                return Err(NoAnswer::of_connection(unsent));
             }
         }
     }
@@ -231,10 +250,10 @@
 async fn open<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     server: Key<Server>,
-) -> Result<Connection, Fate> {
+) -> Result<Connection, NoAnswer> {
     let address = gateway.with_pool(|pool| pool.server(server).listed.address);
     gateway.metrics.dialled.inc();
-    Connection::open(server, address).await.map_err(|_| Fate::NotSent)
+    Connection::open(server, address).await.map_err(|_| NoAnswer::of_connection(true))
 }
 
 fn message<P: Platform>(
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -243,6 +243,7 @@
 
     /// A gateway relayed nothing: it is passed by for a while.
     pub fn pass_relay_by(&self, relay: IpAddr) {
+        self.journal.state(format_args!("{relay} relayed no order, and is passed by"));
         self.relays.borrow_mut().gave_none(relay, self.now());
     }
 
