--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`plans`]: the same where every copy has a price, on the users' platform: time and gain.
 //! - [`routing`]: which backend server gets a request.
 //! - [`control`]: what control costs a node.
+//! - [`emulator`]: groups in lock-step with callers that wait, leave and come back.
 //! - [`load`]: what one gateway process bears on the users' platform.
 //! - [`path`]: what the path adds to a call.
 //! - [`switch`]: what a switch of maps holds up, and how soon a configuration is in force.
@@ -16,6 +17,7 @@
 pub mod control;
 pub mod counts;
 pub mod demand;
+pub mod emulator;
 pub mod load;
 pub mod path;
 pub mod placement;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,6 +1,7 @@
 //! `hooktrestle-bench`: measurements, each against a naive version in the same run.
 
 mod control_report;
+mod emulator_report;
 mod load_report;
 mod plans_report;
 mod process_report;
@@ -35,6 +36,8 @@
             }
             /// Plans of where experts go on the users' platform: how long one takes, and its gain.
             cmd plans {}
+            /// Who is let in while groups are overloaded or stand still, in simulated time.
+            cmd emulate {}
             /// Time to the first token under different ways to choose a backend server.
             cmd routing {}
             /// What control costs a node, and at the size aimed at.
@@ -71,6 +74,10 @@
             routing_report::print();
             Ok(())
         }
+        flags::HooktrestleBenchCmd::Emulate(_) => {
+            emulator_report::print();
+            Ok(())
+        }
         flags::HooktrestleBenchCmd::Control(_) => control_report::print(),
         flags::HooktrestleBenchCmd::Path(_) => process_report::path(),
         flags::HooktrestleBenchCmd::Load(flags) => load_report::print(flags.program),
--- /dev/null
+++ b/crates/bench/tests/emulator.rs
@@ -0,0 +1,56 @@
+//! Groups in lock-step with callers that come back: the collapse after a halt, and what ends it.
+
+use hooktrestle_bench::emulator::Outcome;
+use hooktrestle_bench::emulator::Policy;
+use hooktrestle_bench::emulator::Scene;
+use hooktrestle_bench::emulator::play;
+use hooktrestle_bench::emulator::scenes;
+use hooktrestle_core::direct::admission;
+
+fn scene(name: &str) -> Scene {
+    let found = scenes().into_iter().find(|(other, _)| other == name);
+    found.unwrap_or_else(|| panic!("no scene {name}")).1
+}
+
+#[test]
+fn a_seed_gives_the_same_figures() {
+    let scene = scene("both, 1 of 12 ranks");
+    let ours = Policy::Ours(admission::Config::default());
+    let [one, two] = [play(&scene, ours), play(&scene, ours)];
+    assert_eq!((one.in_time, one.late, one.refused), (two.in_time, two.late, two.refused));
+    let other = play(&Scene { seed: 1, ..scene }, ours);
+    assert_ne!((one.in_time, one.late), (other.in_time, other.late));
+}
+
+#[test]
+fn a_calm_group_serves_everybody_in_time() {
+    for (name, scene) in scenes().into_iter().filter(|(name, _)| name.starts_with("halts")) {
+        let calm = Scene { halts: Vec::new(), ..scene };
+        let Outcome { asked, in_time, late, .. } = play(&calm, Policy::All);
+        // Streams that run at the end are not counted as either.
+        assert!(in_time * 20 > asked * 18, "{name}: {in_time} of {asked}, {late} late");
+    }
+}
+
+#[test]
+fn every_request_ends_once_at_most() {
+    for (name, scene) in scenes() {
+        let outcome = play(&scene, Policy::All);
+        let ended = outcome.in_time + outcome.late + outcome.refused + outcome.left;
+        assert!(ended <= outcome.asked, "{name}: {outcome:?}");
+        assert!(ended * 10 > outcome.asked * 8, "{name}: {outcome:?}");
+    }
+}
+
+/// The backlog of a halt outlives it where everybody is let in: those that come back late make those late
+/// that come for the first time, and it ends where the first yield to the others.
+#[test]
+fn a_backlog_outlives_its_halt_unless_those_that_come_back_yield() {
+    for name in ["halts, 1 of 12 ranks", "halts, 1 of 63 ranks"] {
+        let scene = scene(name);
+        let [all, yields] = [Policy::All, Policy::Yields(0.5)].map(|policy| play(&scene, policy));
+        assert!(all.last_long_ms > 30_000, "{name}: {all:?}");
+        assert!(yields.last_long_ms < 8_500, "{name}: {yields:?}");
+        assert!(yields.in_time * 4 > all.in_time * 5, "{name}: {all:?} {yields:?}");
+    }
+}
