--- a/crates/core/tests/frozen_givers.rs
+++ b/crates/core/tests/frozen_givers.rs
@@ -191,7 +191,7 @@
     let mut fence = 1;
     let mut content = world.group.plan();
     let mut versions = Versions::of_fence(fence);
-    let mut switch = begin(versions, ranks, Start::Unknown);
+    let mut switch = begin(versions, ranks);
     let (mut wakes, mut still, mut held) = (0, 0, 0);
     for tick in 0..400 {
         if trouble.reborn_at == Some(tick) {
@@ -202,7 +202,7 @@
             wakes = tick + 20;
             versions = Versions::of_fence(fence);
             content = world.group.plan();
-            switch = begin(versions, ranks, Start::Unknown);
+            switch = begin(versions, ranks);
         }
         // A round takes some milliseconds where all answer: several fit into a tick.
         for _ in 0..4 {
@@ -225,7 +225,7 @@
                     played.switched += u32::from(ended == Next::Switched);
                     versions = switch.versions();
                     content = world.group.plan();
-                    switch = begin(versions, ranks, Start::Unknown);
+                    switch = begin(versions, ranks);
                     wakes = tick + 10;
                 }
             }
@@ -248,9 +248,9 @@
     played
 }
 
-fn begin(versions: Versions, ranks: usize, start: Start) -> Switch {
+fn begin(versions: Versions, ranks: usize) -> Switch {
     let config = Config { lead_passes: 2, pass: Millis(TICK_MS), ..Config::fresh() };
-    Switch::new(config, versions, ranks, start, Millis::ZERO)
+    Switch::new(config, versions, ranks, Start::Unknown, Millis::ZERO)
 }
 
 fn troubles() -> impl Iterator<Item = Trouble> {
