Logs: a request that breaks off is named by what it is, beside its id

Sight for an incident: logs could not tell whether the requests under which servers end are one that comes again. Lines about lost connections and left streams carry a hash of path, account and body.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -10,6 +10,7 @@
 //! - [`slow`]: which backend servers are slow, as one gateway finds and all tell each other.
 //! - [`admission`]: how many streams a service bears, by how long its passes take.
 //! - [`attempts`]: what follows an attempt: answer, another attempt, or a refusal.
+//! - [`fingerprint`]: tells a request that comes again.
 //! - [`overtaken`]: requests at a server that says nothing while later ones are answered elsewhere.
 //! - [`outage`]: when callers come back while no server can take a request.
 //! - [`budget`]: how many repeats failures may cost, over a sliding window.
@@ -28,6 +29,7 @@
 pub mod expert_demand;
 pub mod expert_layout;
 pub mod expert_plan;
+pub mod fingerprint;
 pub mod holders;
 pub mod map_orders;
 pub mod members;
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -239,7 +239,13 @@
                     continue;
                 }
                 let error = error.error().to_string();
-                let step = ConnectionStep { server_number: server.number(), fresh, unsent, error };
+                let step = ConnectionStep {
+                    fingerprint_number: request.fingerprint.0,
+                    server_number: server.number(),
+                    fresh,
+                    unsent,
+                    error,
+                };
                 gateway.journal.request(request.id_text(), step);
                 return Err(NoAnswer::of_connection(unsent));
             }
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -222,8 +222,13 @@
     let Relay { gateway, request, attempts, events, resumable, .. } = relay;
     let covered = || *resumable && gateway.take_repeat(&request.service);
     let next = attempts.after(server, fate, covered);
-    let (server_number, after_event_number) = (server.number(), events.last_id());
-    let step = LeaveStep { server_number, reason, after_event_number, next: next.step() };
+    let step = LeaveStep {
+        fingerprint_number: request.fingerprint.0,
+        server_number: server.number(),
+        reason,
+        after_event_number: events.last_id(),
+        next: next.step(),
+    };
     gateway.journal.request(request.id_text(), step);
     next == Next::Again
 }
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -6,6 +6,7 @@
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::admission::Owed;
 use hooktrestle_core::direct::attempts::COME_BACK_NONE;
+use hooktrestle_core::direct::fingerprint::Fingerprint;
 use hooktrestle_core::direct::serving::AccountKey;
 use hooktrestle_core::direct::serving::Denial;
 use hooktrestle_core::direct::serving::Route;
@@ -75,6 +76,8 @@
     pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
+    /// The same for each time that it comes.
+    pub fingerprint: Fingerprint,
     /// When the caller or its route gives it up.
     pub deadline: Millis,
     /// Work that it is, in usual requests.
@@ -148,6 +151,8 @@
     let service = found.draw(&mut rand::rng()).unwrap_or_default().to_owned();
     let cost = cost(&parts.headers, names);
     let uri = origin_form(&parts.uri);
+    let account_name = account.map(|key| serving.account(key).name.as_str());
+    let fingerprint = Fingerprint::of(&uri.to_string(), account_name, &body);
     let priority = priority(&serving, route, account);
     let headers = onward_headers(parts.headers, names, &serving, account, priority);
     Ok(Request {
@@ -159,6 +164,7 @@
         uri,
         headers,
         body,
+        fingerprint,
         deadline,
         cost,
         came,
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -281,6 +281,8 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ConnectionStep {
     pub error: ::std::string::String,
+    ///Stands for the path, account and body of the request.
+    pub fingerprint_number: u64,
     ///Whether it was opened for this request.
     pub fresh: bool,
     pub server_number: u32,
@@ -819,6 +821,8 @@
     ///The last event that the caller has.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub after_event_number: ::std::option::Option<u64>,
+    ///Stands for the path, account and body of the request.
+    pub fingerprint_number: u64,
     pub next: NextStep,
     pub reason: LeaveReason,
     pub server_number: u32,
