Core: which requests crash servers, from what all gateways saw; a model of a fleet that hears late

Reports of crashes (server, what was there) merge in any order; a request that was at three unexplained crashes is refused while they last (600 s); what ran beside it is explained by it, what ends well is cleared; memory is bounded. Not wired yet.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -12,6 +12,7 @@
 //! - [`attempts`]: what follows an attempt: answer, another attempt, or a refusal.
 //! - [`fingerprint`]: tells a request that comes again.
 //! - [`overtaken`]: requests at a server that says nothing while later ones are answered elsewhere.
+//! - [`crashes`]: requests that crash the servers that run them, by what all gateways saw.
 //! - [`outage`]: when callers come back while no server can take a request.
 //! - [`budget`]: how many repeats failures may cost, over a sliding window.
 //! - [`expert_demand`], [`expert_plan`], [`expert_layout`], [`holders`]: how often experts are chosen,
@@ -25,6 +26,7 @@
 pub mod admission;
 pub mod attempts;
 pub mod budget;
+pub mod crashes;
 pub mod events;
 pub mod expert_demand;
 pub mod expert_layout;
--- /dev/null
+++ b/crates/core/src/direct/crashes.rs
@@ -0,0 +1,383 @@
+//! Which requests crash the servers that run them.
+//!
+//! One request can crash each server that begins to run it, and come again at any gateway under a new id.
+//! All gateways report which requests were at a server as it crashed. A request that was there at several
+//! crashes is refused by all of them for a while; what else ran beside it is explained by it. One that ends
+//! well anywhere is cleared.
+//!
+//! Reports only grow until they are too old, so gateways that merge each other's in any order come to the
+//! same result, and whoever learns late needs no more than the reports.
+//!
+//! What it buys: on a day on which three requests came again each second or two for 20 s each, up to 12
+//! of 16 servers crashed under one of them without it, and half of all requests were served.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+
+use crate::clock::Millis;
+use crate::direct::fingerprint::Fingerprint;
+use crate::util::hash;
+
+/// Bounds of what is remembered.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    /// Crashes from which a request is refused. Two may be chance: a stream that is taken up after a crash may meet
+    /// the next one. The users' rule counts from the third.
+    pub crashes: usize,
+    /// How long a report counts. As long as a person takes to look at what was refused; a request that still
+    /// crashes servers then does so three times more in each such span.
+    pub lasts: Millis,
+    /// Most crashes that are remembered, and most requests that are remembered as cleared; the oldest go first.
+    pub most_crashes: usize,
+    /// Most requests that are remembered of one crash; a server of the users takes 12 at once.
+    pub most_suspects: usize,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Config { crashes: 3, lasts: Millis(600_000), most_crashes: 128, most_suspects: 32 }
+    }
+}
+
+/// Stands for one life of a backend server, the same at all gateways.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct ServerLife(pub u64);
+
+impl ServerLife {
+    /// Of a server by its name and, where it tells it, when it started.
+    pub fn of(id: &str, started_unix_ms: Option<u64>) -> ServerLife {
+        ServerLife(hash::score(started_unix_ms.unwrap_or_default(), id))
+    }
+}
+
+/// A request that was at a server as it crashed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Suspect {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// How long it had been there.
+    pub ran: Millis,
+}
+
+/// A crash as gateways tell each other.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Crash {
+    /// The server.
+    pub server: ServerLife,
+    /// Time since, as far as the one who tells has heard.
+    pub age: Millis,
+    /// What was there.
+    pub suspects: Vec<Suspect>,
+}
+
+/// A request that ended well, as gateways tell each other.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Cleared {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// Time since, as far as the one who tells has heard.
+    pub age: Millis,
+}
+
+/// What a report changed.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum News {
+    /// Nothing.
+    Known,
+    /// Something was not known; it can wait for the next exchange.
+    New,
+    /// A request is suspected of more than one crash, or of so many no more: all need to know.
+    Urgent,
+}
+
+/// A time that is told by its age. Not the moment: that may be before this process began, where its clock
+/// has no times.
+#[derive(Clone, Copy, Debug)]
+struct Aged {
+    age_then: Millis,
+    taken_at: Millis,
+}
+
+impl Aged {
+    fn age(self, now: Millis) -> Millis {
+        self.age_then + now.since(self.taken_at)
+    }
+
+    /// Takes the younger: what waited on its way is told too old.
+    fn take(&mut self, age: Millis, now: Millis) {
+        if age < self.age(now) {
+            *self = Aged { age_then: age, taken_at: now };
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Report {
+    at: Aged,
+    /// With how long each had been there.
+    suspects: BTreeMap<Fingerprint, Millis>,
+}
+
+/// At how many crashes each request was, and the longest time that it had been at one of the servers.
+#[derive(Default)]
+struct Counts(HashMap<Fingerprint, (usize, Millis)>);
+
+impl Counts {
+    fn add(&mut self, report: &Report) {
+        for (fingerprint, ran) in &report.suspects {
+            let (count, longest) = self.0.entry(*fingerprint).or_default();
+            *count += 1;
+            *longest = (*longest).max(*ran);
+        }
+    }
+
+    /// Of those that were at a crash and at `enough` in all, the ones that never stayed for long.
+    fn told_by(&self, report: &Report, enough: usize) -> Vec<Fingerprint> {
+        let counted = report.suspects.keys().map(|one| (self.0[one], *one));
+        let told: Vec<(Millis, Fingerprint)> = counted
+            .filter(|((count, _), _)| *count >= enough)
+            .map(|((_, longest), one)| (longest, one))
+            .collect();
+        let shortest = told.iter().map(|(longest, _)| *longest).min();
+        told.into_iter()
+            .filter(|(longest, _)| Some(*longest) == shortest)
+            .map(|(_, one)| one)
+            .collect()
+    }
+}
+
+/// Everything that one gateway knows of crashes.
+#[derive(Clone, Debug)]
+pub struct Crashes {
+    config: Config,
+    reports: BTreeMap<ServerLife, Report>,
+    cleared: BTreeMap<Fingerprint, Aged>,
+    /// Requests that are refused, and until when.
+    refused: HashMap<Fingerprint, Millis>,
+}
+
+impl Crashes {
+    /// Nothing is known.
+    pub fn new(config: Config) -> Crashes {
+        Crashes {
+            config,
+            reports: BTreeMap::new(),
+            cleared: BTreeMap::new(),
+            refused: HashMap::new(),
+        }
+    }
+
+    /// How much longer a request is refused, if it is.
+    pub fn refuses(&self, fingerprint: Fingerprint, now: Millis) -> Option<Millis> {
+        let until = *self.refused.get(&fingerprint)?;
+        (until > now).then(|| until.since(now))
+    }
+
+    /// Requests that are refused.
+    pub fn refused(&self, now: Millis) -> Vec<Fingerprint> {
+        let refused = self.refused.iter().filter(|(_, until)| **until > now);
+        refused.map(|(fingerprint, _)| *fingerprint).collect()
+    }
+
+    /// Whether a request was at a server that crashed.
+    pub fn suspects(&self, fingerprint: Fingerprint) -> bool {
+        self.reports.values().any(|report| report.suspects.contains_key(&fingerprint))
+    }
+
+    /// The crashes at which a request was, without what ran beside it.
+    pub fn crashes_of(&self, fingerprint: Fingerprint, now: Millis) -> Vec<Crash> {
+        let found = self.reports.iter().filter_map(|(server, report)| {
+            let ran = *report.suspects.get(&fingerprint)?;
+            let suspects = vec![Suspect { fingerprint, ran }];
+            Some(Crash { server: *server, age: report.at.age(now), suspects })
+        });
+        found.filter(|crash| crash.age < self.config.lasts).collect()
+    }
+
+    /// Requests that were at more than one crash: what another process would have to find out again.
+    pub fn worth_keeping(&self, now: Millis) -> BTreeSet<Fingerprint> {
+        let all = self.reports.values().filter(|report| report.at.age(now) < self.config.lasts);
+        let mut once = BTreeSet::new();
+        let mut more = BTreeSet::new();
+        for fingerprint in all.flat_map(|report| report.suspects.keys()) {
+            if !once.insert(*fingerprint) {
+                more.insert(*fingerprint);
+            }
+        }
+        more
+    }
+
+    /// Takes a crash that was seen here, or that another gateway tells of.
+    pub fn take(&mut self, crash: &Crash, now: Millis) -> News {
+        if crash.age >= self.config.lasts {
+            return News::Known;
+        }
+        let still_suspect = |suspect: &&Suspect| {
+            // One that ended well since did not do it.
+            self.cleared.get(&suspect.fingerprint).is_none_or(|at| crash.age < at.age(now))
+        };
+        let suspects: Vec<Suspect> = crash.suspects.iter().filter(still_suspect).copied().collect();
+        let at = Aged { age_then: crash.age, taken_at: now };
+        let report = self
+            .reports
+            .entry(crash.server)
+            .or_insert_with(|| Report { at, suspects: BTreeMap::new() });
+        report.at.take(crash.age, now);
+        let mut added = Vec::new();
+        for Suspect { fingerprint, ran } in suspects {
+            let has_room = report.suspects.len() < self.config.most_suspects;
+            let known = report.suspects.get(&fingerprint).copied();
+            if known.map_or(has_room, |known| known < ran) {
+                report.suspects.insert(fingerprint, ran);
+                added.push(fingerprint);
+            }
+        }
+        if report.suspects.is_empty() {
+            self.reports.remove(&crash.server);
+        }
+        if added.is_empty() {
+            return News::Known;
+        }
+        self.forget(now);
+        self.judge(now);
+        let repeated = self.worth_keeping(now);
+        let urgent = added.iter().any(|fingerprint| repeated.contains(fingerprint));
+        if urgent { News::Urgent } else { News::New }
+    }
+
+    /// Takes that a request ended well, here or at another gateway: no crash before that was due to it.
+    pub fn clear(&mut self, cleared: Cleared, now: Millis) -> News {
+        let Cleared { fingerprint, age } = cleared;
+        if age >= self.config.lasts {
+            return News::Known;
+        }
+        let was_repeated = self.worth_keeping(now).contains(&fingerprint);
+        let mut is_news = false;
+        for report in self.reports.values_mut() {
+            if report.at.age(now) >= age && report.suspects.remove(&fingerprint).is_some() {
+                is_news = true;
+            }
+        }
+        self.reports.retain(|_, report| !report.suspects.is_empty());
+        let at = Aged { age_then: age, taken_at: now };
+        self.cleared.entry(fingerprint).or_insert(at).take(age, now);
+        self.forget(now);
+        if !is_news {
+            return News::Known;
+        }
+        self.judge(now);
+        if was_repeated { News::Urgent } else { News::New }
+    }
+
+    /// Forgets what is too old, and the oldest of what is too much.
+    pub fn forget(&mut self, now: Millis) {
+        let Config { lasts, most_crashes, .. } = self.config;
+        self.reports.retain(|_, report| report.at.age(now) < lasts);
+        self.cleared.retain(|_, at| at.age(now) < lasts);
+        self.refused.retain(|_, until| *until > now);
+        while self.reports.len() > most_crashes {
+            let oldest = self.reports.iter().max_by_key(|(_, report)| report.at.age(now));
+            let Some(server) = oldest.map(|(server, _)| *server) else { break };
+            self.reports.remove(&server);
+        }
+        while self.cleared.len() > most_crashes {
+            let oldest = self.cleared.iter().max_by_key(|(_, at)| at.age(now));
+            let Some(fingerprint) = oldest.map(|(fingerprint, _)| *fingerprint) else { break };
+            self.cleared.remove(&fingerprint);
+        }
+    }
+
+    /// Finds out which requests are refused, crash by crash from the oldest on: one that was at enough of them
+    /// explains all at which it was, and they do not count for what ran beside it. Of several that were at the
+    /// same ones, it is the one that never stayed for long: a request beside it was mostly there before.
+    fn judge(&mut self, now: Millis) {
+        let mut in_turn: Vec<(&ServerLife, &Report)> = self.reports.iter().collect();
+        in_turn.sort_by_key(|(server, report)| (Reverse(report.at.age(now)), **server));
+        let mut found: Vec<Fingerprint> = Vec::new();
+        let mut unexplained: Vec<&Report> = Vec::new();
+        let mut counts = Counts::default();
+        for (_, report) in in_turn {
+            if found.iter().any(|fingerprint| report.suspects.contains_key(fingerprint)) {
+                continue;
+            }
+            unexplained.push(report);
+            counts.add(report);
+            let told = counts.told_by(report, self.config.crashes);
+            if told.is_empty() {
+                continue;
+            }
+            unexplained.retain(|one| !told.iter().any(|it| one.suspects.contains_key(it)));
+            counts = Counts::default();
+            unexplained.iter().for_each(|one| counts.add(one));
+            found.extend(told);
+        }
+        let until = |one: &Fingerprint| (*one, now + self.lasts_for(*one, now));
+        self.refused = found.iter().map(until).collect();
+    }
+
+    /// How long a request was at enough crashes that still count.
+    fn lasts_for(&self, fingerprint: Fingerprint, now: Millis) -> Millis {
+        let with_it =
+            self.reports.values().filter(|report| report.suspects.contains_key(&fingerprint));
+        let mut ages: Vec<Millis> = with_it.map(|report| report.at.age(now)).collect();
+        ages.sort();
+        let deciding = ages.get(self.config.crashes - 1).copied();
+        deciding.map_or(Millis::ZERO, |age| self.config.lasts - age)
+    }
+
+    /// Stands for all that is known; two gateways with the same have nothing to tell each other.
+    pub fn digest(&self, now: Millis) -> u64 {
+        self.known(now)
+            .iter()
+            .fold(0, |all, (server, digest)| all ^ server.0.rotate_left(1) ^ digest)
+    }
+
+    /// The crashes that are known, each with a number that stands for what was there.
+    pub fn known(&self, now: Millis) -> Vec<(ServerLife, u64)> {
+        let counting =
+            self.reports.iter().filter(|(_, report)| report.at.age(now) < self.config.lasts);
+        let digest = |(server, report): (&ServerLife, &Report)| {
+            let each = report.suspects.iter();
+            let number = |(one, ran): (&Fingerprint, &Millis)| {
+                hash::score(server.0, &format!("{} {}", one.0, ran.0))
+            };
+            (*server, each.fold(0, |all, one| all ^ number(one)))
+        };
+        counting.map(digest).collect()
+    }
+
+    /// What one that knows these crashes lacks, and the crashes of which it may know more.
+    pub fn compare(
+        &self,
+        known: &[(ServerLife, u64)],
+        now: Millis,
+    ) -> (Vec<Crash>, Vec<ServerLife>) {
+        let theirs: BTreeMap<ServerLife, u64> = known.iter().copied().collect();
+        let own: BTreeMap<ServerLife, u64> = self.known(now).into_iter().collect();
+        let lacking = own.iter().filter(|(server, digest)| theirs.get(server) != Some(digest));
+        let lacking: Vec<ServerLife> = lacking.map(|(server, _)| *server).collect();
+        let wanted = theirs.iter().filter(|(server, digest)| own.get(server) != Some(digest));
+        (self.named(&lacking, now), wanted.map(|(server, _)| *server).collect())
+    }
+
+    /// Crashes of these servers.
+    pub fn named(&self, servers: &[ServerLife], now: Millis) -> Vec<Crash> {
+        let found = servers.iter().filter_map(|server| {
+            let report = self.reports.get(server)?;
+            let suspects = report.suspects.iter();
+            let suspects =
+                suspects.map(|(fingerprint, ran)| Suspect { fingerprint: *fingerprint, ran: *ran });
+            Some(Crash { server: *server, age: report.at.age(now), suspects: suspects.collect() })
+        });
+        found.collect()
+    }
+
+    /// Requests that ended well.
+    pub fn cleared(&self, now: Millis) -> Vec<Cleared> {
+        let told = self.cleared.iter();
+        told.map(|(fingerprint, at)| Cleared { fingerprint: *fingerprint, age: at.age(now) })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/core/tests/crash_fleet/mod.rs
@@ -0,0 +1,365 @@
+//! Gateways before servers that crash: under some requests always, and now and then by themselves.
+
+use std::collections::BTreeMap;
+
+use hooktrestle_core::clock::Millis;
+use hooktrestle_core::direct::crashes::Cleared;
+use hooktrestle_core::direct::crashes::Config;
+use hooktrestle_core::direct::crashes::Crash;
+use hooktrestle_core::direct::crashes::Crashes;
+use hooktrestle_core::direct::crashes::News;
+use hooktrestle_core::direct::crashes::ServerLife;
+use hooktrestle_core::direct::crashes::Suspect;
+use hooktrestle_core::direct::fingerprint::Fingerprint;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+/// How long a gateway that was cut off or started anew may know nothing.
+const CONTACT: Millis = Millis(3_000);
+
+/// One step of the model.
+const TICK: Millis = Millis(10);
+
+/// Time between two exchanges of news by one gateway.
+const ROUND: Millis = Millis(600);
+
+/// Time from the start of a request that crashes servers to the crash.
+const CRASHES_AFTER: Millis = Millis(100);
+
+/// Servers that one request is sent to at most.
+const MOST_ATTEMPTS: u32 = 2;
+
+/// How long a crashed server is away.
+const AWAY: Millis = Millis(4_000);
+
+const END: Millis = Millis(60_000);
+
+/// What happens on a day.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    rng: ChaCha8Rng,
+    gateways: usize,
+    servers: usize,
+    culprits: u64,
+    /// Mean time between two crashes that are nobody's doing.
+    ordinary: Millis,
+    /// Mean time between two gateways that are cut off from the others, or start anew.
+    troubles: Millis,
+}
+
+impl Plan {
+    /// A day drawn by a seed.
+    pub fn drawn(seed: u64) -> Plan {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        Plan {
+            gateways: rng.random_range(2..12),
+            servers: rng.random_range(8..32),
+            culprits: rng.random_range(1..4),
+            ordinary: Millis(rng.random_range(1_500..20_000)),
+            troubles: Millis(rng.random_range(4_000..30_000)),
+            rng,
+        }
+    }
+}
+
+/// What was seen of a day.
+#[derive(Debug, Default)]
+pub struct Outcome {
+    /// How often each request that crashes servers was sent by gateways in touch later than the contact time after
+    /// its third crash.
+    pub sent_late: BTreeMap<Fingerprint, u32>,
+    pub culprits_refused: u32,
+    pub innocents: u32,
+    pub innocents_refused: u32,
+    /// Most crashes that one gateway remembered.
+    pub most_known: usize,
+}
+
+struct Gateway {
+    crashes: Crashes,
+    started_at: Millis,
+    cut_until: Millis,
+    next_round: Millis,
+    urgent: u32,
+}
+
+impl Gateway {
+    fn starting(now: Millis) -> Gateway {
+        Gateway {
+            crashes: Crashes::new(Config::default()),
+            started_at: now,
+            cut_until: Millis::ZERO,
+            next_round: now,
+            urgent: 0,
+        }
+    }
+
+    /// Its own clock begins as its process does.
+    fn clock(&self, now: Millis) -> Millis {
+        now.since(self.started_at)
+    }
+
+    fn is_in_touch(&self, now: Millis) -> bool {
+        now >= self.started_at + CONTACT
+            && (self.cut_until == Millis::ZERO || now >= self.cut_until + CONTACT)
+    }
+
+    fn note(&mut self, news: News) {
+        if news == News::Urgent {
+            self.urgent = 2;
+        }
+    }
+}
+
+struct Run {
+    fingerprint: Fingerprint,
+    gateway: usize,
+    server: usize,
+    life: u64,
+    began: Millis,
+    ends: Millis,
+    attempt: u32,
+}
+
+/// A fleet on one day.
+pub struct Fleet {
+    plan: Plan,
+    now: Millis,
+    gateways: Vec<Gateway>,
+    /// The life of each server, and from when on it is there.
+    servers: Vec<(u64, Millis)>,
+    runs: Vec<Run>,
+    /// What the platform keeps: crashes with the time of each.
+    kept: BTreeMap<Fingerprint, Vec<(Crash, Millis)>>,
+    crashes_by: BTreeMap<Fingerprint, Vec<Millis>>,
+    next_innocent: u64,
+    outcome: Outcome,
+}
+
+impl Fleet {
+    /// A fleet that has just started.
+    pub fn new(plan: Plan) -> Fleet {
+        let now = Millis(10_000);
+        Fleet {
+            now,
+            gateways: (0..plan.gateways).map(|_| Gateway::starting(now)).collect(),
+            servers: (0..plan.servers).map(|number| (number as u64, now)).collect(),
+            runs: Vec::new(),
+            kept: BTreeMap::new(),
+            crashes_by: BTreeMap::new(),
+            next_innocent: 1_000,
+            outcome: Outcome::default(),
+            plan,
+        }
+    }
+
+    /// Plays the day.
+    pub fn play(mut self) -> Outcome {
+        let end = self.now + END;
+        while self.now < end {
+            self.now = self.now + TICK;
+            self.arrive();
+            self.run();
+            if self.happens(self.plan.ordinary) {
+                let server = self.plan.rng.random_range(0..self.servers.len());
+                self.crash(server, None);
+            }
+            if self.happens(self.plan.troubles) {
+                self.trouble();
+            }
+            self.exchange();
+            let known =
+                self.gateways.iter().map(|one| one.crashes.known(one.clock(self.now)).len());
+            self.outcome.most_known = self.outcome.most_known.max(known.max().unwrap_or(0));
+        }
+        self.outcome
+    }
+
+    fn happens(&mut self, mean: Millis) -> bool {
+        self.plan.rng.random_range(0..mean.0) < TICK.0
+    }
+
+    fn culprit(number: u64) -> Fingerprint {
+        Fingerprint(number)
+    }
+
+    /// One request that all send again and again.
+    fn common() -> Fingerprint {
+        Fingerprint(900)
+    }
+
+    fn arrive(&mut self) {
+        for number in 0..self.plan.culprits {
+            if self.happens(Millis(1_000)) {
+                self.send(Fleet::culprit(number), CRASHES_AFTER);
+            }
+        }
+        if self.happens(Millis(200)) {
+            self.send(Fleet::common(), Millis(60));
+        }
+        if self.happens(Millis(30)) {
+            self.next_innocent += 1;
+            let length = Millis(self.plan.rng.random_range(500..2_500));
+            self.send(Fingerprint(self.next_innocent), length);
+        }
+    }
+
+    fn send(&mut self, fingerprint: Fingerprint, length: Millis) {
+        let gateway = self.plan.rng.random_range(0..self.gateways.len());
+        self.attempt(fingerprint, gateway, length, 1);
+    }
+
+    fn is_culprit(&self, fingerprint: Fingerprint) -> bool {
+        fingerprint.0 < self.plan.culprits
+    }
+
+    fn attempt(&mut self, fingerprint: Fingerprint, gateway: usize, length: Millis, attempt: u32) {
+        let now = self.now;
+        let is_culprit = self.is_culprit(fingerprint);
+        self.outcome.innocents += u32::from(!is_culprit);
+        let sender = &self.gateways[gateway];
+        if sender.crashes.refuses(fingerprint, sender.clock(now)).is_some() {
+            self.outcome.culprits_refused += u32::from(is_culprit);
+            self.outcome.innocents_refused += u32::from(!is_culprit);
+            return;
+        }
+        let there: Vec<usize> =
+            (0..self.servers.len()).filter(|server| self.servers[*server].1 <= now).collect();
+        if there.is_empty() {
+            return;
+        }
+        let server = there[self.plan.rng.random_range(0..there.len())];
+        if is_culprit {
+            let crashed = self.crashes_by.get(&fingerprint).and_then(|times| times.get(2).copied());
+            let is_late = crashed.is_some_and(|third| now > third + CONTACT);
+            if is_late && sender.is_in_touch(now) {
+                *self.outcome.sent_late.entry(fingerprint).or_default() += 1;
+            }
+        }
+        let life = self.servers[server].0;
+        let ends = now + length;
+        self.runs.push(Run { fingerprint, gateway, server, life, began: now, ends, attempt });
+    }
+
+    fn run(&mut self) {
+        let now = self.now;
+        let (done, going): (Vec<Run>, Vec<Run>) =
+            self.runs.drain(..).partition(|run| run.ends <= now);
+        self.runs = going;
+        for run in done {
+            if self.is_culprit(run.fingerprint) {
+                if self.servers[run.server].0 == run.life {
+                    self.crash(run.server, Some(run));
+                }
+                continue;
+            }
+            let gateway = &mut self.gateways[run.gateway];
+            if gateway.crashes.suspects(run.fingerprint) {
+                let cleared = Cleared { fingerprint: run.fingerprint, age: Millis::ZERO };
+                let clock = gateway.clock(now);
+                let news = gateway.crashes.clear(cleared, clock);
+                gateway.note(news);
+                self.kept.remove(&run.fingerprint);
+            }
+        }
+    }
+
+    /// A server crashes: by a request, or by itself. What ran there is sent elsewhere.
+    fn crash(&mut self, server: usize, by: Option<Run>) {
+        let now = self.now;
+        if self.servers[server].1 > now {
+            return;
+        }
+        let life = self.servers[server].0;
+        if let Some(run) = &by {
+            self.crashes_by.entry(run.fingerprint).or_default().push(now);
+        }
+        let (there, elsewhere): (Vec<Run>, Vec<Run>) =
+            self.runs.drain(..).partition(|run| run.server == server && run.life == life);
+        self.runs = elsewhere;
+        self.servers[server] = (life + 1_000, now + AWAY);
+        for run in there.into_iter().chain(by) {
+            let suspect = Suspect { fingerprint: run.fingerprint, ran: now.since(run.began) };
+            let crash =
+                Crash { server: ServerLife(life), age: Millis::ZERO, suspects: vec![suspect] };
+            let gateway = &mut self.gateways[run.gateway];
+            let clock = gateway.clock(now);
+            let news = gateway.crashes.take(&crash, clock);
+            gateway.note(news);
+            if gateway.crashes.worth_keeping(clock).contains(&run.fingerprint) {
+                let known = gateway.crashes.crashes_of(run.fingerprint, clock);
+                let dated = known.into_iter().map(|crash| (crash.clone(), now.since(crash.age)));
+                self.kept.insert(run.fingerprint, dated.collect());
+            }
+            if run.attempt < MOST_ATTEMPTS {
+                let length =
+                    if self.is_culprit(run.fingerprint) { CRASHES_AFTER } else { Millis(400) };
+                self.attempt(run.fingerprint, run.gateway, length, run.attempt + 1);
+            }
+        }
+    }
+
+    fn trouble(&mut self) {
+        let now = self.now;
+        let which = self.plan.rng.random_range(0..self.gateways.len());
+        if self.plan.rng.random_bool(0.5) {
+            let length = self.plan.rng.random_range(500..8_000);
+            self.gateways[which].cut_until = now + Millis(length);
+            return;
+        }
+        // One starts anew, or now and then all.
+        let all = self.plan.rng.random_bool(0.2);
+        let anew = if all { (0..self.gateways.len()).collect() } else { vec![which] };
+        for which in anew {
+            let mut gateway = Gateway::starting(now);
+            for (crash, at) in self.kept.values().flatten() {
+                let crash = Crash { age: now.since(*at), ..crash.clone() };
+                gateway.crashes.take(&crash, Millis::ZERO);
+            }
+            self.gateways[which] = gateway;
+            // Its connections are gone.
+            self.runs.retain(|run| run.gateway != which);
+        }
+    }
+
+    fn exchange(&mut self) {
+        let now = self.now;
+        for asks in 0..self.gateways.len() {
+            let due = self.gateways[asks].next_round <= now || self.gateways[asks].urgent > 0;
+            if !due || self.gateways[asks].cut_until > now {
+                continue;
+            }
+            let gateway = &mut self.gateways[asks];
+            gateway.urgent = gateway.urgent.saturating_sub(1);
+            gateway.next_round = now + ROUND;
+            let answers = self.plan.rng.random_range(0..self.gateways.len());
+            // One exchange in ten is lost.
+            let lost = self.plan.rng.random_bool(0.1);
+            if answers != asks && self.gateways[answers].cut_until <= now && !lost {
+                self.tell(asks, answers);
+                self.tell(answers, asks);
+            }
+        }
+    }
+
+    /// One gateway gives another what that lacks, which hears of it up to 50 ms late.
+    fn tell(&mut self, from: usize, to: usize) {
+        let now = self.now;
+        let waited = Millis(self.plan.rng.random_range(0..50));
+        let clock = self.gateways[to].clock(now);
+        let known = self.gateways[to].crashes.known(clock);
+        let teller = &self.gateways[from];
+        let (told, _) = teller.crashes.compare(&known, teller.clock(now));
+        let cleared = teller.crashes.cleared(teller.clock(now));
+        let hears = &mut self.gateways[to];
+        for crash in told {
+            let news = hears.crashes.take(&Crash { age: crash.age + waited, ..crash }, clock);
+            hears.note(news);
+        }
+        for one in cleared {
+            let news = hears.crashes.clear(Cleared { age: one.age + waited, ..one }, clock);
+            hears.note(news);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/crashes.rs
@@ -0,0 +1,178 @@
+//! Which requests crash servers: single rules, and a fleet of gateways that hear of crashes late, beside
+//! ordinary crashes.
+
+mod crash_fleet;
+
+use crash_fleet::Fleet;
+use crash_fleet::Plan;
+use hooktrestle_core::clock::Millis;
+use hooktrestle_core::direct::crashes::Cleared;
+use hooktrestle_core::direct::crashes::Config;
+use hooktrestle_core::direct::crashes::Crash;
+use hooktrestle_core::direct::crashes::Crashes;
+use hooktrestle_core::direct::crashes::News;
+use hooktrestle_core::direct::crashes::ServerLife;
+use hooktrestle_core::direct::crashes::Suspect;
+use hooktrestle_core::direct::fingerprint::Fingerprint;
+use proptest::collection::vec;
+use proptest::prelude::any;
+use proptest::proptest;
+use proptest::sample::Index;
+
+const NOW: Millis = Millis(50_000);
+
+/// Seeds of the fleet that are played.
+const SEEDS: u64 = 40;
+
+fn crash(server: u64, suspects: &[(u64, u64)]) -> Crash {
+    let suspects = suspects.iter().map(|(fingerprint, ran_ms)| Suspect {
+        fingerprint: Fingerprint(*fingerprint),
+        ran: Millis(*ran_ms),
+    });
+    Crash { server: ServerLife(server), age: Millis::ZERO, suspects: suspects.collect() }
+}
+
+fn knowing(reports: &[Crash]) -> Crashes {
+    let mut crashes = Crashes::new(Config::default());
+    for report in reports {
+        crashes.take(report, NOW);
+    }
+    crashes
+}
+
+#[test]
+fn the_third_crash_tells() {
+    let mut crashes = knowing(&[crash(1, &[(7, 90)]), crash(2, &[(7, 90)])]);
+    assert_eq!(crashes.refuses(Fingerprint(7), NOW), None);
+    // Told again, it is the same crash.
+    assert_eq!(crashes.take(&crash(2, &[(7, 90)]), NOW), News::Known);
+    assert_eq!(crashes.refuses(Fingerprint(7), NOW), None);
+    assert_eq!(crashes.take(&crash(3, &[(7, 90)]), NOW), News::Urgent);
+    assert_eq!(crashes.refuses(Fingerprint(7), NOW), Some(Config::default().lasts));
+}
+
+#[test]
+fn what_ran_beside_it_is_explained_by_it() {
+    // One that was beside it at all three crashes, but had been there for long at the first.
+    let reports = [
+        crash(1, &[(7, 90), (8, 900), (9, 20)]),
+        crash(2, &[(7, 80), (8, 30)]),
+        crash(3, &[(7, 95), (8, 35), (9, 50)]),
+    ];
+    let mut crashes = knowing(&reports);
+    assert_eq!(crashes.refused(NOW), [Fingerprint(7)]);
+    // Beside others that it does not explain, it takes three more.
+    crashes.take(&crash(4, &[(9, 10)]), NOW);
+    crashes.take(&crash(5, &[(9, 10)]), NOW);
+    assert_eq!(crashes.refuses(Fingerprint(9), NOW), None);
+    crashes.take(&crash(6, &[(9, 10)]), NOW);
+    assert!(crashes.refuses(Fingerprint(9), NOW).is_some());
+    assert!(crashes.refuses(Fingerprint(7), NOW).is_some(), "as before");
+}
+
+#[test]
+fn who_ends_well_did_not_do_it() {
+    let mut crashes = knowing(&[crash(1, &[(7, 90)]), crash(2, &[(7, 90)])]);
+    let later = NOW + Millis(10);
+    let cleared = Cleared { fingerprint: Fingerprint(7), age: Millis::ZERO };
+    assert_eq!(crashes.clear(cleared, later), News::Urgent);
+    let old = Crash { age: Millis(500), ..crash(3, &[(7, 90)]) };
+    assert_eq!(crashes.take(&old, later), News::Known, "it crashed before that");
+    for server in 4..6 {
+        crashes.take(&crash(server, &[(7, 90)]), later + Millis(10));
+    }
+    assert_eq!(crashes.refused(later + Millis(10)), [], "two since");
+}
+
+#[test]
+fn a_refusal_ends() {
+    let config = Config::default();
+    let mut crashes = knowing(&[crash(1, &[(7, 90)]), crash(2, &[(7, 90)])]);
+    let later = NOW + Millis(60_000);
+    crashes.take(&crash(3, &[(7, 90)]), later);
+    let end = NOW + config.lasts;
+    assert_eq!(crashes.refuses(Fingerprint(7), later), Some(end.since(later)));
+    assert_eq!(crashes.refuses(Fingerprint(7), end), None);
+    crashes.forget(end);
+    assert_eq!(crashes.known(end).len(), 1, "the last is as old as that later");
+    // What is told too late counts no more.
+    let old = Crash { age: config.lasts, ..crash(9, &[(7, 90)]) };
+    assert_eq!(crashes.take(&old, end), News::Known);
+}
+
+#[test]
+fn memory_is_bounded_and_keeps_the_newest() {
+    let config = Config::default();
+    let mut crashes = Crashes::new(config);
+    for server in 0..1_000_u64 {
+        let suspects: Vec<(u64, u64)> = (0..100).map(|number| (server * 100 + number, 5)).collect();
+        crashes.take(&crash(server, &suspects), NOW + Millis(server));
+    }
+    let end = NOW + Millis(1_000);
+    assert_eq!(crashes.known(end).len(), config.most_crashes);
+    let kept: Vec<ServerLife> = crashes.known(end).iter().map(|(server, _)| *server).collect();
+    assert!(kept.iter().all(|server| server.0 >= 1_000 - config.most_crashes as u64));
+    let told = crashes.named(&kept, end);
+    assert!(told.iter().all(|one| one.suspects.len() <= config.most_suspects));
+    for number in 0..1_000 {
+        crashes.clear(Cleared { fingerprint: Fingerprint(number), age: Millis::ZERO }, end);
+    }
+    assert!(crashes.cleared(end).len() <= config.most_crashes);
+}
+
+#[test]
+fn requests_are_told_by_path_account_and_body() {
+    let one = Fingerprint::of("/a/b", Some("paper"), b"body");
+    assert_eq!(one, Fingerprint::of("/a/b", Some("paper"), b"body"));
+    for (path, account, body) in [
+        ("/a/c", Some("paper"), "body"),
+        ("/a/b?c", Some("paper"), "body"),
+        ("/a/b", Some("pape"), "rbody"),
+        ("/a/bpaper", None, "body"),
+        ("/a/b", None, "body"),
+        ("/a/b", Some("paper"), ""),
+    ] {
+        assert_ne!(
+            one,
+            Fingerprint::of(path, account, body.as_bytes()),
+            "{path} {account:?} {body}"
+        );
+    }
+}
+
+proptest! {
+    /// Gateways that were told the same in any order refuse the same, and have nothing to tell each other.
+    #[test]
+    fn order_does_not_matter(
+        reports in vec((0..6_u64, vec((0..5_u64, 0..100_u64), 1..4)), 0..20),
+        turn in any::<Index>(),
+    ) {
+        let reports: Vec<Crash> =
+            reports.iter().map(|(server, suspects)| crash(*server, suspects)).collect();
+        let one = knowing(&reports);
+        let mut turned = reports.clone();
+        turned.rotate_left(if reports.is_empty() { 0 } else { turn.index(reports.len()) });
+        let other = knowing(&turned);
+        assert_eq!(one.digest(NOW), other.digest(NOW));
+        let sorted = |crashes: &Crashes| {
+            let mut refused = crashes.refused(NOW);
+            refused.sort();
+            refused
+        };
+        assert_eq!(sorted(&one), sorted(&other));
+        assert_eq!(one.compare(&other.known(NOW), NOW), (Vec::new(), Vec::new()));
+    }
+}
+
+#[test]
+fn a_fleet_that_hears_late_stops_what_crashes_servers_and_nothing_else() {
+    for seed in 0..SEEDS {
+        let outcome = Fleet::new(Plan::drawn(seed)).play();
+        for (culprit, sent) in outcome.sent_late {
+            assert!(sent <= 3, "seed {seed}: {culprit:?} was sent {sent} times more");
+        }
+        assert_eq!(outcome.innocents_refused, 0, "seed {seed}: of {}", outcome.innocents);
+        assert!(outcome.culprits_refused > 0, "seed {seed}");
+        assert!(outcome.most_known <= Config::default().most_crashes, "seed {seed}");
+    }
+}
