Requests that crash servers are told and refused by all gateways

Cause: all that was learnt of a request ended with its answer. A request under which servers crash comes again at any gateway under a new id, each time ends one server, and its stream is taken up at a second one.

Change: requests are told by path, account and body. A server counts as crashed when an answer of it broke off and it refuses a connection then, or the list drops it soon after though it was not leaving. Gateways exchange who was there (a digest in each exchange, the differences where it is another one, at once from the second crash on), keep what was at two crashes on the platform, and read it before they say that they are ready. At three unexplained crashes all refuse it: 503 where nothing was sent, 502 where it may have run.

Logs of earlier versions are read again (the number in a line may be missing).

--- a/crates/core/src/direct/attempts.rs
+++ b/crates/core/src/direct/attempts.rs
@@ -129,11 +129,16 @@
 
     /// No server is left to try, or the time is over.
     pub fn refuse(&self, cause: Cause) -> Refusal {
+        let come_back =
+            if cause == Cause::NoBackendServer { COME_BACK_NONE } else { COME_BACK_FULL };
+        self.refuse_for(cause, come_back)
+    }
+
+    /// The same; if it did not run, the caller may come back after so long.
+    pub fn refuse_for(&self, cause: Cause, come_back: Millis) -> Refusal {
         let may_have_run = self.may_have_run();
         let verdict = if may_have_run { Verdict::MayHaveRun } else { Verdict::NotRun };
         let refusal = Refusal { verdict, cause, retry_after: None };
-        let come_back =
-            if cause == Cause::NoBackendServer { COME_BACK_NONE } else { COME_BACK_FULL };
         if may_have_run { refusal } else { refusal.retry_after(come_back) }
     }
 
--- a/crates/core/src/direct/crashes.rs
+++ b/crates/core/src/direct/crashes.rs
@@ -186,6 +186,13 @@
         self.reports.values().any(|report| report.suspects.contains_key(&fingerprint))
     }
 
+    /// Whether one more crash would make a request refused, if nothing explains it.
+    pub fn is_close(&self, fingerprint: Fingerprint) -> bool {
+        let with_it =
+            self.reports.values().filter(|report| report.suspects.contains_key(&fingerprint));
+        with_it.count() + 1 >= self.config.crashes
+    }
+
     /// The crashes at which a request was, without what ran beside it.
     pub fn crashes_of(&self, fingerprint: Fingerprint, now: Millis) -> Vec<Crash> {
         let found = self.reports.iter().filter_map(|(server, report)| {
--- a/crates/core/src/verdict.rs
+++ b/crates/core/src/verdict.rs
@@ -63,7 +63,8 @@
             | Cause::NoBackendServer
             | Cause::BackendRefused
             | Cause::NotReady
-            | Cause::Revoked => 503,
+            | Cause::Revoked
+            | Cause::CrashesServers => 503,
             Cause::DeadlinePassed => 504,
             Cause::Cancelled => 499,
         }
@@ -99,6 +100,7 @@
         Cause::LinkLost => "the link to the backend server was lost",
         Cause::NotReady => "the instance has no configuration yet",
         Cause::Revoked => "the request was taken back before it started",
+        Cause::CrashesServers => "backend servers crashed under this request",
         Cause::Protocol => "the answer broke the protocol; it is not whole",
     }
 }
--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -161,6 +161,9 @@
             Err(Refusal::not_run(Cause::Leaving).retry_after(Millis::ZERO))
         }
         Ok(mut request) => {
+            if let Some(left) = gateway.refuses(request.fingerprint) {
+                return Err(Refusal::not_run(Cause::CrashesServers).retry_after(left));
+            }
             enter(gateway, &mut request).await?;
             let reply = forward::forward(gateway, &request).await;
             Ok((request, reply))
--- /dev/null
+++ b/crates/direct/src/crash_keeper.rs
@@ -0,0 +1,77 @@
+//! Keeps on the platform which requests crash servers, for gateways that start later.
+//!
+//! Gateways tell each other of crashes; the platform's table is for the case that all of them are replaced
+//! at once. Only requests that were at two crashes and more are kept there, by the gateways that saw one of
+//! them: a few calls for each request that crashes servers, and none on other days but one at each start.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hooktrestle_core::direct::fingerprint::Fingerprint;
+use tokio::time;
+
+use crate::gateway::Gateway;
+use crate::platform::KeptCrashes;
+use crate::platform::Platform;
+
+/// Pause after a call that failed: the store may be away for long, and refused calls are priced.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// Time between two looks at what is too old.
+const LOOK_EVERY: Duration = Duration::from_secs(30);
+
+/// Most rows that are written or removed at once; the store takes 100.
+const MOST_ROWS: usize = 50;
+
+/// Reads what is kept, then keeps it up to date until the process ends.
+pub async fn keep<P: Platform>(gateway: Rc<Gateway<P>>) {
+    // How many crashes of each request are kept, as far as this gateway knows.
+    let mut kept: BTreeMap<Fingerprint, usize> = read(&gateway).await;
+    loop {
+        // What happens meanwhile leaves a permit.
+        drop(time::timeout(LOOK_EVERY, gateway.crashes_changed.notified()).await);
+        while !write(&gateway, &mut kept).await {
+            time::sleep(PAUSE).await;
+        }
+    }
+}
+
+async fn read<P: Platform>(gateway: &Gateway<P>) -> BTreeMap<Fingerprint, usize> {
+    loop {
+        match gateway.platform.read_crashes().await {
+            Ok(rows) => {
+                for row in &rows {
+                    gateway.take_crashes(&row.crashes, &[]);
+                }
+                gateway.note_crashes_read();
+                return rows.iter().map(|row| (row.fingerprint, row.crashes.len())).collect();
+            }
+            Err(_) => {
+                // Others will tell, if they know.
+                gateway.note_crashes_read();
+                time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Writes what has changed; whether nothing is left to write.
+async fn write<P: Platform>(gateway: &Gateway<P>, kept: &mut BTreeMap<Fingerprint, usize>) -> bool {
+    let mut put: Vec<KeptCrashes> = gateway.crashes_to_keep();
+    put.retain(|row| kept.get(&row.fingerprint) != Some(&row.crashes.len()));
+    put.truncate(MOST_ROWS);
+    let worth = gateway.with_crashes(|crashes| crashes.worth_keeping(gateway.now()));
+    let gone = kept.keys().filter(|fingerprint| !worth.contains(fingerprint));
+    let gone: Vec<Fingerprint> = gone.take(MOST_ROWS).copied().collect();
+    if put.is_empty() && gone.is_empty() {
+        return true;
+    }
+    if let Err(failure) = gateway.platform.write_crashes(&put, &gone).await {
+        gateway.journal.state(format_args!("crashes are not kept: {failure}"));
+        return false;
+    }
+    kept.extend(put.iter().map(|row| (row.fingerprint, row.crashes.len())));
+    kept.retain(|fingerprint, _| !gone.contains(fingerprint));
+    false
+}
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -79,6 +79,8 @@
     pub connection: Connection,
     /// The server's part in it.
     pub turn: Turn<P>,
+    /// When it began.
+    pub began: Millis,
 }
 
 impl<P: Platform> Answer<P> {
@@ -137,7 +139,7 @@
     gateway.note_taken(&request.service);
     let now = gateway.now();
     gateway.with_heads(&request.service, |heads| heads.began(turn.server(), sent_at, now));
-    Ok(Answer { head, body, connection, turn })
+    Ok(Answer { head, body, connection, turn, began: now })
 }
 
 /// Waits until a request that was sent to a server is overtaken by others; for ever where it may
@@ -224,6 +226,7 @@
             answered = connection.sender().try_send_request(message) => answered,
             () = overtaken(gateway, request, server, sent_at) => {
                 gateway.metrics.overtaken.inc();
+                gateway.note_broken(server, request.fingerprint, sent_at).await;
                 return Err(NoAnswer { fate: Fate::MayHaveRun, ending: Ending::Overtaken });
             }
         };
@@ -234,6 +237,9 @@
             }
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
+                if !unsent {
+                    gateway.note_broken(server, request.fingerprint, sent_at).await;
+                }
                 if unsent && !fresh {
                     // The server had closed the kept connection: nothing was written.
                     continue;
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -66,6 +66,9 @@
     // A server's answer that says it failed, for want of a better one.
     let mut failure = None;
     loop {
+        if let Some(left) = gateway.refuses(request.fingerprint) {
+            return Tried::Refused(attempts.refuse_for(Cause::CrashesServers, left));
+        }
         let Some(turn) = next_turn(gateway, request, attempts) else {
             if attempts.tried().is_empty() {
                 gateway.note_out(&request.service);
@@ -131,7 +134,7 @@
     if request.is_stream() && answer.head.status == StatusCode::OK {
         return Outcome::Answered(Tried::Stream(answer));
     }
-    match whole(gateway, answer).await {
+    match whole(gateway, request, answer).await {
         Some((head, body)) if head.status.is_server_error() => Outcome::Failed(head, body),
         Some((head, body)) => Outcome::Answered(Tried::Whole(head, body)),
         None => Outcome::Unanswered(Fate::MayHaveRun),
@@ -152,15 +155,23 @@
 }
 
 /// Reads an answer to its end; `None` if it was broken off.
-async fn whole<P: Platform>(gateway: &Gateway<P>, answer: Answer<P>) -> Option<(Parts, Bytes)> {
-    let Answer { head, body, connection, mut turn } = answer;
+async fn whole<P: Platform>(
+    gateway: &Rc<Gateway<P>>,
+    request: &Request,
+    answer: Answer<P>,
+) -> Option<(Parts, Bytes)> {
+    let Answer { head, body, connection, mut turn, began } = answer;
     match Limited::new(body, WHOLE_BYTES).collect().await {
         Ok(collected) => {
             gateway.connections.keep(connection);
+            if head.status.is_success() {
+                gateway.note_well(request.fingerprint);
+            }
             Some((head, collected.to_bytes()))
         }
         Err(_) => {
             turn.end(Ending::Lost);
+            gateway.note_broken(turn.server(), request.fingerprint, began).await;
             None
         }
     }
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -3,6 +3,7 @@
 //! One thread runs them all, so cells suffice: nothing is borrowed across an await.
 
 mod by_service;
+mod crashes;
 pub(crate) mod findings;
 mod tables;
 
@@ -18,6 +19,8 @@
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::budget;
 use hooktrestle_core::direct::budget::RepeatBudget;
+use hooktrestle_core::direct::crashes::Config as CrashConfig;
+use hooktrestle_core::direct::crashes::Crashes;
 use hooktrestle_core::direct::members;
 use hooktrestle_core::direct::members::Member;
 use hooktrestle_core::direct::members::Members;
@@ -42,6 +45,7 @@
 use crate::connections::Connections;
 use crate::entrance::Entrance;
 use crate::gateway::by_service::ByService;
+use crate::gateway::crashes::Found;
 use crate::gateway::findings::Reach;
 use crate::journal::Journal;
 use crate::metrics::Metrics;
@@ -92,6 +96,10 @@
     /// Rounds of news that are still to be made at once.
     urgent_rounds: Cell<Option<(u32, Reach)>>,
     findings: RefCell<Findings>,
+    crashes: RefCell<Crashes>,
+    found: RefCell<Found>,
+    /// Wakes whoever keeps crashes on the platform: something has changed.
+    pub crashes_changed: Notify,
     serving: RefCell<Rc<Serving>>,
     pool: RefCell<Pool>,
     members: RefCell<Members>,
@@ -130,6 +138,9 @@
             urgent: Notify::new(),
             urgent_rounds: Cell::new(None),
             findings: RefCell::default(),
+            crashes: RefCell::new(Crashes::new(CrashConfig::default())),
+            found: RefCell::default(),
+            crashes_changed: Notify::new(),
             serving: RefCell::default(),
             pool: RefCell::new(Pool::new(pool::Config::default())),
             members: RefCell::new(Members::new(members::Config::default(), own)),
@@ -170,17 +181,23 @@
         act(&mut self.members.borrow_mut())
     }
 
-    /// Whether this gateway takes requests: it has a configuration and servers, and does not stop.
+    /// Whether this gateway takes requests: it has a configuration and servers, has asked which requests crash
+    /// them, and does not stop.
     pub fn readiness(&self) -> Readiness {
         if self.phase.get() == Phase::Stopping {
             Readiness::Leaving
-        } else if self.serving.borrow().version > 0 && self.revision(Table::Servers) > 0 {
+        } else if self.knows_enough() {
             Readiness::Ready
         } else {
             Readiness::Starting
         }
     }
 
+    fn knows_enough(&self) -> bool {
+        let has_tables = self.serving.borrow().version > 0 && self.revision(Table::Servers) > 0;
+        has_tables && self.found.borrow().is_read
+    }
+
     /// Where the process stands in its life.
     pub fn phase(&self) -> Phase {
         self.phase.get()
--- /dev/null
+++ b/crates/direct/src/gateway/crashes.rs
@@ -0,0 +1,256 @@
+//! Servers that crash, and which requests were there: found out, told to all, and acted on.
+//!
+//! An answer that breaks off may have been spoilt on its way, and one that stays away may come later. So a
+//! server counts as crashed only if it refuses a connection just then, or the platform ceases to list it soon after,
+//! though it was not leaving.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::io;
+use std::rc::Rc;
+
+use hooktrestle_core::clock::Millis;
+use hooktrestle_core::direct::crashes::Cleared;
+use hooktrestle_core::direct::crashes::Crash;
+use hooktrestle_core::direct::crashes::Crashes;
+use hooktrestle_core::direct::crashes::News;
+use hooktrestle_core::direct::crashes::ServerLife;
+use hooktrestle_core::direct::crashes::Suspect;
+use hooktrestle_core::direct::fingerprint::Fingerprint;
+use hooktrestle_core::direct::pool::Server;
+use hooktrestle_core::util::arena::Key;
+
+use crate::connections::Connection;
+use crate::gateway::Gateway;
+use crate::gateway::findings::Reach;
+use crate::platform::KeptCrashes;
+use crate::platform::Platform;
+
+/// How long the list may take to show that a server has gone: three heartbeats, 3.6 s at the users, and what
+/// news take among gateways.
+const LISTED_ON: Millis = Millis(6_000);
+
+/// Whether a server has crashed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Finding {
+    /// A connection was taken, or neither taken nor refused.
+    Open,
+    /// It was refused.
+    Crashed,
+}
+
+/// A server at which answers broke off.
+#[derive(Debug)]
+struct Broken {
+    /// The requests that have not been reported, and when each broke off.
+    suspects: Vec<(Millis, Suspect)>,
+    /// When the last one did.
+    at: Millis,
+    finding: Finding,
+    /// Whether it is being found out.
+    is_asked: bool,
+}
+
+impl Broken {
+    /// Takes one more, and forgets those that broke off long before it.
+    fn add(&mut self, suspect: Suspect, now: Millis) {
+        self.suspects.retain(|(at, _)| now.since(*at) < LISTED_ON);
+        self.suspects.push((now, suspect));
+        self.at = now;
+    }
+}
+
+/// What this gateway has found out itself; what all know is in [`Crashes`].
+#[derive(Default)]
+pub(super) struct Found {
+    broken: HashMap<Key<Server>, Broken>,
+    /// Requests that were at a crash here: this gateway has them kept on the platform.
+    own: BTreeSet<Fingerprint>,
+    /// Requests that are refused, as far as that was logged.
+    told: BTreeSet<Fingerprint>,
+    /// Whether it was tried to read what the platform keeps.
+    pub(super) is_read: bool,
+}
+
+impl<P: Platform> Gateway<P> {
+    /// How much longer a request is refused because servers crash under it, if it is.
+    pub fn refuses(&self, fingerprint: Fingerprint) -> Option<Millis> {
+        let left = self.crashes.borrow().refuses(fingerprint, self.now());
+        if left.is_some() {
+            self.metrics.crashing_refused.inc();
+        }
+        left
+    }
+
+    /// A request has had no whole answer of a server, to which it was sent at `began`. Whether the server has
+    /// crashed is known at the return where that decides whether the request may be sent again, else soon.
+    pub async fn note_broken(
+        self: &Rc<Self>,
+        server: Key<Server>,
+        fingerprint: Fingerprint,
+        began: Millis,
+    ) {
+        let now = self.now();
+        let suspect = Suspect { fingerprint, ran: now.since(began) };
+        let (finding, is_asked) = {
+            let mut found = self.found.borrow_mut();
+            found.broken.retain(|_, broken| now.since(broken.at) < LISTED_ON);
+            let broken = found.broken.entry(server).or_insert_with(|| Broken {
+                suspects: Vec::new(),
+                at: now,
+                finding: Finding::Open,
+                is_asked: false,
+            });
+            broken.add(suspect, now);
+            (broken.finding, broken.is_asked)
+        };
+        if finding == Finding::Crashed {
+            self.report(server);
+        } else if self.with_crashes(|crashes| crashes.is_close(fingerprint)) {
+            self.find_out(server).await;
+        } else if !is_asked {
+            self.set_asked(server, true);
+            let gateway = self.clone();
+            tokio::task::spawn_local(async move {
+                gateway.find_out(server).await;
+                gateway.set_asked(server, false);
+            });
+        }
+    }
+
+    fn set_asked(&self, server: Key<Server>, is_asked: bool) {
+        if let Some(broken) = self.found.borrow_mut().broken.get_mut(&server) {
+            broken.is_asked = is_asked;
+        }
+    }
+
+    /// Finds out whether a server has crashed.
+    async fn find_out(self: &Rc<Self>, server: Key<Server>) {
+        let address = self.with_pool(|pool| pool.server(server).listed.address);
+        self.metrics.dialled.inc();
+        match Connection::open(server, address).await {
+            Ok(connection) => self.connections.keep(connection),
+            Err(error) if is_refusal(&error) => self.crashed(server),
+            // It may be cut off; what the list says of it decides.
+            Err(_) => {}
+        }
+    }
+
+    /// The list of servers has changed: those that it names no more, and that were not leaving, have
+    /// crashed, if answers of theirs broke off.
+    pub(super) fn note_unlisted(&self) {
+        let now = self.now();
+        let gone: Vec<Key<Server>> = {
+            let (found, pool) = (self.found.borrow(), self.pool.borrow());
+            let open = found.broken.iter().filter(|(key, broken)| {
+                let is_gone = !pool.is_present(**key) && !pool.server(**key).listed.leaving;
+                is_gone && broken.finding == Finding::Open && now.since(broken.at) < LISTED_ON
+            });
+            open.map(|(key, _)| *key).collect()
+        };
+        gone.into_iter().for_each(|server| self.crashed(server));
+    }
+
+    fn crashed(&self, server: Key<Server>) {
+        if let Some(broken) = self.found.borrow_mut().broken.get_mut(&server) {
+            if broken.finding == Finding::Open {
+                self.metrics.servers_crashed.inc();
+            }
+            broken.finding = Finding::Crashed;
+        }
+        self.report(server);
+    }
+
+    /// Reports what was at a server that crashed.
+    fn report(&self, server: Key<Server>) {
+        let suspects = {
+            let mut found = self.found.borrow_mut();
+            let broken = found.broken.get_mut(&server);
+            let suspects = broken.map(|broken| std::mem::take(&mut broken.suspects));
+            let suspects = suspects.unwrap_or_default().into_iter().map(|(_, suspect)| suspect);
+            let suspects: Vec<Suspect> = suspects.collect();
+            found.own.extend(suspects.iter().map(|suspect| suspect.fingerprint));
+            suspects
+        };
+        let life = self.with_pool(|pool| {
+            let listed = &pool.server(server).listed;
+            let count = suspects.len();
+            self.journal.state(format_args!("server {} crashed under {count} requests", listed.id));
+            ServerLife::of(&listed.id, listed.started_unix_ms)
+        });
+        self.take_crashes(&[Crash { server: life, age: Millis::ZERO, suspects }], &[]);
+    }
+
+    /// A request has had its whole answer.
+    pub fn note_well(&self, fingerprint: Fingerprint) {
+        if self.crashes.borrow().suspects(fingerprint) {
+            self.take_crashes(&[], &[Cleared { fingerprint, age: Millis::ZERO }]);
+        }
+    }
+
+    /// Takes what was found here, or what another gateway tells, and hands it on at once if it cannot wait.
+    pub fn take_crashes(&self, crashes: &[Crash], cleared: &[Cleared]) {
+        let now = self.now();
+        let news = {
+            let mut known = self.crashes.borrow_mut();
+            let of_crashes = crashes.iter().map(|crash| known.take(crash, now)).max();
+            let of_cleared = cleared.iter().map(|one| known.clear(*one, now)).max();
+            of_crashes.max(of_cleared)
+        };
+        if news.is_none_or(|news| news == News::Known) {
+            return;
+        }
+        self.tell_refused(now);
+        self.crashes_changed.notify_one();
+        if news == Some(News::Urgent) {
+            self.hand_on(Reach::All);
+        }
+    }
+
+    /// Logs which requests are refused from now on, or no more.
+    fn tell_refused(&self, now: Millis) {
+        let refused: BTreeSet<Fingerprint> =
+            self.crashes.borrow().refused(now).into_iter().collect();
+        self.metrics.crashing_known.set(refused.len() as i64);
+        let mut found = self.found.borrow_mut();
+        for fingerprint in refused.difference(&found.told) {
+            let number = fingerprint.0;
+            self.journal.state(format_args!("request {number} is refused: servers crash under it"));
+        }
+        for fingerprint in found.told.difference(&refused) {
+            self.journal.state(format_args!("request {} is refused no more", fingerprint.0));
+        }
+        found.told = refused;
+    }
+
+    /// What the platform keeps of crashes was read, or could not be: callers may be sent here.
+    pub fn note_crashes_read(&self) {
+        self.found.borrow_mut().is_read = true;
+    }
+
+    /// Does something with all that is known of crashes.
+    pub fn with_crashes<T>(&self, act: impl FnOnce(&Crashes) -> T) -> T {
+        act(&self.crashes.borrow())
+    }
+
+    /// Forgets what is too old; returns what was at more than one crash, and at one here.
+    pub fn crashes_to_keep(&self) -> Vec<KeptCrashes> {
+        let now = self.now();
+        self.crashes.borrow_mut().forget(now);
+        self.tell_refused(now);
+        let crashes = self.crashes.borrow();
+        let worth = crashes.worth_keeping(now);
+        let mut found = self.found.borrow_mut();
+        found.own.retain(|one| crashes.suspects(*one));
+        let kept = found
+            .own
+            .intersection(&worth)
+            .map(|one| KeptCrashes { fingerprint: *one, crashes: crashes.crashes_of(*one, now) });
+        kept.collect()
+    }
+}
+
+/// Whether nobody listens there any more.
+fn is_refusal(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset)
+}
--- a/crates/direct/src/gateway/tables.rs
+++ b/crates/direct/src/gateway/tables.rs
@@ -70,6 +70,11 @@
     }
 
     fn relist(&self, changed: &[String], source: &str) {
+        self.list(changed, source);
+        self.note_unlisted();
+    }
+
+    fn list(&self, changed: &[String], source: &str) {
         let replicas = self.replicas.borrow();
         let Some(replica) = replicas.get(&Table::Servers) else { return };
         let mut pool = self.pool.borrow_mut();
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -11,7 +11,7 @@
 //! 6. `relay` passes the answer on as it comes, and takes up a broken stream elsewhere.
 //!
 //! Beside it, `follow` keeps the tables of the platform up to date, `peers` exchanges them with
-//! other gateways, `maps` moves experts between the ranks of groups as demand changes, through
+//! other gateways, `crash_keeper` keeps on the platform under which requests servers crash, `maps` moves experts between the ranks of groups as demand changes, through
 //! [`sidecar`], the process beside each backend server, where there is one, and
 //! `endpoints` tells callers which gateways there are. What the platform is
 //! like stands behind one trait, [`platform::Platform`].
@@ -20,6 +20,7 @@
 mod callers;
 pub mod clock;
 mod connections;
+mod crash_keeper;
 pub mod dial;
 mod endpoints;
 pub mod engine;
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -33,8 +33,14 @@
     pub rows_passed_over: Counter,
     /// Servers found in groups that are too large for their expert maps to be led.
     pub ranks_unled: Counter,
+    /// Servers that were found to have crashed under requests of this gateway.
+    pub servers_crashed: Counter,
+    /// Requests that were refused because servers crash under them.
+    pub crashing_refused: Counter,
     /// Gateways that callers may be sent to, this one included.
     pub gateways_living: Gauge,
+    /// Different requests that are refused because servers crash under them.
+    pub crashing_known: Gauge,
     /// Milliseconds from a request's head to the head of its answer.
     pub head_ms: Histogram,
     /// Milliseconds between two events of a stream: the length of a pass of its group.
@@ -57,7 +63,10 @@
             overtaken: Counter::default(),
             rows_passed_over: Counter::default(),
             ranks_unled: Counter::default(),
+            servers_crashed: Counter::default(),
+            crashing_refused: Counter::default(),
             gateways_living: Gauge::default(),
+            crashing_known: Gauge::default(),
             head_ms: Histogram::new(exponential_buckets(start, factor, length)),
             pause_ms: Histogram::new(exponential_buckets(start, factor, length)),
             registry: Registry::with_prefix("hooktrestle"),
@@ -73,6 +82,8 @@
             ("dialled", "Connections opened to backend servers", &metrics.dialled),
             ("overtaken", "Requests taken from a silent server", &metrics.overtaken),
             ("rows_passed_over", "Rows that named no server", &metrics.rows_passed_over),
+            ("servers_crashed", "Servers that crashed", &metrics.servers_crashed),
+            ("crashing_refused", "Requests that crash servers", &metrics.crashing_refused),
             ("ranks_unled", "Servers in groups too large to be led", &metrics.ranks_unled),
         ];
         for (name, help, counter) in counters {
@@ -80,6 +91,8 @@
         }
         let help = "Gateways that are heard of, this one included";
         metrics.registry.register("gateways_living", help, metrics.gateways_living.clone());
+        let help = "Different requests that are refused because servers crash under them";
+        metrics.registry.register("crashing_known", help, metrics.crashing_known.clone());
         let help = "Milliseconds from a request's head to its answer's head";
         metrics.registry.register("head_ms", help, metrics.head_ms.clone());
         let help = "Milliseconds between two events of a stream";
--- a/crates/direct/src/peers/news.rs
+++ b/crates/direct/src/peers/news.rs
@@ -4,6 +4,11 @@
 
 use bytes::Bytes;
 use hooktrestle_core::clock::Millis;
+use hooktrestle_core::direct::crashes::Cleared;
+use hooktrestle_core::direct::crashes::Crash;
+use hooktrestle_core::direct::crashes::ServerLife;
+use hooktrestle_core::direct::crashes::Suspect;
+use hooktrestle_core::direct::fingerprint::Fingerprint;
 use hooktrestle_core::direct::members::Beat;
 use hooktrestle_core::direct::members::LifeId;
 use hooktrestle_core::direct::members::Member;
@@ -13,6 +18,7 @@
 use hooktrestle_core::direct::replica::Update;
 use hooktrestle_core::direct::slow::Finding;
 use hooktrestle_schema as schema;
+use hooktrestle_schema::CrashNews;
 use hooktrestle_schema::MemberNews;
 use hooktrestle_schema::PeerNews;
 use hooktrestle_schema::SlowServers;
@@ -42,9 +48,14 @@
     let told = beats_of(asked, Millis::ZERO);
     let unknown = take_told(gateway, asked, &told, Millis::ZERO);
     let news = own_news(gateway, &asked.known);
+    let wanted: Vec<ServerLife> = asked.crashes_wanted.iter().copied().map(ServerLife).collect();
+    let crashes = gateway.with_crashes(|crashes| crashes.named(&wanted, now));
+    let news = PeerNews { crashes: crashes.iter().map(crash_news).collect(), ..news };
     if told.is_empty() {
         return news;
     }
+    let differs = asked.crash_digest_number != news.crash_digest_number;
+    let news = if differs { with_known_crashes(gateway, news, now) } else { news };
     let (lacking, beats) =
         gateway.with_members(|members| (members.lacking(&told, now), members.beats(now)));
     PeerNews {
@@ -60,11 +71,67 @@
     let now = gateway.now();
     let members = gateway.with_members(|members| members.named(&wanted, now));
     let news = own_news(gateway, &answer.known);
-    let lacks_nothing = members.is_empty() && news.news.is_empty();
+    let news = with_lacking_crashes(gateway, news, answer, now);
+    let has_crashes = !news.crashes.is_empty() || !news.crashes_wanted.is_empty();
+    let lacks_nothing = members.is_empty() && news.news.is_empty() && !has_crashes;
     let members = members.iter().map(word_news).collect();
     (!lacks_nothing).then_some(PeerNews { members, ..news })
 }
 
+/// News with the crashes that are known, to one that knows others.
+fn with_known_crashes<P: Platform>(gateway: &Gateway<P>, news: PeerNews, now: Millis) -> PeerNews {
+    let (known, cleared) =
+        gateway.with_crashes(|crashes| (crashes.known(now), crashes.cleared(now)));
+    PeerNews {
+        crashes_known: known.iter().map(|(server, digest)| [server.0, *digest]).collect(),
+        cleared: cleared.iter().map(cleared_news).collect(),
+        ..news
+    }
+}
+
+/// News with the crashes that the other lacks by its answer, asking for those that this gateway lacks.
+fn with_lacking_crashes<P: Platform>(
+    gateway: &Gateway<P>,
+    news: PeerNews,
+    answer: &PeerNews,
+    now: Millis,
+) -> PeerNews {
+    if answer.crash_digest_number == news.crash_digest_number {
+        return news;
+    }
+    let known = answer.crashes_known.iter();
+    let known: Vec<_> = known.map(|&[server, digest]| (ServerLife(server), digest)).collect();
+    let ((lacking, wanted), cleared) =
+        gateway.with_crashes(|crashes| (crashes.compare(&known, now), crashes.cleared(now)));
+    PeerNews {
+        crashes: lacking.iter().map(crash_news).collect(),
+        crashes_wanted: wanted.iter().map(|server| server.0).collect(),
+        cleared: cleared.iter().map(cleared_news).collect(),
+        ..news
+    }
+}
+
+fn crash_news(crash: &Crash) -> CrashNews {
+    let suspects = crash.suspects.iter().map(|one| [one.fingerprint.0, one.ran.0]);
+    CrashNews { server_number: crash.server.0, age_ms: crash.age.0, suspects: suspects.collect() }
+}
+
+fn crash(news: &CrashNews, waited: Millis) -> Crash {
+    let suspects = news.suspects.iter().map(|&[fingerprint, ran_ms]| Suspect {
+        fingerprint: Fingerprint(fingerprint),
+        ran: Millis(ran_ms),
+    });
+    Crash {
+        server: ServerLife(news.server_number),
+        age: Millis(news.age_ms) + waited,
+        suspects: suspects.collect(),
+    }
+}
+
+fn cleared_news(cleared: &Cleared) -> [u64; 2] {
+    [cleared.fingerprint.0, cleared.age.0]
+}
+
 /// What this gateway knows of tables and findings, and what one that knows `known` lacks.
 fn own_news<P: Platform>(gateway: &Gateway<P>, known: &[TableKnown]) -> PeerNews {
     let lacks = known.iter().filter_map(|known| {
@@ -85,6 +152,11 @@
             .to_vec(),
         news: lacks.collect(),
         slow: gateway.with_findings(|findings| findings.all(now).map(slow_servers).collect()),
+        crash_digest_number: gateway.with_crashes(|crashes| crashes.digest(now)),
+        crashes_known: Vec::new(),
+        crashes_wanted: Vec::new(),
+        crashes: Vec::new(),
+        cleared: Vec::new(),
     }
 }
 
@@ -126,6 +198,12 @@
         let finding = Finding { fence, number, servers: told.servers.clone(), age };
         gateway.take_finding(&told.service, &finding);
     }
+    let crashes: Vec<Crash> = news.crashes.iter().map(|told| crash(told, waited)).collect();
+    let cleared = news.cleared.iter().map(|&[fingerprint, age_ms]| Cleared {
+        fingerprint: Fingerprint(fingerprint),
+        age: Millis(age_ms) + waited,
+    });
+    gateway.take_crashes(&crashes, &cleared.collect::<Vec<_>>());
     for table_news in &news.news {
         if let Some(table) = Table::of_name(&table_news.table) {
             gateway.take(table, &update(table_news), "peer");
--- a/crates/direct/src/platform.rs
+++ b/crates/direct/src/platform.rs
@@ -7,6 +7,8 @@
 
 use bytes::Bytes;
 use hooktrestle_core::clock::Millis;
+use hooktrestle_core::direct::crashes::Crash;
+use hooktrestle_core::direct::fingerprint::Fingerprint;
 use hooktrestle_core::direct::map_orders::Guarded;
 use hooktrestle_core::direct::map_orders::RankReport;
 use hooktrestle_core::direct::map_orders::Reply;
@@ -88,6 +90,15 @@
     HeldBy(String),
 }
 
+/// Crashes at which one request was, as the platform keeps them for gateways that start later.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct KeptCrashes {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// The crashes, without what ran beside it.
+    pub crashes: Vec<Crash>,
+}
+
 /// A value of a table that cannot be understood.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Malformed {
@@ -192,6 +203,16 @@
         protected: Millis,
     ) -> impl Future<Output = Result<Claim, Failure>>;
 
+    /// Reads which requests were at crashes of servers.
+    fn read_crashes(&self) -> impl Future<Output = Result<Vec<KeptCrashes>, Failure>>;
+
+    /// Keeps some of these, and removes others.
+    fn write_crashes(
+        &self,
+        kept: &[KeptCrashes],
+        gone: &[Fingerprint],
+    ) -> impl Future<Output = Result<(), Failure>>;
+
     /// How an engine is asked.
     fn engine_ask(&self, ask: &EngineAsk<'_>) -> (Method, Uri, Bytes);
 
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -24,6 +24,7 @@
 use tokio::time;
 
 use crate::callers;
+use crate::crash_keeper;
 use crate::endpoints;
 use crate::endpoints::Question;
 use crate::follow;
@@ -141,6 +142,7 @@
         tokio::task::spawn_local(follow::follow(gateway.clone(), table));
     }
     tokio::task::spawn_local(follow::keep_listed(gateway.clone()));
+    tokio::task::spawn_local(crash_keeper::keep(gateway.clone()));
     tokio::task::spawn_local(maps::run(gateway.clone()));
     tokio::task::spawn_local(standing::watch(gateway.clone()));
     let (peers, exchanger) = (started.peers.clone(), gateway.clone());
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -117,6 +117,7 @@
                 return Some((Ok(Frame::data(rest)), relay));
             }
             Piece::Broken => {
+                note_broken(&relay).await;
                 if !resume(&mut relay, LeaveReason::BrokenOff).await {
                     return Some((Err(BrokenOff), relay));
                 }
@@ -135,10 +136,18 @@
     if let Some(source) = relay.source.take() {
         source.recycle(&relay.gateway);
     }
+    relay.gateway.note_well(relay.request.fingerprint);
     relay.gateway.metrics.answered.inc();
     Some(Bytes::from(rest)).filter(|rest| !rest.is_empty())
 }
 
+/// The source has broken off, or says nothing.
+async fn note_broken<P: Platform>(relay: &Relay<P>) {
+    let Some(source) = &relay.source else { return };
+    let (server, began) = (source.turn.server(), source.began);
+    relay.gateway.note_broken(server, relay.request.fingerprint, began).await;
+}
+
 /// The next piece of the source; `None` if the stream is over.
 async fn next_piece<P: Platform>(relay: &mut Relay<P>) -> Option<Piece> {
     let source = relay.source.as_mut()?;
@@ -220,7 +229,8 @@
     reason: LeaveReason,
 ) -> bool {
     let Relay { gateway, request, attempts, events, resumable, .. } = relay;
-    let covered = || *resumable && gateway.take_repeat(&request.service);
+    let may_go_on = *resumable && gateway.refuses(request.fingerprint).is_none();
+    let covered = || may_go_on && gateway.take_repeat(&request.service);
     let next = attempts.after(server, fate, covered);
     let step = LeaveStep {
         fingerprint_number: request.fingerprint.0,
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -175,6 +175,8 @@
     Revoked,
     #[serde(rename = "protocol")]
     Protocol,
+    #[serde(rename = "crashes-servers")]
+    CrashesServers,
 }
 impl ::std::fmt::Display for Cause {
     fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
@@ -198,6 +200,7 @@
             Self::NotReady => f.write_str("not-ready"),
             Self::Revoked => f.write_str("revoked"),
             Self::Protocol => f.write_str("protocol"),
+            Self::CrashesServers => f.write_str("crashes-servers"),
         }
     }
 }
@@ -226,6 +229,7 @@
             "not-ready" => Ok(Self::NotReady),
             "revoked" => Ok(Self::Revoked),
             "protocol" => Ok(Self::Protocol),
+            "crashes-servers" => Ok(Self::CrashesServers),
             _ => Err("invalid value".into()),
         }
     }
@@ -282,6 +286,7 @@
 pub struct ConnectionStep {
     pub error: ::std::string::String,
     ///Stands for the path, account and body of the request.
+    #[serde(default)]
     pub fingerprint_number: u64,
     ///Whether it was opened for this request.
     pub fresh: bool,
@@ -302,6 +307,21 @@
     ///The reading that the counts go on from; 0 if they are since the rank's start.
     pub since_number: u64,
 }
+///A backend server that crashed, and what was there.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct CrashNews {
+    ///Time since, as far as the one who tells has heard.
+    pub age_ms: u64,
+    ///Stands for one life of the server.
+    pub server_number: u64,
+    ///Requests that were there: fingerprint, and how long they had been there in ms.
+    pub suspects: ::std::vec::Vec<[u64; 2usize]>,
+}
+///Crashes at which one request was, as the platform keeps them.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct CrashRow {
+    pub crashes: ::std::vec::Vec<KeptCrash>,
+}
 ///Either way: the receiver of a body has room for more of it.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct CreditFrame {
@@ -753,6 +773,16 @@
         value.parse()
     }
 }
+///One of them.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct KeptCrash {
+    ///When, by the store's clock.
+    pub crashed_ms: u64,
+    ///How long the request had been there.
+    pub ran_ms: u64,
+    ///Stands for one life of the server.
+    pub server_number: u64,
+}
 ///Who leads a group: a row of the table `leases`, written anew with each renewal.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct LeaseRow {
@@ -822,6 +852,7 @@
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub after_event_number: ::std::option::Option<u64>,
     ///Stands for the path, account and body of the request.
+    #[serde(default)]
     pub fingerprint_number: u64,
     pub next: NextStep,
     pub reason: LeaveReason,
@@ -1063,6 +1094,20 @@
     ///Of each gateway that is known: a number for its life, its heartbeat, its state (readiness, 0 to 2, and 4 if the store answers it), its fencing token.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub beats: ::std::vec::Vec<[u64; 4usize]>,
+    ///Requests that were at a crash and ended well elsewhere: fingerprint, and the time since in ms.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub cleared: ::std::vec::Vec<[u64; 2usize]>,
+    ///Stands for all crashes of servers that are known.
+    #[serde(default)]
+    pub crash_digest_number: u64,
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub crashes: ::std::vec::Vec<CrashNews>,
+    ///Crashes that are known, where the other's digest is another one: the server's number, and a number for what was there.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub crashes_known: ::std::vec::Vec<[u64; 2usize]>,
+    ///Servers of whose crashes the other may know more.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub crashes_wanted: ::std::vec::Vec<u64>,
     pub known: ::std::vec::Vec<TableKnown>,
     ///Gateways that the other was found not to know.
     pub members: ::std::vec::Vec<MemberNews>,
