One clock for all processes that counts the time that a machine is suspended; who wakes acts on nothing old

Cause: the steady clock does not count time asleep, so leases seemed to hold, callers to wait and connections to be fresh; two clock types read it. hooktrestle-clock has the one type, by CLOCK_BOOTTIME; waits until a moment of it look each second. Silence of a server stays with the timers: it was not silent for longer because we slept.

Deadlines are looked at before each send; connections read before they expire. After a standstill (2 s between two readings of the clock) the gateways that are known share the repeat budget, not those heard of lately; no lead is claimed before others were listened to again; questions that waited count as asked that long ago; no request counts as overtaken before what came meanwhile is read.

--- /dev/null
+++ b/crates/clock/tests/suspension.rs
@@ -0,0 +1,82 @@
+//! Machines that are suspended: timers stand still, the clock goes on.
+
+use std::cell::Cell;
+use std::future;
+use std::time::Duration;
+
+use hooktrestle_clock::LOOK;
+use hooktrestle_clock::Passed;
+use hooktrestle_clock::ProcessClock;
+use hooktrestle_core::clock::Clock;
+use hooktrestle_core::clock::Millis;
+use tokio::runtime::Builder;
+use tokio::time;
+use tokio::time::Instant;
+
+thread_local! {
+    static ASLEEP: Cell<Duration> = const { Cell::new(Duration::ZERO) };
+    static START: Instant = Instant::now();
+}
+
+/// The timers' time, and the time asleep.
+fn with_time_asleep() -> Duration {
+    START.with(Instant::elapsed) + ASLEEP.get()
+}
+
+fn suspend(span: Duration) {
+    ASLEEP.set(ASLEEP.get() + span);
+}
+
+/// Runs a test on timers that stand still but for what is waited for.
+fn run(test: impl Future<Output = ()>) {
+    let runtime = Builder::new_current_thread().enable_time().start_paused(true).build();
+    runtime.expect("a runtime").block_on(test);
+}
+
+#[test]
+fn the_clock_goes_on_with_the_steady_one() {
+    let clock = ProcessClock::default();
+    let before = clock.now();
+    let started = std::time::Instant::now();
+    while started.elapsed() < Duration::from_millis(5) {
+        std::hint::spin_loop();
+    }
+    assert!(clock.now() >= before + Millis(4));
+}
+
+#[test]
+fn who_sleeps_through_a_suspension_wakes_at_the_next_look() {
+    run(async {
+        let clock = ProcessClock::reading(with_time_asleep);
+        let due = clock.now() + Millis(60_000);
+        let began = Instant::now();
+        let sleeps = clock.sleep_until(due);
+        let suspends = async {
+            time::sleep(Duration::from_millis(100)).await;
+            suspend(Duration::from_secs(90));
+        };
+        tokio::join!(sleeps, suspends);
+        assert!(began.elapsed() <= LOOK, "{:?} awake", began.elapsed());
+    });
+}
+
+#[test]
+fn without_a_suspension_it_wakes_in_time() {
+    run(async {
+        let clock = ProcessClock::reading(with_time_asleep);
+        let began = Instant::now();
+        clock.sleep_until(clock.now() + Millis(2_345)).await;
+        assert_eq!(began.elapsed(), Duration::from_millis(2_345));
+    });
+}
+
+#[test]
+fn what_is_done_as_the_time_is_over_counts_as_done() {
+    run(async {
+        let clock = ProcessClock::reading(with_time_asleep);
+        let past = clock.now();
+        suspend(Duration::from_secs(5));
+        assert_eq!(clock.timeout_at(past, future::ready(7)).await, Ok(7));
+        assert_eq!(clock.timeout_at(past, future::pending::<u8>()).await, Err(Passed));
+    });
+}
--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -8,7 +8,6 @@
 use std::convert::Infallible;
 use std::io;
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::Stream;
@@ -29,8 +28,6 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::time;
-use tokio::time::Instant;
 
 use crate::accept;
 use crate::callers::body::CallerBody;
@@ -55,7 +52,7 @@
 const LEAST_HEADER_BYTES: usize = 8_192;
 
 /// Shortest time between two looks at a connection, however short the bounds: each look wakes a task.
-const LEAST_LOOK: Duration = Duration::from_millis(100);
+const LEAST_LOOK: Millis = Millis(100);
 
 /// Accepts callers until the process ends.
 pub async fn serve<P: Platform>(gateway: Rc<Gateway<P>>, listener: TcpListener) {
@@ -69,9 +66,9 @@
 }
 
 async fn serve_connection<P: Platform>(gateway: Rc<Gateway<P>>, stream: TcpStream) {
-    let watch: Watch = Rc::new(Cell::new(Activity::Resting(Instant::now())));
+    let watch: Watch = Rc::new(Cell::new(Activity::Resting(gateway.now())));
     let limits = gateway.serving().limits;
-    let io = Watched { inner: TokioIo::new(stream), watch: watch.clone() };
+    let io = Watched { inner: TokioIo::new(stream), watch: watch.clone(), clock: gateway.clock };
     let service = service_fn(|request: http::Request<Incoming>| {
         watch.set(Activity::Answering);
         let watch = watch.clone();
@@ -85,12 +82,14 @@
     // A connection that rests when the process is told to stop stays: a request may be on its way over it
     // already. Its answer closes it.
     loop {
-        let until = expiry(watch.get(), &gateway).min(Instant::now() + look_every(&gateway));
+        let until = expiry(watch.get(), &gateway).min(gateway.now() + look_every(&gateway));
         tokio::select! {
+            // A request that came while this process stood still is read first.
+            biased;
             // What went wrong with the connection is the caller's to see.
             _ = connection.as_mut() => return,
-            () = time::sleep_until(until) => {
-                if expiry(watch.get(), &gateway) <= Instant::now() {
+            () = gateway.clock.sleep_until(until) => {
+                if expiry(watch.get(), &gateway) <= gateway.now() {
                     return;
                 }
             }
@@ -99,16 +98,16 @@
 }
 
 /// How often a connection's activity is looked at: the shortest bound that is to be kept.
-fn look_every<P: Platform>(gateway: &Gateway<P>) -> Duration {
-    Duration::from(gateway.serving().limits.header_ms).max(LEAST_LOOK)
+fn look_every<P: Platform>(gateway: &Gateway<P>) -> Millis {
+    gateway.serving().limits.header_ms.max(LEAST_LOOK)
 }
 
-fn expiry<P: Platform>(activity: Activity, gateway: &Gateway<P>) -> Instant {
+fn expiry<P: Platform>(activity: Activity, gateway: &Gateway<P>) -> Millis {
     let limits = gateway.serving().limits;
     match activity {
-        Activity::Resting(since) => since + Duration::from(limits.idle_ms),
-        Activity::Reading(since) => since + Duration::from(limits.header_ms),
-        Activity::Answering => Instant::now() + Duration::from(limits.idle_ms),
+        Activity::Resting(since) => since + limits.idle_ms,
+        Activity::Reading(since) => since + limits.header_ms,
+        Activity::Answering => gateway.now() + limits.idle_ms,
     }
 }
 
@@ -119,7 +118,7 @@
     request: http::Request<Incoming>,
     watch: Watch,
 ) -> Answered<impl Stream<Item = Result<Frame<Bytes>, BrokenOff>>, P> {
-    let guard = Guard { watch };
+    let guard = Guard { watch, clock: gateway.clock };
     let in_flight = gateway.begin_request();
     let came = gateway.now();
     let (parts, body) = request.into_parts();
--- a/crates/direct/src/callers/watch.rs
+++ b/crates/direct/src/callers/watch.rs
@@ -7,18 +7,20 @@
 use std::task::Context;
 use std::task::Poll;
 
+use hooktrestle_clock::ProcessClock;
+use hooktrestle_core::clock::Clock;
+use hooktrestle_core::clock::Millis;
 use hyper::rt::ReadBufCursor;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::time::Instant;
 
 /// What a connection is at, and since when.
 #[derive(Clone, Copy)]
 pub(super) enum Activity {
     /// Nothing of a request has come.
-    Resting(Instant),
+    Resting(Millis),
     /// A request's head is coming.
-    Reading(Instant),
+    Reading(Millis),
     /// A request has no whole answer yet.
     Answering,
 }
@@ -29,11 +31,12 @@
 /// The connection rests again once its answer is written.
 pub(super) struct Guard {
     pub(super) watch: Watch,
+    pub(super) clock: ProcessClock,
 }
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        self.watch.set(Activity::Resting(Instant::now()));
+        self.watch.set(Activity::Resting(self.clock.now()));
     }
 }
 
@@ -41,6 +44,7 @@
 pub(super) struct Watched {
     pub(super) inner: TokioIo<TcpStream>,
     pub(super) watch: Watch,
+    pub(super) clock: ProcessClock,
 }
 
 impl hyper::rt::Read for Watched {
@@ -51,7 +55,7 @@
     ) -> Poll<io::Result<()>> {
         let polled = Pin::new(&mut self.inner).poll_read(context, buffer);
         if let (Poll::Ready(Ok(())), Activity::Resting(_)) = (&polled, self.watch.get()) {
-            self.watch.set(Activity::Reading(Instant::now()));
+            self.watch.set(Activity::Reading(self.clock.now()));
         }
         polled
     }
--- a/crates/direct/src/connections.rs
+++ b/crates/direct/src/connections.rs
@@ -7,13 +7,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hooktrestle_clock::ProcessClock;
+use hooktrestle_core::clock::Clock;
+use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::pool::Server;
 use hooktrestle_core::util::arena::Key;
 use http::HeaderMap;
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
 use tokio::task::AbortHandle;
-use tokio::time::Instant;
 
 use crate::dial;
 
@@ -42,21 +44,26 @@
 
 struct Idle {
     connection: Connection,
-    until: Instant,
+    until: Millis,
 }
 
 /// All connections that are idle.
-#[derive(Default)]
 pub struct Connections {
+    clock: ProcessClock,
     idle: RefCell<HashMap<Key<Server>, Vec<Idle>>>,
 }
 
 impl Connections {
+    /// None is idle. Time asleep counts: a server keeps its end no longer for that.
+    pub fn new(clock: ProcessClock) -> Connections {
+        Connections { clock, idle: RefCell::default() }
+    }
+
     /// An idle connection to a server, the one used last first.
     pub fn idle(&self, server: Key<Server>) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let kept = idle.get_mut(&server)?;
-        let now = Instant::now();
+        let now = self.clock.now();
         kept.retain(|idle| idle.until > now && !idle.connection.sender.is_closed());
         let ready = kept.iter().rposition(|idle| idle.connection.sender.is_ready())?;
         Some(kept.remove(ready).connection)
@@ -72,13 +79,13 @@
         if kept.len() >= MOST_IDLE {
             return;
         }
-        let until = Instant::now() + connection.kept;
+        let until = self.clock.now() + Millis::from(connection.kept);
         kept.push(Idle { connection, until });
     }
 
     /// Closes idle connections that are over their time.
     pub fn sweep(&self) {
-        let now = Instant::now();
+        let now = self.clock.now();
         self.idle.borrow_mut().retain(|_, kept| {
             kept.retain(|idle| idle.until > now && !idle.connection.sender.is_closed());
             !kept.is_empty()
--- a/crates/direct/src/entrance.rs
+++ b/crates/direct/src/entrance.rs
@@ -9,6 +9,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+use hooktrestle_clock::ProcessClock;
 use hooktrestle_core::clock::Clock;
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::admission;
@@ -16,9 +17,6 @@
 use hooktrestle_core::direct::admission::Entry;
 use hooktrestle_core::direct::admission::Owed;
 use tokio::sync::oneshot;
-use tokio::time;
-
-use crate::clock::TimerClock;
 
 /// Who goes first: priority, deadline, then order of arrival.
 type Rank = (u8, Millis, u64);
@@ -26,7 +24,7 @@
 /// The entrance of one service.
 #[derive(Debug)]
 pub struct Entrance {
-    clock: TimerClock,
+    clock: ProcessClock,
     admission: RefCell<Admission>,
     waiting: RefCell<BTreeMap<Rank, (Owed, oneshot::Sender<Permit>)>>,
     arrivals: Cell<u64>,
@@ -49,7 +47,7 @@
 
 impl Entrance {
     /// Nobody has entered yet.
-    pub fn new(clock: TimerClock) -> Rc<Entrance> {
+    pub fn new(clock: ProcessClock) -> Rc<Entrance> {
         Rc::new(Entrance {
             clock,
             admission: RefCell::new(Admission::new(admission::Config::default())),
@@ -82,7 +80,7 @@
         let latest = Millis(asked.first_due.0.saturating_sub(first_ms as u64));
         tokio::select! {
             permit = &mut receiver => if let Ok(permit) = permit { return Ok(permit) },
-            () = time::sleep_until(self.clock.instant(latest)) => {}
+            () = self.clock.sleep_until(latest) => {}
         }
         // The estimate was off: what was held is sent rather than held in vain.
         Ok(Permit::new(self.clone(), self.clock.now()))
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -32,6 +32,9 @@
 /// Longest time for the rest of a refusal; its bytes come with its head.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Time after a standstill in which answers that came meanwhile may wait to be read.
+const NOT_READ_YET: Millis = Millis(200);
+
 /// A server's part in a request; tells the pool how it ended, also when it is dropped on the way.
 pub struct Turn<P: Platform> {
     gateway: Rc<Gateway<P>>,
@@ -157,7 +160,11 @@
         let now = gateway.now();
         let next = gateway.with_heads(&request.service, |heads| heads.next(server, sent_at, now));
         match next {
-            overtaken::Next::Wait(until) => time::sleep(Duration::from(until.since(now))).await,
+            overtaken::Next::Wait(until) => gateway.clock.sleep_until(until).await,
+            // What was answered while this process stood still has not been read yet.
+            overtaken::Next::Leave if gateway.stood_still(NOT_READ_YET).is_some() => {
+                time::sleep(Duration::from(NOT_READ_YET)).await;
+            }
             overtaken::Next::Leave => return,
         }
     }
@@ -218,6 +225,9 @@
             Some(connection) => connection,
             None => open(gateway, server).await?,
         };
+        if gateway.now() >= request.deadline {
+            return Err(NoAnswer { fate: Fate::NotSent, ending: Ending::Left });
+        }
         let reused = connection.used();
         let message = message(gateway, request, server, after_event);
         let sent_at = gateway.now();
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -14,7 +14,6 @@
 use http::response::Parts;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
-use tokio::time;
 
 use crate::exchange;
 use crate::exchange::Answer;
@@ -42,8 +41,8 @@
     gateway.count_request(&request.service);
     let route = request.route();
     let mut attempts = Attempts::new(route.most_attempts, route.repeats());
-    let deadline = gateway.clock.instant(request.deadline);
-    let tried = time::timeout_at(deadline, try_servers(gateway, request, &mut attempts)).await;
+    let trying = try_servers(gateway, request, &mut attempts);
+    let tried = gateway.clock.timeout_at(request.deadline, trying).await;
     match tried {
         Ok(Tried::Whole(head, body)) => Reply::Whole(head, body),
         Ok(Tried::Stream(answer)) => Reply::Stream(answer, attempts),
@@ -66,6 +65,10 @@
     // A server's answer that says it failed, for want of a better one.
     let mut failure = None;
     loop {
+        // The machine may have been suspended since; what waits for an answer at a server waits on.
+        if gateway.now() >= request.deadline {
+            return Tried::Refused(attempts.refuse(Cause::DeadlinePassed));
+        }
         if let Some(left) = gateway.refuses(request.fingerprint) {
             return Tried::Refused(attempts.refuse_for(Cause::CrashesServers, left));
         }
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -15,6 +15,7 @@
 use std::net::IpAddr;
 use std::rc::Rc;
 
+use hooktrestle_clock::ProcessClock;
 use hooktrestle_core::clock::Clock;
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::budget;
@@ -37,11 +38,11 @@
 use hooktrestle_core::direct::serving::RouteKind;
 use hooktrestle_core::direct::serving::Serving;
 use hooktrestle_core::direct::slow::Findings;
+use hooktrestle_core::standstill::Standstill;
 use hooktrestle_core::util::arena::Key;
 use rand::RngExt;
 use tokio::sync::Notify;
 
-use crate::clock::TimerClock;
 use crate::connections::Connections;
 use crate::entrance::Entrance;
 use crate::gateway::by_service::ByService;
@@ -64,6 +65,10 @@
 /// process ends half a second before it has to.
 const REQUEST_PART: (u64, u64) = (6, 8);
 
+/// Time after a standstill in which all gateways that live have been heard of again: as long as a heartbeat is
+/// waited for.
+const HEAR_AGAIN: Millis = Millis(3_000);
+
 /// Where a process stands in its life.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Phase {
@@ -78,7 +83,8 @@
     /// The platform that it runs on.
     pub platform: P,
     /// Time.
-    pub clock: TimerClock,
+    pub clock: ProcessClock,
+    standstill: Cell<Standstill>,
     /// Log lines.
     pub journal: Journal,
     /// Counters and histograms.
@@ -125,14 +131,21 @@
 
 impl<P: Platform> Gateway<P> {
     /// A gateway that knows nothing yet.
-    pub fn new(platform: P, own: Member, budget: budget::Config, sidecars_port: u16) -> Gateway<P> {
+    pub fn new(
+        platform: P,
+        own: Member,
+        budget: budget::Config,
+        sidecars_port: u16,
+        clock: ProcessClock,
+    ) -> Gateway<P> {
         Gateway {
             platform,
-            clock: TimerClock::default(),
+            clock,
+            standstill: Cell::default(),
             journal: Journal::default(),
             metrics: Metrics::default(),
-            connections: Connections::default(),
-            sidecars: Connections::default(),
+            connections: Connections::new(clock),
+            sidecars: Connections::new(clock),
             sidecars_port,
             stalled: Notify::new(),
             urgent: Notify::new(),
@@ -163,7 +176,27 @@
 
     /// The present moment.
     pub fn now(&self) -> Millis {
-        self.clock.now()
+        let now = self.clock.now();
+        let mut standstill = self.standstill.get();
+        standstill.read(now);
+        self.standstill.set(standstill);
+        now
+    }
+
+    /// How long this process stood still, if that ended less than `within` ago.
+    pub fn stood_still(&self, within: Millis) -> Option<Millis> {
+        let now = self.now();
+        self.standstill.get().ended_within(within, now)
+    }
+
+    /// How many gateways share what is bounded for all of them. After a standstill nobody has been heard of
+    /// lately; then all that are known do.
+    fn sharing(&self, now: Millis) -> usize {
+        let members = self.members.borrow();
+        if self.standstill.get().ended_within(HEAR_AGAIN, now).is_some() {
+            return members.known().count();
+        }
+        members.living(now)
     }
 
     /// The configuration in force.
@@ -291,7 +324,7 @@
     /// Takes one repeat at a service from this gateway's part of the budget.
     pub fn take_repeat(&self, service: &str) -> bool {
         let now = self.now();
-        let gateways = self.members.borrow().living(now);
+        let gateways = self.sharing(now);
         let covered = self.with_budget(service, |budget| budget.take(now, gateways));
         if !covered {
             self.metrics.repeats_denied.inc();
@@ -302,7 +335,7 @@
     /// Whether this gateway's part of the budget has a repeat at a service left.
     pub fn covers_repeat(&self, service: &str) -> bool {
         let now = self.now();
-        let gateways = self.members.borrow().living(now);
+        let gateways = self.sharing(now);
         self.with_budget(service, |budget| budget.covers(now, gateways))
     }
 
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -18,7 +18,6 @@
 
 mod accept;
 mod callers;
-pub mod clock;
 mod connections;
 mod crash_keeper;
 pub mod dial;
--- a/crates/direct/src/maps.rs
+++ b/crates/direct/src/maps.rs
@@ -110,7 +110,9 @@
 /// Whether this gateway has listened for long enough to claim the lead.
 fn has_listened<P: Platform>(gateway: &Gateway<P>) -> bool {
     let before = gateway.with_members(|members| members.before());
-    gateway.now() >= LISTEN_FIRST + Millis(CLAIM_STEP.0 * before as u64)
+    let listen = LISTEN_FIRST + Millis(CLAIM_STEP.0 * before as u64);
+    // After a standstill it begins anew: others were not silent, this process was.
+    gateway.now() >= listen && gateway.stood_still(listen).is_none()
 }
 
 /// Whether this gateway is the one that shall lead, as far as it has heard.
--- a/crates/direct/src/peers/news.rs
+++ b/crates/direct/src/peers/news.rs
@@ -34,6 +34,9 @@
 /// Nesting of a message; it is four levels deep.
 const DEPTH_LIMIT: usize = 16;
 
+/// Time after a standstill in which questions that came meanwhile are read.
+const READ_LATE: Millis = Millis(300);
+
 /// What is asked first: what this gateway knows.
 pub(super) fn question<P: Platform>(gateway: &Gateway<P>) -> PeerNews {
     let now = gateway.now();
@@ -45,8 +48,10 @@
 /// all that it knows, what this one knows and lacks.
 pub(super) fn answer<P: Platform>(gateway: &Gateway<P>, asked: &PeerNews) -> PeerNews {
     let now = gateway.now();
-    let told = beats_of(asked, Millis::ZERO);
-    let unknown = take_told(gateway, asked, &told, Millis::ZERO);
+    // It may have waited as long as this process stood still.
+    let waited = gateway.stood_still(READ_LATE).unwrap_or(Millis::ZERO);
+    let told = beats_of(asked, waited);
+    let unknown = take_told(gateway, asked, &told, waited);
     let news = own_news(gateway, &asked.known);
     let wanted: Vec<ServerLife> = asked.crashes_wanted.iter().copied().map(ServerLife).collect();
     let crashes = gateway.with_crashes(|crashes| crashes.named(&wanted, now));
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -11,6 +11,7 @@
 
 use eyre::Result;
 use eyre::WrapErr;
+use hooktrestle_clock::ProcessClock;
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::budget;
 use hooktrestle_core::direct::members::Member;
@@ -96,6 +97,19 @@
 ///
 /// An address cannot be listened on.
 pub fn start<P: Platform>(settings: &DirectSettings, platform: P) -> Result<Started<P>> {
+    start_by(ProcessClock::default(), settings, platform)
+}
+
+/// The same by a clock of the caller's.
+///
+/// # Errors
+///
+/// As [`start`].
+pub fn start_by<P: Platform>(
+    clock: ProcessClock,
+    settings: &DirectSettings,
+    platform: P,
+) -> Result<Started<P>> {
     let listen = &settings.listen;
     let callers_listener = bind(&listen.callers)?;
     let peers_listener = bind(&listen.peers)?;
@@ -112,6 +126,7 @@
             own_member(settings, callers_listener.local_addr()?, peers_listener.local_addr()?),
             budget_config(settings),
             listen.sidecars_port,
+            clock,
         )),
     };
     started.peers.set_seeds(settings::addresses(&settings.platform.seeds));
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -58,7 +58,6 @@
     attempts: Attempts,
     source: Option<Answer<P>>,
     events: Events,
-    deadline: Instant,
     /// Whether the stream may be taken up elsewhere.
     resumable: bool,
 }
@@ -70,7 +69,6 @@
     attempts: Attempts,
     answer: Answer<P>,
 ) -> impl Stream<Item = Result<Frame<Bytes>, BrokenOff>> {
-    let deadline = gateway.clock.instant(request.deadline);
     // With a length told, another server's pieces would have to add up to it.
     let resumable =
         request.route().resumable && !answer.head.headers.contains_key(header::CONTENT_LENGTH);
@@ -80,7 +78,6 @@
         attempts,
         source: Some(answer),
         events: Events::default(),
-        deadline,
         resumable,
     };
     stream::unfold(relay, next_frame)
@@ -151,19 +148,25 @@
 /// The next piece of the source; `None` if the stream is over.
 async fn next_piece<P: Platform>(relay: &mut Relay<P>) -> Option<Piece> {
     let source = relay.source.as_mut()?;
+    let (clock, deadline, resumable) =
+        (relay.gateway.clock, relay.request.deadline, relay.resumable);
     let silent_at = Instant::now() + SILENCE;
-    let until = if relay.resumable { relay.deadline.min(silent_at) } else { relay.deadline };
     loop {
-        return Some(match time::timeout_at(until, source.body.frame()).await {
-            Ok(Some(Ok(frame))) => match frame.into_data() {
+        let frame = tokio::select! {
+            biased;
+            frame = source.body.frame() => frame,
+            () = clock.sleep_until(deadline) => return Some(Piece::Deadline),
+            // Time asleep does not make a server silent.
+            () = time::sleep_until(silent_at), if resumable => return Some(Piece::Broken),
+        };
+        return Some(match frame {
+            Some(Ok(frame)) => match frame.into_data() {
                 Ok(bytes) => Piece::Bytes(bytes),
                 // Trailers concern one connection only.
                 Err(_) => continue,
             },
-            Ok(None) => Piece::End,
-            Ok(Some(Err(_))) => Piece::Broken,
-            Err(_) if until < relay.deadline => Piece::Broken,
-            Err(_) => Piece::Deadline,
+            None => Piece::End,
+            Some(Err(_)) => Piece::Broken,
         });
     }
 }
@@ -207,7 +210,7 @@
         relay.attempts.begin();
         let after = relay.events.last_id();
         let attempt = exchange::attempt(&relay.gateway, &relay.request, turn, after);
-        fate = match time::timeout_at(relay.deadline, attempt).await {
+        fate = match relay.gateway.clock.timeout_at(relay.request.deadline, attempt).await {
             Ok(Ok(answer)) if answer.head.status == StatusCode::OK => {
                 relay.gateway.metrics.resumed.inc();
                 relay.source = Some(answer);
--- a/crates/direct/tests/entrance.rs
+++ b/crates/direct/tests/entrance.rs
@@ -4,10 +4,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hooktrestle_clock::ProcessClock;
 use hooktrestle_core::clock::Clock;
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::admission::Owed;
-use hooktrestle_direct::clock::TimerClock;
 use hooktrestle_direct::entrance::Asked;
 use hooktrestle_direct::entrance::Entrance;
 use hooktrestle_direct::entrance::Permit;
@@ -15,6 +15,7 @@
 use tokio::task;
 use tokio::task::LocalSet;
 use tokio::time;
+use tokio::time::Instant;
 
 const OWED: Owed = Owed { pause_ms: 120.0, least_pass_ms: 18.0 };
 
@@ -23,7 +24,15 @@
     LocalSet::new().block_on(&runtime, test);
 }
 
-fn asked(clock: TimerClock, priority: u8, left_ms: u64) -> Asked {
+/// A clock that stands still as the timers do.
+fn timers_clock() -> ProcessClock {
+    thread_local! {
+        static START: Instant = Instant::now();
+    }
+    ProcessClock::reading(|| START.with(Instant::elapsed))
+}
+
+fn asked(clock: ProcessClock, priority: u8, left_ms: u64) -> Asked {
     let now = clock.now();
     Asked {
         owed: OWED,
@@ -41,7 +50,7 @@
 }
 
 /// An entrance with ten streams whose passes take this long, after others of 0.2 s each.
-async fn with_streams(clock: TimerClock, pass_ms: u64) -> (Rc<Entrance>, Vec<Permit>) {
+async fn with_streams(clock: ProcessClock, pass_ms: u64) -> (Rc<Entrance>, Vec<Permit>) {
     let entrance = Entrance::new(clock);
     for _ in 0..10 {
         let mut earlier = entrance.enter(asked(clock, 1, 8_000)).await.unwrap();
@@ -63,7 +72,7 @@
 #[test]
 fn whoever_waits_is_let_in_by_priority_and_then_by_deadline() {
     run(async {
-        let clock = TimerClock::default();
+        let clock = timers_clock();
         let (entrance, mut permits) = with_streams(clock, 121).await;
         let order = Rc::new(RefCell::new(Vec::new()));
         for (name, priority, left_ms) in
@@ -89,7 +98,7 @@
 #[test]
 fn whoever_has_waited_as_long_as_it_can_is_sent() {
     run(async {
-        let clock = TimerClock::default();
+        let clock = timers_clock();
         let (entrance, _permits) = with_streams(clock, 121).await;
         let began = clock.now();
         assert!(entrance.enter(asked(clock, 1, 8_000)).await.is_ok());
@@ -101,7 +110,7 @@
 #[test]
 fn whoever_would_wait_too_long_is_sent_away_at_once() {
     run(async {
-        let clock = TimerClock::default();
+        let clock = timers_clock();
         let (entrance, permits) = with_streams(clock, 400).await;
         let began = clock.now();
         let after = entrance.enter(asked(clock, 1, 8_000)).await.expect_err("ten are too many");
@@ -115,7 +124,7 @@
 #[test]
 fn whoever_leaves_while_it_waits_takes_no_place() {
     run(async {
-        let clock = TimerClock::default();
+        let clock = timers_clock();
         let (entrance, mut permits) = with_streams(clock, 121).await;
         let let_in = Rc::new(RefCell::new(Vec::new()));
         let mut waiting = Vec::new();
--- a/crates/hooktrestled/src/gateway.rs
+++ b/crates/hooktrestled/src/gateway.rs
@@ -22,6 +22,7 @@
 use std::time::Duration;
 
 use eyre::Result;
+use hooktrestle_clock::ProcessClock;
 use hooktrestle_core::id::RequestNumbers;
 use hooktrestle_core::limits::Limiter;
 use hooktrestle_core::retry;
@@ -39,7 +40,6 @@
 use crate::admin::Figure;
 use crate::admin::Observe;
 use crate::admin::Observed;
-use crate::clock::MonotonicClock;
 use crate::config_keeper;
 use crate::directory;
 use crate::drain;
@@ -60,7 +60,7 @@
     pub(crate) numbers: Arc<RequestNumbers>,
     pub(crate) budget: Arc<Mutex<RetryBudget>>,
     pub(crate) limiter: Arc<Mutex<Limiter>>,
-    pub(crate) clock: MonotonicClock,
+    pub(crate) clock: ProcessClock,
     pub(crate) traces: Traces,
     pub(crate) open: watch::Sender<usize>,
     pub(crate) leaving: watch::Sender<bool>,
--- a/crates/hooktrestled/src/gateway/drive.rs
+++ b/crates/hooktrestled/src/gateway/drive.rs
@@ -32,7 +32,6 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
-use tokio::time::Instant;
 
 use crate::directory;
 use crate::gateway::Shared;
@@ -120,7 +119,7 @@
     tried: Vec<Key<Server>>,
     current: Option<Current>,
     out: Out,
-    deadline: Instant,
+    deadline: Millis,
 }
 
 /// What happened while waiting.
@@ -178,7 +177,7 @@
         most_attempts: shared.settings.attempts,
     };
     let driver = Driver {
-        deadline: Instant::now() + incoming.deadline,
+        deadline: shared.clock.now() + Millis::from(incoming.deadline),
         attempts: Attempts::new(config),
         tried: Vec::new(),
         current: None,
@@ -273,7 +272,7 @@
     }
 
     fn frame(&self, id: RequestId, ticket: Option<Ticket>) -> RequestFrame {
-        let left = self.deadline.saturating_duration_since(Instant::now());
+        let left = self.deadline.since(self.shared.clock.now());
         RequestFrame {
             id: id.into(),
             service: self.incoming.service.to_string(),
@@ -282,7 +281,7 @@
             method: self.incoming.method.clone(),
             path: self.incoming.path.clone(),
             headers: self.incoming.headers.clone(),
-            deadline_in_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+            deadline_in_ms: left.0,
             priority: self.incoming.priority,
             cost_tokens: self.incoming.cost_tokens,
             credit_bytes: CREDIT_BYTES,
@@ -342,7 +341,7 @@
             event = current.events.recv() => Happened::Event(event.unwrap_or(Event::Lost)),
             () = gone => Happened::CallerGone,
             Some(error) = current.body_failed.recv() => Happened::BodyFailed(error),
-            () = tokio::time::sleep_until(self.deadline) => Happened::Deadline,
+            () = self.shared.clock.sleep_until(self.deadline) => Happened::Deadline,
         }
     }
 
@@ -405,7 +404,7 @@
         let more_bytes = payload.len() as u64;
         tokio::select! {
             sent = body.send(Ok(payload)) => sent.ok()?,
-            () = tokio::time::sleep_until(self.deadline) => return Some(self.attempts.deadline()),
+            () = self.shared.clock.sleep_until(self.deadline) => return Some(self.attempts.deadline()),
         }
         if let Some(current) = &self.current {
             let credit = CreditFrame { id: self.attempts.id().into(), more_bytes };
@@ -417,9 +416,10 @@
 
     /// Asks the sidecar, over a new link, what became of the newest attempt.
     async fn settle(&mut self, id: RequestId) -> Next {
-        let within = Duration::from_millis(self.shared.settings.settle_ms);
-        let until = self.deadline.min(Instant::now() + within);
-        let asked = tokio::time::timeout_at(until, self.ask(id)).await;
+        let clock = self.shared.clock;
+        let within = Millis(self.shared.settings.settle_ms);
+        let until = self.deadline.min(clock.now() + within);
+        let asked = clock.timeout_at(until, self.ask(id)).await;
         let verdict = asked.ok().flatten();
         with_budget(&self.shared, |budget| self.attempts.settled(id, verdict, budget))
     }
--- a/crates/hooktrestled/src/gateway/links.rs
+++ b/crates/hooktrestled/src/gateway/links.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hooktrestle_clock::ProcessClock;
 use hooktrestle_core::util::arena::Key;
 use hooktrestle_link::Identity;
 use hooktrestle_link::Receiver;
@@ -20,7 +21,6 @@
 use tokio::sync::mpsc;
 use xtra::WeakAddress;
 
-use crate::clock::MonotonicClock;
 use crate::config_keeper;
 use crate::config_keeper::ConfigKeeper;
 use crate::directory;
@@ -48,7 +48,7 @@
     pub(crate) config: config_keeper::Watch,
     pub(crate) keeper: xtra::Address<ConfigKeeper>,
     pub(crate) heartbeat: Duration,
-    pub(crate) clock: MonotonicClock,
+    pub(crate) clock: ProcessClock,
 }
 
 /// What a request hears from the link that carries it.
--- a/crates/hooktrestled/src/lib.rs
+++ b/crates/hooktrestled/src/lib.rs
@@ -12,7 +12,6 @@
 
 pub mod acceptor;
 mod admin;
-pub mod clock;
 pub mod config_keeper;
 pub mod directory;
 mod drain;
--- a/crates/hooktrestled/src/process.rs
+++ b/crates/hooktrestled/src/process.rs
@@ -4,6 +4,7 @@
 
 use eyre::Result;
 use eyre::WrapErr;
+use hooktrestle_clock::ProcessClock;
 use hooktrestle_link::Identity;
 use hooktrestle_platform::Platform;
 use hooktrestle_schema::Settings;
@@ -11,7 +12,6 @@
 use tokio::net::TcpListener;
 use xtra::Address;
 
-use crate::clock::MonotonicClock;
 use crate::config_keeper;
 use crate::config_keeper::ConfigKeeper;
 use crate::directory;
@@ -29,7 +29,7 @@
     pub(crate) listener: TcpListener,
     pub(crate) address: SocketAddr,
     pub(crate) traces: Traces,
-    pub(crate) clock: MonotonicClock,
+    pub(crate) clock: ProcessClock,
 }
 
 impl Process {
@@ -54,7 +54,7 @@
             },
             address: listener.local_addr()?,
             traces: Traces::new(settings.traces.as_ref(), &instance.name)?,
-            clock: MonotonicClock::default(),
+            clock: ProcessClock::default(),
             platform,
             keeper,
             config,
--- a/crates/hooktrestled/src/sidecar/desk.rs
+++ b/crates/hooktrestled/src/sidecar/desk.rs
@@ -1,8 +1,8 @@
 //! The actor around the dispatcher: feeds it events and carries out what it says.
 
 use std::collections::HashMap;
-use std::time::Duration;
 
+use hooktrestle_clock::ProcessClock;
 use hooktrestle_core::clock::Clock;
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::config::BackendServer;
@@ -39,7 +39,6 @@
 use xtra::Mailbox;
 use xtra::WeakAddress;
 
-use crate::clock::MonotonicClock;
 use crate::config_keeper;
 use crate::sidecar::run;
 use crate::sidecar::run::Backend;
@@ -50,7 +49,7 @@
 #[derive(Debug)]
 pub(super) struct Setup {
     pub(super) identity: Identity,
-    pub(super) clock: MonotonicClock,
+    pub(super) clock: ProcessClock,
     pub(super) limits: dispatch::Config,
     pub(super) backend: Backend,
     pub(super) config: config_keeper::Watch,
@@ -151,11 +150,10 @@
 }
 
 /// Sends a tick whenever the moment that the desk last named has come.
-async fn ring(desk: WeakAddress<Desk>, mut alarm: watch::Receiver<Millis>, clock: MonotonicClock) {
+async fn ring(desk: WeakAddress<Desk>, mut alarm: watch::Receiver<Millis>, clock: ProcessClock) {
     loop {
         let due = *alarm.borrow_and_update();
-        let wait = Duration::from_millis(due.since(clock.now()).0);
-        let changed = tokio::time::timeout(wait, alarm.changed()).await;
+        let changed = clock.timeout_at(due, alarm.changed()).await;
         match changed {
             Ok(Ok(())) => {}
             Ok(Err(_)) => return,
--- a/crates/hooktrestled/src/sidecar/group.rs
+++ b/crates/hooktrestled/src/sidecar/group.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use eyre::Result;
+use hooktrestle_clock::ProcessClock;
 use hooktrestle_core::clock::Clock;
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::lease::Lease;
@@ -33,7 +34,6 @@
 use spdlog::warn;
 use tokio::time::sleep;
 
-use crate::clock::MonotonicClock;
 use crate::config_keeper;
 use crate::directory;
 use crate::poll::jittered;
@@ -62,7 +62,7 @@
     pub(super) config: config_keeper::Watch,
     pub(super) directory: directory::Watch,
     pub(super) backend: Backend,
-    pub(super) clock: MonotonicClock,
+    pub(super) clock: ProcessClock,
     pub(super) settings: SidecarSettings,
 }
 
--- a/crates/hooktrestled/src/sidecar/group/session.rs
+++ b/crates/hooktrestled/src/sidecar/group/session.rs
@@ -5,6 +5,8 @@
 use eyre::Result;
 use eyre::bail;
 use eyre::ensure;
+use hooktrestle_core::clock::Clock;
+use hooktrestle_core::clock::Millis;
 use hooktrestle_core::map_switch::Ballot;
 use hooktrestle_core::map_switch::Leader;
 use hooktrestle_core::map_switch::MapId;
@@ -22,7 +24,6 @@
 use hooktrestle_schema::MapReply;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
-use tokio::time::Instant;
 use tokio::time::timeout;
 
 use crate::directory;
@@ -126,7 +127,8 @@
     /// Gives orders and takes replies until nothing is under way. What cannot be staged in time is
     /// called off; what is decided is seen through.
     async fn drive(&mut self, context: &Context, within: Duration) -> Result<MapId> {
-        let mut deadline = Instant::now() + within;
+        let within = Millis::from(within);
+        let mut deadline = context.clock.now() + within;
         let mut phase = None;
         loop {
             match self.leader.progress() {
@@ -134,10 +136,10 @@
                 Progress::Deposed(by) => bail!("a later leader is at work: {by:?}"),
                 Progress::Waiting => {}
             }
-            if Instant::now() >= deadline {
+            if context.clock.now() >= deadline {
                 ensure!(self.leader.is_staging(), "not all ranks answer");
                 self.leader.give_up();
-                deadline += within;
+                deadline = deadline + within;
             }
             if phase != Some(self.leader.phase_number()) {
                 phase = Some(self.leader.phase_number());
