Soak: requests that crash servers come again and again; those that all send are not taken for them

The soak has a 29th fault and a 13th promise: a request under which three servers crashed reaches servers at most three times more once all can know, and no other is refused for it. A seed's other troubles are drawn as before.

Cause: a crash that the list alone shows was dated when the row went, not when answers broke off, so what had ended well in between did not clear it; what had ended well before the crash was heard of was forgotten; what was sent to a server after its crash counted as there. Change: a crash is dated by the first answer that broke off since the server answered last, only what was there then is suspected, and a gateway remembers the last 512 requests that ended well.

--- a/crates/core/src/direct/crashes.rs
+++ b/crates/core/src/direct/crashes.rs
@@ -15,6 +15,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::collections::VecDeque;
 
 use crate::clock::Millis;
 use crate::direct::fingerprint::Fingerprint;
@@ -33,11 +34,20 @@
     pub most_crashes: usize,
     /// Most requests that are remembered of one crash; a server of the users takes 12 at once.
     pub most_suspects: usize,
+    /// Requests that ended well last at this gateway and are remembered: those of the seconds in which it may hear of a
+    /// crash late. A gateway of the users has 13 a second.
+    pub most_well: usize,
 }
 
 impl Default for Config {
     fn default() -> Self {
-        Config { crashes: 3, lasts: Millis(600_000), most_crashes: 128, most_suspects: 32 }
+        Config {
+            crashes: 3,
+            lasts: Millis(600_000),
+            most_crashes: 128,
+            most_suspects: 32,
+            most_well: 512,
+        }
     }
 }
 
@@ -154,6 +164,8 @@
     config: Config,
     reports: BTreeMap<ServerLife, Report>,
     cleared: BTreeMap<Fingerprint, Aged>,
+    /// Requests that ended well here last, and when.
+    well: VecDeque<(Fingerprint, Millis)>,
     /// Requests that are refused, and until when.
     refused: HashMap<Fingerprint, Millis>,
 }
@@ -165,6 +177,7 @@
             config,
             reports: BTreeMap::new(),
             cleared: BTreeMap::new(),
+            well: VecDeque::new(),
             refused: HashMap::new(),
         }
     }
@@ -216,8 +229,36 @@
         more
     }
 
+    /// A request has ended well at this gateway. Remembered also where it is not suspected yet: the crash may be
+    /// heard of late.
+    pub fn ended_well(&mut self, fingerprint: Fingerprint, now: Millis) -> News {
+        if self.well.len() == self.config.most_well {
+            self.well.pop_front();
+        }
+        self.well.push_back((fingerprint, now));
+        if !self.suspects(fingerprint) {
+            return News::Known;
+        }
+        self.clear(Cleared { fingerprint, age: Millis::ZERO }, now)
+    }
+
     /// Takes a crash that was seen here, or that another gateway tells of.
     pub fn take(&mut self, crash: &Crash, now: Millis) -> News {
+        let news = self.take_reported(crash, now);
+        let since = |one: &Suspect| {
+            let well = self.well.iter().rev().find(|(well, _)| *well == one.fingerprint);
+            well.map(|(_, at)| now.since(*at)).filter(|age| *age < crash.age)
+        };
+        let well = crash.suspects.iter().filter_map(|one| Some((one.fingerprint, since(one)?)));
+        let well: Vec<(Fingerprint, Millis)> = well.collect();
+        let cleared = well
+            .into_iter()
+            .map(|(fingerprint, age)| self.clear(Cleared { fingerprint, age }, now))
+            .max();
+        cleared.map_or(news, |cleared| cleared.max(news))
+    }
+
+    fn take_reported(&mut self, crash: &Crash, now: Millis) -> News {
         if crash.age >= self.config.lasts {
             return News::Known;
         }
--- a/crates/core/tests/crash_fleet/mod.rs
+++ b/crates/core/tests/crash_fleet/mod.rs
@@ -255,11 +255,10 @@
                 continue;
             }
             let gateway = &mut self.gateways[run.gateway];
-            if gateway.crashes.suspects(run.fingerprint) {
-                let cleared = Cleared { fingerprint: run.fingerprint, age: Millis::ZERO };
-                let clock = gateway.clock(now);
-                let news = gateway.crashes.clear(cleared, clock);
-                gateway.note(news);
+            let clock = gateway.clock(now);
+            let news = gateway.crashes.ended_well(run.fingerprint, clock);
+            gateway.note(news);
+            if news != News::Known {
                 self.kept.remove(&run.fingerprint);
             }
         }
--- a/crates/core/tests/crashes.rs
+++ b/crates/core/tests/crashes.rs
@@ -176,3 +176,25 @@
         assert!(outcome.most_known <= Config::default().most_crashes, "seed {seed}");
     }
 }
+
+#[test]
+fn who_ended_well_before_the_crash_was_heard_of_did_not_do_it() {
+    let mut crashes = Crashes::new(Config::default());
+    crashes.ended_well(Fingerprint(7), NOW);
+    let heard_at = NOW + Millis(900);
+    for server in 1..4 {
+        let told = Crash { age: Millis(1_000), ..crash(server, &[(7, 90), (8, 90)]) };
+        crashes.take(&told, heard_at);
+    }
+    assert_eq!(crashes.refused(heard_at), [Fingerprint(8)]);
+    let cleared: Vec<Fingerprint> =
+        crashes.cleared(heard_at).iter().map(|one| one.fingerprint).collect();
+    assert_eq!(cleared, [Fingerprint(7)], "others are told");
+    // Before the crash, it says nothing.
+    let mut crashes = Crashes::new(Config::default());
+    crashes.ended_well(Fingerprint(7), NOW);
+    for server in 1..4 {
+        crashes.take(&crash(server, &[(7, 90)]), NOW + Millis(10));
+    }
+    assert_eq!(crashes.refused(NOW + Millis(10)), [Fingerprint(7)]);
+}
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -122,6 +122,7 @@
         gateway.journal.request(request.id_text(), step);
         return Err(Fate::MayHaveRun);
     }
+    gateway.note_lives(turn.server(), sent_at);
     note_load(gateway, turn.server(), &head);
     if is_refusal(gateway, &head) {
         let ending = refusal(gateway, &head);
--- a/crates/direct/src/gateway/crashes.rs
+++ b/crates/direct/src/gateway/crashes.rs
@@ -47,6 +47,8 @@
     /// When the last one did.
     at: Millis,
     finding: Finding,
+    /// When it crashed, once that was reported.
+    crashed_at: Option<Millis>,
     /// Whether it is being found out.
     is_asked: bool,
 }
@@ -58,6 +60,21 @@
         self.suspects.push((now, suspect));
         self.at = now;
     }
+
+    /// The server has answered what was sent at `sent_at`: it has not crashed before.
+    fn lived(&mut self, sent_at: Millis) {
+        if self.finding == Finding::Open {
+            self.suspects.retain(|(at, _)| *at > sent_at);
+        }
+    }
+
+    /// When it crashed, and what was there then; what was sent later was not.
+    fn crash(&mut self) -> (Millis, Vec<Suspect>) {
+        let first = self.suspects.iter().map(|(at, _)| *at).min();
+        let crashed_at = *self.crashed_at.get_or_insert(first.unwrap_or(self.at));
+        let there = self.suspects.drain(..).filter(|(at, suspect)| *at - suspect.ran <= crashed_at);
+        (crashed_at, there.map(|(_, suspect)| suspect).collect())
+    }
 }
 
 /// What this gateway has found out itself; what all know is in [`Crashes`].
@@ -99,6 +116,7 @@
                 suspects: Vec::new(),
                 at: now,
                 finding: Finding::Open,
+                crashed_at: None,
                 is_asked: false,
             });
             broken.add(suspect, now);
@@ -163,14 +181,12 @@
 
     /// Reports what was at a server that crashed.
     fn report(&self, server: Key<Server>) {
-        let suspects = {
+        let (crashed_at, suspects) = {
             let mut found = self.found.borrow_mut();
-            let broken = found.broken.get_mut(&server);
-            let suspects = broken.map(|broken| std::mem::take(&mut broken.suspects));
-            let suspects = suspects.unwrap_or_default().into_iter().map(|(_, suspect)| suspect);
-            let suspects: Vec<Suspect> = suspects.collect();
+            let Some(broken) = found.broken.get_mut(&server) else { return };
+            let (crashed_at, suspects) = broken.crash();
             found.own.extend(suspects.iter().map(|suspect| suspect.fingerprint));
-            suspects
+            (crashed_at, suspects)
         };
         let life = self.with_pool(|pool| {
             let listed = &pool.server(server).listed;
@@ -178,14 +194,22 @@
             self.journal.state(format_args!("server {} crashed under {count} requests", listed.id));
             ServerLife::of(&listed.id, listed.started_unix_ms)
         });
-        self.take_crashes(&[Crash { server: life, age: Millis::ZERO, suspects }], &[]);
+        let age = self.now().since(crashed_at);
+        self.take_crashes(&[Crash { server: life, age, suspects }], &[]);
+    }
+
+    /// A server has answered what was sent to it at `sent_at`.
+    pub fn note_lives(&self, server: Key<Server>, sent_at: Millis) {
+        if let Some(broken) = self.found.borrow_mut().broken.get_mut(&server) {
+            broken.lived(sent_at);
+        }
     }
 
     /// A request has had its whole answer.
     pub fn note_well(&self, fingerprint: Fingerprint) {
-        if self.crashes.borrow().suspects(fingerprint) {
-            self.take_crashes(&[], &[Cleared { fingerprint, age: Millis::ZERO }]);
-        }
+        let now = self.now();
+        let news = self.crashes.borrow_mut().ended_well(fingerprint, now);
+        self.act_on(news, now);
     }
 
     /// Takes what was found here, or what another gateway tells, and hands it on at once if it cannot wait.
@@ -197,12 +221,16 @@
             let of_cleared = cleared.iter().map(|one| known.clear(*one, now)).max();
             of_crashes.max(of_cleared)
         };
-        if news.is_none_or(|news| news == News::Known) {
+        self.act_on(news.unwrap_or(News::Known), now);
+    }
+
+    fn act_on(&self, news: News, now: Millis) {
+        if news == News::Known {
             return;
         }
         self.tell_refused(now);
         self.crashes_changed.notify_one();
-        if news == Some(News::Urgent) {
+        if news == News::Urgent {
             self.hand_on(Reach::All);
         }
     }
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -21,6 +21,7 @@
 use crate::ledger::Ledger;
 use crate::ledger::Promise;
 use crate::ledger::Verdict;
+use crate::schedule::Trouble;
 use crate::site::Site;
 use crate::site::route_of;
 
@@ -33,6 +34,12 @@
 /// Pause between two requests of one caller.
 const PAUSE_MS: std::ops::Range<u64> = 5..60;
 
+/// Pause between two times that a request which crashes servers comes.
+const CRASH_PAUSE_MS: std::ops::Range<u64> = 50..500;
+
+/// The cause by which a gateway refuses a request that crashes servers.
+const CRASHES_SERVERS: &str = "crashes-servers";
+
 /// Events of a stream.
 const EVENTS: std::ops::Range<u32> = 2..60;
 
@@ -195,6 +202,9 @@
 ) -> Verdict {
     let Ok(answer) = request.send().await else { return Verdict::Open };
     if caller::says_not_run(&answer) && !caller::is_signed(&answer) {
+        if answer.text().await.is_ok_and(|text| text.contains(CRASHES_SERVERS)) {
+            ledger.broken(Promise::Crashing, format!("{id} is taken for one that crashes servers"));
+        }
         return Verdict::NotRun;
     }
     if answer.status() != StatusCode::OK {
@@ -243,6 +253,35 @@
     if whole { Verdict::Answered } else { Verdict::Open }
 }
 
+/// A request that crashes servers comes again and again, at any gateway.
+pub async fn crash_servers(world: Rc<World>, trouble: Trouble) {
+    let body = format!("crashes servers, {}", world.next_id());
+    world.ledger.crashes_under(&body);
+    world.site.crash_on(&body);
+    let mut rng = ChaCha8Rng::seed_from_u64(trouble.target as u64);
+    let path = ["/flow/9", "/safe/9", "/once/9"][rng.random_range(0..3)];
+    let client = Client::new();
+    let end = Instant::now() + trouble.lasts;
+    while Instant::now() < end && world.open.get() {
+        let gateway = &world.fleet.gateways[rng.random_range(0..world.fleet.gateways.len())];
+        let id = world.next_id();
+        world.ledger.send(&id, !path.starts_with("/once"));
+        let asked = caller::request(&client, gateway.at.callers, path, &id, DEADLINE_MS);
+        let verdict = match asked.body(body.clone()).send().await {
+            Ok(answer) if caller::says_not_run(&answer) && !caller::is_signed(&answer) => {
+                Verdict::NotRun
+            }
+            Ok(answer) => {
+                drop(answer.bytes().await);
+                Verdict::Open
+            }
+            Err(_) => Verdict::Open,
+        };
+        world.ledger.end(&id, verdict);
+        time::sleep(Duration::from_millis(rng.random_range(CRASH_PAUSE_MS))).await;
+    }
+}
+
 /// Asks a gateway again and again which configuration is in force there.
 pub async fn probe(world: Rc<World>, gateway: Rc<Gateway>) {
     let client = Client::new();
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -31,6 +31,8 @@
     pub stop: Duration,
     /// Until all gateways serve after the last trouble.
     pub recovery: Duration,
+    /// From the third crash under a request until all gateways know.
+    pub contact: Duration,
 }
 
 impl Default for Bounds {
@@ -45,6 +47,7 @@
             named: Duration::from_secs(7),
             stop: Duration::from_secs(9),
             recovery: Duration::from_secs(20),
+            contact: Duration::from_secs(3),
         }
     }
 }
@@ -52,7 +55,8 @@
 impl Bounds {
     /// All of them `times` as long, for machines on which little is to be had.
     pub fn stretched(times: u32) -> Bounds {
-        let Bounds { drain, configuration, close, named, stop, recovery } = Bounds::default();
+        let Bounds { drain, configuration, close, named, stop, recovery, contact } =
+            Bounds::default();
         Bounds {
             drain: drain * times,
             configuration: configuration * times,
@@ -60,10 +64,15 @@
             named: named * times,
             stop: stop * times,
             recovery: recovery * times,
+            contact: contact * times,
         }
     }
 }
 
+/// What may go on while a request that crashes servers is judged: it does not touch gateways or what they hear.
+const MAY_GO_ON: [Kind; 4] =
+    [Kind::HangUp, Kind::ServerDrain, Kind::ServerCrash, Kind::CrashingRequest];
+
 /// Time after a trouble in which time-bounded promises are not judged: what it broke is found out by
 /// time-outs of up to three seconds.
 const SETTLE: Duration = Duration::from_secs(4);
@@ -93,6 +102,8 @@
     Stop,
     /// Repeats stay within the operators' bound.
     Repeats,
+    /// A request that crashes servers is sent to no more of them once that is known, and no other is taken for it.
+    Crashing,
     /// All serve again after the last trouble.
     Recovery,
 }
@@ -164,6 +175,20 @@
     leaving: Option<Instant>,
 }
 
+/// What became of a request that crashes servers.
+#[derive(Clone, Copy, Debug, Default)]
+struct Crashing {
+    crashed: u32,
+    /// When a server crashed under it for the third time.
+    told_at: Option<Instant>,
+    /// How often it reached servers when all gateways had had time to know.
+    late: u32,
+}
+
+/// Crashes that tell, and times that it may reach servers later; the users' rule.
+const TELLING: u32 = 3;
+const MOST_LATE: u32 = 3;
+
 /// Everything that was seen.
 pub struct Ledger {
     start: Instant,
@@ -177,6 +202,8 @@
     /// Of the promises that depend on time, how often each was due.
     judged: RefCell<BTreeMap<Promise, u32>>,
     noticed: RefCell<HashSet<String>>,
+    /// Bodies under which servers crash, with what reached servers.
+    crashing: RefCell<HashMap<String, Crashing>>,
     /// Requests that reached servers again after their first time.
     pub repeats: Cell<u32>,
 }
@@ -194,6 +221,7 @@
             broken: RefCell::default(),
             judged: RefCell::default(),
             noticed: RefCell::default(),
+            crashing: RefCell::default(),
             repeats: Cell::new(0),
         }
     }
@@ -233,9 +261,39 @@
 
     /// Whether nothing but planned work went on from a moment to now, and had for a while before.
     pub fn is_calm_since(&self, from: Instant) -> bool {
+        self.is_calm_but_for(&PLANNED, from)
+    }
+
+    fn is_calm_but_for(&self, kinds: &[Kind], from: Instant) -> bool {
         let troubles = self.troubles.borrow();
-        let mut unplanned = troubles.iter().filter(|(kind, ..)| !PLANNED.contains(kind));
-        unplanned.all(|(_, _, until)| *until + SETTLE < from)
+        let mut others = troubles.iter().filter(|(kind, ..)| !kinds.contains(kind));
+        others.all(|(_, _, until)| *until + SETTLE < from)
+    }
+
+    /// Servers crash under requests with this body.
+    pub fn crashes_under(&self, body: &str) {
+        self.crashing.borrow_mut().insert(body.to_owned(), Crashing::default());
+    }
+
+    fn judge_crashing(&self, server: &Server, arrived: &Arrived) {
+        let calm = self.is_calm_but_for(&MAY_GO_ON, arrived.at - self.bounds.contact);
+        let mut crashing = self.crashing.borrow_mut();
+        let Some(seen) = crashing.get_mut(&arrived.body) else { return };
+        seen.crashed += u32::from(arrived.ran);
+        if seen.crashed >= TELLING && seen.told_at.is_none() {
+            seen.told_at = Some(arrived.at);
+            drop(crashing);
+            self.judge(Promise::Crashing);
+            return;
+        }
+        let known = seen.told_at.is_some_and(|at| arrived.at > at + self.bounds.contact);
+        seen.late += u32::from(known && calm);
+        if known && calm && seen.late > MOST_LATE {
+            let what =
+                format!("{} was sent {}, {} ended in all", server.id, arrived.body, seen.crashed);
+            drop(crashing);
+            self.broken(Promise::Crashing, what);
+        }
     }
 
     /// A server has come.
@@ -309,6 +367,7 @@
                 format!("{id} reached {} after its caller left", server.id),
             );
         }
+        self.judge_crashing(server, arrived);
         if !arrived.ran {
             return;
         }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -19,6 +19,7 @@
 
 use crate::callers::Caller;
 use crate::callers::World;
+use crate::callers::crash_servers;
 use crate::callers::probe;
 use crate::fleet::Fleet;
 use crate::ledger::Bounds;
@@ -117,6 +118,7 @@
         }
         ledger.look();
         fleet.look();
+        site.look();
     }
     all_serve(&world).await;
     world.open.set(false);
@@ -139,6 +141,10 @@
         let now = Instant::now();
         world.ledger.trouble(trouble.kind, now, now + settles(&trouble));
         let (fleet, site) = (world.fleet.clone(), world.site.clone());
+        if trouble.kind == Kind::CrashingRequest {
+            task::spawn_local(crash_servers(world.clone(), trouble));
+            continue;
+        }
         task::spawn_local(async move {
             let Trouble { kind, target, lasts, .. } = trouble;
             fleet.trouble(kind, target, lasts).await;
@@ -152,6 +158,8 @@
     match trouble.kind {
         // Until the row has gone and another server has come.
         Kind::ServerCrash => trouble.lasts + Duration::from_secs(2),
+        // Until the servers that crashed last have been replaced.
+        Kind::CrashingRequest => trouble.lasts + Duration::from_secs(4),
         // The others get over it.
         Kind::Off => Duration::ZERO,
         // As long as a stop may take.
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -68,10 +68,12 @@
     ServerAnswersTwice,
     /// A server's answers lack their signature.
     ServerForges,
+    /// A request that crashes each server which runs it comes again and again.
+    CrashingRequest,
 }
 
 /// All kinds, with the names by which they are chosen.
-pub const KINDS: [(&str, Kind); 28] = [
+pub const KINDS: [(&str, Kind); 29] = [
     ("kill", Kind::Kill),
     ("off", Kind::Off),
     ("kill-all", Kind::KillAll),
@@ -100,6 +102,7 @@
     ("server-loses-answers", Kind::ServerLosesAnswers),
     ("server-answers-twice", Kind::ServerAnswersTwice),
     ("server-forges", Kind::ServerForges),
+    ("crashing-request", Kind::CrashingRequest),
 ];
 
 impl Display for Kind {
@@ -158,6 +161,10 @@
 const SPELL_MS: std::ops::Range<u64> = 5_000..14_000;
 const CALM_MS: u64 = 12_000;
 
+/// Time from one request that crashes servers to the next, and for which each comes again.
+const COMES_MS: std::ops::Range<u64> = 4_000..40_000;
+const COMES_AGAIN_MS: std::ops::Range<u64> = 6_000..20_000;
+
 /// Planned work: it is no excuse for anything.
 pub const PLANNED: [Kind; 3] = [Kind::Stop, Kind::HangUp, Kind::ServerDrain];
 
@@ -167,12 +174,17 @@
 /// The troubles of a seed, in order.
 pub fn draw(seed: u64, length: Duration, kinds: &[Kind]) -> Vec<Trouble> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let repeated: Vec<Kind> =
+        kinds.iter().copied().filter(|kind| *kind == Kind::CrashingRequest).collect();
+    // Without it, a seed's troubles are the same whether it is among the kinds or not.
+    let kinds: Vec<Kind> =
+        kinds.iter().copied().filter(|kind| *kind != Kind::CrashingRequest).collect();
     let end = length.saturating_sub(CALM_END);
     let planned: Vec<Kind> = kinds.iter().copied().filter(|kind| PLANNED.contains(kind)).collect();
     let (mut troubles, mut begin) = (Vec::new(), Duration::ZERO);
     while begin < end {
         let over = begin + Duration::from_millis(rng.random_range(SPELL_MS));
-        fill(&mut rng, kinds, begin..over.min(end), &mut troubles);
+        fill(&mut rng, &kinds, begin..over.min(end), &mut troubles);
         begin = over + Duration::from_millis(CALM_MS);
         fill(&mut rng, &planned, over..begin.min(end), &mut troubles);
     }
@@ -182,9 +194,27 @@
         .iter_mut()
         .filter(is_off)
         .for_each(|trouble| trouble.lasts = OFF.min(end - trouble.at));
+    if !repeated.is_empty() {
+        come_again(&mut ChaCha8Rng::seed_from_u64(!seed), end, &mut troubles);
+        troubles.sort_by_key(|trouble| trouble.at);
+    }
     troubles
 }
 
+/// Adds requests that crash servers, at any time.
+fn come_again(rng: &mut ChaCha8Rng, end: Duration, troubles: &mut Vec<Trouble>) {
+    let mut at = Duration::ZERO;
+    loop {
+        at += Duration::from_millis(rng.random_range(COMES_MS));
+        if at >= end {
+            return;
+        }
+        let lasts = Duration::from_millis(rng.random_range(COMES_AGAIN_MS)).min(end - at);
+        let target = rng.random_range(0..1_000);
+        troubles.push(Trouble { at, lasts, kind: Kind::CrashingRequest, target });
+    }
+}
+
 /// Troubles that begin and end in a span.
 fn fill(
     rng: &mut ChaCha8Rng,
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -25,6 +25,9 @@
 /// Time after which the row of a server that crashed is gone.
 const LAPSE: Duration = Duration::from_millis(1_500);
 
+/// Time from then until another server comes for one that crashed under a request.
+const RETURNS: Duration = Duration::from_millis(1_500);
+
 /// A server, and the way on which gateways reach it.
 #[derive(Clone)]
 struct Placed {
@@ -43,6 +46,8 @@
     begun: Cell<u32>,
     version: Cell<u64>,
     accepted_at: Cell<Instant>,
+    /// Bodies under which servers crash.
+    crashes_on: RefCell<Vec<String>>,
 }
 
 impl Site {
@@ -56,6 +61,7 @@
             begun: Cell::new(0),
             version: Cell::new(0),
             accepted_at: Cell::new(Instant::now()),
+            crashes_on: RefCell::default(),
         });
         site.configure();
         for _ in 0..servers {
@@ -83,12 +89,30 @@
         self.begun.set(number);
         let server = Server::start(&format!("s{number}")).await;
         server.usually(Act::Work);
+        self.crashes_on.borrow().iter().for_each(|body| server.crash_on(body));
         let way = Proxy::open(server.address).await;
         self.store.put("servers", &server.id, &server.entry_by(way.address, "ready"));
         self.ledger.serve(&server);
         self.open.borrow_mut().push(Placed { server, way });
     }
 
+    /// From now on servers crash under requests with this body, and others come for them.
+    pub fn crash_on(&self, body: &str) {
+        self.crashes_on.borrow_mut().push(body.to_owned());
+        self.open.borrow().iter().for_each(|placed| placed.server.crash_on(body));
+    }
+
+    /// Looks for servers that crashed under a request: others come for them after a while.
+    pub fn look(self: &Rc<Self>) {
+        let crashed = |placed: &&Placed| placed.server.has_crashed();
+        let crashed: Vec<Placed> = self.open.borrow().iter().filter(crashed).cloned().collect();
+        for Placed { server, .. } in crashed {
+            self.close(&server.id);
+            let site = self.clone();
+            task::spawn_local(async move { site.replace(&server, RETURNS).await });
+        }
+    }
+
     fn pick(&self, target: usize) -> Option<Placed> {
         let open = self.open.borrow();
         (!open.is_empty()).then(|| open[target % open.len()].clone())
@@ -163,6 +187,11 @@
     async fn crash(&self, server: &Server, lasts: Duration) {
         self.close(&server.id);
         server.crash();
+        self.replace(server, lasts).await;
+    }
+
+    /// The row of a server that crashed goes, and another server comes.
+    async fn replace(&self, server: &Server, lasts: Duration) {
         time::sleep(LAPSE).await;
         self.store.remove("servers", &server.id);
         time::sleep(lasts).await;
