Crashes: reports by who saw them; what was sent after the first answer had broken off anywhere is not suspected

Trace: three servers crashed within a second and went on taking connections until the list dropped them; a gateway that had nothing there as they crashed sent the same request to each after it, and took it for the cause, by its own first loss. Reports are kept by server and reporter, and a suspect counts only if it was there when the first answer broke off at any gateway.

--- a/crates/core/src/direct/crashes.rs
+++ b/crates/core/src/direct/crashes.rs
@@ -30,7 +30,8 @@
     /// How long a report counts. As long as a person takes to look at what was refused; a request that still
     /// crashes servers then does so three times more in each such span.
     pub lasts: Millis,
-    /// Most crashes that are remembered, and most requests that are remembered as cleared; the oldest go first.
+    /// Most reports of crashes that are remembered, and most requests that are remembered as cleared; the oldest go
+    /// first.
     pub most_crashes: usize,
     /// Most requests that are remembered of one crash; a server of the users takes 12 at once.
     pub most_suspects: usize,
@@ -44,7 +45,7 @@
         Config {
             crashes: 3,
             lasts: Millis(600_000),
-            most_crashes: 128,
+            most_crashes: 256,
             most_suspects: 32,
             most_well: 512,
         }
@@ -62,21 +63,30 @@
     }
 }
 
+/// Stands for who saw a crash, the same at all gateways.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Reporter(pub u64);
+
+/// A crash as one gateway saw it: what names a report.
+pub type Sighting = (ServerLife, Reporter);
+
 /// A request that was at a server as it crashed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Suspect {
     /// The request.
     pub fingerprint: Fingerprint,
-    /// How long it had been there.
+    /// How long it had been there then.
     pub ran: Millis,
 }
 
-/// A crash as gateways tell each other.
+/// A crash as one gateway saw it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Crash {
     /// The server.
     pub server: ServerLife,
-    /// Time since, as far as the one who tells has heard.
+    /// Who saw it.
+    pub reporter: Reporter,
+    /// Time since its first answer broke off there, as far as the one who tells has heard.
     pub age: Millis,
     /// What was there.
     pub suspects: Vec<Suspect>,
@@ -130,12 +140,24 @@
     suspects: BTreeMap<Fingerprint, Millis>,
 }
 
+/// A crash by all reports of it.
+#[derive(Clone, Debug)]
+struct Merged {
+    age: Millis,
+    /// With how long each had been there.
+    suspects: BTreeMap<Fingerprint, Millis>,
+}
+
+/// How much later than the first answer broke off at any gateway a request may have been sent that was there: ages that
+/// gateways tell each other are too high by as long as news took.
+const TOLD_LATE: Millis = Millis(250);
+
 /// At how many crashes each request was, and the longest time that it had been at one of the servers.
 #[derive(Default)]
 struct Counts(HashMap<Fingerprint, (usize, Millis)>);
 
 impl Counts {
-    fn add(&mut self, report: &Report) {
+    fn add(&mut self, report: &Merged) {
         for (fingerprint, ran) in &report.suspects {
             let (count, longest) = self.0.entry(*fingerprint).or_default();
             *count += 1;
@@ -144,7 +166,7 @@
     }
 
     /// Of those that were at a crash and at `enough` in all, the ones that never stayed for long.
-    fn told_by(&self, report: &Report, enough: usize) -> Vec<Fingerprint> {
+    fn told_by(&self, report: &Merged, enough: usize) -> Vec<Fingerprint> {
         let counted = report.suspects.keys().map(|one| (self.0[one], *one));
         let told: Vec<(Millis, Fingerprint)> = counted
             .filter(|((count, _), _)| *count >= enough)
@@ -162,7 +184,7 @@
 #[derive(Clone, Debug)]
 pub struct Crashes {
     config: Config,
-    reports: BTreeMap<ServerLife, Report>,
+    reports: BTreeMap<Sighting, Report>,
     cleared: BTreeMap<Fingerprint, Aged>,
     /// Requests that ended well here last, and when.
     well: VecDeque<(Fingerprint, Millis)>,
@@ -200,28 +222,53 @@
     }
 
     /// Whether one more crash would make a request refused, if nothing explains it.
-    pub fn is_close(&self, fingerprint: Fingerprint) -> bool {
-        let with_it =
-            self.reports.values().filter(|report| report.suspects.contains_key(&fingerprint));
+    pub fn is_close(&self, fingerprint: Fingerprint, now: Millis) -> bool {
+        let merged = self.merged(now);
+        let with_it = merged.values().filter(|crash| crash.suspects.contains_key(&fingerprint));
         with_it.count() + 1 >= self.config.crashes
     }
 
-    /// The crashes at which a request was, without what ran beside it.
+    /// The crashes at which a request was, without what ran beside it and without who saw them.
     pub fn crashes_of(&self, fingerprint: Fingerprint, now: Millis) -> Vec<Crash> {
-        let found = self.reports.iter().filter_map(|(server, report)| {
-            let ran = *report.suspects.get(&fingerprint)?;
+        let merged = self.merged(now);
+        let found = merged.iter().filter_map(|(server, crash)| {
+            let ran = *crash.suspects.get(&fingerprint)?;
             let suspects = vec![Suspect { fingerprint, ran }];
-            Some(Crash { server: *server, age: report.at.age(now), suspects })
+            Some(Crash { server: *server, reporter: Reporter(0), age: crash.age, suspects })
         });
-        found.filter(|crash| crash.age < self.config.lasts).collect()
+        found.collect()
+    }
+
+    /// The crashes by all reports of each. A server that crashed may take requests for a while before anybody knows; what
+    /// was sent after the first answer had broken off there, at whatever gateway, did not crash it.
+    fn merged(&self, now: Millis) -> BTreeMap<ServerLife, Merged> {
+        let counts = |report: &&Report| report.at.age(now) < self.config.lasts;
+        let mut merged: BTreeMap<ServerLife, Merged> = BTreeMap::new();
+        for ((server, _), report) in self.reports.iter().filter(|(_, report)| counts(report)) {
+            let age = report.at.age(now);
+            let crash =
+                merged.entry(*server).or_insert_with(|| Merged { age, suspects: BTreeMap::new() });
+            crash.age = crash.age.max(age);
+        }
+        for ((server, _), report) in self.reports.iter().filter(|(_, report)| counts(report)) {
+            let Some(crash) = merged.get_mut(server) else { continue };
+            let age = report.at.age(now);
+            let there =
+                report.suspects.iter().filter(|(_, ran)| age + **ran + TOLD_LATE >= crash.age);
+            for (fingerprint, ran) in there {
+                let known = crash.suspects.entry(*fingerprint).or_insert(*ran);
+                *known = (*known).max(*ran);
+            }
+        }
+        merged
     }
 
     /// Requests that were at more than one crash: what another process would have to find out again.
     pub fn worth_keeping(&self, now: Millis) -> BTreeSet<Fingerprint> {
-        let all = self.reports.values().filter(|report| report.at.age(now) < self.config.lasts);
+        let merged = self.merged(now);
         let mut once = BTreeSet::new();
         let mut more = BTreeSet::new();
-        for fingerprint in all.flat_map(|report| report.suspects.keys()) {
+        for fingerprint in merged.values().flat_map(|crash| crash.suspects.keys()) {
             if !once.insert(*fingerprint) {
                 more.insert(*fingerprint);
             }
@@ -270,7 +317,7 @@
         let at = Aged { age_then: crash.age, taken_at: now };
         let report = self
             .reports
-            .entry(crash.server)
+            .entry((crash.server, crash.reporter))
             .or_insert_with(|| Report { at, suspects: BTreeMap::new() });
         report.at.take(crash.age, now);
         let mut added = Vec::new();
@@ -283,7 +330,7 @@
             }
         }
         if report.suspects.is_empty() {
-            self.reports.remove(&crash.server);
+            self.reports.remove(&(crash.server, crash.reporter));
         }
         if added.is_empty() {
             return News::Known;
@@ -327,8 +374,8 @@
         self.refused.retain(|_, until| *until > now);
         while self.reports.len() > most_crashes {
             let oldest = self.reports.iter().max_by_key(|(_, report)| report.at.age(now));
-            let Some(server) = oldest.map(|(server, _)| *server) else { break };
-            self.reports.remove(&server);
+            let Some(sighting) = oldest.map(|(sighting, _)| *sighting) else { break };
+            self.reports.remove(&sighting);
         }
         while self.cleared.len() > most_crashes {
             let oldest = self.cleared.iter().max_by_key(|(_, at)| at.age(now));
@@ -341,10 +388,11 @@
     /// explains all at which it was, and they do not count for what ran beside it. Of several that were at the
     /// same ones, it is the one that never stayed for long: a request beside it was mostly there before.
     fn judge(&mut self, now: Millis) {
-        let mut in_turn: Vec<(&ServerLife, &Report)> = self.reports.iter().collect();
-        in_turn.sort_by_key(|(server, report)| (Reverse(report.at.age(now)), **server));
+        let merged = self.merged(now);
+        let mut in_turn: Vec<(&ServerLife, &Merged)> = merged.iter().collect();
+        in_turn.sort_by_key(|(server, crash)| (Reverse(crash.age), **server));
         let mut found: Vec<Fingerprint> = Vec::new();
-        let mut unexplained: Vec<&Report> = Vec::new();
+        let mut unexplained: Vec<&Merged> = Vec::new();
         let mut counts = Counts::default();
         for (_, report) in in_turn {
             if found.iter().any(|fingerprint| report.suspects.contains_key(fingerprint)) {
@@ -361,15 +409,14 @@
             unexplained.iter().for_each(|one| counts.add(one));
             found.extend(told);
         }
-        let until = |one: &Fingerprint| (*one, now + self.lasts_for(*one, now));
+        let until = |one: &Fingerprint| (*one, now + self.lasts_for(*one, &merged));
         self.refused = found.iter().map(until).collect();
     }
 
     /// How long a request was at enough crashes that still count.
-    fn lasts_for(&self, fingerprint: Fingerprint, now: Millis) -> Millis {
-        let with_it =
-            self.reports.values().filter(|report| report.suspects.contains_key(&fingerprint));
-        let mut ages: Vec<Millis> = with_it.map(|report| report.at.age(now)).collect();
+    fn lasts_for(&self, one: Fingerprint, merged: &BTreeMap<ServerLife, Merged>) -> Millis {
+        let with_it = merged.values().filter(|crash| crash.suspects.contains_key(&one));
+        let mut ages: Vec<Millis> = with_it.map(|crash| crash.age).collect();
         ages.sort();
         let deciding = ages.get(self.config.crashes - 1).copied();
         deciding.map_or(Millis::ZERO, |age| self.config.lasts - age)
@@ -377,47 +424,45 @@
 
     /// Stands for all that is known; two gateways with the same have nothing to tell each other.
     pub fn digest(&self, now: Millis) -> u64 {
-        self.known(now)
-            .iter()
-            .fold(0, |all, (server, digest)| all ^ server.0.rotate_left(1) ^ digest)
+        self.known(now).iter().fold(0, |all, (_, digest)| all ^ digest)
     }
 
-    /// The crashes that are known, each with a number that stands for what was there.
-    pub fn known(&self, now: Millis) -> Vec<(ServerLife, u64)> {
+    /// The reports that are known, each with a number that stands for what was there.
+    pub fn known(&self, now: Millis) -> Vec<(Sighting, u64)> {
         let counting =
             self.reports.iter().filter(|(_, report)| report.at.age(now) < self.config.lasts);
-        let digest = |(server, report): (&ServerLife, &Report)| {
-            let each = report.suspects.iter();
+        let digest = |(sighting, report): (&Sighting, &Report)| {
+            let (server, reporter) = sighting;
             let number = |(one, ran): (&Fingerprint, &Millis)| {
-                hash::score(server.0, &format!("{} {}", one.0, ran.0))
+                hash::score(server.0, &format!("{} {} {}", reporter.0, one.0, ran.0))
             };
-            (*server, each.fold(0, |all, one| all ^ number(one)))
+            (*sighting, report.suspects.iter().fold(0, |all, one| all ^ number(one)))
         };
         counting.map(digest).collect()
     }
 
-    /// What one that knows these crashes lacks, and the crashes of which it may know more.
-    pub fn compare(
-        &self,
-        known: &[(ServerLife, u64)],
-        now: Millis,
-    ) -> (Vec<Crash>, Vec<ServerLife>) {
-        let theirs: BTreeMap<ServerLife, u64> = known.iter().copied().collect();
-        let own: BTreeMap<ServerLife, u64> = self.known(now).into_iter().collect();
-        let lacking = own.iter().filter(|(server, digest)| theirs.get(server) != Some(digest));
-        let lacking: Vec<ServerLife> = lacking.map(|(server, _)| *server).collect();
-        let wanted = theirs.iter().filter(|(server, digest)| own.get(server) != Some(digest));
-        (self.named(&lacking, now), wanted.map(|(server, _)| *server).collect())
+    /// What one that knows these reports lacks, and the reports of which it may know more.
+    pub fn compare(&self, known: &[(Sighting, u64)], now: Millis) -> (Vec<Crash>, Vec<Sighting>) {
+        let theirs: BTreeMap<Sighting, u64> = known.iter().copied().collect();
+        let own: BTreeMap<Sighting, u64> = self.known(now).into_iter().collect();
+        let lacking = own.iter().filter(|(sighting, digest)| theirs.get(sighting) != Some(digest));
+        let lacking: Vec<Sighting> = lacking.map(|(sighting, _)| *sighting).collect();
+        let wanted = theirs.iter().filter(|(sighting, digest)| own.get(sighting) != Some(digest));
+        (self.named(&lacking, now), wanted.map(|(sighting, _)| *sighting).collect())
     }
 
-    /// Crashes of these servers.
-    pub fn named(&self, servers: &[ServerLife], now: Millis) -> Vec<Crash> {
-        let found = servers.iter().filter_map(|server| {
-            let report = self.reports.get(server)?;
-            let suspects = report.suspects.iter();
-            let suspects =
-                suspects.map(|(fingerprint, ran)| Suspect { fingerprint: *fingerprint, ran: *ran });
-            Some(Crash { server: *server, age: report.at.age(now), suspects: suspects.collect() })
+    /// These reports.
+    pub fn named(&self, sightings: &[Sighting], now: Millis) -> Vec<Crash> {
+        let found = sightings.iter().filter_map(|sighting| {
+            let report = self.reports.get(sighting)?;
+            let suspect =
+                |(one, ran): (&Fingerprint, &Millis)| Suspect { fingerprint: *one, ran: *ran };
+            Some(Crash {
+                server: sighting.0,
+                reporter: sighting.1,
+                age: report.at.age(now),
+                suspects: report.suspects.iter().map(suspect).collect(),
+            })
         });
         found.collect()
     }
--- a/crates/direct/src/gateway/crashes.rs
+++ b/crates/direct/src/gateway/crashes.rs
@@ -14,6 +14,7 @@
 use hooktrestle_core::direct::crashes::Crash;
 use hooktrestle_core::direct::crashes::Crashes;
 use hooktrestle_core::direct::crashes::News;
+use hooktrestle_core::direct::crashes::Reporter;
 use hooktrestle_core::direct::crashes::ServerLife;
 use hooktrestle_core::direct::crashes::Suspect;
 use hooktrestle_core::direct::fingerprint::Fingerprint;
@@ -72,8 +73,11 @@
     fn crash(&mut self) -> (Millis, Vec<Suspect>) {
         let first = self.suspects.iter().map(|(at, _)| *at).min();
         let crashed_at = *self.crashed_at.get_or_insert(first.unwrap_or(self.at));
-        let there = self.suspects.drain(..).filter(|(at, suspect)| *at - suspect.ran <= crashed_at);
-        (crashed_at, there.map(|(_, suspect)| suspect).collect())
+        let there = self.suspects.drain(..).filter_map(|(at, suspect)| {
+            let began = at - suspect.ran;
+            (began <= crashed_at).then(|| Suspect { ran: crashed_at - began, ..suspect })
+        });
+        (crashed_at, there.collect())
     }
 }
 
@@ -124,7 +128,7 @@
         };
         if finding == Finding::Crashed {
             self.report(server);
-        } else if self.with_crashes(|crashes| crashes.is_close(fingerprint)) {
+        } else if self.with_crashes(|crashes| crashes.is_close(fingerprint, now)) {
             self.find_out(server).await;
         } else if !is_asked {
             self.set_asked(server, true);
@@ -195,7 +199,8 @@
             ServerLife::of(&listed.id, listed.started_unix_ms)
         });
         let age = self.now().since(crashed_at);
-        self.take_crashes(&[Crash { server: life, age, suspects }], &[]);
+        let reporter = Reporter(self.with_members(|members| members.own().life().0));
+        self.take_crashes(&[Crash { server: life, reporter, age, suspects }], &[]);
     }
 
     /// A server has answered what was sent to it at `sent_at`.
--- a/crates/direct/src/peers/news.rs
+++ b/crates/direct/src/peers/news.rs
@@ -6,7 +6,9 @@
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::crashes::Cleared;
 use hooktrestle_core::direct::crashes::Crash;
+use hooktrestle_core::direct::crashes::Reporter;
 use hooktrestle_core::direct::crashes::ServerLife;
+use hooktrestle_core::direct::crashes::Sighting;
 use hooktrestle_core::direct::crashes::Suspect;
 use hooktrestle_core::direct::fingerprint::Fingerprint;
 use hooktrestle_core::direct::members::Beat;
@@ -53,7 +55,7 @@
     let told = beats_of(asked, waited);
     let unknown = take_told(gateway, asked, &told, waited);
     let news = own_news(gateway, &asked.known);
-    let wanted: Vec<ServerLife> = asked.crashes_wanted.iter().copied().map(ServerLife).collect();
+    let wanted: Vec<Sighting> = asked.crashes_wanted.iter().map(sighting).collect();
     let crashes = gateway.with_crashes(|crashes| crashes.named(&wanted, now));
     let news = PeerNews { crashes: crashes.iter().map(crash_news).collect(), ..news };
     if told.is_empty() {
@@ -88,7 +90,10 @@
     let (known, cleared) =
         gateway.with_crashes(|crashes| (crashes.known(now), crashes.cleared(now)));
     PeerNews {
-        crashes_known: known.iter().map(|(server, digest)| [server.0, *digest]).collect(),
+        crashes_known: known
+            .iter()
+            .map(|((server, by), digest)| [server.0, by.0, *digest])
+            .collect(),
         cleared: cleared.iter().map(cleared_news).collect(),
         ..news
     }
@@ -105,20 +110,30 @@
         return news;
     }
     let known = answer.crashes_known.iter();
-    let known: Vec<_> = known.map(|&[server, digest]| (ServerLife(server), digest)).collect();
+    let known: Vec<_> =
+        known.map(|&[server, by, digest]| (sighting(&[server, by]), digest)).collect();
     let ((lacking, wanted), cleared) =
         gateway.with_crashes(|crashes| (crashes.compare(&known, now), crashes.cleared(now)));
     PeerNews {
         crashes: lacking.iter().map(crash_news).collect(),
-        crashes_wanted: wanted.iter().map(|server| server.0).collect(),
+        crashes_wanted: wanted.iter().map(|(server, by)| [server.0, by.0]).collect(),
         cleared: cleared.iter().map(cleared_news).collect(),
         ..news
     }
 }
 
+fn sighting(&[server, by]: &[u64; 2]) -> Sighting {
+    (ServerLife(server), Reporter(by))
+}
+
 fn crash_news(crash: &Crash) -> CrashNews {
     let suspects = crash.suspects.iter().map(|one| [one.fingerprint.0, one.ran.0]);
-    CrashNews { server_number: crash.server.0, age_ms: crash.age.0, suspects: suspects.collect() }
+    CrashNews {
+        server_number: crash.server.0,
+        reporter_number: crash.reporter.0,
+        age_ms: crash.age.0,
+        suspects: suspects.collect(),
+    }
 }
 
 fn crash(news: &CrashNews, waited: Millis) -> Crash {
@@ -128,6 +143,7 @@
     });
     Crash {
         server: ServerLife(news.server_number),
+        reporter: Reporter(news.reporter_number),
         age: Millis(news.age_ms) + waited,
         suspects: suspects.collect(),
     }
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -307,11 +307,13 @@
     ///The reading that the counts go on from; 0 if they are since the rank's start.
     pub since_number: u64,
 }
-///A backend server that crashed, and what was there.
+///A backend server that crashed, as one gateway saw it, and what was there.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct CrashNews {
     ///Time since, as far as the one who tells has heard.
     pub age_ms: u64,
+    ///Stands for one life of the gateway that saw it.
+    pub reporter_number: u64,
     ///Stands for one life of the server.
     pub server_number: u64,
     ///Requests that were there: fingerprint, and how long they had been there in ms.
@@ -1102,12 +1104,12 @@
     pub crash_digest_number: u64,
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub crashes: ::std::vec::Vec<CrashNews>,
-    ///Crashes that are known, where the other's digest is another one: the server's number, and a number for what was there.
+    ///Reports of crashes that are known, where the other's digest is another one: the server's number, the reporter's, and a number for what was there.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
-    pub crashes_known: ::std::vec::Vec<[u64; 2usize]>,
-    ///Servers of whose crashes the other may know more.
+    pub crashes_known: ::std::vec::Vec<[u64; 3usize]>,
+    ///Reports of which the other may know more: the server's number and the reporter's.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
-    pub crashes_wanted: ::std::vec::Vec<u64>,
+    pub crashes_wanted: ::std::vec::Vec<[u64; 2usize]>,
     pub known: ::std::vec::Vec<TableKnown>,
     ///Gateways that the other was found not to know.
     pub members: ::std::vec::Vec<MemberNews>,
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -337,7 +337,7 @@
 
 /// Where a gateway with a number listens: at an address of the loopback network that belongs to this
 /// process alone. Ports that were free a moment ago may be taken by a connection while a gateway is off.
-fn addresses(number: usize) -> Addresses {
+pub fn addresses(number: usize) -> Addresses {
     let [_, high, middle, low] = std::process::id().to_be_bytes();
     let ip = Ipv4Addr::new(127, OWN_NETWORK | (high & OWN_MASK), middle, low);
     let first = FIRST_PORT + 4 * number as u16;
