Crashes: a suspect whose answer had begun was there whatever broke off before; the store is asked less while it is away

Cause, found in reading: an answer that was spoilt seconds before a crash, at any gateway, would date the crash too early where the list alone shows it, and hide the request that did it. A server that had begun its answer had not crashed before. Calls that fail in keeping crashes are repeated after 0.5 to 8 s, and logged once.

--- a/crates/core/src/direct/crashes.rs
+++ b/crates/core/src/direct/crashes.rs
@@ -77,6 +77,15 @@
     pub fingerprint: Fingerprint,
     /// How long it had been there then.
     pub ran: Millis,
+    /// Whether its answer had begun: then the server had not crashed before.
+    pub begun: bool,
+}
+
+impl Suspect {
+    fn merge(self, other: Suspect) -> Suspect {
+        let (ran, begun) = (self.ran.max(other.ran), self.begun || other.begun);
+        Suspect { ran, begun, ..self }
+    }
 }
 
 /// A crash as one gateway saw it.
@@ -136,8 +145,7 @@
 #[derive(Clone, Debug)]
 struct Report {
     at: Aged,
-    /// With how long each had been there.
-    suspects: BTreeMap<Fingerprint, Millis>,
+    suspects: BTreeMap<Fingerprint, Suspect>,
 }
 
 /// A crash by all reports of it.
@@ -233,14 +241,15 @@
         let merged = self.merged(now);
         let found = merged.iter().filter_map(|(server, crash)| {
             let ran = *crash.suspects.get(&fingerprint)?;
-            let suspects = vec![Suspect { fingerprint, ran }];
+            let suspects = vec![Suspect { fingerprint, ran, begun: true }];
             Some(Crash { server: *server, reporter: Reporter(0), age: crash.age, suspects })
         });
         found.collect()
     }
 
     /// The crashes by all reports of each. A server that crashed may take requests for a while before anybody knows; what
-    /// was sent after the first answer had broken off there, at whatever gateway, did not crash it.
+    /// was sent after the first answer had broken off there, at whatever gateway, and was not answered, did not
+    /// crash it.
     fn merged(&self, now: Millis) -> BTreeMap<ServerLife, Merged> {
         let counts = |report: &&Report| report.at.age(now) < self.config.lasts;
         let mut merged: BTreeMap<ServerLife, Merged> = BTreeMap::new();
@@ -253,11 +262,10 @@
         for ((server, _), report) in self.reports.iter().filter(|(_, report)| counts(report)) {
             let Some(crash) = merged.get_mut(server) else { continue };
             let age = report.at.age(now);
-            let there =
-                report.suspects.iter().filter(|(_, ran)| age + **ran + TOLD_LATE >= crash.age);
-            for (fingerprint, ran) in there {
-                let known = crash.suspects.entry(*fingerprint).or_insert(*ran);
-                *known = (*known).max(*ran);
+            let was_there = |one: &&Suspect| one.begun || age + one.ran + TOLD_LATE >= crash.age;
+            for suspect in report.suspects.values().filter(was_there) {
+                let ran = crash.suspects.entry(suspect.fingerprint).or_default();
+                *ran = (*ran).max(suspect.ran);
             }
         }
         merged
@@ -321,11 +329,13 @@
             .or_insert_with(|| Report { at, suspects: BTreeMap::new() });
         report.at.take(crash.age, now);
         let mut added = Vec::new();
-        for Suspect { fingerprint, ran } in suspects {
+        for suspect in suspects {
+            let fingerprint = suspect.fingerprint;
             let has_room = report.suspects.len() < self.config.most_suspects;
             let known = report.suspects.get(&fingerprint).copied();
-            if known.map_or(has_room, |known| known < ran) {
-                report.suspects.insert(fingerprint, ran);
+            let merged = known.map_or(suspect, |known| known.merge(suspect));
+            if known.map_or(has_room, |known| known != merged) {
+                report.suspects.insert(fingerprint, merged);
                 added.push(fingerprint);
             }
         }
@@ -433,10 +443,12 @@
             self.reports.iter().filter(|(_, report)| report.at.age(now) < self.config.lasts);
         let digest = |(sighting, report): (&Sighting, &Report)| {
             let (server, reporter) = sighting;
-            let number = |(one, ran): (&Fingerprint, &Millis)| {
-                hash::score(server.0, &format!("{} {} {}", reporter.0, one.0, ran.0))
+            let number = |one: &Suspect| {
+                let Suspect { fingerprint, ran, begun } = one;
+                let text = format!("{} {} {} {begun}", reporter.0, fingerprint.0, ran.0);
+                hash::score(server.0, &text)
             };
-            (*sighting, report.suspects.iter().fold(0, |all, one| all ^ number(one)))
+            (*sighting, report.suspects.values().fold(0, |all, one| all ^ number(one)))
         };
         counting.map(digest).collect()
     }
@@ -455,13 +467,11 @@
     pub fn named(&self, sightings: &[Sighting], now: Millis) -> Vec<Crash> {
         let found = sightings.iter().filter_map(|sighting| {
             let report = self.reports.get(sighting)?;
-            let suspect =
-                |(one, ran): (&Fingerprint, &Millis)| Suspect { fingerprint: *one, ran: *ran };
             Some(Crash {
                 server: sighting.0,
                 reporter: sighting.1,
                 age: report.at.age(now),
-                suspects: report.suspects.iter().map(suspect).collect(),
+                suspects: report.suspects.values().copied().collect(),
             })
         });
         found.collect()
--- a/crates/core/tests/crash_fleet/mod.rs
+++ b/crates/core/tests/crash_fleet/mod.rs
@@ -280,7 +280,8 @@
         self.runs = elsewhere;
         self.servers[server] = (life + 1_000, now + AWAY);
         for run in there.into_iter().chain(by) {
-            let suspect = Suspect { fingerprint: run.fingerprint, ran: now.since(run.began) };
+            let suspect =
+                Suspect { fingerprint: run.fingerprint, ran: now.since(run.began), begun: true };
             let crash = Crash {
                 server: ServerLife(life),
                 reporter: Reporter(run.gateway as u64),
--- a/crates/core/tests/crashes.rs
+++ b/crates/core/tests/crashes.rs
@@ -30,6 +30,7 @@
     let suspects = suspects.iter().map(|(fingerprint, ran_ms)| Suspect {
         fingerprint: Fingerprint(*fingerprint),
         ran: Millis(*ran_ms),
+        begun: false,
     });
     Crash {
         server: ServerLife(server),
@@ -222,6 +223,16 @@
         crashes.take(&seen, NOW);
     }
     assert_eq!(crashes.refused(NOW), [Fingerprint(7)]);
+    // Where its answer had begun, the server had lived until then: what broke off before was another matter.
+    let mut crashes = Crashes::new(Config::default());
+    for server in 1..4 {
+        let spoilt = Crash { age: Millis(4_000), ..crash(server, &[(100 + server, 90)]) };
+        crashes.take(&spoilt, NOW);
+        let mut seen = Crash { reporter: Reporter(2), ..crash(server, &[(7, 80)]) };
+        seen.suspects[0].begun = true;
+        crashes.take(&seen, NOW);
+    }
+    assert_eq!(crashes.refused(NOW), [Fingerprint(7)]);
     // Told by nobody else, it counts.
     let mut crashes = Crashes::new(Config::default());
     for server in 1..4 {
--- a/crates/direct/src/crash_keeper.rs
+++ b/crates/direct/src/crash_keeper.rs
@@ -12,11 +12,14 @@
 use tokio::time;
 
 use crate::gateway::Gateway;
+use crate::platform::Failure;
 use crate::platform::KeptCrashes;
 use crate::platform::Platform;
 
-/// Pause after a call that failed: the store may be away for long, and refused calls are priced.
+/// Pause after a call that failed, doubled with each further one up to the longest: the store may be away for long,
+/// and refused calls are priced. What is kept is for a restart of all gateways, which mostly comes later.
 const PAUSE: Duration = Duration::from_millis(500);
+const LONGEST_PAUSE: Duration = Duration::from_secs(8);
 
 /// Time between two looks at what is too old.
 const LOOK_EVERY: Duration = Duration::from_secs(30);
@@ -31,13 +34,43 @@
     loop {
         // What happens meanwhile leaves a permit.
         drop(time::timeout(LOOK_EVERY, gateway.crashes_changed.notified()).await);
-        while !write(&gateway, &mut kept).await {
-            time::sleep(PAUSE).await;
+        let mut pauses = Pauses::default();
+        loop {
+            match write(&gateway, &mut kept).await {
+                Ok(Left::Nothing) => break,
+                Ok(Left::More) => {}
+                Err(failure) => pauses.next(&gateway, "kept", failure).await,
+            }
+        }
+    }
+}
+
+/// Pauses between calls that fail one after the other.
+#[derive(Default)]
+struct Pauses {
+    last: Option<Duration>,
+}
+
+impl Pauses {
+    /// Logs the first failure, and waits.
+    async fn next<P: Platform>(&mut self, gateway: &Gateway<P>, aim: &str, failure: Failure) {
+        if self.last.is_none() {
+            gateway.journal.state(format_args!("crashes are not {aim}: {failure}"));
         }
+        let pause = self.last.map_or(PAUSE, |last| LONGEST_PAUSE.min(2 * last));
+        self.last = Some(pause);
+        time::sleep(pause).await;
     }
 }
 
+/// What is left to write.
+enum Left {
+    Nothing,
+    More,
+}
+
 async fn read<P: Platform>(gateway: &Gateway<P>) -> BTreeMap<Fingerprint, usize> {
+    let mut pauses = Pauses::default();
     loop {
         match gateway.platform.read_crashes().await {
             Ok(rows) => {
@@ -47,17 +80,20 @@
                 gateway.note_crashes_read();
                 return rows.iter().map(|row| (row.fingerprint, row.crashes.len())).collect();
             }
-            Err(_) => {
+            Err(failure) => {
                 // Others will tell, if they know.
                 gateway.note_crashes_read();
-                time::sleep(PAUSE).await;
+                pauses.next(gateway, "read", failure).await;
             }
         }
     }
 }
 
-/// Writes what has changed; whether nothing is left to write.
-async fn write<P: Platform>(gateway: &Gateway<P>, kept: &mut BTreeMap<Fingerprint, usize>) -> bool {
+/// Writes what has changed, as much as goes at once.
+async fn write<P: Platform>(
+    gateway: &Gateway<P>,
+    kept: &mut BTreeMap<Fingerprint, usize>,
+) -> Result<Left, Failure> {
     let mut put: Vec<KeptCrashes> = gateway.crashes_to_keep();
     put.retain(|row| kept.get(&row.fingerprint) != Some(&row.crashes.len()));
     put.truncate(MOST_ROWS);
@@ -65,13 +101,10 @@
     let gone = kept.keys().filter(|fingerprint| !worth.contains(fingerprint));
     let gone: Vec<Fingerprint> = gone.take(MOST_ROWS).copied().collect();
     if put.is_empty() && gone.is_empty() {
-        return true;
-    }
-    if let Err(failure) = gateway.platform.write_crashes(&put, &gone).await {
-        gateway.journal.state(format_args!("crashes are not kept: {failure}"));
-        return false;
+        return Ok(Left::Nothing);
     }
+    gateway.platform.write_crashes(&put, &gone).await?;
     kept.extend(put.iter().map(|row| (row.fingerprint, row.crashes.len())));
     kept.retain(|fingerprint, _| !gone.contains(fingerprint));
-    false
+    Ok(Left::More)
 }
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -24,6 +24,7 @@
 
 use crate::connections::Connection;
 use crate::gateway::Gateway;
+use crate::gateway::crashes::Progress;
 use crate::headers;
 use crate::platform::HeaderNames;
 use crate::platform::Platform;
@@ -237,7 +238,7 @@
             answered = connection.sender().try_send_request(message) => answered,
             () = overtaken(gateway, request, server, sent_at) => {
                 gateway.metrics.overtaken.inc();
-                gateway.note_broken(server, request.fingerprint, sent_at).await;
+                gateway.note_broken(server, request.fingerprint, Progress::Sent(sent_at)).await;
                 return Err(NoAnswer { fate: Fate::MayHaveRun, ending: Ending::Overtaken });
             }
         };
@@ -249,7 +250,7 @@
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
                 if !unsent {
-                    gateway.note_broken(server, request.fingerprint, sent_at).await;
+                    gateway.note_broken(server, request.fingerprint, Progress::Sent(sent_at)).await;
                 }
                 if unsent && !fresh {
                     // The server had closed the kept connection: nothing was written.
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -19,6 +19,7 @@
 use crate::exchange::Answer;
 use crate::exchange::Turn;
 use crate::gateway::Gateway;
+use crate::gateway::crashes::Progress;
 use crate::platform::Platform;
 use crate::request::Request;
 
@@ -174,7 +175,8 @@
         }
         Err(_) => {
             turn.end(Ending::Lost);
-            gateway.note_broken(turn.server(), request.fingerprint, began).await;
+            let progress = Progress::Begun(began);
+            gateway.note_broken(turn.server(), request.fingerprint, progress).await;
             None
         }
     }
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -3,7 +3,7 @@
 //! One thread runs them all, so cells suffice: nothing is borrowed across an await.
 
 mod by_service;
-mod crashes;
+pub(crate) mod crashes;
 pub(crate) mod findings;
 mod tables;
 
--- a/crates/direct/src/gateway/crashes.rs
+++ b/crates/direct/src/gateway/crashes.rs
@@ -31,6 +31,24 @@
 /// news take among gateways.
 const LISTED_ON: Millis = Millis(6_000);
 
+/// How far a request came at a server, and when.
+#[derive(Clone, Copy, Debug)]
+pub enum Progress {
+    /// It was sent, and no answer began.
+    Sent(Millis),
+    /// An answer began.
+    Begun(Millis),
+}
+
+impl Progress {
+    fn suspect(self, fingerprint: Fingerprint, now: Millis) -> Suspect {
+        match self {
+            Progress::Sent(at) => Suspect { fingerprint, ran: now.since(at), begun: false },
+            Progress::Begun(at) => Suspect { fingerprint, ran: now.since(at), begun: true },
+        }
+    }
+}
+
 /// Whether a server has crashed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Finding {
@@ -69,13 +87,14 @@
         }
     }
 
-    /// When it crashed, and what was there then; what was sent later was not.
+    /// When it crashed, and what was there then; what was sent later and not answered was not.
     fn crash(&mut self) -> (Millis, Vec<Suspect>) {
         let first = self.suspects.iter().map(|(at, _)| *at).min();
         let crashed_at = *self.crashed_at.get_or_insert(first.unwrap_or(self.at));
         let there = self.suspects.drain(..).filter_map(|(at, suspect)| {
-            let began = at - suspect.ran;
-            (began <= crashed_at).then(|| Suspect { ran: crashed_at - began, ..suspect })
+            let sent_at = at - suspect.ran;
+            let was_there = suspect.begun || sent_at <= crashed_at;
+            was_there.then(|| Suspect { ran: crashed_at - sent_at, ..suspect })
         });
         (crashed_at, there.collect())
     }
@@ -103,16 +122,16 @@
         left
     }
 
-    /// A request has had no whole answer of a server, to which it was sent at `began`. Whether the server has
-    /// crashed is known at the return where that decides whether the request may be sent again, else soon.
+    /// A request has had no whole answer of a server. Whether the server has crashed is known at the return where that
+    /// decides whether the request may be sent again, else soon.
     pub async fn note_broken(
         self: &Rc<Self>,
         server: Key<Server>,
         fingerprint: Fingerprint,
-        began: Millis,
+        progress: Progress,
     ) {
         let now = self.now();
-        let suspect = Suspect { fingerprint, ran: now.since(began) };
+        let suspect = progress.suspect(fingerprint, now);
         let (finding, is_asked) = {
             let mut found = self.found.borrow_mut();
             found.broken.retain(|_, broken| now.since(broken.at) < LISTED_ON);
@@ -192,6 +211,9 @@
             found.own.extend(suspects.iter().map(|suspect| suspect.fingerprint));
             (crashed_at, suspects)
         };
+        if suspects.is_empty() {
+            return;
+        }
         let life = self.with_pool(|pool| {
             let listed = &pool.server(server).listed;
             let count = suspects.len();
--- a/crates/direct/src/peers/news.rs
+++ b/crates/direct/src/peers/news.rs
@@ -127,7 +127,8 @@
 }
 
 fn crash_news(crash: &Crash) -> CrashNews {
-    let suspects = crash.suspects.iter().map(|one| [one.fingerprint.0, one.ran.0]);
+    let suspects = crash.suspects.iter();
+    let suspects = suspects.map(|one| [one.fingerprint.0, one.ran.0, u64::from(one.begun)]);
     CrashNews {
         server_number: crash.server.0,
         reporter_number: crash.reporter.0,
@@ -137,9 +138,10 @@
 }
 
 fn crash(news: &CrashNews, waited: Millis) -> Crash {
-    let suspects = news.suspects.iter().map(|&[fingerprint, ran_ms]| Suspect {
+    let suspects = news.suspects.iter().map(|&[fingerprint, ran_ms, begun]| Suspect {
         fingerprint: Fingerprint(fingerprint),
         ran: Millis(ran_ms),
+        begun: begun > 0,
     });
     Crash {
         server: ServerLife(news.server_number),
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -33,6 +33,7 @@
 use crate::exchange::Answer;
 use crate::forward;
 use crate::gateway::Gateway;
+use crate::gateway::crashes::Progress;
 use crate::platform::Platform;
 use crate::request::Request;
 
@@ -141,8 +142,8 @@
 /// The source has broken off, or says nothing.
 async fn note_broken<P: Platform>(relay: &Relay<P>) {
     let Some(source) = &relay.source else { return };
-    let (server, began) = (source.turn.server(), source.began);
-    relay.gateway.note_broken(server, relay.request.fingerprint, began).await;
+    let (server, progress) = (source.turn.server(), Progress::Begun(source.began));
+    relay.gateway.note_broken(server, relay.request.fingerprint, progress).await;
 }
 
 /// The next piece of the source; `None` if the stream is over.
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -316,8 +316,8 @@
     pub reporter_number: u64,
     ///Stands for one life of the server.
     pub server_number: u64,
-    ///Requests that were there: fingerprint, and how long they had been there in ms.
-    pub suspects: ::std::vec::Vec<[u64; 2usize]>,
+    ///Requests that were there: fingerprint, how long they had been there in ms, and 1 if their answer had begun.
+    pub suspects: ::std::vec::Vec<[u64; 3usize]>,
 }
 ///Crashes at which one request was, as the platform keeps them.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
