--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -103,6 +103,9 @@
                 step.server_number
             )
         }
+        RequestStep::Rest(step) => {
+            format!("server {} asked for a rest of `{}` s", step.server_number, step.asked)
+        }
         RequestStep::Leave(step) => {
             let why = match step.reason {
                 LeaveReason::BrokenOff => "broke off or was silent",
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -14,8 +14,10 @@
 use hooktrestle_core::util::arena::Key;
 use hooktrestle_schema::ConnectionStep;
 use hooktrestle_schema::OtherAnswerStep;
+use hooktrestle_schema::RestStep;
 use http::HeaderValue;
 use http::Response;
+use http::header;
 use http::response::Parts;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -126,6 +128,7 @@
     gateway.note_lives(turn.server(), sent_at);
     note_load(gateway, turn.server(), &head);
     if is_refusal(gateway, &head) {
+        note_rest(gateway, request, turn.server(), &head);
         let ending = refusal(gateway, &head);
         turn.end(ending);
         if ending == Ending::Stalled {
@@ -314,6 +317,18 @@
     }
 }
 
+/// Logs that a server asks to be sent nothing for a while.
+fn note_rest<P: Platform>(
+    gateway: &Gateway<P>,
+    request: &Request,
+    server: Key<Server>,
+    head: &Parts,
+) {
+    let Some(asked) = headers::text(&head.headers, &header::RETRY_AFTER) else { return };
+    let step = RestStep { server_number: server.number(), asked: asked.to_owned() };
+    gateway.journal.request(request.id_text(), step);
+}
+
 /// How a refusal ends the server's part.
 fn refusal<P: Platform>(gateway: &Gateway<P>, head: &Parts) -> Ending {
     if gateway.platform.is_other_server(head.status.as_u16()) {
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -1265,6 +1265,8 @@
     Connection(ConnectionStep),
     #[serde(rename = "other-answer")]
     OtherAnswer(OtherAnswerStep),
+    #[serde(rename = "rest")]
+    Rest(RestStep),
     #[serde(rename = "leave")]
     Leave(LeaveStep),
     #[serde(rename = "refused")]
@@ -1285,6 +1287,11 @@
         Self::OtherAnswer(value)
     }
 }
+impl ::std::convert::From<RestStep> for RequestStep {
+    fn from(value: RestStep) -> Self {
+        Self::Rest(value)
+    }
+}
 impl ::std::convert::From<LeaveStep> for RequestStep {
     fn from(value: LeaveStep) -> Self {
         Self::Leave(value)
@@ -1295,6 +1302,13 @@
         Self::Refused(value)
     }
 }
+///A server refused the request and asked to be sent nothing for a while.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct RestStep {
+    ///The time as the server told it.
+    pub asked: ::std::string::String,
+    pub server_number: u32,
+}
 ///A condition of a transaction: the row must have just this version.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct RowCheck {
