What a server asks of a gateway binds: nothing is sent to it while it rests or after it said that it leaves

Cause: Retry-After of a server's refusal was not read; its refusal rested it for 60 or 300 ms, as a preference only, so it was chosen as soon as no other was left, and a report that its group makes passes ended even that. Server-Leaving is new. Change: what a server asks is kept apart from what the gateway finds (core::direct::asked), for one life of the server, and looked at by whatever sends: choice, a look just before sending, questions to engines, relayed orders. Where all rest callers are refused at once with the end of the first rest, spread over a quarter more; whoever waits at the entrance is let go. After a rest a server gets one request, and twice as many with each answer. A row that does not tell when its server started is of the life that is known (it was passed over as an older one).

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -24,6 +24,7 @@
 //! - [`events`]: a stream of events, cut between events only.
 
 pub mod admission;
+pub mod asked;
 pub mod attempts;
 pub mod budget;
 pub mod crashes;
--- /dev/null
+++ b/crates/core/src/direct/asked.rs
@@ -0,0 +1,69 @@
+//! What a backend server asks of this gateway in its answers: to be sent nothing for a while, or nothing more.
+//!
+//! Other rests are this gateway's own judgement: they say who is chosen first, and whoever rests is still a last
+//! resort. What a server asks binds: nothing is sent, even if no other server is left, and no report of anybody ends
+//! it. It concerns one life of a server, and this gateway alone.
+
+use crate::clock::Millis;
+
+/// Longest rest that is kept: one that asks for more has told a wrong number, and would be lost for good. Servers
+/// ask for seconds; a new life is back within a minute.
+pub const MOST_REST: Millis = Millis(600_000);
+
+/// Requests that a server gets at once when its rest is over, until one is answered; doubled with each answer. All
+/// callers that were turned away meanwhile come then.
+const FIRST_AGAIN: u32 = 1;
+
+/// The time that a server asks for, in seconds or parts of them, bounded; `None` if the text is no time.
+pub fn rest(text: &str) -> Option<Millis> {
+    let text = text.trim();
+    // Words that stand for numbers, and signs, are none.
+    if !text.starts_with(|first: char| first.is_ascii_digit() || first == '.') {
+        return None;
+    }
+    let asked_ms = text.parse::<f64>().ok()? * 1_000.0;
+    // Too large a number is infinite; part of a millisecond is a whole one.
+    (asked_ms > 0.0).then(|| Millis(asked_ms.min(MOST_REST.0 as f64).ceil() as u64))
+}
+
+/// What one life of a server has asked.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Asked {
+    leaves: bool,
+    rests_until: Millis,
+    /// Requests that it may have at once, while it comes back from a rest.
+    at_once: Option<u32>,
+}
+
+impl Asked {
+    /// It said that it leaves: for good.
+    pub fn leave(&mut self) {
+        self.leaves = true;
+    }
+
+    /// Whether it said that it leaves.
+    pub fn leaves(&self) -> bool {
+        self.leaves
+    }
+
+    /// It asked for a rest. Of several that overlap the one that ends last binds.
+    pub fn rest(&mut self, span: Millis, now: Millis) {
+        self.rests_until = self.rests_until.max(now + span.min(MOST_REST));
+        self.at_once = Some(FIRST_AGAIN);
+    }
+
+    /// When its rest ends, if it rests.
+    pub fn rests_until(&self, now: Millis) -> Option<Millis> {
+        (self.rests_until > now).then_some(self.rests_until)
+    }
+
+    /// It has answered a request that it took.
+    pub fn took(&mut self, slots: u32) {
+        self.at_once = self.at_once.map(|most| most.saturating_mul(2)).filter(|most| *most < slots);
+    }
+
+    /// Whether one more than so many requests are no rush.
+    pub fn bears_one_more(&self, requests: u32) -> bool {
+        self.at_once.is_none_or(|most| requests < most)
+    }
+}
--- a/crates/core/src/direct/outage.rs
+++ b/crates/core/src/direct/outage.rs
@@ -72,7 +72,13 @@
     pub fn come_back(&self, now: Millis, part: f64) -> Option<Millis> {
         let Config { least, most, .. } = self.config;
         let left_ms = self.usual_ms - now.since(self.since?).0 as f64;
-        let spread_ms = left_ms.max(least.0 as f64) * (1.0 + SPREAD * part);
-        Some(Millis(spread_ms as u64).min(most))
+        let left = Millis(left_ms.max(least.0 as f64) as u64);
+        Some(spread(left, part).min(most))
     }
 }
+
+/// A time to come back after `left` that callers share: spread over a quarter more, as `part`, drawn evenly
+/// from 0 to 1, says. Never earlier than `left`.
+pub fn spread(left: Millis, part: f64) -> Millis {
+    left + Millis((left.0 as f64 * SPREAD * part) as u64)
+}
--- a/crates/core/src/direct/pool.rs
+++ b/crates/core/src/direct/pool.rs
@@ -2,7 +2,7 @@
 //!
 //! [`routing`](crate::routing) gives out turns; what is added here is what a gateway learns at the
 //! server itself: that it cannot be reached, refuses, or fails, so that it rests before callers
-//! feel it, and is tried again carefully.
+//! feel it, and is tried again carefully. What a server asks for itself binds: see [`asked`](crate::direct::asked).
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -10,6 +10,7 @@
 use rand::Rng;
 
 use crate::clock::Millis;
+use crate::direct::asked::Asked;
 use crate::direct::slow;
 use crate::routing;
 use crate::routing::Candidate;
@@ -39,7 +40,8 @@
 impl Listed {
     /// Whether this tells of a life before the one that `newer` tells of.
     fn is_life_before(&self, newer: &Listed) -> bool {
-        self.started_unix_ms < newer.started_unix_ms
+        let (this, newer) = (self.started_unix_ms, newer.started_unix_ms);
+        this.zip(newer).is_some_and(|(this, newer)| this < newer)
     }
 }
 
@@ -130,6 +132,8 @@
     disproved: bool,
     /// Its group stands still, as its engine reported.
     standing: bool,
+    /// What it asked itself.
+    asked: Asked,
 }
 
 /// The listed servers of a service, in two arrays of the same order.
@@ -184,7 +188,7 @@
         }
     }
 
-    fn keep(&mut self, listed: Listed, revision: u64) {
+    fn keep(&mut self, mut listed: Listed, revision: u64) {
         if let Some(key) = self.by_id.get(&listed.id) {
             let server = &mut self.servers[*key];
             let known = &server.listed;
@@ -192,6 +196,8 @@
                 // It arrives late: another life has the name by now.
                 return;
             }
+            // A row that does not tell when its server started is of the life that is known.
+            listed.started_unix_ms = listed.started_unix_ms.or(known.started_unix_ms);
             let is_same_place = known.service == listed.service && known.address == listed.address;
             if is_same_place && known.started_unix_ms == listed.started_unix_ms {
                 let key = *key;
@@ -216,6 +222,7 @@
             replaced: false,
             disproved: false,
             standing: false,
+            asked: Asked::default(),
         };
         let key = self.servers.push(server);
         self.place(key);
@@ -282,8 +289,9 @@
     }
 
     /// Chooses a server of a service that is not in `tried`, and counts its turn. `cost` is the
-    /// work of the request over that of a usual one. Servers that rest or are slow are chosen only
-    /// if no other is left, and those whose group stands still never: they refuse.
+    /// work of the request over that of a usual one. Servers that rest by this gateway's judgement, are
+    /// slow, or come back from a rest that they asked for, are chosen only if no other is left. Those
+    /// whose group stands still never are: they refuse; nor are those that asked to be sent nothing.
     pub fn choose<R: Rng>(
         &mut self,
         service: &str,
@@ -296,7 +304,8 @@
         for resting in [false, true] {
             for (key, candidate) in found.servers.iter().zip(&mut found.candidates) {
                 let server = &self.servers[*key];
-                let fit = if resting { server.is_fit() } else { server.is_swift(now) };
+                let requests = candidate.own_requests;
+                let fit = if resting { server.is_fit(now) } else { server.is_swift(requests, now) };
                 candidate.usable = fit && !tried.contains(key);
             }
             let config = &self.config.routing;
@@ -337,10 +346,61 @@
         now: Millis,
     ) -> bool {
         let Some(found) = self.services.get(service) else { return false };
-        found
-            .servers
-            .iter()
-            .any(|key| *key != server && !tried.contains(key) && self.servers[*key].is_swift(now))
+        found.servers.iter().zip(&found.candidates).any(|(key, candidate)| {
+            let is_swift = self.servers[*key].is_swift(candidate.own_requests, now);
+            *key != server && !tried.contains(key) && is_swift
+        })
+    }
+
+    /// Whether a server may be sent a request, whatever chose it: it may have asked for a rest since.
+    pub fn takes(&self, key: Key<Server>, now: Millis) -> bool {
+        let server = &self.servers[key];
+        server.is_open() && server.asked.rests_until(now).is_none()
+    }
+
+    /// When the first server of a service takes requests again, if all that would take them have asked
+    /// for a rest.
+    pub fn all_rest_until(&self, service: &str, now: Millis) -> Option<Millis> {
+        let mut first = None;
+        for key in &self.services.get(service)?.servers {
+            let server = &self.servers[*key];
+            match server.asked.rests_until(now).filter(|_| server.is_open()) {
+                Some(until) => first = Some(first.map_or(until, |first| until.min(first))),
+                None if server.is_fit(now) => return None,
+                None => {}
+            }
+        }
+        first
+    }
+
+    /// Whether a server has asked for a rest that lasts.
+    pub fn rests(&self, key: Key<Server>, now: Millis) -> bool {
+        self.servers[key].asked.rests_until(now).is_some()
+    }
+
+    /// The same of whoever is listed at an address.
+    pub fn rests_at(&self, address: SocketAddr, now: Millis) -> bool {
+        let keys = self.by_address.get(&address);
+        keys.is_some_and(|keys| keys.iter().any(|key| self.rests(*key, now)))
+    }
+
+    /// A server asked to be sent nothing for so long.
+    pub fn rest(&mut self, key: Key<Server>, span: Millis, now: Millis) {
+        self.servers[key].asked.rest(span, now);
+    }
+
+    /// A server said itself that it leaves; returns whether that is new.
+    pub fn leave(&mut self, key: Key<Server>) -> bool {
+        let server = &mut self.servers[key];
+        let is_new = !server.is_leaving();
+        server.asked.leave();
+        is_new
+    }
+
+    /// A server has answered a request that it took.
+    pub fn took(&mut self, key: Key<Server>) {
+        let server = &mut self.servers[key];
+        server.asked.took(server.listed.slots);
     }
 
     /// Whether the platform still lists a server, leaving or not, and nothing has shown that another
@@ -438,18 +498,24 @@
         }
     }
 
-    /// Whether it may be given work, and its group makes passes.
-    fn is_fit(&self) -> bool {
-        self.is_open() && !self.standing
+    /// Whether it may be given work now, and its group makes passes.
+    fn is_fit(&self, now: Millis) -> bool {
+        self.is_open() && !self.standing && self.asked.rests_until(now).is_none()
+    }
+
+    /// The same, where it does not rest by our judgement, is not slow, and so many requests are no rush.
+    fn is_swift(&self, requests: u32, now: Millis) -> bool {
+        let is_well = self.rests_until.max(self.slow_until) <= now;
+        is_well && self.is_fit(now) && self.asked.bears_one_more(requests)
     }
 
-    /// The same, where it neither rests nor is slow.
-    fn is_swift(&self, now: Millis) -> bool {
-        self.is_fit() && self.rests_until.max(self.slow_until) <= now
+    /// Whether it leaves, by the list or by its own word, which holds whatever the list says later.
+    pub fn is_leaving(&self) -> bool {
+        self.listed.leaving || self.asked.leaves()
     }
 
     /// Whether it may be given work.
     pub fn is_open(&self) -> bool {
-        self.place.is_some() && !self.replaced && !self.listed.leaving
+        self.place.is_some() && !self.replaced && !self.is_leaving()
     }
 }
--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -178,6 +178,9 @@
     gateway: &Rc<Gateway<P>>,
     request: &mut Request,
 ) -> Result<(), Refusal> {
+    if let Some(after) = gateway.all_rest(&request.service) {
+        return Err(Refusal::not_run(Cause::NoBackendServer).retry_after(after));
+    }
     let busy = || gateway.with_pool(|pool| pool.busy_part(&request.service));
     let Some(asked) = request.asks_entry(busy) else { return Ok(()) };
     match gateway.entrance(&request.service).enter(asked).await {
--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -127,6 +127,11 @@
     let answer = connection.sender().send_request(request).await.ok()?;
     let (head, body) = answer.into_parts();
     connection.note_answer(&head.headers);
+    match end {
+        End::Engine => drop(gateway.note_asked(server, &head)),
+        // A rest is asked of the one whose connection it came on.
+        End::Sidecar | End::Relay => gateway.note_leaving(server, &head),
+    }
     let body = body.collect().await.ok()?.to_bytes();
     match end {
         End::Engine => gateway.connections.keep(connection),
@@ -185,7 +190,11 @@
     if path != Path::Any {
         return None;
     }
-    let address = gateway.with_pool(|pool| pool.server(server).listed.address);
+    let now = gateway.now();
+    let address = gateway.with_pool(|pool| {
+        let address = pool.server(server).listed.address;
+        (!pool.rests(server, now)).then_some(address)
+    })?;
     if let Some(connection) = gateway.connections.idle(server) {
         return Some((connection, End::Engine));
     }
--- a/crates/direct/src/entrance.rs
+++ b/crates/direct/src/entrance.rs
@@ -86,6 +86,16 @@
         Ok(Permit::new(self.clone(), self.clock.now()))
     }
 
+    /// Lets in all that wait: no server takes requests, and they are to hear so at once.
+    pub fn let_all_go(self: &Rc<Self>) {
+        let waiting = std::mem::take(&mut *self.waiting.borrow_mut());
+        let now = self.clock.now();
+        for (_, sender) in waiting.into_values() {
+            // One that has left gives its permit back.
+            drop(sender.send(Permit::new(self.clone(), now)));
+        }
+    }
+
     /// Lets in those that wait, as far as there is room.
     fn release(self: &Rc<Self>) {
         let now = self.clock.now();
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -17,7 +17,6 @@
 use hooktrestle_schema::RestStep;
 use http::HeaderValue;
 use http::Response;
-use http::header;
 use http::response::Parts;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -119,6 +118,7 @@
     let (head, body) = response.into_parts();
     connection.note_answer(&head.headers);
     let names = gateway.platform.headers();
+    let asks_rest = note_asked(gateway, request, turn.server(), &head);
     if !is_answer_to(request, names, &head, reused) {
         turn.end(Ending::Lost);
         let step = OtherAnswerStep { server_number: turn.server().number() };
@@ -128,8 +128,7 @@
     gateway.note_lives(turn.server(), sent_at);
     note_load(gateway, turn.server(), &head);
     if is_refusal(gateway, &head) {
-        note_rest(gateway, request, turn.server(), &head);
-        let ending = refusal(gateway, &head);
+        let ending = if asks_rest { Ending::Full } else { refusal(gateway, &head) };
         turn.end(ending);
         if ending == Ending::Stalled {
             gateway.stalled.notify_one();
@@ -145,6 +144,7 @@
     let failed = head.status.is_server_error();
     turn.end(if failed { Ending::Failed } else { Ending::Answered });
     gateway.note_taken(&request.service);
+    gateway.with_pool(|pool| pool.took(turn.server()));
     let now = gateway.now();
     gateway.with_heads(&request.service, |heads| heads.began(turn.server(), sent_at, now));
     Ok(Answer { head, body, connection, turn, began: now })
@@ -230,7 +230,10 @@
             Some(connection) => connection,
             None => open(gateway, server).await?,
         };
-        if gateway.now() >= request.deadline {
+        let now = gateway.now();
+        if now >= request.deadline || !gateway.with_pool(|pool| pool.takes(server, now)) {
+            // Its time is over, or the server has asked for a rest since it was chosen.
+            gateway.connections.keep(connection);
             return Err(NoAnswer { fate: Fate::NotSent, ending: Ending::Left });
         }
         let reused = connection.used();
@@ -317,16 +320,17 @@
     }
 }
 
-/// Logs that a server asks to be sent nothing for a while.
-fn note_rest<P: Platform>(
+/// Takes note of what a server asks; returns whether that is a rest.
+fn note_asked<P: Platform>(
     gateway: &Gateway<P>,
     request: &Request,
     server: Key<Server>,
     head: &Parts,
-) {
-    let Some(asked) = headers::text(&head.headers, &header::RETRY_AFTER) else { return };
+) -> bool {
+    let Some(asked) = gateway.note_asked(server, head) else { return false };
     let step = RestStep { server_number: server.number(), asked: asked.to_owned() };
     gateway.journal.request(request.id_text(), step);
+    true
 }
 
 /// How a refusal ends the server's part.
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -74,7 +74,8 @@
             return Tried::Refused(attempts.refuse_for(Cause::CrashesServers, left));
         }
         let Some(turn) = next_turn(gateway, request, attempts) else {
-            if attempts.tried().is_empty() {
+            // A rest that servers ask for is no outage: its end is known.
+            if attempts.tried().is_empty() && gateway.all_rest(&request.service).is_none() {
                 gateway.note_out(&request.service);
             }
             return match failure {
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -2,6 +2,7 @@
 //!
 //! One thread runs them all, so cells suffice: nothing is borrowed across an await.
 
+mod asked;
 mod by_service;
 pub(crate) mod crashes;
 pub(crate) mod findings;
@@ -353,6 +354,9 @@
 
     /// When a caller that is refused now shall come back, if no server of the service takes requests.
     pub fn come_back(&self, service: &str) -> Option<Millis> {
+        if let Some(after) = self.all_rest(service) {
+            return Some(after);
+        }
         let (now, part) = (self.now(), rand::rng().random());
         self.with_outages(service, |outages| outages.come_back(now, part))
     }
--- /dev/null
+++ b/crates/direct/src/gateway/asked.rs
@@ -0,0 +1,63 @@
+//! What backend servers ask in their answers, taken note of and kept.
+
+use hooktrestle_core::clock::Millis;
+use hooktrestle_core::direct::asked;
+use hooktrestle_core::direct::outage;
+use hooktrestle_core::direct::pool::Server;
+use hooktrestle_core::util::arena::Key;
+use http::StatusCode;
+use http::header;
+use http::response::Parts;
+use rand::RngExt;
+
+use crate::gateway::Gateway;
+use crate::headers;
+use crate::platform::Platform;
+
+impl<P: Platform> Gateway<P> {
+    /// A server answered with this head: whether it leaves, and whether it wants a rest. Returns what it
+    /// asked, if that is a rest.
+    pub fn note_asked<'a>(&self, server: Key<Server>, head: &'a Parts) -> Option<&'a str> {
+        self.note_leaving(server, head);
+        let turns_away = [StatusCode::SERVICE_UNAVAILABLE, StatusCode::TOO_MANY_REQUESTS];
+        if !turns_away.contains(&head.status) {
+            return None;
+        }
+        let asked = headers::text(&head.headers, &header::RETRY_AFTER)?;
+        let span = asked::rest(asked)?;
+        let now = self.now();
+        self.metrics.rests_asked.inc();
+        let all_rest = self.with_pool(|pool| {
+            pool.rest(server, span, now);
+            let service = pool.server(server).listed.service.clone();
+            pool.all_rest_until(&service, now).map(|_| service)
+        });
+        if let Some(service) = all_rest {
+            // Whoever waits there is told at once.
+            self.entrance(&service).let_all_go();
+        }
+        Some(asked)
+    }
+
+    /// A server answered with this head: whether it leaves.
+    pub fn note_leaving(&self, server: Key<Server>, head: &Parts) {
+        let told = headers::text(&head.headers, &self.platform.headers().leaving);
+        // Another server than the one that was asked speaks for itself only.
+        let is_other = self.platform.is_other_server(head.status.as_u16());
+        if told.map(str::trim) != Some("1") || is_other {
+            return;
+        }
+        if self.with_pool(|pool| pool.leave(server)) {
+            let id = self.with_pool(|pool| pool.server(server).listed.id.clone());
+            self.journal.state(format_args!("server {id} says that it leaves"));
+        }
+    }
+
+    /// When a caller shall come back, if all servers of a service that would take requests have asked for
+    /// a rest: once the first rest is over, or soon after, or all callers would come at that moment.
+    pub fn all_rest(&self, service: &str) -> Option<Millis> {
+        let now = self.now();
+        let until = self.with_pool(|pool| pool.all_rest_until(service, now))?;
+        Some(outage::spread(until.since(now), rand::rng().random()))
+    }
+}
--- a/crates/direct/src/gateway/crashes.rs
+++ b/crates/direct/src/gateway/crashes.rs
@@ -184,7 +184,7 @@
         let gone: Vec<Key<Server>> = {
             let (found, pool) = (self.found.borrow(), self.pool.borrow());
             let open = found.broken.iter().filter(|(key, broken)| {
-                let is_gone = !pool.is_present(**key) && !pool.server(**key).listed.leaving;
+                let is_gone = !pool.is_present(**key) && !pool.server(**key).is_leaving();
                 is_gone && broken.finding == Finding::Open && now.since(broken.at) < LISTED_ON
             });
             open.map(|(key, _)| *key).collect()
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -37,6 +37,8 @@
     pub servers_crashed: Counter,
     /// Requests that were refused because servers crash under them.
     pub crashing_refused: Counter,
+    /// Rests that servers asked for.
+    pub rests_asked: Counter,
     /// Gateways that callers may be sent to, this one included.
     pub gateways_living: Gauge,
     /// Different requests that are refused because servers crash under them.
@@ -65,6 +67,7 @@
             ranks_unled: Counter::default(),
             servers_crashed: Counter::default(),
             crashing_refused: Counter::default(),
+            rests_asked: Counter::default(),
             gateways_living: Gauge::default(),
             crashing_known: Gauge::default(),
             head_ms: Histogram::new(exponential_buckets(start, factor, length)),
@@ -84,6 +87,7 @@
             ("rows_passed_over", "Rows that named no server", &metrics.rows_passed_over),
             ("servers_crashed", "Servers that crashed", &metrics.servers_crashed),
             ("crashing_refused", "Requests that crash servers", &metrics.crashing_refused),
+            ("rests_asked", "Rests that servers asked for", &metrics.rests_asked),
             ("ranks_unled", "Servers in groups too large to be led", &metrics.ranks_unled),
         ];
         for (name, help, counter) in counters {
--- a/crates/direct/src/platform.rs
+++ b/crates/direct/src/platform.rs
@@ -161,6 +161,8 @@
     pub not_run: HeaderName,
     /// In an answer: the server's proof that the answer is its own.
     pub signature: HeaderName,
+    /// In an answer, `1`: the server leaves.
+    pub leaving: HeaderName,
     /// In an answer: requests running, requests waiting, slots.
     pub load: HeaderName,
     /// In a request for a stream: the last event that the caller has.
--- a/crates/direct/src/sidecar.rs
+++ b/crates/direct/src/sidecar.rs
@@ -20,6 +20,7 @@
 use bytes::Bytes;
 use eyre::Result;
 use eyre::WrapErr;
+use eyre::ensure;
 use eyre::eyre;
 use hooktrestle_core::direct::readings::Counts;
 use hooktrestle_core::direct::readings::Told;
@@ -65,8 +66,10 @@
 /// Largest body that is passed on: a map of 64 ranks and 256 experts has some 100 KB.
 pub(crate) const MOST_BYTES: usize = 1 << 20;
 
-/// The engine beside this process, and idle connections to it and to others.
-struct Engines {
+/// The engine beside this process, and idle connections to it and to others. `R` tells whether an engine
+/// has asked this process's machine to send it nothing for now.
+struct Engines<R> {
+    rests: R,
     /// None at a gateway, which has none beside it.
     beside: Option<SocketAddr>,
     kept: RefCell<HashMap<SocketAddr, Vec<SendRequest<Full<Bytes>>>>>,
@@ -89,7 +92,8 @@
     let listener = TcpListener::bind(&settings.listen)
         .await
         .wrap_err_with(|| format!("cannot listen on {}", settings.listen))?;
-    let engines = Rc::new(Engines::new(Some(settings.engine.parse()?), counts));
+    // An engine asks nothing of its own machine.
+    let engines = Rc::new(Engines::new(Some(settings.engine.parse()?), counts, |_| false));
     spdlog::info!("sidecar of {} started", settings.engine);
     let note = |error: &io::Error| spdlog::warn!("the leader is not accepted: {error}");
     loop {
@@ -110,7 +114,12 @@
 /// Relays questions and orders to the engines that they name, until the process ends.
 pub(crate) async fn relay<P: Platform>(gateway: Rc<Gateway<P>>, listener: TcpListener) {
     // Counts are read through the processes beside engines alone.
-    let engines = Rc::new(Engines::new(None, |_| None));
+    let resting = gateway.clone();
+    let rests = move |address| {
+        let now = resting.now();
+        resting.with_pool(|pool| pool.rests_at(address, now))
+    };
+    let engines = Rc::new(Engines::new(None, |_| None, rests));
     let note = |error: &io::Error| {
         gateway.journal.state(format_args!("the leader is not accepted: {error}"));
     };
@@ -120,7 +129,7 @@
     }
 }
 
-async fn serve(engines: Rc<Engines>, stream: TcpStream) {
+async fn serve<R: Fn(SocketAddr) -> bool>(engines: Rc<Engines<R>>, stream: TcpStream) {
     let service = service_fn(|request: Request<Incoming>| {
         let engines = engines.clone();
         async move { Ok::<_, Infallible>(answer(&engines, request).await) }
@@ -132,7 +141,10 @@
     drop(connection.await);
 }
 
-async fn answer(engines: &Engines, request: Request<Incoming>) -> Response<Full<Bytes>> {
+async fn answer<R: Fn(SocketAddr) -> bool>(
+    engines: &Engines<R>,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
     match time::timeout(ENGINE_TIMEOUT, engines.pass_on(request)).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(_)) | Err(_) => {
@@ -144,9 +156,10 @@
     }
 }
 
-impl Engines {
-    fn new(beside: Option<SocketAddr>, counts: DecodeCounts) -> Engines {
+impl<R: Fn(SocketAddr) -> bool> Engines<R> {
+    fn new(beside: Option<SocketAddr>, counts: DecodeCounts, rests: R) -> Engines<R> {
         Engines {
+            rests,
             beside,
             kept: RefCell::default(),
             counts,
@@ -160,6 +173,7 @@
         let mut body = body.map_err(|error| eyre!("the order cannot be read: {error}"))?.to_bytes();
         headers::strip_connection(&mut head.headers);
         let address = self.asked(&mut head.headers)?;
+        ensure!(!(self.rests)(address), "the engine at {address} asked to be sent nothing");
         let since = headers::number(&head.headers, &HeaderName::from_static(SINCE_HEADER));
         head.headers.remove(SINCE_HEADER);
         if head.headers.remove(header::CONTENT_ENCODING).is_some() {
