--- /dev/null
+++ b/crates/core/tests/asked.rs
@@ -0,0 +1,177 @@
+//! What servers ask of gateways: times that make sense and times that do not, and a fleet of gateways before servers
+//! that ask for rest, leave, stand still with their group and begin new lives.
+
+mod asking_fleet;
+
+use std::net::SocketAddr;
+
+use asking_fleet::Fleet;
+use asking_fleet::Hears;
+use hooktrestle_core::clock::Millis;
+use hooktrestle_core::direct::asked;
+use hooktrestle_core::direct::asked::MOST_REST;
+use hooktrestle_core::direct::pool;
+use hooktrestle_core::direct::pool::Ending;
+use hooktrestle_core::direct::pool::Listed;
+use hooktrestle_core::direct::pool::Pool;
+use hooktrestle_core::direct::pool::Server;
+use hooktrestle_core::util::arena::Key;
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+/// Seeds of the model in CI.
+const SEEDS: u64 = 40;
+
+fn listed(id: &str, port: u16, started: Option<u64>) -> Listed {
+    Listed {
+        id: id.to_owned(),
+        service: "hints".to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], port)),
+        data_centre: String::new(),
+        slots: 8,
+        leaving: false,
+        started_unix_ms: started,
+    }
+}
+
+/// Two servers, and their keys.
+fn pair() -> (Pool, Key<Server>, Key<Server>) {
+    let mut pool = Pool::new(pool::Config::default());
+    pool.list(listed("a", 1, Some(5)), 1);
+    pool.list(listed("b", 2, Some(5)), 1);
+    let keys = pool.present_of("hints");
+    (pool, keys[0], keys[1])
+}
+
+fn choose(pool: &mut Pool, now: u64) -> Option<Key<Server>> {
+    pool.choose("hints", &[], 1.0, Millis(now), &mut ChaCha8Rng::seed_from_u64(now))
+}
+
+#[test]
+fn times_are_read_and_odd_ones_bounded_or_passed_over() {
+    let read = [
+        ("3", Some(3_000)),
+        (" 2.5 ", Some(2_500)),
+        (".25", Some(250)),
+        ("0.0001", Some(1)),
+        ("1e1", Some(10_000)),
+        ("600", Some(600_000)),
+        ("601", Some(600_000)),
+        ("1e300", Some(600_000)),
+        ("1e400", Some(600_000)),
+        ("0", None),
+        ("-1", None),
+        ("+1", None),
+        ("", None),
+        ("inf", None),
+        ("NaN", None),
+        ("soon", None),
+        ("3 s", None),
+        ("Wed, 21 Oct 2026 07:28:00 GMT", None),
+    ];
+    for (text, millis) in read {
+        assert_eq!(asked::rest(text), millis.map(Millis), "`{text}`");
+    }
+}
+
+proptest! {
+    #[test]
+    fn any_text_is_a_bounded_rest_or_none(text in "\\PC*") {
+        let read = asked::rest(&text);
+        prop_assert!(read.is_none_or(|rest| rest > Millis::ZERO && rest <= MOST_REST));
+    }
+}
+
+#[test]
+fn of_rests_that_overlap_the_last_to_end_binds() {
+    let (mut pool, a, b) = pair();
+    pool.rest(a, Millis(3_000), Millis(100));
+    pool.rest(a, Millis(500), Millis(200));
+    for now in [201, 3_099] {
+        assert_eq!(choose(&mut pool, now), Some(b));
+        assert!(!pool.takes(a, Millis(now)));
+    }
+    assert!(pool.takes(a, Millis(3_100)));
+    assert_eq!(pool.all_rest_until("hints", Millis(201)), None, "one takes requests");
+    pool.rest(b, Millis(9_000), Millis(200));
+    assert_eq!(pool.all_rest_until("hints", Millis(201)), Some(Millis(3_100)));
+    assert_eq!(choose(&mut pool, 201), None, "nobody is a last resort");
+}
+
+#[test]
+fn no_report_ends_a_rest() {
+    let (mut pool, a, b) = pair();
+    pool.rest(a, Millis(3_000), Millis(100));
+    pool.set_standing(a, true);
+    pool.set_standing(a, false);
+    pool.set_slow("hints", &["b".to_owned()], Millis::ZERO, Millis(150));
+    pool.ended(b, Ending::Unreachable, Millis(150));
+    pool.list(Listed { slots: 9, ..listed("a", 1, None) }, 7);
+    assert_eq!(
+        choose(&mut pool, 200),
+        Some(b),
+        "slow, unreachable, and the only one that is asked"
+    );
+    pool.unlist("a");
+    pool.list(listed("a", 1, Some(5)), 9);
+    assert_eq!(choose(&mut pool, 300), Some(b), "its row went and came back");
+}
+
+#[test]
+fn a_new_life_owes_nothing_and_an_older_one_says_nothing() {
+    let (mut pool, a, b) = pair();
+    pool.rest(a, MOST_REST, Millis(100));
+    pool.rest(b, MOST_REST, Millis(100));
+    pool.leave(b);
+    pool.list(listed("a", 1, Some(6)), 2);
+    pool.list(listed("b", 2, Some(4)), 3);
+    let new = choose(&mut pool, 200).expect("its new life takes requests");
+    assert!(new != a && pool.server(new).listed.id == "a");
+    pool.list(listed("b", 2, Some(6)), 4);
+    assert!(pool.open().any(|server| server.id == "b"), "it leaves no more");
+}
+
+#[test]
+fn a_server_comes_back_with_one_request_and_twice_as_many_with_each_answer() {
+    let (mut pool, a, b) = pair();
+    pool.rest(a, Millis(1_000), Millis(0));
+    let mut at_once = Vec::new();
+    for answers in 0..5 {
+        let mut most = 0;
+        let mut chosen = Vec::new();
+        for number in 0..40 {
+            let key = choose(&mut pool, 2_000 + 1_000 * answers + number).expect("both are there");
+            most += usize::from(key == a);
+            chosen.push(key);
+        }
+        at_once.push(most);
+        chosen
+            .into_iter()
+            .for_each(|key| pool.ended(key, Ending::Answered, Millis(2_100 + 1_000 * answers)));
+        pool.took(a);
+        assert!(answers < 4 || most >= 8, "it has all its turns again");
+    }
+    assert_eq!(at_once[..3], [1, 2, 4]);
+    // Rather too many than a refusal, where no other server is left.
+    pool.rest(a, Millis(1_000), Millis(9_000));
+    pool.rest(b, MOST_REST, Millis(9_000));
+    assert!((0..4).all(|number| choose(&mut pool, 10_001 + number) == Some(a)));
+}
+
+#[test]
+fn a_fleet_keeps_what_servers_ask_and_refuses_nothing_else() {
+    for seed in 0..SEEDS {
+        let seen = Fleet::new(seed, Hears::All).play();
+        assert_eq!(seen.broken, Vec::<String>::new(), "seed {seed}");
+        assert!(seen.rests > 20 && seen.refused > 0 && seen.left > 0, "seed {seed}: {seen:?}");
+    }
+}
+
+#[test]
+fn the_model_finds_gateways_that_do_not_listen() {
+    for deaf in [Hears::NoRest, Hears::NoLeaving] {
+        let found = (0..SEEDS).filter(|seed| !Fleet::new(*seed, deaf).play().broken.is_empty());
+        assert_eq!(found.count() as u64, SEEDS, "{deaf:?}");
+    }
+}
