--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -20,6 +20,7 @@
 use crate::fleet::Gateway;
 use crate::ledger::Ledger;
 use crate::ledger::Promise;
+use crate::ledger::Through;
 use crate::ledger::Verdict;
 use crate::schedule::Trouble;
 use crate::site::Site;
@@ -70,6 +71,15 @@
         format!("r{}", self.number.get())
     }
 
+    /// Notes that a request goes to a gateway, as it lives now.
+    fn send(&self, id: &str, repeatable: bool, gateway: SocketAddr) {
+        self.ledger.send(id, repeatable);
+        let mut gateways = self.fleet.gateways.iter().enumerate();
+        if let Some((number, found)) = gateways.find(|(_, found)| found.at.callers == gateway) {
+            self.ledger.goes_through(id, Through { gateway: number, life: found.lives.get() });
+        }
+    }
+
     fn gateway_at(&self, callers: SocketAddr) -> Option<&Rc<Gateway>> {
         self.fleet.gateways.iter().find(|gateway| gateway.at.callers == callers)
     }
@@ -168,7 +178,7 @@
     async fn request(&mut self, gateway: SocketAddr) -> bool {
         let (ask, id) = (self.draw(), self.world.next_id());
         let (ledger, sent_at) = (self.world.ledger.clone(), Instant::now());
-        ledger.send(&id, ask.repeatable);
+        self.world.send(&id, ask.repeatable, gateway);
         let request = caller::request(&self.client, gateway, &ask.path, &id, DEADLINE_MS);
         let answer = answered(request, &id, &ask, &ledger);
         let patience = ask.leaves_after.unwrap_or(Duration::from_millis(2 * DEADLINE_MS));
@@ -265,7 +275,7 @@
     while Instant::now() < end && world.open.get() {
         let gateway = &world.fleet.gateways[rng.random_range(0..world.fleet.gateways.len())];
         let id = world.next_id();
-        world.ledger.send(&id, !path.starts_with("/once"));
+        world.send(&id, !path.starts_with("/once"), gateway.at.callers);
         let asked = caller::request(&client, gateway.at.callers, path, &id, DEADLINE_MS);
         let verdict = match asked.body(body.clone()).send().await {
             Ok(answer) if caller::says_not_run(&answer) && !caller::is_signed(&answer) => {
@@ -329,7 +339,7 @@
     version: u64,
 ) -> Option<bool> {
     let id = world.next_id();
-    world.ledger.send(&id, true);
+    world.send(&id, true, gateway.at.callers);
     let path = format!("/{}/0", route_of(version));
     let request = caller::request(client, gateway.at.callers, &path, &id, DEADLINE_MS);
     let answer = request.send().await.ok()?;
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -33,12 +33,15 @@
     pub recovery: Duration,
     /// From the third crash under a request until all gateways know.
     pub contact: Duration,
+    /// From a server's asking for rest to the last request that reaches it.
+    pub rest: Duration,
 }
 
 impl Default for Bounds {
     /// The users' bounds are 2 s for drains and configurations and half a second for closes; a gateway
     /// that is silent is given out for 3 s, and for as long as news take to spread (2.4 s) by whoever
-    /// heard of it last. A stop has 8 s. The rest is for a busy machine.
+    /// heard of it last. A stop has 8 s. What crosses the word for a rest has half a second. The others are
+    /// for a busy machine.
     fn default() -> Self {
         Bounds {
             drain: Duration::from_secs(3),
@@ -48,6 +51,7 @@
             stop: Duration::from_secs(9),
             recovery: Duration::from_secs(20),
             contact: Duration::from_secs(3),
+            rest: Duration::from_millis(500),
         }
     }
 }
@@ -55,7 +59,7 @@
 impl Bounds {
     /// All of them `times` as long, for machines on which little is to be had.
     pub fn stretched(times: u32) -> Bounds {
-        let Bounds { drain, configuration, close, named, stop, recovery, contact } =
+        let Bounds { drain, configuration, close, named, stop, recovery, contact, rest } =
             Bounds::default();
         Bounds {
             drain: drain * times,
@@ -65,6 +69,7 @@
             stop: stop * times,
             recovery: recovery * times,
             contact: contact * times,
+            rest: rest * times,
         }
     }
 }
@@ -73,6 +78,26 @@
 const MAY_GO_ON: [Kind; 4] =
     [Kind::HangUp, Kind::ServerDrain, Kind::ServerCrash, Kind::CrashingRequest];
 
+/// What may go on while what a server asked is judged: it holds up no answer, and no gateway.
+const MAY_GO_ON_ASKED: [Kind; 16] = [
+    Kind::HangUp,
+    Kind::StoreBusy,
+    Kind::StoreSilent,
+    Kind::StoreLosesAnswers,
+    Kind::StoreTurnsAway,
+    Kind::StoreForgets,
+    Kind::ServerDrain,
+    Kind::ServerCrash,
+    Kind::ServerRefuses,
+    Kind::ServerFails,
+    Kind::ServerLosesAnswers,
+    Kind::ServerAnswersTwice,
+    Kind::ServerForges,
+    Kind::CrashingRequest,
+    Kind::ServerAsksRest,
+    Kind::ServerSaysItLeaves,
+];
+
 /// Time after a trouble in which time-bounded promises are not judged: what it broke is found out by
 /// time-outs of up to three seconds.
 const SETTLE: Duration = Duration::from_secs(4);
@@ -90,6 +115,10 @@
     Asked,
     /// A server that leaves gets no new work.
     Drain,
+    /// A server that asked a gateway for rest gets nothing from it meanwhile.
+    Rest,
+    /// A server that told a gateway that it leaves gets no new work from it.
+    Parting,
     /// A configuration is in force in time, and never an older one again.
     Configuration,
     /// Callers are not given gateways that are long off.
@@ -175,6 +204,25 @@
     leaving: Option<Instant>,
 }
 
+/// One life of a gateway, by its number.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Through {
+    /// The gateway.
+    pub gateway: usize,
+    /// How often it had begun.
+    pub life: u32,
+}
+
+/// What a server asked of a gateway.
+#[derive(Clone, Debug)]
+struct AskedOf {
+    server: String,
+    through: Through,
+    at: Instant,
+    /// When its rest ends; `None` if it leaves.
+    until: Option<Instant>,
+}
+
 /// What became of a request that crashes servers.
 #[derive(Clone, Copy, Debug, Default)]
 struct Crashing {
@@ -204,6 +252,9 @@
     noticed: RefCell<HashSet<String>>,
     /// Bodies under which servers crash, with what reached servers.
     crashing: RefCell<HashMap<String, Crashing>>,
+    /// The gateway that each request was sent to.
+    through: RefCell<HashMap<String, Through>>,
+    asked: RefCell<Vec<AskedOf>>,
     /// Requests that reached servers again after their first time.
     pub repeats: Cell<u32>,
 }
@@ -222,6 +273,8 @@
             judged: RefCell::default(),
             noticed: RefCell::default(),
             crashing: RefCell::default(),
+            through: RefCell::default(),
+            asked: RefCell::default(),
             repeats: Cell::new(0),
         }
     }
@@ -316,6 +369,48 @@
         self.requests.borrow_mut().insert(id.to_owned(), request);
     }
 
+    /// It is sent to this gateway.
+    pub fn goes_through(&self, id: &str, through: Through) {
+        self.through.borrow_mut().insert(id.to_owned(), through);
+    }
+
+    /// Judges whether a server had asked the gateway not to send a request, then keeps what it asks now.
+    fn judge_asked(&self, server: &Server, arrived: &Arrived, request: Request) {
+        let Some(through) = self.through.borrow().get(arrived.id()).copied() else { return };
+        let id = arrived.id();
+        let of_both = |one: &&AskedOf| one.server == server.id && one.through == through;
+        let asked: Vec<AskedOf> = self.asked.borrow().iter().filter(of_both).cloned().collect();
+        for AskedOf { at, until, .. } in asked {
+            let broken = match until {
+                Some(until) if arrived.at > at + self.bounds.rest && arrived.at < until => {
+                    Promise::Rest
+                }
+                None if request.sent_at > at + self.bounds.drain => Promise::Parting,
+                _ => continue,
+            };
+            if self.is_calm_but_for(&MAY_GO_ON_ASKED, at) {
+                let after = arrived.at.duration_since(at);
+                let what = format!("{} was sent {id} {after:?} after it had asked", server.id);
+                self.broken(broken, what);
+            }
+        }
+        // Read apart from the product; what is no time is no rest.
+        let rest_s = arrived.asked_rest.as_deref().and_then(|text| text.parse::<f64>().ok());
+        let asks = |promise, until| {
+            if self.is_calm_but_for(&MAY_GO_ON_ASKED, arrived.at) {
+                self.judge(promise);
+            }
+            let (server, at) = (server.id.clone(), arrived.at);
+            self.asked.borrow_mut().push(AskedOf { server, through, at, until });
+        };
+        if let Some(rest_s) = rest_s.filter(|rest_s| *rest_s > 0.0) {
+            asks(Promise::Rest, Some(arrived.at + Duration::from_secs_f64(rest_s)));
+        }
+        if arrived.told_leaving {
+            asks(Promise::Parting, None);
+        }
+    }
+
     /// What became of it.
     pub fn end(&self, id: &str, verdict: Verdict) {
         if let Some(request) = self.requests.borrow_mut().get_mut(id) {
@@ -368,6 +463,7 @@
             );
         }
         self.judge_crashing(server, arrived);
+        self.judge_asked(server, arrived, request);
         if !arrived.ran {
             return;
         }
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -70,10 +70,14 @@
     ServerForges,
     /// A request that crashes each server which runs it comes again and again.
     CrashingRequest,
+    /// A server turns away what it is sent, and asks for rest.
+    ServerAsksRest,
+    /// A server says in its answers that it leaves, and the list does not; another comes.
+    ServerSaysItLeaves,
 }
 
 /// All kinds, with the names by which they are chosen.
-pub const KINDS: [(&str, Kind); 29] = [
+pub const KINDS: [(&str, Kind); 31] = [
     ("kill", Kind::Kill),
     ("off", Kind::Off),
     ("kill-all", Kind::KillAll),
@@ -103,6 +107,8 @@
     ("server-answers-twice", Kind::ServerAnswersTwice),
     ("server-forges", Kind::ServerForges),
     ("crashing-request", Kind::CrashingRequest),
+    ("server-asks-rest", Kind::ServerAsksRest),
+    ("server-says-it-leaves", Kind::ServerSaysItLeaves),
 ];
 
 impl Display for Kind {
@@ -165,8 +171,15 @@
 const COMES_MS: std::ops::Range<u64> = 4_000..40_000;
 const COMES_AGAIN_MS: std::ops::Range<u64> = 6_000..20_000;
 
-/// Planned work: it is no excuse for anything.
-pub const PLANNED: [Kind; 3] = [Kind::Stop, Kind::HangUp, Kind::ServerDrain];
+/// Planned work, and what servers ask: no excuse for anything.
+pub const PLANNED: [Kind; 5] =
+    [Kind::Stop, Kind::HangUp, Kind::ServerDrain, Kind::ServerAsksRest, Kind::ServerSaysItLeaves];
+
+/// Kinds that are drawn apart: without them, a seed's troubles are the same.
+const APART: [Kind; 3] = [Kind::CrashingRequest, Kind::ServerAsksRest, Kind::ServerSaysItLeaves];
+
+/// Time from one trouble in which a server asks something to the next.
+const ASKS_MS: std::ops::Range<u64> = 1_000..8_000;
 
 /// How long a gateway is off that others are to forget: they do after a minute.
 const OFF: Duration = Duration::from_secs(80);
@@ -174,11 +187,8 @@
 /// The troubles of a seed, in order.
 pub fn draw(seed: u64, length: Duration, kinds: &[Kind]) -> Vec<Trouble> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let repeated: Vec<Kind> =
-        kinds.iter().copied().filter(|kind| *kind == Kind::CrashingRequest).collect();
-    // Without it, a seed's troubles are the same whether it is among the kinds or not.
-    let kinds: Vec<Kind> =
-        kinds.iter().copied().filter(|kind| *kind != Kind::CrashingRequest).collect();
+    let (apart, kinds): (Vec<Kind>, Vec<Kind>) =
+        kinds.iter().partition(|kind| APART.contains(kind));
     let end = length.saturating_sub(CALM_END);
     let planned: Vec<Kind> = kinds.iter().copied().filter(|kind| PLANNED.contains(kind)).collect();
     let (mut troubles, mut begin) = (Vec::new(), Duration::ZERO);
@@ -194,13 +204,29 @@
         .iter_mut()
         .filter(is_off)
         .for_each(|trouble| trouble.lasts = OFF.min(end - trouble.at));
-    if !repeated.is_empty() {
-        come_again(&mut ChaCha8Rng::seed_from_u64(!seed), end, &mut troubles);
-        troubles.sort_by_key(|trouble| trouble.at);
+    for kind in apart {
+        let mut rng = ChaCha8Rng::seed_from_u64(!seed);
+        match kind {
+            Kind::CrashingRequest => come_again(&mut rng, end, &mut troubles),
+            _ => ask_again(&mut rng, kind, end, &mut troubles),
+        }
     }
+    troubles.sort_by_key(|trouble| trouble.at);
     troubles
 }
 
+/// Adds servers that ask something, at any time.
+fn ask_again(rng: &mut ChaCha8Rng, kind: Kind, end: Duration, troubles: &mut Vec<Trouble>) {
+    // Those of different kinds do not come at the same moments.
+    let mut at = Duration::from_millis(rng.random_range(ASKS_MS) / (2 + kind as u64 % 2));
+    while at < end {
+        let lasts = Duration::from_millis(rng.random_range(LASTS_MS)).min(end - at);
+        let target = rng.random_range(0..1_000);
+        troubles.push(Trouble { at, lasts, kind, target });
+        at += Duration::from_millis(rng.random_range(ASKS_MS));
+    }
+}
+
 /// Adds requests that crash servers, at any time.
 fn come_again(rng: &mut ChaCha8Rng, end: Duration, troubles: &mut Vec<Trouble>) {
     let mut at = Duration::ZERO;
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -22,6 +22,9 @@
 /// Time for which a server that leaves is listed as leaving, and then serves on.
 const LEAVES: Duration = Duration::from_secs(2);
 
+/// What servers tell for a rest: times, and texts that are none.
+const RESTS: [&str; 6] = ["3", "1.5", "0.4", "8", "-1", "soon"];
+
 /// Time after which the row of a server that crashed is gone.
 const LAPSE: Duration = Duration::from_millis(1_500);
 
@@ -140,9 +143,11 @@
             | Kind::ServerFails
             | Kind::ServerLosesAnswers
             | Kind::ServerAnswersTwice
-            | Kind::ServerForges => {
+            | Kind::ServerForges
+            | Kind::ServerAsksRest
+            | Kind::ServerSaysItLeaves => {
                 if let Some(placed) = self.pick(target) {
-                    self.server_trouble(kind, placed, lasts).await;
+                    self.server_trouble(kind, placed, target, lasts).await;
                 }
             }
             // The gateways' own.
@@ -167,7 +172,13 @@
         self.set_moods(Mood::Well);
     }
 
-    async fn server_trouble(self: &Rc<Self>, kind: Kind, placed: Placed, lasts: Duration) {
+    async fn server_trouble(
+        self: &Rc<Self>,
+        kind: Kind,
+        placed: Placed,
+        target: usize,
+        lasts: Duration,
+    ) {
         let Placed { server, way } = placed;
         let act = match kind {
             Kind::ServerRefuses => Act::Refuse,
@@ -175,6 +186,8 @@
             Kind::ServerLosesAnswers => Act::LoseAnswer,
             Kind::ServerAnswersTwice => Act::WorkTwice,
             Kind::ServerForges => Act::Forge("forged".to_owned()),
+            Kind::ServerAsksRest => Act::AskRest(RESTS[target % RESTS.len()].to_owned()),
+            Kind::ServerSaysItLeaves => return self.part(&server).await,
             Kind::ServerDrain => return self.drain(&server, &way).await,
             Kind::ServerCrash => return self.crash(&server, lasts).await,
             _ => return ways::trouble(&way, kind, lasts).await,
@@ -203,6 +216,20 @@
         self.add_server().await;
         self.store.put("servers", &server.id, &server.entry_by(way.address, "draining"));
         self.ledger.leaves(&server.id);
+        self.unlist(server).await;
+    }
+
+    /// A server says that it leaves in its answers alone; the list says that it takes work.
+    async fn part(self: &Rc<Self>, server: &Server) {
+        self.close(&server.id);
+        self.add_server().await;
+        server.say_it_leaves(true);
+        self.unlist(server).await;
+        self.ledger.leaves(&server.id);
+    }
+
+    /// The row of a server that leaves goes after a while.
+    async fn unlist(&self, server: &Server) {
         time::sleep(LEAVES).await;
         self.store.remove("servers", &server.id);
         // It serves on for long: who is sent there after its time is seen.
--- a/crates/soak/tests/ledger.rs
+++ b/crates/soak/tests/ledger.rs
@@ -5,6 +5,7 @@
 use hooktrestle_soak::ledger::Bounds;
 use hooktrestle_soak::ledger::Ledger;
 use hooktrestle_soak::ledger::Promise;
+use hooktrestle_soak::ledger::Through;
 use hooktrestle_soak::ledger::Verdict;
 use hooktrestle_users_standin::caller;
 use hooktrestle_users_standin::server::Act;
@@ -160,3 +161,45 @@
         assert_eq!(found(&ledger), []);
     });
 }
+
+#[test]
+fn a_request_for_a_server_that_asked_this_gateway_for_rest_is_found() {
+    run(async {
+        let bounds = Bounds { rest: Duration::ZERO, ..Bounds::default() };
+        let ledger = Ledger::new(bounds);
+        let server = server(&ledger).await;
+        let asks = ["30", "soon"].map(|text| Act::AskRest(text.to_owned()));
+        server.next(asks);
+        let (one, other) = (Through { gateway: 0, life: 1 }, Through { gateway: 1, life: 1 });
+        let sent = [
+            ("r1", one),
+            ("r2", other),
+            ("r3", Through { life: 2, ..one }),
+            ("r4", other),
+            ("r5", one),
+        ];
+        for (id, through) in sent {
+            ledger.send(id, true);
+            ledger.goes_through(id, through);
+            reach(&server, id).await;
+        }
+        // One life of one gateway was asked, and sent one more.
+        assert_eq!(found(&ledger), [Promise::Rest]);
+    });
+}
+
+#[test]
+fn a_request_for_a_server_that_told_this_gateway_that_it_leaves_is_found() {
+    run(async {
+        let ledger = Ledger::new(strict());
+        let server = server(&ledger).await;
+        server.say_it_leaves(true);
+        let one = Through { gateway: 0, life: 1 };
+        for (id, through) in [("r1", one), ("r2", Through { life: 2, ..one }), ("r3", one)] {
+            ledger.send(id, true);
+            ledger.goes_through(id, through);
+            reach(&server, id).await;
+        }
+        assert_eq!(found(&ledger), [Promise::Parting]);
+    });
+}
