Crashes: a request that a server was beginning to run as it crashed is held back, and tried again one at a time

Cause: a stream that broke off before its first event was taken up at once, at a server of the other group where it crashed that, too; both groups stood still for 4 s, and the copies that came meanwhile crashed both again as they had formed. Change: crashes tell how far each request was. One whose answer had begun, and nothing more had come, is held back by all gateways, told at once: for 5 s, and up to 5 s more by gateway, then one at a time. A second such crash refuses it. Whoever had got further, or ends well anywhere, is let go; what is refused explains others. A stream that is not taken up for that breaks off once others had time to hear, 50 ms at most. The soak checks that nobody is held back unless a server crashed lately; the model of a fleet, the same.

--- a/crates/core/src/direct/crashes.rs
+++ b/crates/core/src/direct/crashes.rs
@@ -5,6 +5,10 @@
 //! crashes is refused by all of them for a while; what else ran beside it is explained by it. One that ends
 //! well anywhere is cleared.
 //!
+//! One that a server was just beginning to run as it crashed is held back at once, until the server and its group can
+//! be back: were it the cause, it would crash another one within a moment, and a group more would stand still. Then
+//! it is tried by one gateway after the other, one at a time. A second such crash tells as much as three of others.
+//!
 //! Reports only grow until they are too old, so gateways that merge each other's in any order come to the
 //! same result, and whoever learns late needs no more than the reports.
 //!
@@ -27,6 +31,14 @@
     /// Crashes from which a request is refused. Two may be chance: a stream that is taken up after a crash may meet
     /// the next one. The users' rule counts from the third.
     pub crashes: usize,
+    /// The same of crashes at which it was just beginning: servers begin to run a request for a tenth of its time.
+    pub at_start: usize,
+    /// How long a request is held back after a crash at which it was just beginning. A server of the users is back
+    /// within 3.3 s, and its group opens 0.6 s later.
+    pub holds_back: Millis,
+    /// Up to so much longer, by gateway: what came meanwhile would go everywhere at once, and crash one server for each
+    /// gateway. News of a crash take some tens of milliseconds.
+    pub holds_apart: Millis,
     /// How long a report counts. As long as a person takes to look at what was refused; a request that still
     /// crashes servers then does so three times more in each such span.
     pub lasts: Millis,
@@ -44,6 +56,9 @@
     fn default() -> Self {
         Config {
             crashes: 3,
+            at_start: 2,
+            holds_back: Millis(5_000),
+            holds_apart: Millis(5_000),
             lasts: Millis(600_000),
             most_crashes: 256,
             most_suspects: 32,
@@ -70,6 +85,18 @@
 /// A crash as one gateway saw it: what names a report.
 pub type Sighting = (ServerLife, Reporter);
 
+/// How far a request was at a server as it crashed. Of several that are the same one, the furthest counts: it did no harm
+/// until then.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Stage {
+    /// No answer had begun: the server may have crashed before.
+    Waiting,
+    /// Its answer had begun, and nothing more had come.
+    Starting,
+    /// More of its answer had come.
+    Running,
+}
+
 /// A request that was at a server as it crashed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Suspect {
@@ -77,14 +104,14 @@
     pub fingerprint: Fingerprint,
     /// How long it had been there then.
     pub ran: Millis,
-    /// Whether its answer had begun: then the server had not crashed before.
-    pub begun: bool,
+    /// How far it was.
+    pub stage: Stage,
 }
 
 impl Suspect {
     fn merge(self, other: Suspect) -> Suspect {
-        let (ran, begun) = (self.ran.max(other.ran), self.begun || other.begun);
-        Suspect { ran, begun, ..self }
+        let (ran, stage) = (self.ran.max(other.ran), self.stage.max(other.stage));
+        Suspect { ran, stage, ..self }
     }
 }
 
@@ -117,7 +144,7 @@
     Known,
     /// Something was not known; it can wait for the next exchange.
     New,
-    /// A request is suspected of more than one crash, or of so many no more: all need to know.
+    /// A request is held back, or suspected of more than one crash, or of so many no more: all need to know.
     Urgent,
 }
 
@@ -152,33 +179,50 @@
 #[derive(Clone, Debug)]
 struct Merged {
     age: Millis,
-    /// With how long each had been there.
-    suspects: BTreeMap<Fingerprint, Millis>,
+    suspects: BTreeMap<Fingerprint, Suspect>,
+}
+
+impl Merged {
+    /// Whether a request was just beginning there.
+    fn was_at_start(&self, fingerprint: Fingerprint) -> bool {
+        self.suspects.get(&fingerprint).is_some_and(|one| one.stage == Stage::Starting)
+    }
 }
 
 /// How much later than the first answer broke off at any gateway a request may have been sent that was there: ages that
 /// gateways tell each other are too high by as long as news took.
 const TOLD_LATE: Millis = Millis(250);
 
-/// At how many crashes each request was, and the longest time that it had been at one of the servers.
+/// At how many crashes a request was, and the longest time that it had been at one of the servers.
+#[derive(Clone, Copy, Default)]
+struct Count {
+    all: usize,
+    at_start: usize,
+    longest: Millis,
+}
+
+/// The same of each request.
 #[derive(Default)]
-struct Counts(HashMap<Fingerprint, (usize, Millis)>);
+struct Counts(HashMap<Fingerprint, Count>);
 
 impl Counts {
     fn add(&mut self, report: &Merged) {
-        for (fingerprint, ran) in &report.suspects {
-            let (count, longest) = self.0.entry(*fingerprint).or_default();
-            *count += 1;
-            *longest = (*longest).max(*ran);
+        for (fingerprint, suspect) in &report.suspects {
+            let count = self.0.entry(*fingerprint).or_default();
+            count.all += 1;
+            count.at_start += usize::from(suspect.stage == Stage::Starting);
+            count.longest = count.longest.max(suspect.ran);
         }
     }
 
-    /// Of those that were at a crash and at `enough` in all, the ones that never stayed for long.
-    fn told_by(&self, report: &Merged, enough: usize) -> Vec<Fingerprint> {
+    /// Of those that were at a crash and at enough in all, the ones that never stayed for long.
+    fn told_by(&self, report: &Merged, config: &Config) -> Vec<Fingerprint> {
         let counted = report.suspects.keys().map(|one| (self.0[one], *one));
+        let enough =
+            |count: &Count| count.all >= config.crashes || count.at_start >= config.at_start;
         let told: Vec<(Millis, Fingerprint)> = counted
-            .filter(|((count, _), _)| *count >= enough)
-            .map(|((_, longest), one)| (longest, one))
+            .filter(|(count, _)| enough(count))
+            .map(|(count, one)| (count.longest, one))
             .collect();
         let shortest = told.iter().map(|(longest, _)| *longest).min();
         told.into_iter()
@@ -188,10 +232,23 @@
     }
 }
 
+/// Whether a request that is not refused may be sent now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Leave {
+    /// Nothing is known against it.
+    Free,
+    /// It was just beginning at a server as that crashed, some time ago: one at a time.
+    OneAtATime,
+    /// Not for so much longer.
+    HeldBack(Millis),
+}
+
 /// Everything that one gateway knows of crashes.
 #[derive(Clone, Debug)]
 pub struct Crashes {
     config: Config,
+    /// Tells this gateway from the others.
+    own: Reporter,
     reports: BTreeMap<Sighting, Report>,
     cleared: BTreeMap<Fingerprint, Aged>,
     /// Requests that ended well here last, and when.
@@ -202,9 +259,10 @@
 
 impl Crashes {
     /// Nothing is known.
-    pub fn new(config: Config) -> Crashes {
+    pub fn new(config: Config, own: Reporter) -> Crashes {
         Crashes {
             config,
+            own,
             reports: BTreeMap::new(),
             cleared: BTreeMap::new(),
             well: VecDeque::new(),
@@ -218,6 +276,32 @@
         (until > now).then(|| until.since(now))
     }
 
+    /// Whether a request may be sent: it is held back if it was just beginning at a server as that crashed, and nothing
+    /// that is refused was there.
+    pub fn leave(&self, fingerprint: Fingerprint, now: Millis) -> Leave {
+        if !self.suspects(fingerprint) {
+            return Leave::Free;
+        }
+        let merged = self.merged(now);
+        let unexplained = merged.iter().filter(|(_, crash)| {
+            let is_explained = crash.suspects.keys().any(|one| self.refuses(*one, now).is_some());
+            crash.was_at_start(fingerprint) && !is_explained
+        });
+        let left = unexplained.map(|(server, crash)| self.holds(*server).since(crash.age)).max();
+        match left {
+            None => Leave::Free,
+            Some(Millis::ZERO) => Leave::OneAtATime,
+            Some(left) => Leave::HeldBack(left),
+        }
+    }
+
+    /// How long this gateway holds back what was beginning at a server as that crashed.
+    fn holds(&self, server: ServerLife) -> Millis {
+        let Config { holds_back, holds_apart, .. } = self.config;
+        let drawn = hash::score(self.own.0, &server.0.to_string());
+        holds_back + Millis(drawn % holds_apart.0.max(1))
+    }
+
     /// Requests that are refused.
     pub fn refused(&self, now: Millis) -> Vec<Fingerprint> {
         let refused = self.refused.iter().filter(|(_, until)| **until > now);
@@ -240,8 +324,11 @@
     pub fn crashes_of(&self, fingerprint: Fingerprint, now: Millis) -> Vec<Crash> {
         let merged = self.merged(now);
         let found = merged.iter().filter_map(|(server, crash)| {
-            let ran = *crash.suspects.get(&fingerprint)?;
-            let suspects = vec![Suspect { fingerprint, ran, begun: true }];
+            let suspect = *crash.suspects.get(&fingerprint)?;
+            // What waited is told as if its answer had begun: when it was sent is not kept.
+            let stage =
+                if suspect.stage == Stage::Waiting { Stage::Running } else { suspect.stage };
+            let suspects = vec![Suspect { stage, ..suspect }];
             Some(Crash { server: *server, reporter: Reporter(0), age: crash.age, suspects })
         });
         found.collect()
@@ -262,10 +349,12 @@
         for ((server, _), report) in self.reports.iter().filter(|(_, report)| counts(report)) {
             let Some(crash) = merged.get_mut(server) else { continue };
             let age = report.at.age(now);
-            let was_there = |one: &&Suspect| one.begun || age + one.ran + TOLD_LATE >= crash.age;
+            let was_there = |one: &&Suspect| {
+                one.stage > Stage::Waiting || age + one.ran + TOLD_LATE >= crash.age
+            };
             for suspect in report.suspects.values().filter(was_there) {
-                let ran = crash.suspects.entry(suspect.fingerprint).or_default();
-                *ran = (*ran).max(suspect.ran);
+                let known = crash.suspects.entry(suspect.fingerprint).or_insert(*suspect);
+                *known = known.merge(*suspect);
             }
         }
         merged
@@ -348,7 +437,8 @@
         self.forget(now);
         self.judge(now);
         let repeated = self.worth_keeping(now);
-        let urgent = added.iter().any(|fingerprint| repeated.contains(fingerprint));
+        let is_held_back = |one: &Fingerprint| self.leave(*one, now) != Leave::Free;
+        let urgent = added.iter().any(|one| repeated.contains(one) || is_held_back(one));
         if urgent { News::Urgent } else { News::New }
     }
 
@@ -358,7 +448,8 @@
         if age >= self.config.lasts {
             return News::Known;
         }
-        let was_repeated = self.worth_keeping(now).contains(&fingerprint);
+        let was_repeated = self.worth_keeping(now).contains(&fingerprint)
+            || self.leave(fingerprint, now) != Leave::Free;
         let mut is_news = false;
         for report in self.reports.values_mut() {
             if report.at.age(now) >= age && report.suspects.remove(&fingerprint).is_some() {
@@ -410,7 +501,7 @@
             }
             unexplained.push(report);
             counts.add(report);
-            let told = counts.told_by(report, self.config.crashes);
+            let told = counts.told_by(report, &self.config);
             if told.is_empty() {
                 continue;
             }
@@ -426,10 +517,14 @@
     /// How long a request was at enough crashes that still count.
     fn lasts_for(&self, one: Fingerprint, merged: &BTreeMap<ServerLife, Merged>) -> Millis {
         let with_it = merged.values().filter(|crash| crash.suspects.contains_key(&one));
-        let mut ages: Vec<Millis> = with_it.map(|crash| crash.age).collect();
-        ages.sort();
-        let deciding = ages.get(self.config.crashes - 1).copied();
-        deciding.map_or(Millis::ZERO, |age| self.config.lasts - age)
+        let at_start = merged.values().filter(|crash| crash.was_at_start(one));
+        let left = |ages: &mut Vec<Millis>, enough: usize| {
+            ages.sort();
+            ages.get(enough - 1).map_or(Millis::ZERO, |age| self.config.lasts - *age)
+        };
+        let of_all = left(&mut with_it.map(|crash| crash.age).collect(), self.config.crashes);
+        let of_start = left(&mut at_start.map(|crash| crash.age).collect(), self.config.at_start);
+        of_all.max(of_start)
     }
 
     /// Stands for all that is known; two gateways with the same have nothing to tell each other.
@@ -444,8 +539,8 @@
         let digest = |(sighting, report): (&Sighting, &Report)| {
             let (server, reporter) = sighting;
             let number = |one: &Suspect| {
-                let Suspect { fingerprint, ran, begun } = one;
-                let text = format!("{} {} {} {begun}", reporter.0, fingerprint.0, ran.0);
+                let Suspect { fingerprint, ran, stage } = one;
+                let text = format!("{} {} {} {stage:?}", reporter.0, fingerprint.0, ran.0);
                 hash::score(server.0, &text)
             };
             (*sighting, report.suspects.values().fold(0, |all, one| all ^ number(one)))
--- a/crates/core/src/verdict.rs
+++ b/crates/core/src/verdict.rs
@@ -64,7 +64,8 @@
             | Cause::BackendRefused
             | Cause::NotReady
             | Cause::Revoked
-            | Cause::CrashesServers => 503,
+            | Cause::CrashesServers
+            | Cause::CrashSuspect => 503,
             Cause::DeadlinePassed => 504,
             Cause::Cancelled => 499,
         }
@@ -100,6 +101,7 @@
         Cause::LinkLost => "the link to the backend server was lost",
         Cause::NotReady => "the instance has no configuration yet",
         Cause::Revoked => "the request was taken back before it started",
+        Cause::CrashSuspect => "a backend server crashed as it began this request",
         Cause::CrashesServers => "backend servers crashed under this request",
         Cause::Protocol => "the answer broke the protocol; it is not whole",
     }
--- a/crates/core/tests/crash_fleet/mod.rs
+++ b/crates/core/tests/crash_fleet/mod.rs
@@ -7,9 +7,11 @@
 use hooktrestle_core::direct::crashes::Config;
 use hooktrestle_core::direct::crashes::Crash;
 use hooktrestle_core::direct::crashes::Crashes;
+use hooktrestle_core::direct::crashes::Leave;
 use hooktrestle_core::direct::crashes::News;
 use hooktrestle_core::direct::crashes::Reporter;
 use hooktrestle_core::direct::crashes::ServerLife;
+use hooktrestle_core::direct::crashes::Stage;
 use hooktrestle_core::direct::crashes::Suspect;
 use hooktrestle_core::direct::fingerprint::Fingerprint;
 use rand::RngExt;
@@ -34,6 +36,9 @@
 /// How long a crashed server is away.
 const AWAY: Millis = Millis(4_000);
 
+/// Time from the start of a request to its first event.
+const FIRST_EVENT: Millis = Millis(150);
+
 const END: Millis = Millis(60_000);
 
 /// What happens on a day.
@@ -73,6 +78,9 @@
     pub culprits_refused: u32,
     pub innocents: u32,
     pub innocents_refused: u32,
+    pub held: u32,
+    /// Held back though no server had crashed lately as they began there.
+    pub held_without_reason: u32,
     /// Most crashes that one gateway remembered.
     pub most_known: usize,
 }
@@ -86,9 +94,9 @@
 }
 
 impl Gateway {
-    fn starting(now: Millis) -> Gateway {
+    fn starting(number: usize, now: Millis) -> Gateway {
         Gateway {
-            crashes: Crashes::new(Config::default()),
+            crashes: Crashes::new(Config::default(), Reporter(number as u64)),
             started_at: now,
             cut_until: Millis::ZERO,
             next_round: now,
@@ -134,6 +142,8 @@
     /// What the platform keeps: crashes with the time of each.
     kept: BTreeMap<Fingerprint, Vec<(Crash, Millis)>>,
     crashes_by: BTreeMap<Fingerprint, Vec<Millis>>,
+    /// When a server crashed last as a request began there.
+    began_at_crash: BTreeMap<Fingerprint, Millis>,
     next_innocent: u64,
     outcome: Outcome,
 }
@@ -144,11 +154,12 @@
         let now = Millis(10_000);
         Fleet {
             now,
-            gateways: (0..plan.gateways).map(|_| Gateway::starting(now)).collect(),
+            gateways: (0..plan.gateways).map(|number| Gateway::starting(number, now)).collect(),
             servers: (0..plan.servers).map(|number| (number as u64, now)).collect(),
             runs: Vec::new(),
             kept: BTreeMap::new(),
             crashes_by: BTreeMap::new(),
+            began_at_crash: BTreeMap::new(),
             next_innocent: 1_000,
             outcome: Outcome::default(),
             plan,
@@ -225,6 +236,18 @@
             self.outcome.innocents_refused += u32::from(!is_culprit);
             return;
         }
+        let leave = sender.crashes.leave(fingerprint, sender.clock(now));
+        let is_out =
+            || self.runs.iter().any(|run| run.fingerprint == fingerprint && run.gateway == gateway);
+        if matches!(leave, Leave::HeldBack(_)) || (leave == Leave::OneAtATime && is_out()) {
+            let crashed = self.began_at_crash.get(&fingerprint);
+            let Config { holds_back, holds_apart, lasts, .. } = Config::default();
+            let longest = if leave == Leave::OneAtATime { lasts } else { holds_back + holds_apart };
+            let has_reason = crashed.is_some_and(|at| now.since(*at) < longest);
+            self.outcome.held += 1;
+            self.outcome.held_without_reason += u32::from(!has_reason);
+            return;
+        }
         let there: Vec<usize> =
             (0..self.servers.len()).filter(|server| self.servers[*server].1 <= now).collect();
         if there.is_empty() {
@@ -280,8 +303,12 @@
         self.runs = elsewhere;
         self.servers[server] = (life + 1_000, now + AWAY);
         for run in there.into_iter().chain(by) {
-            let suspect =
-                Suspect { fingerprint: run.fingerprint, ran: now.since(run.began), begun: true };
+            let ran = now.since(run.began);
+            let stage = if ran < FIRST_EVENT { Stage::Starting } else { Stage::Running };
+            let suspect = Suspect { fingerprint: run.fingerprint, ran, stage };
+            if stage == Stage::Starting {
+                self.began_at_crash.insert(run.fingerprint, now);
+            }
             let crash = Crash {
                 server: ServerLife(life),
                 reporter: Reporter(run.gateway as u64),
@@ -317,7 +344,7 @@
         let all = self.plan.rng.random_bool(0.2);
         let anew = if all { (0..self.gateways.len()).collect() } else { vec![which] };
         for which in anew {
-            let mut gateway = Gateway::starting(now);
+            let mut gateway = Gateway::starting(which, now);
             for (crash, at) in self.kept.values().flatten() {
                 let crash = Crash { age: now.since(*at), ..crash.clone() };
                 gateway.crashes.take(&crash, Millis::ZERO);
--- a/crates/core/tests/crashes.rs
+++ b/crates/core/tests/crashes.rs
@@ -10,10 +10,12 @@
 use hooktrestle_core::direct::crashes::Config;
 use hooktrestle_core::direct::crashes::Crash;
 use hooktrestle_core::direct::crashes::Crashes;
+use hooktrestle_core::direct::crashes::Leave;
 use hooktrestle_core::direct::crashes::News;
 use hooktrestle_core::direct::crashes::Reporter;
 use hooktrestle_core::direct::crashes::ServerLife;
 use hooktrestle_core::direct::crashes::Sighting;
+use hooktrestle_core::direct::crashes::Stage;
 use hooktrestle_core::direct::crashes::Suspect;
 use hooktrestle_core::direct::fingerprint::Fingerprint;
 use proptest::collection::vec;
@@ -30,7 +32,7 @@
     let suspects = suspects.iter().map(|(fingerprint, ran_ms)| Suspect {
         fingerprint: Fingerprint(*fingerprint),
         ran: Millis(*ran_ms),
-        begun: false,
+        stage: Stage::Waiting,
     });
     Crash {
         server: ServerLife(server),
@@ -41,7 +43,7 @@
 }
 
 fn knowing(reports: &[Crash]) -> Crashes {
-    let mut crashes = Crashes::new(Config::default());
+    let mut crashes = Crashes::new(Config::default(), Reporter(1));
     for report in reports {
         crashes.take(report, NOW);
     }
@@ -111,7 +113,7 @@
 #[test]
 fn memory_is_bounded_and_keeps_the_newest() {
     let config = Config::default();
-    let mut crashes = Crashes::new(config);
+    let mut crashes = Crashes::new(config, Reporter(1));
     for server in 0..1_000_u64 {
         let suspects: Vec<(u64, u64)> = (0..100).map(|number| (server * 100 + number, 5)).collect();
         crashes.take(&crash(server, &suspects), NOW + Millis(server));
@@ -180,6 +182,7 @@
             assert!(sent <= 3, "seed {seed}: {culprit:?} was sent {sent} times more");
         }
         assert_eq!(outcome.innocents_refused, 0, "seed {seed}: of {}", outcome.innocents);
+        assert_eq!(outcome.held_without_reason, 0, "seed {seed}: of {}", outcome.innocents);
         assert!(outcome.culprits_refused > 0, "seed {seed}");
         assert!(outcome.most_known <= Config::default().most_crashes, "seed {seed}");
     }
@@ -187,7 +190,7 @@
 
 #[test]
 fn who_ended_well_before_the_crash_was_heard_of_did_not_do_it() {
-    let mut crashes = Crashes::new(Config::default());
+    let mut crashes = Crashes::new(Config::default(), Reporter(1));
     crashes.ended_well(Fingerprint(7), NOW);
     let heard_at = NOW + Millis(900);
     for server in 1..4 {
@@ -199,7 +202,7 @@
         crashes.cleared(heard_at).iter().map(|one| one.fingerprint).collect();
     assert_eq!(cleared, [Fingerprint(7)], "others are told");
     // Before the crash, it says nothing.
-    let mut crashes = Crashes::new(Config::default());
+    let mut crashes = Crashes::new(Config::default(), Reporter(1));
     crashes.ended_well(Fingerprint(7), NOW);
     for server in 1..4 {
         crashes.take(&crash(server, &[(7, 90)]), NOW + Millis(10));
@@ -211,7 +214,7 @@
 /// gateway that had nothing there as they crashed sent the same request to all three after it, and took it for the cause.
 #[test]
 fn what_was_sent_after_an_answer_had_broken_off_elsewhere_did_not_crash_the_server() {
-    let mut crashes = Crashes::new(Config::default());
+    let mut crashes = Crashes::new(Config::default(), Reporter(1));
     for server in 1..4 {
         let seen = Crash { age: Millis(2_000), ..crash(server, &[(7, 90)]) };
         let seen_late = Crash {
@@ -224,19 +227,78 @@
     }
     assert_eq!(crashes.refused(NOW), [Fingerprint(7)]);
     // Where its answer had begun, the server had lived until then: what broke off before was another matter.
-    let mut crashes = Crashes::new(Config::default());
+    let mut crashes = Crashes::new(Config::default(), Reporter(1));
     for server in 1..4 {
         let spoilt = Crash { age: Millis(4_000), ..crash(server, &[(100 + server, 90)]) };
         crashes.take(&spoilt, NOW);
         let mut seen = Crash { reporter: Reporter(2), ..crash(server, &[(7, 80)]) };
-        seen.suspects[0].begun = true;
+        seen.suspects[0].stage = Stage::Running;
         crashes.take(&seen, NOW);
     }
     assert_eq!(crashes.refused(NOW), [Fingerprint(7)]);
     // Told by nobody else, it counts.
-    let mut crashes = Crashes::new(Config::default());
+    let mut crashes = Crashes::new(Config::default(), Reporter(1));
     for server in 1..4 {
         crashes.take(&Crash { reporter: Reporter(2), ..crash(server, &[(8, 20)]) }, NOW);
     }
     assert_eq!(crashes.refused(NOW), [Fingerprint(8)]);
 }
+
+/// A request in its first moments at one server that crashed.
+fn at_start(server: u64, fingerprint: u64) -> Crash {
+    let mut seen = crash(server, &[(fingerprint, 60)]);
+    seen.suspects[0].stage = Stage::Starting;
+    seen
+}
+
+#[test]
+fn who_was_just_beginning_at_a_crash_is_held_back_until_its_server_can_be_back() {
+    let Config { holds_back, holds_apart, .. } = Config::default();
+    let mut ends = Vec::new();
+    for own in 1..20 {
+        let mut crashes = Crashes::new(Config::default(), Reporter(own));
+        assert_eq!(crashes.take(&at_start(1, 7), NOW), News::Urgent, "all need to know");
+        let Leave::HeldBack(left) = crashes.leave(Fingerprint(7), NOW) else { panic!("{own}") };
+        assert!(left >= holds_back && left < holds_back + holds_apart, "{left}");
+        assert_eq!(crashes.leave(Fingerprint(8), NOW), Leave::Free, "others are not");
+        assert_eq!(crashes.refuses(Fingerprint(7), NOW), None);
+        assert_eq!(crashes.leave(Fingerprint(7), NOW + left), Leave::OneAtATime);
+        ends.push(left);
+    }
+    ends.sort();
+    let first_two = ends[1] - ends[0];
+    assert!(first_two > Millis::ZERO && ends[18] - ends[0] > Millis(2_000), "not all at once");
+}
+
+#[test]
+fn who_got_further_or_ends_well_is_let_go() {
+    let mut crashes = Crashes::new(Config::default(), Reporter(1));
+    // Whoever had got further did no harm until then, whatever else of it just began there.
+    crashes.take(&at_start(2, 9), NOW);
+    assert!(matches!(crashes.leave(Fingerprint(9), NOW), Leave::HeldBack(_)));
+    let mut further = at_start(2, 9);
+    further.reporter = Reporter(2);
+    further.suspects[0].stage = Stage::Running;
+    crashes.take(&further, NOW);
+    assert_eq!(crashes.leave(Fingerprint(9), NOW), Leave::Free);
+    crashes.take(&at_start(1, 7), NOW);
+    let cleared = Cleared { fingerprint: Fingerprint(7), age: Millis::ZERO };
+    assert_eq!(crashes.clear(cleared, NOW + Millis(5)), News::Urgent);
+    assert_eq!(crashes.leave(Fingerprint(7), NOW + Millis(5)), Leave::Free);
+}
+
+#[test]
+fn the_second_crash_at_its_beginning_tells() {
+    let mut crashes = knowing(&[at_start(1, 7), crash(2, &[(7, 90)])]);
+    assert_eq!(crashes.refuses(Fingerprint(7), NOW), None, "one at its beginning, one before");
+    let later = NOW + Millis(9_000);
+    let mut third = at_start(3, 7);
+    third.suspects.extend(crash(3, &[(8, 40)]).suspects);
+    third.suspects[1].stage = Stage::Starting;
+    crashes.take(&third, later);
+    assert_eq!(crashes.refused(later), [Fingerprint(7)]);
+    assert_eq!(crashes.leave(Fingerprint(8), later), Leave::Free, "explained by the other");
+    let left = crashes.refuses(Fingerprint(7), later).unwrap();
+    assert!(left >= Config::default().lasts - Millis(9_000));
+    assert_eq!(crashes.refuses(Fingerprint(7), later + left), None);
+}
--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -153,16 +153,19 @@
     gateway: &Rc<Gateway<P>>,
     parts: http::request::Parts,
     body: Incoming,
-) -> Result<(Request, Reply<P>), Refusal> {
+) -> Result<(Request<P>, Reply<P>), Refusal> {
     match request::read(gateway, parts, body).await {
         Ok(request) if !gateway.takes(request.route().kind) => {
             // Another gateway can take it at once.
             Err(Refusal::not_run(Cause::Leaving).retry_after(Millis::ZERO))
         }
         Ok(mut request) => {
-            if let Some(left) = gateway.refuses(request.fingerprint) {
-                return Err(Refusal::not_run(Cause::CrashesServers).retry_after(left));
+            if let Some((cause, left)) = gateway.turns_away(request.fingerprint) {
+                return Err(Refusal::not_run(cause).retry_after(left));
             }
+            let trial = gateway.begin_trial(request.fingerprint);
+            request.trial =
+                trial.map_err(|after| Refusal::not_run(Cause::CrashSuspect).retry_after(after))?;
             enter(gateway, &mut request).await?;
             let reply = forward::forward(gateway, &request).await;
             Ok((request, reply))
@@ -176,7 +179,7 @@
 /// Lets a stream in, after a wait if need be, where a pause between its events is owed.
 async fn enter<P: Platform>(
     gateway: &Rc<Gateway<P>>,
-    request: &mut Request,
+    request: &mut Request<P>,
 ) -> Result<(), Refusal> {
     if let Some(after) = gateway.all_rest(&request.service) {
         return Err(Refusal::not_run(Cause::NoBackendServer).retry_after(after));
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -102,7 +102,7 @@
 /// There is no answer for the caller; what became of the attempt is said.
 pub async fn attempt<P: Platform>(
     gateway: &Rc<Gateway<P>>,
-    request: &Request,
+    request: &Request<P>,
     turn: Turn<P>,
     after_event: Option<u64>,
 ) -> Result<Answer<P>, Fate> {
@@ -154,7 +154,7 @@
 /// not be sent again.
 async fn overtaken<P: Platform>(
     gateway: &Gateway<P>,
-    request: &Request,
+    request: &Request<P>,
     server: Key<Server>,
     sent_at: Millis,
 ) {
@@ -176,7 +176,12 @@
 }
 
 /// Whether an answer belongs to the request. One that does not say so can on a new connection only.
-fn is_answer_to(request: &Request, names: &HeaderNames, head: &Parts, reused: bool) -> bool {
+fn is_answer_to<P: Platform>(
+    request: &Request<P>,
+    names: &HeaderNames,
+    head: &Parts,
+    reused: bool,
+) -> bool {
     let answered = head.headers.get(&names.request_id);
     answered.map_or(!reused, |id| *id == request.id)
 }
@@ -219,7 +224,7 @@
 /// belongs to an earlier request, and could not be sent again.
 async fn send<P: Platform>(
     gateway: &Rc<Gateway<P>>,
-    request: &Request,
+    request: &Request<P>,
     server: Key<Server>,
     after_event: Option<u64>,
 ) -> Result<Sent, NoAnswer> {
@@ -288,7 +293,7 @@
 
 fn message<P: Platform>(
     gateway: &Gateway<P>,
-    request: &Request,
+    request: &Request<P>,
     server: Key<Server>,
     after_event: Option<u64>,
 ) -> http::Request<Full<Bytes>> {
@@ -323,7 +328,7 @@
 /// Takes note of what a server asks; returns whether that is a rest.
 fn note_asked<P: Platform>(
     gateway: &Gateway<P>,
-    request: &Request,
+    request: &Request<P>,
     server: Key<Server>,
     head: &Parts,
 ) -> bool {
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -38,7 +38,7 @@
 }
 
 /// Finds the answer to a request, at its deadline at the latest.
-pub async fn forward<P: Platform>(gateway: &Rc<Gateway<P>>, request: &Request) -> Reply<P> {
+pub async fn forward<P: Platform>(gateway: &Rc<Gateway<P>>, request: &Request<P>) -> Reply<P> {
     gateway.count_request(&request.service);
     let route = request.route();
     let mut attempts = Attempts::new(route.most_attempts, route.repeats());
@@ -60,7 +60,7 @@
 
 async fn try_servers<P: Platform>(
     gateway: &Rc<Gateway<P>>,
-    request: &Request,
+    request: &Request<P>,
     attempts: &mut Attempts,
 ) -> Tried<P> {
     // A server's answer that says it failed, for want of a better one.
@@ -70,8 +70,8 @@
         if gateway.now() >= request.deadline {
             return Tried::Refused(attempts.refuse(Cause::DeadlinePassed));
         }
-        if let Some(left) = gateway.refuses(request.fingerprint) {
-            return Tried::Refused(attempts.refuse_for(Cause::CrashesServers, left));
+        if let Some((cause, left)) = gateway.turns_away(request.fingerprint) {
+            return Tried::Refused(attempts.refuse_for(cause, left));
         }
         let Some(turn) = next_turn(gateway, request, attempts) else {
             // A rest that servers ask for is no outage: its end is known.
@@ -109,7 +109,7 @@
 }
 
 /// A refusal, with a time to come back at which servers are expected to take requests again.
-fn refused<P: Platform>(gateway: &Gateway<P>, request: &Request, refusal: Refusal) -> Tried<P> {
+fn refused<P: Platform>(gateway: &Gateway<P>, request: &Request<P>, refusal: Refusal) -> Tried<P> {
     let may_return = refusal.retry_after.is_some();
     match gateway.come_back(&request.service).filter(|_| may_return) {
         Some(after) => Tried::Refused(refusal.retry_after(after)),
@@ -129,7 +129,7 @@
 
 async fn try_server<P: Platform>(
     gateway: &Rc<Gateway<P>>,
-    request: &Request,
+    request: &Request<P>,
     turn: Turn<P>,
 ) -> Outcome<P> {
     let answer = match exchange::attempt(gateway, request, turn, None).await {
@@ -149,7 +149,7 @@
 /// A turn of a server that was not tried yet.
 pub fn next_turn<P: Platform>(
     gateway: &Rc<Gateway<P>>,
-    request: &Request,
+    request: &Request<P>,
     attempts: &Attempts,
 ) -> Option<Turn<P>> {
     let now = gateway.now();
@@ -162,7 +162,7 @@
 /// Reads an answer to its end; `None` if it was broken off.
 async fn whole<P: Platform>(
     gateway: &Rc<Gateway<P>>,
-    request: &Request,
+    request: &Request<P>,
     answer: Answer<P>,
 ) -> Option<(Parts, Bytes)> {
     let Answer { head, body, connection, mut turn, began } = answer;
@@ -176,7 +176,7 @@
         }
         Err(_) => {
             turn.end(Ending::Lost);
-            let progress = Progress::Begun(began);
+            let progress = Progress::Running(began);
             gateway.note_broken(turn.server(), request.fingerprint, progress).await;
             None
         }
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -23,6 +23,7 @@
 use hooktrestle_core::direct::budget::RepeatBudget;
 use hooktrestle_core::direct::crashes::Config as CrashConfig;
 use hooktrestle_core::direct::crashes::Crashes;
+use hooktrestle_core::direct::crashes::Reporter;
 use hooktrestle_core::direct::members;
 use hooktrestle_core::direct::members::Member;
 use hooktrestle_core::direct::members::Members;
@@ -100,6 +101,8 @@
     pub stalled: Notify,
     /// Wakes whoever exchanges news with other gateways: there is some that cannot wait.
     pub urgent: Notify,
+    /// Told when the rounds of news that could not wait were made.
+    pub told: Notify,
     /// Rounds of news that are still to be made at once.
     urgent_rounds: Cell<Option<(u32, Reach)>>,
     findings: RefCell<Findings>,
@@ -150,9 +153,10 @@
             sidecars_port,
             stalled: Notify::new(),
             urgent: Notify::new(),
+            told: Notify::new(),
             urgent_rounds: Cell::new(None),
             findings: RefCell::default(),
-            crashes: RefCell::new(Crashes::new(CrashConfig::default())),
+            crashes: RefCell::new(Crashes::new(CrashConfig::default(), Reporter(own.life().0))),
             found: RefCell::default(),
             crashes_changed: Notify::new(),
             serving: RefCell::default(),
--- a/crates/direct/src/gateway/crashes.rs
+++ b/crates/direct/src/gateway/crashes.rs
@@ -8,18 +8,23 @@
 use std::collections::HashMap;
 use std::io;
 use std::rc::Rc;
+use std::time::Duration;
 
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::crashes::Cleared;
 use hooktrestle_core::direct::crashes::Crash;
 use hooktrestle_core::direct::crashes::Crashes;
+use hooktrestle_core::direct::crashes::Leave;
 use hooktrestle_core::direct::crashes::News;
 use hooktrestle_core::direct::crashes::Reporter;
 use hooktrestle_core::direct::crashes::ServerLife;
+use hooktrestle_core::direct::crashes::Stage;
 use hooktrestle_core::direct::crashes::Suspect;
 use hooktrestle_core::direct::fingerprint::Fingerprint;
 use hooktrestle_core::direct::pool::Server;
 use hooktrestle_core::util::arena::Key;
+use hooktrestle_schema::Cause;
+use tokio::time;
 
 use crate::connections::Connection;
 use crate::gateway::Gateway;
@@ -31,21 +36,31 @@
 /// news take among gateways.
 const LISTED_ON: Millis = Millis(6_000);
 
+/// Longest wait until others were told: some rounds of news, of a few milliseconds each.
+const MOST_TELLING: Duration = Duration::from_millis(50);
+
+/// When a caller shall come back whose request is out for another one: the users' streams last 1 to 2 s.
+const TRIAL: Millis = Millis(1_500);
+
 /// How far a request came at a server, and when.
 #[derive(Clone, Copy, Debug)]
 pub enum Progress {
     /// It was sent, and no answer began.
     Sent(Millis),
-    /// An answer began.
-    Begun(Millis),
+    /// An answer began, and nothing more came.
+    Starting(Millis),
+    /// More of an answer came.
+    Running(Millis),
 }
 
 impl Progress {
     fn suspect(self, fingerprint: Fingerprint, now: Millis) -> Suspect {
-        match self {
-            Progress::Sent(at) => Suspect { fingerprint, ran: now.since(at), begun: false },
-            Progress::Begun(at) => Suspect { fingerprint, ran: now.since(at), begun: true },
-        }
+        let (at, stage) = match self {
+            Progress::Sent(at) => (at, Stage::Waiting),
+            Progress::Starting(at) => (at, Stage::Starting),
+            Progress::Running(at) => (at, Stage::Running),
+        };
+        Suspect { fingerprint, ran: now.since(at), stage }
     }
 }
 
@@ -93,19 +108,33 @@
         let crashed_at = *self.crashed_at.get_or_insert(first.unwrap_or(self.at));
         let there = self.suspects.drain(..).filter_map(|(at, suspect)| {
             let sent_at = at - suspect.ran;
-            let was_there = suspect.begun || sent_at <= crashed_at;
+            let was_there = suspect.stage > Stage::Waiting || sent_at <= crashed_at;
             was_there.then(|| Suspect { ran: crashed_at - sent_at, ..suspect })
         });
         (crashed_at, there.collect())
     }
 }
 
+/// A request that is tried again after a server crashed as it began there, until this is dropped.
+pub struct Trial<P: Platform> {
+    gateway: Rc<Gateway<P>>,
+    fingerprint: Fingerprint,
+}
+
+impl<P: Platform> Drop for Trial<P> {
+    fn drop(&mut self) {
+        self.gateway.found.borrow_mut().on_trial.remove(&self.fingerprint);
+    }
+}
+
 /// What this gateway has found out itself; what all know is in [`Crashes`].
 #[derive(Default)]
 pub(super) struct Found {
     broken: HashMap<Key<Server>, Broken>,
     /// Requests that were at a crash here: this gateway has them kept on the platform.
     own: BTreeSet<Fingerprint>,
+    /// Requests that are tried one at a time, and are out.
+    on_trial: BTreeSet<Fingerprint>,
     /// Requests that are refused, as far as that was logged.
     told: BTreeSet<Fingerprint>,
     /// Whether it was tried to read what the platform keeps.
@@ -113,13 +142,44 @@
 }
 
 impl<P: Platform> Gateway<P> {
-    /// How much longer a request is refused because servers crash under it, if it is.
-    pub fn refuses(&self, fingerprint: Fingerprint) -> Option<Millis> {
-        let left = self.crashes.borrow().refuses(fingerprint, self.now());
-        if left.is_some() {
+    /// Why a request is sent to no server, and for how much longer, if it is not: servers crash under it, or one did
+    /// just as it began there.
+    pub fn turns_away(&self, fingerprint: Fingerprint) -> Option<(Cause, Millis)> {
+        let now = self.now();
+        let crashes = self.crashes.borrow();
+        if let Some(left) = crashes.refuses(fingerprint, now) {
             self.metrics.crashing_refused.inc();
+            return Some((Cause::CrashesServers, left));
         }
-        left
+        let Leave::HeldBack(left) = crashes.leave(fingerprint, now) else { return None };
+        self.metrics.crash_suspects_held.inc();
+        Some((Cause::CrashSuspect, left))
+    }
+
+    /// Begins a request that is turned away no more.
+    ///
+    /// # Errors
+    ///
+    /// It is tried one at a time, and another one is out; it may come back after this time.
+    pub fn begin_trial(
+        self: &Rc<Self>,
+        fingerprint: Fingerprint,
+    ) -> Result<Option<Trial<P>>, Millis> {
+        if self.crashes.borrow().leave(fingerprint, self.now()) != Leave::OneAtATime {
+            return Ok(None);
+        }
+        if !self.found.borrow_mut().on_trial.insert(fingerprint) {
+            self.metrics.crash_suspects_held.inc();
+            return Err(TRIAL);
+        }
+        Ok(Some(Trial { gateway: self.clone(), fingerprint }))
+    }
+
+    /// Waits until other gateways had time to hear what cannot wait, as far as that takes no longer than a caller
+    /// takes to notice that its answer broke off and to come again elsewhere.
+    pub async fn until_told(&self) {
+        // In vain where others cannot be reached.
+        drop(time::timeout(MOST_TELLING, self.told.notified()).await);
     }
 
     /// A request has had no whole answer of a server. Whether the server has crashed is known at the return where that
@@ -147,7 +207,9 @@
         };
         if finding == Finding::Crashed {
             self.report(server);
-        } else if self.with_crashes(|crashes| crashes.is_close(fingerprint, now)) {
+        } else if suspect.stage == Stage::Starting
+            || self.with_crashes(|crashes| crashes.is_close(fingerprint, now))
+        {
             self.find_out(server).await;
         } else if !is_asked {
             self.set_asked(server, true);
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -37,6 +37,8 @@
     pub servers_crashed: Counter,
     /// Requests that were refused because servers crash under them.
     pub crashing_refused: Counter,
+    /// Requests that were held back because a server crashed as they began there.
+    pub crash_suspects_held: Counter,
     /// Rests that servers asked for.
     pub rests_asked: Counter,
     /// Gateways that callers may be sent to, this one included.
@@ -67,6 +69,7 @@
             ranks_unled: Counter::default(),
             servers_crashed: Counter::default(),
             crashing_refused: Counter::default(),
+            crash_suspects_held: Counter::default(),
             rests_asked: Counter::default(),
             gateways_living: Gauge::default(),
             crashing_known: Gauge::default(),
@@ -87,6 +90,7 @@
             ("rows_passed_over", "Rows that named no server", &metrics.rows_passed_over),
             ("servers_crashed", "Servers that crashed", &metrics.servers_crashed),
             ("crashing_refused", "Requests that crash servers", &metrics.crashing_refused),
+            ("crash_suspects_held", "Requests held back", &metrics.crash_suspects_held),
             ("rests_asked", "Rests that servers asked for", &metrics.rests_asked),
             ("ranks_unled", "Servers in groups too large to be led", &metrics.ranks_unled),
         ];
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -121,6 +121,7 @@
             if urgent.is_some() {
                 continue;
             }
+            gateway.told.notify_waiters();
             let round_time = gateway.with_members(|members| Duration::from(members.round()));
             let pause = time::sleep(if hasty { HASTY_ROUND } else { round_time });
             tokio::select! {
--- a/crates/direct/src/peers/news.rs
+++ b/crates/direct/src/peers/news.rs
@@ -9,6 +9,7 @@
 use hooktrestle_core::direct::crashes::Reporter;
 use hooktrestle_core::direct::crashes::ServerLife;
 use hooktrestle_core::direct::crashes::Sighting;
+use hooktrestle_core::direct::crashes::Stage;
 use hooktrestle_core::direct::crashes::Suspect;
 use hooktrestle_core::direct::fingerprint::Fingerprint;
 use hooktrestle_core::direct::members::Beat;
@@ -126,9 +127,26 @@
     (ServerLife(server), Reporter(by))
 }
 
+/// How far a request was, as gateways tell each other; those that know two stages take the last for the second.
+fn stage_number(stage: Stage) -> u64 {
+    match stage {
+        Stage::Waiting => 0,
+        Stage::Running => 1,
+        Stage::Starting => 2,
+    }
+}
+
+fn stage_of(number: u64) -> Stage {
+    match number {
+        0 => Stage::Waiting,
+        2 => Stage::Starting,
+        _ => Stage::Running,
+    }
+}
+
 fn crash_news(crash: &Crash) -> CrashNews {
     let suspects = crash.suspects.iter();
-    let suspects = suspects.map(|one| [one.fingerprint.0, one.ran.0, u64::from(one.begun)]);
+    let suspects = suspects.map(|one| [one.fingerprint.0, one.ran.0, stage_number(one.stage)]);
     CrashNews {
         server_number: crash.server.0,
         reporter_number: crash.reporter.0,
@@ -138,10 +156,10 @@
 }
 
 fn crash(news: &CrashNews, waited: Millis) -> Crash {
-    let suspects = news.suspects.iter().map(|&[fingerprint, ran_ms, begun]| Suspect {
+    let suspects = news.suspects.iter().map(|&[fingerprint, ran_ms, stage]| Suspect {
         fingerprint: Fingerprint(fingerprint),
         ran: Millis(ran_ms),
-        begun: begun > 0,
+        stage: stage_of(stage),
     });
     Crash {
         server: ServerLife(news.server_number),
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -55,10 +55,12 @@
 
 struct Relay<P: Platform> {
     gateway: Rc<Gateway<P>>,
-    request: Request,
+    request: Request<P>,
     attempts: Attempts,
     source: Option<Answer<P>>,
     events: Events,
+    /// Whether the source has given more than the head of its answer.
+    is_running: bool,
     /// Whether the stream may be taken up elsewhere.
     resumable: bool,
 }
@@ -66,7 +68,7 @@
 /// The frames of a stream that has begun.
 pub fn frames<P: Platform>(
     gateway: Rc<Gateway<P>>,
-    request: Request,
+    request: Request<P>,
     attempts: Attempts,
     answer: Answer<P>,
 ) -> impl Stream<Item = Result<Frame<Bytes>, BrokenOff>> {
@@ -79,6 +81,7 @@
         attempts,
         source: Some(answer),
         events: Events::default(),
+        is_running: false,
         resumable,
     };
     stream::unfold(relay, next_frame)
@@ -89,6 +92,7 @@
     Bytes(Bytes),
     End,
     Broken,
+    Silent,
     Deadline,
 }
 
@@ -101,6 +105,7 @@
         }
         match next_piece(&mut relay).await? {
             Piece::Bytes(bytes) => {
+                relay.is_running = true;
                 let passed = relay.events.push(&bytes);
                 if !passed.is_empty() {
                     let pause = relay.request.permit.as_mut().and_then(Permit::saw_event);
@@ -114,9 +119,13 @@
                 let rest = end(&mut relay)?;
                 return Some((Ok(Frame::data(rest)), relay));
             }
-            Piece::Broken => {
-                note_broken(&relay).await;
+            piece @ (Piece::Broken | Piece::Silent) => {
+                note_broken(&relay, &piece).await;
                 if !resume(&mut relay, LeaveReason::BrokenOff).await {
+                    if relay.gateway.turns_away(relay.request.fingerprint).is_some() {
+                        // Its caller comes again at once, at any gateway.
+                        relay.gateway.until_told().await;
+                    }
                     return Some((Err(BrokenOff), relay));
                 }
             }
@@ -140,9 +149,12 @@
 }
 
 /// The source has broken off, or says nothing.
-async fn note_broken<P: Platform>(relay: &Relay<P>) {
+async fn note_broken<P: Platform>(relay: &Relay<P>, piece: &Piece) {
     let Some(source) = &relay.source else { return };
-    let (server, progress) = (source.turn.server(), Progress::Begun(source.began));
+    // Who says nothing goes on doing so: that it crashed as this began is not to be found out at once.
+    let is_starting = !relay.is_running && matches!(piece, Piece::Broken);
+    let progress = if is_starting { Progress::Starting } else { Progress::Running };
+    let (server, progress) = (source.turn.server(), progress(source.began));
     relay.gateway.note_broken(server, relay.request.fingerprint, progress).await;
 }
 
@@ -158,7 +170,7 @@
             frame = source.body.frame() => frame,
             () = clock.sleep_until(deadline) => return Some(Piece::Deadline),
             // Time asleep does not make a server silent.
-            () = time::sleep_until(silent_at), if resumable => return Some(Piece::Broken),
+            () = time::sleep_until(silent_at), if resumable => return Some(Piece::Silent),
         };
         return Some(match frame {
             Some(Ok(frame)) => match frame.into_data() {
@@ -215,6 +227,7 @@
             Ok(Ok(answer)) if answer.head.status == StatusCode::OK => {
                 relay.gateway.metrics.resumed.inc();
                 relay.source = Some(answer);
+                relay.is_running = false;
                 return true;
             }
             Ok(Ok(_)) => Fate::Failed,
@@ -233,7 +246,7 @@
     reason: LeaveReason,
 ) -> bool {
     let Relay { gateway, request, attempts, events, resumable, .. } = relay;
-    let may_go_on = *resumable && gateway.refuses(request.fingerprint).is_none();
+    let may_go_on = *resumable && gateway.turns_away(request.fingerprint).is_none();
     let covered = || may_go_on && gateway.take_repeat(&request.service);
     let next = attempts.after(server, fate, covered);
     let step = LeaveStep {
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -29,6 +29,7 @@
 use crate::entrance::Asked;
 use crate::entrance::Permit;
 use crate::gateway::Gateway;
+use crate::gateway::crashes::Trial;
 use crate::headers;
 use crate::platform::HeaderNames;
 use crate::platform::Platform;
@@ -60,7 +61,7 @@
 }
 
 /// A request, kept for as many attempts as it takes.
-pub struct Request {
+pub struct Request<P: Platform> {
     /// The configuration that it began under.
     pub serving: Rc<Serving>,
     route: RouteKey,
@@ -88,9 +89,11 @@
     pub priority: u8,
     /// Its entry as a stream, once it has one.
     pub permit: Option<Permit>,
+    /// Its trial, if it is on one.
+    pub trial: Option<Trial<P>>,
 }
 
-impl Request {
+impl<P: Platform> Request<P> {
     /// Its route.
     pub fn route(&self) -> &Route {
         self.serving.route(self.route)
@@ -131,7 +134,7 @@
     gateway: &Gateway<P>,
     parts: Parts,
     body: Incoming,
-) -> Result<Request, Unread> {
+) -> Result<Request<P>, Unread> {
     let came = gateway.now();
     let serving = gateway.serving();
     if serving.version == 0 {
@@ -170,6 +173,7 @@
         came,
         priority,
         permit: None,
+        trial: None,
     })
 }
 
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -177,6 +177,8 @@
     Protocol,
     #[serde(rename = "crashes-servers")]
     CrashesServers,
+    #[serde(rename = "crash-suspect")]
+    CrashSuspect,
 }
 impl ::std::fmt::Display for Cause {
     fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
@@ -201,6 +203,7 @@
             Self::Revoked => f.write_str("revoked"),
             Self::Protocol => f.write_str("protocol"),
             Self::CrashesServers => f.write_str("crashes-servers"),
+            Self::CrashSuspect => f.write_str("crash-suspect"),
         }
     }
 }
@@ -230,6 +233,7 @@
             "revoked" => Ok(Self::Revoked),
             "protocol" => Ok(Self::Protocol),
             "crashes-servers" => Ok(Self::CrashesServers),
+            "crash-suspect" => Ok(Self::CrashSuspect),
             _ => Err("invalid value".into()),
         }
     }
@@ -316,7 +320,7 @@
     pub reporter_number: u64,
     ///Stands for one life of the server.
     pub server_number: u64,
-    ///Requests that were there: fingerprint, how long they had been there in ms, and 1 if their answer had begun.
+    ///Requests that were there: fingerprint, how long they had been there in ms, and how far they were: 0 if no answer had begun, 2 if it had and nothing more had come, else 1.
     pub suspects: ::std::vec::Vec<[u64; 3usize]>,
 }
 ///Crashes at which one request was, as the platform keeps them.
@@ -778,6 +782,9 @@
 ///One of them.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct KeptCrash {
+    ///Whether its answer had begun, and nothing more had come.
+    #[serde(default)]
+    pub at_start: bool,
     ///When, by the store's clock.
     pub crashed_ms: u64,
     ///How long the request had been there.
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -41,6 +41,9 @@
 /// The cause by which a gateway refuses a request that crashes servers.
 const CRASHES_SERVERS: &str = "crashes-servers";
 
+/// The cause by which it holds one back that a server was beginning to run as it crashed.
+const CRASH_SUSPECT: &str = "crash-suspect";
+
 /// Events of a stream.
 const EVENTS: std::ops::Range<u32> = 2..60;
 
@@ -212,9 +215,13 @@
 ) -> Verdict {
     let Ok(answer) = request.send().await else { return Verdict::Open };
     if caller::says_not_run(&answer) && !caller::is_signed(&answer) {
-        if answer.text().await.is_ok_and(|text| text.contains(CRASHES_SERVERS)) {
+        let text = answer.text().await.unwrap_or_default();
+        if text.contains(CRASHES_SERVERS) {
             ledger.broken(Promise::Crashing, format!("{id} is taken for one that crashes servers"));
         }
+        if text.contains(CRASH_SUSPECT) && !ledger.has_crashed_lately() {
+            ledger.broken(Promise::Crashing, format!("{id} is held back, and no server crashed"));
+        }
         return Verdict::NotRun;
     }
     if answer.status() != StatusCode::OK {
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -33,6 +33,8 @@
     pub recovery: Duration,
     /// From the third crash under a request until all gateways know.
     pub contact: Duration,
+    /// From a crash until a request that was beginning there is held back no more.
+    pub held_back: Duration,
     /// From a server's asking for rest to the last request that reaches it.
     pub rest: Duration,
 }
@@ -51,6 +53,7 @@
             stop: Duration::from_secs(9),
             recovery: Duration::from_secs(20),
             contact: Duration::from_secs(3),
+            held_back: Duration::from_secs(10),
             rest: Duration::from_millis(500),
         }
     }
@@ -59,8 +62,8 @@
 impl Bounds {
     /// All of them `times` as long, for machines on which little is to be had.
     pub fn stretched(times: u32) -> Bounds {
-        let Bounds { drain, configuration, close, named, stop, recovery, contact, rest } =
-            Bounds::default();
+        let Bounds { drain, configuration, close, named, stop, recovery, .. } = Bounds::default();
+        let Bounds { contact, held_back, rest, .. } = Bounds::default();
         Bounds {
             drain: drain * times,
             configuration: configuration * times,
@@ -69,6 +72,7 @@
             stop: stop * times,
             recovery: recovery * times,
             contact: contact * times,
+            held_back: held_back * times,
             rest: rest * times,
         }
     }
@@ -102,6 +106,9 @@
 /// time-outs of up to three seconds.
 const SETTLE: Duration = Duration::from_secs(4);
 
+/// Troubles in which servers crash.
+const CRASHES: [Kind; 2] = [Kind::ServerCrash, Kind::CrashingRequest];
+
 /// What is promised.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Promise {
@@ -323,6 +330,14 @@
         others.all(|(_, _, until)| *until + SETTLE < from)
     }
 
+    /// Whether a server crashed in the time for which requests may be held back for that.
+    pub fn has_crashed_lately(&self) -> bool {
+        let now = Instant::now();
+        let troubles = self.troubles.borrow();
+        let mut crashes = troubles.iter().filter(|(kind, ..)| CRASHES.contains(kind));
+        crashes.any(|(_, _, until)| *until + self.bounds.held_back > now)
+    }
+
     /// Servers crash under requests with this body.
     pub fn crashes_under(&self, body: &str) {
         self.crashing.borrow_mut().insert(body.to_owned(), Crashing::default());
