Maps: a group that began anew is read anew, whether a switch was under way or not

Cause: the leader planned on from the map that the group had before its new life, whose skew is low, so it saw nothing to change: the group had its first map, skew 3.4, for 8 s and more, and its streams were late. Only a switch that was under way told of the new life. Class: what is known of a thing outlives the thing. Change: counts tell the life of the group; a later one than the known map's has the map read anew.

--- a/crates/core/src/direct/expert_demand.rs
+++ b/crates/core/src/direct/expert_demand.rs
@@ -77,6 +77,11 @@
         self.last.insert(key, (epoch, counts));
     }
 
+    /// The newest life of a group that its ranks told with their counts.
+    pub fn epoch_of(&self, ranks: &[Key<Server>]) -> Option<u64> {
+        ranks.iter().filter_map(|key| self.last.get(key)).map(|(epoch, _)| *epoch).max()
+    }
+
     /// Each expert's share of a set as it is expected to be; `None` while there are too few counts.
     pub fn of_set(&self, set: usize) -> Option<Vec<f64>> {
         let places = set * self.experts..(set + 1) * self.experts;
--- a/crates/core/tests/expert_layouts.rs
+++ b/crates/core/tests/expert_layouts.rs
@@ -106,3 +106,19 @@
     assert!(quick < 1.35, "{quick}");
     assert!(slower > quick + 0.1, "{slower} and {quick}");
 }
+
+/// Seen where a server of a group had crashed while no switch of it was under way: the group began anew with its first
+/// map, skew 3.4, and had it for 8 s, since its leader planned on from the map that it had before.
+#[test]
+fn the_life_of_a_group_is_the_newest_that_its_ranks_told() {
+    let shape = shape(40.0);
+    let (one, other, elsewhere) = (Key::from_index(0), Key::from_index(1), Key::from_index(2));
+    let mut demand = Demand::new(&shape);
+    assert_eq!(demand.epoch_of(&[one, other]), None);
+    demand.take(one, 4, vec![0; shape.experts]);
+    demand.take(elsewhere, 9, vec![0; shape.experts]);
+    assert_eq!(demand.epoch_of(&[one, other]), Some(4));
+    demand.take(other, 5, vec![0; shape.experts]);
+    demand.take(one, 4, vec![7; shape.experts]);
+    assert_eq!(demand.epoch_of(&[one, other]), Some(5), "one of them told late");
+}
--- a/crates/direct/src/maps/group.rs
+++ b/crates/direct/src/maps/group.rs
@@ -70,6 +70,9 @@
         // What was planned from the same counts before would be planned again.
         drop(time::timeout(LOOK_EVERY, service.counted.notified()).await);
         let Some(ranks) = service.ranks_of(&group) else { continue };
+        // A group that began anew has its first map, whatever it had before.
+        let epoch = service.demand.borrow().epoch_of(&ranks);
+        known = known.filter(|known| epoch.is_none_or(|epoch| epoch <= known.epoch));
         if known.is_none() {
             known = learn(&service, &ranks).await;
             if known.is_none() {
