--- a/crates/core/src/attempt.rs
+++ b/crates/core/src/attempt.rs
@@ -77,12 +77,15 @@
     phase: Phase,
     /// The most that the attempts before the newest admit.
     earlier: Verdict,
+    /// The earliest time to come back that they told.
+    come_back: Option<Millis>,
 }
 
 impl Attempts {
     /// A request whose first attempt is to be sent.
     pub fn new(config: Config) -> Attempts {
-        Attempts { config, attempt: 0, phase: Phase::Routing, earlier: Verdict::NotRun }
+        let earlier = Verdict::NotRun;
+        Attempts { config, attempt: 0, phase: Phase::Routing, earlier, come_back: None }
     }
 
     /// The newest attempt.
@@ -106,9 +109,10 @@
         self.phase = Phase::Sent;
     }
 
-    /// No backend server could be chosen.
+    /// No backend server could be chosen. Those that were asked may have told when they take requests again.
     pub fn not_routed(&mut self, refusal: Refusal) -> Next {
-        self.finish(refusal)
+        let retry_after = self.come_back.or(refusal.retry_after);
+        self.finish(Refusal { retry_after, ..refusal })
     }
 
     /// The head of an answer has arrived.
@@ -215,11 +219,16 @@
             return self.finish(refusal);
         }
         self.earlier = worst(self.earlier, refusal.verdict);
+        self.note_time(&refusal);
         self.attempt += 1;
         self.phase = Phase::Routing;
         Next::Send(self.id())
     }
 
+    fn note_time(&mut self, refusal: &Refusal) {
+        self.come_back = [self.come_back, refusal.retry_after].into_iter().flatten().min();
+    }
+
     fn finish(&mut self, refusal: Refusal) -> Next {
         self.phase = Phase::Done;
         let verdict = worst(self.earlier, refusal.verdict);
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -17,6 +17,7 @@
 use hooktrestle_schema::Verdict;
 
 use crate::clock::Millis;
+use crate::direct::asked::Asked;
 use crate::fair_queue::Entry;
 use crate::fair_queue::FairQueue;
 use crate::fair_queue::FlowId;
@@ -162,6 +163,8 @@
     mean_run_ms: f64,
     tickets: TicketMemory,
     leaving: bool,
+    /// What the backend server asked.
+    asked: Asked,
 }
 
 impl Dispatcher {
@@ -178,6 +181,7 @@
             mean_run_ms: FIRST_RUN_TIME_MS,
             tickets: TicketMemory::new(config.tickets, incarnation),
             leaving: false,
+            asked: Asked::default(),
         }
     }
 
@@ -246,7 +250,7 @@
         {
             return Arrival::Refuse { refusal, spent: refusal.cause == Cause::Revoked };
         }
-        if let Some(refusal) = self.refusal(&offer) {
+        if let Some(refusal) = self.refusal(now, &offer) {
             if let Some(ticket) = &offer.ticket {
                 self.tickets.spend(now, ticket);
             }
@@ -265,6 +269,7 @@
             return Next::Expire(key);
         }
         if self.running < self.config.most_running
+            && self.asked.rests_until(now).is_none()
             && let Some(entry) = self.queue.pop()
         {
             self.start(now, entry);
@@ -363,6 +368,17 @@
         waiting
     }
 
+    /// The backend server asked to be sent nothing for a while: nothing waits here for that.
+    /// Returns what to refuse as `not-run`, and for how long.
+    pub fn rest(&mut self, now: Millis, span: Millis) -> (Vec<RunKey>, Millis) {
+        self.asked.rest(span, now);
+        let waiting: Vec<RunKey> = self.queue.iter().map(|entry| entry.key).collect();
+        for key in &waiting {
+            self.take_back(now, *key);
+        }
+        (waiting, self.asked.rests_until(now).map_or(Millis::ZERO, |until| until.since(now)))
+    }
+
     /// Ends leaving, after operators took the drain back.
     pub fn stay(&mut self) {
         self.leaving = false;
@@ -389,13 +405,16 @@
         Millis((rounds * self.mean_run_ms).ceil() as u64)
     }
 
-    fn refusal(&self, offer: &Offer) -> Option<Refusal> {
+    fn refusal(&self, now: Millis, offer: &Offer) -> Option<Refusal> {
         if self.leaving {
             return Some(Refusal::not_run(Cause::Leaving));
         }
         if offer.deadline_in == Millis::ZERO {
             return Some(Refusal::not_run(Cause::DeadlinePassed));
         }
+        if let Some(until) = self.asked.rests_until(now) {
+            return Some(Refusal::not_run(Cause::BackendRefused).retry_after(until.since(now)));
+        }
         let busy = self.running >= self.config.most_running;
         if busy && self.queue.len() >= self.config.most_queued {
             return Some(Refusal::not_run(Cause::QueueFull).retry_after(self.retry_after()));
--- a/crates/embedded/tests/failures.rs
+++ b/crates/embedded/tests/failures.rs
@@ -54,6 +54,33 @@
     assert!(fleet.engine("hints-1").ledger.all().is_empty());
 }
 
+#[tokio::test]
+async fn a_backend_server_that_asks_for_rest_gets_nothing_meanwhile() {
+    let fleet = deployment(2).await;
+    let resting = Behaviour { refuse: true, asks_rest_s: Some(500), ..Behaviour::default() };
+    let chat =
+        |number: u32| caller(&fleet, "entry-1").chat("hints", &format!("n-{number}"), 2, true);
+    fleet.engine("hints-1").set_behaviour(resting);
+    fleet.engine("hints-2").set_behaviour(resting);
+    let outcome = finish(chat(0)).await.unwrap();
+    assert_eq!(outcome.verdict(), Some("not-run"), "both ask for rest");
+    // They would take requests by now.
+    fleet.engine("hints-1").set_behaviour(Behaviour::default());
+    fleet.engine("hints-2").set_behaviour(Behaviour::default());
+    for number in 1..6 {
+        let Outcome::Refused { verdict, retry_after_ms, .. } = finish(chat(number)).await.unwrap()
+        else {
+            panic!("it is refused")
+        };
+        assert_eq!(verdict, "not-run");
+        let left_ms = retry_after_ms.expect("a time to come back");
+        assert!((400_000..=500_000).contains(&left_ms), "{left_ms} ms");
+    }
+    for name in ["hints-1", "hints-2"] {
+        assert!(fleet.engine(name).ledger.all().is_empty());
+    }
+}
+
 #[tokio::test]
 async fn a_request_that_every_backend_server_refuses_did_not_run_and_is_told_so_at_once() {
     let fleet = deployment(2).await;
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -14,6 +14,7 @@
 use futures_util::stream;
 use hooktrestle_schema::MapOrder;
 use http::Response;
+use http::header::RETRY_AFTER;
 use serde_json::Value;
 use serde_json::json;
 use tokio::sync::watch;
@@ -41,6 +42,8 @@
     pub step: Duration,
     /// Refuses new requests before running any of them.
     pub refuse: bool,
+    /// Asks for a rest of so many seconds as it refuses.
+    pub asks_rest_s: Option<u64>,
     /// Makes no progress.
     pub stalled: bool,
     /// Breaks each answer off after this many tokens.
@@ -52,6 +55,7 @@
         Behaviour {
             step: Duration::from_millis(1),
             refuse: false,
+            asks_rest_s: None,
             stalled: false,
             break_after: None,
         }
@@ -179,8 +183,12 @@
     ledger: Ledger,
     behaviour: watch::Receiver<Behaviour>,
 ) -> warp::reply::Response {
-    if behaviour.borrow().refuse {
-        let refusal = Response::builder().status(503).header(NOT_RUN_HEADER, "true");
+    let Behaviour { refuse, asks_rest_s, .. } = *behaviour.borrow();
+    if refuse {
+        let mut refusal = Response::builder().status(503).header(NOT_RUN_HEADER, "true");
+        if let Some(rest_s) = asks_rest_s {
+            refusal = refusal.header(RETRY_AFTER, rest_s);
+        }
         return refusal.body(String::new()).expect("a valid response").into_response();
     }
     let marker = body["messages"]
--- a/crates/hooktrestled/src/sidecar/desk.rs
+++ b/crates/hooktrestled/src/sidecar/desk.rs
@@ -31,6 +31,7 @@
 use hooktrestle_schema::RequestFrame;
 use hooktrestle_schema::SettledFrame;
 use hooktrestle_schema::Ticket;
+use spdlog::info;
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
 use xtra::Address;
@@ -220,6 +221,17 @@
         }
     }
 
+    /// The backend server asked to be sent nothing for a while.
+    fn rest(&mut self, span: Millis) {
+        let now = self.now();
+        let (waiting, left) = self.dispatcher.rest(now, span);
+        let (rest_ms, refused_requests) = (left.0, waiting.len());
+        info!("the backend server asked for rest", kv: { rest_ms, refused_requests });
+        for key in waiting {
+            self.refuse(key, Refusal::not_run(Cause::BackendRefused).retry_after(left));
+        }
+    }
+
     fn start_run(&mut self, key: RunKey) {
         let Some(job) = self.waiting.remove(&key) else {
             debug_assert!(false, "a queued request has a job");
@@ -367,10 +379,13 @@
                 self.dispatcher.finished(now, key);
                 post(&job.sender, refused(&job.frame, refusal, false));
             }
-            RunEnd::NotStarted(refusal) => {
+            RunEnd::NotStarted(refusal, rest) => {
                 self.dispatcher.not_started(now, key, job.frame.ticket.as_ref());
                 let spent = job.frame.ticket.is_some();
                 post(&job.sender, refused(&job.frame, refusal, spent));
+                if let Some(span) = rest {
+                    self.rest(span);
+                }
             }
         }
         self.pump();
--- a/crates/hooktrestled/src/sidecar/run.rs
+++ b/crates/hooktrestled/src/sidecar/run.rs
@@ -7,6 +7,8 @@
 use eyre::Result;
 use futures_util::StreamExt;
 use futures_util::stream;
+use hooktrestle_core::clock::Millis;
+use hooktrestle_core::direct::asked;
 use hooktrestle_core::verdict::Refusal;
 use hooktrestle_link::Sender;
 use hooktrestle_schema::BodyFrame;
@@ -24,6 +26,7 @@
 use reqwest::Method;
 use reqwest::Response;
 use reqwest::header::HeaderMap;
+use reqwest::header::RETRY_AFTER;
 use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 
@@ -81,8 +84,9 @@
 pub(super) enum RunEnd {
     /// The whole answer has been handed to the link.
     Whole,
-    /// The backend server refused it before running any of it.
-    NotStarted(Refusal),
+    /// The backend server refused it before running any of it; it may have asked to be sent nothing for a
+    /// while.
+    NotStarted(Refusal, Option<Millis>),
     /// It ran, or may have, and the answer is not whole.
     Failed(Refusal),
     /// Nobody is left to answer.
@@ -129,13 +133,15 @@
     let response = match send(backend, job, &hop).await {
         Ok(response) => response,
         Err(error) if error.is_connect() || error.is_builder() => {
-            return RunEnd::NotStarted(Refusal::not_run(Cause::BackendRefused));
+            return RunEnd::NotStarted(Refusal::not_run(Cause::BackendRefused), None);
         }
         // Sent, at least in part, and no answer: nobody knows.
         Err(_) => return RunEnd::Failed(Refusal::may_have_run(Cause::BackendFailed)),
     };
     if response.headers().contains_key(NOT_RUN_HEADER) {
-        return RunEnd::NotStarted(Refusal::not_run(Cause::BackendRefused));
+        let asked = response.headers().get(RETRY_AFTER).and_then(|value| value.to_str().ok());
+        let rest = asked.and_then(asked::rest);
+        return RunEnd::NotStarted(Refusal::not_run(Cause::BackendRefused), rest);
     }
     answer(job, response).await
 }
