--- a/crates/core/src/direct/crashes.rs
+++ b/crates/core/src/direct/crashes.rs
@@ -234,7 +234,7 @@
 
 /// Whether a request that is not refused may be sent now.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Leave {
+pub enum Trust {
     /// Nothing is known against it.
     Free,
     /// It was just beginning at a server as that crashed, some time ago: one at a time.
@@ -255,6 +255,8 @@
     well: VecDeque<(Fingerprint, Millis)>,
     /// Requests that are refused, and until when.
     refused: HashMap<Fingerprint, Millis>,
+    /// Requests that were just beginning at a crash; most requests are looked up in vain here.
+    began_at_crash: BTreeSet<Fingerprint>,
 }
 
 impl Crashes {
@@ -267,6 +269,7 @@
             cleared: BTreeMap::new(),
             well: VecDeque::new(),
             refused: HashMap::new(),
+            began_at_crash: BTreeSet::new(),
         }
     }
 
@@ -278,9 +281,9 @@
 
     /// Whether a request may be sent: it is held back if it was just beginning at a server as that crashed, and nothing
     /// that is refused was there.
-    pub fn leave(&self, fingerprint: Fingerprint, now: Millis) -> Leave {
-        if !self.suspects(fingerprint) {
-            return Leave::Free;
+    pub fn trust(&self, fingerprint: Fingerprint, now: Millis) -> Trust {
+        if !self.began_at_crash.contains(&fingerprint) {
+            return Trust::Free;
         }
         let merged = self.merged(now);
         let unexplained = merged.iter().filter(|(_, crash)| {
@@ -289,9 +292,9 @@
         });
         let left = unexplained.map(|(server, crash)| self.holds(*server).since(crash.age)).max();
         match left {
-            None => Leave::Free,
-            Some(Millis::ZERO) => Leave::OneAtATime,
-            Some(left) => Leave::HeldBack(left),
+            None => Trust::Free,
+            Some(Millis::ZERO) => Trust::OneAtATime,
+            Some(left) => Trust::HeldBack(left),
         }
     }
 
@@ -437,7 +440,7 @@
         self.forget(now);
         self.judge(now);
         let repeated = self.worth_keeping(now);
-        let is_held_back = |one: &Fingerprint| self.leave(*one, now) != Leave::Free;
+        let is_held_back = |one: &Fingerprint| self.trust(*one, now) != Trust::Free;
         let urgent = added.iter().any(|one| repeated.contains(one) || is_held_back(one));
         if urgent { News::Urgent } else { News::New }
     }
@@ -449,7 +452,7 @@
             return News::Known;
         }
         let was_repeated = self.worth_keeping(now).contains(&fingerprint)
-            || self.leave(fingerprint, now) != Leave::Free;
+            || self.trust(fingerprint, now) != Trust::Free;
         let mut is_news = false;
         for report in self.reports.values_mut() {
             if report.at.age(now) >= age && report.suspects.remove(&fingerprint).is_some() {
@@ -512,6 +515,9 @@
         }
         let until = |one: &Fingerprint| (*one, now + self.lasts_for(*one, &merged));
         self.refused = found.iter().map(until).collect();
+        let suspects = merged.values().flat_map(|crash| crash.suspects.values());
+        let began = suspects.filter(|one| one.stage == Stage::Starting);
+        self.began_at_crash = began.map(|one| one.fingerprint).collect();
     }
 
     /// How long a request was at enough crashes that still count.
--- a/crates/core/tests/crash_fleet/mod.rs
+++ b/crates/core/tests/crash_fleet/mod.rs
@@ -7,12 +7,12 @@
 use hooktrestle_core::direct::crashes::Config;
 use hooktrestle_core::direct::crashes::Crash;
 use hooktrestle_core::direct::crashes::Crashes;
-use hooktrestle_core::direct::crashes::Leave;
 use hooktrestle_core::direct::crashes::News;
 use hooktrestle_core::direct::crashes::Reporter;
 use hooktrestle_core::direct::crashes::ServerLife;
 use hooktrestle_core::direct::crashes::Stage;
 use hooktrestle_core::direct::crashes::Suspect;
+use hooktrestle_core::direct::crashes::Trust;
 use hooktrestle_core::direct::fingerprint::Fingerprint;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -236,13 +236,13 @@
             self.outcome.innocents_refused += u32::from(!is_culprit);
             return;
         }
-        let leave = sender.crashes.leave(fingerprint, sender.clock(now));
+        let trust = sender.crashes.trust(fingerprint, sender.clock(now));
         let is_out =
             || self.runs.iter().any(|run| run.fingerprint == fingerprint && run.gateway == gateway);
-        if matches!(leave, Leave::HeldBack(_)) || (leave == Leave::OneAtATime && is_out()) {
+        if matches!(trust, Trust::HeldBack(_)) || (trust == Trust::OneAtATime && is_out()) {
             let crashed = self.began_at_crash.get(&fingerprint);
             let Config { holds_back, holds_apart, lasts, .. } = Config::default();
-            let longest = if leave == Leave::OneAtATime { lasts } else { holds_back + holds_apart };
+            let longest = if trust == Trust::OneAtATime { lasts } else { holds_back + holds_apart };
             let has_reason = crashed.is_some_and(|at| now.since(*at) < longest);
             self.outcome.held += 1;
             self.outcome.held_without_reason += u32::from(!has_reason);
--- a/crates/core/tests/crashes.rs
+++ b/crates/core/tests/crashes.rs
@@ -10,13 +10,13 @@
 use hooktrestle_core::direct::crashes::Config;
 use hooktrestle_core::direct::crashes::Crash;
 use hooktrestle_core::direct::crashes::Crashes;
-use hooktrestle_core::direct::crashes::Leave;
 use hooktrestle_core::direct::crashes::News;
 use hooktrestle_core::direct::crashes::Reporter;
 use hooktrestle_core::direct::crashes::ServerLife;
 use hooktrestle_core::direct::crashes::Sighting;
 use hooktrestle_core::direct::crashes::Stage;
 use hooktrestle_core::direct::crashes::Suspect;
+use hooktrestle_core::direct::crashes::Trust;
 use hooktrestle_core::direct::fingerprint::Fingerprint;
 use proptest::collection::vec;
 use proptest::prelude::any;
@@ -258,11 +258,11 @@
     for own in 1..20 {
         let mut crashes = Crashes::new(Config::default(), Reporter(own));
         assert_eq!(crashes.take(&at_start(1, 7), NOW), News::Urgent, "all need to know");
-        let Leave::HeldBack(left) = crashes.leave(Fingerprint(7), NOW) else { panic!("{own}") };
+        let Trust::HeldBack(left) = crashes.trust(Fingerprint(7), NOW) else { panic!("{own}") };
         assert!(left >= holds_back && left < holds_back + holds_apart, "{left}");
-        assert_eq!(crashes.leave(Fingerprint(8), NOW), Leave::Free, "others are not");
+        assert_eq!(crashes.trust(Fingerprint(8), NOW), Trust::Free, "others are not");
         assert_eq!(crashes.refuses(Fingerprint(7), NOW), None);
-        assert_eq!(crashes.leave(Fingerprint(7), NOW + left), Leave::OneAtATime);
+        assert_eq!(crashes.trust(Fingerprint(7), NOW + left), Trust::OneAtATime);
         ends.push(left);
     }
     ends.sort();
@@ -275,16 +275,16 @@
     let mut crashes = Crashes::new(Config::default(), Reporter(1));
     // Whoever had got further did no harm until then, whatever else of it just began there.
     crashes.take(&at_start(2, 9), NOW);
-    assert!(matches!(crashes.leave(Fingerprint(9), NOW), Leave::HeldBack(_)));
+    assert!(matches!(crashes.trust(Fingerprint(9), NOW), Trust::HeldBack(_)));
     let mut further = at_start(2, 9);
     further.reporter = Reporter(2);
     further.suspects[0].stage = Stage::Running;
     crashes.take(&further, NOW);
-    assert_eq!(crashes.leave(Fingerprint(9), NOW), Leave::Free);
+    assert_eq!(crashes.trust(Fingerprint(9), NOW), Trust::Free);
     crashes.take(&at_start(1, 7), NOW);
     let cleared = Cleared { fingerprint: Fingerprint(7), age: Millis::ZERO };
     assert_eq!(crashes.clear(cleared, NOW + Millis(5)), News::Urgent);
-    assert_eq!(crashes.leave(Fingerprint(7), NOW + Millis(5)), Leave::Free);
+    assert_eq!(crashes.trust(Fingerprint(7), NOW + Millis(5)), Trust::Free);
 }
 
 #[test]
@@ -297,7 +297,7 @@
     third.suspects[1].stage = Stage::Starting;
     crashes.take(&third, later);
     assert_eq!(crashes.refused(later), [Fingerprint(7)]);
-    assert_eq!(crashes.leave(Fingerprint(8), later), Leave::Free, "explained by the other");
+    assert_eq!(crashes.trust(Fingerprint(8), later), Trust::Free, "explained by the other");
     let left = crashes.refuses(Fingerprint(7), later).unwrap();
     assert!(left >= Config::default().lasts - Millis(9_000));
     assert_eq!(crashes.refuses(Fingerprint(7), later + left), None);
--- a/crates/direct/src/gateway/crashes.rs
+++ b/crates/direct/src/gateway/crashes.rs
@@ -14,12 +14,12 @@
 use hooktrestle_core::direct::crashes::Cleared;
 use hooktrestle_core::direct::crashes::Crash;
 use hooktrestle_core::direct::crashes::Crashes;
-use hooktrestle_core::direct::crashes::Leave;
 use hooktrestle_core::direct::crashes::News;
 use hooktrestle_core::direct::crashes::Reporter;
 use hooktrestle_core::direct::crashes::ServerLife;
 use hooktrestle_core::direct::crashes::Stage;
 use hooktrestle_core::direct::crashes::Suspect;
+use hooktrestle_core::direct::crashes::Trust;
 use hooktrestle_core::direct::fingerprint::Fingerprint;
 use hooktrestle_core::direct::pool::Server;
 use hooktrestle_core::util::arena::Key;
@@ -151,7 +151,7 @@
             self.metrics.crashing_refused.inc();
             return Some((Cause::CrashesServers, left));
         }
-        let Leave::HeldBack(left) = crashes.leave(fingerprint, now) else { return None };
+        let Trust::HeldBack(left) = crashes.trust(fingerprint, now) else { return None };
         self.metrics.crash_suspects_held.inc();
         Some((Cause::CrashSuspect, left))
     }
@@ -165,7 +165,7 @@
         self: &Rc<Self>,
         fingerprint: Fingerprint,
     ) -> Result<Option<Trial<P>>, Millis> {
-        if self.crashes.borrow().leave(fingerprint, self.now()) != Leave::OneAtATime {
+        if self.crashes.borrow().trust(fingerprint, self.now()) != Trust::OneAtATime {
             return Ok(None);
         }
         if !self.found.borrow_mut().on_trial.insert(fingerprint) {
