--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -7,6 +7,7 @@
 //! - [`replica`]: a table of the platform as this process knows it, from the store or from peers.
 //! - [`members`]: which gateways there are.
 //! - [`pool`]: which backend server gets a request.
+//! - [`asked`]: what a backend server asks of this gateway: a rest, or nothing more.
 //! - [`slow`]: which backend servers are slow, as one gateway finds and all tell each other.
 //! - [`admission`]: how many streams a service bears, by how long its passes take.
 //! - [`attempts`]: what follows an attempt: answer, another attempt, or a refusal.
--- a/crates/direct/tests/entrance.rs
+++ b/crates/direct/tests/entrance.rs
@@ -147,3 +147,23 @@
         assert_eq!(*let_in.borrow(), [("stays", true)]);
     });
 }
+
+#[test]
+fn whoever_waits_is_let_go_at_once_where_no_server_takes_requests() {
+    run(async {
+        let clock = timers_clock();
+        let (entrance, _permits) = with_streams(clock, 121).await;
+        let began = clock.now();
+        let waiting = [1, 0].map(|priority| {
+            let entrance = entrance.clone();
+            task::spawn_local(async move { entrance.enter(asked(clock, priority, 8_000)).await })
+        });
+        task::yield_now().await;
+        assert!(waiting.iter().all(|one| !one.is_finished()), "both wait");
+        entrance.let_all_go();
+        for one in waiting {
+            assert!(one.await.unwrap().is_ok());
+        }
+        assert_eq!(clock.now(), began);
+    });
+}
