--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,5 +1,6 @@
 //! One run of one seed.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::fmt::Display;
 use std::fmt::Formatter;
@@ -36,6 +37,9 @@
 /// Time between two looks at what servers saw.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 
+/// Time between two looks at whether the run's own thread, on which callers, servers and the store are, is late.
+const TICK: Duration = Duration::from_millis(20);
+
 /// What a run is made of.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -66,6 +70,8 @@
     pub repeats: u32,
     /// How often each promise that depends on time was due.
     pub judged: BTreeMap<Promise, u32>,
+    /// When the run's own thread was latest, and by how much: it answers nobody meanwhile.
+    pub late: (Duration, Duration),
 }
 
 impl Display for Report {
@@ -75,6 +81,8 @@
         for (promise, times) in &self.judged {
             write!(formatter, ", {promise:?} due {times}")?;
         }
+        let (at, by) = self.late;
+        write!(formatter, ", own thread late by {by:.1?} at {at:.1?}")?;
         for broken in &self.broken {
             write!(formatter, "\n  broken: {broken}")?;
         }
@@ -108,6 +116,8 @@
         task::spawn_local(probe(world.clone(), gateway.clone()));
     }
     let start = Instant::now();
+    let late = Rc::new(Cell::new((Duration::ZERO, Duration::ZERO)));
+    task::spawn_local(note_late(start, late.clone()));
     task::spawn_local(strike(world.clone(), start, troubles.to_vec()));
     let mut next_version = start + CONFIGURE_EVERY;
     while start.elapsed() < config.length {
@@ -131,9 +141,22 @@
         served: ledger.served(),
         repeats,
         judged: ledger.judged(),
+        late: late.get(),
     })
 }
 
+/// Keeps when the run's own thread was latest.
+async fn note_late(start: Instant, latest: Rc<Cell<(Duration, Duration)>>) {
+    loop {
+        let due = Instant::now() + TICK;
+        time::sleep_until(due).await;
+        let late = due.elapsed();
+        if late > latest.get().1 {
+            latest.set((start.elapsed(), late));
+        }
+    }
+}
+
 /// Begins each trouble at its time; they overlap.
 async fn strike(world: Rc<World>, start: Instant, troubles: Vec<Trouble>) {
     for trouble in troubles {
