--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -106,6 +106,12 @@
         RequestStep::Rest(step) => {
             format!("server {} asked for a rest of `{}` s", step.server_number, step.asked)
         }
+        RequestStep::Limit(step) => {
+            format!(
+                "server {} takes `{}` requests a second from all gateways",
+                step.server_number, step.named
+            )
+        }
         RequestStep::Leave(step) => {
             let why = match step.reason {
                 LeaveReason::BrokenOff => "broke off or was silent",
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -13,6 +13,7 @@
 use hooktrestle_core::direct::pool::Server;
 use hooktrestle_core::util::arena::Key;
 use hooktrestle_schema::ConnectionStep;
+use hooktrestle_schema::LimitStep;
 use hooktrestle_schema::OtherAnswerStep;
 use hooktrestle_schema::RestStep;
 use http::HeaderValue;
@@ -119,6 +120,7 @@
     connection.note_answer(&head.headers);
     let names = gateway.platform.headers();
     let asks_rest = note_asked(gateway, request, turn.server(), &head);
+    log_limit(gateway, request, turn.server(), &head);
     if !is_answer_to(request, names, &head, reused) {
         turn.end(Ending::Lost);
         let step = OtherAnswerStep { server_number: turn.server().number() };
@@ -338,6 +340,21 @@
     true
 }
 
+/// Logs how many requests a second a server says that it takes, if it does.
+fn log_limit<P: Platform>(
+    gateway: &Gateway<P>,
+    request: &Request<P>,
+    server: Key<Server>,
+    head: &Parts,
+) {
+    let Some(named) = headers::text(&head.headers, &gateway.platform.headers().limit) else {
+        return;
+    };
+    gateway.metrics.limits_named.inc();
+    let step = LimitStep { server_number: server.number(), named: named.to_owned() };
+    gateway.journal.request(request.id_text(), step);
+}
+
 /// How a refusal ends the server's part.
 fn refusal<P: Platform>(gateway: &Gateway<P>, head: &Parts) -> Ending {
     if gateway.platform.is_other_server(head.status.as_u16()) {
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -41,6 +41,8 @@
     pub crash_suspects_held: Counter,
     /// Rests that servers asked for.
     pub rests_asked: Counter,
+    /// Answers in which servers named a limit.
+    pub limits_named: Counter,
     /// Gateways that callers may be sent to, this one included.
     pub gateways_living: Gauge,
     /// Different requests that are refused because servers crash under them.
@@ -71,6 +73,7 @@
             crashing_refused: Counter::default(),
             crash_suspects_held: Counter::default(),
             rests_asked: Counter::default(),
+            limits_named: Counter::default(),
             gateways_living: Gauge::default(),
             crashing_known: Gauge::default(),
             head_ms: Histogram::new(exponential_buckets(start, factor, length)),
@@ -92,6 +95,7 @@
             ("crashing_refused", "Requests that crash servers", &metrics.crashing_refused),
             ("crash_suspects_held", "Requests held back", &metrics.crash_suspects_held),
             ("rests_asked", "Rests that servers asked for", &metrics.rests_asked),
+            ("limits_named", "Answers in which servers named a limit", &metrics.limits_named),
             ("ranks_unled", "Servers in groups too large to be led", &metrics.ranks_unled),
         ];
         for (name, help, counter) in counters {
--- a/crates/direct/src/platform.rs
+++ b/crates/direct/src/platform.rs
@@ -163,6 +163,8 @@
     pub signature: HeaderName,
     /// In an answer, `1`: the server leaves.
     pub leaving: HeaderName,
+    /// In an answer: requests a second that the server takes from all gateways together.
+    pub limit: HeaderName,
     /// In an answer: requests running, requests waiting, slots.
     pub load: HeaderName,
     /// In a request for a stream: the last event that the caller has.
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -867,6 +867,13 @@
     pub reason: LeaveReason,
     pub server_number: u32,
 }
+///A server named how many requests a second it takes from all gateways together.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct LimitStep {
+    ///The number as the server told it.
+    pub named: ::std::string::String,
+    pub server_number: u32,
+}
 ///Section `[links]`.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -1274,6 +1281,8 @@
     OtherAnswer(OtherAnswerStep),
     #[serde(rename = "rest")]
     Rest(RestStep),
+    #[serde(rename = "limit")]
+    Limit(LimitStep),
     #[serde(rename = "leave")]
     Leave(LeaveStep),
     #[serde(rename = "refused")]
@@ -1299,6 +1308,11 @@
         Self::Rest(value)
     }
 }
+impl ::std::convert::From<LimitStep> for RequestStep {
+    fn from(value: LimitStep) -> Self {
+        Self::Limit(value)
+    }
+}
 impl ::std::convert::From<LeaveStep> for RequestStep {
     fn from(value: LeaveStep) -> Self {
         Self::Leave(value)
