--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -8,6 +8,7 @@
 //! - [`members`]: which gateways there are.
 //! - [`pool`]: which backend server gets a request.
 //! - [`asked`]: what a backend server asks of this gateway: a rest, or nothing more.
+//! - [`named_limit`], [`permits`]: how many requests a backend server takes from all gateways together.
 //! - [`slow`]: which backend servers are slow, as one gateway finds and all tell each other.
 //! - [`admission`]: how many streams a service bears, by how long its passes take.
 //! - [`attempts`]: what follows an attempt: answer, another attempt, or a refusal.
@@ -37,9 +38,11 @@
 pub mod holders;
 pub mod map_orders;
 pub mod members;
+pub mod named_limit;
 pub mod outage;
 pub mod overtaken;
 pub mod passes;
+pub mod permits;
 pub mod pool;
 pub mod readings;
 pub mod relays;
--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -126,6 +126,8 @@
     lives: HashMap<LifeId, String>,
     /// When news were exchanged last.
     exchanged_at: Option<Millis>,
+    /// Names that stood in the platform's table when it was read last; `None` before.
+    listed: Option<HashSet<String>>,
     sightings: Sightings,
 }
 
@@ -139,6 +141,7 @@
             others: BTreeMap::new(),
             lives: HashMap::new(),
             exchanged_at: None,
+            listed: None,
             sightings: Sightings::default(),
         }
     }
@@ -273,6 +276,7 @@
     pub fn take_table(&mut self, listed: &[Member], now: Millis) -> Vec<String> {
         let names: HashSet<&str> = listed.iter().map(|member| member.name.as_str()).collect();
         let is_listed = |heard: &Heard| names.contains(heard.member.name.as_str());
+        self.listed = Some(names.iter().copied().map(str::to_owned).collect());
         self.others.retain(|_, heard| heard.age_then.is_some() || is_listed(heard));
         for member in listed {
             if member.name != self.own.name && !self.others.contains_key(&member.name) {
@@ -290,6 +294,34 @@
         found.map(|heard| heard.member.name.clone()).collect()
     }
 
+    /// How many gateways there are, living or not, itself included: those that are remembered or listed, but for those
+    /// that said that they stop and did. `None` while nobody has told.
+    pub fn all(&self, now: Millis) -> Option<usize> {
+        if self.listed.is_none() && self.exchanged_at.is_none() {
+            return None;
+        }
+        let has_stopped = |name: &str| {
+            let heard = self.others.get(name);
+            heard.is_some_and(|heard| {
+                heard.member.readiness == Readiness::Leaving && !self.lives(heard, now)
+            })
+        };
+        let listed = self.listed.iter().flatten().map(String::as_str);
+        let names: HashSet<&str> = self.others.keys().map(String::as_str).chain(listed).collect();
+        let others = names.into_iter().filter(|name| *name != self.own.name && !has_stopped(name));
+        Some(1 + others.count())
+    }
+
+    /// The gateways that live and serve, itself included, in an order that all know: who comes first gives out what is
+    /// bounded for all.
+    pub fn in_order(&self, now: Millis) -> Vec<&Member> {
+        let living = self.living_others(now).chain([&self.own]);
+        let mut ready: Vec<&Member> =
+            living.filter(|member| member.readiness == Readiness::Ready).collect();
+        ready.sort_by_cached_key(|member| (hash::of(&member.name), member.name.clone()));
+        ready
+    }
+
     /// A gateway could not be reached: callers are not sent there until it is heard of again.
     pub fn unreachable(&mut self, peers_at: SocketAddr) {
         let found = self.others.values_mut().find(|heard| heard.member.peers_at == peers_at);
--- /dev/null
+++ b/crates/core/src/direct/named_limit.rs
@@ -0,0 +1,218 @@
+//! How many requests a second a backend server takes from all gateways together, as it names it in its answers.
+//!
+//! What it said last binds, and answers overtake one another: what a server said lies somewhere between the sending
+//! of the request and the coming of the answer. A lower limit holds at once, unless what is known is surely newer; a
+//! higher one, or none any more, has to be surely newer itself.
+//!
+//! Nothing is sent to a limited server without a permit of the gateway that gives them out for all: see
+//! [`permits`](crate::direct::permits). What a gateway was given is in hand for a moment only, so nothing is saved up.
+
+use crate::clock::Millis;
+
+/// Most that is told apart, in requests a second: more than any server takes.
+const MOST_PER_S: f64 = 1e9;
+
+/// What servers that take less are sent all the same: who is sent nothing cannot say that it takes requests again.
+const LEAST: Rate = Rate { in_1000_s: 100 };
+
+/// How long a permit is good, from when it was asked for: a request may have to wait for a connection.
+pub const GOOD_FOR: Millis = Millis(500);
+
+/// Longest wait for an answer to one who asks for permits.
+pub const ASK_TIMEOUT: Millis = Millis(100);
+
+/// Shortest and longest time until permits are asked for again where there were none: what is given out may change.
+const ASK_AGAIN: (Millis, Millis) = (Millis(20), Millis(500));
+
+/// Time for which a gateway asks permits ahead, by what it sent lately: one message for several requests.
+const AHEAD_S: f64 = 0.25;
+
+/// Time over which requests count as sent lately.
+const LATELY_MS: f64 = 1_000.0;
+
+/// What news may have taken on their way from another gateway, beyond the ages they tell.
+pub const ON_THE_WAY: Millis = Millis(500);
+
+/// Requests over time.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Rate {
+    /// Requests in 1,000 seconds.
+    pub in_1000_s: u64,
+}
+
+impl Rate {
+    /// What a server named, in requests a second, a decimal; `None` if the text is no number.
+    pub fn named(text: &str) -> Option<Rate> {
+        let text = text.trim();
+        // Words that stand for numbers, and signs, are none.
+        if !text.starts_with(|first: char| first.is_ascii_digit() || first == '.') {
+            return None;
+        }
+        let per_s = text.parse::<f64>().ok()?;
+        Some(Rate { in_1000_s: (per_s.min(MOST_PER_S) * 1_000.0) as u64 })
+    }
+
+    /// Requests a millisecond that are sent to a server of this limit.
+    pub fn per_ms(self) -> f64 {
+        self.max(LEAST).in_1000_s as f64 / 1e6
+    }
+}
+
+/// What a server said of its limit, and when.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Said {
+    /// `None`: it names none any more.
+    pub limit: Option<Rate>,
+    /// It said so at this moment at the earliest.
+    pub earliest: Millis,
+    /// It said so at this moment at the latest.
+    pub latest: Millis,
+}
+
+impl Said {
+    fn is_looser_than(&self, known: &Said) -> bool {
+        match (self.limit, known.limit) {
+            (_, None) => false,
+            (None, Some(_)) => true,
+            (Some(limit), Some(known)) => limit > known,
+        }
+    }
+
+    /// Whether this binds in place of what is known.
+    fn overrules(&self, known: &Said) -> bool {
+        if self.is_looser_than(known) {
+            self.earliest >= known.latest
+        } else {
+            self.latest > known.earliest
+        }
+    }
+}
+
+/// What came of word about a limit.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Heard {
+    /// It was known.
+    Known,
+    /// The limit is another one, or gone.
+    Changed,
+    /// Much less is taken than was known: others should not have to find out.
+    Urgent,
+}
+
+/// Whether a request may be sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Permission {
+    /// The server names no limit.
+    Free,
+    /// There is a permit, good until this moment.
+    Until(Millis),
+    /// Permits have to be asked for, so many.
+    Ask(u32),
+    /// There is none for now.
+    None,
+}
+
+/// One server's limit as this gateway knows it, and the permits that it has for it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Limited {
+    said: Option<Said>,
+    in_hand: u32,
+    good_until: Millis,
+    /// Until when an answer to one who asked is waited for.
+    asked_until: Millis,
+    /// No permit is asked for before.
+    ask_from: Millis,
+    /// Requests sent with permits lately, those longer ago counting less.
+    lately: f64,
+    lately_at: Millis,
+}
+
+impl Limited {
+    /// Takes what the server said.
+    pub fn hear(&mut self, said: Said) -> Heard {
+        let Some(known) = &mut self.said else {
+            self.said = Some(said);
+            return if said.limit.is_some() { Heard::Urgent } else { Heard::Known };
+        };
+        if known.limit == said.limit {
+            known.earliest = known.earliest.max(said.earliest);
+            known.latest = known.latest.max(said.latest);
+            return Heard::Known;
+        }
+        if !said.overrules(known) {
+            return Heard::Known;
+        }
+        let is_halved = match (said.limit, known.limit) {
+            (Some(limit), Some(known)) => limit.in_1000_s <= known.in_1000_s / 2,
+            (limit, _) => limit.is_some(),
+        };
+        if !said.is_looser_than(known) {
+            // What was given out by the limit before is too much now.
+            self.in_hand = 0;
+        }
+        *known = said;
+        if is_halved { Heard::Urgent } else { Heard::Changed }
+    }
+
+    /// What the server said last.
+    pub fn said(&self) -> Option<Said> {
+        self.said
+    }
+
+    /// The limit, if it names one.
+    pub fn limit(&self) -> Option<Rate> {
+        self.said?.limit
+    }
+
+    /// When a request may be sent or a permit asked for, if not now.
+    pub fn bound_until(&self, now: Millis) -> Option<Millis> {
+        let has_permit = self.in_hand > 0 && self.good_until > now;
+        if self.limit().is_none() || has_permit {
+            return None;
+        }
+        Some(self.ask_from.max(self.asked_until)).filter(|until| *until > now)
+    }
+
+    /// Whether an answer is waited for.
+    pub fn is_asked(&self, now: Millis) -> bool {
+        self.asked_until > now
+    }
+
+    /// Takes a permit for one request, or says what is to be done for one.
+    pub fn take(&mut self, now: Millis) -> Permission {
+        if self.limit().is_none() {
+            return Permission::Free;
+        }
+        if self.bound_until(now).is_some() {
+            return Permission::None;
+        }
+        if self.in_hand > 0 && self.good_until > now {
+            self.in_hand -= 1;
+            self.count(now);
+            return Permission::Until(self.good_until);
+        }
+        self.asked_until = now + ASK_TIMEOUT;
+        Permission::Ask(1 + (self.lately_by(now) * AHEAD_S) as u32)
+    }
+
+    /// Takes the answer to what was asked at `asked_at`.
+    pub fn given(&mut self, permits: u32, again_in: Millis, asked_at: Millis, now: Millis) {
+        self.asked_until = Millis::ZERO;
+        if permits == 0 {
+            let (least, most) = ASK_AGAIN;
+            self.ask_from = now + again_in.clamp(least, most);
+            return;
+        }
+        self.in_hand = permits;
+        self.good_until = asked_at + GOOD_FOR;
+    }
+
+    fn lately_by(&self, now: Millis) -> f64 {
+        self.lately * (-(now.since(self.lately_at).0 as f64) / LATELY_MS).exp()
+    }
+
+    fn count(&mut self, now: Millis) {
+        self.lately = self.lately_by(now) + 1.0;
+        self.lately_at = now;
+    }
+}
--- /dev/null
+++ b/crates/core/src/direct/permits.rs
@@ -0,0 +1,119 @@
+//! Permits for what is bounded for all gateways together: requests to backend servers that name a limit.
+//!
+//! One gateway gives them out, the first of those that live in an order that all know, and the others ask it as they
+//! need them: so what is allowed can be used by any one of them, and less than one request a gateway can be allowed.
+//! Gateways need not agree on who that is, and need not know who lives. Each has one part in as many as there are
+//! gateways, living or not, and hands its part over to the one that it asks, for a short while: whoever gives out
+//! permits gives as many parts of the whole as were handed to it. A part that was handed over is handed to nobody else
+//! before that while is over. So the sum holds however many give out permits at once, on both sides of a cut too, and
+//! whoever is cut off alone has its own part.
+//!
+//! Chosen over parts that each keeps for itself: a tenth of a request a second is of no use to anyone. Price: while
+//! the one that gives out permits changes, some seconds' worth of them is lost; the part of a gateway that is gone for
+//! good is, until it is listed no more.
+
+use std::collections::HashMap;
+
+use crate::clock::Millis;
+use crate::direct::crashes::ServerLife;
+use crate::direct::members::LifeId;
+use crate::direct::named_limit::Rate;
+
+/// How long a part counts with the one that it was handed to.
+const HANDED_FOR: Millis = Millis(2_000);
+
+/// How long it is handed to nobody else: word of it may be on its way for as much longer.
+const KEPT_FOR: Millis = Millis(2_500);
+
+/// Time between two words of a gateway that asks for nothing: its part stays handed over.
+pub const HAND_EVERY: Millis = Millis(600);
+
+/// Permits that are kept for one who asks: one, and so many seconds' worth.
+const SAVED_S: f64 = 0.25;
+
+/// Time without a question about a server after which it is forgotten here. A limit that is asked about again then
+/// begins with no permit, as all do.
+const FORGET: Millis = Millis(60_000);
+
+/// Stands for a gateway, whichever of its processes.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct GatewayId(pub u64);
+
+/// What is given to one who asks.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Given {
+    /// So many requests may be sent.
+    pub permits: u32,
+    /// If none: when there is one, unless others take it.
+    pub again_in: Millis,
+}
+
+/// Permits of one server that are not given out yet.
+#[derive(Clone, Copy, Debug)]
+struct Bucket {
+    level: f64,
+    at: Millis,
+}
+
+/// One gateway's side of it: to whom it has handed its own part, and what it gives out itself.
+#[derive(Clone, Debug)]
+pub struct Permits {
+    handed_to: Option<LifeId>,
+    /// Until when its own part is kept for whom it was handed to.
+    kept_until: Millis,
+    /// Whose parts were handed to this gateway, and until when they count.
+    parts: HashMap<GatewayId, Millis>,
+    buckets: HashMap<ServerLife, Bucket>,
+}
+
+impl Permits {
+    /// A process that begins: the one before it may have handed its part over.
+    pub fn new(now: Millis) -> Permits {
+        Permits {
+            handed_to: None,
+            kept_until: now + KEPT_FOR,
+            parts: HashMap::new(),
+            buckets: HashMap::new(),
+        }
+    }
+
+    /// A gateway is asked: whether the own part is handed to it.
+    pub fn hand_over(&mut self, to: LifeId, now: Millis) -> bool {
+        if self.handed_to != Some(to) && now < self.kept_until {
+            return false;
+        }
+        self.handed_to = Some(to);
+        self.kept_until = now + KEPT_FOR;
+        true
+    }
+
+    /// A gateway, this one too, has handed its part to this one.
+    pub fn take_part(&mut self, from: GatewayId, now: Millis) {
+        self.parts.insert(from, now + HANDED_FOR);
+    }
+
+    /// Gives permits for a server of this limit, as many as are wanted or there are. `gateways` is how many there are,
+    /// living or not; `None` if this one cannot know.
+    pub fn give(
+        &mut self,
+        server: ServerLife,
+        limit: Rate,
+        wanted: u32,
+        gateways: Option<usize>,
+        now: Millis,
+    ) -> Given {
+        self.parts.retain(|_, until| *until > now);
+        self.buckets.retain(|_, bucket| now.since(bucket.at) < FORGET);
+        let of = gateways.map_or(f64::INFINITY, |known| known.max(self.parts.len()).max(1) as f64);
+        let per_ms = limit.per_ms() * self.parts.len() as f64 / of;
+        let bucket = self.buckets.entry(server).or_insert(Bucket { level: 0.0, at: now });
+        let most = 1.0 + per_ms * 1_000.0 * SAVED_S;
+        bucket.level = (bucket.level + per_ms * now.since(bucket.at).0 as f64).min(most);
+        bucket.at = now;
+        let permits = wanted.min(bucket.level as u32);
+        bucket.level -= f64::from(permits);
+        // With no part at all this is infinite, and saturates.
+        let lacks_ms = (1.0 - bucket.level).max(0.0) / per_ms;
+        Given { permits, again_in: Millis(lacks_ms.ceil() as u64) }
+    }
+}
--- a/crates/core/src/direct/pool.rs
+++ b/crates/core/src/direct/pool.rs
@@ -4,6 +4,8 @@
 //! server itself: that it cannot be reached, refuses, or fails, so that it rests before callers
 //! feel it, and is tried again carefully. What a server asks for itself binds: see [`asked`](crate::direct::asked).
 
+mod limits;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
@@ -11,6 +13,8 @@
 
 use crate::clock::Millis;
 use crate::direct::asked::Asked;
+use crate::direct::crashes::ServerLife;
+use crate::direct::named_limit::Limited;
 use crate::direct::slow;
 use crate::routing;
 use crate::routing::Candidate;
@@ -115,6 +119,7 @@
 pub struct Server {
     /// As listed last.
     pub listed: Listed,
+    life: ServerLife,
     /// Place among the candidates of its service; `None` unless the list has it.
     place: Option<usize>,
     /// When its row was first seen to have changed, by the store's counter.
@@ -149,6 +154,9 @@
     config: Config,
     servers: Arena<Server>,
     by_id: HashMap<String, Key<Server>>,
+    by_life: HashMap<ServerLife, Key<Server>>,
+    /// Those that have named a limit.
+    limits: HashMap<Key<Server>, Limited>,
     /// Who is listed at an address.
     by_address: HashMap<SocketAddr, Vec<Key<Server>>>,
     services: HashMap<String, Service>,
@@ -161,6 +169,8 @@
             config,
             servers: Arena::default(),
             by_id: HashMap::new(),
+            by_life: HashMap::new(),
+            limits: HashMap::new(),
             by_address: HashMap::new(),
             services: HashMap::new(),
         }
@@ -211,8 +221,10 @@
             self.settle(address);
         }
         let id = listed.id.clone();
+        let life = ServerLife::of(&id, listed.started_unix_ms);
         let server = Server {
             listed,
+            life,
             place: None,
             first_revision: revision,
             rests_until: Millis::ZERO,
@@ -227,6 +239,7 @@
         let key = self.servers.push(server);
         self.place(key);
         self.by_id.insert(id, key);
+        self.by_life.insert(life, key);
     }
 
     /// Puts a server among those that are listed, unless it is there.
@@ -291,7 +304,8 @@
     /// Chooses a server of a service that is not in `tried`, and counts its turn. `cost` is the
     /// work of the request over that of a usual one. Servers that rest by this gateway's judgement, are
     /// slow, or come back from a rest that they asked for, are chosen only if no other is left. Those
-    /// whose group stands still never are: they refuse; nor are those that asked to be sent nothing.
+    /// whose group stands still never are: they refuse; nor are those that asked to be sent nothing, or
+    /// for which there is no permit.
     pub fn choose<R: Rng>(
         &mut self,
         service: &str,
@@ -306,7 +320,8 @@
                 let server = &self.servers[*key];
                 let requests = candidate.own_requests;
                 let fit = if resting { server.is_fit(now) } else { server.is_swift(requests, now) };
-                candidate.usable = fit && !tried.contains(key);
+                let lacks = self.limits.get(key).and_then(|limited| limited.bound_until(now));
+                candidate.usable = fit && lacks.is_none() && !tried.contains(key);
             }
             let config = &self.config.routing;
             let chosen = routing::choose(config, &mut found.candidates, &[], cost, now, rng);
@@ -348,23 +363,25 @@
         let Some(found) = self.services.get(service) else { return false };
         found.servers.iter().zip(&found.candidates).any(|(key, candidate)| {
             let is_swift = self.servers[*key].is_swift(candidate.own_requests, now);
-            *key != server && !tried.contains(key) && is_swift
+            let is_free = self.bound_until(*key, now).is_none();
+            *key != server && !tried.contains(key) && is_swift && is_free
         })
     }
 
-    /// Whether a server may be sent a request, whatever chose it: it may have asked for a rest since.
+    /// Whether a server may be sent a request, whatever chose it: it may have asked for a rest since. Where it
+    /// names a limit, that takes a permit as well.
     pub fn takes(&self, key: Key<Server>, now: Millis) -> bool {
         let server = &self.servers[key];
         server.is_open() && server.asked.rests_until(now).is_none()
     }
 
     /// When the first server of a service takes requests again, if all that would take them have asked
-    /// for a rest.
-    pub fn all_rest_until(&self, service: &str, now: Millis) -> Option<Millis> {
+    /// for a rest or are at their limits.
+    pub fn all_bound_until(&self, service: &str, now: Millis) -> Option<Millis> {
         let mut first = None;
         for key in &self.services.get(service)?.servers {
             let server = &self.servers[*key];
-            match server.asked.rests_until(now).filter(|_| server.is_open()) {
+            match self.bound_until(*key, now).filter(|_| server.is_open()) {
                 Some(until) => first = Some(first.map_or(until, |first| until.min(first))),
                 None if server.is_fit(now) => return None,
                 None => {}
@@ -378,10 +395,12 @@
         self.servers[key].asked.rests_until(now).is_some()
     }
 
-    /// The same of whoever is listed at an address.
-    pub fn rests_at(&self, address: SocketAddr, now: Millis) -> bool {
+    /// Whether whoever is listed at an address shall get no order but from its own machine: it rests, or names a
+    /// limit.
+    pub fn is_closed_to_orders_at(&self, address: SocketAddr, now: Millis) -> bool {
         let keys = self.by_address.get(&address);
-        keys.is_some_and(|keys| keys.iter().any(|key| self.rests(*key, now)))
+        let is_closed = |key: &Key<Server>| self.rests(*key, now) || self.limit(*key).is_some();
+        keys.is_some_and(|keys| keys.iter().any(is_closed))
     }
 
     /// A server asked to be sent nothing for so long.
--- /dev/null
+++ b/crates/core/src/direct/pool/limits.rs
@@ -0,0 +1,97 @@
+//! Backend servers that name a limit, among all others.
+
+use super::Pool;
+use super::Server;
+use crate::clock::Millis;
+use crate::direct::crashes::ServerLife;
+use crate::direct::named_limit::Heard;
+use crate::direct::named_limit::Limited;
+use crate::direct::named_limit::Permission;
+use crate::direct::named_limit::Rate;
+use crate::direct::named_limit::Said;
+use crate::direct::permits::Given;
+use crate::util::arena::Key;
+
+/// Time after which nobody is told any more that a server names no limit.
+const TOLD_FOR: Millis = Millis(60_000);
+
+impl Pool {
+    /// Takes what a server said of its limit.
+    pub fn hear_limit(&mut self, key: Key<Server>, said: Said) -> Heard {
+        let limited = self.limits.entry(key).or_default();
+        limited.hear(said)
+    }
+
+    /// The same of a server by its life; one that is not known is passed over.
+    pub fn hear_limit_of(&mut self, life: ServerLife, said: Said) -> Heard {
+        match self.by_life.get(&life).copied() {
+            Some(key) => self.hear_limit(key, said),
+            None => Heard::Known,
+        }
+    }
+
+    /// What the listed servers have said of their limits, as far as others may not know.
+    pub fn limits_said(&self, now: Millis) -> Vec<(ServerLife, Said)> {
+        let listed = self.limits.iter().filter(|(key, _)| self.is_present(**key));
+        let said = listed.filter_map(|(key, limited)| Some((self.life(*key), limited.said()?)));
+        said.filter(|(_, said)| said.limit.is_some() || now.since(said.latest) < TOLD_FOR).collect()
+    }
+
+    /// Whether a listed server names a limit.
+    pub fn has_limits(&self) -> bool {
+        self.limits.iter().any(|(key, limited)| limited.limit().is_some() && self.is_present(*key))
+    }
+
+    /// What a server has said of its limit.
+    pub fn limit_said(&self, life: ServerLife) -> Option<Said> {
+        self.limited(*self.by_life.get(&life)?).and_then(Limited::said)
+    }
+
+    /// The limit that a server names, if it does.
+    pub fn limit(&self, key: Key<Server>) -> Option<Rate> {
+        self.limited(key).and_then(Limited::limit)
+    }
+
+    /// Stands for one life of a server.
+    pub fn life(&self, key: Key<Server>) -> ServerLife {
+        self.servers[key].life
+    }
+
+    /// Takes a permit for one request to a server, or says what is to be done for one.
+    pub fn take_permit(&mut self, key: Key<Server>, now: Millis) -> Permission {
+        self.limits.get_mut(&key).map_or(Permission::Free, |limited| limited.take(now))
+    }
+
+    /// Takes the answer to one who asked for permits.
+    pub fn permits_given(&mut self, key: Key<Server>, given: Given, asked_at: Millis, now: Millis) {
+        if let Some(limited) = self.limits.get_mut(&key) {
+            limited.given(given.permits, given.again_in, asked_at, now);
+        }
+    }
+
+    /// Whether permits for a server of a service, but those in `tried`, were asked for and may still come.
+    pub fn waits_for_permits(&self, service: &str, tried: &[Key<Server>], now: Millis) -> bool {
+        let Some(found) = self.services.get(service) else { return false };
+        let open = found.servers.iter().filter(|key| !tried.contains(key));
+        open.filter_map(|key| self.limited(*key)).any(|limited| limited.is_asked(now))
+    }
+
+    /// A server that was chosen is sent nothing: its turn is given back.
+    pub fn give_back(&mut self, key: Key<Server>, cost: f64) {
+        if let Some(candidate) = self.candidate(key) {
+            candidate.ended();
+            candidate.turns -= cost;
+        }
+    }
+
+    /// Until when a server is sent nothing, by what it asked: it rests, or there is no permit.
+    pub(super) fn bound_until(&self, key: Key<Server>, now: Millis) -> Option<Millis> {
+        let rests = self.servers[key].asked.rests_until(now);
+        let lacks = self.limited(key).and_then(|limited| limited.bound_until(now));
+        rests.max(lacks)
+    }
+
+    fn limited(&self, key: Key<Server>) -> Option<&Limited> {
+        self.limits.get(&key)
+    }
+}
--- a/crates/core/tests/asked.rs
+++ b/crates/core/tests/asked.rs
@@ -93,9 +93,9 @@
         assert!(!pool.takes(a, Millis(now)));
     }
     assert!(pool.takes(a, Millis(3_100)));
-    assert_eq!(pool.all_rest_until("hints", Millis(201)), None, "one takes requests");
+    assert_eq!(pool.all_bound_until("hints", Millis(201)), None, "one takes requests");
     pool.rest(b, Millis(9_000), Millis(200));
-    assert_eq!(pool.all_rest_until("hints", Millis(201)), Some(Millis(3_100)));
+    assert_eq!(pool.all_bound_until("hints", Millis(201)), Some(Millis(3_100)));
     assert_eq!(choose(&mut pool, 201), None, "nobody is a last resort");
 }
 
--- a/crates/core/tests/asking_fleet/mod.rs
+++ b/crates/core/tests/asking_fleet/mod.rs
@@ -218,7 +218,7 @@
     fn request(&mut self, gateway: usize, now: Millis) {
         let pool = &mut self.pools[gateway];
         let chosen = pool.choose(SERVICE, &[], 1.0, now, &mut self.rng);
-        let told = pool.all_rest_until(SERVICE, now);
+        let told = pool.all_bound_until(SERVICE, now);
         let Some(key) = chosen else { return self.refused(gateway, told, now) };
         let server = number(pool, key);
         if !pool.takes(key, now) || told.is_some() {
--- /dev/null
+++ b/crates/core/tests/named_limit.rs
@@ -0,0 +1,190 @@
+//! What servers name as their limit: numbers that make sense and that do not, answers out of order, and a fleet of
+//! gateways that hold themselves to it together.
+
+mod permit_fleet;
+
+use hooktrestle_core::clock::Millis;
+use hooktrestle_core::direct::crashes::ServerLife;
+use hooktrestle_core::direct::members::LifeId;
+use hooktrestle_core::direct::named_limit::GOOD_FOR;
+use hooktrestle_core::direct::named_limit::Heard;
+use hooktrestle_core::direct::named_limit::Limited;
+use hooktrestle_core::direct::named_limit::Permission;
+use hooktrestle_core::direct::named_limit::Rate;
+use hooktrestle_core::direct::named_limit::Said;
+use hooktrestle_core::direct::permits::GatewayId;
+use hooktrestle_core::direct::permits::Permits;
+use permit_fleet::Fleet;
+use permit_fleet::Kept;
+use permit_fleet::Play;
+use proptest::prelude::*;
+
+/// Seeds of the model in CI.
+const SEEDS: u64 = 40;
+
+const LIMITS: [f64; 7] = [0.0, 0.3, 1.3, 7.7, 33.3, 250.0, 1e6];
+
+fn said(limit: Option<u64>, earliest: u64, latest: u64) -> Said {
+    let limit = limit.map(|in_1000_s| Rate { in_1000_s });
+    Said { limit, earliest: Millis(earliest), latest: Millis(latest) }
+}
+
+fn limited(in_1000_s: u64) -> Limited {
+    let mut limited = Limited::default();
+    assert_eq!(limited.hear(said(Some(in_1000_s), 100, 110)), Heard::Urgent);
+    limited
+}
+
+#[test]
+fn numbers_are_read_and_odd_ones_bounded_or_passed_over() {
+    let read = [
+        ("1.3", Some(1_300)),
+        (" 2 ", Some(2_000)),
+        (".25", Some(250)),
+        ("0", Some(0)),
+        ("0.0001", Some(0)),
+        ("1e1", Some(10_000)),
+        ("1e300", Some(1_000_000_000_000)),
+        ("1e400", Some(1_000_000_000_000)),
+        ("-1", None),
+        ("+1", None),
+        ("", None),
+        ("inf", None),
+        ("NaN", None),
+        ("soon", None),
+        ("3 a second", None),
+    ];
+    for (text, rate) in read {
+        assert_eq!(Rate::named(text), rate.map(|in_1000_s| Rate { in_1000_s }), "`{text}`");
+    }
+}
+
+proptest! {
+    #[test]
+    fn any_text_is_a_bounded_rate_or_none(text in "\\PC*") {
+        let read = Rate::named(&text);
+        prop_assert!(read.is_none_or(|rate| rate.in_1000_s <= 1_000_000_000_000));
+    }
+
+    #[test]
+    fn what_was_said_surely_last_binds_whatever_order_it_is_heard_in(
+        limits in prop::collection::vec(prop::option::of(0_u64..5_000), 1..6),
+        order in prop::collection::vec(any::<prop::sample::Index>(), 0..6),
+    ) {
+        // Each was said after the one before it was heard.
+        let all: Vec<Said> = limits
+            .iter()
+            .enumerate()
+            .map(|(number, limit)| said(*limit, 100 * number as u64, 100 * number as u64 + 50))
+            .collect();
+        let mut heard = Limited::default();
+        let known = all.iter().find(|one| one.limit.is_some());
+        if let Some(first) = known {
+            heard.hear(*first);
+        }
+        for index in &order {
+            heard.hear(*index.get(&all));
+        }
+        heard.hear(all[all.len() - 1]);
+        for index in &order {
+            heard.hear(*index.get(&all));
+        }
+        prop_assert_eq!(heard.limit(), all[all.len() - 1].limit);
+    }
+}
+
+#[test]
+fn of_answers_that_overtake_each_other_the_lower_limit_binds() {
+    let mut one = limited(1_000);
+    assert_eq!(one.hear(said(Some(4_000), 105, 130)), Heard::Known, "it may be older");
+    assert_eq!(one.hear(said(None, 105, 130)), Heard::Known);
+    assert_eq!(one.limit(), Some(Rate { in_1000_s: 1_000 }));
+    assert_eq!(one.hear(said(Some(400), 90, 120)), Heard::Urgent, "it may be newer");
+    assert_eq!(one.hear(said(Some(4_000), 120, 140)), Heard::Changed, "it is newer");
+    assert_eq!(one.hear(said(Some(400), 90, 110)), Heard::Known, "it is older");
+    assert_eq!(one.hear(said(None, 150, 160)), Heard::Changed);
+    assert_eq!(one.take(Millis(170)), Permission::Free);
+    assert_eq!(one.hear(said(Some(400), 90, 110)), Heard::Known, "it is older");
+}
+
+#[test]
+fn permits_are_asked_for_once_and_good_for_a_moment() {
+    let mut one = limited(1_000);
+    assert_eq!(one.take(Millis(200)), Permission::Ask(1));
+    assert_eq!(one.take(Millis(201)), Permission::None, "an answer is waited for");
+    one.given(2, Millis::ZERO, Millis(200), Millis(203));
+    let good_until = Millis(200) + GOOD_FOR;
+    assert_eq!(one.take(Millis(204)), Permission::Until(good_until));
+    assert_eq!(one.take(good_until), Permission::Ask(1), "nothing is saved up, asleep or not");
+    one.given(0, Millis(3), good_until, good_until);
+    assert_eq!(one.take(good_until + Millis(19)), Permission::None);
+    assert_eq!(one.take(good_until + Millis(20)), Permission::Ask(1));
+    // No answer ever came.
+    assert_eq!(one.take(good_until + Millis(5_000)), Permission::Ask(1));
+}
+
+#[test]
+fn a_part_is_handed_to_one_at_a_time() {
+    let mut one = Permits::new(Millis::ZERO);
+    assert!(!one.hand_over(LifeId(1), Millis(100)), "the process before may have handed it over");
+    assert!(one.hand_over(LifeId(1), Millis(3_000)));
+    assert!(one.hand_over(LifeId(1), Millis(4_000)));
+    assert!(!one.hand_over(LifeId(2), Millis(6_400)));
+    assert!(one.hand_over(LifeId(2), Millis(6_500)));
+}
+
+#[test]
+fn what_is_given_out_follows_the_parts_and_is_not_saved_up() {
+    let mut one = Permits::new(Millis::ZERO);
+    let (server, limit) = (ServerLife(1), Rate { in_1000_s: 8_000 });
+    let give = |permits: &mut Permits, now| {
+        permits.give(server, limit, 1_000, Some(4), Millis(now)).permits
+    };
+    assert_eq!(give(&mut one, 0), 0);
+    assert_eq!(give(&mut one, 60_000 - 1), 0, "nobody has handed it a part");
+    for from in 0..2 {
+        one.take_part(GatewayId(from), Millis(60_000));
+    }
+    assert_eq!(give(&mut one, 60_500), 2, "half of 8 a second");
+    assert_eq!(give(&mut one, 61_900), 2, "one, and a quarter of a second's worth");
+    assert_eq!(give(&mut one, 62_000), 0, "they have handed it over for no longer");
+}
+
+#[test]
+fn a_fleet_stays_within_a_limit_whatever_happens() {
+    for seed in 0..SEEDS {
+        let gateways = [1, 3, 7, 40][seed as usize % 4];
+        let limit = LIMITS[seed as usize % LIMITS.len()];
+        for at_one in [false, true] {
+            let play = Play { gateways, limit, at_one, troubles: true, kept: Kept::Together };
+            let broken = Fleet::new(seed, play).play().broken();
+            assert_eq!(broken, Vec::<String>::new(), "seed {seed}, {play:?}");
+        }
+    }
+}
+
+#[test]
+fn what_is_allowed_is_used_also_where_one_gateway_has_all_the_demand() {
+    for (seed, limit) in LIMITS.into_iter().enumerate() {
+        for gateways in [1, 3, 7, 40] {
+            for at_one in [false, true] {
+                let play = Play { gateways, limit, at_one, troubles: false, kept: Kept::Together };
+                let used = Fleet::new(seed as u64, play).play();
+                assert_eq!(used.broken(), Vec::<String>::new(), "{play:?}");
+                // Nobody asks for more than 1,000 a second here.
+                let asked = limit.min(1_000.0);
+                let used = used.used_per_s();
+                assert!(used >= 0.75 * asked, "{play:?}: {used} a second");
+            }
+        }
+    }
+}
+
+#[test]
+fn the_model_finds_gateways_that_each_allow_the_whole() {
+    for seed in 0..SEEDS {
+        let kept = Kept::EachTheWhole;
+        let play = Play { gateways: 7, limit: 1.3, at_one: false, troubles: false, kept };
+        assert!(!Fleet::new(seed, play).play().broken().is_empty(), "seed {seed}");
+    }
+}
--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -181,7 +181,7 @@
     gateway: &Rc<Gateway<P>>,
     request: &mut Request<P>,
 ) -> Result<(), Refusal> {
-    if let Some(after) = gateway.all_rest(&request.service) {
+    if let Some(after) = gateway.all_bound(&request.service) {
         return Err(Refusal::not_run(Cause::NoBackendServer).retry_after(after));
     }
     let busy = || gateway.with_pool(|pool| pool.busy_part(&request.service));
--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -122,15 +122,28 @@
     question: &Question,
     path: Path,
 ) -> Option<(StatusCode, Bytes)> {
+    let is_limited = gateway.with_pool(|pool| pool.limit(server).is_some());
+    let path = match path {
+        // Its own machine is none of those that the limit is for.
+        Path::Through(_) if is_limited => Path::Any,
+        path => path,
+    };
     let (mut connection, end) = connect(gateway, server, path).await?;
     let request = request(gateway, server, question, end)?;
+    let sent_at = gateway.now();
     let answer = connection.sender().send_request(request).await.ok()?;
     let (head, body) = answer.into_parts();
     connection.note_answer(&head.headers);
     match end {
-        End::Engine => drop(gateway.note_asked(server, &head)),
-        // A rest is asked of the one whose connection it came on.
-        End::Sidecar | End::Relay => gateway.note_leaving(server, &head),
+        End::Engine => {
+            gateway.note_asked(server, &head);
+            gateway.note_limit(server, &head, sent_at, head.status.is_success());
+        }
+        // A rest is asked of the one whose connection it came on, and not all that the engine says comes through.
+        End::Sidecar | End::Relay => {
+            gateway.note_leaving(server, &head);
+            gateway.note_limit(server, &head, sent_at, false);
+        }
     }
     let body = body.collect().await.ok()?.to_bytes();
     match end {
@@ -195,6 +208,7 @@
         let address = pool.server(server).listed.address;
         (!pool.rests(server, now)).then_some(address)
     })?;
+    gateway.permit(server).await?;
     if let Some(connection) = gateway.connections.idle(server) {
         return Some((connection, End::Engine));
     }
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -27,6 +27,7 @@
 use crate::connections::Connection;
 use crate::gateway::Gateway;
 use crate::gateway::crashes::Progress;
+use crate::gateway::limits::Permit;
 use crate::headers;
 use crate::platform::HeaderNames;
 use crate::platform::Platform;
@@ -42,6 +43,7 @@
 pub struct Turn<P: Platform> {
     gateway: Rc<Gateway<P>>,
     server: Key<Server>,
+    permit: Permit,
     /// When its request is given up.
     deadline: Millis,
     /// How it ended, once that is known.
@@ -50,8 +52,22 @@
 
 impl<P: Platform> Turn<P> {
     /// The pool gave a turn to `server`, for a request that is given up at `deadline`.
-    pub fn new(gateway: Rc<Gateway<P>>, server: Key<Server>, deadline: Millis) -> Turn<P> {
-        Turn { gateway, server, deadline, ending: None }
+    pub fn new(
+        gateway: Rc<Gateway<P>>,
+        server: Key<Server>,
+        permit: Permit,
+        deadline: Millis,
+    ) -> Turn<P> {
+        Turn { gateway, server, permit, deadline, ending: None }
+    }
+
+    /// Whether its request may be sent: the server may have asked for a rest or named a limit since it was
+    /// chosen, and the permit may be too old by now.
+    fn may_send(&self, now: Millis) -> bool {
+        let Turn { gateway, server, permit, .. } = self;
+        gateway.with_pool(|pool| {
+            pool.takes(*server, now) && (pool.limit(*server).is_none() || permit.is_good(now))
+        })
     }
 
     /// The server.
@@ -108,7 +124,7 @@
     after_event: Option<u64>,
 ) -> Result<Answer<P>, Fate> {
     let mut turn = turn;
-    let sent = send(gateway, request, turn.server(), after_event).await;
+    let sent = send(gateway, request, &turn, after_event).await;
     let Sent { response, mut connection, reused, sent_at } = match sent {
         Ok(sent) => sent,
         Err(NoAnswer { fate, ending }) => {
@@ -120,7 +136,7 @@
     connection.note_answer(&head.headers);
     let names = gateway.platform.headers();
     let asks_rest = note_asked(gateway, request, turn.server(), &head);
-    log_limit(gateway, request, turn.server(), &head);
+    note_limit(gateway, request, turn.server(), &head, sent_at);
     if !is_answer_to(request, names, &head, reused) {
         turn.end(Ending::Lost);
         let step = OtherAnswerStep { server_number: turn.server().number() };
@@ -227,9 +243,10 @@
 async fn send<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     request: &Request<P>,
-    server: Key<Server>,
+    turn: &Turn<P>,
     after_event: Option<u64>,
 ) -> Result<Sent, NoAnswer> {
+    let server = turn.server();
     loop {
         let kept = if request.route().repeats() { gateway.connections.idle(server) } else { None };
         let fresh = kept.is_none();
@@ -238,8 +255,7 @@
             None => open(gateway, server).await?,
         };
         let now = gateway.now();
-        if now >= request.deadline || !gateway.with_pool(|pool| pool.takes(server, now)) {
-            // Its time is over, or the server has asked for a rest since it was chosen.
+        if now >= request.deadline || !turn.may_send(now) {
             gateway.connections.keep(connection);
             return Err(NoAnswer { fate: Fate::NotSent, ending: Ending::Left });
         }
@@ -340,19 +356,19 @@
     true
 }
 
-/// Logs how many requests a second a server says that it takes, if it does.
-fn log_limit<P: Platform>(
+/// Takes note of how many requests a server takes, and logs it where that is news.
+fn note_limit<P: Platform>(
     gateway: &Gateway<P>,
     request: &Request<P>,
     server: Key<Server>,
     head: &Parts,
+    sent_at: Millis,
 ) {
-    let Some(named) = headers::text(&head.headers, &gateway.platform.headers().limit) else {
-        return;
-    };
-    gateway.metrics.limits_named.inc();
-    let step = LimitStep { server_number: server.number(), named: named.to_owned() };
-    gateway.journal.request(request.id_text(), step);
+    let lifts = head.status.is_success();
+    if let Some(named) = gateway.note_limit(server, head, sent_at, lifts) {
+        let step = LimitStep { server_number: server.number(), named: named.to_owned() };
+        gateway.journal.request(request.id_text(), step);
+    }
 }
 
 /// How a refusal ends the server's part.
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -6,6 +6,7 @@
 use hooktrestle_core::direct::attempts::Attempts;
 use hooktrestle_core::direct::attempts::Fate;
 use hooktrestle_core::direct::attempts::Next;
+use hooktrestle_core::direct::named_limit::ASK_TIMEOUT;
 use hooktrestle_core::direct::pool::Ending;
 use hooktrestle_core::verdict::Refusal;
 use hooktrestle_schema::AttemptStep;
@@ -73,9 +74,9 @@
         if let Some((cause, left)) = gateway.turns_away(request.fingerprint) {
             return Tried::Refused(attempts.refuse_for(cause, left));
         }
-        let Some(turn) = next_turn(gateway, request, attempts) else {
-            // A rest that servers ask for is no outage: its end is known.
-            if attempts.tried().is_empty() && gateway.all_rest(&request.service).is_none() {
+        let Some(turn) = next_turn(gateway, request, attempts).await else {
+            // A rest that servers ask for, and a limit, is no outage: its end is known.
+            if attempts.tried().is_empty() && gateway.all_bound(&request.service).is_none() {
                 gateway.note_out(&request.service);
             }
             return match failure {
@@ -146,17 +147,33 @@
     }
 }
 
-/// A turn of a server that was not tried yet.
-pub fn next_turn<P: Platform>(
+/// A turn of a server that was not tried yet. One that names a limit has it only with a permit, which may have to be
+/// asked for.
+pub async fn next_turn<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     request: &Request<P>,
     attempts: &Attempts,
 ) -> Option<Turn<P>> {
-    let now = gateway.now();
     let (service, cost) = (&request.service, request.cost);
-    let chosen = gateway
-        .with_pool(|pool| pool.choose(service, attempts.tried(), cost, now, &mut rand::rng()));
-    chosen.map(|server| Turn::new(gateway.clone(), server, request.deadline))
+    let give_up_at = gateway.now() + ASK_TIMEOUT;
+    loop {
+        let now = gateway.now();
+        let chosen = gateway
+            .with_pool(|pool| pool.choose(service, attempts.tried(), cost, now, &mut rand::rng()));
+        match chosen {
+            Some(server) => match gateway.permit(server).await {
+                Some(permit) => {
+                    return Some(Turn::new(gateway.clone(), server, permit, request.deadline));
+                }
+                None => gateway.with_pool(|pool| pool.give_back(server, cost)),
+            },
+            None if now < give_up_at && gateway.waits_for_permits(service, attempts.tried()) => {
+                // What another request asked for may come.
+                let _ = gateway.clock.timeout_at(give_up_at, gateway.permits_told.notified()).await;
+            }
+            None => return None,
+        }
+    }
 }
 
 /// Reads an answer to its end; `None` if it was broken off.
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -6,6 +6,7 @@
 mod by_service;
 pub(crate) mod crashes;
 pub(crate) mod findings;
+pub mod limits;
 mod tables;
 
 use std::cell::Cell;
@@ -32,6 +33,7 @@
 use hooktrestle_core::direct::outage::Outages;
 use hooktrestle_core::direct::overtaken;
 use hooktrestle_core::direct::overtaken::Heads;
+use hooktrestle_core::direct::permits::Permits;
 use hooktrestle_core::direct::pool;
 use hooktrestle_core::direct::pool::Pool;
 use hooktrestle_core::direct::pool::Server;
@@ -52,6 +54,7 @@
 use crate::gateway::findings::Reach;
 use crate::journal::Journal;
 use crate::metrics::Metrics;
+use crate::permits::Links;
 use crate::platform::Platform;
 use crate::platform::Table;
 
@@ -110,6 +113,13 @@
     found: RefCell<Found>,
     /// Wakes whoever keeps crashes on the platform: something has changed.
     pub crashes_changed: Notify,
+    permits: RefCell<Permits>,
+    /// Connections to the gateways that give out permits.
+    pub permit_links: Links,
+    /// Told when an answer about permits has come.
+    pub permits_told: Notify,
+    /// Wakes whoever hands the own part over: a server has named a limit.
+    pub limits_known: Notify,
     serving: RefCell<Rc<Serving>>,
     pool: RefCell<Pool>,
     members: RefCell<Members>,
@@ -159,6 +169,10 @@
             crashes: RefCell::new(Crashes::new(CrashConfig::default(), Reporter(own.life().0))),
             found: RefCell::default(),
             crashes_changed: Notify::new(),
+            permits: RefCell::new(Permits::new(clock.now())),
+            permit_links: Links::default(),
+            permits_told: Notify::new(),
+            limits_known: Notify::new(),
             serving: RefCell::default(),
             pool: RefCell::new(Pool::new(pool::Config::default())),
             members: RefCell::new(Members::new(members::Config::default(), own)),
@@ -358,7 +372,7 @@
 
     /// When a caller that is refused now shall come back, if no server of the service takes requests.
     pub fn come_back(&self, service: &str) -> Option<Millis> {
-        if let Some(after) = self.all_rest(service) {
+        if let Some(after) = self.all_bound(service) {
             return Some(after);
         }
         let (now, part) = (self.now(), rand::rng().random());
--- a/crates/direct/src/gateway/asked.rs
+++ b/crates/direct/src/gateway/asked.rs
@@ -27,12 +27,12 @@
         let span = asked::rest(asked)?;
         let now = self.now();
         self.metrics.rests_asked.inc();
-        let all_rest = self.with_pool(|pool| {
+        let all_bound = self.with_pool(|pool| {
             pool.rest(server, span, now);
             let service = pool.server(server).listed.service.clone();
-            pool.all_rest_until(&service, now).map(|_| service)
+            pool.all_bound_until(&service, now).map(|_| service)
         });
-        if let Some(service) = all_rest {
+        if let Some(service) = all_bound {
             // Whoever waits there is told at once.
             self.entrance(&service).let_all_go();
         }
@@ -54,10 +54,11 @@
     }
 
     /// When a caller shall come back, if all servers of a service that would take requests have asked for
-    /// a rest: once the first rest is over, or soon after, or all callers would come at that moment.
-    pub fn all_rest(&self, service: &str) -> Option<Millis> {
+    /// a rest or are at their limits: once the first takes requests, or soon after, or all callers would come at that
+    /// moment.
+    pub fn all_bound(&self, service: &str) -> Option<Millis> {
         let now = self.now();
-        let until = self.with_pool(|pool| pool.all_rest_until(service, now))?;
+        let until = self.with_pool(|pool| pool.all_bound_until(service, now))?;
         Some(outage::spread(until.since(now), rand::rng().random()))
     }
 }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -11,10 +11,11 @@
 //! 6. `relay` passes the answer on as it comes, and takes up a broken stream elsewhere.
 //!
 //! Beside it, `follow` keeps the tables of the platform up to date, `peers` exchanges them with
-//! other gateways, `crash_keeper` keeps on the platform under which requests servers crash, `maps` moves experts between the ranks of groups as demand changes, through
-//! [`sidecar`], the process beside each backend server, where there is one, and
-//! `endpoints` tells callers which gateways there are. What the platform is
-//! like stands behind one trait, [`platform::Platform`].
+//! other gateways, `crash_keeper` keeps on the platform under which requests servers crash, `permits`
+//! holds all gateways together to the limits that servers name, `maps` moves experts between the ranks
+//! of groups as demand changes, through [`sidecar`], the process beside each backend server, where there
+//! is one, and `endpoints` tells callers which gateways there are. What the platform is like stands
+//! behind one trait, [`platform::Platform`].
 
 mod accept;
 mod callers;
@@ -34,6 +35,7 @@
 mod metrics;
 mod packing;
 mod peers;
+mod permits;
 pub mod platform;
 pub mod process;
 mod relay;
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -43,6 +43,10 @@
     pub rests_asked: Counter,
     /// Answers in which servers named a limit.
     pub limits_named: Counter,
+    /// Permits that this gateway gave to others and to itself.
+    pub permits_given: Counter,
+    /// Times that a request would have gone to a server for which there was no permit.
+    pub permits_lacking: Counter,
     /// Gateways that callers may be sent to, this one included.
     pub gateways_living: Gauge,
     /// Different requests that are refused because servers crash under them.
@@ -74,6 +78,8 @@
             crash_suspects_held: Counter::default(),
             rests_asked: Counter::default(),
             limits_named: Counter::default(),
+            permits_given: Counter::default(),
+            permits_lacking: Counter::default(),
             gateways_living: Gauge::default(),
             crashing_known: Gauge::default(),
             head_ms: Histogram::new(exponential_buckets(start, factor, length)),
@@ -96,6 +102,8 @@
             ("crash_suspects_held", "Requests held back", &metrics.crash_suspects_held),
             ("rests_asked", "Rests that servers asked for", &metrics.rests_asked),
             ("limits_named", "Answers in which servers named a limit", &metrics.limits_named),
+            ("permits_given", "Permits given out for all gateways", &metrics.permits_given),
+            ("permits_lacking", "Times that there was no permit", &metrics.permits_lacking),
             ("ranks_unled", "Servers in groups too large to be led", &metrics.ranks_unled),
         ];
         for (name, help, counter) in counters {
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -52,7 +52,8 @@
 /// most rounds are better spent on gateways that are known to live.
 const SEED_ROUNDS: usize = 8;
 
-type Socket = WebSocketStream<TcpStream>;
+/// A connection to another gateway.
+pub(crate) type Socket = WebSocketStream<TcpStream>;
 
 /// Accepts other gateways until the process ends.
 pub async fn serve<P: Platform>(gateway: Rc<Gateway<P>>, listener: TcpListener) {
@@ -213,10 +214,7 @@
 ) -> eyre::Result<Socket> {
     let mut socket = match kept {
         Some(socket) => socket,
-        None => {
-            let stream = dial::dial(address, EXCHANGE_TIMEOUT).await?;
-            tokio_tungstenite::client_async(format!("ws://{address}/"), stream).await?.0
-        }
+        None => connect(address, EXCHANGE_TIMEOUT).await?,
     };
     let asked_at = gateway.now();
     let answer = ask(&mut socket, &question(gateway)).await?;
@@ -229,7 +227,14 @@
     Ok(socket)
 }
 
-async fn ask(socket: &mut Socket, news: &PeerNews) -> eyre::Result<PeerNews> {
+/// Opens a connection to another gateway.
+pub(crate) async fn connect(address: SocketAddr, timeout: Duration) -> eyre::Result<Socket> {
+    let stream = dial::dial(address, timeout).await?;
+    Ok(tokio_tungstenite::client_async(format!("ws://{address}/"), stream).await?.0)
+}
+
+/// Sends news, and returns the answer.
+pub(crate) async fn ask(socket: &mut Socket, news: &PeerNews) -> eyre::Result<PeerNews> {
     socket.send(encode(news)).await?;
     while let Some(message) = socket.next().await {
         if let Message::Binary(bytes) = message? {
--- a/crates/direct/src/peers/news.rs
+++ b/crates/direct/src/peers/news.rs
@@ -17,6 +17,9 @@
 use hooktrestle_core::direct::members::Member;
 use hooktrestle_core::direct::members::Readiness;
 use hooktrestle_core::direct::members::Word;
+use hooktrestle_core::direct::named_limit::ON_THE_WAY;
+use hooktrestle_core::direct::named_limit::Rate;
+use hooktrestle_core::direct::named_limit::Said;
 use hooktrestle_core::direct::replica::Change;
 use hooktrestle_core::direct::replica::Update;
 use hooktrestle_core::direct::slow::Finding;
@@ -31,6 +34,7 @@
 use tokio_tungstenite::tungstenite::Message;
 
 use crate::gateway::Gateway;
+use crate::permits;
 use crate::platform::Platform;
 use crate::platform::Table;
 
@@ -53,6 +57,10 @@
     let now = gateway.now();
     // It may have waited as long as this process stood still.
     let waited = gateway.stood_still(READ_LATE).unwrap_or(Millis::ZERO);
+    if let Some(permits) = &asked.permits_asked {
+        gateway.take_limits(&limits_told(asked, now, waited));
+        return permits::answer(gateway, permits);
+    }
     let told = beats_of(asked, waited);
     let unknown = take_told(gateway, asked, &told, waited);
     let news = own_news(gateway, &asked.known);
@@ -180,11 +188,8 @@
         Some(table_news(&known.table, update))
     });
     let now = gateway.now();
+    let limits = gateway.with_pool(|pool| pool.limits_said(now));
     PeerNews {
-        members: Vec::new(),
-        beats: Vec::new(),
-        beat_ages_ms: Vec::new(),
-        wanted_numbers: Vec::new(),
         known: [Table::Configuration, Table::Servers]
             .map(|table| TableKnown {
                 table: table.name().to_owned(),
@@ -194,13 +199,58 @@
         news: lacks.collect(),
         slow: gateway.with_findings(|findings| findings.all(now).map(slow_servers).collect()),
         crash_digest_number: gateway.with_crashes(|crashes| crashes.digest(now)),
+        limits: limits.iter().map(|(server, said)| limit_news(*server, said, now)).collect(),
+        ..empty()
+    }
+}
+
+/// News that tell nothing.
+pub(crate) fn empty() -> PeerNews {
+    PeerNews {
+        members: Vec::new(),
+        beats: Vec::new(),
+        beat_ages_ms: Vec::new(),
+        wanted_numbers: Vec::new(),
+        known: Vec::new(),
+        news: Vec::new(),
+        slow: Vec::new(),
+        crash_digest_number: 0,
         crashes_known: Vec::new(),
         crashes_wanted: Vec::new(),
         crashes: Vec::new(),
         cleared: Vec::new(),
+        limits: Vec::new(),
+        permits_asked: None,
+        permits_given: None,
     }
 }
 
+/// Stands for no limit.
+const NO_LIMIT: u64 = u64::MAX;
+
+fn limit_news(server: ServerLife, said: &Said, now: Millis) -> [u64; 4] {
+    let limit = said.limit.map_or(NO_LIMIT, |limit| limit.in_1000_s);
+    [server.0, limit, now.since(said.latest).0, now.since(said.earliest).0]
+}
+
+/// What a server said of its limit, as it is told.
+pub(crate) fn limits_of<P: Platform>(gateway: &Gateway<P>, server: ServerLife) -> Vec<[u64; 4]> {
+    let now = gateway.now();
+    let said = gateway.with_pool(|pool| pool.limit_said(server));
+    said.iter().map(|said| limit_news(server, said, now)).collect()
+}
+
+/// What another gateway told of limits, in an answer that was waited for so long.
+pub(crate) fn limits_told(news: &PeerNews, now: Millis, waited: Millis) -> Vec<(ServerLife, Said)> {
+    let told = news.limits.iter().map(|&[server, in_1000_s, latest_ms, earliest_ms]| {
+        let limit = (in_1000_s != NO_LIMIT).then_some(Rate { in_1000_s });
+        let latest = now - Millis(latest_ms);
+        let earliest = now - (Millis(earliest_ms) + waited + ON_THE_WAY);
+        (ServerLife(server), Said { limit, earliest, latest })
+    });
+    told.collect()
+}
+
 fn slow_servers((service, finding): (&str, Finding)) -> SlowServers {
     SlowServers {
         age_ms: finding.age.0,
@@ -245,6 +295,7 @@
         age: Millis(age_ms) + waited,
     });
     gateway.take_crashes(&crashes, &cleared.collect::<Vec<_>>());
+    gateway.take_limits(&limits_told(news, now, waited));
     for table_news in &news.news {
         if let Some(table) = Table::of_name(&table_news.table) {
             gateway.take(table, &update(table_news), "peer");
--- /dev/null
+++ b/crates/direct/src/permits.rs
@@ -0,0 +1,190 @@
+//! Permits for servers that name a limit, asked of the gateway that gives them out, and given.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use eyre::Result;
+use eyre::eyre;
+use hooktrestle_core::clock::Millis;
+use hooktrestle_core::direct::crashes::ServerLife;
+use hooktrestle_core::direct::members::LifeId;
+use hooktrestle_core::direct::named_limit::ASK_TIMEOUT;
+use hooktrestle_core::direct::permits::GatewayId;
+use hooktrestle_core::direct::permits::Given;
+use hooktrestle_core::direct::permits::HAND_EVERY;
+use hooktrestle_core::util::hash;
+use hooktrestle_schema::PeerNews;
+use hooktrestle_schema::PermitsAsked;
+use hooktrestle_schema::PermitsGiven;
+use tokio::time;
+
+use crate::gateway::Gateway;
+use crate::peers;
+use crate::peers::Socket;
+use crate::peers::news;
+use crate::platform::Platform;
+
+/// How long a gateway that gave no answer is passed by.
+const PASS_BY: Millis = Millis(3_000);
+
+/// Idle connections that are kept to whom permits are asked of.
+const MOST_KEPT: usize = 4;
+
+/// Time after a standstill in which questions that came meanwhile are read.
+const READ_LATE: Millis = Millis(300);
+
+/// Connections to the gateways that give out permits.
+#[derive(Default)]
+pub struct Links {
+    kept: RefCell<Vec<(SocketAddr, Socket)>>,
+    /// Gateways that gave no answer, and until when each is passed by.
+    passed_by: RefCell<HashMap<LifeId, Millis>>,
+}
+
+/// Who is asked.
+struct Giver {
+    life: LifeId,
+    at: SocketAddr,
+    is_own: bool,
+}
+
+/// Hands the own part over, as long as a server names a limit, until the process ends.
+pub async fn run<P: Platform>(gateway: Rc<Gateway<P>>) {
+    loop {
+        while gateway.with_pool(|pool| pool.has_limits()) {
+            // In vain where nobody can be asked.
+            let _ = ask(&gateway, None).await;
+            time::sleep(Duration::from(HAND_EVERY)).await;
+        }
+        gateway.limits_known.notified().await;
+    }
+}
+
+/// Asks for permits for a server, so many, or just hands the own part over; `None` if there is no answer.
+pub async fn ask<P: Platform>(
+    gateway: &Rc<Gateway<P>>,
+    wanted: Option<(ServerLife, u32)>,
+) -> Option<Given> {
+    let giver = giver(gateway)?;
+    let now = gateway.now();
+    let own = GatewayId(gateway.with_members(|members| hash::of(&members.own().name)));
+    let hands_over = gateway.with_permits(|permits| permits.hand_over(giver.life, now));
+    let asked = PermitsAsked {
+        gateway_number: own.0,
+        hands_over,
+        server_number: wanted.map(|(server, _)| server.0),
+        wanted_requests: wanted.map_or(0, |(_, wanted)| wanted),
+    };
+    if giver.is_own {
+        return Some(give(gateway, &asked));
+    }
+    let limits = wanted.map(|(server, _)| news::limits_of(gateway, server)).unwrap_or_default();
+    let question = PeerNews { permits_asked: Some(asked), limits, ..news::empty() };
+    let exchanged =
+        time::timeout(Duration::from(ASK_TIMEOUT), exchange(gateway, giver.at, &question));
+    match exchanged.await {
+        Ok(Ok(given)) => Some(given),
+        Ok(Err(_)) | Err(_) => {
+            gateway.journal.state(format_args!("{} gave no permits, and is passed by", giver.at));
+            let until = gateway.now() + PASS_BY;
+            gateway.permit_links.passed_by.borrow_mut().insert(giver.life, until);
+            None
+        }
+    }
+}
+
+/// The first of the gateways that live, but for those that gave no answer.
+fn giver<P: Platform>(gateway: &Gateway<P>) -> Option<Giver> {
+    let now = gateway.now();
+    let mut passed_by = gateway.permit_links.passed_by.borrow_mut();
+    passed_by.retain(|_, until| *until > now);
+    gateway.with_members(|members| {
+        let order = members.in_order(now);
+        let first = order.into_iter().find(|one| !passed_by.contains_key(&one.life()))?;
+        let is_own = first.name == members.own().name;
+        Some(Giver { life: first.life(), at: first.peers_at, is_own })
+    })
+}
+
+async fn exchange<P: Platform>(
+    gateway: &Rc<Gateway<P>>,
+    at: SocketAddr,
+    question: &PeerNews,
+) -> Result<Given> {
+    let links = &gateway.permit_links;
+    let kept = {
+        let mut kept = links.kept.borrow_mut();
+        let place = kept.iter().position(|(known, _)| *known == at);
+        place.map(|place| kept.swap_remove(place).1)
+    };
+    let asked_at = gateway.now();
+    let again = kept.is_some();
+    let mut done = ask_over(kept, at, question).await;
+    if again && done.is_err() {
+        // The other may have been restarted since.
+        done = ask_over(None, at, question).await;
+    }
+    let (socket, answer) = done?;
+    let mut kept = links.kept.borrow_mut();
+    if kept.len() >= MOST_KEPT {
+        kept.remove(0);
+    }
+    kept.push((at, socket));
+    drop(kept);
+    gateway.take_limits(&news::limits_told(&answer, gateway.now(), gateway.now().since(asked_at)));
+    let given = answer.permits_given.ok_or_else(|| eyre!("it knows no permits"))?;
+    Ok(Given { permits: given.permitted_requests, again_in: Millis(given.again_in_ms) })
+}
+
+async fn ask_over(
+    kept: Option<Socket>,
+    at: SocketAddr,
+    question: &PeerNews,
+) -> Result<(Socket, PeerNews)> {
+    let mut socket = match kept {
+        Some(socket) => socket,
+        None => peers::connect(at, Duration::from(ASK_TIMEOUT)).await?,
+    };
+    let answer = peers::ask(&mut socket, question).await?;
+    Ok((socket, answer))
+}
+
+/// Answers a gateway that asks for permits.
+pub(crate) fn answer<P: Platform>(gateway: &Gateway<P>, asked: &PermitsAsked) -> PeerNews {
+    let given = give(gateway, asked);
+    let server = asked.server_number.map(ServerLife);
+    PeerNews {
+        limits: server.map(|server| news::limits_of(gateway, server)).unwrap_or_default(),
+        permits_given: Some(PermitsGiven {
+            permitted_requests: given.permits,
+            again_in_ms: given.again_in.0,
+        }),
+        ..news::empty()
+    }
+}
+
+fn give<P: Platform>(gateway: &Gateway<P>, asked: &PermitsAsked) -> Given {
+    let now = gateway.now();
+    // A question that waited as long as this process stood still says nothing of now.
+    let is_fresh = gateway.stood_still(READ_LATE).is_none();
+    let gateways = gateway.with_members(|members| members.all(now));
+    let limit = asked.server_number.map(ServerLife).and_then(|server| {
+        gateway.with_pool(|pool| Some((server, pool.limit_said(server)?.limit)))
+    });
+    gateway.with_permits(|permits| {
+        if asked.hands_over && is_fresh {
+            permits.take_part(GatewayId(asked.gateway_number), now);
+        }
+        let Some((server, limit)) = limit else { return Given::default() };
+        let given = match limit {
+            Some(limit) => permits.give(server, limit, asked.wanted_requests, gateways, now),
+            // It names none any more.
+            None => Given { permits: asked.wanted_requests, again_in: Millis::ZERO },
+        };
+        gateway.metrics.permits_given.inc_by(given.permits.into());
+        given
+    })
+}
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -33,6 +33,7 @@
 use crate::maps;
 use crate::peers;
 use crate::peers::Peers;
+use crate::permits;
 use crate::platform::Platform;
 use crate::platform::Table;
 use crate::settings;
@@ -160,6 +161,7 @@
     tokio::task::spawn_local(crash_keeper::keep(gateway.clone()));
     tokio::task::spawn_local(maps::run(gateway.clone()));
     tokio::task::spawn_local(standing::watch(gateway.clone()));
+    tokio::task::spawn_local(permits::run(gateway.clone()));
     let (peers, exchanger) = (started.peers.clone(), gateway.clone());
     tokio::task::spawn_local(async move { peers.run(exchanger).await });
 }
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -217,7 +217,7 @@
     let Some(mut server) = leave(relay, reason) else { return false };
     let mut fate = Fate::MayHaveRun;
     while goes_on(relay, server, fate, reason) {
-        let turn = forward::next_turn(&relay.gateway, &relay.request, &relay.attempts);
+        let turn = forward::next_turn(&relay.gateway, &relay.request, &relay.attempts).await;
         let Some(turn) = turn else { return false };
         server = turn.server();
         relay.attempts.begin();
--- a/crates/direct/src/sidecar.rs
+++ b/crates/direct/src/sidecar.rs
@@ -66,10 +66,10 @@
 /// Largest body that is passed on: a map of 64 ranks and 256 experts has some 100 KB.
 pub(crate) const MOST_BYTES: usize = 1 << 20;
 
-/// The engine beside this process, and idle connections to it and to others. `R` tells whether an engine
+/// The engine beside this process, and idle connections to it and to others. `C` tells whether an engine
 /// has asked this process's machine to send it nothing for now.
-struct Engines<R> {
-    rests: R,
+struct Engines<C> {
+    is_closed: C,
     /// None at a gateway, which has none beside it.
     beside: Option<SocketAddr>,
     kept: RefCell<HashMap<SocketAddr, Vec<SendRequest<Full<Bytes>>>>>,
@@ -114,12 +114,12 @@
 /// Relays questions and orders to the engines that they name, until the process ends.
 pub(crate) async fn relay<P: Platform>(gateway: Rc<Gateway<P>>, listener: TcpListener) {
     // Counts are read through the processes beside engines alone.
-    let resting = gateway.clone();
-    let rests = move |address| {
-        let now = resting.now();
-        resting.with_pool(|pool| pool.rests_at(address, now))
+    let asked = gateway.clone();
+    let is_closed = move |address| {
+        let now = asked.now();
+        asked.with_pool(|pool| pool.is_closed_to_orders_at(address, now))
     };
-    let engines = Rc::new(Engines::new(None, |_| None, rests));
+    let engines = Rc::new(Engines::new(None, |_| None, is_closed));
     let note = |error: &io::Error| {
         gateway.journal.state(format_args!("the leader is not accepted: {error}"));
     };
@@ -129,7 +129,7 @@
     }
 }
 
-async fn serve<R: Fn(SocketAddr) -> bool>(engines: Rc<Engines<R>>, stream: TcpStream) {
+async fn serve<C: Fn(SocketAddr) -> bool>(engines: Rc<Engines<C>>, stream: TcpStream) {
     let service = service_fn(|request: Request<Incoming>| {
         let engines = engines.clone();
         async move { Ok::<_, Infallible>(answer(&engines, request).await) }
@@ -141,8 +141,8 @@
     drop(connection.await);
 }
 
-async fn answer<R: Fn(SocketAddr) -> bool>(
-    engines: &Engines<R>,
+async fn answer<C: Fn(SocketAddr) -> bool>(
+    engines: &Engines<C>,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     match time::timeout(ENGINE_TIMEOUT, engines.pass_on(request)).await {
@@ -156,10 +156,10 @@
     }
 }
 
-impl<R: Fn(SocketAddr) -> bool> Engines<R> {
-    fn new(beside: Option<SocketAddr>, counts: DecodeCounts, rests: R) -> Engines<R> {
+impl<C: Fn(SocketAddr) -> bool> Engines<C> {
+    fn new(beside: Option<SocketAddr>, counts: DecodeCounts, is_closed: C) -> Engines<C> {
         Engines {
-            rests,
+            is_closed,
             beside,
             kept: RefCell::default(),
             counts,
@@ -173,7 +173,7 @@
         let mut body = body.map_err(|error| eyre!("the order cannot be read: {error}"))?.to_bytes();
         headers::strip_connection(&mut head.headers);
         let address = self.asked(&mut head.headers)?;
-        ensure!(!(self.rests)(address), "the engine at {address} asked to be sent nothing");
+        ensure!(!(self.is_closed)(address), "the engine at {address} asked to be sent nothing");
         let since = headers::number(&head.headers, &HeaderName::from_static(SINCE_HEADER));
         head.headers.remove(SINCE_HEADER);
         if head.headers.remove(header::CONTENT_ENCODING).is_some() {
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -1125,15 +1125,44 @@
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub crashes_wanted: ::std::vec::Vec<[u64; 2usize]>,
     pub known: ::std::vec::Vec<TableKnown>,
+    ///What backend servers said of how much they take from all gateways together: the server's number, requests in 1,000 s (the largest number: it names no limit any more), and the time in ms since it said so, at least and at most.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub limits: ::std::vec::Vec<[u64; 4usize]>,
     ///Gateways that the other was found not to know.
     pub members: ::std::vec::Vec<MemberNews>,
     pub news: ::std::vec::Vec<TableNews>,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub permits_asked: ::std::option::Option<PermitsAsked>,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub permits_given: ::std::option::Option<PermitsGiven>,
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub slow: ::std::vec::Vec<SlowServers>,
     ///Lives that are not known.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub wanted_numbers: ::std::vec::Vec<u64>,
 }
+///A gateway asks another one for permits to send requests to a server that names a limit, or tells it just that its part of what all may send is handed over.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct PermitsAsked {
+    ///Stands for the gateway, whichever of its processes.
+    pub gateway_number: u64,
+    ///Whether its part is handed over.
+    pub hands_over: bool,
+    ///Stands for one life of the server.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub server_number: ::std::option::Option<u64>,
+    ///Requests that are to be sent.
+    #[serde(default)]
+    pub wanted_requests: u32,
+}
+///The answer to it.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct PermitsGiven {
+    ///If none: when there is one, unless others take it.
+    pub again_in_ms: u64,
+    ///Requests that may be sent.
+    pub permitted_requests: u32,
+}
 ///Section `[platform]`.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
