--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -13,6 +13,8 @@
 use hooktrestle_users_standin::server::Server;
 use tokio::time::Instant;
 
+use crate::limits::Count;
+use crate::limits::Limits;
 use crate::schedule::Kind;
 use crate::schedule::PLANNED;
 
@@ -37,6 +39,8 @@
     pub held_back: Duration,
     /// From a server's asking for rest to the last request that reaches it.
     pub rest: Duration,
+    /// From a server's first naming of a limit until it holds.
+    pub limit: Duration,
 }
 
 impl Default for Bounds {
@@ -55,6 +59,7 @@
             contact: Duration::from_secs(3),
             held_back: Duration::from_secs(10),
             rest: Duration::from_millis(500),
+            limit: Duration::from_secs(3),
         }
     }
 }
@@ -63,7 +68,7 @@
     /// All of them `times` as long, for machines on which little is to be had.
     pub fn stretched(times: u32) -> Bounds {
         let Bounds { drain, configuration, close, named, stop, recovery, .. } = Bounds::default();
-        let Bounds { contact, held_back, rest, .. } = Bounds::default();
+        let Bounds { contact, held_back, rest, limit, .. } = Bounds::default();
         Bounds {
             drain: drain * times,
             configuration: configuration * times,
@@ -74,6 +79,8 @@
             contact: contact * times,
             held_back: held_back * times,
             rest: rest * times,
+            // Limits are named for some seconds: nothing would be due.
+            limit: limit * times.min(1),
         }
     }
 }
@@ -83,7 +90,7 @@
     [Kind::HangUp, Kind::ServerDrain, Kind::ServerCrash, Kind::CrashingRequest];
 
 /// What may go on while what a server asked is judged: it holds up no answer, and no gateway.
-const MAY_GO_ON_ASKED: [Kind; 16] = [
+const MAY_GO_ON_ASKED: [Kind; 17] = [
     Kind::HangUp,
     Kind::StoreBusy,
     Kind::StoreSilent,
@@ -100,8 +107,12 @@
     Kind::CrashingRequest,
     Kind::ServerAsksRest,
     Kind::ServerSaysItLeaves,
+    Kind::ServerNamesLimit,
 ];
 
+/// The same while limits are judged: gateways that begin or end are no excuse for the others.
+const MAY_GO_ON_LIMITED: [Kind; 4] = [Kind::Kill, Kind::Off, Kind::KillAll, Kind::Stop];
+
 /// Time after a trouble in which time-bounded promises are not judged: what it broke is found out by
 /// time-outs of up to three seconds.
 const SETTLE: Duration = Duration::from_secs(4);
@@ -124,6 +135,8 @@
     Drain,
     /// A server that asked a gateway for rest gets nothing from it meanwhile.
     Rest,
+    /// A server gets no more from all gateways together than it said that it takes.
+    Limit,
     /// A server that told a gateway that it leaves gets no new work from it.
     Parting,
     /// A configuration is in force in time, and never an older one again.
@@ -212,7 +225,7 @@
 }
 
 /// One life of a gateway, by its number.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct Through {
     /// The gateway.
     pub gateway: usize,
@@ -262,6 +275,7 @@
     /// The gateway that each request was sent to.
     through: RefCell<HashMap<String, Through>>,
     asked: RefCell<Vec<AskedOf>>,
+    limits: RefCell<Limits>,
     /// Requests that reached servers again after their first time.
     pub repeats: Cell<u32>,
 }
@@ -282,6 +296,7 @@
             crashing: RefCell::default(),
             through: RefCell::default(),
             asked: RefCell::default(),
+            limits: RefCell::default(),
             repeats: Cell::new(0),
         }
     }
@@ -426,6 +441,22 @@
         }
     }
 
+    /// Judges whether a server got more than it takes.
+    fn judge_limit(&self, server: &Server, arrived: &Arrived) {
+        let Some(through) = self.through.borrow().get(arrived.id()).copied() else { return };
+        let Bounds { limit, rest, .. } = self.bounds;
+        let count = self.limits.borrow_mut().count(&server.id, arrived, through, limit, rest);
+        let may_go_on = [&MAY_GO_ON_ASKED[..], &MAY_GO_ON_LIMITED].concat();
+        match count {
+            Count::Not => {}
+            Count::Within => self.judge(Promise::Limit),
+            Count::TooMany(began, what) if self.is_calm_but_for(&may_go_on, began) => {
+                self.broken(Promise::Limit, what);
+            }
+            Count::TooMany(..) => {}
+        }
+    }
+
     /// What became of it.
     pub fn end(&self, id: &str, verdict: Verdict) {
         if let Some(request) = self.requests.borrow_mut().get_mut(id) {
@@ -479,6 +510,7 @@
         }
         self.judge_crashing(server, arrived);
         self.judge_asked(server, arrived, request);
+        self.judge_limit(server, arrived);
         if !arrived.ran {
             return;
         }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`ways`]: what goes wrong between the gateways and those.
 //! - [`callers`]: who asks, waits, leaves and asks again.
 //! - [`ledger`]: what was told to callers, what servers ran, and the promises between the two.
+//! - [`limits`]: how much servers say that they take, and what they get.
 //! - [`run`]: one run of one seed.
 //! - [`shrink`]: the fewest troubles with which a seed still fails.
 //!
@@ -21,6 +22,7 @@
 pub mod callers;
 pub mod fleet;
 pub mod ledger;
+pub mod limits;
 pub mod run;
 pub mod schedule;
 pub mod shrink;
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -74,10 +74,12 @@
     ServerAsksRest,
     /// A server says in its answers that it leaves, and the list does not; another comes.
     ServerSaysItLeaves,
+    /// A server names in its answers how many requests a second it takes.
+    ServerNamesLimit,
 }
 
 /// All kinds, with the names by which they are chosen.
-pub const KINDS: [(&str, Kind); 31] = [
+pub const KINDS: [(&str, Kind); 32] = [
     ("kill", Kind::Kill),
     ("off", Kind::Off),
     ("kill-all", Kind::KillAll),
@@ -109,6 +111,7 @@
     ("crashing-request", Kind::CrashingRequest),
     ("server-asks-rest", Kind::ServerAsksRest),
     ("server-says-it-leaves", Kind::ServerSaysItLeaves),
+    ("server-names-limit", Kind::ServerNamesLimit),
 ];
 
 impl Display for Kind {
@@ -172,11 +175,18 @@
 const COMES_AGAIN_MS: std::ops::Range<u64> = 6_000..20_000;
 
 /// Planned work, and what servers ask: no excuse for anything.
-pub const PLANNED: [Kind; 5] =
-    [Kind::Stop, Kind::HangUp, Kind::ServerDrain, Kind::ServerAsksRest, Kind::ServerSaysItLeaves];
+pub const PLANNED: [Kind; 6] = [
+    Kind::Stop,
+    Kind::HangUp,
+    Kind::ServerDrain,
+    Kind::ServerAsksRest,
+    Kind::ServerSaysItLeaves,
+    Kind::ServerNamesLimit,
+];
 
 /// Kinds that are drawn apart: without them, a seed's troubles are the same.
-const APART: [Kind; 3] = [Kind::CrashingRequest, Kind::ServerAsksRest, Kind::ServerSaysItLeaves];
+const APART: [Kind; 4] =
+    [Kind::CrashingRequest, Kind::ServerAsksRest, Kind::ServerSaysItLeaves, Kind::ServerNamesLimit];
 
 /// Time from one trouble in which a server asks something to the next.
 const ASKS_MS: std::ops::Range<u64> = 1_000..8_000;
@@ -220,9 +230,11 @@
     // Those of different kinds do not come at the same moments.
     let mut at = Duration::from_millis(rng.random_range(ASKS_MS) / (2 + kind as u64 % 2));
     while at < end {
-        let lasts = Duration::from_millis(rng.random_range(LASTS_MS)).min(end - at);
+        // A limit is judged once it has been named for some seconds.
+        let times = if kind == Kind::ServerNamesLimit { 4 } else { 1 };
+        let lasts = Duration::from_millis(rng.random_range(LASTS_MS)) * times;
         let target = rng.random_range(0..1_000);
-        troubles.push(Trouble { at, lasts, kind, target });
+        troubles.push(Trouble { at, lasts: lasts.min(end - at), kind, target });
         at += Duration::from_millis(rng.random_range(ASKS_MS));
     }
 }
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -25,6 +25,9 @@
 /// What servers tell for a rest: times, and texts that are none.
 const RESTS: [&str; 6] = ["3", "1.5", "0.4", "8", "-1", "soon"];
 
+/// What servers name as a limit: numbers, and texts that are none.
+const LIMITS: [&str; 8] = ["1.3", "0.4", "2", "0", "7.25", "1e12", "-1", "soon"];
+
 /// Time after which the row of a server that crashed is gone.
 const LAPSE: Duration = Duration::from_millis(1_500);
 
@@ -145,7 +148,8 @@
             | Kind::ServerAnswersTwice
             | Kind::ServerForges
             | Kind::ServerAsksRest
-            | Kind::ServerSaysItLeaves => {
+            | Kind::ServerSaysItLeaves
+            | Kind::ServerNamesLimit => {
                 if let Some(placed) = self.pick(target) {
                     self.server_trouble(kind, placed, target, lasts).await;
                 }
@@ -188,6 +192,11 @@
             Kind::ServerForges => Act::Forge("forged".to_owned()),
             Kind::ServerAsksRest => Act::AskRest(RESTS[target % RESTS.len()].to_owned()),
             Kind::ServerSaysItLeaves => return self.part(&server).await,
+            Kind::ServerNamesLimit => {
+                server.name_limit(Some(LIMITS[target % LIMITS.len()]));
+                time::sleep(lasts).await;
+                return server.name_limit(None);
+            }
             Kind::ServerDrain => return self.drain(&server, &way).await,
             Kind::ServerCrash => return self.crash(&server, lasts).await,
             _ => return ways::trouble(&way, kind, lasts).await,
--- a/crates/soak/tests/ledger.rs
+++ b/crates/soak/tests/ledger.rs
@@ -203,3 +203,29 @@
         assert_eq!(found(&ledger), [Promise::Parting]);
     });
 }
+
+#[test]
+fn more_than_a_server_takes_is_found_whichever_gateways_it_comes_through() {
+    run(async {
+        let ledger = Ledger::new(strict());
+        let server = server(&ledger).await;
+        server.name_limit(Some("0.5"));
+        // 0.5 a second allow 8 in 4 s.
+        for number in 0..9 {
+            assert_eq!(found(&ledger), [], "{number}");
+            let id = format!("r{number}");
+            ledger.send(&id, false);
+            ledger.goes_through(&id, Through { gateway: number % 3, life: 1 });
+            reach(&server, &id).await;
+        }
+        assert_eq!(found(&ledger), [Promise::Limit]);
+        server.name_limit(None);
+        for number in 0..20 {
+            let id = format!("free{number}");
+            ledger.send(&id, false);
+            ledger.goes_through(&id, Through { gateway: number % 3, life: 1 });
+            reach(&server, &id).await;
+        }
+        assert_eq!(found(&ledger), [Promise::Limit], "it names none any more");
+    });
+}
