--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -361,22 +361,24 @@
     /// Returns what to refuse as `not-run`.
     pub fn leave(&mut self, now: Millis) -> Vec<RunKey> {
         self.leaving = true;
-        let waiting: Vec<RunKey> = self.queue.iter().map(|entry| entry.key).collect();
-        for key in &waiting {
-            self.take_back(now, *key);
-        }
-        waiting
+        self.give_back(now)
     }
 
     /// The backend server asked to be sent nothing for a while: nothing waits here for that.
     /// Returns what to refuse as `not-run`, and for how long.
     pub fn rest(&mut self, now: Millis, span: Millis) -> (Vec<RunKey>, Millis) {
         self.asked.rest(span, now);
+        let waiting = self.give_back(now);
+        (waiting, self.asked.rests_until(now).map_or(Millis::ZERO, |until| until.since(now)))
+    }
+
+    /// Takes all that waits out of the queue.
+    fn give_back(&mut self, now: Millis) -> Vec<RunKey> {
         let waiting: Vec<RunKey> = self.queue.iter().map(|entry| entry.key).collect();
         for key in &waiting {
             self.take_back(now, *key);
         }
-        (waiting, self.asked.rests_until(now).map_or(Millis::ZERO, |until| until.since(now)))
+        waiting
     }
 
     /// Ends leaving, after operators took the drain back.
--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -160,12 +160,9 @@
             Err(Refusal::not_run(Cause::Leaving).retry_after(Millis::ZERO))
         }
         Ok(mut request) => {
-            if let Some((cause, left)) = gateway.turns_away(request.fingerprint) {
-                return Err(Refusal::not_run(cause).retry_after(left));
-            }
-            let trial = gateway.begin_trial(request.fingerprint);
+            let trial = gateway.begin(request.fingerprint);
             request.trial =
-                trial.map_err(|after| Refusal::not_run(Cause::CrashSuspect).retry_after(after))?;
+                trial.map_err(|(cause, left)| Refusal::not_run(cause).retry_after(left))?;
             enter(gateway, &mut request).await?;
             let reply = forward::forward(gateway, &request).await;
             Ok((request, reply))
@@ -209,6 +206,9 @@
     let (verdict, cause) = (refusal.verdict, refusal.cause);
     gateway.journal.request(shown, RefusedStep { held_ms, cause, verdict });
     gateway.metrics.refused.inc();
+    if let Some(counter) = gateway.metrics.of_refusal(cause) {
+        counter.inc();
+    }
 }
 
 fn passed_on(mut head: Parts) -> Parts {
--- a/crates/direct/src/gateway/crashes.rs
+++ b/crates/direct/src/gateway/crashes.rs
@@ -148,29 +148,29 @@
         let now = self.now();
         let crashes = self.crashes.borrow();
         if let Some(left) = crashes.refuses(fingerprint, now) {
-            self.metrics.crashing_refused.inc();
             return Some((Cause::CrashesServers, left));
         }
         let Trust::HeldBack(left) = crashes.trust(fingerprint, now) else { return None };
-        self.metrics.crash_suspects_held.inc();
         Some((Cause::CrashSuspect, left))
     }
 
-    /// Begins a request that is turned away no more.
+    /// Begins a request, which may be one that is tried again.
     ///
     /// # Errors
     ///
-    /// It is tried one at a time, and another one is out; it may come back after this time.
-    pub fn begin_trial(
+    /// It is turned away, or tried one at a time, and another one is out: why, and for how much longer.
+    pub fn begin(
         self: &Rc<Self>,
         fingerprint: Fingerprint,
-    ) -> Result<Option<Trial<P>>, Millis> {
+    ) -> Result<Option<Trial<P>>, (Cause, Millis)> {
+        if let Some(turned_away) = self.turns_away(fingerprint) {
+            return Err(turned_away);
+        }
         if self.crashes.borrow().trust(fingerprint, self.now()) != Trust::OneAtATime {
             return Ok(None);
         }
         if !self.found.borrow_mut().on_trial.insert(fingerprint) {
-            self.metrics.crash_suspects_held.inc();
-            return Err(TRIAL);
+            return Err((Cause::CrashSuspect, TRIAL));
         }
         Ok(Some(Trial { gateway: self.clone(), fingerprint }))
     }
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and histograms.
 
+use hooktrestle_schema::Cause;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
@@ -122,6 +123,15 @@
 }
 
 impl Metrics {
+    /// The counter of refusals with one cause, where there is one.
+    pub fn of_refusal(&self, cause: Cause) -> Option<&Counter> {
+        match cause {
+            Cause::CrashesServers => Some(&self.crashing_refused),
+            Cause::CrashSuspect => Some(&self.crash_suspects_held),
+            _ => None,
+        }
+    }
+
     /// All of them, in the text form that scrapers read.
     pub fn text(&self) -> String {
         let mut text = String::new();
