After a rest a server gets few requests of all gateways together; who finds a question about permits out waits for its answer

The same class elsewhere: each gateway alone sent one request at first to a server whose rest was over, and twice as many with each answer; forty gateways were forty requests at once. Now they ask for permits as for a server that names a limit: one a second, twice as many each half second, all its turns after 3 s; where no other server is left it gets what there is, as before. A standstill takes no part from whom did not ask late: only others' questions are late.

--- a/crates/core/src/direct/asked.rs
+++ b/crates/core/src/direct/asked.rs
@@ -5,6 +5,7 @@
 //! it. It concerns one life of a server, and this gateway alone.
 
 use crate::clock::Millis;
+use crate::direct::named_limit::Rate;
 
 /// Longest rest that is kept: one that asks for more has told a wrong number, and would be lost for good. Servers
 /// ask for seconds; a new life is back within a minute.
@@ -14,6 +15,14 @@
 /// callers that were turned away meanwhile come then.
 const FIRST_AGAIN: u32 = 1;
 
+/// Requests a second that all gateways together send at first when its rest is over, and the time in which they
+/// become twice as many: hundreds of gateways with one request each would be as much a rush as one with hundreds.
+const FIRST_PER_S: u64 = 1;
+const DOUBLED_IN: Millis = Millis(500);
+
+/// Time after its rest from which a server has all its turns again.
+const BACK_AFTER: Millis = Millis(3_000);
+
 /// The time that a server asks for, in seconds or parts of them, bounded; `None` if the text is no time.
 pub fn rest(text: &str) -> Option<Millis> {
     let text = text.trim();
@@ -57,6 +66,14 @@
         (self.rests_until > now).then_some(self.rests_until)
     }
 
+    /// What all gateways together send it, while it comes back from a rest.
+    pub fn returning(&self, now: Millis) -> Option<Rate> {
+        self.at_once?;
+        let since = now.since(self.rests_until);
+        let doublings = since.0 / DOUBLED_IN.0;
+        (since < BACK_AFTER).then(|| Rate { in_1000_s: (FIRST_PER_S * 1_000) << doublings })
+    }
+
     /// It has answered a request that it took.
     pub fn took(&mut self, slots: u32) {
         self.at_once = self.at_once.map(|most| most.saturating_mul(2)).filter(|most| *most < slots);
--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -313,12 +313,15 @@
     }
 
     /// The gateways that live and serve, itself included, in an order that all know: who comes first gives out what is
-    /// bounded for all.
+    /// bounded for all. Never empty: while no other serves, this one does for itself.
     pub fn in_order(&self, now: Millis) -> Vec<&Member> {
         let living = self.living_others(now).chain([&self.own]);
         let mut ready: Vec<&Member> =
             living.filter(|member| member.readiness == Readiness::Ready).collect();
         ready.sort_by_cached_key(|member| (hash::of(&member.name), member.name.clone()));
+        if ready.is_empty() {
+            ready.push(&self.own);
+        }
         ready
     }
 
--- a/crates/core/src/direct/named_limit.rs
+++ b/crates/core/src/direct/named_limit.rs
@@ -164,37 +164,47 @@
         self.said?.limit
     }
 
-    /// When a request may be sent or a permit asked for, if not now.
+    /// When a permit may be asked for, if not now; `None` where the server names no limit.
     pub fn bound_until(&self, now: Millis) -> Option<Millis> {
-        let has_permit = self.in_hand > 0 && self.good_until > now;
-        if self.limit().is_none() || has_permit {
+        if self.limit().is_none() || self.has_permit(now) {
             return None;
         }
-        Some(self.ask_from.max(self.asked_until)).filter(|until| *until > now)
+        Some(self.ask_from).filter(|until| *until > now)
     }
 
-    /// Whether an answer is waited for.
-    pub fn is_asked(&self, now: Millis) -> bool {
-        self.asked_until > now
+    /// Whether there is no permit, and none can be asked for now.
+    pub fn is_closed(&self, now: Millis) -> bool {
+        !self.has_permit(now) && self.next_at() > now
     }
 
-    /// Takes a permit for one request, or says what is to be done for one.
-    pub fn take(&mut self, now: Millis) -> Permission {
-        if self.limit().is_none() {
+    /// When one who finds it closed may find it open again; an answer that is waited for may come sooner.
+    pub fn next_at(&self) -> Millis {
+        self.ask_from.max(self.asked_until)
+    }
+
+    /// Takes a permit for one request, or says what is to be done for one. `returning` is what is sent at most while
+    /// the server comes back from a rest; that does not bind where no other server is left.
+    pub fn take(&mut self, returning: Option<Rate>, now: Millis) -> Permission {
+        let is_limited = self.limit().is_some();
+        if !is_limited && returning.is_none() {
             return Permission::Free;
         }
-        if self.bound_until(now).is_some() {
-            return Permission::None;
-        }
-        if self.in_hand > 0 && self.good_until > now {
+        if self.has_permit(now) {
             self.in_hand -= 1;
             self.count(now);
             return Permission::Until(self.good_until);
         }
+        if self.is_closed(now) {
+            return if is_limited { Permission::None } else { Permission::Free };
+        }
         self.asked_until = now + ASK_TIMEOUT;
         Permission::Ask(1 + (self.lately_by(now) * AHEAD_S) as u32)
     }
 
+    fn has_permit(&self, now: Millis) -> bool {
+        self.in_hand > 0 && self.good_until > now
+    }
+
     /// Takes the answer to what was asked at `asked_at`.
     pub fn given(&mut self, permits: u32, again_in: Millis, asked_at: Millis, now: Millis) {
         self.asked_until = Millis::ZERO;
--- a/crates/core/src/direct/permits.rs
+++ b/crates/core/src/direct/permits.rs
@@ -92,13 +92,14 @@
         self.parts.insert(from, now + HANDED_FOR);
     }
 
-    /// Gives permits for a server of this limit, as many as are wanted or there are. `gateways` is how many there are,
-    /// living or not; `None` if this one cannot know.
+    /// Gives permits for a server of this limit, as many as are wanted or there are; `first` of them are there at the
+    /// first question. `gateways` is how many there are, living or not; `None` if this one cannot know.
     pub fn give(
         &mut self,
         server: ServerLife,
         limit: Rate,
         wanted: u32,
+        first: f64,
         gateways: Option<usize>,
         now: Millis,
     ) -> Given {
@@ -106,7 +107,7 @@
         self.buckets.retain(|_, bucket| now.since(bucket.at) < FORGET);
         let of = gateways.map_or(f64::INFINITY, |known| known.max(self.parts.len()).max(1) as f64);
         let per_ms = limit.per_ms() * self.parts.len() as f64 / of;
-        let bucket = self.buckets.entry(server).or_insert(Bucket { level: 0.0, at: now });
+        let bucket = self.buckets.entry(server).or_insert(Bucket { level: first, at: now });
         let most = 1.0 + per_ms * 1_000.0 * SAVED_S;
         bucket.level = (bucket.level + per_ms * now.since(bucket.at).0 as f64).min(most);
         bucket.at = now;
--- a/crates/core/src/direct/pool.rs
+++ b/crates/core/src/direct/pool.rs
@@ -320,8 +320,10 @@
                 let server = &self.servers[*key];
                 let requests = candidate.own_requests;
                 let fit = if resting { server.is_fit(now) } else { server.is_swift(requests, now) };
-                let lacks = self.limits.get(key).and_then(|limited| limited.bound_until(now));
-                candidate.usable = fit && lacks.is_none() && !tried.contains(key);
+                let is_closed = self.limits.get(key).is_some_and(|limited| {
+                    limited.is_closed(now) && (limited.limit().is_some() || !resting)
+                });
+                candidate.usable = fit && !is_closed && !tried.contains(key);
             }
             let config = &self.config.routing;
             let chosen = routing::choose(config, &mut found.candidates, &[], cost, now, rng);
@@ -363,8 +365,8 @@
         let Some(found) = self.services.get(service) else { return false };
         found.servers.iter().zip(&found.candidates).any(|(key, candidate)| {
             let is_swift = self.servers[*key].is_swift(candidate.own_requests, now);
-            let is_free = self.bound_until(*key, now).is_none();
-            *key != server && !tried.contains(key) && is_swift && is_free
+            let is_closed = self.limits.get(key).is_some_and(|limited| limited.is_closed(now));
+            *key != server && !tried.contains(key) && is_swift && !is_closed
         })
     }
 
@@ -406,6 +408,7 @@
     /// A server asked to be sent nothing for so long.
     pub fn rest(&mut self, key: Key<Server>, span: Millis, now: Millis) {
         self.servers[key].asked.rest(span, now);
+        self.limits.entry(key).or_default();
     }
 
     /// A server said itself that it leaves; returns whether that is new.
--- a/crates/core/src/direct/pool/limits.rs
+++ b/crates/core/src/direct/pool/limits.rs
@@ -59,7 +59,13 @@
 
     /// Takes a permit for one request to a server, or says what is to be done for one.
     pub fn take_permit(&mut self, key: Key<Server>, now: Millis) -> Permission {
-        self.limits.get_mut(&key).map_or(Permission::Free, |limited| limited.take(now))
+        let returning = self.returning(key, now);
+        self.limits.get_mut(&key).map_or(Permission::Free, |limited| limited.take(returning, now))
+    }
+
+    /// What all gateways together send a server, while it comes back from a rest.
+    pub fn returning(&self, key: Key<Server>, now: Millis) -> Option<Rate> {
+        self.servers[key].asked.returning(now)
     }
 
     /// Takes the answer to one who asked for permits.
@@ -69,11 +75,17 @@
         }
     }
 
-    /// Whether permits for a server of a service, but those in `tried`, were asked for and may still come.
-    pub fn waits_for_permits(&self, service: &str, tried: &[Key<Server>], now: Millis) -> bool {
-        let Some(found) = self.services.get(service) else { return false };
-        let open = found.servers.iter().filter(|key| !tried.contains(key));
-        open.filter_map(|key| self.limited(*key)).any(|limited| limited.is_asked(now))
+    /// When there may be a permit for a server of a service, but those in `tried`, that takes requests otherwise.
+    pub fn next_permit_at(
+        &self,
+        service: &str,
+        tried: &[Key<Server>],
+        now: Millis,
+    ) -> Option<Millis> {
+        let servers = &self.services.get(service)?.servers;
+        let fit =
+            servers.iter().filter(|key| self.servers[**key].is_fit(now) && !tried.contains(key));
+        fit.filter_map(|key| self.limited(*key).map(Limited::next_at)).min()
     }
 
     /// A server that was chosen is sent nothing: its turn is given back.
--- a/crates/core/tests/asked.rs
+++ b/crates/core/tests/asked.rs
@@ -10,6 +10,10 @@
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::asked;
 use hooktrestle_core::direct::asked::MOST_REST;
+use hooktrestle_core::direct::named_limit::Permission;
+use hooktrestle_core::direct::permits::GatewayId;
+use hooktrestle_core::direct::permits::Given;
+use hooktrestle_core::direct::permits::Permits;
 use hooktrestle_core::direct::pool;
 use hooktrestle_core::direct::pool::Ending;
 use hooktrestle_core::direct::pool::Listed;
@@ -159,6 +163,54 @@
     assert!((0..4).all(|number| choose(&mut pool, 10_001 + number) == Some(a)));
 }
 
+/// Each gateway alone sent one request at first; forty of them are a rush.
+#[test]
+fn a_server_comes_back_to_few_requests_of_all_gateways_together() {
+    const GATEWAYS: usize = 40;
+    let (pool, a, b) = pair();
+    let mut pools = vec![pool; GATEWAYS];
+    pools.iter_mut().for_each(|pool| pool.rest(a, Millis(1_000), Millis(0)));
+    let mut permits = Permits::new(Millis(0));
+    let mut sent = [0; 4];
+    for now in 1_000..5_000 {
+        (0..GATEWAYS as u64).for_each(|from| permits.take_part(GatewayId(from), Millis(now)));
+        let pool = &mut pools[now as usize % GATEWAYS];
+        let chosen = choose(pool, now).expect("both are there");
+        let taken = match pool.take_permit(chosen, Millis(now)) {
+            Permission::Ask(wanted) => {
+                let rate = pool.returning(a, Millis(now)).expect("it comes back");
+                let life = pool.life(chosen);
+                let first = 1.0;
+                let gateways = Some(GATEWAYS);
+                let given = permits.give(life, rate, wanted, first, gateways, Millis(now));
+                pool.permits_given(chosen, given, Millis(now), Millis(now));
+                given.permits > 0 && pool.take_permit(chosen, Millis(now)) != Permission::None
+            }
+            taken => taken != Permission::None,
+        };
+        if taken {
+            sent[(now / 1_000 - 1) as usize] += usize::from(chosen == a);
+            pool.ended(chosen, Ending::Answered, Millis(now));
+            if chosen == a {
+                pool.took(a);
+            }
+        } else {
+            pool.give_back(chosen, 1.0);
+        }
+    }
+    assert!(sent[0] <= 3 && sent[1] <= 12, "{sent:?}");
+    assert!(sent[3] > 300, "it has all its turns again: {sent:?}");
+    // Rather too many than a refusal, where no other server is left.
+    let pool = &mut pools[0];
+    pool.rest(a, Millis(1_000), Millis(9_000));
+    pool.rest(b, MOST_REST, Millis(9_000));
+    assert_eq!(choose(pool, 10_001), Some(a));
+    assert_eq!(pool.take_permit(a, Millis(10_001)), Permission::Ask(1));
+    pool.permits_given(a, Given::default(), Millis(10_001), Millis(10_002));
+    assert_eq!(choose(pool, 10_003), Some(a));
+    assert_eq!(pool.take_permit(a, Millis(10_003)), Permission::Free);
+}
+
 #[test]
 fn a_fleet_keeps_what_servers_ask_and_refuses_nothing_else() {
     for seed in 0..SEEDS {
--- a/crates/core/tests/named_limit.rs
+++ b/crates/core/tests/named_limit.rs
@@ -103,24 +103,28 @@
     assert_eq!(one.hear(said(Some(4_000), 120, 140)), Heard::Changed, "it is newer");
     assert_eq!(one.hear(said(Some(400), 90, 110)), Heard::Known, "it is older");
     assert_eq!(one.hear(said(None, 150, 160)), Heard::Changed);
-    assert_eq!(one.take(Millis(170)), Permission::Free);
+    assert_eq!(one.take(None, Millis(170)), Permission::Free);
     assert_eq!(one.hear(said(Some(400), 90, 110)), Heard::Known, "it is older");
 }
 
 #[test]
 fn permits_are_asked_for_once_and_good_for_a_moment() {
     let mut one = limited(1_000);
-    assert_eq!(one.take(Millis(200)), Permission::Ask(1));
-    assert_eq!(one.take(Millis(201)), Permission::None, "an answer is waited for");
+    assert_eq!(one.take(None, Millis(200)), Permission::Ask(1));
+    assert_eq!(one.take(None, Millis(201)), Permission::None, "an answer is waited for");
     one.given(2, Millis::ZERO, Millis(200), Millis(203));
     let good_until = Millis(200) + GOOD_FOR;
-    assert_eq!(one.take(Millis(204)), Permission::Until(good_until));
-    assert_eq!(one.take(good_until), Permission::Ask(1), "nothing is saved up, asleep or not");
+    assert_eq!(one.take(None, Millis(204)), Permission::Until(good_until));
+    assert_eq!(
+        one.take(None, good_until),
+        Permission::Ask(1),
+        "nothing is saved up, asleep or not"
+    );
     one.given(0, Millis(3), good_until, good_until);
-    assert_eq!(one.take(good_until + Millis(19)), Permission::None);
-    assert_eq!(one.take(good_until + Millis(20)), Permission::Ask(1));
+    assert_eq!(one.take(None, good_until + Millis(19)), Permission::None);
+    assert_eq!(one.take(None, good_until + Millis(20)), Permission::Ask(1));
     // No answer ever came.
-    assert_eq!(one.take(good_until + Millis(5_000)), Permission::Ask(1));
+    assert_eq!(one.take(None, good_until + Millis(5_000)), Permission::Ask(1));
 }
 
 #[test]
@@ -138,7 +142,7 @@
     let mut one = Permits::new(Millis::ZERO);
     let (server, limit) = (ServerLife(1), Rate { in_1000_s: 8_000 });
     let give = |permits: &mut Permits, now| {
-        permits.give(server, limit, 1_000, Some(4), Millis(now)).permits
+        permits.give(server, limit, 1_000, 0.0, Some(4), Millis(now)).permits
     };
     assert_eq!(give(&mut one, 0), 0);
     assert_eq!(give(&mut one, 60_000 - 1), 0, "nobody has handed it a part");
--- a/crates/core/tests/permit_fleet/mod.rs
+++ b/crates/core/tests/permit_fleet/mod.rs
@@ -237,7 +237,7 @@
             return;
         }
         let life = self.gateways[to].life;
-        match self.gateways[to].limited.take(now) {
+        match self.gateways[to].limited.take(None, now) {
             Permission::Free | Permission::Until(_) => {
                 let named_at = self.named[self.named.len() - 1].0;
                 let said = self.gateways[to].limited.said();
@@ -290,7 +290,7 @@
             giver.permits.take_part(GatewayId(from as u64), now);
         }
         match limit {
-            Some(limit) => giver.permits.give(SERVER, limit, wanted, Some(gateways), now),
+            Some(limit) => giver.permits.give(SERVER, limit, wanted, 0.0, Some(gateways), now),
             None => Given { permits: wanted, again_in: Millis::ZERO },
         }
     }
--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -178,7 +178,9 @@
     gateway: &Rc<Gateway<P>>,
     request: &mut Request<P>,
 ) -> Result<(), Refusal> {
-    if let Some(after) = gateway.all_bound(&request.service) {
+    // A permit that comes soon is waited for.
+    let bound = gateway.all_bound(&request.service).filter(|after| *after > forward::MOST_WAIT);
+    if let Some(after) = bound {
         return Err(Refusal::not_run(Cause::NoBackendServer).retry_after(after));
     }
     let busy = || gateway.with_pool(|pool| pool.busy_part(&request.service));
--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -208,7 +208,9 @@
         let address = pool.server(server).listed.address;
         (!pool.rests(server, now)).then_some(address)
     })?;
-    gateway.permit(server).await?;
+    if gateway.with_pool(|pool| pool.limit(server).is_some()) {
+        gateway.permit(server).await?;
+    }
     if let Some(connection) = gateway.connections.idle(server) {
         return Some((connection, End::Engine));
     }
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -3,10 +3,10 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::attempts::Attempts;
 use hooktrestle_core::direct::attempts::Fate;
 use hooktrestle_core::direct::attempts::Next;
-use hooktrestle_core::direct::named_limit::ASK_TIMEOUT;
 use hooktrestle_core::direct::pool::Ending;
 use hooktrestle_core::verdict::Refusal;
 use hooktrestle_schema::AttemptStep;
@@ -28,6 +28,10 @@
 /// they have begun; the users' answers have a few kilobytes.
 const WHOLE_BYTES: usize = 4 << 20;
 
+/// Longest wait for a permit, where no other server is left: an eighth of the usual objective. Who waits longer is told
+/// to come back.
+pub const MOST_WAIT: Millis = Millis(50);
+
 /// What the caller gets.
 pub enum Reply<P: Platform> {
     /// A whole answer of a server.
@@ -155,24 +159,22 @@
     attempts: &Attempts,
 ) -> Option<Turn<P>> {
     let (service, cost) = (&request.service, request.cost);
-    let give_up_at = gateway.now() + ASK_TIMEOUT;
+    let give_up_at = gateway.now() + MOST_WAIT;
     loop {
         let now = gateway.now();
         let chosen = gateway
             .with_pool(|pool| pool.choose(service, attempts.tried(), cost, now, &mut rand::rng()));
-        match chosen {
-            Some(server) => match gateway.permit(server).await {
-                Some(permit) => {
-                    return Some(Turn::new(gateway.clone(), server, permit, request.deadline));
-                }
-                None => gateway.with_pool(|pool| pool.give_back(server, cost)),
-            },
-            None if now < give_up_at && gateway.waits_for_permits(service, attempts.tried()) => {
-                // What another request asked for may come.
-                let _ = gateway.clock.timeout_at(give_up_at, gateway.permits_told.notified()).await;
+        if let Some(server) = chosen {
+            if let Some(permit) = gateway.permit(server).await {
+                return Some(Turn::new(gateway.clone(), server, permit, request.deadline));
             }
-            None => return None,
+            gateway.with_pool(|pool| pool.give_back(server, cost));
+            continue;
         }
+        let next = gateway.with_pool(|pool| pool.next_permit_at(service, attempts.tried(), now));
+        let next = next.filter(|at| now < *at && *at < give_up_at)?;
+        // What another request asked for may come sooner.
+        let _ = gateway.clock.timeout_at(next, gateway.permits_told.notified()).await;
     }
 }
 
--- a/crates/direct/src/gateway/limits.rs
+++ b/crates/direct/src/gateway/limits.rs
@@ -17,6 +17,7 @@
 use crate::gateway::findings::Reach;
 use crate::headers;
 use crate::permits;
+use crate::permits::Wanted;
 use crate::platform::Platform;
 
 /// Leave to send one request to a server.
@@ -89,12 +90,14 @@
         let now = self.now();
         let taken = self.with_pool(|pool| pool.take_permit(server, now));
         let Permission::Ask(wanted) = taken else { return self.permitted(taken) };
-        let life = self.with_pool(|pool| pool.life(server));
-        let given = permits::ask(self, Some((life, wanted))).await.unwrap_or_default();
+        let (life, returning) =
+            self.with_pool(|pool| (pool.life(server), pool.returning(server, now)));
+        let wanted = Wanted { server: life, requests: wanted, returning };
+        let given = permits::ask(self, Some(wanted)).await.unwrap_or_default();
         let told_at = self.now();
         let taken = self.with_pool(|pool| {
             pool.permits_given(server, given, now, told_at);
-            pool.take_permit(server, told_at)
+            if given.permits == 0 { Permission::None } else { pool.take_permit(server, told_at) }
         });
         self.permits_told.notify_waiters();
         self.permitted(taken)
@@ -111,12 +114,6 @@
         }
     }
 
-    /// Whether permits for a server of a service, but those in `tried`, may still come.
-    pub fn waits_for_permits(&self, service: &str, tried: &[Key<Server>]) -> bool {
-        let now = self.now();
-        self.with_pool(|pool| pool.waits_for_permits(service, tried, now))
-    }
-
     /// Does something with the permits that are given out.
     pub fn with_permits<T>(&self, act: impl FnOnce(&mut Permits) -> T) -> T {
         act(&mut self.permits.borrow_mut())
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -12,6 +12,7 @@
 use hooktrestle_core::direct::crashes::ServerLife;
 use hooktrestle_core::direct::members::LifeId;
 use hooktrestle_core::direct::named_limit::ASK_TIMEOUT;
+use hooktrestle_core::direct::named_limit::Rate;
 use hooktrestle_core::direct::permits::GatewayId;
 use hooktrestle_core::direct::permits::Given;
 use hooktrestle_core::direct::permits::HAND_EVERY;
@@ -44,6 +45,17 @@
     passed_by: RefCell<HashMap<LifeId, Millis>>,
 }
 
+/// What is asked for.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted {
+    /// The server.
+    pub server: ServerLife,
+    /// Requests that are to be sent to it.
+    pub requests: u32,
+    /// What all gateways together send it, while it comes back from a rest.
+    pub returning: Option<Rate>,
+}
+
 /// Who is asked.
 struct Giver {
     life: LifeId,
@@ -64,10 +76,7 @@
 }
 
 /// Asks for permits for a server, so many, or just hands the own part over; `None` if there is no answer.
-pub async fn ask<P: Platform>(
-    gateway: &Rc<Gateway<P>>,
-    wanted: Option<(ServerLife, u32)>,
-) -> Option<Given> {
+pub async fn ask<P: Platform>(gateway: &Rc<Gateway<P>>, wanted: Option<Wanted>) -> Option<Given> {
     let giver = giver(gateway)?;
     let now = gateway.now();
     let own = GatewayId(gateway.with_members(|members| hash::of(&members.own().name)));
@@ -75,13 +84,14 @@
     let asked = PermitsAsked {
         gateway_number: own.0,
         hands_over,
-        server_number: wanted.map(|(server, _)| server.0),
-        wanted_requests: wanted.map_or(0, |(_, wanted)| wanted),
+        server_number: wanted.map(|wanted| wanted.server.0),
+        wanted_requests: wanted.map_or(0, |wanted| wanted.requests),
+        returning_requests: wanted.and_then(|wanted| Some(wanted.returning?.in_1000_s)),
     };
     if giver.is_own {
         return Some(give(gateway, &asked));
     }
-    let limits = wanted.map(|(server, _)| news::limits_of(gateway, server)).unwrap_or_default();
+    let limits = wanted.map(|wanted| news::limits_of(gateway, wanted.server)).unwrap_or_default();
     let question = PeerNews { permits_asked: Some(asked), limits, ..news::empty() };
     let exchanged =
         time::timeout(Duration::from(ASK_TIMEOUT), exchange(gateway, giver.at, &question));
@@ -154,7 +164,10 @@
 
 /// Answers a gateway that asks for permits.
 pub(crate) fn answer<P: Platform>(gateway: &Gateway<P>, asked: &PermitsAsked) -> PeerNews {
-    let given = give(gateway, asked);
+    // A question that waited as long as this process stood still says nothing of now.
+    let is_fresh = gateway.stood_still(READ_LATE).is_none();
+    let hands_over = asked.hands_over && is_fresh;
+    let given = give(gateway, &PermitsAsked { hands_over, ..asked.clone() });
     let server = asked.server_number.map(ServerLife);
     PeerNews {
         limits: server.map(|server| news::limits_of(gateway, server)).unwrap_or_default(),
@@ -168,19 +181,24 @@
 
 fn give<P: Platform>(gateway: &Gateway<P>, asked: &PermitsAsked) -> Given {
     let now = gateway.now();
-    // A question that waited as long as this process stood still says nothing of now.
-    let is_fresh = gateway.stood_still(READ_LATE).is_none();
     let gateways = gateway.with_members(|members| members.all(now));
+    let returning = asked.returning_requests.map(|in_1000_s| Rate { in_1000_s });
+    // After a rest somebody has to find out whether the server takes requests.
+    let first = if returning.is_some() { 1.0 } else { 0.0 };
     let limit = asked.server_number.map(ServerLife).and_then(|server| {
-        gateway.with_pool(|pool| Some((server, pool.limit_said(server)?.limit)))
+        let said = gateway.with_pool(|pool| pool.limit_said(server));
+        (said.is_some() || returning.is_some()).then(|| {
+            let named = said.and_then(|said| said.limit);
+            (server, named.into_iter().chain(returning).min())
+        })
     });
     gateway.with_permits(|permits| {
-        if asked.hands_over && is_fresh {
+        if asked.hands_over {
             permits.take_part(GatewayId(asked.gateway_number), now);
         }
         let Some((server, limit)) = limit else { return Given::default() };
         let given = match limit {
-            Some(limit) => permits.give(server, limit, asked.wanted_requests, gateways, now),
+            Some(limit) => permits.give(server, limit, asked.wanted_requests, first, gateways, now),
             // It names none any more.
             None => Given { permits: asked.wanted_requests, again_in: Millis::ZERO },
         };
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -1148,6 +1148,9 @@
     pub gateway_number: u64,
     ///Whether its part is handed over.
     pub hands_over: bool,
+    ///What all gateways together send the server in 1,000 s, while it comes back from a rest.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub returning_requests: ::std::option::Option<u64>,
     ///Stands for one life of the server.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub server_number: ::std::option::Option<u64>,
