Crashes: a request that is tried again is tried at one gateway at a time, not at one request a gateway

Trials are asked for as permits are, one in 1.5 s; where nobody answers each gateway holds itself to one, as before.

--- a/crates/core/src/direct/permits.rs
+++ b/crates/core/src/direct/permits.rs
@@ -1,4 +1,5 @@
-//! Permits for what is bounded for all gateways together: requests to backend servers that name a limit.
+//! Permits for what is bounded for all gateways together: requests to backend servers that name a limit or come back
+//! from a rest, and requests that are tried again after a server crashed.
 //!
 //! One gateway gives them out, the first of those that live in an order that all know, and the others ask it as they
 //! need them: so what is allowed can be used by any one of them, and less than one request a gateway can be allowed.
@@ -16,6 +17,7 @@
 
 use crate::clock::Millis;
 use crate::direct::crashes::ServerLife;
+use crate::direct::fingerprint::Fingerprint;
 use crate::direct::members::LifeId;
 use crate::direct::named_limit::Rate;
 
@@ -31,7 +33,7 @@
 /// Permits that are kept for one who asks: one, and so many seconds' worth.
 const SAVED_S: f64 = 0.25;
 
-/// Time without a question about a server after which it is forgotten here. A limit that is asked about again then
+/// Time without a question about a subject after which it is forgotten here. A limit that is asked about again then
 /// begins with no permit, as all do.
 const FORGET: Millis = Millis(60_000);
 
@@ -39,6 +41,15 @@
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct GatewayId(pub u64);
 
+/// Stands for what is bounded, the same at all gateways.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Subject {
+    /// Requests to one life of a server.
+    Server(ServerLife),
+    /// Trials of a request.
+    Trial(Fingerprint),
+}
+
 /// What is given to one who asks.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Given {
@@ -48,7 +59,7 @@
     pub again_in: Millis,
 }
 
-/// Permits of one server that are not given out yet.
+/// Permits for one subject that are not given out yet.
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
     level: f64,
@@ -63,7 +74,7 @@
     kept_until: Millis,
     /// Whose parts were handed to this gateway, and until when they count.
     parts: HashMap<GatewayId, Millis>,
-    buckets: HashMap<ServerLife, Bucket>,
+    buckets: HashMap<Subject, Bucket>,
 }
 
 impl Permits {
@@ -104,10 +115,27 @@
         now: Millis,
     ) -> Given {
         self.parts.retain(|_, until| *until > now);
-        self.buckets.retain(|_, bucket| now.since(bucket.at) < FORGET);
         let of = gateways.map_or(f64::INFINITY, |known| known.max(self.parts.len()).max(1) as f64);
         let per_ms = limit.per_ms() * self.parts.len() as f64 / of;
-        let bucket = self.buckets.entry(server).or_insert(Bucket { level: first, at: now });
+        self.take(Subject::Server(server), per_ms, wanted, first, now)
+    }
+
+    /// Lets one trial of a request begin, if none did less than `every` ago by this one. That holds for who gives out
+    /// permits alone, whosever parts it was handed: it may be that two are begun, and none has to wait for the parts.
+    pub fn try_again(&mut self, request: Fingerprint, every: Millis, now: Millis) -> Given {
+        self.take(Subject::Trial(request), 1.0 / every.0.max(1) as f64, 1, 1.0, now)
+    }
+
+    fn take(
+        &mut self,
+        subject: Subject,
+        per_ms: f64,
+        wanted: u32,
+        first: f64,
+        now: Millis,
+    ) -> Given {
+        self.buckets.retain(|_, bucket| now.since(bucket.at) < FORGET);
+        let bucket = self.buckets.entry(subject).or_insert(Bucket { level: first, at: now });
         let most = 1.0 + per_ms * 1_000.0 * SAVED_S;
         bucket.level = (bucket.level + per_ms * now.since(bucket.at).0 as f64).min(most);
         bucket.at = now;
--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -160,7 +160,7 @@
             Err(Refusal::not_run(Cause::Leaving).retry_after(Millis::ZERO))
         }
         Ok(mut request) => {
-            let trial = gateway.begin(request.fingerprint);
+            let trial = gateway.begin(request.fingerprint).await;
             request.trial =
                 trial.map_err(|(cause, left)| Refusal::not_run(cause).retry_after(left))?;
             enter(gateway, &mut request).await?;
--- a/crates/direct/src/gateway/crashes.rs
+++ b/crates/direct/src/gateway/crashes.rs
@@ -21,6 +21,7 @@
 use hooktrestle_core::direct::crashes::Suspect;
 use hooktrestle_core::direct::crashes::Trust;
 use hooktrestle_core::direct::fingerprint::Fingerprint;
+use hooktrestle_core::direct::permits::Given;
 use hooktrestle_core::direct::pool::Server;
 use hooktrestle_core::util::arena::Key;
 use hooktrestle_schema::Cause;
@@ -29,6 +30,8 @@
 use crate::connections::Connection;
 use crate::gateway::Gateway;
 use crate::gateway::findings::Reach;
+use crate::permits;
+use crate::permits::Wanted;
 use crate::platform::KeptCrashes;
 use crate::platform::Platform;
 
@@ -39,8 +42,9 @@
 /// Longest wait until others were told: some rounds of news, of a few milliseconds each.
 const MOST_TELLING: Duration = Duration::from_millis(50);
 
-/// When a caller shall come back whose request is out for another one: the users' streams last 1 to 2 s.
-const TRIAL: Millis = Millis(1_500);
+/// When a caller shall come back whose request is out for another one, and time between two trials at different
+/// gateways: the users' streams last 1 to 2 s.
+pub(crate) const TRIAL: Millis = Millis(1_500);
 
 /// How far a request came at a server, and when.
 #[derive(Clone, Copy, Debug)]
@@ -159,7 +163,7 @@
     /// # Errors
     ///
     /// It is turned away, or tried one at a time, and another one is out: why, and for how much longer.
-    pub fn begin(
+    pub async fn begin(
         self: &Rc<Self>,
         fingerprint: Fingerprint,
     ) -> Result<Option<Trial<P>>, (Cause, Millis)> {
@@ -172,7 +176,12 @@
         if !self.found.borrow_mut().on_trial.insert(fingerprint) {
             return Err((Cause::CrashSuspect, TRIAL));
         }
-        Ok(Some(Trial { gateway: self.clone(), fingerprint }))
+        let trial = Trial { gateway: self.clone(), fingerprint };
+        // Where nobody answers, this gateway alone can be held to one at a time.
+        match permits::ask(self, Wanted::Trial(fingerprint)).await {
+            Some(Given { permits: 0, again_in }) => Err((Cause::CrashSuspect, again_in)),
+            Some(_) | None => Ok(Some(trial)),
+        }
     }
 
     /// Waits until other gateways had time to hear what cannot wait, as far as that takes no longer than a caller
--- a/crates/direct/src/gateway/limits.rs
+++ b/crates/direct/src/gateway/limits.rs
@@ -92,8 +92,8 @@
         let Permission::Ask(wanted) = taken else { return self.permitted(taken) };
         let (life, returning) =
             self.with_pool(|pool| (pool.life(server), pool.returning(server, now)));
-        let wanted = Wanted { server: life, requests: wanted, returning };
-        let given = permits::ask(self, Some(wanted)).await.unwrap_or_default();
+        let wanted = Wanted::Requests(life, wanted, returning);
+        let given = permits::ask(self, wanted).await.unwrap_or_default();
         let told_at = self.now();
         let taken = self.with_pool(|pool| {
             pool.permits_given(server, given, now, told_at);
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -10,6 +10,7 @@
 use eyre::eyre;
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::crashes::ServerLife;
+use hooktrestle_core::direct::fingerprint::Fingerprint;
 use hooktrestle_core::direct::members::LifeId;
 use hooktrestle_core::direct::named_limit::ASK_TIMEOUT;
 use hooktrestle_core::direct::named_limit::Rate;
@@ -23,6 +24,7 @@
 use tokio::time;
 
 use crate::gateway::Gateway;
+use crate::gateway::crashes::TRIAL;
 use crate::peers;
 use crate::peers::Socket;
 use crate::peers::news;
@@ -47,13 +49,36 @@
 
 /// What is asked for.
 #[derive(Clone, Copy, Debug)]
-pub struct Wanted {
-    /// The server.
-    pub server: ServerLife,
-    /// Requests that are to be sent to it.
-    pub requests: u32,
-    /// What all gateways together send it, while it comes back from a rest.
-    pub returning: Option<Rate>,
+pub enum Wanted {
+    /// Nothing: the own part is handed over.
+    Nothing,
+    /// Requests to a server, so many, and what all gateways together send it while it comes back from a rest.
+    Requests(ServerLife, u32, Option<Rate>),
+    /// A trial of a request.
+    Trial(Fingerprint),
+}
+
+impl Wanted {
+    fn question(self, own: GatewayId, hands_over: bool) -> PermitsAsked {
+        let nothing = PermitsAsked {
+            gateway_number: own.0,
+            hands_over,
+            server_number: None,
+            wanted_requests: 0,
+            returning_requests: None,
+            trial_number: None,
+        };
+        match self {
+            Wanted::Nothing => nothing,
+            Wanted::Requests(server, wanted_requests, returning) => PermitsAsked {
+                server_number: Some(server.0),
+                wanted_requests,
+                returning_requests: returning.map(|rate| rate.in_1000_s),
+                ..nothing
+            },
+            Wanted::Trial(request) => PermitsAsked { trial_number: Some(request.0), ..nothing },
+        }
+    }
 }
 
 /// Who is asked.
@@ -68,30 +93,25 @@
     loop {
         while gateway.with_pool(|pool| pool.has_limits()) {
             // In vain where nobody can be asked.
-            let _ = ask(&gateway, None).await;
+            let _ = ask(&gateway, Wanted::Nothing).await;
             time::sleep(Duration::from(HAND_EVERY)).await;
         }
         gateway.limits_known.notified().await;
     }
 }
 
-/// Asks for permits for a server, so many, or just hands the own part over; `None` if there is no answer.
-pub async fn ask<P: Platform>(gateway: &Rc<Gateway<P>>, wanted: Option<Wanted>) -> Option<Given> {
+/// Asks for permits; `None` if there is no answer.
+pub async fn ask<P: Platform>(gateway: &Rc<Gateway<P>>, wanted: Wanted) -> Option<Given> {
     let giver = giver(gateway)?;
     let now = gateway.now();
     let own = GatewayId(gateway.with_members(|members| hash::of(&members.own().name)));
     let hands_over = gateway.with_permits(|permits| permits.hand_over(giver.life, now));
-    let asked = PermitsAsked {
-        gateway_number: own.0,
-        hands_over,
-        server_number: wanted.map(|wanted| wanted.server.0),
-        wanted_requests: wanted.map_or(0, |wanted| wanted.requests),
-        returning_requests: wanted.and_then(|wanted| Some(wanted.returning?.in_1000_s)),
-    };
+    let asked = wanted.question(own, hands_over);
     if giver.is_own {
         return Some(give(gateway, &asked));
     }
-    let limits = wanted.map(|wanted| news::limits_of(gateway, wanted.server)).unwrap_or_default();
+    let server = asked.server_number.map(ServerLife);
+    let limits = server.map(|server| news::limits_of(gateway, server)).unwrap_or_default();
     let question = PeerNews { permits_asked: Some(asked), limits, ..news::empty() };
     let exchanged =
         time::timeout(Duration::from(ASK_TIMEOUT), exchange(gateway, giver.at, &question));
@@ -196,6 +216,9 @@
         if asked.hands_over {
             permits.take_part(GatewayId(asked.gateway_number), now);
         }
+        if let Some(request) = asked.trial_number {
+            return permits.try_again(Fingerprint(request), TRIAL, now);
+        }
         let Some((server, limit)) = limit else { return Given::default() };
         let given = match limit {
             Some(limit) => permits.give(server, limit, asked.wanted_requests, first, gateways, now),
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -1141,7 +1141,7 @@
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub wanted_numbers: ::std::vec::Vec<u64>,
 }
-///A gateway asks another one for permits to send requests to a server that names a limit, or tells it just that its part of what all may send is handed over.
+///A gateway asks another one for permits to send requests to a server that names a limit or comes back from a rest, or to try one request again, or tells it just that its part of what all may send is handed over.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct PermitsAsked {
     ///Stands for the gateway, whichever of its processes.
@@ -1154,6 +1154,9 @@
     ///Stands for one life of the server.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub server_number: ::std::option::Option<u64>,
+    ///Stands for a request that is to be tried again after a server crashed as it began there.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub trial_number: ::std::option::Option<u64>,
     ///Requests that are to be sent.
     #[serde(default)]
     pub wanted_requests: u32,
