Limits: callers are told when there is a permit, not when one is asked for again

The time that the gateway which gives out permits told was cut to half a second, in which it is asked again; callers would have come back up to twenty times too early. Test: core/tests/named_limit.rs.

--- a/crates/core/src/direct/named_limit.rs
+++ b/crates/core/src/direct/named_limit.rs
@@ -24,6 +24,9 @@
 /// Shortest and longest time until permits are asked for again where there were none: what is given out may change.
 const ASK_AGAIN: (Millis, Millis) = (Millis(20), Millis(500));
 
+/// Longest time to the next permit that callers are told: nobody knows more than that it is long.
+const MOST_TOLD: Millis = Millis(10_000);
+
 /// Time for which a gateway asks permits ahead, by what it sent lately: one message for several requests.
 const AHEAD_S: f64 = 0.25;
 
@@ -122,6 +125,8 @@
     asked_until: Millis,
     /// No permit is asked for before.
     ask_from: Millis,
+    /// When there is one, as far as was told.
+    expected_at: Millis,
     /// Requests sent with permits lately, those longer ago counting less.
     lately: f64,
     lately_at: Millis,
@@ -164,12 +169,10 @@
         self.said?.limit
     }
 
-    /// When a permit may be asked for, if not now; `None` where the server names no limit.
+    /// When there is a permit, if none can be asked for now; `None` where the server names no limit.
     pub fn bound_until(&self, now: Millis) -> Option<Millis> {
-        if self.limit().is_none() || self.has_permit(now) {
-            return None;
-        }
-        Some(self.ask_from).filter(|until| *until > now)
+        let is_bound = self.limit().is_some() && !self.has_permit(now) && self.ask_from > now;
+        is_bound.then(|| self.expected_at.max(self.ask_from))
     }
 
     /// Whether there is no permit, and none can be asked for now.
@@ -211,6 +214,7 @@
         if permits == 0 {
             let (least, most) = ASK_AGAIN;
             self.ask_from = now + again_in.clamp(least, most);
+            self.expected_at = now + again_in.min(MOST_TOLD);
             return;
         }
         self.in_hand = permits;
--- a/crates/core/tests/named_limit.rs
+++ b/crates/core/tests/named_limit.rs
@@ -123,6 +123,10 @@
     one.given(0, Millis(3), good_until, good_until);
     assert_eq!(one.take(None, good_until + Millis(19)), Permission::None);
     assert_eq!(one.take(None, good_until + Millis(20)), Permission::Ask(1));
+    one.given(0, Millis(1_800), good_until, good_until);
+    let told = one.bound_until(good_until + Millis(499));
+    assert_eq!(told, Some(good_until + Millis(1_800)), "callers are told when there is one");
+    assert_eq!(one.take(None, good_until + Millis(500)), Permission::Ask(1), "it may come sooner");
     // No answer ever came.
     assert_eq!(one.take(None, good_until + Millis(5_000)), Permission::Ask(1));
 }
