Embedded default: a sidecar starts no more than its backend server takes

All that reaches a backend server comes through the sidecar beside it, so its limit (x-hooktrestle-limit) is kept there: what waits starts as permits come, and what would wait beyond its deadline is refused at once, with that time. Tests: a minute of a sidecar in simulated time at 2, 0.3 and 0 a second (120, 18, 6 starts at most, three quarters of that at least), and one of the whole path (not run red: nothing read the header).

--- a/crates/core/src/direct/permits.rs
+++ b/crates/core/src/direct/permits.rs
@@ -61,11 +61,35 @@
 
 /// Permits for one subject that are not given out yet.
 #[derive(Clone, Copy, Debug)]
-struct Bucket {
+pub(crate) struct Bucket {
     level: f64,
     at: Millis,
 }
 
+impl Bucket {
+    /// One that holds so many permits now.
+    pub(crate) fn holding(level: f64, now: Millis) -> Bucket {
+        Bucket { level, at: now }
+    }
+
+    /// Adds what came since, at this rate, and takes as many whole permits as are wanted or there are.
+    pub(crate) fn take(&mut self, per_ms: f64, wanted: u32, now: Millis) -> u32 {
+        let most = 1.0 + per_ms * 1_000.0 * SAVED_S;
+        self.level = (self.level + per_ms * now.since(self.at).0 as f64).min(most);
+        self.at = now;
+        let taken = wanted.min(self.level as u32);
+        self.level -= f64::from(taken);
+        taken
+    }
+
+    /// Time until there are so many, if none is taken.
+    pub(crate) fn until(&self, permits: f64, per_ms: f64, now: Millis) -> Millis {
+        // Without a rate this is infinite, and saturates.
+        let lacks_ms = (permits - self.level).max(0.0) / per_ms;
+        Millis(lacks_ms.ceil() as u64) - now.since(self.at)
+    }
+}
+
 /// One gateway's side of it: to whom it has handed its own part, and what it gives out itself.
 #[derive(Clone, Debug)]
 pub struct Permits {
@@ -135,14 +159,8 @@
         now: Millis,
     ) -> Given {
         self.buckets.retain(|_, bucket| now.since(bucket.at) < FORGET);
-        let bucket = self.buckets.entry(subject).or_insert(Bucket { level: first, at: now });
-        let most = 1.0 + per_ms * 1_000.0 * SAVED_S;
-        bucket.level = (bucket.level + per_ms * now.since(bucket.at).0 as f64).min(most);
-        bucket.at = now;
-        let permits = wanted.min(bucket.level as u32);
-        bucket.level -= f64::from(permits);
-        // With no part at all this is infinite, and saturates.
-        let lacks_ms = (1.0 - bucket.level).max(0.0) / per_ms;
-        Given { permits, again_in: Millis(lacks_ms.ceil() as u64) }
+        let bucket = self.buckets.entry(subject).or_insert(Bucket::holding(first, now));
+        let permits = bucket.take(per_ms, wanted, now);
+        Given { permits, again_in: bucket.until(1.0, per_ms, now) }
     }
 }
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -18,6 +18,9 @@
 
 use crate::clock::Millis;
 use crate::direct::asked::Asked;
+use crate::direct::named_limit::Limited;
+use crate::direct::named_limit::Said;
+use crate::direct::permits::Bucket;
 use crate::fair_queue::Entry;
 use crate::fair_queue::FairQueue;
 use crate::fair_queue::FlowId;
@@ -165,6 +168,9 @@
     leaving: bool,
     /// What the backend server asked.
     asked: Asked,
+    /// How many requests a second it takes: all that reach it come through here.
+    limited: Limited,
+    permits: Bucket,
 }
 
 impl Dispatcher {
@@ -182,6 +188,8 @@
             tickets: TicketMemory::new(config.tickets, incarnation),
             leaving: false,
             asked: Asked::default(),
+            limited: Limited::default(),
+            permits: Bucket::holding(0.0, Millis::ZERO),
         }
     }
 
@@ -270,12 +278,43 @@
         }
         if self.running < self.config.most_running
             && self.asked.rests_until(now).is_none()
+            && self.has_permit(now)
             && let Some(entry) = self.queue.pop()
         {
             self.start(now, entry);
             return Next::Start(entry.key);
         }
-        Next::Idle(self.deadlines.first().map_or(Millis::MAX, |(deadline, _)| *deadline))
+        let expires = self.deadlines.first().map_or(Millis::MAX, |(deadline, _)| *deadline);
+        Next::Idle(expires.min(self.next_permit_at(now)))
+    }
+
+    /// Takes a permit for the request that waits longest, if there is one.
+    fn has_permit(&mut self, now: Millis) -> bool {
+        match self.limited.limit() {
+            Some(limit) => !self.queue.is_empty() && self.permits.take(limit.per_ms(), 1, now) > 0,
+            None => true,
+        }
+    }
+
+    /// When what waits is looked at again because there is a permit.
+    fn next_permit_at(&self, now: Millis) -> Millis {
+        let waits = !self.queue.is_empty() && self.running < self.config.most_running;
+        match self.limited.limit().filter(|_| waits) {
+            Some(limit) => now + self.permits.until(1.0, limit.per_ms(), now).max(Millis(1)),
+            None => Millis::MAX,
+        }
+    }
+
+    /// The backend server said how many requests it takes, or that it takes any number.
+    pub fn hear_limit(&mut self, said: Said) {
+        // One that names none and never did binds nothing.
+        let was_limited = self.limited.limit().is_some();
+        if said.limit.is_some() || was_limited {
+            self.limited.hear(said);
+        }
+        if !was_limited {
+            self.permits = Bucket::holding(0.0, said.latest);
+        }
     }
 
     /// A run has ended, well or badly: its answer, if any, has been handed to the link.
@@ -417,6 +456,12 @@
         if let Some(until) = self.asked.rests_until(now) {
             return Some(Refusal::not_run(Cause::BackendRefused).retry_after(until.since(now)));
         }
+        if let Some(limit) = self.limited.limit() {
+            let turn = self.permits.until(self.queue.len() as f64 + 1.0, limit.per_ms(), now);
+            if turn > offer.deadline_in {
+                return Some(Refusal::not_run(Cause::QueueFull).retry_after(turn));
+            }
+        }
         let busy = self.running >= self.config.most_running;
         if busy && self.queue.len() >= self.config.most_queued {
             return Some(Refusal::not_run(Cause::QueueFull).retry_after(self.retry_after()));
--- a/crates/core/tests/named_limit.rs
+++ b/crates/core/tests/named_limit.rs
@@ -14,6 +14,15 @@
 use hooktrestle_core::direct::named_limit::Said;
 use hooktrestle_core::direct::permits::GatewayId;
 use hooktrestle_core::direct::permits::Permits;
+use hooktrestle_core::dispatch;
+use hooktrestle_core::dispatch::Arrival;
+use hooktrestle_core::dispatch::Dispatcher;
+use hooktrestle_core::dispatch::Linking;
+use hooktrestle_core::dispatch::Next;
+use hooktrestle_core::dispatch::Offer;
+use hooktrestle_core::fair_queue::FlowId;
+use hooktrestle_core::id::RequestId;
+use hooktrestle_core::once;
 use permit_fleet::Fleet;
 use permit_fleet::Kept;
 use permit_fleet::Play;
@@ -158,6 +167,60 @@
     assert_eq!(give(&mut one, 62_000), 0, "they have handed it over for no longer");
 }
 
+/// Requests of one gateway to a sidecar whose server named a limit at 0: one each so many ms, with this deadline. Returns
+/// when each was started, and how many were refused at once.
+fn paced(in_1000_s: u64, every_ms: u64, deadline: Millis) -> (Vec<u64>, usize) {
+    let config = dispatch::Config {
+        most_running: 100,
+        most_queued: 100,
+        tickets: once::Config { remember: Millis(1_000), most_tickets: 1 },
+        remember_gateway: Millis(1_000),
+    };
+    let mut sidecar = Dispatcher::new(config, 1);
+    let Linking::Open(link, _) = sidecar.link(Millis(0), 1, 1, 1) else { panic!("it opens") };
+    sidecar.hear_limit(said(Some(in_1000_s), 0, 0));
+    let (mut started, mut refused) = (Vec::new(), 0);
+    for now in 0..60_000 {
+        if now % every_ms == 0 {
+            let offer = Offer {
+                flow: FlowId(1),
+                weight: 1,
+                cost_tokens: 1,
+                priority: 5,
+                deadline_in: deadline,
+                ticket: None,
+            };
+            let id = RequestId { number: now + 1, attempt: 1 };
+            match sidecar.request(Millis(now), link, id, offer) {
+                Arrival::Queued(_) => {}
+                Arrival::Refuse { refusal, .. } => {
+                    assert!(refusal.retry_after.is_some_and(|after| after > deadline));
+                    refused += 1;
+                }
+                other => panic!("{other:?}"),
+            }
+        }
+        while let Next::Start(key) = sidecar.next(Millis(now)) {
+            started.push(now);
+            sidecar.finished(Millis(now), key);
+        }
+    }
+    (started, refused)
+}
+
+#[test]
+fn a_sidecar_starts_what_its_server_takes_and_refuses_at_once_what_would_wait_too_long() {
+    for (in_1000_s, a_minute) in [(2_000, 120), (300, 18), (0, 6)] {
+        let (started, refused) = paced(in_1000_s, 100, Millis(4_000));
+        let within = |from: u64| started.iter().filter(move |at| (from..from + 4_000).contains(*at));
+        let most = 1.25 * in_1000_s as f64 * 4.0 / 1_000.0 + 1.0;
+        assert!(started.iter().all(|at| within(*at).count() as f64 <= most), "{in_1000_s}");
+        let fewest = a_minute * 3 / 4;
+        assert!(started.len() >= fewest && started.len() <= a_minute + 1, "{}", started.len());
+        assert!(started.len() + refused >= 540, "what waits is little: {refused} were refused");
+    }
+}
+
 #[test]
 fn a_fleet_stays_within_a_limit_whatever_happens() {
     for seed in 0..SEEDS {
--- a/crates/embedded/tests/failures.rs
+++ b/crates/embedded/tests/failures.rs
@@ -81,6 +81,28 @@
     }
 }
 
+#[tokio::test]
+async fn a_backend_server_that_names_a_limit_gets_no_more() {
+    let fleet = deployment(1).await;
+    // One in ten seconds is sent to a server that takes none.
+    let limited = Behaviour { limit_per_s: Some(0.0), ..Behaviour::default() };
+    fleet.engine("hints-1").set_behaviour(limited);
+    let chat = |gateway: &str, number: u32| {
+        let asked = caller(&fleet, gateway).chat("hints", &format!("n-{number}"), 2, true);
+        asked.header("x-hooktrestle-deadline-ms", "2000")
+    };
+    assert!(matches!(finish(chat("entry-1", 0)).await.unwrap(), Outcome::Whole(_)));
+    for (number, gateway) in [(1, "entry-1"), (2, "entry-2"), (3, "entry-1")] {
+        let outcome = finish(chat(gateway, number)).await.unwrap();
+        let Outcome::Refused { verdict, retry_after_ms, .. } = outcome else {
+            panic!("it is refused")
+        };
+        assert_eq!(verdict, "not-run");
+        assert!(retry_after_ms.is_some_and(|after_ms| after_ms > 2_000), "{retry_after_ms:?}");
+    }
+    assert_eq!(fleet.engine("hints-1").ledger.all().len(), 1);
+}
+
 #[tokio::test]
 async fn a_request_that_every_backend_server_refuses_did_not_run_and_is_told_so_at_once() {
     let fleet = deployment(2).await;
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -13,6 +13,7 @@
 use eyre::Result;
 use futures_util::stream;
 use hooktrestle_schema::MapOrder;
+use http::HeaderValue;
 use http::Response;
 use http::header::RETRY_AFTER;
 use serde_json::Value;
@@ -29,6 +30,9 @@
 /// Header by which a backend server says that it refused a request before running any of it.
 pub const NOT_RUN_HEADER: &str = "x-hooktrestle-not-run";
 
+/// Header by which an engine names how many requests a second it takes.
+pub const LIMIT_HEADER: &str = "x-hooktrestle-limit";
+
 /// Largest request body.
 const BODY_LIMIT_BYTES: u64 = 16 << 20;
 
@@ -44,6 +48,8 @@
     pub refuse: bool,
     /// Asks for a rest of so many seconds as it refuses.
     pub asks_rest_s: Option<u64>,
+    /// Names so many requests a second as what it takes.
+    pub limit_per_s: Option<f64>,
     /// Makes no progress.
     pub stalled: bool,
     /// Breaks each answer off after this many tokens.
@@ -56,6 +62,7 @@
             step: Duration::from_millis(1),
             refuse: false,
             asks_rest_s: None,
+            limit_per_s: None,
             stalled: false,
             break_after: None,
         }
@@ -183,7 +190,7 @@
     ledger: Ledger,
     behaviour: watch::Receiver<Behaviour>,
 ) -> warp::reply::Response {
-    let Behaviour { refuse, asks_rest_s, .. } = *behaviour.borrow();
+    let Behaviour { refuse, asks_rest_s, limit_per_s, .. } = *behaviour.borrow();
     if refuse {
         let mut refusal = Response::builder().status(503).header(NOT_RUN_HEADER, "true");
         if let Some(rest_s) = asks_rest_s {
@@ -201,7 +208,13 @@
     let tokens = body["max_tokens"].as_u64().unwrap_or(DEFAULT_TOKENS);
     let stream = body["stream"].as_bool().unwrap_or(false);
     let answer = Answer { marker, tokens, next: 0, ledger, behaviour };
-    if stream { answer.into_stream() } else { answer.into_whole().await }
+    let mut reply = if stream { answer.into_stream() } else { answer.into_whole().await };
+    if let Some(limit) = limit_per_s {
+        reply
+            .headers_mut()
+            .insert(LIMIT_HEADER, HeaderValue::from_str(&limit.to_string()).expect("a number"));
+    }
+    reply
 }
 
 impl Answer {
--- a/crates/hooktrestled/src/sidecar/desk.rs
+++ b/crates/hooktrestled/src/sidecar/desk.rs
@@ -7,6 +7,7 @@
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::config::BackendServer;
 use hooktrestle_core::config::Config;
+use hooktrestle_core::direct::named_limit::Said;
 use hooktrestle_core::dispatch;
 use hooktrestle_core::dispatch::Arrival;
 use hooktrestle_core::dispatch::Cancelling;
@@ -110,6 +111,10 @@
     pub(super) job: Job,
 }
 
+/// The backend server said how many requests it takes.
+#[derive(Debug)]
+pub(super) struct Limit(pub(super) Said);
+
 /// Something may be due.
 #[derive(Debug)]
 pub(super) struct Tick;
@@ -239,9 +244,18 @@
         };
         let backend = self.setup.backend.clone();
         let desk = self.address.clone();
+        let (clock, sent_at) = (self.setup.clock, self.now());
+        let told = desk.clone();
+        let tell = async move |limit| {
+            let said = Said { limit, earliest: sent_at, latest: clock.now() };
+            if let Some(desk) = told.and_then(|desk| desk.try_upgrade()) {
+                // A desk that has ended needs no limit.
+                let _ = desk.send(Limit(said)).await;
+            }
+        };
         let task = tokio::spawn(async move {
             let mut job = job;
-            let end = run::run(&backend, &mut job).await;
+            let end = run::run(&backend, &mut job, tell).await;
             if let Some(desk) = desk.and_then(|desk| desk.try_upgrade()) {
                 // A desk that has ended needs no report.
                 let _ = desk.send(Ended { key, end, job }).await;
@@ -392,6 +406,15 @@
     }
 }
 
+impl Handler<Limit> for Desk {
+    type Return = ();
+
+    async fn handle(&mut self, limit: Limit, _: &mut Context<Self>) {
+        self.dispatcher.hear_limit(limit.0);
+        self.pump();
+    }
+}
+
 impl Handler<Tick> for Desk {
     type Return = ();
 
--- a/crates/hooktrestled/src/sidecar/run.rs
+++ b/crates/hooktrestled/src/sidecar/run.rs
@@ -9,6 +9,7 @@
 use futures_util::stream;
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::asked;
+use hooktrestle_core::direct::named_limit::Rate;
 use hooktrestle_core::verdict::Refusal;
 use hooktrestle_link::Sender;
 use hooktrestle_schema::BodyFrame;
@@ -37,6 +38,9 @@
 /// Header by which a backend server says that it refused a request before running any of it.
 const NOT_RUN_HEADER: &str = "x-hooktrestle-not-run";
 
+/// Header by which a backend server names how many requests a second it takes.
+const LIMIT_HEADER: &str = "x-hooktrestle-limit";
+
 /// Largest piece of an answer in one frame.
 const PIECE_BYTES: usize = 16 * 1024;
 
@@ -125,8 +129,12 @@
     }
 }
 
-/// Runs a request to its end.
-pub(super) async fn run(backend: &Backend, job: &mut Job) -> RunEnd {
+/// Runs a request to its end. What the backend server says of its limit is told as soon as its answer begins.
+pub(super) async fn run(
+    backend: &Backend,
+    job: &mut Job,
+    tell: impl AsyncFnOnce(Option<Rate>),
+) -> RunEnd {
     let service = KeyValue::new("hooktrestle.service", job.frame.service.clone());
     let before = &job.frame.traceparent;
     let hop = backend.traces.hop("sidecar", SpanKind::Client, before, vec![service]);
@@ -138,6 +146,14 @@
         // Sent, at least in part, and no answer: nobody knows.
         Err(_) => return RunEnd::Failed(Refusal::may_have_run(Cause::BackendFailed)),
     };
+    let named = response.headers().get(LIMIT_HEADER).map(|value| value.to_str().unwrap_or(""));
+    match named.map(Rate::named) {
+        Some(Some(limit)) => tell(Some(limit)).await,
+        // A text that is no number says nothing.
+        Some(None) => {}
+        None if response.status().is_success() => tell(None).await,
+        None => {}
+    }
     if response.headers().contains_key(NOT_RUN_HEADER) {
         let asked = response.headers().get(RETRY_AFTER).and_then(|value| value.to_str().ok());
         let rest = asked.and_then(asked::rest);
