--- a/crates/core/tests/named_limit.rs
+++ b/crates/core/tests/named_limit.rs
@@ -212,7 +212,8 @@
 fn a_sidecar_starts_what_its_server_takes_and_refuses_at_once_what_would_wait_too_long() {
     for (in_1000_s, a_minute) in [(2_000, 120), (300, 18), (0, 6)] {
         let (started, refused) = paced(in_1000_s, 100, Millis(4_000));
-        let within = |from: u64| started.iter().filter(move |at| (from..from + 4_000).contains(*at));
+        let within =
+            |from: u64| started.iter().filter(move |at| (from..from + 4_000).contains(*at));
         let most = 1.25 * in_1000_s as f64 * 4.0 / 1_000.0 + 1.0;
         assert!(started.iter().all(|at| within(*at).count() as f64 <= most), "{in_1000_s}");
         let fewest = a_minute * 3 / 4;
