--- a/crates/core/src/direct/pool.rs
+++ b/crates/core/src/direct/pool.rs
@@ -348,6 +348,14 @@
         f64::from(taken) / f64::from(slots.max(1))
     }
 
+    /// Requests that this gateway has at a server, or is about to send there.
+    pub fn requests_at(&self, key: Key<Server>) -> u32 {
+        let server = &self.servers[key];
+        let candidates = self.services.get(&server.listed.service);
+        let candidate = candidates.and_then(|found| found.candidates.get(server.place?));
+        candidate.map_or(0, |candidate| candidate.own_requests)
+    }
+
     /// Whether a server counts as slow.
     pub fn is_slow(&self, key: Key<Server>, now: Millis) -> bool {
         self.servers[key].slow_until > now
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -39,11 +39,14 @@
 /// Time after a standstill in which answers that came meanwhile may wait to be read.
 const NOT_READ_YET: Millis = Millis(200);
 
-/// A server's part in a request; tells the pool how it ended, also when it is dropped on the way.
+/// A server's part in a request; tells the pool how it ended, also when it is dropped on the way. Without a permit it is
+/// given back.
 pub struct Turn<P: Platform> {
     gateway: Rc<Gateway<P>>,
     server: Key<Server>,
-    permit: Permit,
+    /// The work of the request over that of a usual one.
+    cost: f64,
+    permit: Option<Permit>,
     /// When its request is given up.
     deadline: Millis,
     /// How it ended, once that is known.
@@ -55,18 +58,25 @@
     pub fn new(
         gateway: Rc<Gateway<P>>,
         server: Key<Server>,
-        permit: Permit,
+        cost: f64,
         deadline: Millis,
     ) -> Turn<P> {
-        Turn { gateway, server, permit, deadline, ending: None }
+        Turn { gateway, server, cost, permit: None, deadline, ending: None }
+    }
+
+    /// Gets leave to send the request; `None` if there is none for now.
+    pub async fn permitted(mut self) -> Option<Turn<P>> {
+        self.permit = Some(self.gateway.permit(self.server).await?);
+        Some(self)
     }
 
     /// Whether its request may be sent: the server may have asked for a rest or named a limit since it was
     /// chosen, and the permit may be too old by now.
     fn may_send(&self, now: Millis) -> bool {
         let Turn { gateway, server, permit, .. } = self;
+        let has_permit = permit.is_some_and(|permit| permit.is_good(now));
         gateway.with_pool(|pool| {
-            pool.takes(*server, now) && (pool.limit(*server).is_none() || permit.is_good(now))
+            pool.takes(*server, now) && (pool.limit(*server).is_none() || has_permit)
         })
     }
 
@@ -83,6 +93,10 @@
 
 impl<P: Platform> Drop for Turn<P> {
     fn drop(&mut self) {
+        if self.permit.is_none() {
+            // Nothing was sent; its caller may have left as permits were asked for.
+            return self.gateway.with_pool(|pool| pool.give_back(self.server, self.cost));
+        }
         let now = self.gateway.now();
         // Without an answer the caller left, which says nothing of the server, or its time was over.
         let unanswered = if now >= self.deadline { Ending::Lost } else { Ending::Left };
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -165,11 +165,11 @@
         let chosen = gateway
             .with_pool(|pool| pool.choose(service, attempts.tried(), cost, now, &mut rand::rng()));
         if let Some(server) = chosen {
-            if let Some(permit) = gateway.permit(server).await {
-                return Some(Turn::new(gateway.clone(), server, permit, request.deadline));
+            let turn = Turn::new(gateway.clone(), server, cost, request.deadline);
+            match turn.permitted().await {
+                Some(turn) => return Some(turn),
+                None => continue,
             }
-            gateway.with_pool(|pool| pool.give_back(server, cost));
-            continue;
         }
         let next = gateway.with_pool(|pool| pool.next_permit_at(service, attempts.tried(), now));
         let next = next.filter(|at| now < *at && *at < give_up_at)?;
