--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -305,10 +305,15 @@
         }
     }
 
+    /// Whether the backend server names a limit.
+    pub fn is_limited(&self) -> bool {
+        self.limited.limit().is_some()
+    }
+
     /// The backend server said how many requests it takes, or that it takes any number.
     pub fn hear_limit(&mut self, said: Said) {
         // One that names none and never did binds nothing.
-        let was_limited = self.limited.limit().is_some();
+        let was_limited = self.is_limited();
         if said.limit.is_some() || was_limited {
             self.limited.hear(said);
         }
--- a/crates/hooktrestled/src/sidecar/desk.rs
+++ b/crates/hooktrestled/src/sidecar/desk.rs
@@ -7,6 +7,7 @@
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::config::BackendServer;
 use hooktrestle_core::config::Config;
+use hooktrestle_core::direct::named_limit::Rate;
 use hooktrestle_core::direct::named_limit::Said;
 use hooktrestle_core::dispatch;
 use hooktrestle_core::dispatch::Arrival;
@@ -244,9 +245,13 @@
         };
         let backend = self.setup.backend.clone();
         let desk = self.address.clone();
-        let (clock, sent_at) = (self.setup.clock, self.now());
+        let (clock, sent_at, is_limited) =
+            (self.setup.clock, self.now(), self.dispatcher.is_limited());
         let told = desk.clone();
-        let tell = async move |limit| {
+        let tell = async move |limit: Option<Rate>| {
+            if limit.is_none() && !is_limited {
+                return;
+            }
             let said = Said { limit, earliest: sent_at, latest: clock.now() };
             if let Some(desk) = told.and_then(|desk| desk.try_upgrade()) {
                 // A desk that has ended needs no limit.
