Limits: a request waits for what another one asked about permits, however long that answer may take

Where only servers were left about which a question was out, the request was refused at once: the question's time-out of 100 ms was taken for the moment of the next permit, beyond the 50 ms that are waited.

--- a/crates/core/src/direct/named_limit.rs
+++ b/crates/core/src/direct/named_limit.rs
@@ -177,12 +177,13 @@
 
     /// Whether there is no permit, and none can be asked for now.
     pub fn is_closed(&self, now: Millis) -> bool {
-        !self.has_permit(now) && self.next_at() > now
+        !self.has_permit(now) && self.ask_from.max(self.asked_until) > now
     }
 
-    /// When one who finds it closed may find it open again; an answer that is waited for may come sooner.
+    /// When one who finds it closed may find it open at the earliest: an answer that is waited for may come at any
+    /// moment.
     pub fn next_at(&self) -> Millis {
-        self.ask_from.max(self.asked_until)
+        self.ask_from
     }
 
     /// Takes a permit for one request, or says what is to be done for one. `returning` is what is sent at most while
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -172,9 +172,10 @@
             }
         }
         let next = gateway.with_pool(|pool| pool.next_permit_at(service, attempts.tried(), now));
-        let next = next.filter(|at| now < *at && *at < give_up_at)?;
-        // What another request asked for may come sooner.
-        let _ = gateway.clock.timeout_at(next, gateway.permits_told.notified()).await;
+        let next = next.filter(|at| now < give_up_at && *at < give_up_at)?;
+        // Past is where another request has asked, and its answer may come.
+        let until = if next > now { next } else { give_up_at };
+        let _ = gateway.clock.timeout_at(until, gateway.permits_told.notified()).await;
     }
 }
 
