Tables: one that the store tells older than it is known is logged and counted, with the store's era

Cause: a gateway that reads a table anew passes it over in silence while its revision is lower than the known one.

--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -54,6 +54,7 @@
 /// Follows a table until the process ends.
 pub async fn follow<P: Platform>(gateway: Rc<Gateway<P>>, table: Table) {
     let mut whole = true;
+    let mut is_old = false;
     let mut pause = PAUSE;
     loop {
         let asked = if whole {
@@ -66,12 +67,16 @@
             Ok(update) if whole && update.revision < gateway.revision(table) => {
                 // The store answers from the past, and others have told us more.
                 gateway.note_store(true, &"");
+                if !is_old {
+                    gateway.note_old_table(table, update.revision);
+                }
+                is_old = true;
                 time::sleep(STALE_PAUSE).await;
             }
             Ok(update) => {
                 gateway.note_store(true, &"");
                 gateway.take(table, &update, "store");
-                whole = false;
+                (whole, is_old) = (false, false);
                 if !update.changes.is_empty() {
                     time::sleep(GATHER).await;
                 }
--- a/crates/direct/src/gateway/tables.rs
+++ b/crates/direct/src/gateway/tables.rs
@@ -50,6 +50,17 @@
         }
     }
 
+    /// The store told a table that is older than what is known of it.
+    pub fn note_old_table(&self, table: Table, revision: u64) {
+        self.metrics.tables_read_old.inc();
+        self.journal.state(format_args!(
+            "{} read at revision {revision} of era {}, known up to {}: passed over",
+            table.name(),
+            self.platform.store_era(),
+            self.revision(table)
+        ));
+    }
+
     fn configure(&self, source: &str) {
         let decoded = match self.replicas.borrow().get(&Table::Configuration) {
             Some(replica) => self.platform.serving(replica),
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -32,6 +32,8 @@
     pub overtaken: Counter,
     /// Rows of the list of servers that named none.
     pub rows_passed_over: Counter,
+    /// Tables that the store told older than they were known.
+    pub tables_read_old: Counter,
     /// Servers found in groups that are too large for their expert maps to be led.
     pub ranks_unled: Counter,
     /// Servers that were found to have crashed under requests of this gateway.
@@ -73,6 +75,7 @@
             dialled: Counter::default(),
             overtaken: Counter::default(),
             rows_passed_over: Counter::default(),
+            tables_read_old: Counter::default(),
             ranks_unled: Counter::default(),
             servers_crashed: Counter::default(),
             crashing_refused: Counter::default(),
@@ -98,6 +101,7 @@
             ("dialled", "Connections opened to backend servers", &metrics.dialled),
             ("overtaken", "Requests taken from a silent server", &metrics.overtaken),
             ("rows_passed_over", "Rows that named no server", &metrics.rows_passed_over),
+            ("tables_read_old", "Tables older than known", &metrics.tables_read_old),
             ("servers_crashed", "Servers that crashed", &metrics.servers_crashed),
             ("crashing_refused", "Requests that crash servers", &metrics.crashing_refused),
             ("crash_suspects_held", "Requests held back", &metrics.crash_suspects_held),
--- a/crates/direct/src/platform.rs
+++ b/crates/direct/src/platform.rs
@@ -180,6 +180,10 @@
     /// Names of headers.
     fn headers(&self) -> &HeaderNames;
 
+    /// The latest era that an answer of the store was from: how often it has come back from an older
+    /// copy of itself.
+    fn store_era(&self) -> u64;
+
     /// Reads a table whole.
     fn read(&self, table: Table) -> impl Future<Output = Result<Update, Failure>>;
 
