Tables: a revision counts only within its era, so what is written after a drill is in force

Callers saw requests handled by configuration 21 for 4 s after 23 and 25 (a key revoked) had been acknowledged. Cause: versions of the store were taken to rise for ever. Change: a revision is an era and a count, ordered by the era first, in replicas, waiting calls, pages of a table and news between gateways. An era is entered with a whole copy alone; answers of an earlier one, late or from another gateway, are passed over.

--- a/crates/core/src/direct/pool.rs
+++ b/crates/core/src/direct/pool.rs
@@ -15,6 +15,7 @@
 use crate::direct::asked::Asked;
 use crate::direct::crashes::ServerLife;
 use crate::direct::named_limit::Limited;
+use crate::direct::replica::Revision;
 use crate::direct::slow;
 use crate::routing;
 use crate::routing::Candidate;
@@ -123,7 +124,7 @@
     /// Place among the candidates of its service; `None` unless the list has it.
     place: Option<usize>,
     /// When its row was first seen to have changed, by the store's counter.
-    first_revision: u64,
+    first_revision: Revision,
     rests_until: Millis,
     /// Until when it counts as slow.
     slow_until: Millis,
@@ -178,9 +179,9 @@
 
     /// Takes a server as it is listed now, and when its row changed. Of those that are listed at one
     /// address, the one that was listed last has it: a server that died is listed for some seconds.
-    pub fn list(&mut self, listed: Listed, revision: u64) {
+    pub fn list(&mut self, listed: Listed, revision: impl Into<Revision>) {
         let address = listed.address;
-        self.keep(listed, revision);
+        self.keep(listed, revision.into());
         self.settle(address);
     }
 
@@ -198,7 +199,7 @@
         }
     }
 
-    fn keep(&mut self, mut listed: Listed, revision: u64) {
+    fn keep(&mut self, mut listed: Listed, revision: Revision) {
         if let Some(key) = self.by_id.get(&listed.id) {
             let server = &mut self.servers[*key];
             let known = &server.listed;
--- a/crates/core/src/direct/replica.rs
+++ b/crates/core/src/direct/replica.rs
@@ -3,15 +3,44 @@
 //! The store numbers every change with one counter, so two processes can tell which of them knows
 //! more, and hand each other just what is missing. A replica never goes back: what is older than
 //! what it knows is passed over, wherever it comes from.
+//!
+//! A store that comes back from an older copy of itself begins a new era, in which its counter goes
+//! on from that of the copy: numbers are given out again, so they compare within one era alone. A
+//! replica enters an era with a whole copy of the table, and tells what it knew and the copy lacks.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::fmt;
+
+/// A moment of the store; of two, the one in the later era is the later one.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Revision {
+    /// How often the store had come back from an older copy.
+    pub era: u64,
+    /// The store's counter.
+    pub count: u64,
+}
+
+impl From<u64> for Revision {
+    /// The count of a store that tells no era.
+    fn from(count: u64) -> Revision {
+        Revision { era: 0, count }
+    }
+}
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} of era {}", self.count, self.era)
+    }
+}
 
 /// A row, or its removal.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Change {
     /// The row's key.
     pub key: String,
-    /// The store's counter when it changed.
+    /// The store's counter when it changed, in the era of the update.
     pub revision: u64,
     /// Its value; `None` if it was removed.
     pub value: Option<String>,
@@ -21,18 +50,37 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Update {
     /// All changes up to this one are told or known already.
-    pub revision: u64,
+    pub revision: Revision,
     /// Whether rows that are not told do not exist.
     pub whole: bool,
     /// The rows.
     pub changes: Vec<Change>,
 }
 
+/// A row as it was known, of which the store has an older form since it came back from a copy.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Lost {
+    /// The row's key.
+    pub key: String,
+    /// Its value; `None` if it was removed.
+    pub value: Option<String>,
+}
+
+/// What an update brought.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Taken {
+    /// Keys of the rows that changed.
+    pub changed: Vec<String>,
+    /// What was known and is lost to the store; empty unless an era began.
+    pub lost: Vec<Lost>,
+}
+
 /// Removals that are remembered for peers which are behind; older ones need a whole copy.
 const MOST_REMOVALS: usize = 256;
 
 #[derive(Clone, Debug)]
 struct Row {
+    /// The store's counter, in the era of the replica.
     revision: u64,
     value: Option<String>,
 }
@@ -40,15 +88,15 @@
 /// One table.
 #[derive(Clone, Debug, Default)]
 pub struct Replica {
-    revision: u64,
+    revision: Revision,
     rows: BTreeMap<String, Row>,
-    /// Revision up to which removals are not known.
+    /// Count up to which removals are not known.
     forgotten: u64,
 }
 
 impl Replica {
-    /// All changes up to this one are known; 0: nothing is known.
-    pub fn revision(&self) -> u64 {
+    /// All changes up to this one are known; the first of all: nothing is known.
+    pub fn revision(&self) -> Revision {
         self.revision
     }
 
@@ -57,9 +105,10 @@
         self.rows.get(key).and_then(|row| row.value.as_deref())
     }
 
-    /// The store's counter when a row changed last.
-    pub fn revision_of(&self, key: &str) -> u64 {
-        self.rows.get(key).map_or(0, |row| row.revision)
+    /// When a row changed last.
+    pub fn revision_of(&self, key: &str) -> Revision {
+        let count = self.rows.get(key).map_or(0, |row| row.revision);
+        Revision { era: self.revision.era, count }
     }
 
     /// Rows that exist, in order of their keys.
@@ -67,9 +116,48 @@
         self.rows.iter().filter_map(|(key, row)| Some((key.as_str(), row.value.as_deref()?)))
     }
 
-    /// Takes an update, and returns the keys that changed.
-    pub fn take(&mut self, update: &Update) -> Vec<String> {
-        if update.whole && update.revision < self.revision {
+    /// Takes an update.
+    pub fn take(&mut self, update: &Update) -> Taken {
+        match update.revision.era.cmp(&self.revision.era) {
+            Ordering::Less => Taken::default(),
+            Ordering::Equal => Taken { changed: self.advance(update), lost: Vec::new() },
+            // There is nothing in this era yet to which changes could be added.
+            Ordering::Greater if !update.whole => Taken::default(),
+            Ordering::Greater => self.begin_era(update),
+        }
+    }
+
+    /// Takes the first copy of a later era.
+    fn begin_era(&mut self, update: &Update) -> Taken {
+        let before = std::mem::take(&mut self.rows);
+        self.revision = update.revision;
+        self.forgotten = update.revision.count;
+        let told = update.changes.iter().map(|change| {
+            (change.key.clone(), Row { revision: change.revision, value: change.value.clone() })
+        });
+        self.rows = told.collect();
+        let keys: BTreeSet<&String> = before.keys().chain(self.rows.keys()).collect();
+        let value = |rows: &BTreeMap<String, Row>, key: &str| rows.get(key)?.value.clone();
+        let changed = keys.into_iter().filter(|key| value(&before, key) != value(&self.rows, key));
+        let changed = changed.cloned().collect();
+        let lost = before.into_iter().filter(|(key, row)| self.has_lost(key, row));
+        let lost = lost.map(|(key, row)| Lost { key, value: row.value }).collect();
+        Taken { changed, lost }
+    }
+
+    /// Whether what was known of a row in an earlier era was written after the copy that this era began
+    /// with. The copy is as old as its count at the latest, and tells rows with the counts that they had.
+    fn has_lost(&self, key: &str, known: &Row) -> bool {
+        match self.rows.get(key) {
+            Some(told) => told.revision < known.revision && told.value != known.value,
+            None => known.value.is_some() && known.revision > self.revision.count,
+        }
+    }
+
+    /// Takes an update of the present era, and returns the keys that changed.
+    fn advance(&mut self, update: &Update) -> Vec<String> {
+        let count = update.revision.count;
+        if update.whole && count < self.revision.count {
             // An old copy says nothing of the rows that it lacks.
             return Vec::new();
         }
@@ -79,7 +167,7 @@
         if update.whole {
             self.remove_untold(update, &mut changed);
             // What was removed before this copy was never told: others need a whole one, too.
-            self.forgotten = self.forgotten.max(update.revision);
+            self.forgotten = self.forgotten.max(count);
         }
         for change in &update.changes {
             let known = self.rows.get(&change.key);
@@ -100,12 +188,13 @@
     }
 
     /// What a process that knows all up to `revision` lacks; `None` if it lacks nothing.
-    pub fn since(&self, revision: u64) -> Option<Update> {
+    pub fn since(&self, revision: Revision) -> Option<Update> {
         if revision >= self.revision {
             return None;
         }
-        let whole = revision < self.forgotten || revision == 0;
-        let told = |row: &Row| if whole { row.value.is_some() } else { row.revision > revision };
+        let Revision { era, count } = revision;
+        let whole = era < self.revision.era || count < self.forgotten || count == 0;
+        let told = |row: &Row| if whole { row.value.is_some() } else { row.revision > count };
         let rows = self.rows.iter().filter(|(_, row)| told(row));
         let changes = rows.map(|(key, row)| Change {
             key: key.clone(),
@@ -118,8 +207,9 @@
     fn remove_untold(&mut self, update: &Update, changed: &mut Vec<String>) {
         for (key, row) in &mut self.rows {
             let told = update.changes.iter().any(|change| change.key == *key);
-            if !told && row.value.is_some() && row.revision <= update.revision {
-                *row = Row { revision: update.revision, value: None };
+            let count = update.revision.count;
+            if !told && row.value.is_some() && row.revision <= count {
+                *row = Row { revision: count, value: None };
                 changed.push(key.clone());
             }
         }
--- a/crates/core/tests/departed.rs
+++ b/crates/core/tests/departed.rs
@@ -121,17 +121,22 @@
         value: value.map(str::to_owned),
     };
     let mut replica = Replica::default();
-    let on_its_way = Update { revision: 1, whole: false, changes: vec![row(0, 1, Some("ready"))] };
+    let on_its_way =
+        Update { revision: 1.into(), whole: false, changes: vec![row(0, 1, Some("ready"))] };
     replica.take(&on_its_way);
     // More removals than are remembered.
     for number in 0..400 {
         let revision = 2 + 2 * number;
         let listed = row(number, revision, Some("ready"));
         let removed = row(number, revision + 1, None);
-        replica.take(&Update { revision, whole: false, changes: vec![listed] });
-        replica.take(&Update { revision: revision + 1, whole: false, changes: vec![removed] });
+        replica.take(&Update { revision: revision.into(), whole: false, changes: vec![listed] });
+        replica.take(&Update {
+            revision: (revision + 1).into(),
+            whole: false,
+            changes: vec![removed],
+        });
     }
     assert_eq!(replica.rows().count(), 0);
-    assert!(replica.take(&on_its_way).is_empty());
+    assert!(replica.take(&on_its_way).changed.is_empty());
     assert_eq!(replica.get("s0"), None, "it was removed long ago");
 }
--- a/crates/core/tests/direct_tables.rs
+++ b/crates/core/tests/direct_tables.rs
@@ -96,12 +96,12 @@
             known.find(|change| change.key == key).cloned()
         };
         let changes = self.rows(revision).into_keys().filter_map(|key| newest(&key)).collect();
-        Update { revision, whole: true, changes }
+        Update { revision: revision.into(), whole: true, changes }
     }
 
     fn since(&self, from: u64, to: u64) -> Update {
         let range = self.0.iter().filter(|change| change.revision > from && change.revision <= to);
-        Update { revision: to, whole: false, changes: range.cloned().collect() }
+        Update { revision: to.into(), whole: false, changes: range.cloned().collect() }
     }
 }
 
@@ -126,19 +126,21 @@
         let newest = history.0.len() as u64;
         let mut replicas = [Replica::default(), Replica::default()];
         for (step, index, part) in steps {
-            let before = replicas[index].revision();
+            let known = replicas[index].revision();
+            let before = known.count;
             let upto = (part * newest as f64) as u64;
             let update = match step {
                 0 => Some(history.whole(upto)),
                 // The feed goes on from what is known.
                 1 if before > 0 => Some(history.since(before, before.max(upto))),
-                _ => replicas[1 - index].since(before),
+                _ => replicas[1 - index].since(known),
             };
             if let Some(update) = update {
                 replicas[index].take(&update);
             }
-            prop_assert!(replicas[index].revision() >= before);
-            prop_assert_eq!(rows(&replicas[index]), history.rows(replicas[index].revision()));
+            prop_assert!(replicas[index].revision() >= known);
+            let count = replicas[index].revision().count;
+            prop_assert_eq!(rows(&replicas[index]), history.rows(count));
         }
     }
 }
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -89,7 +89,7 @@
                 gateway.note_store(false, &failure);
                 time::sleep(pause).await;
                 // Whoever knows nothing yet cannot serve meanwhile.
-                let longest = if gateway.revision(table) == 0 { PAUSE } else { LONGEST_PAUSE };
+                let longest = if gateway.knows(table) { LONGEST_PAUSE } else { PAUSE };
                 pause = longest.min(2 * pause);
                 continue;
             }
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -246,7 +246,7 @@
     }
 
     fn knows_enough(&self) -> bool {
-        let has_tables = self.serving.borrow().version > 0 && self.revision(Table::Servers) > 0;
+        let has_tables = self.serving.borrow().version > 0 && self.knows(Table::Servers);
         has_tables && self.found.borrow().is_read
     }
 
--- a/crates/direct/src/gateway/tables.rs
+++ b/crates/direct/src/gateway/tables.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use hooktrestle_core::direct::replica::Replica;
+use hooktrestle_core::direct::replica::Revision;
 use hooktrestle_core::direct::replica::Update;
 
 use crate::gateway::Gateway;
@@ -17,46 +18,53 @@
 
 impl<P: Platform> Gateway<P> {
     /// How much is known of a table.
-    pub fn revision(&self, table: Table) -> u64 {
-        self.replicas.borrow().get(&table).map_or(0, Replica::revision)
+    pub fn revision(&self, table: Table) -> Revision {
+        self.replicas.borrow().get(&table).map(Replica::revision).unwrap_or_default()
+    }
+
+    /// Whether anything is known of a table.
+    pub fn knows(&self, table: Table) -> bool {
+        self.revision(table) > Revision::default()
     }
 
     /// What another gateway lacks of a table.
-    pub fn since(&self, table: Table, revision: u64) -> Option<Update> {
+    pub fn since(&self, table: Table, revision: Revision) -> Option<Update> {
         self.replicas.borrow().get(&table)?.since(revision)
     }
 
     /// Takes news of a table, from the store or from another gateway, and brings it into force.
     pub fn take(&self, table: Table, update: &Update, source: &'static str) {
-        let (changed, was_known) = match self.replicas.borrow_mut().get_mut(&table) {
-            Some(replica) => {
-                let was_known = replica.revision() > 0;
-                (replica.take(update), was_known)
-            }
+        let known = self.revision(table);
+        let taken = match self.replicas.borrow_mut().get_mut(&table) {
+            Some(replica) => replica.take(update),
             None => return,
         };
-        if changed.is_empty() {
+        let era_began = self.revision(table).era > known.era;
+        if era_began {
+            let (name, revision) = (table.name(), update.revision);
+            self.journal.state(format_args!("{name} taken at {revision}, from {source}"));
+        }
+        if taken.changed.is_empty() && !era_began {
             return;
         }
-        if was_known {
+        if known > Revision::default() {
             // Most gateways hear of changes from each other alone.
             self.hand_on(Reach::Near);
         }
         match table {
             Table::Configuration => self.configure(source),
-            Table::Servers => self.relist(&changed, source),
+            Table::Servers => self.relist(&taken.changed, source),
             // Read when peers are chosen.
             Table::Members => {}
         }
     }
 
     /// The store told a table that is older than what is known of it.
-    pub fn note_old_table(&self, table: Table, revision: u64) {
+    pub fn note_old_table(&self, table: Table, revision: Revision) {
         self.metrics.tables_read_old.inc();
         self.journal.state(format_args!(
-            "{} read at revision {revision} of era {}, known up to {}: passed over",
+            "{} read at revision {revision}, known up to {}: passed over",
             table.name(),
-            self.platform.store_era(),
             self.revision(table)
         ));
     }
--- a/crates/direct/src/peers/news.rs
+++ b/crates/direct/src/peers/news.rs
@@ -21,6 +21,7 @@
 use hooktrestle_core::direct::named_limit::Rate;
 use hooktrestle_core::direct::named_limit::Said;
 use hooktrestle_core::direct::replica::Change;
+use hooktrestle_core::direct::replica::Revision;
 use hooktrestle_core::direct::replica::Update;
 use hooktrestle_core::direct::slow::Finding;
 use hooktrestle_schema as schema;
@@ -184,16 +185,17 @@
 /// What this gateway knows of tables and findings, and what one that knows `known` lacks.
 fn own_news<P: Platform>(gateway: &Gateway<P>, known: &[TableKnown]) -> PeerNews {
     let lacks = known.iter().filter_map(|known| {
-        let update = gateway.since(Table::of_name(&known.table)?, known.revision)?;
+        let revision = Revision { era: known.era, count: known.revision };
+        let update = gateway.since(Table::of_name(&known.table)?, revision)?;
         Some(table_news(&known.table, update))
     });
     let now = gateway.now();
     let limits = gateway.with_pool(|pool| pool.limits_said(now));
     PeerNews {
         known: [Table::Configuration, Table::Servers]
-            .map(|table| TableKnown {
-                table: table.name().to_owned(),
-                revision: gateway.revision(table),
+            .map(|table| {
+                let Revision { era, count } = gateway.revision(table);
+                TableKnown { table: table.name().to_owned(), era, revision: count }
             })
             .to_vec(),
         news: lacks.collect(),
@@ -312,7 +314,8 @@
     });
     TableNews {
         table: table.to_owned(),
-        revision: update.revision,
+        era: update.revision.era,
+        revision: update.revision.count,
         whole: update.whole,
         changes: changes.collect(),
     }
@@ -324,7 +327,8 @@
         revision: change.revision,
         value: change.value.clone(),
     });
-    Update { revision: news.revision, whole: news.whole, changes: changes.collect() }
+    let revision = Revision { era: news.era, count: news.revision };
+    Update { revision, whole: news.whole, changes: changes.collect() }
 }
 
 /// Readiness as a state names it, from 0 on.
--- a/crates/direct/src/platform.rs
+++ b/crates/direct/src/platform.rs
@@ -15,6 +15,7 @@
 use hooktrestle_core::direct::pool::Listed;
 use hooktrestle_core::direct::readings::Counts;
 use hooktrestle_core::direct::replica::Replica;
+use hooktrestle_core::direct::replica::Revision;
 use hooktrestle_core::direct::replica::Update;
 use hooktrestle_core::direct::serving::Serving;
 use http::HeaderName;
@@ -187,11 +188,12 @@
     /// Reads a table whole.
     fn read(&self, table: Table) -> impl Future<Output = Result<Update, Failure>>;
 
-    /// Waits for changes after `revision`, `wait` at most.
+    /// Waits for changes after `revision`, `wait` at most; the history is gone as soon as the store is in
+    /// another era.
     fn follow(
         &self,
         table: Table,
-        revision: u64,
+        revision: Revision,
         wait: Duration,
     ) -> impl Future<Output = Result<Update, Failure>>;
 
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -1570,6 +1570,9 @@
 ///How much a gateway knows of a table.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct TableKnown {
+    ///How often the store had come back from an older copy.
+    #[serde(default)]
+    pub era: u64,
     pub revision: u64,
     pub table: ::std::string::String,
 }
@@ -1577,6 +1580,9 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct TableNews {
     pub changes: ::std::vec::Vec<TableChange>,
+    ///How often the store had come back from an older copy; revisions compare within one era alone.
+    #[serde(default)]
+    pub era: u64,
     pub revision: u64,
     pub table: ::std::string::String,
     ///Whether rows that are not told do not exist.
