Configuration: one that an older copy lacks stays in force, and whoever starts meanwhile learns it from others

Callers of a gateway that starts between a drill and the operator's next write would be served by the older configuration of the copy: a revoked key would be good again, an added route answered 404. Cause: a configuration reached others only as a row of the table, whose revisions are those of the copy now. Change: gateways tell each other the version in force; where the store holds an older one, whoever knew the newer keeps its table and hands it to those that are behind, until the operator has written again. A gateway is ready once another one has answered it, or nobody did in four rounds, as it must not serve by the copy alone. Configurations are ordered by the operator's own versions, which are not the store's.

--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -294,6 +294,11 @@
         found.map(|heard| heard.member.name.clone()).collect()
     }
 
+    /// Whether the platform's table was read, and neither it nor anybody named another gateway.
+    pub fn is_listed_alone(&self) -> bool {
+        self.listed.is_some() && self.others.is_empty()
+    }
+
     /// How many gateways there are, living or not, itself included: those that are remembered or listed, but for those
     /// that said that they stop and did. `None` while nobody has told.
     pub fn all(&self, now: Millis) -> Option<usize> {
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -4,6 +4,7 @@
 
 mod asked;
 mod by_service;
+mod configurations;
 pub(crate) mod crashes;
 pub(crate) mod findings;
 pub mod limits;
@@ -121,6 +122,10 @@
     /// Wakes whoever hands the own part over: a server has named a limit.
     pub limits_known: Notify,
     serving: RefCell<Rc<Serving>>,
+    /// The table that the configuration in force came from, where the store has an older copy of it.
+    kept: RefCell<Option<Replica>>,
+    /// Whether others were asked what they know, as far as there are any.
+    peers_asked: Cell<bool>,
     pool: RefCell<Pool>,
     members: RefCell<Members>,
     replicas: RefCell<BTreeMap<Table, Replica>>,
@@ -174,6 +179,8 @@
             permits_told: Notify::new(),
             limits_known: Notify::new(),
             serving: RefCell::default(),
+            kept: RefCell::default(),
+            peers_asked: Cell::default(),
             pool: RefCell::new(Pool::new(pool::Config::default())),
             members: RefCell::new(Members::new(members::Config::default(), own)),
             replicas: RefCell::new(Table::ALL.map(|table| (table, Replica::default())).into()),
@@ -234,7 +241,7 @@
     }
 
     /// Whether this gateway takes requests: it has a configuration and servers, has asked which requests crash
-    /// them, and does not stop.
+    /// them and what others know, and does not stop.
     pub fn readiness(&self) -> Readiness {
         if self.phase.get() == Phase::Stopping {
             Readiness::Leaving
@@ -247,7 +254,12 @@
 
     fn knows_enough(&self) -> bool {
         let has_tables = self.serving.borrow().version > 0 && self.knows(Table::Servers);
-        has_tables && self.found.borrow().is_read
+        has_tables && self.found.borrow().is_read && self.peers_asked.get()
+    }
+
+    /// Others were asked what they know, or there are none.
+    pub fn note_peers_asked(&self) {
+        self.peers_asked.set(true);
     }
 
     /// Where the process stands in its life.
--- a/crates/direct/src/gateway/tables.rs
+++ b/crates/direct/src/gateway/tables.rs
@@ -1,7 +1,5 @@
 //! News of the platform's tables, from the store or from other gateways, brought into force.
 
-use std::rc::Rc;
-
 use hooktrestle_core::direct::replica::Replica;
 use hooktrestle_core::direct::replica::Revision;
 use hooktrestle_core::direct::replica::Update;
@@ -35,6 +33,9 @@
     /// Takes news of a table, from the store or from another gateway, and brings it into force.
     pub fn take(&self, table: Table, update: &Update, source: &'static str) {
         let known = self.revision(table);
+        if table == Table::Configuration && update.revision.era > known.era {
+            self.keep_configuration();
+        }
         let taken = match self.replicas.borrow_mut().get_mut(&table) {
             Some(replica) => replica.take(update),
             None => return,
@@ -69,25 +70,6 @@
         ));
     }
 
-    fn configure(&self, source: &str) {
-        let decoded = match self.replicas.borrow().get(&Table::Configuration) {
-            Some(replica) => self.platform.serving(replica),
-            None => return,
-        };
-        match decoded {
-            Ok(Some(serving)) if serving.version > self.serving.borrow().version => {
-                let version = serving.version;
-                *self.serving.borrow_mut() = Rc::new(serving);
-                self.journal.state(format_args!("configuration {version} in force, from {source}"));
-            }
-            Ok(_) => {}
-            Err(error) => {
-                let version = self.serving.borrow().version;
-                self.journal.state(format_args!("configuration {version} stays in force: {error}"));
-            }
-        }
-    }
-
     fn relist(&self, changed: &[String], source: &str) {
         self.list(changed, source);
         self.note_unlisted();
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -52,6 +52,9 @@
 /// most rounds are better spent on gateways that are known to live.
 const SEED_ROUNDS: usize = 8;
 
+/// Rounds in which nobody answers, after which a gateway that starts serves by what the store told it.
+const FIRST_ROUNDS: usize = 4;
+
 /// A connection to another gateway.
 pub(crate) type Socket = WebSocketStream<TcpStream>;
 
@@ -114,8 +117,12 @@
                 near.or_else(|| members.draw(now, &mut rand::rng()))
             });
             round += 1;
-            if let Some(address) = self.seed(&gateway, round, drawn.is_none()).or(drawn) {
-                self.exchange(&gateway, address).await;
+            let asked = match self.seed(&gateway, round, drawn.is_none()).or(drawn) {
+                Some(address) => self.exchange(&gateway, address).await,
+                None => gateway.with_members(|members| members.is_listed_alone()),
+            };
+            if asked || round >= FIRST_ROUNDS {
+                gateway.note_peers_asked();
             }
             let hasty = !gateway.store_answers() || readiness == Readiness::Starting;
             urgent = gateway.take_urgent_round();
@@ -167,7 +174,8 @@
         kept.remove(place).map(|(_, socket)| socket)
     }
 
-    async fn exchange<P: Platform>(&self, gateway: &Rc<Gateway<P>>, address: SocketAddr) {
+    /// Exchanges news with the gateway at an address; whether it answered.
+    async fn exchange<P: Platform>(&self, gateway: &Rc<Gateway<P>>, address: SocketAddr) -> bool {
         let kept = self.take_kept(address);
         let again = kept.is_some();
         let mut done = time::timeout(EXCHANGE_TIMEOUT, exchange(gateway, address, kept)).await;
@@ -185,9 +193,11 @@
                     kept.pop_front();
                 }
                 kept.push_back((address, socket));
+                true
             }
             Ok(Err(_)) | Err(_) => {
                 gateway.with_members(|members| members.unreachable(address));
+                false
             }
         }
     }
--- a/crates/direct/src/peers/news.rs
+++ b/crates/direct/src/peers/news.rs
@@ -49,7 +49,7 @@
 pub(super) fn question<P: Platform>(gateway: &Gateway<P>) -> PeerNews {
     let now = gateway.now();
     let (own, beats) = gateway.with_members(|members| (members.own_word(), members.beats(now)));
-    PeerNews { members: vec![word_news(&own)], ..with_beats(own_news(gateway, &[]), &beats) }
+    PeerNews { members: vec![word_news(&own)], ..with_beats(own_news(gateway, None), &beats) }
 }
 
 /// Takes what another gateway told, and returns the answer to it: what the other lacks and, if it told
@@ -64,7 +64,7 @@
     }
     let told = beats_of(asked, waited);
     let unknown = take_told(gateway, asked, &told, waited);
-    let news = own_news(gateway, &asked.known);
+    let news = own_news(gateway, Some(asked));
     let wanted: Vec<Sighting> = asked.crashes_wanted.iter().map(sighting).collect();
     let crashes = gateway.with_crashes(|crashes| crashes.named(&wanted, now));
     let news = PeerNews { crashes: crashes.iter().map(crash_news).collect(), ..news };
@@ -87,10 +87,11 @@
     let wanted: Vec<LifeId> = answer.wanted_numbers.iter().copied().map(LifeId).collect();
     let now = gateway.now();
     let members = gateway.with_members(|members| members.named(&wanted, now));
-    let news = own_news(gateway, &answer.known);
+    let news = own_news(gateway, Some(answer));
     let news = with_lacking_crashes(gateway, news, answer, now);
     let has_crashes = !news.crashes.is_empty() || !news.crashes_wanted.is_empty();
-    let lacks_nothing = members.is_empty() && news.news.is_empty() && !has_crashes;
+    let has_tables = !news.news.is_empty() || news.configuration_kept.is_some();
+    let lacks_nothing = members.is_empty() && !has_tables && !has_crashes;
     let members = members.iter().map(word_news).collect();
     (!lacks_nothing).then_some(PeerNews { members, ..news })
 }
@@ -182,9 +183,10 @@
     [cleared.fingerprint.0, cleared.age.0]
 }
 
-/// What this gateway knows of tables and findings, and what one that knows `known` lacks.
-fn own_news<P: Platform>(gateway: &Gateway<P>, known: &[TableKnown]) -> PeerNews {
-    let lacks = known.iter().filter_map(|known| {
+/// What this gateway knows of tables and findings, and what the other lacks by what it told.
+fn own_news<P: Platform>(gateway: &Gateway<P>, other: Option<&PeerNews>) -> PeerNews {
+    let known = other.into_iter().flat_map(|other| &other.known);
+    let lacks = known.filter_map(|known| {
         let revision = Revision { era: known.era, count: known.revision };
         let update = gateway.since(Table::of_name(&known.table)?, revision)?;
         Some(table_news(&known.table, update))
@@ -199,6 +201,10 @@
             })
             .to_vec(),
         news: lacks.collect(),
+        configuration_version: gateway.serving().version,
+        configuration_kept: other
+            .and_then(|other| gateway.kept_for(other.configuration_version))
+            .map(|update| table_news(Table::Configuration.name(), update)),
         slow: gateway.with_findings(|findings| findings.all(now).map(slow_servers).collect()),
         crash_digest_number: gateway.with_crashes(|crashes| crashes.digest(now)),
         limits: limits.iter().map(|(server, said)| limit_news(*server, said, now)).collect(),
@@ -215,6 +221,8 @@
         wanted_numbers: Vec::new(),
         known: Vec::new(),
         news: Vec::new(),
+        configuration_version: 0,
+        configuration_kept: None,
         slow: Vec::new(),
         crash_digest_number: 0,
         crashes_known: Vec::new(),
@@ -303,6 +311,9 @@
             gateway.take(table, &update(table_news), "peer");
         }
     }
+    if let Some(kept) = &news.configuration_kept {
+        gateway.take_kept(&update(kept));
+    }
     unknown
 }
 
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -1113,6 +1113,11 @@
     ///Requests that were at a crash and ended well elsewhere: fingerprint, and the time since in ms.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub cleared: ::std::vec::Vec<[u64; 2usize]>,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub configuration_kept: ::std::option::Option<TableNews>,
+    ///The configuration in force; 0 if there is none.
+    #[serde(default)]
+    pub configuration_version: u64,
     ///Stands for all crashes of servers that are known.
     #[serde(default)]
     pub crash_digest_number: u64,
