Servers: what an older copy of the store lacks of them holds until they write again, or for a while

Callers' requests reached servers that had said that they leave, or were gone, as the copy lists them as they were; and a server that came since the copy got nothing until its next heartbeat. What nobody writes again goes.

Eras are logged and counted (`store_eras`).

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -5,6 +5,7 @@
 //!
 //! - [`serving`]: the configuration in force: routes, accounts, limits.
 //! - [`replica`]: a table of the platform as this process knows it, from the store or from peers.
+//! - [`unconfirmed`]: rows that the platform's store has lost, until they are written again.
 //! - [`members`]: which gateways there are.
 //! - [`pool`]: which backend server gets a request.
 //! - [`asked`]: what a backend server asks of this gateway: a rest, or nothing more.
@@ -49,3 +50,4 @@
 pub mod replica;
 pub mod serving;
 pub mod slow;
+pub mod unconfirmed;
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -98,6 +98,16 @@
     }
 }
 
+/// Waits for servers to write again what the store has lost of them, until the process ends.
+pub async fn settle<P: Platform>(gateway: Rc<Gateway<P>>) {
+    loop {
+        gateway.rows_lost.notified().await;
+        while gateway.settle() {
+            time::sleep(LOOK_EVERY).await;
+        }
+    }
+}
+
 fn follows_closely<P: Platform>(gateway: &Gateway<P>) -> bool {
     let now = gateway.now();
     gateway.with_members(|members| members.follows_closely(now))
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -6,6 +6,7 @@
 mod by_service;
 mod configurations;
 pub(crate) mod crashes;
+mod eras;
 pub(crate) mod findings;
 pub mod limits;
 mod tables;
@@ -43,10 +44,12 @@
 use hooktrestle_core::direct::serving::RouteKind;
 use hooktrestle_core::direct::serving::Serving;
 use hooktrestle_core::direct::slow::Findings;
+use hooktrestle_core::direct::unconfirmed::Unconfirmed;
 use hooktrestle_core::standstill::Standstill;
 use hooktrestle_core::util::arena::Key;
 use rand::RngExt;
 use tokio::sync::Notify;
+use tokio::sync::watch;
 
 use crate::connections::Connections;
 use crate::entrance::Entrance;
@@ -129,6 +132,12 @@
     pool: RefCell<Pool>,
     members: RefCell<Members>,
     replicas: RefCell<BTreeMap<Table, Replica>>,
+    /// Rows of the list of servers that the store has lost.
+    unconfirmed: RefCell<Unconfirmed>,
+    /// Wakes whoever waits for such rows to be written again.
+    pub rows_lost: Notify,
+    /// The store's era, as far as it was told; `None` before.
+    eras: watch::Sender<Option<u64>>,
     budgets: ByService<RepeatBudget>,
     outages: ByService<Outages>,
     entrances: ByService<Rc<Entrance>>,
@@ -184,6 +193,9 @@
             pool: RefCell::new(Pool::new(pool::Config::default())),
             members: RefCell::new(Members::new(members::Config::default(), own)),
             replicas: RefCell::new(Table::ALL.map(|table| (table, Replica::default())).into()),
+            unconfirmed: RefCell::default(),
+            rows_lost: Notify::new(),
+            eras: watch::Sender::default(),
             budgets: ByService::default(),
             outages: ByService::default(),
             entrances: ByService::default(),
--- a/crates/direct/src/gateway/tables.rs
+++ b/crates/direct/src/gateway/tables.rs
@@ -1,5 +1,6 @@
 //! News of the platform's tables, from the store or from other gateways, brought into force.
 
+use hooktrestle_core::direct::replica::Lost;
 use hooktrestle_core::direct::replica::Replica;
 use hooktrestle_core::direct::replica::Revision;
 use hooktrestle_core::direct::replica::Update;
@@ -40,12 +41,21 @@
             Some(replica) => replica.take(update),
             None => return,
         };
-        let era_began = self.revision(table).era > known.era;
+        let revision = self.revision(table);
+        let era_began = revision.era > known.era;
         if era_began {
-            let (name, revision) = (table.name(), update.revision);
+            let name = table.name();
             self.journal.state(format_args!("{name} taken at {revision}, from {source}"));
         }
-        if taken.changed.is_empty() && !era_began {
+        self.note_era(revision.era);
+        let mut changed = taken.changed;
+        if table == Table::Servers {
+            if era_began {
+                self.keep_lost(taken.lost);
+            }
+            changed.extend(self.settled());
+        }
+        if changed.is_empty() && !era_began {
             return;
         }
         if known > Revision::default() {
@@ -54,12 +64,41 @@
         }
         match table {
             Table::Configuration => self.configure(source),
-            Table::Servers => self.relist(&taken.changed, source),
+            Table::Servers => self.relist(&changed, source),
             // Read when peers are chosen.
             Table::Members => {}
         }
     }
 
+    /// What is lost of the list of servers holds until it is written again, or for a while.
+    fn keep_lost(&self, lost: Vec<Lost>) {
+        let replicas = self.replicas.borrow();
+        let Some(replica) = replicas.get(&Table::Servers) else { return };
+        if !lost.is_empty() {
+            let keys: Vec<&str> = lost.iter().map(|lost| lost.key.as_str()).collect();
+            let line = format_args!("lost to the store, held for now: servers {}", keys.join(", "));
+            self.journal.state(line);
+        }
+        self.unconfirmed.borrow_mut().begin(lost, replica, self.now());
+        self.rows_lost.notify_one();
+    }
+
+    /// Servers whose rows were written again, or were waited for in vain.
+    fn settled(&self) -> Vec<String> {
+        let replicas = self.replicas.borrow();
+        let Some(replica) = replicas.get(&Table::Servers) else { return Vec::new() };
+        self.unconfirmed.borrow_mut().settle(replica, self.now())
+    }
+
+    /// Lets go of rows that were waited for in vain; whether others are waited for.
+    pub fn settle(&self) -> bool {
+        let settled = self.settled();
+        if !settled.is_empty() {
+            self.relist(&settled, "the store's copy");
+        }
+        !self.unconfirmed.borrow().is_empty()
+    }
+
     /// The store told a table that is older than what is known of it.
     pub fn note_old_table(&self, table: Table, revision: Revision) {
         self.metrics.tables_read_old.inc();
@@ -78,9 +117,11 @@
     fn list(&self, changed: &[String], source: &str) {
         let replicas = self.replicas.borrow();
         let Some(replica) = replicas.get(&Table::Servers) else { return };
+        let unconfirmed = self.unconfirmed.borrow();
         let mut pool = self.pool.borrow_mut();
         for id in changed {
-            let listed = replica.get(id).map(|value| self.platform.listed(id, value));
+            let listed =
+                unconfirmed.value(id, replica).map(|value| self.platform.listed(id, value));
             match listed {
                 Some(Ok(listed)) => {
                     if listed.leaving {
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -34,6 +34,8 @@
     pub rows_passed_over: Counter,
     /// Tables that the store told older than they were known.
     pub tables_read_old: Counter,
+    /// Times that the store came back from an older copy.
+    pub store_eras: Counter,
     /// Servers found in groups that are too large for their expert maps to be led.
     pub ranks_unled: Counter,
     /// Servers that were found to have crashed under requests of this gateway.
@@ -76,6 +78,7 @@
             overtaken: Counter::default(),
             rows_passed_over: Counter::default(),
             tables_read_old: Counter::default(),
+            store_eras: Counter::default(),
             ranks_unled: Counter::default(),
             servers_crashed: Counter::default(),
             crashing_refused: Counter::default(),
@@ -102,6 +105,7 @@
             ("overtaken", "Requests taken from a silent server", &metrics.overtaken),
             ("rows_passed_over", "Rows that named no server", &metrics.rows_passed_over),
             ("tables_read_old", "Tables older than known", &metrics.tables_read_old),
+            ("store_eras", "Times that the store came back from a copy", &metrics.store_eras),
             ("servers_crashed", "Servers that crashed", &metrics.servers_crashed),
             ("crashing_refused", "Requests that crash servers", &metrics.crashing_refused),
             ("crash_suspects_held", "Requests held back", &metrics.crash_suspects_held),
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -157,6 +157,7 @@
     for table in [Table::Configuration, Table::Servers] {
         tokio::task::spawn_local(follow::follow(gateway.clone(), table));
     }
+    tokio::task::spawn_local(follow::settle(gateway.clone()));
     tokio::task::spawn_local(follow::keep_listed(gateway.clone()));
     tokio::task::spawn_local(crash_keeper::keep(gateway.clone()));
     tokio::task::spawn_local(maps::run(gateway.clone()));
