Servers: of a lost row and the one in the copy, the one by which less work is sent holds

Found by the test as gateways wrote their own rows again at once: by then the store's counter is above that of a row which is lost, so that nothing shows that it was lost; and a row that was ready before the drill held against one that said since, under a lower number, that it leaves. Change: whatever the copy lacks is waited for, for 2 s; one that is ready in an earlier era does not hold against one that is told as leaving.

--- a/crates/core/src/direct/replica.rs
+++ b/crates/core/src/direct/replica.rs
@@ -57,7 +57,7 @@
     pub changes: Vec<Change>,
 }
 
-/// A row as it was known, of which the store has an older form since it came back from a copy.
+/// A row as it was known, which the store lacks or has in another form since it came back from an older copy.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Lost {
     /// The row's key.
@@ -145,12 +145,12 @@
         Taken { changed, lost }
     }
 
-    /// Whether what was known of a row in an earlier era was written after the copy that this era began
-    /// with. The copy is as old as its count at the latest, and tells rows with the counts that they had.
+    /// Whether what was known of a row in an earlier era may have been written after the copy that this era began
+    /// with. The copy tells rows with the counts that they had; of one that it lacks nothing more is known.
     fn has_lost(&self, key: &str, known: &Row) -> bool {
         match self.rows.get(key) {
             Some(told) => told.revision < known.revision && told.value != known.value,
-            None => known.value.is_some() && known.revision > self.revision.count,
+            None => known.value.is_some(),
         }
     }
 
--- a/crates/core/src/direct/unconfirmed.rs
+++ b/crates/core/src/direct/unconfirmed.rs
@@ -11,9 +11,9 @@
 use crate::direct::replica::Replica;
 use crate::direct::replica::Revision;
 
-/// How long a row that the copy lacks counts as if it were there. One that is not back two seconds after the
+/// How long a row that the copy lacks counts as if it were there: one that is not back two seconds after the
 /// store is not to be expected any more.
-const MISSING_FOR: Millis = Millis(2_500);
+const MISSING_FOR: Millis = Millis(2_000);
 
 /// How long a row that the copy has in an older form is not believed: the row of a server that is gone lapses
 /// after three heartbeats, 3.6 s at the users.
--- a/crates/direct/src/gateway/tables.rs
+++ b/crates/direct/src/gateway/tables.rs
@@ -71,9 +71,10 @@
     }
 
     /// What is lost of the list of servers holds until it is written again, or for a while.
-    fn keep_lost(&self, lost: Vec<Lost>) {
+    fn keep_lost(&self, mut lost: Vec<Lost>) {
         let replicas = self.replicas.borrow();
         let Some(replica) = replicas.get(&Table::Servers) else { return };
+        lost.retain(|lost| self.holds(lost, replica));
         if !lost.is_empty() {
             let keys: Vec<&str> = lost.iter().map(|lost| lost.key.as_str()).collect();
             let line = format_args!("lost to the store, held for now: servers {}", keys.join(", "));
@@ -83,6 +84,14 @@
         self.rows_lost.notify_one();
     }
 
+    /// Whether a lost row holds against the one that the store tells: a server that leaves or is gone takes no
+    /// more work, while one that was ready may have said since that it leaves.
+    fn holds(&self, lost: &Lost, replica: &Replica) -> bool {
+        let (Some(known), Some(told)) = (&lost.value, replica.get(&lost.key)) else { return true };
+        let leaves = |value| self.platform.listed(&lost.key, value).is_ok_and(|row| row.leaving);
+        leaves(known) && !leaves(told)
+    }
+
     /// Servers whose rows were written again, or were waited for in vain.
     fn settled(&self) -> Vec<String> {
         let replicas = self.replicas.borrow();
