Leads, entries, crash lists: what gateways wrote is written again as an era begins, and tokens rise for good

After a drill a fencing token could be given out twice: it was the revision of the claim's row. A new leader's orders would have been refused by engines that know a higher one, and its versions of maps would have named other maps of the lost leader. A lead whose claim is lost protected nobody, a gateway whose row is lost was not listed for up to a minute, and crash reports were lost to all who start later. Change: a token is above all that the row holds, that the claimant has heard of, and that an earlier era can have given out; a claim stands only if it was read and written in one era. Leaders write their claim again, with the token that they have; nobody claims a lead until that can have reached all. Names that were listed before count among those who share limits as long as their rows would have stood.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -22,6 +22,7 @@
 //!   and which rank shall hold which.
 //! - [`readings`]: how often experts were chosen, told as what came since.
 //! - [`map_orders`]: how that is changed.
+//! - [`fencing`]: tokens by which servers tell who leads now.
 //! - [`relays`]: gateways through which orders go that no machine of their group should give.
 //! - [`passes`]: how long the passes of groups take.
 //! - [`events`]: a stream of events, cut between events only.
@@ -35,6 +36,7 @@
 pub mod expert_demand;
 pub mod expert_layout;
 pub mod expert_plan;
+pub mod fencing;
 pub mod fingerprint;
 pub mod holders;
 pub mod map_orders;
--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -128,6 +128,8 @@
     exchanged_at: Option<Millis>,
     /// Names that stood in the platform's table when it was read last; `None` before.
     listed: Option<HashSet<String>>,
+    /// Names that stood there before the store came back from an older copy, and until when they count.
+    listed_before: HashMap<String, Millis>,
     sightings: Sightings,
 }
 
@@ -142,6 +144,7 @@
             lives: HashMap::new(),
             exchanged_at: None,
             listed: None,
+            listed_before: HashMap::new(),
             sightings: Sightings::default(),
         }
     }
@@ -177,6 +180,12 @@
         self.own.lead_fence = fence;
     }
 
+    /// The highest fencing token that this gateway has or has heard of, living or not; 0 if none.
+    pub fn newest_fence(&self) -> u64 {
+        let heard = self.others.values().map(|heard| heard.member.lead_fence);
+        heard.chain([self.lead_fence]).max().unwrap_or_default()
+    }
+
     /// Whether others are told of the lead. Where they are not, one of them may take it over; until
     /// then it goes on.
     pub fn tell_lead(&mut self, told: bool) {
@@ -275,7 +284,12 @@
     /// would be asked, and waited for in taking the lead, for ever. Whoever lives lists itself again.
     pub fn take_table(&mut self, listed: &[Member], now: Millis) -> Vec<String> {
         let names: HashSet<&str> = listed.iter().map(|member| member.name.as_str()).collect();
-        let is_listed = |heard: &Heard| names.contains(heard.member.name.as_str());
+        self.listed_before.retain(|name, until| *until > now && !names.contains(name.as_str()));
+        let before = &self.listed_before;
+        let is_listed = |heard: &Heard| {
+            let name = heard.member.name.as_str();
+            names.contains(name) || before.contains_key(name)
+        };
         self.listed = Some(names.iter().copied().map(str::to_owned).collect());
         self.others.retain(|_, heard| heard.age_then.is_some() || is_listed(heard));
         for member in listed {
@@ -294,6 +308,14 @@
         found.map(|heard| heard.member.name.clone()).collect()
     }
 
+    /// The store came back from an older copy: rows of the platform's table may be missing until their gateways
+    /// have written them again, which those that are cut off cannot. They count as long as a row would.
+    pub fn begin_era(&mut self, now: Millis) {
+        let until = now + self.config.unlist;
+        let listed = self.listed.iter().flatten();
+        self.listed_before.extend(listed.map(|name| (name.clone(), until)));
+    }
+
     /// Whether the platform's table was read, and neither it nor anybody named another gateway.
     pub fn is_listed_alone(&self) -> bool {
         self.listed.is_some() && self.others.is_empty()
@@ -312,6 +334,8 @@
             })
         };
         let listed = self.listed.iter().flatten().map(String::as_str);
+        let before = self.listed_before.iter().filter(|(_, until)| **until > now);
+        let listed = listed.chain(before.map(|(name, _)| name.as_str()));
         let names: HashSet<&str> = self.others.keys().map(String::as_str).chain(listed).collect();
         let others = names.into_iter().filter(|name| *name != self.own.name && !has_stopped(name));
         Some(1 + others.count())
--- /dev/null
+++ b/crates/core/tests/eras.rs
@@ -0,0 +1,249 @@
+//! A store that comes back from an older copy of itself, and what gateways know meanwhile.
+
+mod fleet;
+mod support;
+
+use std::collections::BTreeMap;
+
+use fleet::numbered;
+use hooktrestle_core::clock::Millis;
+use hooktrestle_core::direct::fencing::next_token;
+use hooktrestle_core::direct::members::Config;
+use hooktrestle_core::direct::members::Members;
+use hooktrestle_core::direct::replica::Change;
+use hooktrestle_core::direct::replica::Lost;
+use hooktrestle_core::direct::replica::Replica;
+use hooktrestle_core::direct::replica::Revision;
+use hooktrestle_core::direct::replica::Update;
+use hooktrestle_core::direct::unconfirmed::Unconfirmed;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use support::seeded;
+
+/// One table of a store, each era kept as the list of all its changes; the slow, obvious way.
+#[derive(Clone, Default)]
+struct History(Vec<Vec<Change>>);
+
+impl History {
+    fn begin(changes: Vec<Change>) -> History {
+        History(vec![changes])
+    }
+
+    fn newest(&self) -> Revision {
+        let era = self.0.len() as u64 - 1;
+        Revision { era, count: self.0[era as usize].len() as u64 }
+    }
+
+    fn write(&mut self, key: u8, value: Option<u8>) {
+        let changes = self.0.last_mut().expect("there is an era");
+        let (key, value) = (key.to_string(), value.map(|value| value.to_string()));
+        changes.push(Change { key, revision: changes.len() as u64 + 1, value });
+    }
+
+    /// It comes back without its newest changes.
+    fn restore(&mut self, lost: usize) {
+        let mut copy = self.0.last().expect("there is an era").clone();
+        copy.truncate(copy.len().saturating_sub(lost));
+        self.0.push(copy);
+    }
+
+    fn rows(&self, revision: Revision) -> BTreeMap<String, String> {
+        let changes = &self.0[revision.era as usize][..revision.count as usize];
+        let mut rows = BTreeMap::new();
+        for change in changes {
+            match &change.value {
+                Some(value) => rows.insert(change.key.clone(), value.clone()),
+                None => rows.remove(&change.key),
+            };
+        }
+        rows
+    }
+
+    fn whole(&self, revision: Revision) -> Update {
+        let changes = &self.0[revision.era as usize][..revision.count as usize];
+        let newest = |key: &String| changes.iter().rev().find(|change| change.key == *key).cloned();
+        let changes = self.rows(revision).keys().filter_map(newest).collect();
+        Update { revision, whole: true, changes }
+    }
+
+    /// What a waiting call tells; nothing where the store does not have the revision asked for.
+    fn since(&self, from: Revision, to: Revision) -> Option<Update> {
+        let is_known = from.era == to.era && from.count > 0 && from.count <= to.count;
+        let changes = &self.0[to.era as usize];
+        is_known.then(|| {
+            let changes = changes[from.count as usize..to.count as usize].to_vec();
+            Update { revision: to, whole: false, changes }
+        })
+    }
+}
+
+fn rows(replica: &Replica) -> BTreeMap<String, String> {
+    replica.rows().map(|(key, value)| (key.to_owned(), value.to_owned())).collect()
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Write(u8, Option<u8>),
+    Restore(usize),
+    /// A gateway reads the whole table, as it was some changes and eras ago.
+    Read(usize, u64, u64),
+    /// A gateway hears what changed.
+    Follow(usize),
+    /// A gateway hears from another one.
+    Hear(usize, usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0u8..6, proptest::option::of(0u8..4)).prop_map(|(key, value)| Step::Write(key, value)),
+        1 => (0usize..12).prop_map(Step::Restore),
+        2 => (0usize..3, 0u64..4, 0u64..2).prop_map(|(who, late, eras)| Step::Read(who, late, eras)),
+        3 => (0usize..3).prop_map(Step::Follow),
+        3 => (0usize..3, 0usize..3).prop_map(|(from, to)| Step::Hear(from, to)),
+    ]
+}
+
+proptest! {
+    #![proptest_config(seeded(600, "tests/eras.regressions"))]
+
+    /// Guards against revisions of one era that are taken for those of another: each replica holds exactly the
+    /// store's rows at its revision, whatever comes late, and never goes back.
+    #[test]
+    fn replicas_are_the_store_at_their_revision_in_every_era(steps in vec(step(), 1..120)) {
+        let mut history = History::begin(Vec::new());
+        history.write(0, Some(0));
+        let mut replicas = [Replica::default(), Replica::default(), Replica::default()];
+        for step in steps {
+            let before = replicas.each_ref().map(Replica::revision);
+            match step {
+                Step::Write(key, value) => history.write(key, value),
+                Step::Restore(lost) => {
+                    history.restore(lost);
+                    history.write(0, Some(0));
+                }
+                Step::Read(who, late, eras) => {
+                    let newest = history.newest();
+                    let era = newest.era.saturating_sub(eras);
+                    let all = history.0[era as usize].len() as u64;
+                    let revision = Revision { era, count: all.saturating_sub(late).max(1) };
+                    replicas[who].take(&history.whole(revision));
+                }
+                Step::Follow(who) => {
+                    if let Some(update) = history.since(before[who], history.newest()) {
+                        replicas[who].take(&update);
+                    }
+                }
+                Step::Hear(from, to) => {
+                    if let Some(update) = replicas[from].since(before[to]) {
+                        replicas[to].take(&update);
+                    }
+                }
+            }
+            for (replica, before) in replicas.iter().zip(before) {
+                prop_assert!(replica.revision() >= before);
+                if replica.revision() > Revision::default() {
+                    prop_assert_eq!(rows(replica), history.rows(replica.revision()));
+                }
+            }
+        }
+    }
+
+    /// Guards against a token that is given out twice: by claims of several eras, each from a row that may be
+    /// lost, by claimants that have heard of none.
+    #[test]
+    fn tokens_rise_from_claim_to_claim_whatever_the_store_loses(
+        claims in vec((proptest::bool::weighted(0.3), 0usize..4), 1..60),
+    ) {
+        let (mut era, mut rows, mut highest) = (0, vec![0], 0);
+        for (is_restored, lost) in claims {
+            if is_restored {
+                era += 1;
+                rows.truncate(rows.len().saturating_sub(lost).max(1));
+            }
+            let token = next_token(era, *rows.last().expect("the first is never lost"));
+            prop_assert!(token > highest, "{token} after {highest}");
+            (highest, rows) = (token, [rows, vec![token]].concat());
+        }
+    }
+}
+
+fn row(key: &str, revision: u64, value: Option<&str>) -> Change {
+    Change { key: key.to_owned(), revision, value: value.map(str::to_owned) }
+}
+
+fn lost(key: &str, value: Option<&str>) -> Lost {
+    Lost { key: key.to_owned(), value: value.map(str::to_owned) }
+}
+
+/// Guards against what was known of rows being forgotten with the era, and against its lasting for ever.
+#[test]
+fn what_a_copy_lacks_holds_until_it_is_written_again_or_its_time_is_over() {
+    let mut replica = Replica::default();
+    let changes = vec![
+        row("same", 2, Some("ready")),
+        row("left", 7, Some("leaving")),
+        row("gone", 8, None),
+        row("came", 9, Some("ready")),
+    ];
+    replica.take(&Update { revision: 9.into(), whole: true, changes });
+    replica.take(&Update {
+        revision: 10.into(),
+        whole: false,
+        changes: vec![row("gone", 10, None)],
+    });
+    let copy = |count| {
+        let listed = ["same", "left", "gone"].map(|key| row(key, 2, Some("ready")));
+        Update { revision: Revision { era: 1, count }, whole: true, changes: listed.to_vec() }
+    };
+    let taken = replica.take(&copy(5));
+    let expected =
+        vec![lost("came", Some("ready")), lost("gone", None), lost("left", Some("leaving"))];
+    assert_eq!(taken.lost, expected);
+    let mut held = Unconfirmed::default();
+    let begin = Millis(1_000);
+    held.begin(taken.lost, &replica, begin);
+    let values = |held: &Unconfirmed, replica: &Replica| {
+        ["same", "left", "gone", "came"].map(|key| held.value(key, replica).map(str::to_owned))
+    };
+    let known =
+        [Some("ready"), Some("leaving"), None, Some("ready")].map(|it| it.map(str::to_owned));
+    assert_eq!(values(&held, &replica), known);
+    assert!(held.settle(&replica, begin + Millis(1_900)).is_empty());
+    // A second drill: what was held stays so, for as long again.
+    let second = Update { revision: Revision { era: 2, count: 4 }, ..copy(0) };
+    let taken = replica.take(&second);
+    held.begin(taken.lost, &replica, begin + Millis(1_900));
+    assert_eq!(values(&held, &replica), known);
+    // One writes again, one does not come back, the other two lapse.
+    let again = Update {
+        revision: Revision { era: 2, count: 6 },
+        whole: false,
+        changes: vec![row("left", 5, Some("leaving")), row("gone", 6, None)],
+    };
+    replica.take(&again);
+    assert_eq!(held.settle(&replica, begin + Millis(2_000)), ["gone", "left"]);
+    assert_eq!(held.settle(&replica, begin + Millis(3_900)), ["came"]);
+    assert!(held.is_empty());
+    let settled = [Some("ready"), Some("leaving"), None, None].map(|it| it.map(str::to_owned));
+    assert_eq!(values(&held, &replica), settled);
+}
+
+/// Guards against parts of what all gateways may send together that are too large, as some of them are not
+/// listed for a while: whoever is cut off keeps its own part.
+#[test]
+fn gateways_whose_rows_are_lost_count_among_those_that_share() {
+    let mut members = Members::new(Config::default(), numbered(0, 1));
+    let listed: Vec<_> = (0..7).map(|number| numbered(number, 1)).collect();
+    members.take_table(&listed, Millis::ZERO);
+    assert_eq!(members.all(Millis::ZERO), Some(7));
+    for _ in 0..2 {
+        members.begin_era(Millis(100));
+        members.take_table(&listed[..2], Millis(200));
+        assert_eq!(members.all(Millis(200)), Some(7));
+        members.forget(Millis(100_000));
+        assert_eq!(members.all(Millis(100_000)), Some(7));
+    }
+    // Those that nobody wrote again are gone by the time at which their rows would be removed.
+    members.take_table(&listed[..3], Millis(700_200));
+    assert_eq!(members.all(Millis(700_200)), Some(3));
+}
--- a/crates/direct/src/crash_keeper.rs
+++ b/crates/direct/src/crash_keeper.rs
@@ -30,10 +30,23 @@
 /// Reads what is kept, then keeps it up to date until the process ends.
 pub async fn keep<P: Platform>(gateway: Rc<Gateway<P>>) {
     // How many crashes of each request are kept, as far as this gateway knows.
+    let mut eras = gateway.watch_eras();
     let mut kept: BTreeMap<Fingerprint, usize> = read(&gateway).await;
+    let mut read_in = gateway.platform.store_era();
     loop {
-        // What happens meanwhile leaves a permit.
-        drop(time::timeout(LOOK_EVERY, gateway.crashes_changed.notified()).await);
+        tokio::select! {
+            () = time::sleep(LOOK_EVERY) => {}
+            // What happens meanwhile leaves a permit.
+            () = gateway.crashes_changed.notified() => {}
+            _ = eras.wait_for(|era| *era > Some(read_in)) => {
+                // The store may have lost what was written, and have again what was removed.
+                if !kept.is_empty() || !gateway.crashes_to_keep().is_empty() {
+                    time::sleep(gateway.turn_to_write()).await;
+                    kept = read(&gateway).await;
+                }
+                read_in = gateway.era().unwrap_or_default();
+            }
+        }
         let mut pauses = Pauses::default();
         loop {
             match write(&gateway, &mut kept).await {
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -134,34 +134,55 @@
 
 /// Lists this gateway, and reads who else is listed, now and then, until it stops.
 pub async fn keep_listed<P: Platform>(gateway: Rc<Gateway<P>>) {
-    let mut listed = false;
+    let mut eras = gateway.watch_eras();
+    let mut listed_in = None;
     // A process that stops is taken off the list, and must not come back onto it.
     while gateway.phase() == Phase::Running {
         let own = gateway.with_members(|members| members.own().clone());
-        if !listed {
+        // Written again after a drill: what others write again they tell each other, too.
+        let mut reads = true;
+        if listed_in < gateway.era() || listed_in.is_none() {
+            reads = listed_in.is_none();
             let value = news::member_text(&own);
-            listed = gateway.platform.write_member(&own.name, Some(&value)).await.is_ok();
+            let written_in = gateway.platform.write_member(&own.name, Some(&value)).await.ok();
+            listed_in = written_in.filter(|era| Some(*era) >= gateway.era());
         }
-        if let Ok(update) = gateway.platform.read(Table::Members).await {
+        if reads && let Ok(update) = gateway.platform.read(Table::Members).await {
             // Those that could not hear of this gateway have removed its row.
-            listed &= update.changes.iter().any(|change| change.key == own.name);
+            let is_listed = update.changes.iter().any(|change| change.key == own.name);
+            listed_in = listed_in.filter(|_| is_listed);
             take_table(&gateway, &update).await;
         }
         let now = gateway.now();
         let alone = gateway.with_members(|members| members.living(now)) == 1;
         let pause = if alone { ALONE_EVERY } else { MEMBERS_EVERY };
-        time::sleep(if listed { pause } else { 2 * PAUSE }).await;
+        let Some(era) = listed_in else {
+            time::sleep(2 * PAUSE).await;
+            continue;
+        };
+        tokio::select! {
+            () = time::sleep(pause) => {}
+            // What was written in the era before may be lost.
+            _ = eras.wait_for(|now| *now > Some(era)) => {
+                time::sleep(gateway.turn_to_write()).await;
+            }
+        }
     }
 }
 
 /// Takes the table of gateways, and removes the rows of those that are gone for good.
 async fn take_table<P: Platform>(gateway: &Gateway<P>, update: &Update) {
+    // What was listed before is kept as an era is noted.
+    gateway.note_era(update.revision.era);
+    if gateway.era() > Some(update.revision.era) {
+        return;
+    }
     let now = gateway.now();
     let texts = update.changes.iter().filter_map(|change| change.value.as_deref());
     let listed: Vec<Member> = texts.filter_map(news::member_of_text).collect();
     for name in gateway.with_members(|members| members.take_table(&listed, now)) {
         match gateway.platform.write_member(&name, None).await {
-            Ok(()) => gateway.journal.state(format_args!("{name} is listed no more")),
+            Ok(_) => gateway.journal.state(format_args!("{name} is listed no more")),
             // It is tried again at the next reading.
             Err(failure) => {
                 gateway.journal.state(format_args!("{name} stays listed: {failure}"));
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -138,6 +138,8 @@
     pub rows_lost: Notify,
     /// The store's era, as far as it was told; `None` before.
     eras: watch::Sender<Option<u64>>,
+    /// When another era was told last.
+    era_began_at: Cell<Option<Millis>>,
     budgets: ByService<RepeatBudget>,
     outages: ByService<Outages>,
     entrances: ByService<Rc<Entrance>>,
@@ -196,6 +198,7 @@
             unconfirmed: RefCell::default(),
             rows_lost: Notify::new(),
             eras: watch::Sender::default(),
+            era_began_at: Cell::default(),
             budgets: ByService::default(),
             outages: ByService::default(),
             entrances: ByService::default(),
--- a/crates/direct/src/maps.rs
+++ b/crates/direct/src/maps.rs
@@ -41,6 +41,7 @@
 use crate::gateway::findings::Reach;
 use crate::maps::paces::Paces;
 use crate::platform::Claim;
+use crate::platform::Claimant;
 use crate::platform::EngineReport;
 use crate::platform::Platform;
 
@@ -86,6 +87,9 @@
 /// Readings that are passed over while groups have no work.
 const IDLE_READINGS: u32 = 4;
 
+/// Time between two tries to write a claim again that the store may have lost.
+const RENEW_EVERY: Millis = Millis(500);
+
 /// Leads the maps of services, one task for each service, until the process ends.
 pub async fn run<P: Platform>(gateway: Rc<Gateway<P>>) {
     let mut led: BTreeMap<String, Rc<Lead>> = BTreeMap::new();
@@ -109,10 +113,14 @@
 
 /// Whether this gateway has listened for long enough to claim the lead.
 fn has_listened<P: Platform>(gateway: &Gateway<P>) -> bool {
-    let before = gateway.with_members(|members| members.before());
+    let (before, spread) =
+        gateway.with_members(|members| (members.before(), members.spread_time()));
     let listen = LISTEN_FIRST + Millis(CLAIM_STEP.0 * before as u64);
-    // After a standstill it begins anew: others were not silent, this process was.
-    gateway.now() >= listen && gateway.stood_still(listen).is_none()
+    // After a standstill it begins anew: others were not silent, this process was. A claim that was lost with
+    // an era protects its holder no more, of whom not all may have heard.
+    gateway.now() >= listen
+        && gateway.stood_still(listen).is_none()
+        && !gateway.era_began_within(spread)
 }
 
 /// Whether this gateway is the one that shall lead, as far as it has heard.
@@ -178,6 +186,8 @@
     turn: Cell<usize>,
     /// Readings passed over since the last.
     passed_over: Cell<u32>,
+    /// When the claim may be written again next.
+    renew_at: Cell<Millis>,
 }
 
 async fn lead_service<P: Platform>(
@@ -186,6 +196,7 @@
     shape: ExpertShape,
     lead: Rc<Lead>,
 ) {
+    let mut written_in = gateway.platform.store_era();
     let Some(fence) = claim(&gateway, &name, &lead).await else { return };
     gateway.with_members(|members| members.begin_lead(fence));
     gateway.hand_on(Reach::All);
@@ -196,6 +207,9 @@
             service.lead.end();
             break;
         }
+        if service.gateway.era().is_some_and(|era| era > written_in) {
+            written_in = service.renew(written_in).await;
+        }
         service.find_groups().await;
         for name in service.groups.borrow().keys() {
             if started.insert(name.clone()) {
@@ -212,9 +226,11 @@
 /// Claims the lead of a service's maps, and returns its fencing token; ends the lead without one.
 async fn claim<P: Platform>(gateway: &Gateway<P>, service: &str, lead: &Lead) -> Option<u64> {
     // Until all have heard who leads, nobody else may: one that has not would give orders, too.
-    let (holder, protected) =
-        gateway.with_members(|members| (members.own().name.clone(), members.spread_time()));
-    match gateway.platform.claim_maps(service, &holder, protected).await {
+    let (holder, newest, protected) = gateway.with_members(|members| {
+        (members.own().name.clone(), members.newest_fence(), members.spread_time())
+    });
+    let claimant = Claimant { holder: &holder, newest };
+    match gateway.platform.claim_maps(service, &claimant, protected).await {
         Ok(Claim::Held(fence)) => {
             gateway.journal.state(format_args!("maps of {service} are led with fence {fence}"));
             return Some(fence);
@@ -257,7 +273,35 @@
             ticks: Cell::new(0),
             turn: Cell::new(0),
             passed_over: Cell::new(0),
+            renew_at: Cell::default(),
+        }
+    }
+
+    /// Writes the claim again, as the store may have lost it; returns the era in which it stands. It was written in
+    /// `written_in` last.
+    async fn renew(&self, written_in: u64) -> u64 {
+        let now = self.gateway.now();
+        if now < self.renew_at.get() {
+            return written_in;
+        }
+        self.renew_at.set(now + RENEW_EVERY);
+        let era = self.gateway.platform.store_era();
+        let holder = self.gateway.with_members(|members| members.own().name.clone());
+        let claimant = Claimant { holder: &holder, newest: self.fence };
+        match self.gateway.platform.renew_maps(&self.name, &claimant).await {
+            Ok(Claim::Held(_)) => return era,
+            Ok(Claim::HeldBy(other)) => {
+                let line = format_args!("maps of {} are led by {other}", self.name);
+                self.gateway.journal.state(line);
+                self.lead.yield_for(YIELD_WHEN_DEPOSED, self.gateway.now());
+            }
+            Err(failure) => {
+                let line =
+                    format_args!("the claim of {} is not written again: {failure}", self.name);
+                self.gateway.journal.state(line);
+            }
         }
+        written_in
     }
 
     /// Asks servers that are in no known group for their place.
--- a/crates/direct/src/peers/news.rs
+++ b/crates/direct/src/peers/news.rs
@@ -187,7 +187,7 @@
 fn own_news<P: Platform>(gateway: &Gateway<P>, other: Option<&PeerNews>) -> PeerNews {
     let known = other.into_iter().flat_map(|other| &other.known);
     let lacks = known.filter_map(|known| {
-        let revision = Revision { era: known.era, count: known.revision };
+        let revision = Revision { era: known.era_number, count: known.revision };
         let update = gateway.since(Table::of_name(&known.table)?, revision)?;
         Some(table_news(&known.table, update))
     });
@@ -197,7 +197,7 @@
         known: [Table::Configuration, Table::Servers]
             .map(|table| {
                 let Revision { era, count } = gateway.revision(table);
-                TableKnown { table: table.name().to_owned(), era, revision: count }
+                TableKnown { table: table.name().to_owned(), era_number: era, revision: count }
             })
             .to_vec(),
         news: lacks.collect(),
@@ -325,7 +325,7 @@
     });
     TableNews {
         table: table.to_owned(),
-        era: update.revision.era,
+        era_number: update.revision.era,
         revision: update.revision.count,
         whole: update.whole,
         changes: changes.collect(),
@@ -338,7 +338,7 @@
         revision: change.revision,
         value: change.value.clone(),
     });
-    let revision = Revision { era: news.era, count: news.revision };
+    let revision = Revision { era: news.era_number, count: news.revision };
     Update { revision, whole: news.whole, changes: changes.collect() }
 }
 
--- a/crates/direct/src/platform.rs
+++ b/crates/direct/src/platform.rs
@@ -82,12 +82,21 @@
 
 impl std::error::Error for Failure {}
 
+/// Who claims.
+#[derive(Clone, Copy, Debug)]
+pub struct Claimant<'a> {
+    /// Name of the instance.
+    pub holder: &'a str,
+    /// The highest fencing token that it has or has heard of; 0 if none.
+    pub newest: u64,
+}
+
 /// What became of a claim.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Claim {
     /// It stands, with a fencing token that is higher than all before it.
     Held(u64),
-    /// Another instance has claimed not long ago.
+    /// Another instance has claimed, not long ago or with a higher token.
     HeldBy(String),
 }
 
@@ -197,22 +206,29 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Update, Failure>>;
 
-    /// Writes or removes the row of this gateway in [`Table::Members`].
+    /// Writes or removes the row of a gateway in [`Table::Members`]; returns the era in which that was done.
     fn write_member(
         &self,
         name: &str,
         value: Option<&str>,
-    ) -> impl Future<Output = Result<(), Failure>>;
+    ) -> impl Future<Output = Result<u64, Failure>>;
 
-    /// Claims the lead of a service's expert maps for the instance `holder`, unless another one did
-    /// so less than `protected` ago.
+    /// Claims the lead of a service's expert maps, unless another instance did so less than `protected` ago.
     fn claim_maps(
         &self,
         service: &str,
-        holder: &str,
+        claimant: &Claimant<'_>,
         protected: Millis,
     ) -> impl Future<Output = Result<Claim, Failure>>;
 
+    /// Writes a claim again that the store may have lost, with the token that it had; not where a claim
+    /// with a higher token stands.
+    fn renew_maps(
+        &self,
+        service: &str,
+        claimant: &Claimant<'_>,
+    ) -> impl Future<Output = Result<Claim, Failure>>;
+
     /// Reads which requests were at crashes of servers.
     fn read_crashes(&self) -> impl Future<Output = Result<Vec<KeptCrashes>, Failure>>;
 
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -922,6 +922,9 @@
 pub struct MapClaim {
     ///When, by the store's clock.
     pub claimed_ms: u64,
+    ///Its fencing token; 0 in rows of a version whose tokens were the row's revision.
+    #[serde(default)]
+    pub fence_number: u64,
     ///Name of its instance.
     pub holder: ::std::string::String,
 }
@@ -1577,7 +1580,7 @@
 pub struct TableKnown {
     ///How often the store had come back from an older copy.
     #[serde(default)]
-    pub era: u64,
+    pub era_number: u64,
     pub revision: u64,
     pub table: ::std::string::String,
 }
@@ -1587,7 +1590,7 @@
     pub changes: ::std::vec::Vec<TableChange>,
     ///How often the store had come back from an older copy; revisions compare within one era alone.
     #[serde(default)]
-    pub era: u64,
+    pub era_number: u64,
     pub revision: u64,
     pub table: ::std::string::String,
     ///Whether rows that are not told do not exist.
