Soak: a store that comes back from an older copy, beside all other faults

Drills come at any time, one in three followed by another within 3 s; the store is away for up to 2.5 s, loses up to 5 s, and the operator and the servers write again within 1.5 s. A drill is no excuse for a configuration that was confirmed a bound's time before it, for what servers ask, nor for limits.

--- a/crates/core/tests/departed.rs
+++ b/crates/core/tests/departed.rs
@@ -12,7 +12,10 @@
 
 use fleet::Fleet;
 use fleet::STEP;
+use fleet::numbered;
 use hooktrestle_core::clock::Millis;
+use hooktrestle_core::direct::members::Config;
+use hooktrestle_core::direct::members::Members;
 use hooktrestle_core::direct::replica::Change;
 use hooktrestle_core::direct::replica::Replica;
 use hooktrestle_core::direct::replica::Update;
@@ -140,3 +143,23 @@
     assert!(replica.take(&on_its_way).changed.is_empty());
     assert_eq!(replica.get("s0"), None, "it was removed long ago");
 }
+
+/// Guards against parts of what all gateways may send together that are too large, as some of them are not
+/// listed for a while: whoever is cut off keeps its own part.
+#[test]
+fn gateways_whose_rows_are_lost_count_among_those_that_share() {
+    let mut members = Members::new(Config::default(), numbered(0, 1));
+    let listed: Vec<_> = (0..7).map(|number| numbered(number, 1)).collect();
+    members.take_table(&listed, Millis::ZERO);
+    assert_eq!(members.all(Millis::ZERO), Some(7));
+    for _ in 0..2 {
+        members.begin_era(Millis(100));
+        members.take_table(&listed[..2], Millis(200));
+        assert_eq!(members.all(Millis(200)), Some(7));
+        members.forget(Millis(100_000));
+        assert_eq!(members.all(Millis(100_000)), Some(7));
+    }
+    // Those that nobody wrote again are gone by the time at which their rows would be removed.
+    members.take_table(&listed[..3], Millis(700_200));
+    assert_eq!(members.all(Millis(700_200)), Some(3));
+}
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -318,7 +318,7 @@
         let late = accepted_at.elapsed() > world.ledger.bounds.configuration;
         if in_force.is_some()
             && gateway.is_awake()
-            && world.ledger.is_calm_since(accepted_at)
+            && world.ledger.is_calm_but_for_drills_since(accepted_at)
             && late
         {
             world.ledger.judge(Promise::Configuration);
@@ -328,10 +328,12 @@
             }
         }
         let older = shown.saturating_sub(1);
-        if older > 0
-            && has_route(&world, &client, &gateway, older).await == Some(true)
-            && gateway.lives.get() == life
-        {
+        let has_older =
+            if older > 0 { has_route(&world, &client, &gateway, older).await } else { None };
+        if has_older.is_some() {
+            world.ledger.judge(Promise::Configuration);
+        }
+        if has_older == Some(true) && gateway.lives.get() == life {
             let what = format!("{} has {older} in force after {shown}", gateway.name);
             world.ledger.broken(Promise::Configuration, what);
         }
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -90,13 +90,14 @@
     [Kind::HangUp, Kind::ServerDrain, Kind::ServerCrash, Kind::CrashingRequest];
 
 /// What may go on while what a server asked is judged: it holds up no answer, and no gateway.
-const MAY_GO_ON_ASKED: [Kind; 17] = [
+const MAY_GO_ON_ASKED: [Kind; 18] = [
     Kind::HangUp,
     Kind::StoreBusy,
     Kind::StoreSilent,
     Kind::StoreLosesAnswers,
     Kind::StoreTurnsAway,
     Kind::StoreForgets,
+    Kind::StoreDrill,
     Kind::ServerDrain,
     Kind::ServerCrash,
     Kind::ServerRefuses,
@@ -339,6 +340,16 @@
         self.is_calm_but_for(&PLANNED, from)
     }
 
+    /// The same for what all had heard before: that the store loses it then is no excuse.
+    pub fn is_calm_but_for_drills_since(&self, from: Instant) -> bool {
+        let (troubles, heard) = (self.troubles.borrow(), self.bounds.configuration);
+        let excuses = |(kind, begun, until): &(Kind, Instant, Instant)| match kind {
+            Kind::StoreDrill => *begun < from + heard && *until + SETTLE >= from,
+            kind => !PLANNED.contains(kind) && *until + SETTLE >= from,
+        };
+        !troubles.iter().any(excuses)
+    }
+
     fn is_calm_but_for(&self, kinds: &[Kind], from: Instant) -> bool {
         let troubles = self.troubles.borrow();
         let mut others = troubles.iter().filter(|(kind, ..)| !kinds.contains(kind));
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -122,8 +122,7 @@
     let mut next_version = start + CONFIGURE_EVERY;
     while start.elapsed() < config.length {
         time::sleep(LOOK_EVERY).await;
-        if next_version <= Instant::now() {
-            site.configure();
+        if next_version <= Instant::now() && site.configure() {
             next_version += CONFIGURE_EVERY;
         }
         ledger.look();
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -34,6 +34,8 @@
     StoreTurnsAway,
     /// The store forgets its history.
     StoreForgets,
+    /// The store is away for a moment, and comes back from a copy some seconds old.
+    StoreDrill,
     /// Connections of a gateway to the store go silent for good; new ones work.
     StoreMute,
     /// Connections of a gateway to the store are reset.
@@ -79,7 +81,7 @@
 }
 
 /// All kinds, with the names by which they are chosen.
-pub const KINDS: [(&str, Kind); 32] = [
+pub const KINDS: [(&str, Kind); 33] = [
     ("kill", Kind::Kill),
     ("off", Kind::Off),
     ("kill-all", Kind::KillAll),
@@ -91,6 +93,7 @@
     ("store-loses-answers", Kind::StoreLosesAnswers),
     ("store-turns-away", Kind::StoreTurnsAway),
     ("store-forgets", Kind::StoreForgets),
+    ("store-drill", Kind::StoreDrill),
     ("store-mute", Kind::StoreMute),
     ("store-reset", Kind::StoreReset),
     ("store-slow", Kind::StoreSlow),
@@ -185,8 +188,21 @@
 ];
 
 /// Kinds that are drawn apart: without them, a seed's troubles are the same.
-const APART: [Kind; 4] =
-    [Kind::CrashingRequest, Kind::ServerAsksRest, Kind::ServerSaysItLeaves, Kind::ServerNamesLimit];
+const APART: [Kind; 5] = [
+    Kind::CrashingRequest,
+    Kind::ServerAsksRest,
+    Kind::ServerSaysItLeaves,
+    Kind::ServerNamesLimit,
+    Kind::StoreDrill,
+];
+
+/// Time from one drill to the next; one of so many is followed by another after the shorter time.
+const DRILLS_MS: std::ops::Range<u64> = 8_000..30_000;
+const DRILLS_IN_A_ROW_MS: std::ops::Range<u64> = 200..3_000;
+const IN_A_ROW_ONE_OF: u32 = 3;
+
+/// How long the store is away in a drill.
+const DRILL_LASTS_MS: std::ops::Range<u64> = 100..2_500;
 
 /// Time from one trouble in which a server asks something to the next.
 const ASKS_MS: std::ops::Range<u64> = 1_000..8_000;
@@ -218,6 +234,7 @@
         let mut rng = ChaCha8Rng::seed_from_u64(!seed);
         match kind {
             Kind::CrashingRequest => come_again(&mut rng, end, &mut troubles),
+            Kind::StoreDrill => drill(&mut rng, end, &mut troubles),
             _ => ask_again(&mut rng, kind, end, &mut troubles),
         }
     }
@@ -239,6 +256,19 @@
     }
 }
 
+/// Adds drills of the store, at any time.
+fn drill(rng: &mut ChaCha8Rng, end: Duration, troubles: &mut Vec<Trouble>) {
+    let mut at = Duration::from_millis(rng.random_range(DRILLS_IN_A_ROW_MS));
+    while at < end {
+        let lasts = Duration::from_millis(rng.random_range(DRILL_LASTS_MS)).min(end - at);
+        let target = rng.random_range(0..10_000);
+        troubles.push(Trouble { at, lasts, kind: Kind::StoreDrill, target });
+        let in_a_row = rng.random_range(0..IN_A_ROW_ONE_OF) == 0;
+        let gap_ms = rng.random_range(if in_a_row { DRILLS_IN_A_ROW_MS } else { DRILLS_MS });
+        at += lasts + Duration::from_millis(gap_ms);
+    }
+}
+
 /// Adds requests that crash servers, at any time.
 fn come_again(rng: &mut ChaCha8Rng, end: Duration, troubles: &mut Vec<Trouble>) {
     let mut at = Duration::ZERO;
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,6 +10,7 @@
 use hooktrestle_users_standin::proxy::Proxy;
 use hooktrestle_users_standin::server::Act;
 use hooktrestle_users_standin::server::Server;
+use hooktrestle_users_standin::store::Copy;
 use hooktrestle_users_standin::store::Mood;
 use hooktrestle_users_standin::store::Store;
 use tokio::task;
@@ -28,6 +30,15 @@
 /// What servers name as a limit: numbers, and texts that are none.
 const LIMITS: [&str; 8] = ["1.3", "0.4", "2", "0", "7.25", "1e12", "-1", "soon"];
 
+/// The oldest copy from which the store comes back in a drill.
+const OLDEST_COPY: Duration = Duration::from_secs(5);
+
+/// Within what time of a drill's end the operator and the servers write again.
+const WRITTEN_AGAIN_MS: u64 = 1_500;
+
+/// Tables of the operator and of the servers, who write again what the store has lost.
+const WRITTEN_BY_OTHERS: [&str; 2] = ["op", "servers"];
+
 /// Time after which the row of a server that crashed is gone.
 const LAPSE: Duration = Duration::from_millis(1_500);
 
@@ -54,6 +65,10 @@
     accepted_at: Cell<Instant>,
     /// Bodies under which servers crash.
     crashes_on: RefCell<Vec<String>>,
+    /// Copies of the store, the newest at the end.
+    copies: RefCell<VecDeque<(Instant, Copy)>>,
+    /// Drills that go on.
+    drills: Cell<u32>,
 }
 
 impl Site {
@@ -68,6 +83,8 @@
             version: Cell::new(0),
             accepted_at: Cell::new(Instant::now()),
             crashes_on: RefCell::default(),
+            copies: RefCell::default(),
+            drills: Cell::default(),
         });
         site.configure();
         for _ in 0..servers {
@@ -76,13 +93,17 @@
         site
     }
 
-    /// The operator changes the configuration.
-    pub fn configure(&self) {
+    /// The operator changes the configuration; returns whether the store took it.
+    pub fn configure(&self) -> bool {
+        if self.drills.get() > 0 {
+            return false;
+        }
         let version = self.version.get() + 1;
         let route = route_of(version);
         self.store.put("op", "config", &configuration_with(version, &[&route]));
         self.version.set(version);
         self.accepted_at.set(Instant::now());
+        true
     }
 
     /// The newest configuration, and when it was accepted.
@@ -108,8 +129,45 @@
         self.open.borrow().iter().for_each(|placed| placed.server.crash_on(body));
     }
 
+    /// Copies the store.
+    fn copy(&self) {
+        let mut copies = self.copies.borrow_mut();
+        copies.push_back((Instant::now(), self.store.copy()));
+        while copies.front().is_some_and(|(at, _)| at.elapsed() > OLDEST_COPY) {
+            copies.pop_front();
+        }
+    }
+
+    /// The store is away, and comes back from a copy that is as old as `target` tells.
+    async fn drill(self: &Rc<Self>, target: usize, lasts: Duration) {
+        let copy = {
+            let copies = self.copies.borrow();
+            copies.get(target % copies.len().max(1)).map(|(_, copy)| copy.clone())
+        };
+        let Some(copy) = copy else { return };
+        self.drills.set(self.drills.get() + 1);
+        let mood = [Mood::Busy, Mood::Silent][target % 2];
+        self.mood(mood, lasts).await;
+        let lost = self.store.restore(&copy);
+        self.drills.set(self.drills.get() - 1);
+        // What the drill before had lost is not written by then.
+        self.copies.borrow_mut().clear();
+        for (number, write) in lost.into_iter().enumerate() {
+            if !WRITTEN_BY_OTHERS.contains(&write.table.as_str()) {
+                continue;
+            }
+            let site = self.clone();
+            let after_ms = (target + number * 7_919) as u64 % WRITTEN_AGAIN_MS;
+            task::spawn_local(async move {
+                time::sleep(Duration::from_millis(after_ms)).await;
+                site.store.write_again(&write);
+            });
+        }
+    }
+
     /// Looks for servers that crashed under a request: others come for them after a while.
     pub fn look(self: &Rc<Self>) {
+        self.copy();
         let crashed = |placed: &&Placed| placed.server.has_crashed();
         let crashed: Vec<Placed> = self.open.borrow().iter().filter(crashed).cloned().collect();
         for Placed { server, .. } in crashed {
@@ -135,6 +193,7 @@
             Kind::StoreSilent => self.mood(Mood::Silent, lasts).await,
             Kind::StoreLosesAnswers => self.mood(Mood::LosesAnswers, lasts).await,
             Kind::StoreForgets => self.store.forget_history(),
+            Kind::StoreDrill => self.drill(target, lasts).await,
             Kind::ServerMute
             | Kind::ServerReset
             | Kind::ServerSlow
