--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -135,7 +135,7 @@
 /// Lists this gateway, and reads who else is listed, now and then, until it stops.
 pub async fn keep_listed<P: Platform>(gateway: Rc<Gateway<P>>) {
     let mut eras = gateway.watch_eras();
-    let mut listed_in = None;
+    let (mut listed_in, mut pause) = (None, PAUSE);
     // A process that stops is taken off the list, and must not come back onto it.
     while gateway.phase() == Phase::Running {
         let own = gateway.with_members(|members| members.own().clone());
@@ -154,14 +154,15 @@
             take_table(&gateway, &update).await;
         }
         let now = gateway.now();
-        let alone = gateway.with_members(|members| members.living(now)) == 1;
-        let pause = if alone { ALONE_EVERY } else { MEMBERS_EVERY };
         let Some(era) = listed_in else {
-            time::sleep(2 * PAUSE).await;
+            pause = LONGEST_PAUSE.min(2 * pause);
+            time::sleep(pause).await;
             continue;
         };
+        pause = PAUSE;
+        let alone = gateway.with_members(|members| members.living(now)) == 1;
         tokio::select! {
-            () = time::sleep(pause) => {}
+            () = time::sleep(if alone { ALONE_EVERY } else { MEMBERS_EVERY }) => {}
             // What was written in the era before may be lost.
             _ = eras.wait_for(|now| *now > Some(era)) => {
                 time::sleep(gateway.turn_to_write()).await;
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -78,6 +78,9 @@
 /// waited for.
 const HEAR_AGAIN: Millis = Millis(3_000);
 
+/// Time from its start in which a process waits for another gateway to tell what it knows.
+const ASK_FIRST: Millis = Millis(1_000);
+
 /// Where a process stands in its life.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Phase {
@@ -127,7 +130,7 @@
     serving: RefCell<Rc<Serving>>,
     /// The table that the configuration in force came from, where the store has an older copy of it.
     kept: RefCell<Option<Replica>>,
-    /// Whether others were asked what they know, as far as there are any.
+    /// Whether another gateway has told what it knows, as far as there are any.
     peers_asked: Cell<bool>,
     pool: RefCell<Pool>,
     members: RefCell<Members>,
@@ -269,10 +272,11 @@
 
     fn knows_enough(&self) -> bool {
         let has_tables = self.serving.borrow().version > 0 && self.knows(Table::Servers);
-        has_tables && self.found.borrow().is_read && self.peers_asked.get()
+        let peers_asked = self.peers_asked.get() || self.now() >= ASK_FIRST;
+        has_tables && self.found.borrow().is_read && peers_asked
     }
 
-    /// Others were asked what they know, or there are none.
+    /// Another gateway has told what it knows, or there is none.
     pub fn note_peers_asked(&self) {
         self.peers_asked.set(true);
     }
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -52,9 +52,6 @@
 /// most rounds are better spent on gateways that are known to live.
 const SEED_ROUNDS: usize = 8;
 
-/// Rounds in which nobody answers, after which a gateway that starts serves by what the store told it.
-const FIRST_ROUNDS: usize = 4;
-
 /// A connection to another gateway.
 pub(crate) type Socket = WebSocketStream<TcpStream>;
 
@@ -121,7 +118,7 @@
                 Some(address) => self.exchange(&gateway, address).await,
                 None => gateway.with_members(|members| members.is_listed_alone()),
             };
-            if asked || round >= FIRST_ROUNDS {
+            if asked {
                 gateway.note_peers_asked();
             }
             let hasty = !gateway.store_answers() || readiness == Readiness::Starting;
