Crashes: one is dated by the first answer that broke off since the server lived, however long the list is late

Cause: what broke off at a server was forgotten after 6 s, and its crash was dated by the first answer that was left; so a request that was sent to several servers long after their crashes counted as having been there, and its good answers since were taken to be from before. Change: when the first answer broke off is remembered until the server answers, or nothing breaks off there for 6 s. The decision is in `core::direct::broken_off` now, without a gateway around it.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -15,6 +15,7 @@
 //! - [`attempts`]: what follows an attempt: answer, another attempt, or a refusal.
 //! - [`fingerprint`]: tells a request that comes again.
 //! - [`overtaken`]: requests at a server that says nothing while later ones are answered elsewhere.
+//! - [`broken_off`]: answers that broke off, and what was at a server as it crashed.
 //! - [`crashes`]: requests that crash the servers that run them, by what all gateways saw.
 //! - [`outage`]: when callers come back while no server can take a request.
 //! - [`budget`]: how many repeats failures may cost, over a sliding window.
@@ -30,6 +31,7 @@
 pub mod admission;
 pub mod asked;
 pub mod attempts;
+pub mod broken_off;
 pub mod budget;
 pub mod crashes;
 pub mod events;
--- a/crates/direct/src/gateway/crashes.rs
+++ b/crates/direct/src/gateway/crashes.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use hooktrestle_core::clock::Millis;
+use hooktrestle_core::direct::broken_off::BrokenOff;
 use hooktrestle_core::direct::crashes::Cleared;
 use hooktrestle_core::direct::crashes::Crash;
 use hooktrestle_core::direct::crashes::Crashes;
@@ -35,10 +36,6 @@
 use crate::platform::KeptCrashes;
 use crate::platform::Platform;
 
-/// How long the list may take to show that a server has gone: three heartbeats, 3.6 s at the users, and what
-/// news take among gateways.
-const LISTED_ON: Millis = Millis(6_000);
-
 /// Longest wait until others were told: some rounds of news, of a few milliseconds each.
 const MOST_TELLING: Duration = Duration::from_millis(50);
 
@@ -80,45 +77,12 @@
 /// A server at which answers broke off.
 #[derive(Debug)]
 struct Broken {
-    /// The requests that have not been reported, and when each broke off.
-    suspects: Vec<(Millis, Suspect)>,
-    /// When the last one did.
-    at: Millis,
+    answers: BrokenOff,
     finding: Finding,
-    /// When it crashed, once that was reported.
-    crashed_at: Option<Millis>,
     /// Whether it is being found out.
     is_asked: bool,
 }
 
-impl Broken {
-    /// Takes one more, and forgets those that broke off long before it.
-    fn add(&mut self, suspect: Suspect, now: Millis) {
-        self.suspects.retain(|(at, _)| now.since(*at) < LISTED_ON);
-        self.suspects.push((now, suspect));
-        self.at = now;
-    }
-
-    /// The server has answered what was sent at `sent_at`: it has not crashed before.
-    fn lived(&mut self, sent_at: Millis) {
-        if self.finding == Finding::Open {
-            self.suspects.retain(|(at, _)| *at > sent_at);
-        }
-    }
-
-    /// When it crashed, and what was there then; what was sent later and not answered was not.
-    fn crash(&mut self) -> (Millis, Vec<Suspect>) {
-        let first = self.suspects.iter().map(|(at, _)| *at).min();
-        let crashed_at = *self.crashed_at.get_or_insert(first.unwrap_or(self.at));
-        let there = self.suspects.drain(..).filter_map(|(at, suspect)| {
-            let sent_at = at - suspect.ran;
-            let was_there = suspect.stage > Stage::Waiting || sent_at <= crashed_at;
-            was_there.then(|| Suspect { ran: crashed_at - sent_at, ..suspect })
-        });
-        (crashed_at, there.collect())
-    }
-}
-
 /// A request that is tried again after a server crashed as it began there, until this is dropped.
 pub struct Trial<P: Platform> {
     gateway: Rc<Gateway<P>>,
@@ -203,15 +167,13 @@
         let suspect = progress.suspect(fingerprint, now);
         let (finding, is_asked) = {
             let mut found = self.found.borrow_mut();
-            found.broken.retain(|_, broken| now.since(broken.at) < LISTED_ON);
+            found.broken.retain(|_, broken| !broken.answers.is_over(now));
             let broken = found.broken.entry(server).or_insert_with(|| Broken {
-                suspects: Vec::new(),
-                at: now,
+                answers: BrokenOff::default(),
                 finding: Finding::Open,
-                crashed_at: None,
                 is_asked: false,
             });
-            broken.add(suspect, now);
+            broken.answers.add(suspect, now);
             (broken.finding, broken.is_asked)
         };
         if finding == Finding::Crashed {
@@ -256,7 +218,7 @@
             let (found, pool) = (self.found.borrow(), self.pool.borrow());
             let open = found.broken.iter().filter(|(key, broken)| {
                 let is_gone = !pool.is_present(**key) && !pool.server(**key).is_leaving();
-                is_gone && broken.finding == Finding::Open && now.since(broken.at) < LISTED_ON
+                is_gone && broken.finding == Finding::Open && !broken.answers.is_over(now)
             });
             open.map(|(key, _)| *key).collect()
         };
@@ -278,7 +240,7 @@
         let (crashed_at, suspects) = {
             let mut found = self.found.borrow_mut();
             let Some(broken) = found.broken.get_mut(&server) else { return };
-            let (crashed_at, suspects) = broken.crash();
+            let (crashed_at, suspects) = broken.answers.crash();
             found.own.extend(suspects.iter().map(|suspect| suspect.fingerprint));
             (crashed_at, suspects)
         };
@@ -298,8 +260,10 @@
 
     /// A server has answered what was sent to it at `sent_at`.
     pub fn note_lives(&self, server: Key<Server>, sent_at: Millis) {
-        if let Some(broken) = self.found.borrow_mut().broken.get_mut(&server) {
-            broken.lived(sent_at);
+        let mut found = self.found.borrow_mut();
+        let broken = found.broken.get_mut(&server);
+        if let Some(broken) = broken.filter(|broken| broken.finding == Finding::Open) {
+            broken.answers.lived(sent_at);
         }
     }
 
