--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -58,7 +58,7 @@
 use crate::gateway::findings::Reach;
 use crate::journal::Journal;
 use crate::metrics::Metrics;
-use crate::permits::Links;
+use crate::permits::Givers;
 use crate::platform::Platform;
 use crate::platform::Table;
 
@@ -121,8 +121,8 @@
     /// Wakes whoever keeps crashes on the platform: something has changed.
     pub crashes_changed: Notify,
     permits: RefCell<Permits>,
-    /// Connections to the gateways that give out permits.
-    pub permit_links: Links,
+    /// The gateways that give out permits.
+    pub permit_givers: Givers,
     /// Told when an answer about permits has come.
     pub permits_told: Notify,
     /// Wakes whoever hands the own part over: a server has named a limit.
@@ -189,7 +189,7 @@
             found: RefCell::default(),
             crashes_changed: Notify::new(),
             permits: RefCell::new(Permits::new(clock.now())),
-            permit_links: Links::default(),
+            permit_givers: Givers::default(),
             permits_told: Notify::new(),
             limits_known: Notify::new(),
             serving: RefCell::default(),
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -5,10 +5,10 @@
 //! is lacking. So whatever reaches one gateway reaches all within a few rounds, also those that the
 //! store turns away.
 
+pub(crate) mod links;
 pub(crate) mod news;
 
 use std::cell::RefCell;
-use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -30,6 +30,7 @@
 use crate::dial;
 use crate::gateway::Gateway;
 use crate::gateway::findings::Reach;
+use crate::peers::links::Links;
 use crate::peers::news::answer;
 use crate::peers::news::decode;
 use crate::peers::news::encode;
@@ -83,13 +84,17 @@
 }
 
 /// Connections to other gateways.
-#[derive(Default)]
 pub struct Peers {
-    /// Idle connections, the one used last at the end.
-    kept: RefCell<VecDeque<(SocketAddr, Socket)>>,
+    links: Links,
     seeds: RefCell<Vec<SocketAddr>>,
 }
 
+impl Default for Peers {
+    fn default() -> Self {
+        Peers { links: Links::new(MOST_KEPT), seeds: RefCell::default() }
+    }
+}
+
 impl Peers {
     /// Gateways to ask while no other is known.
     pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
@@ -165,38 +170,19 @@
         futures_util::future::join_all(told).await;
     }
 
-    fn take_kept(&self, address: SocketAddr) -> Option<Socket> {
-        let mut kept = self.kept.borrow_mut();
-        let place = kept.iter().position(|(known, _)| *known == address)?;
-        kept.remove(place).map(|(_, socket)| socket)
-    }
-
     /// Exchanges news with the gateway at an address; whether it answered.
     async fn exchange<P: Platform>(&self, gateway: &Rc<Gateway<P>>, address: SocketAddr) -> bool {
-        let kept = self.take_kept(address);
-        let again = kept.is_some();
-        let mut done = time::timeout(EXCHANGE_TIMEOUT, exchange(gateway, address, kept)).await;
-        if again && !matches!(done, Ok(Ok(_))) {
-            // The other may have been restarted since.
-            done = time::timeout(EXCHANGE_TIMEOUT, exchange(gateway, address, None)).await;
-        }
-        match done {
-            Ok(Ok(socket)) => {
-                let now = gateway.now();
-                gateway.with_members(|members| members.exchanged(now));
-                let mut kept = self.kept.borrow_mut();
-                if kept.len() >= MOST_KEPT {
-                    // The gateway at its other end may be long gone.
-                    kept.pop_front();
-                }
-                kept.push_back((address, socket));
-                true
-            }
-            Ok(Err(_)) | Err(_) => {
-                gateway.with_members(|members| members.unreachable(address));
-                false
-            }
-        }
+        let exchange = async |kept| {
+            let done = exchange(gateway, address, kept);
+            Ok((time::timeout(EXCHANGE_TIMEOUT, done).await??, ()))
+        };
+        let answered = self.links.exchange(address, exchange).await.is_ok();
+        let now = gateway.now();
+        gateway.with_members(|members| match answered {
+            true => members.exchanged(now),
+            false => members.unreachable(address),
+        });
+        answered
     }
 }
 
--- a/crates/direct/src/peers/news.rs
+++ b/crates/direct/src/peers/news.rs
@@ -43,7 +43,7 @@
 const DEPTH_LIMIT: usize = 16;
 
 /// Time after a standstill in which questions that came meanwhile are read.
-const READ_LATE: Millis = Millis(300);
+pub(crate) const READ_LATE: Millis = Millis(300);
 
 /// What is asked first: what this gateway knows.
 pub(super) fn question<P: Platform>(gateway: &Gateway<P>) -> PeerNews {
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -27,7 +27,9 @@
 use crate::gateway::crashes::TRIAL;
 use crate::peers;
 use crate::peers::Socket;
+use crate::peers::links::Links;
 use crate::peers::news;
+use crate::peers::news::READ_LATE;
 use crate::platform::Platform;
 
 /// How long a gateway that gave no answer is passed by.
@@ -36,17 +38,19 @@
 /// Idle connections that are kept to whom permits are asked of.
 const MOST_KEPT: usize = 4;
 
-/// Time after a standstill in which questions that came meanwhile are read.
-const READ_LATE: Millis = Millis(300);
-
-/// Connections to the gateways that give out permits.
-#[derive(Default)]
-pub struct Links {
-    kept: RefCell<Vec<(SocketAddr, Socket)>>,
-    /// Gateways that gave no answer, and until when each is passed by.
+/// The gateways that give out permits.
+pub struct Givers {
+    links: Links,
+    /// Those that gave no answer, and until when each is passed by.
     passed_by: RefCell<HashMap<LifeId, Millis>>,
 }
 
+impl Default for Givers {
+    fn default() -> Self {
+        Givers { links: Links::new(MOST_KEPT), passed_by: RefCell::default() }
+    }
+}
+
 /// What is asked for.
 #[derive(Clone, Copy, Debug)]
 pub enum Wanted {
@@ -120,7 +124,7 @@
         Ok(Err(_)) | Err(_) => {
             gateway.journal.state(format_args!("{} gave no permits, and is passed by", giver.at));
             let until = gateway.now() + PASS_BY;
-            gateway.permit_links.passed_by.borrow_mut().insert(giver.life, until);
+            gateway.permit_givers.passed_by.borrow_mut().insert(giver.life, until);
             None
         }
     }
@@ -129,7 +133,7 @@
 /// The first of the gateways that live, but for those that gave no answer.
 fn giver<P: Platform>(gateway: &Gateway<P>) -> Option<Giver> {
     let now = gateway.now();
-    let mut passed_by = gateway.permit_links.passed_by.borrow_mut();
+    let mut passed_by = gateway.permit_givers.passed_by.borrow_mut();
     passed_by.retain(|_, until| *until > now);
     gateway.with_members(|members| {
         let order = members.in_order(now);
@@ -144,26 +148,9 @@
     at: SocketAddr,
     question: &PeerNews,
 ) -> Result<Given> {
-    let links = &gateway.permit_links;
-    let kept = {
-        let mut kept = links.kept.borrow_mut();
-        let place = kept.iter().position(|(known, _)| *known == at);
-        place.map(|place| kept.swap_remove(place).1)
-    };
     let asked_at = gateway.now();
-    let again = kept.is_some();
-    let mut done = ask_over(kept, at, question).await;
-    if again && done.is_err() {
-        // The other may have been restarted since.
-        done = ask_over(None, at, question).await;
-    }
-    let (socket, answer) = done?;
-    let mut kept = links.kept.borrow_mut();
-    if kept.len() >= MOST_KEPT {
-        kept.remove(0);
-    }
-    kept.push((at, socket));
-    drop(kept);
+    let over = async |kept| ask_over(kept, at, question).await;
+    let answer = gateway.permit_givers.links.exchange(at, over).await?;
     gateway.take_limits(&news::limits_told(&answer, gateway.now(), gateway.now().since(asked_at)));
     let given = answer.permits_given.ok_or_else(|| eyre!("it knows no permits"))?;
     Ok(Given { permits: given.permitted_requests, again_in: Millis(given.again_in_ms) })
