Soak: drills lose up to 10 s, servers' heartbeats count, and what was written after a drill is judged once it is over

Now heartbeats raise the counter, and a configuration written after a drill is due 3 s later and 4 s after the drill.

--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -340,11 +340,14 @@
         self.is_calm_but_for(&PLANNED, from)
     }
 
-    /// The same for what all had heard before: that the store loses it then is no excuse.
+    /// The same for what the store took at a moment: that it loses what all have heard is no excuse, nor is a drill that
+    /// was over before, once all have got over it.
     pub fn is_calm_but_for_drills_since(&self, from: Instant) -> bool {
-        let (troubles, heard) = (self.troubles.borrow(), self.bounds.configuration);
+        let (now, heard) = (Instant::now(), from + self.bounds.configuration);
+        let troubles = self.troubles.borrow();
         let excuses = |(kind, begun, until): &(Kind, Instant, Instant)| match kind {
-            Kind::StoreDrill => *begun < from + heard && *until + SETTLE >= from,
+            Kind::StoreDrill if *until < from => *until + SETTLE >= now,
+            Kind::StoreDrill => *begun < heard,
             kind => !PLANNED.contains(kind) && *until + SETTLE >= from,
         };
         !troubles.iter().any(excuses)
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -197,7 +197,7 @@
 ];
 
 /// Time from one drill to the next; one of so many is followed by another after the shorter time.
-const DRILLS_MS: std::ops::Range<u64> = 8_000..30_000;
+const DRILLS_MS: std::ops::Range<u64> = 8_000..20_000;
 const DRILLS_IN_A_ROW_MS: std::ops::Range<u64> = 200..3_000;
 const IN_A_ROW_ONE_OF: u32 = 3;
 
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -31,7 +31,7 @@
 const LIMITS: [&str; 8] = ["1.3", "0.4", "2", "0", "7.25", "1e12", "-1", "soon"];
 
 /// The oldest copy from which the store comes back in a drill.
-const OLDEST_COPY: Duration = Duration::from_secs(5);
+const OLDEST_COPY: Duration = Duration::from_secs(10);
 
 /// Within what time of a drill's end the operator and the servers write again.
 const WRITTEN_AGAIN_MS: u64 = 1_500;
@@ -167,7 +167,11 @@
 
     /// Looks for servers that crashed under a request: others come for them after a while.
     pub fn look(self: &Rc<Self>) {
-        self.copy();
+        if self.drills.get() == 0 {
+            // Servers check in.
+            self.store.count_up();
+            self.copy();
+        }
         let crashed = |placed: &&Placed| placed.server.has_crashed();
         let crashed: Vec<Placed> = self.open.borrow().iter().filter(crashed).cloned().collect();
         for Placed { server, .. } in crashed {
