Evacuated data centres get no requests

Cause: nothing read the operators' rows of evacuations, so requests went on to servers of an evacuated data centre. The rows lie in the table that each gateway follows and relays; the pool now treats servers of these data centres as not open, for first attempts, retries, resumed streams and what waits for a permit. Streams under way end where they are. An evacuation that the store loses when it is restored stays in force until its row is written or removed again, and peers hand it on to gateways that start meanwhile.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -37,6 +37,7 @@
 pub mod budget;
 pub mod count_deltas;
 pub mod crashes;
+pub mod evacuations;
 pub mod events;
 pub mod expert_demand;
 pub mod expert_layout;
--- a/crates/core/src/direct/pool.rs
+++ b/crates/core/src/direct/pool.rs
@@ -11,6 +11,7 @@
 mod limits;
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 
 use rand::Rng;
@@ -144,6 +145,8 @@
     address_lost: bool,
     /// Its group is stalled, as its engine reported.
     stalled: bool,
+    /// Operators evacuate its data centre.
+    evacuated: bool,
     /// Its notices: a back-off that it requested, and that it is leaving.
     notices: ServerNotices,
 }
@@ -167,6 +170,8 @@
     /// Servers that are listed at an address.
     by_address: HashMap<SocketAddr, Vec<Key<Server>>>,
     services: HashMap<String, Service>,
+    /// Data centres that operators evacuate.
+    evacuated: HashSet<String>,
 }
 
 impl Pool {
@@ -180,9 +185,18 @@
             limits: HashMap::new(),
             by_address: HashMap::new(),
             services: HashMap::new(),
+            evacuated: HashSet::new(),
         }
     }
 
+    /// Sets which data centres operators evacuate: no request is sent to their servers.
+    pub fn set_evacuated(&mut self, data_centres: HashSet<String>) {
+        for (_, server) in self.servers.iter_mut() {
+            server.evacuated = data_centres.contains(&server.listed.data_centre);
+        }
+        self.evacuated = data_centres;
+    }
+
     /// Applies the row of a server and the revision of that row. If several servers are listed at
     /// one address, the one that was listed last owns it: a server that died stays listed for some
     /// seconds.
@@ -221,6 +235,7 @@
                 known.service == listed.service && known.address == listed.address;
             if is_same_address && known.started_unix_ms == listed.started_unix_ms {
                 let key = *key;
+                server.evacuated = self.evacuated.contains(&listed.data_centre);
                 server.listed = listed;
                 self.add_to_service(key);
                 return;
@@ -231,6 +246,7 @@
             self.resolve_address(address);
         }
         let id = listed.id.clone();
+        let evacuated = self.evacuated.contains(&listed.data_centre);
         let incarnation = ServerIncarnation::of(&id, listed.started_unix_ms);
         let server = Server {
             listed,
@@ -244,6 +260,7 @@
             replaced: false,
             address_lost: false,
             stalled: false,
+            evacuated,
             notices: ServerNotices::default(),
         };
         let key = self.servers.push(server);
@@ -348,6 +365,12 @@
         None
     }
 
+    /// Whether a service has an open server.
+    pub fn has_open_server(&self, service: &str) -> bool {
+        let found = self.services.get(service);
+        found.is_some_and(|found| found.servers.iter().any(|key| self.servers[*key].is_open()))
+    }
+
     /// Fraction of the slots of a service's open servers that is occupied, by their latest load
     /// reports.
     pub fn busy_fraction(&self, service: &str) -> f64 {
@@ -568,8 +591,9 @@
         self.listed.leaving || self.notices.announced_leaving()
     }
 
-    /// Whether it is listed, owns its address and is not leaving.
+    /// Whether it is listed, owns its address, is not leaving, and its data centre is not
+    /// evacuated.
     pub fn is_open(&self) -> bool {
-        self.position.is_some() && !self.replaced && !self.is_leaving()
+        self.position.is_some() && !self.replaced && !self.is_leaving() && !self.evacuated
     }
 }
--- a/crates/core/src/direct/unconfirmed.rs
+++ b/crates/core/src/direct/unconfirmed.rs
@@ -14,13 +14,21 @@
 use crate::direct::replica::Replica;
 use crate::direct::replica::Revision;
 
-/// Time for which a row that the copy lacks counts as present. A row that is not written again
-/// within two seconds of the store's return is not expected any more.
-const MISSING_ROW_HOLD: Millis = Millis(2_000);
+/// Times for which lost rows are held, unless they are written again.
+#[derive(Clone, Copy, Debug)]
+pub struct Holds {
+    /// Time for which a row that the copy lacks counts as present.
+    pub missing_row: Millis,
+    /// Time for which the copy's value of a row in an older form is ignored.
+    pub older_row: Millis,
+}
 
-/// Time for which the copy's value of a row in an older form is ignored. The row of a server that
-/// is gone lapses after three heartbeats, which are 3.6 s in the users' deployments.
-const OLDER_ROW_HOLD: Millis = Millis(5_000);
+impl Holds {
+    /// For rows of servers. A row that is not written again within two seconds of the store's
+    /// return is not expected any more. The row of a server that is gone lapses after three
+    /// heartbeats, which are 3.6 s in the users' deployments.
+    pub const SERVERS: Holds = Holds { missing_row: Millis(2_000), older_row: Millis(5_000) };
+}
 
 #[derive(Clone, Debug)]
 struct Row {
@@ -31,25 +39,48 @@
     until: Millis,
 }
 
+impl Row {
+    fn held(value: Option<String>, key: &str, replica: &Replica, holds: Holds, now: Millis) -> Row {
+        let is_in_copy = replica.get(key).is_some();
+        let hold = if is_in_copy { holds.older_row } else { holds.missing_row };
+        Row { value, copied: replica.revision_of(key), until: now + hold }
+    }
+}
+
 /// The held rows of one table.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Unconfirmed {
+    holds: Holds,
     rows: BTreeMap<String, Row>,
 }
 
 impl Unconfirmed {
+    /// No held rows.
+    pub fn new(holds: Holds) -> Unconfirmed {
+        Unconfirmed { holds, rows: BTreeMap::new() }
+    }
+
     /// Holds rows that the store's restored copy lacks. Rows that are held already stay, with a new
     /// time, since the new copy is older still.
     pub fn begin(&mut self, lost: Vec<LostRow>, replica: &Replica, now: Millis) {
+        self.add(lost, replica, now);
+        for (key, row) in &mut self.rows {
+            *row = Row::held(row.value.take(), key, replica, self.holds, now);
+        }
+    }
+
+    /// Holds further rows. Rows that are held already stay as they are.
+    pub fn add(&mut self, lost: Vec<LostRow>, replica: &Replica, now: Millis) {
         for LostRow { key, value } in lost {
-            let row = Row { value, copied: Revision::default(), until: Millis::ZERO };
+            let row = Row::held(value, &key, replica, self.holds, now);
             self.rows.entry(key).or_insert(row);
         }
-        for (key, row) in &mut self.rows {
-            let is_in_copy = replica.get(key).is_some();
-            row.copied = replica.revision_of(key);
-            row.until = now + if is_in_copy { OLDER_ROW_HOLD } else { MISSING_ROW_HOLD };
-        }
+    }
+
+    /// Keys of the held rows that count as present.
+    pub fn present(&self) -> impl Iterator<Item = &str> {
+        let present = self.rows.iter().filter(|(_, row)| row.value.is_some());
+        present.map(|(key, _)| key.as_str())
     }
 
     /// A row's value: the earlier one while the row is held, else that of the replica.
--- a/crates/core/tests/eras.rs
+++ b/crates/core/tests/eras.rs
@@ -14,6 +14,7 @@
 use hooktrestle_core::direct::replica::Replica;
 use hooktrestle_core::direct::replica::Revision;
 use hooktrestle_core::direct::replica::Update;
+use hooktrestle_core::direct::unconfirmed::Holds;
 use hooktrestle_core::direct::unconfirmed::Unconfirmed;
 use proptest::collection::vec;
 use proptest::prelude::*;
@@ -200,7 +201,7 @@
     let expected =
         vec![lost("came", Some("ready")), lost("gone", None), lost("left", Some("leaving"))];
     assert_eq!(applied.lost, expected);
-    let mut held = Unconfirmed::default();
+    let mut held = Unconfirmed::new(Holds::SERVERS);
     let begin = Millis(1_000);
     held.begin(applied.lost, &replica, begin);
     let values = |held: &Unconfirmed, replica: &Replica| {
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -8,6 +8,7 @@
 mod configurations;
 pub(crate) mod crashes;
 mod eras;
+mod evacuations;
 pub mod limits;
 mod server_notices;
 pub(crate) mod slow_servers;
@@ -29,6 +30,7 @@
 use hooktrestle_core::direct::crashes::Config as CrashConfig;
 use hooktrestle_core::direct::crashes::Crashes;
 use hooktrestle_core::direct::crashes::Reporter;
+use hooktrestle_core::direct::evacuations::Evacuations;
 use hooktrestle_core::direct::members;
 use hooktrestle_core::direct::members::Member;
 use hooktrestle_core::direct::members::Members;
@@ -46,6 +48,7 @@
 use hooktrestle_core::direct::serving::RouteKind;
 use hooktrestle_core::direct::serving::ServingConfig;
 use hooktrestle_core::direct::slow_servers::SlowServerReports;
+use hooktrestle_core::direct::unconfirmed::Holds;
 use hooktrestle_core::direct::unconfirmed::Unconfirmed;
 use hooktrestle_core::suspension::SuspensionDetector;
 use hooktrestle_core::util::arena::Key;
@@ -137,6 +140,7 @@
     pool: RefCell<Pool>,
     members: RefCell<Members>,
     replicas: RefCell<BTreeMap<Table, Replica>>,
+    evacuations: RefCell<Evacuations>,
     /// Rows of the server list that the store has lost.
     unconfirmed: RefCell<Unconfirmed>,
     /// Wakes the task that waits for such rows to be written again.
@@ -203,7 +207,8 @@
             pool: RefCell::new(Pool::new(pool::Config::default())),
             members: RefCell::new(Members::new(members::Config::default(), own)),
             replicas: RefCell::new(Table::ALL.map(|table| (table, Replica::default())).into()),
-            unconfirmed: RefCell::default(),
+            evacuations: RefCell::default(),
+            unconfirmed: RefCell::new(Unconfirmed::new(Holds::SERVERS)),
             rows_lost: Notify::new(),
             eras: watch::Sender::default(),
             era_began_at: Cell::default(),
--- a/crates/direct/src/gateway/by_service.rs
+++ b/crates/direct/src/gateway/by_service.rs
@@ -36,4 +36,9 @@
     pub(super) fn for_each(&self, act: impl FnMut(&mut T)) {
         self.values.borrow_mut().values_mut().for_each(act);
     }
+
+    /// Calls `act` with the name of each service and its value.
+    pub(super) fn for_each_named(&self, mut act: impl FnMut(&str, &T)) {
+        self.values.borrow().iter().for_each(|(service, value)| act(service, value));
+    }
 }
--- a/crates/direct/src/gateway/tables.rs
+++ b/crates/direct/src/gateway/tables.rs
@@ -58,6 +58,8 @@
                 self.hold_lost(applied.lost);
             }
             changed.extend(self.settled());
+        } else if table == Table::Configuration && era_began {
+            self.hold_lost_evacuations(applied.lost);
         }
         if changed.is_empty() && !era_began {
             return;
@@ -67,7 +69,10 @@
             self.request_urgent_gossip(Reach::DataCentre);
         }
         match table {
-            Table::Configuration => self.configure(source),
+            Table::Configuration => {
+                self.configure(source);
+                self.update_evacuations(source);
+            }
             Table::Servers => self.relist(&changed, source),
             // Read when peers are chosen.
             Table::Members => {}
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -58,6 +58,8 @@
     pub permits_unavailable: Counter,
     /// Gateways that callers may be sent to, this one included.
     pub gateways_alive: Gauge,
+    /// Data centres that operators evacuate.
+    pub evacuated_data_centres: Gauge,
     /// Number of different requests that are refused because servers crashed while running
     /// them.
     pub crashing_known: Gauge,
@@ -93,6 +95,7 @@
             permits_granted: Counter::default(),
             permits_unavailable: Counter::default(),
             gateways_alive: Gauge::default(),
+            evacuated_data_centres: Gauge::default(),
             crashing_known: Gauge::default(),
             head_ms: Histogram::new(exponential_buckets(start, factor, length)),
             event_gap_ms: Histogram::new(exponential_buckets(start, factor, length)),
@@ -129,6 +132,8 @@
         }
         let help = "Gateways that are heard of, this one included";
         metrics.registry.register("gateways_living", help, metrics.gateways_alive.clone());
+        let help = "Data centres that operators evacuate";
+        metrics.registry.register("evacuated", help, metrics.evacuated_data_centres.clone());
         let help = "Different requests that are refused because servers crash under them";
         metrics.registry.register("crashing_known", help, metrics.crashing_known.clone());
         let help = "Milliseconds from a request's head to its answer's head";
--- a/crates/direct/src/peers/messages.rs
+++ b/crates/direct/src/peers/messages.rs
@@ -224,6 +224,7 @@
         configuration_kept: other
             .and_then(|other| gateway.retained_for_peer(other.configuration_version))
             .map(|update| update_to_wire(Table::Configuration.name(), update)),
+        held_evacuations: gateway.held_evacuations(),
         slow: gateway.with_slow_server_reports(|reports| {
             reports.current(now).map(slow_servers_to_wire).collect()
         }),
@@ -247,6 +248,7 @@
         news: Vec::new(),
         configuration_version: 0,
         configuration_kept: None,
+        held_evacuations: Vec::new(),
         slow: Vec::new(),
         crash_digest_number: 0,
         crashes_known: Vec::new(),
@@ -351,6 +353,7 @@
             gateway.apply_update(table, &update_from_wire(table_update), "peer");
         }
     }
+    gateway.apply_held_evacuations(&message.held_evacuations);
     if let Some(retained) = &message.configuration_kept {
         gateway.apply_retained_configuration(&update_from_wire(retained));
     }
--- a/crates/direct/src/platform.rs
+++ b/crates/direct/src/platform.rs
@@ -266,6 +266,10 @@
     /// The configuration is invalid; the one in force stays.
     fn serving(&self, replica: &Replica) -> Result<Option<ServingConfig>, Malformed>;
 
+    /// The data centre that a row of [`Table::Configuration`] with this key evacuates; `None` for
+    /// other rows.
+    fn evacuated_data_centre(&self, key: &str) -> Option<String>;
+
     /// Decodes a row of [`Table::Servers`].
     ///
     /// # Errors
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -1132,6 +1132,9 @@
     ///Crash reports of which the receiver may know more: the server's number and the reporter's number.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub crashes_wanted: ::std::vec::Vec<[u64; 2usize]>,
+    ///Keys of the evacuations of data centres that are in force although the store has lost their rows.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub held_evacuations: ::std::vec::Vec<::std::string::String>,
     pub known: ::std::vec::Vec<TableKnown>,
     ///Limits that backend servers advertise for all gateways together: the server's number, requests in 1,000 s (the maximum of the type: the server has no limit any more), and the minimum and maximum of the time in ms since the server advertised it.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
