Requests stay within the homes of their route and client account

Cause: nothing read the regions to which operators restrict routes and client accounts. The pool now gets the residency of a request with its demand, so first attempts, retries, resumed streams and waits for permits stay within both; the list of gateways for callers omits gateways in regions where requests to the host are not allowed, unless the caller is there or no other is alive. The regions of data centres come with the settings.

--- a/crates/core/src/direct/pool.rs
+++ b/crates/core/src/direct/pool.rs
@@ -21,6 +21,7 @@
 use crate::direct::crashes::ServerIncarnation;
 use crate::direct::replica::Revision;
 use crate::direct::server_notices::ServerNotices;
+use crate::direct::serving::Residency;
 use crate::direct::slow_servers;
 use crate::routing;
 use crate::routing::Candidate;
@@ -39,6 +40,8 @@
     pub address: SocketAddr,
     /// Its data centre.
     pub data_centre: String,
+    /// The region of its data centre; empty if that is not known.
+    pub region: String,
     /// Number of requests that it processes concurrently.
     pub slots: u32,
     /// Whether its row marks it as leaving.
@@ -56,6 +59,31 @@
     }
 }
 
+/// A request for which a server is chosen.
+#[derive(Clone, Copy, Debug)]
+pub struct Demand<'a> {
+    /// The service that it goes to.
+    pub service: &'a str,
+    /// Regions in which it may be processed.
+    pub residency: Residency<'a>,
+    /// Servers that it was sent to.
+    pub tried: &'a [Key<Server>],
+    /// Its work relative to a usual request.
+    pub cost: f64,
+}
+
+impl<'a> Demand<'a> {
+    /// A usual request that may be processed anywhere and was sent to no server.
+    pub fn for_service(service: &'a str) -> Demand<'a> {
+        Demand { service, residency: Residency::default(), tried: &[], cost: 1.0 }
+    }
+
+    /// Whether the request may be sent to a server.
+    fn allows(&self, key: Key<Server>, server: &ListedServer) -> bool {
+        !self.tried.contains(&key) && self.residency.allows(&server.region)
+    }
+}
+
 /// Outcome of an attempt at a server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AttemptOutcome {
@@ -328,20 +356,17 @@
         found.servers.iter().copied().filter(|key| self.is_present(*key)).collect()
     }
 
-    /// Chooses a server of a service that is not in `tried`, and counts its turn. `cost` is the
-    /// work of the request relative to a usual one. Servers that are in cooldown, slow, or in the
+    /// Chooses a server for a request, and counts its turn. Servers that are in cooldown, slow, or in the
     /// ramp-up after a requested back-off are chosen only if no other server is left. Servers of a
     /// stalled group are excluded because they refuse. Servers that are backing off, or that
     /// advertise a limit and have no permit available, are excluded as well.
     pub fn choose<R: Rng>(
         &mut self,
-        service: &str,
-        tried: &[Key<Server>],
-        cost: f64,
+        demand: &Demand<'_>,
         now: Millis,
         rng: &mut R,
     ) -> Option<Key<Server>> {
-        let found = self.services.get_mut(service)?;
+        let found = self.services.get_mut(demand.service)?;
         for last_resort in [false, true] {
             for (key, candidate) in found.servers.iter().zip(&mut found.candidates) {
                 let server = &self.servers[*key];
@@ -354,10 +379,11 @@
                 let is_closed = self.limits.get(key).is_some_and(|limited| {
                     limited.is_closed(now) && (limited.limit().is_some() || !last_resort)
                 });
-                candidate.usable = fits && !is_closed && !tried.contains(key);
+                candidate.usable = fits && !is_closed && demand.allows(*key, &server.listed);
             }
             let config = &self.config.routing;
-            let chosen = routing::choose(config, &mut found.candidates, &[], cost, now, rng);
+            let candidates = &mut found.candidates;
+            let chosen = routing::choose(config, candidates, &[], demand.cost, now, rng);
             if let Some(index) = chosen {
                 return Some(found.servers[index]);
             }
@@ -399,21 +425,16 @@
         self.servers[key].slow_until > now
     }
 
-    /// Whether a service has a preferred server that is not at its advertised limit, other than
-    /// `server` and those in `tried`. A preferred server is available, not in cooldown, not slow,
+    /// Whether a request can be sent to a preferred server that is not at its advertised limit,
+    /// other than `server`. A preferred server is available, not in cooldown, not slow,
     /// and may get one more request during its ramp-up.
-    pub fn has_alternative(
-        &self,
-        service: &str,
-        server: Key<Server>,
-        tried: &[Key<Server>],
-        now: Millis,
-    ) -> bool {
-        let Some(found) = self.services.get(service) else { return false };
+    pub fn has_alternative(&self, demand: &Demand<'_>, server: Key<Server>, now: Millis) -> bool {
+        let Some(found) = self.services.get(demand.service) else { return false };
         found.servers.iter().zip(&found.candidates).any(|(key, candidate)| {
-            let is_preferred = self.servers[*key].is_preferred(candidate.own_requests, now);
+            let other = &self.servers[*key];
+            let is_preferred = other.is_preferred(candidate.own_requests, now);
             let is_closed = self.limits.get(key).is_some_and(|limited| limited.is_closed(now));
-            *key != server && !tried.contains(key) && is_preferred && !is_closed
+            *key != server && demand.allows(*key, &other.listed) && is_preferred && !is_closed
         })
     }
 
--- a/crates/core/src/direct/pool/limits.rs
+++ b/crates/core/src/direct/pool/limits.rs
@@ -2,6 +2,7 @@
 //! Input: limits that servers or other gateways advertise, and granted permits.
 //! State: one [`Limited`] per server. Decides whether a request to a server needs a permit.
 
+use super::Demand;
 use super::Pool;
 use super::Server;
 use crate::clock::Millis;
@@ -100,18 +101,14 @@
         }
     }
 
-    /// The earliest time at which a permit may be available for a server of a service that is
-    /// otherwise available and not in `tried`.
-    pub fn next_permit_at(
-        &self,
-        service: &str,
-        tried: &[Key<Server>],
-        now: Millis,
-    ) -> Option<Millis> {
-        let servers = &self.services.get(service)?.servers;
-        let available = servers
-            .iter()
-            .filter(|key| self.servers[**key].is_available(now) && !tried.contains(key));
+    /// The earliest time at which a permit may be available for a server that is otherwise
+    /// available and that a request may be sent to.
+    pub fn next_permit_at(&self, demand: &Demand<'_>, now: Millis) -> Option<Millis> {
+        let servers = &self.services.get(demand.service)?.servers;
+        let available = servers.iter().filter(|key| {
+            let server = &self.servers[**key];
+            server.is_available(now) && demand.allows(**key, &server.listed)
+        });
         available.filter_map(|key| self.limited(*key).map(AdvertisedLimit::may_open_at)).min()
     }
 
--- a/crates/core/src/direct/serving.rs
+++ b/crates/core/src/direct/serving.rs
@@ -24,6 +24,34 @@
     Stream,
 }
 
+/// The regions in which requests may be processed; no restriction if there are none.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Homes(pub Vec<String>);
+
+impl Homes {
+    /// Whether requests may be processed in a region.
+    pub fn allow(&self, region: &str) -> bool {
+        self.0.is_empty() || self.0.iter().any(|home| home == region)
+    }
+}
+
+/// Where one request may be processed: within the homes of its route and of its client account.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Residency<'a> {
+    /// Homes of the route.
+    pub route: Option<&'a Homes>,
+    /// Homes of the client account.
+    pub account: Option<&'a Homes>,
+}
+
+impl Residency<'_> {
+    /// Whether the request may be processed in a region.
+    pub fn allows(&self, region: &str) -> bool {
+        let mut homes = self.route.iter().chain(&self.account);
+        homes.all(|homes| homes.allow(region))
+    }
+}
+
 /// A share of a route's requests.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Split {
@@ -60,6 +88,8 @@
     pub anonymous: bool,
     /// Whether a truncated stream may be resumed at another server.
     pub resumable: bool,
+    /// Where its requests may be processed.
+    pub homes: Homes,
 }
 
 impl Route {
@@ -98,6 +128,8 @@
     pub keys: Vec<String>,
     /// Overrides the route's priority if it is set.
     pub priority: Option<u8>,
+    /// Where its requests may be processed.
+    pub homes: Homes,
 }
 
 /// Size and time limits for callers.
@@ -238,6 +270,12 @@
         &self.accounts[key.0]
     }
 
+    /// Whether the requests of all routes of a host may be processed in a region.
+    pub fn host_allows(&self, host: &str, region: &str) -> bool {
+        let Some(prefixes) = self.by_host.get(host) else { return true };
+        prefixes.values().all(|route| self.route(*route).homes.allow(region))
+    }
+
     fn find(&self, host: &str, path: &str) -> Option<RouteKey> {
         let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
         let prefixes = match self.by_host.get(name) {
--- a/crates/core/tests/direct_requests.rs
+++ b/crates/core/tests/direct_requests.rs
@@ -21,6 +21,7 @@
 use hooktrestle_core::direct::holders::Rank;
 use hooktrestle_core::direct::pool;
 use hooktrestle_core::direct::pool::AttemptOutcome;
+use hooktrestle_core::direct::pool::Demand;
 use hooktrestle_core::direct::pool::ListedServer;
 use hooktrestle_core::direct::pool::Pool;
 use hooktrestle_core::direct::pool::Server;
@@ -41,6 +42,7 @@
         service: "hints".to_owned(),
         address: SocketAddr::from(([127, 0, 0, 1], port)),
         data_centre: String::new(),
+        region: String::new(),
         slots: 4,
         leaving,
         started_unix_ms: None,
@@ -57,7 +59,8 @@
 
 fn chosen(pool: &mut Pool, tried: &[Key<Server>], now: u64) -> Option<String> {
     let mut rng = ChaCha8Rng::seed_from_u64(7);
-    let key = pool.choose("hints", tried, 1.0, Millis(now), &mut rng)?;
+    let key =
+        pool.choose(&Demand { tried, ..Demand::for_service("hints") }, Millis(now), &mut rng)?;
     pool.ended(key, AttemptOutcome::Answered, Millis(now));
     Some(pool.server(key).listed.id.clone())
 }
@@ -108,7 +111,7 @@
     pool.list(listed("new", 1_000, false), 9);
     pool.list(listed("dead", 1_000, false), 12);
     let mut rng = ChaCha8Rng::seed_from_u64(1);
-    let key = pool.choose("hints", &[], 1.0, Millis(0), &mut rng).unwrap();
+    let key = pool.choose(&Demand::for_service("hints"), Millis(0), &mut rng).unwrap();
     assert_eq!(pool.server(key).listed.id, "dead");
     pool.ended(key, AttemptOutcome::Replaced, Millis(0));
     assert_eq!(chosen(&mut pool, &[], 0).as_deref(), Some("new"));
@@ -122,7 +125,7 @@
     pool.list(listed("a", 7_000, false), 5);
     pool.unlist("b");
     let mut rng = ChaCha8Rng::seed_from_u64(1);
-    let key = pool.choose("hints", &[], 1.0, Millis(0), &mut rng).unwrap();
+    let key = pool.choose(&Demand::for_service("hints"), Millis(0), &mut rng).unwrap();
     assert_eq!(pool.server(key).listed.address.port(), 7_000);
 }
 
@@ -163,7 +166,7 @@
 fn a_server_replaced_at_its_address_is_not_chosen_again() {
     let mut pool = pool(&["a"]);
     let mut rng = ChaCha8Rng::seed_from_u64(1);
-    let key = pool.choose("hints", &[], 1.0, Millis(0), &mut rng).unwrap();
+    let key = pool.choose(&Demand::for_service("hints"), Millis(0), &mut rng).unwrap();
     pool.ended(key, AttemptOutcome::Replaced, Millis(0));
     assert_eq!(chosen(&mut pool, &[], 1_000_000), None);
 }
@@ -172,7 +175,7 @@
 fn an_unreachable_server_is_in_cooldown_unless_no_other_is_left() {
     let mut pool = pool(&["a", "b"]);
     let mut rng = ChaCha8Rng::seed_from_u64(1);
-    let key = pool.choose("hints", &[], 1.0, Millis(0), &mut rng).unwrap();
+    let key = pool.choose(&Demand::for_service("hints"), Millis(0), &mut rng).unwrap();
     let other = if pool.server(key).listed.id == "a" { "b" } else { "a" };
     pool.ended(key, AttemptOutcome::Unreachable, Millis(0));
     for _ in 0..10 {
@@ -241,7 +244,7 @@
 fn a_relisted_server_is_unaffected_by_attempts_from_before() {
     let mut pool = pool(&["a", "b", "c"]);
     let mut rng = ChaCha8Rng::seed_from_u64(1);
-    let held = pool.choose("hints", &[], 1.0, Millis(0), &mut rng).unwrap();
+    let held = pool.choose(&Demand::for_service("hints"), Millis(0), &mut rng).unwrap();
     let id = pool.server(held).listed.id.clone();
     let port = pool.server(held).listed.address.port();
     pool.unlist(&id);
@@ -358,7 +361,7 @@
                 pool.open().map(|listed| listed.id.clone()).collect();
             prop_assert_eq!(&found, &open);
             let now = Millis(step as u64);
-            let key = pool.choose("hints", &[], 1.0, now, &mut rng);
+            let key = pool.choose(&Demand::for_service("hints"), now, &mut rng);
             let id = key.map(|key| pool.server(key).listed.id.clone());
             prop_assert_eq!(id.is_some(), !open.is_empty());
             prop_assert!(id.is_none_or(|id| open.contains(&id)));
--- a/crates/core/tests/direct_tables.rs
+++ b/crates/core/tests/direct_tables.rs
@@ -13,6 +13,8 @@
 use hooktrestle_core::direct::serving::Account;
 use hooktrestle_core::direct::serving::CallerLimits;
 use hooktrestle_core::direct::serving::Denial;
+use hooktrestle_core::direct::serving::Homes;
+use hooktrestle_core::direct::serving::Residency;
 use hooktrestle_core::direct::serving::Route;
 use hooktrestle_core::direct::serving::RouteKind;
 use hooktrestle_core::direct::serving::ServingConfig;
@@ -35,11 +37,17 @@
         max_attempts: 2,
         anonymous,
         resumable: false,
+        homes: Homes::default(),
     }
 }
 
 fn serving(routes: Vec<Route>) -> ServingConfig {
-    let account = Account { name: "paper".to_owned(), keys: vec!["k1".to_owned()], priority: None };
+    let account = Account {
+        name: "paper".to_owned(),
+        keys: vec!["k1".to_owned()],
+        priority: None,
+        homes: Homes::default(),
+    };
     ServingConfig::new(7, routes, Vec::new(), vec![account], CallerLimits::default())
 }
 
@@ -68,6 +76,28 @@
     assert_eq!(known.as_deref(), Some("paper"));
 }
 
+/// Guards against requests that are processed outside the homes of their route or of their client
+/// account: both restrict a request, and a route or account without homes does not.
+#[test]
+fn homes_of_the_route_and_of_the_account_both_restrict_a_request() {
+    let homes = |regions: &[&str]| Homes(regions.iter().map(|&region| region.into()).collect());
+    let (anywhere, north) = (homes(&[]), homes(&["north"]));
+    let both = homes(&["north", "south"]);
+    let allowed = |route: &Homes, account: &Homes| {
+        let residency = Residency { route: Some(route), account: Some(account) };
+        ["north", "south", ""].map(|region| residency.allows(region))
+    };
+    assert_eq!(allowed(&anywhere, &anywhere), [true, true, true]);
+    assert_eq!(allowed(&anywhere, &north), [true, false, false]);
+    assert_eq!(allowed(&north, &both), [true, false, false]);
+    assert_eq!(allowed(&north, &homes(&["south"])), [false, false, false]);
+    let restricted = Route { homes: north, ..route("one.example", "/a/", true) };
+    let config = serving(vec![route("one.example", "/b/", true), restricted]);
+    assert!(config.host_allows("one.example", "north"));
+    assert!(!config.host_allows("one.example", "south"), "one of its routes has a home");
+    assert!(config.host_allows("two.example", "south"));
+}
+
 /// A store with one table, as the list of all its changes.
 #[derive(Default)]
 struct History(Vec<Change>);
--- a/crates/core/tests/fleet/mod.rs
+++ b/crates/core/tests/fleet/mod.rs
@@ -10,6 +10,7 @@
 use gossip::exchange;
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::members::Config;
+use hooktrestle_core::direct::members::Distance;
 use hooktrestle_core::direct::members::Member;
 use hooktrestle_core::direct::members::Members;
 use hooktrestle_core::direct::members::Readiness;
@@ -184,7 +185,9 @@
         let mut found = Vec::new();
         for number in self.running() {
             let Some(process) = &self.running[number] else { continue };
-            let given = process.members.for_callers("hall", process.clock(self.now));
+            let given = process
+                .members
+                .for_callers(|name| Distance::within_region(name, "hall"), process.clock(self.now));
             let bound = Config::default().suspect_after + process.members.propagation_time();
             for stopped in self.stopped() {
                 let stopped_long_ago = self.now.since(self.stopped_at[stopped]) >= bound;
@@ -201,7 +204,9 @@
         let mut found = Vec::new();
         for number in self.running() {
             let Some(process) = &self.running[number] else { continue };
-            let given = process.members.for_callers("hall", process.clock(self.now));
+            let given = process
+                .members
+                .for_callers(|name| Distance::within_region(name, "hall"), process.clock(self.now));
             let missing =
                 self.running().into_iter().filter(|other| !given.contains(&address(*other)));
             found.extend(missing.map(|other| (number, other)));
--- a/crates/core/tests/gateways.rs
+++ b/crates/core/tests/gateways.rs
@@ -10,6 +10,7 @@
 use gossip::exchange;
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::members::Config;
+use hooktrestle_core::direct::members::Distance;
 use hooktrestle_core::direct::members::LivenessChange;
 use hooktrestle_core::direct::members::Member;
 use hooktrestle_core::direct::members::MemberRecord;
@@ -87,13 +88,19 @@
     let mut members = Members::new(config, member("a", 1));
     members.set_readiness(Readiness::Ready);
     members.apply_record(&fresh(&member("b", 1)), Millis(0));
-    let both = members.for_callers("hall-b", Millis(1_000));
+    let both = members.for_callers(|name| Distance::within_region(name, "hall-b"), Millis(1_000));
     assert_eq!(both[0], member("b", 1).callers_at, "the nearest comes first");
     // The same heartbeat, sent again by a third gateway, does not prove that it is alive.
     members.apply_record(&fresh(&member("b", 1)), Millis(2_900));
-    assert_eq!(members.for_callers("hall-b", Millis(3_000)), [member("a", 1).callers_at]);
+    assert_eq!(
+        members.for_callers(|name| Distance::within_region(name, "hall-b"), Millis(3_000)),
+        [member("a", 1).callers_at]
+    );
     members.apply_record(&fresh(&member("b", 2)), Millis(3_100));
-    assert_eq!(members.for_callers("hall-b", Millis(3_200)).len(), 2);
+    assert_eq!(
+        members.for_callers(|name| Distance::within_region(name, "hall-b"), Millis(3_200)).len(),
+        2
+    );
 }
 
 #[test]
@@ -125,9 +132,15 @@
 fn callers_get_an_address_even_if_no_gateway_is_ready() {
     let mut members = Members::new(Config::default(), member("a", 1));
     members.set_readiness(Readiness::Starting);
-    assert_eq!(members.for_callers("x", Millis(0)), [member("a", 1).callers_at]);
+    assert_eq!(
+        members.for_callers(|name| Distance::within_region(name, "x"), Millis(0)),
+        [member("a", 1).callers_at]
+    );
     members.apply_record(&fresh(&member("b", 1)), Millis(0));
-    assert_eq!(members.for_callers("x", Millis(0)), [member("b", 1).callers_at]);
+    assert_eq!(
+        members.for_callers(|name| Distance::within_region(name, "x"), Millis(0)),
+        [member("b", 1).callers_at]
+    );
 }
 
 #[test]
@@ -340,7 +353,8 @@
         (0..150)
             .filter(|other| *other != number)
             .for_each(|other| members.apply_record(&fresh(&named(other)), now));
-        let given = members.for_callers(&named(number).data_centre, now);
+        let given = members
+            .for_callers(|name| Distance::within_region(name, &named(number).data_centre), now);
         let local =
             given.iter().take(30).filter(|at| (at.port() as usize - 1_000) / 30 == number / 30);
         assert_eq!(local.count(), 30, "those of the own data centre come first");
@@ -446,3 +460,28 @@
     members.apply_record(&fresh(&Member { leader_fencing_token: 6, ..member("b", 1) }), now);
     assert!(!members.may_send_orders(now), "another has taken over");
 }
+
+/// Guards against callers that are sent to a region in which their requests may not be processed,
+/// while a gateway in an allowed region is alive, and against callers that get no gateway at all.
+#[test]
+fn callers_get_gateways_of_regions_where_their_requests_are_not_allowed_only_as_a_last_resort() {
+    let distance = |data_centre: &str| match data_centre {
+        "own" => Distance::SameDataCentre,
+        "near" => Distance::SameRegion,
+        "home" => Distance::Allowed,
+        _ => Distance::LastResort,
+    };
+    let at = |index: u16| SocketAddr::from(([127, 0, 0, 1], 1_000 + index));
+    let in_data_centre = |index: u16, data_centre: &str| Member {
+        callers_at: at(index),
+        data_centre: data_centre.to_owned(),
+        ..member(&format!("g{index}"), 1)
+    };
+    let mut members = Members::new(Config::default(), in_data_centre(0, "elsewhere"));
+    let now = Millis(100);
+    assert_eq!(members.for_callers(distance, now), [at(0)], "there is no other");
+    for (index, data_centre) in [(1, "home"), (2, "near"), (3, "own"), (4, "elsewhere")] {
+        members.apply_record(&fresh(&in_data_centre(index, data_centre)), now);
+    }
+    assert_eq!(members.for_callers(distance, now), [at(3), at(2), at(1)]);
+}
--- a/crates/core/tests/notice_fleet/mod.rs
+++ b/crates/core/tests/notice_fleet/mod.rs
@@ -9,6 +9,7 @@
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::pool;
 use hooktrestle_core::direct::pool::AttemptOutcome;
+use hooktrestle_core::direct::pool::Demand;
 use hooktrestle_core::direct::pool::ListedServer;
 use hooktrestle_core::direct::pool::Pool;
 use hooktrestle_core::direct::pool::Server;
@@ -109,6 +110,7 @@
         service: SERVICE.to_owned(),
         address: SocketAddr::from(([127, 0, 0, 1], 1_000 + server as u16)),
         data_centre: String::new(),
+        region: String::new(),
         slots,
         leaving: false,
         started_unix_ms: Some(incarnation),
@@ -226,7 +228,7 @@
 
     fn request(&mut self, gateway: usize, now: Millis) {
         let pool = &mut self.pools[gateway];
-        let chosen = pool.choose(SERVICE, &[], 1.0, now, &mut self.rng);
+        let chosen = pool.choose(&Demand::for_service(SERVICE), now, &mut self.rng);
         let reported = pool.all_unavailable_until(SERVICE, now);
         let Some(key) = chosen else { return self.refused(gateway, reported, now) };
         let server = number(pool, key);
--- a/crates/core/tests/overtaken.rs
+++ b/crates/core/tests/overtaken.rs
@@ -21,6 +21,7 @@
             service: "hints".to_owned(),
             address: ([10, 0, 0, number as u8], 80).into(),
             data_centre: "a".to_owned(),
+            region: String::new(),
             slots: 4,
             leaving: false,
             started_unix_ms: None,
--- a/crates/core/tests/server_notices.rs
+++ b/crates/core/tests/server_notices.rs
@@ -14,6 +14,7 @@
 use hooktrestle_core::direct::permits::Permits;
 use hooktrestle_core::direct::pool;
 use hooktrestle_core::direct::pool::AttemptOutcome;
+use hooktrestle_core::direct::pool::Demand;
 use hooktrestle_core::direct::pool::ListedServer;
 use hooktrestle_core::direct::pool::Pool;
 use hooktrestle_core::direct::pool::Server;
@@ -35,6 +36,7 @@
         service: "hints".to_owned(),
         address: SocketAddr::from(([127, 0, 0, 1], port)),
         data_centre: String::new(),
+        region: String::new(),
         slots: 8,
         leaving: false,
         started_unix_ms: started,
@@ -51,7 +53,7 @@
 }
 
 fn choose(pool: &mut Pool, now: u64) -> Option<Key<Server>> {
-    pool.choose("hints", &[], 1.0, Millis(now), &mut ChaCha8Rng::seed_from_u64(now))
+    pool.choose(&Demand::for_service("hints"), Millis(now), &mut ChaCha8Rng::seed_from_u64(now))
 }
 
 #[test]
--- a/crates/direct/src/endpoints.rs
+++ b/crates/direct/src/endpoints.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hooktrestle_core::direct::members::Distance;
 use hooktrestle_core::direct::members::Readiness;
 use http::HeaderValue;
 use http::Request;
@@ -24,6 +25,7 @@
 
 use crate::accept;
 use crate::gateway::Gateway;
+use crate::platform::EndpointsQuery;
 use crate::platform::Platform;
 
 /// Time for which callers may cache the list of gateways. Some callers keep it three times as long,
@@ -85,18 +87,31 @@
         }
         QueryKind::Metrics => Response::new(Full::new(Bytes::from(gateway.metrics.text()))),
         QueryKind::Endpoints => match gateway.platform.asks_for_endpoints(path, query) {
-            Some(data_centre) => endpoints(gateway, &data_centre),
+            Some(query) => endpoints(gateway, &query),
             None => status(StatusCode::NOT_FOUND),
         },
         QueryKind::Readiness => status(StatusCode::NOT_FOUND),
     }
 }
 
-fn endpoints<P: Platform>(gateway: &Gateway<P>, data_centre: &str) -> Response<Full<Bytes>> {
+fn endpoints<P: Platform>(gateway: &Gateway<P>, query: &EndpointsQuery) -> Response<Full<Bytes>> {
     let now = gateway.now();
+    let serving = gateway.serving();
+    let distance = |data_centre: &str| {
+        let region = gateway.platform.region_of(data_centre);
+        if data_centre == query.data_centre {
+            Distance::SameDataCentre
+        } else if region == query.region {
+            Distance::SameRegion
+        } else if serving.host_allows(&query.host, region) {
+            Distance::Allowed
+        } else {
+            Distance::LastResort
+        }
+    };
     let mut gateways = gateway.with_members(|members| {
         members.set_readiness(gateway.readiness());
-        members.for_callers(data_centre, now)
+        members.for_callers(distance, now)
     });
     gateways.truncate(MAX_ENDPOINTS);
     let (media_type, body) = gateway.platform.endpoints(&gateways, ENDPOINTS_MAX_AGE);
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -170,20 +170,19 @@
     request: &Request<P>,
     attempts: &Attempts,
 ) -> Option<AttemptGuard<P>> {
-    let (service, cost) = (&request.service, request.cost);
+    let demand = request.demand(attempts.tried());
     let give_up_at = gateway.now() + MAX_PERMIT_WAIT;
     loop {
         let now = gateway.now();
-        let chosen = gateway
-            .with_pool(|pool| pool.choose(service, attempts.tried(), cost, now, &mut rand::rng()));
+        let chosen = gateway.with_pool(|pool| pool.choose(&demand, now, &mut rand::rng()));
         if let Some(server) = chosen {
-            let guard = AttemptGuard::new(gateway.clone(), server, cost, request.deadline);
+            let guard = AttemptGuard::new(gateway.clone(), server, demand.cost, request.deadline);
             match guard.acquire_permit().await {
                 Some(guard) => return Some(guard),
                 None => continue,
             }
         }
-        let next = gateway.with_pool(|pool| pool.next_permit_at(service, attempts.tried(), now));
+        let next = gateway.with_pool(|pool| pool.next_permit_at(&demand, now));
         let next = next.filter(|at| now < give_up_at && *at < give_up_at)?;
         // A time in the past means that permits have been requested for another request, and that
         // the reply is still to come.
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -115,6 +115,8 @@
             let now = gateway.now();
             let readiness = gateway.readiness();
             log_liveness_changes(&gateway, now);
+            // Evacuations whose rows the store has lost are held for a limited time.
+            gateway.update_evacuations("the store's copy");
             let peer = gateway.with_members(|members| {
                 members.advance_heartbeat();
                 members.set_readiness(readiness);
--- a/crates/direct/src/platform.rs
+++ b/crates/direct/src/platform.rs
@@ -131,6 +131,17 @@
 
 impl std::error::Error for Malformed {}
 
+/// A caller's request for the list of gateways. Fields that it omits are empty.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EndpointsQuery {
+    /// Host of the requests that the caller is about to send.
+    pub host: String,
+    /// Region of the caller.
+    pub region: String,
+    /// Data centre of the caller.
+    pub data_centre: String,
+}
+
 /// A request to an engine, other than the requests of callers.
 #[derive(Clone, Copy, Debug)]
 pub enum EngineRequest<'a> {
@@ -281,9 +292,11 @@
     /// expected one.
     fn is_other_server(&self, status: u16) -> bool;
 
-    /// The data centre of a caller that requests the list of gateways; `None` for any other
-    /// request.
-    fn asks_for_endpoints(&self, path: &str, query: &str) -> Option<String>;
+    /// A caller's request for the list of gateways; `None` for any other request.
+    fn asks_for_endpoints(&self, path: &str, query: &str) -> Option<EndpointsQuery>;
+
+    /// The region of a data centre; empty if it is not known.
+    fn region_of(&self, data_centre: &str) -> &str;
 
     /// The list of gateways for a caller, which may cache it for `ttl`, with its media type.
     fn endpoints(&self, addresses: &[SocketAddr], ttl: Duration) -> (HeaderValue, Bytes);
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -202,8 +202,8 @@
     }
     let (now, server) = (gateway.now(), source.guard.server());
     let has_better_server = gateway.with_pool(|pool| {
-        pool.is_slow(server, now)
-            && pool.has_alternative(&request.service, server, attempts.tried(), now)
+        let demand = request.demand(attempts.tried());
+        pool.is_slow(server, now) && pool.has_alternative(&demand, server, now)
     });
     has_better_server && gateway.budget_has_retry(&request.service)
 }
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -8,12 +8,16 @@
 use hooktrestle_core::direct::admission::LatencyObjective;
 use hooktrestle_core::direct::attempts::RETRY_AFTER_NO_SERVER;
 use hooktrestle_core::direct::fingerprint::Fingerprint;
+use hooktrestle_core::direct::pool::Demand;
+use hooktrestle_core::direct::pool::Server;
 use hooktrestle_core::direct::serving::AccountKey;
 use hooktrestle_core::direct::serving::Denial;
+use hooktrestle_core::direct::serving::Residency;
 use hooktrestle_core::direct::serving::Route;
 use hooktrestle_core::direct::serving::RouteKey;
 use hooktrestle_core::direct::serving::RouteKind;
 use hooktrestle_core::direct::serving::ServingConfig;
+use hooktrestle_core::util::arena::Key;
 use hooktrestle_core::verdict::Refusal;
 use hooktrestle_schema::Cause;
 use http::HeaderMap;
@@ -67,6 +71,7 @@
     /// The configuration that was in force when it was received.
     pub serving: Rc<ServingConfig>,
     route: RouteKey,
+    account: Option<AccountKey>,
     /// Name of the service it goes to.
     pub service: String,
     /// Id that the caller gave it.
@@ -101,6 +106,15 @@
         self.serving.route(self.route)
     }
 
+    /// What the pool needs to know to choose a server, other than those in `tried`.
+    pub fn demand<'a>(&'a self, tried: &'a [Key<Server>]) -> Demand<'a> {
+        let residency = Residency {
+            route: Some(&self.route().homes),
+            account: self.account.map(|account| &self.serving.account(account).homes),
+        };
+        Demand { service: &self.service, residency, tried, cost: self.cost }
+    }
+
     /// Id as text, for log lines.
     pub fn id_text(&self) -> &str {
         self.id.to_str().unwrap_or("?")
@@ -168,6 +182,7 @@
     Ok(Request {
         serving,
         route,
+        account,
         service,
         id,
         method: parts.method,
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -409,6 +409,9 @@
     pub data_centre: ::std::string::String,
     ///Unique name of the instance.
     pub name: ::std::string::String,
+    ///Regions of all data centres, separated by commas, each as DATA_CENTRE:REGION. Operators restrict requests to regions.
+    #[serde(default)]
+    pub regions: ::std::string::String,
     ///Maximum duration of a planned stop.
     #[serde(default = "defaults::default_u64::<u64, 8>")]
     pub stop_within_s: u64,
