Slow callers hold bounded memory and no slot of a server

Cause: a caller that reads nothing was closed by the kernel's time-out for unacknowledged bytes, which counts a closed window, too: after 1.5 s, with its answer complete or not; with small answers it was never closed. A caller that sends its body slowly held it without a bound. Now callers' connections have keep-alive probes alone, and unread bytes are counted: the caller of a stream under way is closed after 2 s without a read, that of a complete answer after the idle time-out, and beyond a quarter of the instance's memory the callers that have read nothing for the longest time. A body is read until the deadline of its request.

platform/tests/slow_readers.rs: the complete answer was lost (connection reset) and the slow body was not refused before; green now. crates/core/tests/unread_answers.rs decides who is closed, without a network.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -59,3 +59,4 @@
 pub mod slow_servers;
 pub mod truncated_answers;
 pub mod unconfirmed;
+pub mod unread_answers;
--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -4,6 +4,7 @@
 
 mod activity;
 mod body;
+pub(crate) mod reader;
 
 use std::cell::Cell;
 use std::convert::Infallible;
@@ -37,6 +38,7 @@
 use crate::callers::activity::TrackedConnection;
 use crate::callers::body::CallerBody;
 use crate::callers::body::Content;
+use crate::callers::reader::Reader;
 use crate::forward;
 use crate::forward::Reply;
 use crate::gateway::Gateway;
@@ -62,7 +64,7 @@
         gateway.event_log.state(format_args!("accepting a caller's connection failed: {error}"));
     };
     loop {
-        let stream = accept::next(&listener, log_error).await;
+        let stream = accept::next_caller(&listener, log_error).await;
         tokio::task::spawn_local(serve_connection(gateway.clone(), stream));
     }
 }
@@ -70,19 +72,24 @@
 async fn serve_connection<P: Platform>(gateway: Rc<Gateway<P>>, stream: TcpStream) {
     let shared_activity: SharedActivity = Rc::new(Cell::new(Activity::Idle(gateway.now())));
     let limits = gateway.serving().limits;
+    let reader = Reader::new(gateway.clone());
     let io = TrackedConnection {
         inner: TokioIo::new(stream),
         shared_activity: shared_activity.clone(),
         clock: gateway.clock,
+        reader: reader.clone(),
     };
     let service = service_fn(|request: http::Request<Incoming>| {
         shared_activity.set(Activity::Answering);
         let shared_activity = shared_activity.clone();
-        let gateway = gateway.clone();
-        async move { answer(gateway, request, shared_activity).await }
+        let (gateway, reader) = (gateway.clone(), reader.clone());
+        async move { answer(gateway, request, reader, shared_activity).await }
     });
     let mut builder = http1::Builder::new();
     builder.auto_date_header(false).max_buf_size(limits.header_bytes.max(MIN_HEADER_BUFFER_BYTES));
+    // Events are copied into one buffer of that size. Without it, a few small events of a caller
+    // that does not read would hold up the server of its stream.
+    builder.writev(false);
     let connection = builder.serve_connection(io, service);
     let mut connection = std::pin::pin!(connection);
     // An idle connection stays open when the process begins to stop, because a request may be in
@@ -96,10 +103,14 @@
             biased;
             // An error of the connection affects only its caller, which notices it.
             _ = connection.as_mut() => return,
+            () = reader.is_to_close() => return,
             () = gateway.clock.sleep_until(until) => {
                 if expiry(shared_activity.get(), &gateway) <= gateway.now() {
                     return;
                 }
+                if reader.stall_ends_at().is_some_and(|ends_at| ends_at <= gateway.now()) {
+                    return reader.record_closed_stalled();
+                }
             }
         }
     }
@@ -125,6 +136,7 @@
 async fn answer<P: Platform>(
     gateway: Rc<Gateway<P>>,
     request: http::Request<Incoming>,
+    reader: Rc<Reader<P>>,
     shared_activity: SharedActivity,
 ) -> ServiceResult<impl Stream<Item = Result<Frame<Bytes>, TruncatedStream>>, P> {
     let guard = AnswerGuard { shared_activity, clock: gateway.clock };
@@ -149,7 +161,8 @@
         }
     };
     gateway.metrics.head_ms.observe(gateway.now().since(received_at).0 as f64);
-    let mut response = Response::from_parts(head, CallerBody::new(content, guard, in_flight));
+    let mut response =
+        Response::from_parts(head, CallerBody::new(content, reader, guard, in_flight));
     if gateway.phase() == Phase::Stopping {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
--- a/crates/direct/src/callers/activity.rs
+++ b/crates/direct/src/callers/activity.rs
@@ -15,6 +15,9 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
+use crate::callers::reader::Reader;
+use crate::platform::Platform;
+
 /// The activity of a connection, and since when.
 #[derive(Clone, Copy)]
 pub(super) enum Activity {
@@ -41,14 +44,26 @@
     }
 }
 
-/// A connection that records when the first bytes of a request are received.
-pub(super) struct TrackedConnection {
+/// A connection that records when the first bytes of a request are received, and whether the caller
+/// reads.
+pub(super) struct TrackedConnection<P: Platform> {
     pub(super) inner: TokioIo<TcpStream>,
     pub(super) shared_activity: SharedActivity,
     pub(super) clock: ProcessClock,
+    pub(super) reader: Rc<Reader<P>>,
+}
+
+impl<P: Platform> TrackedConnection<P> {
+    fn record_write(&self, written: &Poll<io::Result<usize>>) {
+        match written {
+            Poll::Ready(Ok(bytes)) => self.reader.record_read(*bytes),
+            Poll::Ready(Err(_)) => {}
+            Poll::Pending => self.reader.record_stall(),
+        }
+    }
 }
 
-impl hyper::rt::Read for TrackedConnection {
+impl<P: Platform> hyper::rt::Read for TrackedConnection<P> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -62,13 +77,15 @@
     }
 }
 
-impl hyper::rt::Write for TrackedConnection {
+impl<P: Platform> hyper::rt::Write for TrackedConnection<P> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(context, bytes)
+        let written = Pin::new(&mut self.inner).poll_write(context, bytes);
+        self.record_write(&written);
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -88,6 +105,8 @@
         context: &mut Context<'_>,
         pieces: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write_vectored(context, pieces)
+        let written = Pin::new(&mut self.inner).poll_write_vectored(context, pieces);
+        self.record_write(&written);
+        written
     }
 }
--- a/crates/direct/src/callers/body.rs
+++ b/crates/direct/src/callers/body.rs
@@ -2,6 +2,7 @@
 //! stream. Until it is dropped, its request counts as in flight and its connection is not idle.
 
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
 
@@ -12,6 +13,7 @@
 use hyper::body::Frame;
 
 use crate::callers::activity::AnswerGuard;
+use crate::callers::reader::Reader;
 use crate::gateway::InFlight;
 use crate::platform::Platform;
 use crate::relay::TruncatedStream;
@@ -25,14 +27,27 @@
 /// The body of an answer to a caller.
 pub(super) struct CallerBody<S, P: Platform> {
     content: Content<S>,
+    reader: Rc<Reader<P>>,
     _guard: AnswerGuard,
     _in_flight: InFlight<P>,
 }
 
 impl<S, P: Platform> CallerBody<S, P> {
     /// Until it is dropped, the request is in flight and its connection is not idle.
-    pub(super) fn new(content: Content<S>, guard: AnswerGuard, in_flight: InFlight<P>) -> Self {
-        CallerBody { content, _guard: guard, _in_flight: in_flight }
+    pub(super) fn new(
+        content: Content<S>,
+        reader: Rc<Reader<P>>,
+        guard: AnswerGuard,
+        in_flight: InFlight<P>,
+    ) -> Self {
+        reader.set_streaming(matches!(content, Content::Stream(_)));
+        CallerBody { content, reader, _guard: guard, _in_flight: in_flight }
+    }
+}
+
+impl<S, P: Platform> Drop for CallerBody<S, P> {
+    fn drop(&mut self) {
+        self.reader.set_streaming(false);
     }
 }
 
@@ -47,13 +62,17 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedStream>>> {
-        match &mut self.content {
+        let polled = match &mut self.content {
             Content::Whole(bytes) => {
                 let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
                 Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
             }
             Content::Stream(frames) => frames.as_mut().poll_next(context),
+        };
+        if let Poll::Ready(Some(Ok(frame))) = &polled {
+            self.reader.hold(frame.data_ref().map_or(0, Bytes::len));
         }
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/direct/src/dial.rs
+++ b/crates/direct/src/dial.rs
@@ -66,14 +66,25 @@
 }
 
 /// Sets the socket options that detect an unresponsive peer, on an opened or accepted connection.
+/// A peer that does not read is unresponsive, too.
 ///
 /// # Errors
 ///
 /// The connection is already closed.
 pub fn set_liveness_options(stream: &TcpStream) -> io::Result<()> {
+    SockRef::from(stream).set_tcp_user_timeout(Some(UNRESPONSIVE_PEER_TIMEOUT))?;
+    set_caller_options(stream)
+}
+
+/// Sets the socket options of a caller's connection. Keep-alive probes detect a caller that is
+/// gone. A caller that does not read acknowledges them, and is kept: its answer may be complete.
+///
+/// # Errors
+///
+/// The connection is already closed.
+pub fn set_caller_options(stream: &TcpStream) -> io::Result<()> {
     let socket = SockRef::from(stream);
     socket.set_tcp_nodelay(true)?;
-    socket.set_tcp_user_timeout(Some(UNRESPONSIVE_PEER_TIMEOUT))?;
     let probes = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -57,6 +57,7 @@
 use tokio::sync::watch;
 
 use crate::admission_queue::AdmissionQueue;
+use crate::callers::reader::Readers;
 use crate::connections::Connections;
 use crate::event_log::EventLog;
 use crate::gateway::by_service::ByService;
@@ -112,6 +113,8 @@
     pub sidecars: Connections,
     /// Port on which sidecars listen; 0 if there are none.
     pub sidecars_port: u16,
+    /// Callers, and what is held for them.
+    pub readers: Readers,
     /// Wakes the task that polls stalled groups.
     pub stall_detected: Notify,
     /// Wakes the gossip task: an update is urgent.
@@ -186,6 +189,7 @@
             connections: Connections::new(clock),
             sidecars: Connections::new(clock),
             sidecars_port,
+            readers: Readers::new(own.memory_bytes),
             stall_detected: Notify::new(),
             urgent_gossip: Notify::new(),
             urgent_gossip_done: Notify::new(),
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -56,6 +56,10 @@
     pub permits_granted: Counter,
     /// Times that no permit was available for a request to a server.
     pub permits_unavailable: Counter,
+    /// Connections closed because their callers did not read their answers.
+    pub readers_closed: Counter,
+    /// Bytes of answers that callers have not read yet.
+    pub unread_bytes: Gauge,
     /// Gateways that callers may be sent to, this one included.
     pub gateways_alive: Gauge,
     /// Data centres that operators evacuate.
@@ -94,6 +98,8 @@
             limits_advertised: Counter::default(),
             permits_granted: Counter::default(),
             permits_unavailable: Counter::default(),
+            readers_closed: Counter::default(),
+            unread_bytes: Gauge::default(),
             gateways_alive: Gauge::default(),
             evacuated_data_centres: Gauge::default(),
             crashing_known: Gauge::default(),
@@ -125,6 +131,7 @@
             ("limits_named", "Answers in which servers named a limit", &metrics.limits_advertised),
             ("permits_given", "Permits given out for all gateways", &metrics.permits_granted),
             ("permits_lacking", "Times that there was no permit", &metrics.permits_unavailable),
+            ("readers_closed", "Callers that did not read", &metrics.readers_closed),
             ("ranks_unled", "Servers in groups too large to be led", &metrics.ranks_without_leader),
         ];
         for (name, help, counter) in counters {
@@ -132,6 +139,8 @@
         }
         let help = "Gateways that are heard of, this one included";
         metrics.registry.register("gateways_living", help, metrics.gateways_alive.clone());
+        let help = "Bytes of answers that callers have not read yet";
+        metrics.registry.register("unread_bytes", help, metrics.unread_bytes.clone());
         let help = "Data centres that operators evacuate";
         metrics.registry.register("evacuated", help, metrics.evacuated_data_centres.clone());
         let help = "Different requests that are refused because servers crash under them";
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -167,11 +167,16 @@
     let Some(id) = parts.headers.get(&names.request_id).cloned() else {
         return Err(ReadError::Refused(Refusal::not_run(Cause::BadRequest)));
     };
-    let body = read_body(body, serving.limits.body_bytes).await?;
     let found_route = serving.route(route);
     let requested = headers::number(&parts.headers, &names.deadline_ms).map(Millis);
     let deadline =
         received_at + requested.unwrap_or(found_route.timeout_ms).min(found_route.timeout_ms);
+    let body = read_body(body, serving.limits.body_bytes);
+    // A caller that sends slowly holds what it has sent no longer than it waits for the answer.
+    let Ok(body) = gateway.clock.timeout_at(deadline, body).await else {
+        return Err(ReadError::Refused(Refusal::not_run(Cause::DeadlinePassed)));
+    };
+    let body = body?;
     let service = found_route.draw(&mut rand::rng()).unwrap_or_default().to_owned();
     let cost = cost(&parts.headers, names);
     let uri = origin_form(&parts.uri);
