Permits: a share that its gateway grants from itself goes to another at once

Cause: a gateway that has just started knows no other, requests permits from itself and then keeps its share for 2.5 s. After a start of all gateways each had a part of the limit that is too small for a permit. Its own share can be withdrawn without a wait.

--- a/crates/core/src/direct/members/record.rs
+++ b/crates/core/src/direct/members/record.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 
 use crate::clock::Millis;
+use crate::direct::permits::GatewayId;
 use crate::util::hash;
 
 /// Whether callers are sent to a gateway.
@@ -81,6 +82,11 @@
         IncarnationId(hash::score(self.incarnation, &self.name))
     }
 
+    /// Identifier across restarts of its process.
+    pub fn gateway_id(&self) -> GatewayId {
+        GatewayId(hash::of(&self.name))
+    }
+
     /// The heartbeat to send, with the time since the gateway was alive.
     pub fn to_heartbeat(&self, age: Millis) -> Heartbeat {
         Heartbeat {
--- a/crates/core/src/direct/permits.rs
+++ b/crates/core/src/direct/permits.rs
@@ -104,6 +104,8 @@
 /// itself.
 #[derive(Clone, Debug)]
 pub struct Permits {
+    own: GatewayId,
+    own_incarnation: IncarnationId,
     delegated_to: Option<IncarnationId>,
     /// Until when the own share is reserved for the gateway that it is delegated to.
     reserved_until: Millis,
@@ -113,10 +115,12 @@
 }
 
 impl Permits {
-    /// State of a new process. Its predecessor may have delegated the share, so the share is
-    /// reserved.
-    pub fn new(now: Millis) -> Permits {
+    /// State of a new process of the gateway `own`. Its predecessor may have delegated the share,
+    /// so the share is reserved.
+    pub fn new(own: GatewayId, own_incarnation: IncarnationId, now: Millis) -> Permits {
         Permits {
+            own,
+            own_incarnation,
             delegated_to: None,
             reserved_until: now + RESERVED_FOR,
             shares: HashMap::new(),
@@ -126,9 +130,14 @@
 
     /// Delegates the own share to the gateway that this one requests permits from, which may be
     /// this one, unless the share is reserved for another. Returns whether it is delegated to it.
+    /// A share that counts at this gateway is withdrawn there at once: a gateway that has just
+    /// started grants for itself until it knows the others.
     pub fn delegate_share(&mut self, to: IncarnationId, now: Millis) -> bool {
         if self.delegated_to != Some(to) && now < self.reserved_until {
-            return false;
+            if self.delegated_to != Some(self.own_incarnation) {
+                return false;
+            }
+            self.shares.remove(&self.own);
         }
         self.delegated_to = Some(to);
         self.reserved_until = now + RESERVED_FOR;
--- a/crates/core/tests/advertised_limits.rs
+++ b/crates/core/tests/advertised_limits.rs
@@ -168,7 +168,7 @@
 
 #[test]
 fn a_share_is_delegated_to_one_gateway_at_a_time() {
-    let mut one = Permits::new(Millis::ZERO);
+    let mut one = Permits::new(GatewayId(9), IncarnationId(9), Millis::ZERO);
     assert!(
         !one.delegate_share(IncarnationId(1), Millis(100)),
         "the previous process may have delegated it"
@@ -179,9 +179,25 @@
     assert!(one.delegate_share(IncarnationId(2), Millis(6_500)));
 }
 
+/// Guards against a gateway that grants for itself long after it knows the granting gateway: its
+/// share would be missing there. The share is never at both.
+#[test]
+fn a_share_that_a_gateway_grants_from_itself_goes_to_another_at_once() {
+    let (own, other) = (IncarnationId(9), IncarnationId(1));
+    let mut permits = Permits::new(GatewayId(9), own, Millis::ZERO);
+    assert!(permits.delegate_share(own, Millis(3_000)));
+    permits.add_share(GatewayId(9), Millis(3_000));
+    assert!(permits.delegate_share(other, Millis(3_100)));
+    let (server, limit) = (ServerIncarnation(7), Rate { in_1000_s: 1_000_000 });
+    let granted = permits.grant(server, limit, 1, 0.0, Some(1), Millis(3_100));
+    let later = permits.grant(server, limit, 1, 0.0, Some(1), Millis(4_000));
+    assert_eq!((granted.permits, later.permits), (0, 0), "its share counts elsewhere");
+    assert!(!permits.delegate_share(own, Millis(3_200)), "it cannot be withdrawn from there");
+}
+
 #[test]
 fn grants_follow_the_delegated_shares_and_do_not_accumulate() {
-    let mut one = Permits::new(Millis::ZERO);
+    let mut one = Permits::new(GatewayId(9), IncarnationId(9), Millis::ZERO);
     let (server, limit) = (ServerIncarnation(1), Rate { in_1000_s: 8_000 });
     let grant = |permits: &mut Permits, now| {
         permits.grant(server, limit, 1_000, 0.0, Some(4), Millis(now)).permits
--- a/crates/core/tests/permit_fleet/mod.rs
+++ b/crates/core/tests/permit_fleet/mod.rs
@@ -86,6 +86,14 @@
     listed: bool,
 }
 
+fn incarnation_id(gateway: usize, incarnation: u64) -> IncarnationId {
+    IncarnationId(gateway as u64 * 1_000 + incarnation)
+}
+
+fn new_permits(gateway: usize, incarnation: u64, now: Millis) -> Permits {
+    Permits::new(GatewayId(gateway as u64), incarnation_id(gateway, incarnation), now)
+}
+
 pub struct Fleet {
     rng: ChaCha8Rng,
     setup: Setup,
@@ -105,12 +113,12 @@
 
 impl Fleet {
     pub fn new(seed: u64, setup: Setup) -> Fleet {
-        let gateway = Gateway {
+        let gateway = |number: usize| Gateway {
             incarnation: 1,
             is_alive: true,
             frozen_until: Millis::ZERO,
             limited: AdvertisedLimit::default(),
-            permits: Permits::new(Millis::ZERO),
+            permits: new_permits(number, 1, Millis::ZERO),
             last_received: vec![Millis::ZERO; setup.gateways],
             skipped_until: vec![Millis::ZERO; setup.gateways],
             requested: None,
@@ -119,7 +127,7 @@
         let mut fleet = Fleet {
             rng: ChaCha8Rng::seed_from_u64(seed),
             setup,
-            gateways: vec![gateway; setup.gateways],
+            gateways: (0..setup.gateways).map(gateway).collect(),
             sides: vec![0; setup.gateways],
             limit: Some(setup.limit),
             advertised: vec![(Millis::ZERO, Some(setup.limit))],
@@ -279,7 +287,7 @@
             Sharing::EachTheWhole => from,
         };
         let incarnation = gateway.incarnation;
-        let of = IncarnationId(first as u64 * 1_000 + self.gateways[first].incarnation);
+        let of = incarnation_id(first, self.gateways[first].incarnation);
         let delegates = self.gateways[from].permits.delegate_share(of, now);
         if wanted > 0 {
             self.gateways[from].requested = Some(now.0);
@@ -380,7 +388,7 @@
         gateway.is_alive = true;
         gateway.frozen_until = Millis::ZERO;
         gateway.limited = AdvertisedLimit::default();
-        gateway.permits = Permits::new(now);
+        gateway.permits = new_permits(one, gateway.incarnation, now);
         gateway.requested = None;
         // It receives what others know before it gets requests.
         let known = (0..self.gateways.len()).find(|other| {
--- a/crates/core/tests/server_notices.rs
+++ b/crates/core/tests/server_notices.rs
@@ -9,6 +9,7 @@
 
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::advertised_limit::Permission;
+use hooktrestle_core::direct::members::IncarnationId;
 use hooktrestle_core::direct::permits::GatewayId;
 use hooktrestle_core::direct::permits::Grant;
 use hooktrestle_core::direct::permits::Permits;
@@ -176,7 +177,7 @@
     let (pool, a, b) = pair();
     let mut pools = vec![pool; GATEWAYS];
     pools.iter_mut().for_each(|pool| pool.back_off(a, Millis(1_000), Millis(0)));
-    let mut permits = Permits::new(Millis(0));
+    let mut permits = Permits::new(GatewayId(0), IncarnationId(0), Millis(0));
     let mut sent = [0; 4];
     for now in 1_000..5_000 {
         (0..GATEWAYS as u64).for_each(|from| permits.add_share(GatewayId(from), Millis(now)));
--- a/crates/core/tests/warm_up.rs
+++ b/crates/core/tests/warm_up.rs
@@ -60,7 +60,7 @@
 }
 
 impl Gateway {
-    fn new(started_at: Millis, row_at: Millis, is_warm_up_known: bool) -> Gateway {
+    fn new(number: u64, started_at: Millis, row_at: Millis, is_warm_up_known: bool) -> Gateway {
         let mut pool = Pool::new(Default::default());
         if is_warm_up_known {
             let rate = Rate::per_s(RATE_PER_S);
@@ -69,7 +69,13 @@
         }
         pool.list(row(), 1);
         let server = pool.present_of(SERVICE)[0];
-        Gateway { pool, server, permits: Permits::new(started_at), row_at, is_alive: true }
+        Gateway {
+            pool,
+            server,
+            permits: Permits::new(GatewayId(number), IncarnationId(number), started_at),
+            row_at,
+            is_alive: true,
+        }
     }
 }
 
@@ -102,10 +108,10 @@
     let cold_at = Millis(10_000);
     let started_at = if setup.fault == Fault::AllStart { cold_at } else { Millis::ZERO };
     let mut gateways: Vec<Gateway> = (0..setup.gateways)
-        .map(|_| {
+        .map(|number| {
             // A gateway sends nothing to a server before it has received the row.
             let row_at = cold_at + Millis(rng.random_range(0..1_500));
-            Gateway::new(started_at, row_at, setup.is_warm_up_known)
+            Gateway::new(number as u64, started_at, row_at, setup.is_warm_up_known)
         })
         .collect();
     let mut arrived = Vec::new();
@@ -222,7 +228,7 @@
 /// have turned cold, and their rows are late.
 #[test]
 fn servers_of_a_data_centre_that_returns_are_treated_as_cold() {
-    let mut gateway = Gateway::new(Millis::ZERO, Millis::ZERO, true);
+    let mut gateway = Gateway::new(0, Millis::ZERO, Millis::ZERO, true);
     let (pool, server) = (&mut gateway.pool, gateway.server);
     let now = Millis(5_000);
     pool.set_evacuated([String::new()].into(), now);
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -201,7 +201,11 @@
             )),
             crash_detection: RefCell::default(),
             crashes_changed: Notify::new(),
-            permits: RefCell::new(Permits::new(clock.now())),
+            permits: RefCell::new(Permits::new(
+                own.gateway_id(),
+                own.incarnation_id(),
+                clock.now(),
+            )),
             permit_granters: PermitGranters::default(),
             permit_reply_received: Notify::new(),
             limits_changed: Notify::new(),
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -19,7 +19,6 @@
 use hooktrestle_core::direct::permits::DELEGATION_INTERVAL;
 use hooktrestle_core::direct::permits::GatewayId;
 use hooktrestle_core::direct::permits::Grant;
-use hooktrestle_core::util::hash;
 use hooktrestle_schema::PeerNews;
 use hooktrestle_schema::PermitsAsked;
 use hooktrestle_schema::PermitsGiven;
@@ -134,7 +133,7 @@
 ) -> Option<Grant> {
     let granter = granter(gateway)?;
     let now = gateway.now();
-    let own = GatewayId(gateway.with_members(|members| hash::of(&members.own().name)));
+    let own = gateway.with_members(|members| members.own().gateway_id());
     let hands_over =
         gateway.with_permits(|permits| permits.delegate_share(granter.incarnation, now));
     let request = wanted.message(own, hands_over);
