Soak: evacuations of data centres, and servers that return cold

Servers lie in two data centres. The operator evacuates one now and then, also while gateways are killed and stopped and the store is away; servers that crash come back cold.

--- a/crates/soak/src/backends.rs
+++ b/crates/soak/src/backends.rs
@@ -8,17 +8,24 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hooktrestle_users_standin::add_warm_up;
 use hooktrestle_users_standin::configuration_with;
+use hooktrestle_users_standin::evacuation;
 use hooktrestle_users_standin::proxy::Proxy;
 use hooktrestle_users_standin::server::Action;
 use hooktrestle_users_standin::server::Server;
 use hooktrestle_users_standin::store::Mode;
 use hooktrestle_users_standin::store::Snapshot;
 use hooktrestle_users_standin::store::Store;
+use serde_json::Value;
 use tokio::task;
 use tokio::time;
 use tokio::time::Instant;
 
+use crate::data_centres::COLD_START;
+use crate::data_centres::DATA_CENTRES;
+use crate::data_centres::DataCentres;
+use crate::data_centres::WARM_UP_PER_S;
 use crate::ledger::Ledger;
 use crate::network;
 use crate::schedule::FaultKind;
@@ -43,6 +50,9 @@
 /// Tables of the operator and of the servers, whose lost rows are written again after a drill.
 const REWRITTEN_TABLES: [&str; 2] = ["op", "servers"];
 
+/// Time between two checks of whether a drill has ended.
+const DRILL_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Time after a crash until the row of the server is removed.
 const ROW_EXPIRY: Duration = Duration::from_millis(1_500);
 
@@ -55,6 +65,21 @@
 struct ProxiedServer {
     server: Server,
     proxy: Proxy,
+    data_centre: &'static str,
+}
+
+impl ProxiedServer {
+    /// The row of the server in this state.
+    fn row(&self, state: &str, cold_for: Duration) -> Value {
+        self.server.entry_in(self.data_centre, self.proxy.address, state, cold_for)
+    }
+}
+
+/// Whether a server is slow after its start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Temperature {
+    Warm,
+    Cold,
 }
 
 /// The store and the backend servers.
@@ -93,7 +118,7 @@
         });
         backends.configure();
         for _ in 0..servers {
-            backends.add_server().await;
+            backends.add_server(Temperature::Warm).await;
         }
         backends
     }
@@ -106,7 +131,9 @@
         }
         let version = self.version.get() + 1;
         let route = route_of(version);
-        self.store.put("op", "config", &configuration_with(version, &[&route]));
+        let mut configuration = configuration_with(version, &[&route]);
+        add_warm_up(&mut configuration, WARM_UP_PER_S, COLD_START);
+        self.store.put("op", "config", &configuration);
         self.version.set(version);
         self.accepted_at.set(Instant::now());
         true
@@ -117,16 +144,26 @@
         (self.version.get(), self.accepted_at.get())
     }
 
-    async fn add_server(&self) {
+    async fn add_server(&self, temperature: Temperature) {
         let number = self.started_count.get() + 1;
         self.started_count.set(number);
         let server = Server::start(&format!("s{number}")).await;
         server.set_default_action(Action::Work);
         self.crash_bodies.borrow().iter().for_each(|body| server.crash_on(body));
         let proxy = Proxy::open(server.address).await;
-        self.store.put("servers", &server.id, &server.entry_via(proxy.address, "ready"));
+        let data_centre = DataCentres::of_number(number);
         self.ledger.watch_server(&server);
-        self.active.borrow_mut().push(ProxiedServer { server, proxy });
+        self.ledger.data_centres.borrow_mut().add_server(&server.id, data_centre);
+        let proxied = ProxiedServer { server, proxy, data_centre };
+        let cold_for = match temperature {
+            Temperature::Warm => Duration::ZERO,
+            Temperature::Cold => {
+                self.ledger.data_centres.borrow_mut().add_cold(&proxied.server.id);
+                COLD_START
+            }
+        };
+        self.store.put("servers", &proxied.server.id, &proxied.row("ready", cold_for));
+        self.active.borrow_mut().push(proxied);
     }
 
     /// From now on servers crash when they run a request with this body, and others replace them.
@@ -184,7 +221,9 @@
         for ProxiedServer { server, .. } in crashed {
             self.deactivate(&server.id);
             let backends = self.clone();
-            task::spawn_local(async move { backends.replace(&server, REPLACEMENT_DELAY).await });
+            task::spawn_local(async move {
+                backends.replace(&server, REPLACEMENT_DELAY, Temperature::Warm).await
+            });
         }
     }
 
@@ -205,6 +244,7 @@
             FaultKind::StoreLosesAnswers => self.set_mode_for(Mode::LosesAnswers, duration).await,
             FaultKind::StoreForgets => self.store.discard_history(),
             FaultKind::StoreDrill => self.drill(target, duration).await,
+            FaultKind::Evacuation => self.evacuate(target, duration).await,
             FaultKind::ServerMute
             | FaultKind::ServerReset
             | FaultKind::ServerSlow
@@ -219,7 +259,8 @@
             | FaultKind::ServerForges
             | FaultKind::ServerAsksRest
             | FaultKind::ServerSaysItLeaves
-            | FaultKind::ServerNamesLimit => {
+            | FaultKind::ServerNamesLimit
+            | FaultKind::ServerReturnsCold => {
                 if let Some(proxied) = self.pick(target) {
                     self.inject_server_fault(kind, proxied, target, duration).await;
                 }
@@ -253,7 +294,7 @@
         target: usize,
         duration: Duration,
     ) {
-        let ProxiedServer { server, proxy } = proxied;
+        let ProxiedServer { server, proxy, .. } = proxied.clone();
         let action = match kind {
             FaultKind::ServerRefuses => Action::Refuse,
             FaultKind::ServerFails => Action::Fail,
@@ -269,8 +310,13 @@
                 time::sleep(duration).await;
                 return server.advertise_limit(None);
             }
-            FaultKind::ServerDrain => return self.drain(&server, &proxy).await,
-            FaultKind::ServerCrash => return self.crash(&server, duration).await,
+            FaultKind::ServerDrain => return self.drain(&proxied).await,
+            FaultKind::ServerCrash => {
+                return self.crash(&server, duration, Temperature::Warm).await;
+            }
+            FaultKind::ServerReturnsCold => {
+                return self.crash(&server, duration, Temperature::Cold).await;
+            }
             _ => return network::inject(&proxy, kind, duration).await,
         };
         server.set_default_action(action);
@@ -278,24 +324,49 @@
         server.set_default_action(Action::Work);
     }
 
-    async fn crash(&self, server: &Server, duration: Duration) {
+    /// Evacuates a data centre, unless another one is evacuated, the store is away, or all active
+    /// servers are there.
+    async fn evacuate(&self, target: usize, duration: Duration) {
+        let data_centre = DATA_CENTRES[target % DATA_CENTRES.len()];
+        let has_others = {
+            let active = self.active.borrow();
+            active.iter().any(|proxied| proxied.data_centre != data_centre)
+        };
+        let is_possible = !self.ledger.data_centres.borrow().has_evacuation();
+        if self.drills.get() > 0 || !has_others || !is_possible {
+            return;
+        }
+        let (key, value) = evacuation(data_centre);
+        self.store.put("op", &key, &value);
+        self.ledger.data_centres.borrow_mut().set_evacuated(Some(data_centre));
+        time::sleep(duration).await;
+        while self.drills.get() > 0 {
+            time::sleep(DRILL_POLL_INTERVAL).await;
+        }
+        self.ledger.poll();
+        self.ledger.data_centres.borrow_mut().set_evacuated(None);
+        self.store.remove("op", &key);
+    }
+
+    async fn crash(&self, server: &Server, duration: Duration, returns: Temperature) {
         self.deactivate(&server.id);
         server.crash();
-        self.replace(server, duration).await;
+        self.replace(server, duration, returns).await;
     }
 
     /// Removes the row of a crashed server, and starts another server after `duration`.
-    async fn replace(&self, server: &Server, duration: Duration) {
+    async fn replace(&self, server: &Server, duration: Duration, returns: Temperature) {
         time::sleep(ROW_EXPIRY).await;
         self.store.remove("servers", &server.id);
         time::sleep(duration).await;
-        self.add_server().await;
+        self.add_server(returns).await;
     }
 
-    async fn drain(self: &Rc<Self>, server: &Server, proxy: &Proxy) {
+    async fn drain(self: &Rc<Self>, proxied: &ProxiedServer) {
+        let server = &proxied.server;
         self.deactivate(&server.id);
-        self.add_server().await;
-        self.store.put("servers", &server.id, &server.entry_via(proxy.address, "draining"));
+        self.add_server(Temperature::Warm).await;
+        self.store.put("servers", &server.id, &proxied.row("draining", Duration::ZERO));
         self.ledger.mark_leaving(&server.id);
         self.remove_later(server).await;
     }
@@ -303,7 +374,7 @@
     /// A server announces only in its answers that it is leaving; its row shows that it is ready.
     async fn announce_leaving(self: &Rc<Self>, server: &Server) {
         self.deactivate(&server.id);
-        self.add_server().await;
+        self.add_server(Temperature::Warm).await;
         server.report_leaving(true);
         self.remove_later(server).await;
         self.ledger.mark_leaving(&server.id);
--- /dev/null
+++ b/crates/soak/src/data_centres.rs
@@ -0,0 +1,109 @@
+//! Data centres of the soak: evacuations, and servers that are cold after a start.
+//! Input: evacuations, starts of cold servers and arrivals. State: all of them.
+//! Decides whether an arrival violates an evacuation or exceeds what a cold server takes.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::ledger::Guarantee;
+
+/// Names of the data centres. Servers are started in them in turn.
+pub const DATA_CENTRES: [&str; 2] = ["hall", "barn"];
+
+/// Requests per second that a cold server takes.
+pub const WARM_UP_PER_S: f64 = 4.0;
+
+/// How long a server is cold after its start.
+pub const COLD_START: Duration = Duration::from_secs(3);
+
+/// Requirement of the service: in each window at most what the server takes times a ratio, plus a
+/// constant excess.
+const WINDOW: Duration = Duration::from_secs(1);
+const ALLOWED_RATIO: f64 = 1.5;
+const ALLOWED_EXCESS: f64 = 5.0;
+
+/// Result of a check of one arrival.
+#[derive(Clone, Debug, PartialEq)]
+pub enum DataCentreCheck {
+    /// The guarantee applied and holds.
+    Holds(Guarantee),
+    /// The guarantee is broken, with the time of its cause and a description.
+    Broken(Guarantee, Instant, String),
+}
+
+/// A server that is cold since a time, with its arrivals in the last window.
+#[derive(Clone, Debug)]
+struct ColdServer {
+    since: Instant,
+    arrivals: VecDeque<Instant>,
+}
+
+/// Evacuations and cold servers.
+#[derive(Clone, Debug, Default)]
+pub struct DataCentres {
+    /// Data centre of each server.
+    by_server: HashMap<String, &'static str>,
+    /// The evacuated data centre, and since when the store shows it.
+    evacuated: Option<(&'static str, Instant)>,
+    cold: HashMap<String, ColdServer>,
+}
+
+impl DataCentres {
+    /// Data centre of the server with a number.
+    pub fn of_number(number: u32) -> &'static str {
+        DATA_CENTRES[number as usize % DATA_CENTRES.len()]
+    }
+
+    /// Adds a server.
+    pub fn add_server(&mut self, id: &str, data_centre: &'static str) {
+        self.by_server.insert(id.to_owned(), data_centre);
+    }
+
+    /// Records that a server starts cold now.
+    pub fn add_cold(&mut self, id: &str) {
+        let cold = ColdServer { since: Instant::now(), arrivals: VecDeque::new() };
+        self.cold.insert(id.to_owned(), cold);
+    }
+
+    /// Records which data centre the store shows as evacuated from now on.
+    pub fn set_evacuated(&mut self, data_centre: Option<&'static str>) {
+        self.evacuated = data_centre.map(|data_centre| (data_centre, Instant::now()));
+    }
+
+    /// Whether a data centre is evacuated.
+    pub fn has_evacuation(&self) -> bool {
+        self.evacuated.is_some()
+    }
+
+    /// Checks a request that reached a server. An evacuation counts once it is older than `bound`.
+    pub fn check(&mut self, id: &str, at: Instant, bound: Duration) -> Vec<DataCentreCheck> {
+        let data_centre = self.by_server.get(id).copied();
+        let evacuation = self.evacuated.filter(|(_, since)| at > *since + bound);
+        let evacuation = evacuation.map(|(evacuated, since)| {
+            if Some(evacuated) != data_centre {
+                return DataCentreCheck::Holds(Guarantee::Evacuation);
+            }
+            let after = at.duration_since(since);
+            let detail = format!("{id}, {after:?} after the evacuation of {evacuated}");
+            DataCentreCheck::Broken(Guarantee::Evacuation, since, detail)
+        });
+        evacuation.into_iter().chain(self.check_cold(id, at)).collect()
+    }
+
+    fn check_cold(&mut self, id: &str, at: Instant) -> Option<DataCentreCheck> {
+        let cold = self.cold.get_mut(id).filter(|cold| at < cold.since + COLD_START)?;
+        cold.arrivals.push_back(at);
+        while cold.arrivals.front().is_some_and(|first| *first + WINDOW <= at) {
+            cold.arrivals.pop_front();
+        }
+        let allowed = ALLOWED_RATIO * WARM_UP_PER_S * WINDOW.as_secs_f64() + ALLOWED_EXCESS;
+        if cold.arrivals.len() as f64 <= allowed {
+            return Some(DataCentreCheck::Holds(Guarantee::Cold));
+        }
+        let detail = format!("{id}, {} in a second while it is cold", cold.arrivals.len());
+        Some(DataCentreCheck::Broken(Guarantee::Cold, cold.since, detail))
+    }
+}
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -15,78 +15,14 @@
 use hooktrestle_users_standin::server::Server;
 use tokio::time::Instant;
 
+pub use crate::bounds::Bounds;
+use crate::data_centres::DataCentreCheck;
+use crate::data_centres::DataCentres;
 use crate::limits::AdvertisedLimits;
 use crate::limits::LimitCheck;
 use crate::schedule::FaultKind;
 use crate::schedule::PLANNED;
 
-/// Time bounds of the guarantees, while no other fault is active.
-#[derive(Clone, Copy, Debug)]
-pub struct Bounds {
-    /// From the notice that a server leaves to the last request that reaches it.
-    pub drain: Duration,
-    /// From the acceptance of a configuration until it is in force.
-    pub configuration: Duration,
-    /// From the disconnect of a caller until its server detects it.
-    pub close: Duration,
-    /// From the end of a gateway until no list for callers contains it.
-    pub listed: Duration,
-    /// From `SIGTERM` until the process has exited.
-    pub stop: Duration,
-    /// From the last fault until all gateways serve.
-    pub recovery: Duration,
-    /// From the third crash that a request causes until all gateways have received its report.
-    pub propagation: Duration,
-    /// From a crash until a request that was starting there is no longer held back.
-    pub held_back: Duration,
-    /// From the back-off notice of a server to the last request that reaches it.
-    pub back_off: Duration,
-    /// From the first advertisement of a limit until it holds.
-    pub limit: Duration,
-}
-
-impl Default for Bounds {
-    /// The service requires 2 s for drains and configurations and 0.5 s for closes. A gateway
-    /// without heartbeats is listed for 3 s, plus the time that gossip needs (2.4 s) at the gateway
-    /// that received its record last. A stop may take 8 s. Requests sent before the gateway has a
-    /// back-off notice may arrive 0.5 s after it. The other bounds allow for a busy machine.
-    fn default() -> Self {
-        Bounds {
-            drain: Duration::from_secs(3),
-            configuration: Duration::from_secs(3),
-            close: Duration::from_secs(1),
-            listed: Duration::from_secs(7),
-            stop: Duration::from_secs(9),
-            recovery: Duration::from_secs(20),
-            propagation: Duration::from_secs(3),
-            held_back: Duration::from_secs(10),
-            back_off: Duration::from_millis(500),
-            limit: Duration::from_secs(3),
-        }
-    }
-}
-
-impl Bounds {
-    /// Multiplies the default bounds by `factor`, for slow or busy machines.
-    pub fn scaled(factor: u32) -> Bounds {
-        let Bounds { drain, configuration, close, listed, stop, recovery, .. } = Bounds::default();
-        let Bounds { propagation, held_back, back_off, limit, .. } = Bounds::default();
-        Bounds {
-            drain: drain * factor,
-            configuration: configuration * factor,
-            close: close * factor,
-            listed: listed * factor,
-            stop: stop * factor,
-            recovery: recovery * factor,
-            propagation: propagation * factor,
-            held_back: held_back * factor,
-            back_off: back_off * factor,
-            // Limits are advertised for a few seconds: a longer bound would prevent all checks.
-            limit: limit * factor.min(1),
-        }
-    }
-}
-
 /// Faults during which crashing requests are checked: they affect neither gateways nor the messages
 /// that gateways receive.
 const ALLOWED_FOR_CRASHES: [FaultKind; 4] =
@@ -123,7 +59,8 @@
 const SETTLE_TIME: Duration = Duration::from_secs(4);
 
 /// Faults in which servers crash.
-const CRASH_FAULTS: [FaultKind; 2] = [FaultKind::ServerCrash, FaultKind::CrashingRequest];
+const CRASH_FAULTS: [FaultKind; 3] =
+    [FaultKind::ServerCrash, FaultKind::ServerReturnsCold, FaultKind::CrashingRequest];
 
 /// A guarantee of the service.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -142,6 +79,10 @@
     Rest,
     /// All gateways together send a server no more requests than its advertised limit.
     Limit,
+    /// An evacuated data centre gets no requests.
+    Evacuation,
+    /// All gateways together send a cold server no more requests than it takes.
+    Cold,
     /// A server that announced to a gateway that it leaves gets no new requests from it.
     Parting,
     /// A configuration is in force in time, and no older one is in force after it.
@@ -283,6 +224,8 @@
     gateways: RefCell<HashMap<String, GatewayIncarnation>>,
     notices: RefCell<Vec<Notice>>,
     limits: RefCell<AdvertisedLimits>,
+    /// Evacuations, and servers that are cold.
+    pub data_centres: RefCell<DataCentres>,
     /// Runs of requests after their first run.
     pub retries: Cell<u32>,
 }
@@ -304,6 +247,7 @@
             gateways: RefCell::default(),
             notices: RefCell::default(),
             limits: RefCell::default(),
+            data_centres: RefCell::default(),
             retries: Cell::new(0),
         }
     }
@@ -482,6 +426,21 @@
         }
     }
 
+    fn check_data_centre(&self, server: &Server, arrival: &ReceivedRequest) {
+        let bound = self.bounds.evacuation;
+        let checks = self.data_centres.borrow_mut().check(&server.id, arrival.at, bound);
+        for check in checks {
+            match check {
+                DataCentreCheck::Holds(guarantee) => self.record_check(guarantee),
+                DataCentreCheck::Broken(Guarantee::Evacuation, since, _)
+                    if !self.no_faults_but_drills_since(since) => {}
+                DataCentreCheck::Broken(guarantee, _, detail) => {
+                    self.report(guarantee, format!("{} at {detail}", arrival.id()));
+                }
+            }
+        }
+    }
+
     /// Records the outcome of a request.
     pub fn record_verdict(&self, id: &str, verdict: Verdict) {
         if let Some(request) = self.requests.borrow_mut().get_mut(id) {
@@ -536,6 +495,7 @@
         self.check_crashing(server, arrival);
         self.check_notices(server, arrival, request);
         self.check_limit(server, arrival);
+        self.check_data_centre(server, arrival);
         if !arrival.ran {
             return;
         }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -16,6 +16,8 @@
 //! - [`callers`]: the clients that send requests, and wait for answers or disconnect.
 //! - [`ledger`]: the answers to callers, the requests that servers ran, and the checks of the
 //!   guarantees.
+//! - [`bounds`]: the time bounds of these guarantees.
+//! - [`data_centres`]: evacuations, and what servers take while they are cold.
 //! - [`limits`]: the rates that servers advertise as their limits, and the rates that they receive.
 //! - [`run`]: one run of one seed.
 //! - [`shrink`]: the fewest faults with which a seed still fails.
@@ -24,7 +26,9 @@
 //! that a seed that fails once may need several runs to fail again.
 
 pub mod backends;
+pub mod bounds;
 pub mod callers;
+pub mod data_centres;
 pub mod fleet;
 pub mod ledger;
 pub mod limits;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -183,7 +183,9 @@
 fn effect_duration(fault: &Fault) -> Duration {
     match fault.kind {
         // Until the row is removed and another server is registered.
-        FaultKind::ServerCrash => fault.duration + Duration::from_secs(2),
+        FaultKind::ServerCrash | FaultKind::ServerReturnsCold => {
+            fault.duration + Duration::from_secs(2)
+        }
         // Until the servers that crashed last are replaced.
         FaultKind::CrashingRequest => fault.duration + Duration::from_secs(4),
         // The other gateways recover while it is off, so that only its start counts.
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -81,10 +81,14 @@
     ServerSaysItLeaves,
     /// A server advertises in its answers a limit of requests per second.
     ServerNamesLimit,
+    /// The operator evacuates a data centre, and takes that back at the end of the fault.
+    Evacuation,
+    /// A server crashes; another one replaces it at the end of the fault, and is cold at first.
+    ServerReturnsCold,
 }
 
 /// All kinds, with their names for `--faults`.
-pub const FAULT_KINDS: [(&str, FaultKind); 33] = [
+pub const FAULT_KINDS: [(&str, FaultKind); 35] = [
     ("kill", FaultKind::Kill),
     ("off", FaultKind::Off),
     ("kill-all", FaultKind::KillAll),
@@ -118,6 +122,8 @@
     ("server-asks-rest", FaultKind::ServerAsksRest),
     ("server-says-it-leaves", FaultKind::ServerSaysItLeaves),
     ("server-names-limit", FaultKind::ServerNamesLimit),
+    ("evacuation", FaultKind::Evacuation),
+    ("server-returns-cold", FaultKind::ServerReturnsCold),
 ];
 
 impl Display for FaultKind {
@@ -183,23 +189,26 @@
 const CRASHING_REQUEST_DURATION_MS: std::ops::Range<u64> = 6_000..20_000;
 
 /// Planned operations, and notices of servers: all guarantees hold during them.
-pub const PLANNED: [FaultKind; 6] = [
+pub const PLANNED: [FaultKind; 7] = [
     FaultKind::Stop,
     FaultKind::HangUp,
     FaultKind::ServerDrain,
     FaultKind::ServerAsksRest,
     FaultKind::ServerSaysItLeaves,
     FaultKind::ServerNamesLimit,
+    FaultKind::Evacuation,
 ];
 
 /// Kinds that are drawn from random generators of their own, so that the other faults of a seed are
 /// the same with and without them.
-const SEPARATELY_DRAWN: [FaultKind; 5] = [
+const SEPARATELY_DRAWN: [FaultKind; 7] = [
     FaultKind::CrashingRequest,
     FaultKind::ServerAsksRest,
     FaultKind::ServerSaysItLeaves,
     FaultKind::ServerNamesLimit,
     FaultKind::StoreDrill,
+    FaultKind::Evacuation,
+    FaultKind::ServerReturnsCold,
 ];
 
 /// Time between two drills; one in so many is followed by the next after the shorter time.
@@ -249,17 +258,22 @@
     faults
 }
 
-/// Adds faults of a kind in which servers send notices, at any time.
+/// Adds faults of a kind in which servers or operators send notices, or servers return cold, at any
+/// time.
 fn draw_notices(rng: &mut ChaCha8Rng, kind: FaultKind, end: Duration, faults: &mut Vec<Fault>) {
     // The divisor differs between neighbouring kinds, so that their faults do not start together.
     let mut at = Duration::from_millis(rng.random_range(NOTICE_GAP_MS) / (2 + kind as u64 % 2));
     while at < end {
-        // A limit is checked only after it has been advertised for some seconds.
-        let times = if kind == FaultKind::ServerNamesLimit { 4 } else { 1 };
+        // Limits and evacuations are checked only after they have been in force for some seconds.
+        let is_long = matches!(kind, FaultKind::ServerNamesLimit | FaultKind::Evacuation);
+        let times = if is_long { 4 } else { 1 };
         let duration = Duration::from_millis(rng.random_range(DURATION_MS)) * times;
         let target = rng.random_range(0..1_000);
         faults.push(Fault { at, duration: duration.min(end - at), kind, target });
-        at += Duration::from_millis(rng.random_range(NOTICE_GAP_MS));
+        // Servers are replaced some seconds after a crash, and others have to be left meanwhile.
+        let crashes = kind == FaultKind::ServerReturnsCold;
+        let gap = Duration::from_millis(rng.random_range(NOTICE_GAP_MS));
+        at += if crashes { gap * 3 } else { gap };
     }
 }
 
