Soak: starts and ends of gateways excuse no request to an evacuated data centre

The check counted as done where a fault excused it, and every crash of a server did: a gateway that ignores evacuations passed. Now only a suspension, or a store that is away as the evacuation is accepted, excuses.

--- a/crates/soak/src/data_centres.rs
+++ b/crates/soak/src/data_centres.rs
@@ -25,13 +25,15 @@
 const ALLOWED_RATIO: f64 = 1.5;
 const ALLOWED_EXCESS: f64 = 5.0;
 
-/// Result of a check of one arrival.
+/// Check of a guarantee by one arrival.
 #[derive(Clone, Debug, PartialEq)]
-pub enum DataCentreCheck {
-    /// The guarantee applied and holds.
-    Holds(Guarantee),
-    /// The guarantee is broken, with the time of its cause and a description.
-    Broken(Guarantee, Instant, String),
+pub struct DataCentreCheck {
+    /// The guarantee.
+    pub guarantee: Guarantee,
+    /// Since when it applies.
+    pub since: Instant,
+    /// How it is broken, if it is.
+    pub violation: Option<String>,
 }
 
 /// A server that is cold since a time, with its arrivals in the last window.
@@ -83,12 +85,10 @@
         let data_centre = self.by_server.get(id).copied();
         let evacuation = self.evacuated.filter(|(_, since)| at > *since + bound);
         let evacuation = evacuation.map(|(evacuated, since)| {
-            if Some(evacuated) != data_centre {
-                return DataCentreCheck::Holds(Guarantee::Evacuation);
-            }
             let after = at.duration_since(since);
             let detail = format!("{id}, {after:?} after the evacuation of {evacuated}");
-            DataCentreCheck::Broken(Guarantee::Evacuation, since, detail)
+            let violation = (Some(evacuated) == data_centre).then_some(detail);
+            DataCentreCheck { guarantee: Guarantee::Evacuation, since, violation }
         });
         evacuation.into_iter().chain(self.check_cold(id, at)).collect()
     }
@@ -100,10 +100,8 @@
             cold.arrivals.pop_front();
         }
         let allowed = ALLOWED_RATIO * WARM_UP_PER_S * WINDOW.as_secs_f64() + ALLOWED_EXCESS;
-        if cold.arrivals.len() as f64 <= allowed {
-            return Some(DataCentreCheck::Holds(Guarantee::Cold));
-        }
         let detail = format!("{id}, {} in a second while it is cold", cold.arrivals.len());
-        Some(DataCentreCheck::Broken(Guarantee::Cold, cold.since, detail))
+        let violation = (cold.arrivals.len() as f64 > allowed).then_some(detail);
+        Some(DataCentreCheck { guarantee: Guarantee::Cold, since: cold.since, violation })
     }
 }
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -429,18 +429,29 @@
     fn check_data_centre(&self, server: &Server, arrival: &ReceivedRequest) {
         let bound = self.bounds.evacuation;
         let checks = self.data_centres.borrow_mut().check(&server.id, arrival.at, bound);
-        for check in checks {
-            match check {
-                DataCentreCheck::Holds(guarantee) => self.record_check(guarantee),
-                DataCentreCheck::Broken(Guarantee::Evacuation, since, _)
-                    if !self.no_faults_but_drills_since(since) => {}
-                DataCentreCheck::Broken(guarantee, _, detail) => {
-                    self.report(guarantee, format!("{} at {detail}", arrival.id()));
-                }
+        for DataCentreCheck { guarantee, since, violation } in checks {
+            if guarantee == Guarantee::Evacuation && self.excuses_evacuation(since) {
+                continue;
+            }
+            match violation {
+                None => self.record_check(guarantee),
+                Some(detail) => self.report(guarantee, format!("{} at {detail}", arrival.id())),
             }
         }
     }
 
+    /// Whether a fault excuses a gateway that has not received an evacuation which the store
+    /// accepted at `since`: the store was away before all gateways had time to receive it, or a
+    /// gateway was suspended since. Starts and ends of gateways are no excuse.
+    fn excuses_evacuation(&self, since: Instant) -> bool {
+        let applied_by = since + self.bounds.evacuation;
+        let faults = self.faults.borrow();
+        let mut recent = faults.iter().filter(|(.., until)| *until + SETTLE_TIME >= since);
+        recent.any(|(kind, started, _)| {
+            *kind == FaultKind::Pause || (kind.affects_store() && *started < applied_by)
+        })
+    }
+
     /// Records the outcome of a request.
     pub fn record_verdict(&self, id: &str, verdict: Verdict) {
         if let Some(request) = self.requests.borrow_mut().get_mut(id) {
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -126,6 +126,26 @@
     ("server-returns-cold", FaultKind::ServerReturnsCold),
 ];
 
+impl FaultKind {
+    /// Whether the store does not serve gateways as usual during the fault.
+    pub fn affects_store(self) -> bool {
+        matches!(
+            self,
+            FaultKind::StoreBusy
+                | FaultKind::StoreSilent
+                | FaultKind::StoreLosesAnswers
+                | FaultKind::StoreTurnsAway
+                | FaultKind::StoreForgets
+                | FaultKind::StoreDrill
+                | FaultKind::StoreMute
+                | FaultKind::StoreReset
+                | FaultKind::StoreSlow
+                | FaultKind::StoreHoldsRequests
+                | FaultKind::StoreHoldsAnswers
+        )
+    }
+}
+
 impl Display for FaultKind {
     fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
         let named = FAULT_KINDS.iter().find(|(_, kind)| kind == self);
