Store: one gateway keeps the table of gateways; loose polls do not grow with the fleet

Now the preferred candidate for leadership reads that table and writes the missing rows, 100 a call; a lone gateway and the one that grants permits read it, too. Loose polls are spaced by a second for each gateway of the fleet. Names of gateways that were removed count in the fleet size for ten minutes, as listed ones did.

--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -17,6 +17,7 @@
 mod callers;
 mod liveness;
 mod record;
+mod table;
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -50,6 +51,12 @@
     pub unlist_after: Millis,
     /// Gateways of each data centre that follow the store closely.
     pub close_followers: usize,
+    /// Minimum time between two polls of a table by a gateway that does not follow closely.
+    pub min_loose_poll_interval: Millis,
+    /// Mean time between two such polls by different gateways, so that their rate does not grow
+    /// with the fleet. Changes come from the close followers, and a gateway that loses contact with
+    /// them follows closely itself.
+    pub loose_poll_spacing: Millis,
     /// Time between two gossip exchanges that one gateway starts.
     pub gossip_interval: Millis,
     /// Time without a gossip exchange after which this gateway follows the store closely, too.
@@ -69,6 +76,8 @@
             remove_after: Millis(60_000),
             unlist_after: Millis(600_000),
             close_followers: 3,
+            min_loose_poll_interval: Millis(15_000),
+            loose_poll_spacing: Millis(1_000),
             gossip_interval: Millis(600),
             isolated_after: Millis(1_500),
         }
@@ -144,6 +153,9 @@
     exchanged_at: Option<Millis>,
     /// Names in the platform's table when it was read last; `None` before.
     listed: Option<HashSet<String>>,
+    /// Names of removed gateways that may be alive behind a partition, each with the time until
+    /// which it counts.
+    removed_names: HashMap<String, Millis>,
     /// Names in that table before the store was restored from an older copy, each with the time
     /// until which it counts.
     listed_before: HashMap<String, Millis>,
@@ -161,6 +173,7 @@
             names_by_id: HashMap::new(),
             exchanged_at: None,
             listed: None,
+            removed_names: HashMap::new(),
             listed_before: HashMap::new(),
             liveness: LivenessTracker::default(),
         }
@@ -307,74 +320,6 @@
         MemberRecord { member: self.own.clone(), age: Millis::ZERO }
     }
 
-    /// Applies the platform's table of gateways. A row does not prove that its gateway is alive: a
-    /// gateway that is not known yet is contacted, and counts as alive once a record of it arrives.
-    ///
-    /// Returns the rows to remove: of gateways without a record for [`Config::unlist_after`]. Only
-    /// the preferred candidate for leadership returns any, so that one gateway of all removes them.
-    /// Rows that stayed would be contacted, and waited for in the claim of leadership, for ever. A
-    /// gateway that is alive writes its row again.
-    pub fn apply_table(&mut self, listed: &[Member], now: Millis) -> Vec<String> {
-        let names: HashSet<&str> = listed.iter().map(|member| member.name.as_str()).collect();
-        self.listed_before.retain(|name, until| *until > now && !names.contains(name.as_str()));
-        let before = &self.listed_before;
-        let is_listed = |entry: &Entry| {
-            let name = entry.member.name.as_str();
-            names.contains(name) || before.contains_key(name)
-        };
-        self.listed = Some(names.iter().copied().map(str::to_owned).collect());
-        self.others.retain(|_, entry| entry.age_at_update.is_some() || is_listed(entry));
-        for member in listed {
-            if member.name != self.own.name && !self.others.contains_key(&member.name) {
-                self.insert(Entry::listed(member, now));
-            }
-        }
-        self.remove_stale_ids();
-        if !self.is_preferred_candidate(now) {
-            return Vec::new();
-        }
-        let without_record = |entry: &&Entry| {
-            entry.age_at_update.is_none() && now.since(entry.updated_at) >= self.config.unlist_after
-        };
-        let found = self.others.values().filter(without_record);
-        found.map(|entry| entry.member.name.clone()).collect()
-    }
-
-    /// Records that the store was restored from an older copy. Rows of the platform's table may be
-    /// missing until their gateways have written them again, which gateways that are cut off from
-    /// the store cannot do. The missing rows count for [`Config::unlist_after`], as a row would.
-    pub fn begin_era(&mut self, now: Millis) {
-        let until = now + self.config.unlist_after;
-        let listed = self.listed.iter().flatten();
-        self.listed_before.extend(listed.map(|name| (name.clone(), until)));
-    }
-
-    /// Whether the platform's table was read, and neither it nor any peer named another gateway.
-    pub fn is_listed_alone(&self) -> bool {
-        self.listed.is_some() && self.others.is_empty()
-    }
-
-    /// Number of gateways, alive or not, this one included: all that are known or listed, except
-    /// those that announced that they leave and are no longer alive. `None` before the first gossip
-    /// exchange and the first read of the platform's table.
-    pub fn fleet_size(&self, now: Millis) -> Option<usize> {
-        if self.listed.is_none() && self.exchanged_at.is_none() {
-            return None;
-        }
-        let has_stopped = |name: &str| {
-            let entry = self.others.get(name);
-            entry.is_some_and(|entry| {
-                entry.member.readiness == Readiness::Leaving && !self.is_alive(entry, now)
-            })
-        };
-        let listed = self.listed.iter().flatten().map(String::as_str);
-        let before = self.listed_before.iter().filter(|(_, until)| **until > now);
-        let listed = listed.chain(before.map(|(name, _)| name.as_str()));
-        let names: HashSet<&str> = self.others.keys().map(String::as_str).chain(listed).collect();
-        let others = names.into_iter().filter(|name| *name != self.own.name && !has_stopped(name));
-        Some(1 + others.count())
-    }
-
     /// The gateways that are alive and ready, this one included, in an order that is the same at
     /// all gateways: the first one grants what is limited for all gateways together. Never empty:
     /// while no gateway is ready, this one grants for itself.
@@ -407,8 +352,15 @@
     /// alive counts, so that all gateways remove them at about the same time. Gateways that are
     /// known from the platform's table alone stay as long as their rows.
     pub fn remove_expired(&mut self, now: Millis) {
-        let remove_after = self.config.remove_after;
-        self.others.retain(|_, entry| entry.age(now).is_none_or(|age| age < remove_after));
+        let Config { remove_after, unlist_after, .. } = self.config;
+        self.removed_names.retain(|_, until| *until > now);
+        let is_expired =
+            |_: &String, entry: &mut Entry| entry.age(now).is_some_and(|age| age >= remove_after);
+        for (name, entry) in self.others.extract_if(.., is_expired) {
+            if entry.member.readiness != Readiness::Leaving {
+                self.removed_names.insert(name, now + unlist_after);
+            }
+        }
         self.remove_stale_ids();
     }
 
@@ -489,6 +441,13 @@
         is_alone || before < self.config.close_followers
     }
 
+    /// Time between two polls of a table by this gateway while it does not follow closely.
+    pub fn loose_poll_interval(&self) -> Millis {
+        let fleet = 1 + self.others.len() as u64;
+        let spaced = Millis(self.config.loose_poll_spacing.0 * fleet);
+        spaced.max(self.config.min_loose_poll_interval)
+    }
+
     /// Addresses for gossip of the other gateways that are alive.
     pub fn alive_peers(&self, now: Millis) -> Vec<SocketAddr> {
         self.alive_others(now).map(|member| member.peers_at).collect()
--- a/crates/direct/src/platform.rs
+++ b/crates/direct/src/platform.rs
@@ -55,6 +55,9 @@
     }
 }
 
+/// Maximum number of rows of gateways in one call.
+pub const MAX_MEMBER_ROWS: usize = 100;
+
 /// Why a call to the platform failed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Failure {
@@ -221,11 +224,11 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Update, Failure>>;
 
-    /// Writes or removes the row of a gateway in [`Table::Members`]; returns the era of the write.
-    fn write_member(
+    /// Writes or removes rows of gateways in [`Table::Members`], at most [`MAX_MEMBER_ROWS`]; returns
+    /// the era of the write.
+    fn write_members(
         &self,
-        name: &str,
-        value: Option<&str>,
+        rows: &[(String, Option<String>)],
     ) -> impl Future<Output = Result<u64, Failure>>;
 
     /// Claims leadership of a service's expert maps, unless another instance did so less than
--- a/crates/direct/src/table_sync.rs
+++ b/crates/direct/src/table_sync.rs
@@ -5,14 +5,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::members::Member;
-use hooktrestle_core::direct::replica::Update;
 use tokio::time;
 
 use crate::gateway::Gateway;
 use crate::gateway::Phase;
 use crate::peers::messages;
 use crate::platform::Failure;
+use crate::platform::MAX_MEMBER_ROWS;
 use crate::platform::Platform;
 use crate::platform::Table;
 
@@ -22,14 +23,6 @@
 /// not much shorter.
 const FOLLOW_WAIT: Duration = Duration::from_millis(2_000);
 
-/// Time between two polls of a table that other gateways of the data centre follow closely. Changes
-/// in between come from these. A gateway that loses contact with them, or with all others, detects
-/// that within 3 s and then follows closely itself. Nearly all gateways of a large fleet follow
-/// loosely: waiting calls of 149 gateways all get a response at each change, which makes 1,043
-/// calls for seven changes of the configuration. The interval is below the 20 s of history that the
-/// users' store has.
-const LOOSE_POLL_INTERVAL: Duration = Duration::from_millis(15_000);
-
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -50,10 +43,18 @@
 
 /// Time between two polls of the table of gateways. Only a gateway that no other gateway knows
 /// needs the table.
-const MEMBERS_POLL_INTERVAL: Duration = Duration::from_secs(60);
+const MEMBERS_POLL_INTERVAL: Millis = Millis(60_000);
 
 /// Time between two polls of that table while no other gateway is known to be alive.
-const ALONE_POLL_INTERVAL: Duration = Duration::from_secs(2);
+const ALONE_POLL_INTERVAL: Millis = Millis(2_000);
+
+/// Time from its start in which a gateway may find others by its seeds, before it reads the table.
+const ALONE_DELAY: Millis = Millis(500);
+
+/// Pause after a failed call for the table of gateways; doubled with each further failure, as often
+/// as `MAX_DOUBLINGS` says.
+const MEMBERS_RETRY_MS: u64 = 125;
+const MAX_DOUBLINGS: u32 = 4;
 
 /// Follows a table until the process ends.
 pub async fn follow<P: Platform>(gateway: Rc<Gateway<P>>, table: Table) {
@@ -129,8 +130,9 @@
     if follows_closely(gateway) {
         return FOLLOW_WAIT;
     }
+    let interval = gateway.with_members(|members| members.loose_poll_interval());
     tokio::select! {
-        () = time::sleep(LOOSE_POLL_INTERVAL) => Duration::ZERO,
+        () = time::sleep(Duration::from(interval)) => Duration::ZERO,
         () = until_follows_closely(gateway) => FOLLOW_WAIT,
     }
 }
@@ -142,66 +144,112 @@
     }
 }
 
-/// Writes the row of this gateway to the table of gateways, and polls the table for other gateways,
-/// until this process stops.
-pub async fn maintain_membership_row<P: Platform>(gateway: Rc<Gateway<P>>) {
-    let mut eras = gateway.watch_eras();
-    let (mut row_era, mut pause) = (None, RETRY_PAUSE);
-    // The row of a process that stops is removed, and must not be written again.
+/// Keeps the platform's table of gateways while this gateway is the one that does, until this
+/// process stops.
+pub async fn keep_members_table<P: Platform>(gateway: Rc<Gateway<P>>) {
+    let mut keeper = Keeper::default();
     while gateway.phase() == Phase::Running {
-        let own = gateway.with_members(|members| members.own().clone());
-        // After a new era of the store the row is written again without a read: rows that other
-        // gateways write again are known by gossip, too.
-        let mut reads = true;
-        if row_era < gateway.era() || row_era.is_none() {
-            reads = row_era.is_none();
-            let value = messages::member_to_json(&own);
-            let written_era = gateway.platform.write_member(&own.name, Some(&value)).await.ok();
-            row_era = written_era.filter(|era| Some(*era) >= gateway.era());
-        }
-        if reads && let Ok(update) = gateway.platform.read(Table::Members).await {
-            // Gateways that received no heartbeat of this one may have removed its row.
-            let is_listed = update.changes.iter().any(|change| change.key == own.name);
-            row_era = row_era.filter(|_| is_listed);
-            apply_members_table(&gateway, &update).await;
+        if keeper.is_due(&gateway) {
+            let kept = keep(&gateway, &mut keeper).await;
+            keeper.record_result(kept.is_ok(), gateway.now());
         }
+        time::sleep(CHECK_INTERVAL).await;
+    }
+}
+
+/// Removes the row of this gateway, which stops, if no other gateway is alive that removes it.
+pub async fn remove_own_row<P: Platform>(gateway: &Gateway<P>) {
+    let now = gateway.now();
+    let (name, is_alone) =
+        gateway.with_members(|members| (members.own().name.clone(), members.count_alive(now) == 1));
+    if is_alone && let Err(failure) = gateway.platform.write_members(&[(name, None)]).await {
+        gateway.event_log.state(format_args!("cannot remove the own row of the table: {failure}"));
+    }
+}
+
+/// When this gateway reads and writes the table of gateways.
+#[derive(Clone, Copy, Debug, Default)]
+struct Keeper {
+    /// Since when this gateway is the one that keeps the table.
+    since: Option<Millis>,
+    /// Era in which the table was read and written last.
+    era: Option<u64>,
+    read_at: Option<Millis>,
+    /// No call is made before this time.
+    not_before: Millis,
+    failures: u32,
+}
+
+impl Keeper {
+    /// Whether a call is due: the table was not read for long or since an era began, or rows are
+    /// missing. A gateway that has just started, or just lost others, knows few gateways and may
+    /// be the keeper for a moment only.
+    fn is_due<P: Platform>(&mut self, gateway: &Gateway<P>) -> bool {
         let now = gateway.now();
-        let Some(era) = row_era else {
-            pause = MAX_RETRY_PAUSE.min(2 * pause);
-            time::sleep(pause).await;
-            continue;
-        };
-        pause = RETRY_PAUSE;
-        let alone = gateway.with_members(|members| members.count_alive(now)) == 1;
-        tokio::select! {
-            () = time::sleep(if alone { ALONE_POLL_INTERVAL } else { MEMBERS_POLL_INTERVAL }) => {}
-            // The store may have lost a row that was written in an earlier era.
-            _ = eras.wait_for(|now| *now > Some(era)) => {
-                time::sleep(gateway.write_delay()).await;
-            }
+        let (keeps, is_alone, is_missing_rows, delay) = gateway.with_members(|members| {
+            let is_alone = members.count_alive(now) == 1;
+            let delay = if is_alone { ALONE_DELAY } else { members.propagation_time() };
+            let is_missing_rows = !members.missing_rows(now).is_empty();
+            (members.keeps_table(now), is_alone, is_missing_rows, delay)
+        });
+        if !keeps {
+            self.since = None;
+            return false;
+        }
+        let since = *self.since.get_or_insert(now);
+        if now.since(since) < delay || now < self.not_before {
+            return false;
         }
+        let interval = if is_alone { ALONE_POLL_INTERVAL } else { MEMBERS_POLL_INTERVAL };
+        self.must_read(gateway, interval, now) || is_missing_rows
+    }
+
+    fn must_read<P: Platform>(&self, gateway: &Gateway<P>, interval: Millis, now: Millis) -> bool {
+        let is_old = self.read_at.is_none_or(|at| now.since(at) >= interval);
+        // The store may have lost rows that were written in an earlier era.
+        is_old || self.era < gateway.era()
+    }
+
+    fn record_result(&mut self, succeeded: bool, now: Millis) {
+        self.failures = if succeeded { 0 } else { self.failures + 1 };
+        let doublings = self.failures.min(MAX_DOUBLINGS);
+        let pause = if succeeded { Millis::ZERO } else { Millis(MEMBERS_RETRY_MS << doublings) };
+        self.not_before = now + pause;
     }
 }
 
-/// Applies the table of gateways, and removes the rows of gateways that do not exist any more.
-async fn apply_members_table<P: Platform>(gateway: &Gateway<P>, update: &Update) {
-    // Recording a new era also records which gateways were listed before it, so it comes first.
-    gateway.record_era(update.revision.era);
-    if gateway.era() > Some(update.revision.era) {
-        return;
+/// Reads the table of gateways if that is due, removes rows of gateways that do not exist any more,
+/// and writes the missing ones.
+async fn keep<P: Platform>(gateway: &Gateway<P>, keeper: &mut Keeper) -> Result<(), Failure> {
+    let is_alone = gateway.with_members(|members| members.count_alive(gateway.now()) == 1);
+    let interval = if is_alone { ALONE_POLL_INTERVAL } else { MEMBERS_POLL_INTERVAL };
+    let mut rows: Vec<(String, Option<String>)> = Vec::new();
+    if keeper.must_read(gateway, interval, gateway.now()) {
+        let update = gateway.platform.read(Table::Members).await?;
+        // Recording a new era also records which gateways were listed before it, so it comes first.
+        gateway.record_era(update.revision.era);
+        if gateway.era() > Some(update.revision.era) {
+            return Err(Failure::HistoryGone);
+        }
+        let values = update.changes.iter().filter_map(|change| change.value.as_deref());
+        let listed: Vec<Member> = values.filter_map(messages::member_from_json).collect();
+        let removed = gateway.with_members(|members| members.apply_table(&listed, gateway.now()));
+        rows.extend(removed.into_iter().map(|name| (name, None)));
+        (keeper.era, keeper.read_at) = (gateway.era(), Some(gateway.now()));
     }
-    let now = gateway.now();
-    let values = update.changes.iter().filter_map(|change| change.value.as_deref());
-    let listed: Vec<Member> = values.filter_map(messages::member_from_json).collect();
-    for name in gateway.with_members(|members| members.apply_table(&listed, now)) {
-        match gateway.platform.write_member(&name, None).await {
-            Ok(_) => gateway.event_log.state(format_args!("removed the row of gateway {name}")),
-            // This is retried after the next read of the table.
-            Err(failure) => {
-                gateway
-                    .event_log
-                    .state(format_args!("cannot remove the row of gateway {name}: {failure}"));
+    let missing = gateway.with_members(|members| members.missing_rows(gateway.now()));
+    let missing = missing.iter();
+    rows.extend(missing.map(|one| (one.name.clone(), Some(messages::member_to_json(one)))));
+    for batch in rows.chunks(MAX_MEMBER_ROWS) {
+        gateway.platform.write_members(batch).await?;
+        for (name, value) in batch {
+            if value.is_none() {
+                gateway.event_log.state(format_args!("removed the row of gateway {name}"));
             }
         }
+        let written = batch.iter().filter(|(_, value)| value.is_some());
+        let written = written.map(|(name, _)| name.clone()).collect::<Vec<_>>();
+        gateway.with_members(|members| members.record_listed(written));
     }
+    Ok(())
 }
