Store: one gateway of each data centre waits for changes in short calls

Cause: three gateways of each data centre wait for changes of two tables, and each call waits for two seconds: 15 calls a second in five data centres, at any rate of changes. The short wait is needed where answers fail to arrive, and one gateway of each data centre notices that for all. The other two wait for 8 s.

--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -84,6 +84,18 @@
     }
 }
 
+/// How closely a gateway follows the tables of the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StoreFollowing {
+    /// It waits for changes at the store, for a short time each.
+    First,
+    /// It waits for changes at the store, for a longer time each: if answers fail to arrive, the
+    /// first follower sends it the changes.
+    Close,
+    /// It polls rarely, and receives changes from close followers.
+    Loose,
+}
+
 /// One of so many random picks of a peer includes suspected gateways.
 const SUSPECTED_PICK_ONE_IN: u8 = 4;
 
@@ -425,10 +437,11 @@
         self.exchanged_at = Some(now);
     }
 
-    /// Whether this gateway follows the store closely. The first gateways by name of each data
-    /// centre do, of those that the store answers, and so does a gateway without a recent gossip
-    /// exchange. The close followers send the others what the store's answers to these lack.
-    pub fn follows_closely(&self, now: Millis) -> bool {
+    /// How closely this gateway follows the store. The first gateways by name of each data centre
+    /// follow closely, of those that the store answers, and so does a gateway without a recent
+    /// gossip exchange. They send the others what the store's answers to these lack. One of each
+    /// data centre notices first if the store's answers fail to arrive.
+    pub fn store_following(&self, now: Millis) -> StoreFollowing {
         let is_alone =
             self.exchanged_at.is_none_or(|at| now.since(at) >= self.config.isolated_after);
         let is_preferred = |member: &&Member| {
@@ -437,8 +450,12 @@
                 && member.store_answers
                 && member.name < self.own.name
         };
-        let before = self.alive_others(now).filter(is_preferred).count();
-        is_alone || before < self.config.close_followers
+        match self.alive_others(now).filter(is_preferred).count() {
+            _ if is_alone => StoreFollowing::First,
+            0 => StoreFollowing::First,
+            before if before < self.config.close_followers => StoreFollowing::Close,
+            _ => StoreFollowing::Loose,
+        }
     }
 
     /// Time between two polls of a table by this gateway while it does not follow closely.
--- a/crates/core/tests/gateways.rs
+++ b/crates/core/tests/gateways.rs
@@ -16,6 +16,7 @@
 use hooktrestle_core::direct::members::MemberRecord;
 use hooktrestle_core::direct::members::Members;
 use hooktrestle_core::direct::members::Readiness;
+use hooktrestle_core::direct::members::StoreFollowing;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -51,23 +52,37 @@
 fn a_gateway_follows_the_store_closely_if_few_available_local_gateways_precede_it() {
     let now = Millis(10_000);
     let mut members = Members::new(Config::default(), neighbour("d"));
-    assert!(members.follows_closely(now), "it knows no other gateway");
+    assert_eq!(members.store_following(now), StoreFollowing::First, "it knows no other gateway");
     members.record_exchange(now);
+    members.apply_record(&fresh(&neighbour("e")), now);
+    assert_eq!(members.store_following(now), StoreFollowing::First, "none precedes it");
     members.apply_record(&fresh(&neighbour("a")), now);
     members.apply_record(&fresh(&neighbour("b")), now);
     members.apply_record(&fresh(&member("c", 1)), now);
-    assert!(members.follows_closely(now), "two of its data centre precede it");
+    assert_eq!(
+        members.store_following(now),
+        StoreFollowing::Close,
+        "two of its data centre precede it"
+    );
     members.apply_record(&fresh(&neighbour("c2")), now);
-    assert!(!members.follows_closely(now));
+    assert_eq!(members.store_following(now), StoreFollowing::Loose);
     members.apply_record(
         &fresh(&Member { heartbeat: 2, store_answers: false, ..neighbour("b") }),
         now,
     );
-    assert!(members.follows_closely(now), "the store does not answer one of them");
+    assert_eq!(
+        members.store_following(now),
+        StoreFollowing::Close,
+        "the store does not answer one of them"
+    );
     members.apply_record(&fresh(&Member { heartbeat: 3, ..neighbour("b") }), now);
-    assert!(!members.follows_closely(now));
+    assert_eq!(members.store_following(now), StoreFollowing::Loose);
     members.mark_unreachable(neighbour("a").peers_at);
-    assert!(members.follows_closely(now), "one of them cannot be reached");
+    assert_eq!(
+        members.store_following(now),
+        StoreFollowing::Close,
+        "one of them cannot be reached"
+    );
 }
 
 #[test]
@@ -77,8 +92,8 @@
         members.apply_record(&fresh(&neighbour(name)), Millis(1_000));
     }
     members.record_exchange(Millis(1_000));
-    assert!(!members.follows_closely(Millis(2_400)));
-    assert!(members.follows_closely(Millis(2_500)));
+    assert_eq!(members.store_following(Millis(2_400)), StoreFollowing::Loose);
+    assert_eq!(members.store_following(Millis(2_500)), StoreFollowing::First);
 }
 
 #[test]
--- a/crates/direct/src/table_sync.rs
+++ b/crates/direct/src/table_sync.rs
@@ -7,6 +7,7 @@
 
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::members::Member;
+use hooktrestle_core::direct::members::StoreFollowing;
 use tokio::time;
 
 use crate::gateway::Gateway;
@@ -23,6 +24,9 @@
 /// not much shorter.
 const FOLLOW_WAIT: Duration = Duration::from_millis(2_000);
 
+/// The same for a gateway of whose data centre another one waits for `FOLLOW_WAIT`.
+const LONG_FOLLOW_WAIT: Duration = Duration::from_millis(8_000);
+
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -118,17 +122,19 @@
     }
 }
 
-fn follows_closely<P: Platform>(gateway: &Gateway<P>) -> bool {
+fn store_following<P: Platform>(gateway: &Gateway<P>) -> StoreFollowing {
     let now = gateway.now();
-    gateway.with_members(|members| members.follows_closely(now))
+    gateway.with_members(|members| members.store_following(now))
 }
 
 /// The time for which the next call may wait for changes. While other gateways follow closely, this
 /// returns only after the poll interval, or once they are gone or this gateway is cut off from
 /// them.
 async fn next_wait<P: Platform>(gateway: &Gateway<P>) -> Duration {
-    if follows_closely(gateway) {
-        return FOLLOW_WAIT;
+    match store_following(gateway) {
+        StoreFollowing::First => return FOLLOW_WAIT,
+        StoreFollowing::Close => return LONG_FOLLOW_WAIT,
+        StoreFollowing::Loose => {}
     }
     let interval = gateway.with_members(|members| members.loose_poll_interval());
     tokio::select! {
@@ -139,7 +145,7 @@
 
 /// Waits until this gateway is to follow closely.
 async fn until_follows_closely<P: Platform>(gateway: &Gateway<P>) {
-    while !follows_closely(gateway) {
+    while store_following(gateway) == StoreFollowing::Loose {
         time::sleep(CHECK_INTERVAL).await;
     }
 }
