--- a/crates/core/src/direct/admission.rs
+++ b/crates/core/src/direct/admission.rs
@@ -20,18 +20,14 @@
 /// Weight of the newest stream in the mean durations. Some tens of streams last about 2 s.
 const NEWEST_STREAM_WEIGHT: f64 = 0.1;
 
-/// Parameters of admission control. On days with bursts of 1.5 and 1.7 times the traffic, they
-/// raise the score from 0.343 to between 0.394 and 0.420 with groups of 12 ranks, and from 0.597 to
-/// 0.605 with groups of 8. On days without bursts they raise it from 0.677 to 0.687, and from 0.678
-/// to 0.684. These scores exclude processor time and cover three or four seeds each.
+/// Parameters of admission control.
 #[derive(Clone, Copy, Debug)]
 pub struct Config {
-    /// Time constant of the means of passes: a pass of this age weighs about a third. With 100 ms
-    /// or 400 ms, bursts reduce the score by 0.01 to 0.02 more.
+    /// Time constant of the means of passes: a pass of this age weighs about a third. Some passes
+    /// have to be averaged, and a burst has to show within a few of them.
     pub decay_ms: f64,
     /// Number of mean deviations that are added to the mean pass; the sum is to stay within the
-    /// latency objective. One pass that is too long makes a stream late. With zero or two, bursts
-    /// reduce the score by 0.02 more.
+    /// latency objective. One pass that is too long makes a stream late.
     pub deviations: f64,
     /// Age above which the last observed pass is disregarded: several of the longest passes.
     pub max_age: Millis,
--- a/crates/core/src/direct/expert_demand.rs
+++ b/crates/core/src/direct/expert_demand.rs
@@ -8,8 +8,8 @@
 use crate::direct::serving::ExpertShape;
 use crate::util::arena::Key;
 
-/// Time after which a count has half its weight. Shifts show sooner than with 250 ms: the score is
-/// 0.739 instead of 0.717 at 90 counted requests per second, and 0.640 instead of 0.630 at 56.
+/// Time after which a count has half its weight. A shift of demand has to show
+/// within a few reads, and a read has to hold enough requests to tell it from chance.
 const HALF_LIFE_MS: f64 = 150.0;
 
 /// Half-life of the slow average relative to that of the fast one.
--- a/crates/core/src/direct/expert_layout.rs
+++ b/crates/core/src/direct/expert_layout.rs
@@ -10,33 +10,24 @@
 use crate::direct::serving::ExpertShape;
 
 /// Time that the copies of one switch may take at a rank; one copy is always allowed. Demand keeps
-/// shifting meanwhile, and a switch under way cannot be changed. Scores of days with faults,
-/// without processor time: where a copy takes 400 ms, 0.545 with two copies per rank and 0.630 with
-/// one; where it takes 148 ms, 0.656 and 0.668; where it takes 76 ms, 0.717 with two, 0.716 with
-/// three and 0.661 with one.
+/// shifting meanwhile, and a switch under way cannot be changed.
 const MAX_COPY_TIME: Millis = Millis(200);
 
 /// Added to the copy time at the link's rate, for round trips and a late start.
 const COPY_MARGIN: Millis = Millis(30);
 
-/// Upper bound of the gain that a copy must bring, as a fraction of the mean load of one set. Where
-/// a copy takes 400 ms, the score is 0.637, and 0.630 with twice this bound.
+/// Upper bound of the gain that a copy must bring, as a fraction of the mean load of one set.
 const MAX_COPY_COST: f64 = 0.03;
 
 /// Gain that a copy must bring for each second that it takes; the upper bound applies from 75 ms
-/// on. Where a copy takes 18 ms, on groups of 96 ranks, plans end at a skew of 1.25 instead of 1.6.
-/// The score of a day with many shifts is 0.529 and 0.663 instead of 0.473 and 0.508 (two seeds,
-/// without processor time). With 0.15 it is 0.474 for the first seed, since passes are longer while
-/// ranks copy.
+/// on. Passes are longer while ranks copy, so a copy that takes long has to bring more.
 const COPY_COST_PER_SECOND: f64 = 0.4;
 
 /// Gain that each switch must bring, as a fraction of the current peak.
 const MIN_GAIN: f64 = 0.06;
 
 /// Additional gain for each second that the ranks copy: passes take longer meanwhile, and a shift
-/// of demand in that time is followed only after the switch. With a copy of 400 ms, a switch must
-/// gain a fifth: the score is 0.652, and 0.630 with 0.08. With a copy of 148 ms, it must gain an
-/// eighth: the score is 0.668, and 0.654 with a fifth.
+/// of demand in that time is followed only after the switch.
 const MIN_GAIN_PER_COPY_SECOND: f64 = 0.33;
 
 /// Layout of a group: for each set, the holders of each expert.
--- a/crates/direct/src/maps.rs
+++ b/crates/direct/src/maps.rs
@@ -71,15 +71,11 @@
 /// that the users' network cuts last.
 const MAX_UNREACHED_TIME: Millis = Millis(600);
 
-/// Time between two reads of counts. One or two reads detect a shift of demand. With 250 ms, the
-/// score of days with faults is 0.658 in place of 0.713 with groups of 24 ranks (without processor
-/// time).
+/// Time between two reads of counts. One or two reads detect a shift of demand.
 const COUNTS_INTERVAL: Duration = Duration::from_millis(120);
 
 /// Number of ranks whose counts are read through sidecars if the own data centre has fewer ranks.
-/// The requests of one rank are a sample of all. Reading all 72 ranks of three data centres costs
-/// 0.026 of the score for bytes between them, and 0.03 for the time that these take on the leader's
-/// link.
+/// The requests of one rank are a sample of all, and bytes between data centres have a price.
 const MIN_SIDECAR_RANKS: usize = 12;
 
 /// Number of reads of counts for each read of paces. Ranks become slow for seconds, and a read of
