--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -177,7 +177,8 @@
             "Look at the last `configuration N in force` line of that gateway: is N the newest?"
         }
         Cause::NoBackendServer => {
-            "Look for `servers are in groups that stand still` and `is gone` around that time."
+            "Look for `servers are in groups that stand still`, `is gone`, `evacuated` and `servers are \
+             cold` around that time, and whether the homes of its route and account leave a region."
         }
         Cause::BackendFailed | Cause::DeadlinePassed => {
             "Look whether other requests name the same servers at that time."
--- a/crates/core/tests/fleet/mod.rs
+++ b/crates/core/tests/fleet/mod.rs
@@ -199,6 +199,16 @@
         found
     }
 
+    /// Whether a running gateway gives this one to callers.
+    pub fn gives_to_callers(&self, gateway: usize) -> bool {
+        let mut running = self.running().into_iter().filter_map(|one| self.running[one].as_ref());
+        running.any(|process| {
+            let distance = |name: &str| Distance::within_region(name, "hall");
+            let given = process.members.for_callers(distance, process.clock(self.now));
+            given.contains(&address(gateway))
+        })
+    }
+
     /// Pairs of running gateways of which the first does not give the second to callers.
     pub fn missing_though_running(&self) -> Vec<(usize, usize)> {
         let mut found = Vec::new();
--- a/crates/core/tests/stopped_gateways.rs
+++ b/crates/core/tests/stopped_gateways.rs
@@ -51,6 +51,32 @@
     }
 }
 
+/// The users' rule: no answer for callers names a running gateway together with one that has not
+/// started for the time in which a gateway loses contact, and 3 s more. The time is 4 s in fleets of
+/// up to 60 gateways.
+const NAMED_AT_MOST: Millis = Millis(4_000 + 3_000);
+
+/// Guards against a stopped gateway that is given to callers for too long in a larger fleet, where
+/// its last heartbeat takes more rounds to reach all.
+#[test]
+fn a_stopped_gateway_is_given_to_callers_no_longer_than_the_users_allow() {
+    for (gateways, seeds) in [(8, 0..8), (34, 0..3), (59, 0..2)] {
+        for seed in seeds {
+            let mut fleet = fleet_of(gateways, seed);
+            pass(&mut fleet, Millis(6_000));
+            let stopped = gateways / 2;
+            fleet.stop(stopped);
+            let stopped_at = fleet.now;
+            while fleet.now.since(stopped_at) < Millis(20_000) {
+                fleet.step();
+                let is_given = fleet.gives_to_callers(stopped);
+                let after = fleet.now.since(stopped_at);
+                assert!(!is_given || after <= NAMED_AT_MOST, "{gateways} gateways: {after:?}");
+            }
+        }
+    }
+}
+
 /// Faults in one schedule.
 const STEPS: Range<usize> = 0..30;
 
