--- a/crates/core/src/direct/serving.rs
+++ b/crates/core/src/direct/serving.rs
@@ -275,7 +275,7 @@
 
     /// Whether the requests of all routes of a host may be processed in a region.
     pub fn host_allows(&self, host: &str, region: &str) -> bool {
-        let Some(prefixes) = self.by_host.get(host) else { return true };
+        let Some(prefixes) = self.by_host.get(&host.to_ascii_lowercase()) else { return true };
         prefixes.values().all(|route| self.route(*route).homes.allow(region))
     }
 
--- a/crates/core/tests/direct_tables.rs
+++ b/crates/core/tests/direct_tables.rs
@@ -94,7 +94,7 @@
     let restricted = Route { homes: north, ..route("one.example", "/a/", true) };
     let config = serving(vec![route("one.example", "/b/", true), restricted]);
     assert!(config.host_allows("one.example", "north"));
-    assert!(!config.host_allows("one.example", "south"), "one of its routes has a home");
+    assert!(!config.host_allows("One.Example", "south"), "one of its routes has a home");
     assert!(config.host_allows("two.example", "south"));
 }
 
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -14,6 +14,7 @@
 //! Other tasks keep the state up to date:
 //!
 //! - `table_sync` follows the tables of the platform, and `peers` gossips them to other gateways.
+//! - `members_table` keeps the platform's table of gateways, by one gateway for all.
 //! - `crash_sync` stores crashes of servers on the platform, with the requests that ran there.
 //! - `permits` keeps all gateways together within the limits that servers advertise.
 //! - `stalled_groups` polls groups that are stalled, so that their servers are excluded.
@@ -38,6 +39,7 @@
 mod gateway;
 mod headers;
 mod maps;
+mod members_table;
 mod metrics;
 mod peers;
 mod permits;
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -32,6 +32,7 @@
 use crate::endpoints::QueryKind;
 use crate::gateway::Gateway;
 use crate::maps;
+use crate::members_table;
 use crate::peers;
 use crate::peers::Peers;
 use crate::permits;
@@ -160,7 +161,7 @@
         tokio::task::spawn_local(table_sync::follow(gateway.clone(), table));
     }
     tokio::task::spawn_local(table_sync::watch_unconfirmed_rows(gateway.clone()));
-    tokio::task::spawn_local(table_sync::keep_members_table(gateway.clone()));
+    tokio::task::spawn_local(members_table::keep(gateway.clone()));
     tokio::task::spawn_local(crash_sync::sync_crashes(gateway.clone()));
     tokio::task::spawn_local(maps::run(gateway.clone()));
     tokio::task::spawn_local(stalled_groups::watch(gateway.clone()));
@@ -214,7 +215,7 @@
     let began = gateway.now();
     gateway.begin_stop(within);
     gateway.event_log.state(format_args!("stopping, {} requests in flight", gateway.in_flight()));
-    let row_removed = table_sync::remove_own_row(gateway);
+    let row_removed = members_table::remove_own_row(gateway);
     let announced = peers.announce(gateway);
     let notified = async { tokio::join!(announced, row_removed) };
     // Gateways that are not notified detect the stop when heartbeats are missing.
