Maps: one connection to a sidecar for reads, and one for orders

Cause: the leader reads counts and paces of all ranks at the same time and keeps up to four idle connections to each sidecar: 1,730 descriptors and 121 MB at the busiest of 432 gateways, where the smallest have 160 MB. Reads now come one after the other.

platform/tests/engines.rs: red with four (the former bound), green with two.

--- a/crates/direct/src/connections.rs
+++ b/crates/direct/src/connections.rs
@@ -33,7 +33,11 @@
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(1_000);
 
 /// Maximum number of idle connections to one server.
-const MAX_IDLE_PER_SERVER: usize = 4;
+pub const MAX_IDLE_PER_SERVER: usize = 4;
+
+/// Maximum number of idle connections to one sidecar: one for reads, which come one after the
+/// other, and one for orders. The leader of expert maps has them to all ranks of a service.
+pub const MAX_IDLE_PER_SIDECAR: usize = 2;
 
 /// A connection that one request uses exclusively. Dropping it closes it.
 pub struct Connection {
@@ -52,14 +56,15 @@
 /// The pool of idle connections.
 pub struct Connections {
     clock: ProcessClock,
+    max_idle: usize,
     idle: RefCell<HashMap<Key<Server>, Vec<Idle>>>,
 }
 
 impl Connections {
-    /// An empty pool. Idle time includes suspensions of this machine, since a server closes its end
-    /// regardless of them.
-    pub fn new(clock: ProcessClock) -> Connections {
-        Connections { clock, idle: RefCell::default() }
+    /// An empty pool for at most `max_idle` idle connections to each server. Idle time includes
+    /// suspensions of this machine, since a server closes its end regardless of them.
+    pub fn new(clock: ProcessClock, max_idle: usize) -> Connections {
+        Connections { clock, max_idle, idle: RefCell::default() }
     }
 
     /// Takes the most recently used idle connection to a server.
@@ -79,7 +84,7 @@
         }
         let mut idle = self.idle.borrow_mut();
         let of_server = idle.entry(connection.server).or_default();
-        if of_server.len() >= MAX_IDLE_PER_SERVER {
+        if of_server.len() >= self.max_idle {
             return;
         }
         let expires_at = self.clock.now() + Millis::from(connection.idle_timeout);
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -59,6 +59,8 @@
 use crate::admission_queue::AdmissionQueue;
 use crate::callers::reader::Readers;
 use crate::connections::Connections;
+use crate::connections::MAX_IDLE_PER_SERVER;
+use crate::connections::MAX_IDLE_PER_SIDECAR;
 use crate::event_log::EventLog;
 use crate::gateway::by_service::ByService;
 use crate::gateway::crashes::CrashDetection;
@@ -186,8 +188,8 @@
             suspension: Cell::default(),
             event_log: EventLog::default(),
             metrics: Metrics::default(),
-            connections: Connections::new(clock),
-            sidecars: Connections::new(clock),
+            connections: Connections::new(clock, MAX_IDLE_PER_SERVER),
+            sidecars: Connections::new(clock, MAX_IDLE_PER_SIDECAR),
             sidecars_port,
             readers: Readers::new(own.memory_bytes),
             stall_detected: Notify::new(),
--- a/crates/direct/src/maps.rs
+++ b/crates/direct/src/maps.rs
@@ -22,7 +22,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures_util::future::join;
 use futures_util::future::join_all;
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::count_deltas::Counts;
@@ -377,12 +376,12 @@
         }
         let round = self.rounds.replace(self.rounds.get().wrapping_add(1));
         let with_paces = round.is_multiple_of(COUNT_READS_PER_PACE_READ);
-        let paces = async {
-            if with_paces {
-                self.read_paces(&ranks).await;
-            }
-        };
-        let (mut samples, ()) = join(self.read_through_sidecars(&ranks), paces).await;
+        // One after the other, so that one connection to each sidecar is sufficient: a leader has
+        // hundreds of them.
+        if with_paces {
+            self.read_paces(&ranks).await;
+        }
+        let mut samples = self.read_through_sidecars(&ranks).await;
         if samples.is_empty() && with_paces {
             samples.extend(self.read_directly(&ranks).await);
         }
