Store: gateways that are not the first follower of their data centre pause longer after a change

Cause: each change of a series, as servers start and list themselves, answers the waiting calls of all close followers five times a second. The first one sends the others what comes in between.

--- a/crates/direct/src/table_sync.rs
+++ b/crates/direct/src/table_sync.rs
@@ -37,6 +37,10 @@
 /// each call has a price. The pause delays changes that are due within two seconds.
 const BATCH_PAUSE: Duration = Duration::from_millis(200);
 
+/// The same for a gateway of whose data centre another one pauses for `BATCH_PAUSE`, and sends it
+/// the changes in between.
+const LONG_BATCH_PAUSE: Duration = Duration::from_millis(1_000);
+
 /// Time between two checks of whether this gateway is to follow closely, or of unconfirmed rows.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -67,7 +71,7 @@
                 gateway.apply_update(table, &update, "store");
                 (whole, is_stale) = (false, false);
                 if !update.changes.is_empty() {
-                    time::sleep(BATCH_PAUSE).await;
+                    time::sleep(batch_pause(&gateway)).await;
                 }
             }
             Err(Failure::HistoryGone) => {
@@ -123,6 +127,14 @@
     }
 }
 
+/// Pause after a change of the store.
+fn batch_pause<P: Platform>(gateway: &Gateway<P>) -> Duration {
+    match store_following(gateway) {
+        StoreFollowing::First => BATCH_PAUSE,
+        StoreFollowing::Close | StoreFollowing::Loose => LONG_BATCH_PAUSE,
+    }
+}
+
 /// Waits until this gateway is to follow closely.
 async fn until_follows_closely<P: Platform>(gateway: &Gateway<P>) {
     while store_following(gateway) == StoreFollowing::Loose {
