--- a/crates/core/src/direct/permits.rs
+++ b/crates/core/src/direct/permits.rs
@@ -2,8 +2,8 @@
 //! Input: requests for permits, and shares of other gateways. State: these shares, and a token
 //! bucket per subject. Decides how many permits are granted, and which gateway gets the own share.
 //!
-//! Permits are needed for requests to backend servers that have a limit or ramp up after a
-//! back-off, and for requests that are retried after a server crashed.
+//! Permits are needed for requests to backend servers that have a limit, warm up after a start or
+//! ramp up after a back-off, and for requests that are retried after a server crashed.
 //!
 //! One gateway grants the permits: the first live gateway in an order that all gateways know. The
 //! others request permits from it as they need them. So any one gateway can use all that is
--- a/crates/core/src/direct/pool/limits.rs
+++ b/crates/core/src/direct/pool/limits.rs
@@ -76,8 +76,8 @@
         keys.into_iter().for_each(|key| self.apply_warm_up(key));
     }
 
-    /// Records that a server stated that it stays cold for `span`; returns whether it is warming up
-    /// since.
+    /// Records that a server stated that it stays cold for `span`; returns whether it is limited now
+    /// and was not before.
     pub fn record_cold(&mut self, id: &str, span: Millis, now: Millis) -> bool {
         let Some(key) = self.by_id.get(id).copied().filter(|_| span > Millis::ZERO) else {
             return false;
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -236,7 +236,7 @@
     });
     // After a back-off, one request has to find out whether the server accepts requests again. A
     // server in its warm-up accepts them, and each of several granting gateways would grant one.
-    let first = if ramp_up.is_some() && requested_warm_up.is_none() { 1.0 } else { 0.0 };
+    let initial_level = if ramp_up.is_some() && requested_warm_up.is_none() { 1.0 } else { 0.0 };
     gateway.with_permits(|permits| {
         if request.hands_over {
             permits.add_share(GatewayId(request.gateway_number), now);
@@ -247,7 +247,7 @@
         let Some((server, limit)) = limit else { return Grant::default() };
         let granted = match limit {
             Some(limit) => {
-                permits.grant(server, limit, request.wanted_requests, first, gateways, now)
+                permits.grant(server, limit, request.wanted_requests, initial_level, gateways, now)
             }
             // The server has no limit any more.
             None => Grant { permits: request.wanted_requests, retry_in: Millis::ZERO },
--- a/crates/direct/src/table_sync.rs
+++ b/crates/direct/src/table_sync.rs
@@ -19,7 +19,8 @@
 /// not much shorter.
 const FOLLOW_WAIT: Duration = Duration::from_millis(2_000);
 
-/// The same for a gateway of whose data centre another one waits for `FOLLOW_WAIT`.
+/// Time for which one call of the other close followers waits. If their responses fail to arrive,
+/// the first follower of the data centre, which waits for `FOLLOW_WAIT`, sends them the changes.
 const LONG_FOLLOW_WAIT: Duration = Duration::from_millis(8_000);
 
 /// Pause after a failed call.
@@ -37,8 +38,8 @@
 /// each call has a price. The pause delays changes that are due within two seconds.
 const BATCH_PAUSE: Duration = Duration::from_millis(200);
 
-/// The same for a gateway of whose data centre another one pauses for `BATCH_PAUSE`, and sends it
-/// the changes in between.
+/// Pause of the other gateways after a change. The first follower of the data centre, which pauses
+/// for `BATCH_PAUSE`, sends them the changes in between.
 const LONG_BATCH_PAUSE: Duration = Duration::from_millis(1_000);
 
 /// Time between two checks of whether this gateway is to follow closely, or of unconfirmed rows.
