--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -15,6 +15,8 @@
 //!   together.
 //! - [`slow_servers`]: reports of slow backend servers, which gateways gossip.
 //! - [`admission`]: number of streams that a service can carry, from the duration of its passes.
+//! - [`room`]: what gateways report of the demand for a service, and what its servers can carry.
+//! - [`level`]: which share of the demand all gateways admit, in which order, and who is refused.
 //! - [`attempts`]: what follows an attempt: an answer, another attempt, or a refusal.
 //! - [`fingerprint`]: identifies retries of one request.
 //! - [`overtaken`]: requests at a server that does not respond while others answer later ones.
@@ -45,6 +47,7 @@
 pub mod fencing;
 pub mod fingerprint;
 pub mod holders;
+pub mod level;
 pub mod map_orders;
 pub mod members;
 pub mod outage;
@@ -54,6 +57,7 @@
 pub mod pool;
 pub mod relays;
 pub mod replica;
+pub mod room;
 pub mod server_notices;
 pub mod serving;
 pub mod slow_servers;
--- a/crates/direct/src/peers/messages.rs
+++ b/crates/direct/src/peers/messages.rs
@@ -258,6 +258,8 @@
         limits: Vec::new(),
         permits_asked: None,
         permits_given: None,
+        room_asked: None,
+        room_given: None,
     }
 }
 
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -1149,6 +1149,10 @@
     pub permits_asked: ::std::option::Option<PermitsAsked>,
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub permits_given: ::std::option::Option<PermitsGiven>,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub room_asked: ::std::option::Option<RoomAsked>,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub room_given: ::std::option::Option<RoomGiven>,
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub slow: ::std::vec::Vec<SlowServers>,
     ///Identifiers of incarnations that the sender does not know.
@@ -1382,6 +1386,71 @@
     pub asked: ::std::string::String,
     pub server_number: u32,
 }
+///A gateway's view of one service, sent to the gateway that decides which share of the demand is admitted. The response is a `RoomGiven`.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct RoomAsked {
+    ///Client accounts with the most requests: number of the account, and requests.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub accounts: ::std::vec::Vec<[u64; 2usize]>,
+    ///Requests by priority, admitted or not, without those of `turns`.
+    pub arrivals: ::std::vec::Vec<u64>,
+    ///Mean time to the first event of a stream; 0 if unknown.
+    #[serde(default)]
+    pub first_ms: u64,
+    ///Identifies one incarnation of the sending gateway.
+    pub gateway_number: u64,
+    ///The list of servers that the sender has; 0 if none.
+    #[serde(default)]
+    pub known_list_number: u64,
+    ///Streams that the gateway has admitted and that have not ended.
+    pub open_streams: u64,
+    ///Mean pause between events plus its mean deviation; 0 if unknown.
+    #[serde(default)]
+    pub pass_ms: u64,
+    pub service: ::std::string::String,
+    ///Time over which `arrivals`, `accounts` and `turns` were counted.
+    pub span_ms: u64,
+    ///Mean duration of a stream; 0 if unknown.
+    #[serde(default)]
+    pub stream_ms: u64,
+    ///Requests that arrived in their turn after a refusal.
+    #[serde(default)]
+    pub turns: u64,
+}
+///Which share of the demand for one service all gateways admit, and how occupied its servers are.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct RoomGiven {
+    ///Client accounts above their share: number of the account, and thousandths of its requests that are admitted.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub accounts: ::std::vec::Vec<[u64; 2usize]>,
+    ///By priority: thousandths of the requests that are admitted.
+    pub admitted: ::std::vec::Vec<u64>,
+    ///Time since `occupied` and `groups` were read.
+    #[serde(default)]
+    pub age_ms: u64,
+    ///Clock that all gateways share, by which turns are assigned.
+    pub clock_ms: u64,
+    ///For each group: 1 if it is open else 0, length of its passes in ms (0 if unknown), and number of streams that it carries within the objective.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub groups: ::std::vec::Vec<[u64; 3usize]>,
+    ///Orders notices of different senders: the fencing token of the sender's leadership; 0 if it leads no expert maps.
+    pub keeper_number: u64,
+    ///Number of the list of servers to which `occupied` refers; 0 if there is none.
+    #[serde(default)]
+    pub list_number: u64,
+    ///Rises with each notice of one sender.
+    pub notice_number: u64,
+    ///For each server of the list: requests running and queued.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub occupied: ::std::vec::Vec<u64>,
+    ///The list, if the receiver lacks it: number of the server's incarnation, and index of its group.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub servers: ::std::vec::Vec<[u64; 2usize]>,
+    pub service: ::std::string::String,
+    ///Thousandths of the refused requests that are assigned a turn.
+    #[serde(default)]
+    pub turns: u64,
+}
 ///A condition of a transaction: the row must have exactly this version.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct RowCheck {
