Crash reports: each age has the bound of its error, in place of 250 ms for all

Cause: a request that was sent up to 250 ms after the first truncated answer at another gateway counted as present at the crash, as ages in messages were taken to be wrong by that much. Change: an age comes with the bound of its error; a reply's is its round trip. Red first: requests_sent_milliseconds_after_a_crash_are_not_refused_if_ages_are_exact fails with a tolerance of 250 ms.

--- a/crates/core/src/direct/crashes.rs
+++ b/crates/core/src/direct/crashes.rs
@@ -19,12 +19,23 @@
 //! This protects the servers of a service from a caller that retries such a request: without it,
 //! most of them crash and their groups stall.
 
+mod report;
+
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 
+use self::report::Aged;
+pub use self::report::Cleared;
+pub use self::report::Crash;
+pub use self::report::CrashReportId;
+pub use self::report::Reporter;
+pub use self::report::ServerIncarnation;
+pub use self::report::Stage;
+pub use self::report::Suspect;
+pub use self::report::UNKNOWN_AGE_ERROR;
 use crate::clock::Millis;
 use crate::direct::fingerprint::Fingerprint;
 use crate::util::hash;
@@ -71,76 +82,6 @@
     }
 }
 
-/// Identifies one incarnation of a backend server, with the same value at all gateways.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct ServerIncarnation(pub u64);
-
-impl ServerIncarnation {
-    /// Derived from the server's id and, if the server reports it, its start time.
-    pub fn of(server_id: &str, started_unix_ms: Option<u64>) -> ServerIncarnation {
-        ServerIncarnation(hash::score(started_unix_ms.unwrap_or_default(), server_id))
-    }
-}
-
-/// Identifies the gateway process that observed a crash, with the same value at all gateways.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct Reporter(pub u64);
-
-/// Identifies a report: the server that crashed, and the gateway process that observed it.
-pub type CrashReportId = (ServerIncarnation, Reporter);
-
-/// Progress of a request at a server at the time of its crash. If the same request was there
-/// several times, the furthest stage counts: the request did no harm up to that stage.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum Stage {
-    /// The answer had not begun: the server may have crashed before the request was sent.
-    Waiting,
-    /// The answer had begun, and nothing more of it had arrived.
-    Starting,
-    /// More of the answer had arrived.
-    Running,
-}
-
-/// A request that was at a server at the time of its crash.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Suspect {
-    /// The request.
-    pub fingerprint: Fingerprint,
-    /// How long the server had had it at that time.
-    pub ran: Millis,
-    /// Its progress at that time.
-    pub stage: Stage,
-}
-
-impl Suspect {
-    fn merge(self, other: Suspect) -> Suspect {
-        let (ran, stage) = (self.ran.max(other.ran), self.stage.max(other.stage));
-        Suspect { ran, stage, ..self }
-    }
-}
-
-/// A crash as one gateway observed it.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Crash {
-    /// The server.
-    pub server: ServerIncarnation,
-    /// The gateway process that observed the crash.
-    pub reporter: Reporter,
-    /// Time since the reporter's first truncated answer from the server, as known to the sender.
-    pub age: Millis,
-    /// The requests at the server.
-    pub suspects: Vec<Suspect>,
-}
-
-/// A request that completed, as exchanged between gateways.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Cleared {
-    /// The request.
-    pub fingerprint: Fingerprint,
-    /// Time since its completion, as known to the sender.
-    pub age: Millis,
-}
-
 /// What a merged report or completion changed.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum MergeOutcome {
@@ -153,27 +94,6 @@
     Urgent,
 }
 
-/// A time, stored as its age at a merge. The time itself may be before the start of this process,
-/// which its clock cannot represent.
-#[derive(Clone, Copy, Debug)]
-struct Aged {
-    age_at_merge: Millis,
-    merged_at: Millis,
-}
-
-impl Aged {
-    fn age(self, now: Millis) -> Millis {
-        self.age_at_merge + now.since(self.merged_at)
-    }
-
-    /// Keeps the lower age: the age of a message that was delayed in transit is too high.
-    fn record(&mut self, age: Millis, now: Millis) {
-        if age < self.age(now) {
-            *self = Aged { age_at_merge: age, merged_at: now };
-        }
-    }
-}
-
 #[derive(Clone, Debug)]
 struct Report {
     at: Aged,
@@ -184,6 +104,8 @@
 #[derive(Clone, Debug)]
 struct Merged {
     age: Millis,
+    /// Lowest possible age of the first truncated answer at any gateway.
+    min_age: Millis,
     suspects: BTreeMap<Fingerprint, Suspect>,
 }
 
@@ -194,9 +116,8 @@
     }
 }
 
-/// How long after the first truncated answer at any gateway a request may seem to have been sent
-/// and still count as present at the crash. Ages in reports are too high by their time in transit.
-const AGE_TOLERANCE: Millis = Millis(250);
+/// Error of times that are rounded to milliseconds at both ends.
+const ROUNDING: Millis = Millis(2);
 
 /// Number of crashes at which a request was, and its longest run time at one of the servers.
 #[derive(Clone, Copy, Default)]
@@ -339,7 +260,13 @@
             let stage =
                 if suspect.stage == Stage::Waiting { Stage::Running } else { suspect.stage };
             let suspects = vec![Suspect { stage, ..suspect }];
-            Some(Crash { server: *server, reporter: Reporter(0), age: crash.age, suspects })
+            Some(Crash {
+                server: *server,
+                reporter: Reporter(0),
+                age: crash.age,
+                age_error: UNKNOWN_AGE_ERROR,
+                suspects,
+            })
         });
         found.collect()
     }
@@ -351,16 +278,20 @@
         let counts = |report: &&Report| report.at.age(now) < self.config.report_ttl;
         let mut merged: BTreeMap<ServerIncarnation, Merged> = BTreeMap::new();
         for ((server, _), report) in self.reports.iter().filter(|(_, report)| counts(report)) {
-            let age = report.at.age(now);
-            let crash =
-                merged.entry(*server).or_insert_with(|| Merged { age, suspects: BTreeMap::new() });
+            let (age, (min_age, _)) = (report.at.age(now), report.at.bounds(now));
+            let crash = merged.entry(*server).or_insert_with(|| Merged {
+                age,
+                min_age,
+                suspects: BTreeMap::new(),
+            });
             crash.age = crash.age.max(age);
+            crash.min_age = crash.min_age.max(min_age);
         }
         for ((server, _), report) in self.reports.iter().filter(|(_, report)| counts(report)) {
             let Some(crash) = merged.get_mut(server) else { continue };
-            let age = report.at.age(now);
+            let (_, max_age) = report.at.bounds(now);
             let was_there = |one: &&Suspect| {
-                one.stage > Stage::Waiting || age + one.ran + AGE_TOLERANCE >= crash.age
+                one.stage > Stage::Waiting || max_age + one.ran + ROUNDING >= crash.min_age
             };
             for suspect in report.suspects.values().filter(was_there) {
                 let known = crash.suspects.entry(suspect.fingerprint).or_insert(*suspect);
@@ -420,12 +351,12 @@
             self.cleared.get(&suspect.fingerprint).is_none_or(|at| crash.age < at.age(now))
         };
         let suspects: Vec<Suspect> = crash.suspects.iter().filter(still_suspect).copied().collect();
-        let at = Aged { age_at_merge: crash.age, merged_at: now };
+        let at = Aged { age_at_merge: crash.age, error: crash.age_error, merged_at: now };
         let report = self
             .reports
             .entry((crash.server, crash.reporter))
             .or_insert_with(|| Report { at, suspects: BTreeMap::new() });
-        report.at.record(crash.age, now);
+        report.at.record(crash.age, crash.age_error, now);
         let mut added = Vec::new();
         for suspect in suspects {
             let fingerprint = suspect.fingerprint;
@@ -466,8 +397,8 @@
             }
         }
         self.reports.retain(|_, report| !report.suspects.is_empty());
-        let at = Aged { age_at_merge: age, merged_at: now };
-        self.cleared.entry(fingerprint).or_insert(at).record(age, now);
+        let at = Aged { age_at_merge: age, error: Millis::ZERO, merged_at: now };
+        self.cleared.entry(fingerprint).or_insert(at).record(age, Millis::ZERO, now);
         self.remove_expired(now);
         if !is_removed {
             return MergeOutcome::Unchanged;
@@ -583,6 +514,7 @@
                 server: id.0,
                 reporter: id.1,
                 age: report.at.age(now),
+                age_error: report.at.error,
                 suspects: report.suspects.values().copied().collect(),
             })
         });
--- a/crates/core/tests/crash_fleet/mod.rs
+++ b/crates/core/tests/crash_fleet/mod.rs
@@ -41,6 +41,9 @@
 /// Time from the start of a request to its first event.
 const FIRST_EVENT: Millis = Millis(150);
 
+/// Upper bound of the time that a message is in transit.
+const MAX_TRANSIT: Millis = Millis(50);
+
 const END: Millis = Millis(60_000);
 
 /// Parameters of one simulated run.
@@ -334,6 +337,7 @@
                 server: ServerIncarnation(incarnation),
                 reporter: Reporter(run.gateway as u64),
                 age: Millis::ZERO,
+                age_error: Millis::ZERO,
                 suspects: vec![suspect],
             };
             let gateway = &mut self.gateways[run.gateway];
@@ -399,7 +403,7 @@
     /// One gateway sends another the reports that it lacks; they arrive up to 50 ms late.
     fn send_reports(&mut self, from: usize, to: usize) {
         let now = self.now;
-        let waited = Millis(self.plan.rng.random_range(0..50));
+        let waited = Millis(self.plan.rng.random_range(0..MAX_TRANSIT.0));
         let clock = self.gateways[to].clock(now);
         let known = self.gateways[to].crashes.report_digests(clock);
         let source = &self.gateways[from];
@@ -407,8 +411,8 @@
         let cleared = source.crashes.cleared(source.clock(now));
         let receiver = &mut self.gateways[to];
         for crash in lacking {
-            let change =
-                receiver.crashes.record(&Crash { age: crash.age + waited, ..crash }, clock);
+            let (age, age_error) = (crash.age + waited, crash.age_error + MAX_TRANSIT);
+            let change = receiver.crashes.record(&Crash { age, age_error, ..crash }, clock);
             receiver.record_outcome(change);
         }
         for one in cleared {
--- a/crates/core/tests/crashes.rs
+++ b/crates/core/tests/crashes.rs
@@ -41,6 +41,7 @@
         server: ServerIncarnation(server),
         reporter: Reporter(1),
         age: Millis::ZERO,
+        age_error: Millis::ZERO,
         suspects: suspects.collect(),
     }
 }
@@ -255,6 +256,27 @@
     assert_eq!(crashes.refused(NOW), [Fingerprint(8)]);
 }
 
+/// Guards against refusing an ordinary request that happened to be sent some milliseconds after
+/// three crashes, each of which another gateway had seen first. Ages are as exact as the messages
+/// that brought them: 5 ms in transit do not excuse 13 ms.
+#[test]
+fn requests_sent_milliseconds_after_a_crash_are_not_refused_if_ages_are_exact() {
+    let reports = |age_error: Millis| {
+        (1..4).flat_map(move |server| {
+            let seen_first =
+                Crash { age: Millis(500), age_error, ..crash(server, &[(100 + server, 90)]) };
+            let sent_late =
+                Crash { reporter: Reporter(2), age: Millis(486), ..crash(server, &[(8, 1)]) };
+            [seen_first, sent_late]
+        })
+    };
+    let exact: Vec<Crash> = reports(Millis(5)).collect();
+    assert_eq!(with_reports(&exact).refused(NOW), []);
+    // With ages that may be wrong by more, the request may have been there.
+    let vague: Vec<Crash> = reports(Millis(40)).collect();
+    assert_eq!(with_reports(&vague).refused(NOW), [Fingerprint(8)]);
+}
+
 /// Report of a crash at which a request was in [`Stage::Starting`].
 fn at_start(server: u64, fingerprint: u64) -> Crash {
     let mut observed = crash(server, &[(fingerprint, 60)]);
--- a/crates/core/tests/truncated_answers.rs
+++ b/crates/core/tests/truncated_answers.rs
@@ -62,8 +62,16 @@
             }
             let (at, suspects) = truncated.confirm_crash();
             let (server, reporter) = (ServerIncarnation(*server), Reporter(0));
-            self.crashes
-                .record(&Crash { server, reporter, age: self.now.since(at), suspects }, self.now);
+            self.crashes.record(
+                &Crash {
+                    server,
+                    reporter,
+                    age: self.now.since(at),
+                    age_error: Millis::ZERO,
+                    suspects,
+                },
+                self.now,
+            );
         }
     }
 }
--- a/crates/direct/src/gateway/crashes.rs
+++ b/crates/direct/src/gateway/crashes.rs
@@ -265,7 +265,9 @@
         });
         let age = self.now().since(crashed_at);
         let reporter = Reporter(self.with_members(|members| members.own().incarnation_id().0));
-        self.merge_crashes(&[Crash { server: incarnation, reporter, age, suspects }], &[]);
+        let age_error = Millis::ZERO;
+        let crash = Crash { server: incarnation, reporter, age, age_error, suspects };
+        self.merge_crashes(&[crash], &[]);
     }
 
     /// Records that a server answered a request that was sent at `sent_at`.
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -224,7 +224,8 @@
     let reply = round_trip(&mut socket, &opening_message(gateway)).await?;
     apply_reply(gateway, &reply, sent_at);
     // The reply shows what the peer lacks; that is sent at once.
-    if let Some(follow_up) = follow_up(gateway, &reply) {
+    let took = gateway.now().since(sent_at);
+    if let Some(follow_up) = follow_up(gateway, &reply, took) {
         let sent_at = gateway.now();
         apply_reply(gateway, &round_trip(&mut socket, &follow_up).await?, sent_at);
     }
--- a/crates/direct/src/peers/messages.rs
+++ b/crates/direct/src/peers/messages.rs
@@ -76,7 +76,8 @@
     let message = own_state(gateway, Some(request));
     let wanted: Vec<CrashReportId> = request.crashes_wanted.iter().map(report_id).collect();
     let crashes = gateway.with_crashes(|crashes| crashes.reports_by_id(&wanted, now));
-    let message = PeerNews { crashes: crashes.iter().map(crash_to_wire).collect(), ..message };
+    let crashes = crashes.iter().map(|crash| crash_to_wire(crash, Millis::ZERO)).collect();
+    let message = PeerNews { crashes, ..message };
     if received.is_empty() {
         return message;
     }
@@ -93,14 +94,20 @@
 }
 
 /// What the peer lacks according to its reply, with requests for crashes that this gateway lacks;
-/// `None` if there is neither.
-pub(super) fn follow_up<P: Platform>(gateway: &Gateway<P>, reply: &PeerNews) -> Option<PeerNews> {
+/// `None` if there is neither. `round_trip` is the time that the reply took: this message is
+/// expected to take no longer than twice that.
+pub(super) fn follow_up<P: Platform>(
+    gateway: &Gateway<P>,
+    reply: &PeerNews,
+    round_trip: Millis,
+) -> Option<PeerNews> {
     let wanted: Vec<IncarnationId> =
         reply.wanted_numbers.iter().copied().map(IncarnationId).collect();
     let now = gateway.now();
     let members = gateway.with_members(|members| members.records_of(&wanted, now));
     let message = own_state(gateway, Some(reply));
-    let message = with_missing_crashes(gateway, message, reply, now);
+    let transit = Millis(2 * round_trip.0);
+    let message = with_missing_crashes(gateway, message, reply, transit, now);
     let has_crashes = !message.crashes.is_empty() || !message.crashes_wanted.is_empty();
     let has_tables = !message.news.is_empty() || message.configuration_kept.is_some();
     let nothing_missing = members.is_empty() && !has_tables && !has_crashes;
@@ -132,6 +139,7 @@
     gateway: &Gateway<P>,
     message: PeerNews,
     reply: &PeerNews,
+    transit: Millis,
     now: Millis,
 ) -> PeerNews {
     if reply.crash_digest_number == message.crash_digest_number {
@@ -143,7 +151,7 @@
     let ((missing, wanted), cleared) =
         gateway.with_crashes(|crashes| (crashes.compare(&known, now), crashes.cleared(now)));
     PeerNews {
-        crashes: missing.iter().map(crash_to_wire).collect(),
+        crashes: missing.iter().map(|crash| crash_to_wire(crash, transit)).collect(),
         crashes_wanted: wanted.iter().map(|(server, reporter)| [server.0, reporter.0]).collect(),
         cleared: cleared.iter().map(cleared_to_wire).collect(),
         ..message
@@ -172,13 +180,16 @@
     }
 }
 
-fn crash_to_wire(crash: &Crash) -> CrashNews {
+/// A crash for a message. The receiver of a reply knows how long that may have been in transit;
+/// `transit` is the longest time expected for any other message.
+fn crash_to_wire(crash: &Crash, transit: Millis) -> CrashNews {
     let suspects = crash.suspects.iter();
     let suspects = suspects.map(|one| [one.fingerprint.0, one.ran.0, stage_to_wire(one.stage)]);
     CrashNews {
         server_number: crash.server.0,
         reporter_number: crash.reporter.0,
         age_ms: crash.age.0,
+        age_error_ms: (crash.age_error + transit).0,
         suspects: suspects.collect(),
     }
 }
@@ -193,6 +204,7 @@
         server: ServerIncarnation(message.server_number),
         reporter: Reporter(message.reporter_number),
         age: Millis(message.age_ms) + delay,
+        age_error: Millis(message.age_error_ms) + delay,
         suspects: suspects.collect(),
     }
 }
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -314,6 +314,9 @@
 ///Report of one gateway that a backend server crashed, and which requests were there.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct CrashNews {
+    ///Upper bound of the error of `age_ms` when the message arrives.
+    #[serde(default = "defaults::default_u64::<u64, 250>")]
+    pub age_error_ms: u64,
     ///Time since the crash, as far as the sender knows.
     pub age_ms: u64,
     ///Identifies one incarnation of the gateway that observed the crash.
