--- a/crates/core/src/direct/level.rs
+++ b/crates/core/src/direct/level.rs
@@ -2,11 +2,25 @@
 //! Input: demand by priority and account, and the room that is left. State: smoothed demand.
 //! Decides which requests are admitted, and when the callers of the others return.
 //!
-//! The keeper of the room computes the level. Each gateway applies it to the requests that it gets,
-//! by a hash of the request, so that a request has the same result at all gateways.
+//! The keeper of the room computes the level with a [`Controller`]. Each gateway applies it to the
+//! requests that it gets with a [`Gate`], by a hash of the request, so that a request has the same
+//! result at all gateways.
 
 use crate::direct::room::AccountId;
 use crate::direct::room::PRIORITIES;
+use crate::util::hash;
+
+pub mod controller;
+pub mod gate;
+pub mod turns;
+
+pub use controller::Config;
+pub use controller::Controller;
+pub use controller::Demand;
+pub use controller::Room;
+pub use gate::Gate;
+pub use gate::GateRequest;
+pub use gate::Verdict;
 
 /// Which requests are admitted.
 #[derive(Clone, Debug, PartialEq)]
@@ -25,4 +39,29 @@
     pub fn open() -> Level {
         Level { admitted: [1.0; PRIORITIES], turns: 0.0, accounts: Vec::new() }
     }
+
+    /// Fraction of the requests of an account that are admitted.
+    pub fn fraction(&self, priority: u8, account: AccountId) -> f64 {
+        let admitted = self.admitted[usize::from(priority).min(PRIORITIES - 1)];
+        let found = self.accounts.iter().find(|(listed, _)| *listed == account);
+        admitted * found.map_or(1.0, |(_, fraction)| *fraction)
+    }
+}
+
+/// Bits of an [`AccountId`] that hold the priority.
+const PRIORITY_BITS: u64 = 0xf;
+
+impl AccountId {
+    /// A client account's requests of one priority; requests without an account have an empty name.
+    ///
+    /// Accounts share the room among equals only, so an account with requests of two priorities
+    /// counts as two.
+    pub fn of(name: &str, priority: u8) -> AccountId {
+        AccountId(hash::of(name) & !PRIORITY_BITS | u64::from(priority) & PRIORITY_BITS)
+    }
+
+    /// Priority of the requests.
+    pub fn priority(self) -> usize {
+        ((self.0 & PRIORITY_BITS) as usize).min(PRIORITIES - 1)
+    }
 }
--- /dev/null
+++ b/crates/core/src/direct/level/controller.rs
@@ -0,0 +1,182 @@
+//! Controller of the admission level, at the keeper of a service's room.
+//! Input: demand by priority and account, and the room. State: smoothed demand.
+//! Decides which fraction of the requests is admitted, by priority and by account.
+//!
+//! The rate of admissions is that at which streams end, plus what closes the gap between the room
+//! and the open streams within a fixed time. So the open streams approach the room and stay there,
+//! also where the estimates of demand are wrong.
+
+use std::collections::BTreeMap;
+
+use crate::clock::Millis;
+use crate::direct::level::Level;
+use crate::direct::room::AccountId;
+use crate::direct::room::PRIORITIES;
+
+/// Demand for a service at all gateways together.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Demand {
+    /// Requests per second by priority, without those in their turn.
+    pub arrivals_per_s: [f64; PRIORITIES],
+    /// Requests per second that arrive in their turn.
+    pub turns_per_s: f64,
+    /// Requests per second of the accounts with the most.
+    pub accounts: Vec<(AccountId, f64)>,
+}
+
+/// What the servers of a service carry.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Room {
+    /// Streams that can be open so that each is in time.
+    pub streams: f64,
+    /// Open streams.
+    pub open: f64,
+    /// Streams that end, per second.
+    pub completions_per_s: f64,
+}
+
+/// Parameters of the controller.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Config {
+    /// Time within which the gap between room and open streams closes. Below twice the delay of the
+    /// reports, open streams would oscillate.
+    pub gap_ms: f64,
+    /// Time constant of the smoothed demand: a few reports.
+    pub smoothing_ms: f64,
+    /// Lower bound of the admitted rate, in streams per second relative to the room. It keeps some
+    /// streams going from which the room is seen to return.
+    pub min_rate: f64,
+    /// Lower bound of the fraction of a priority's or an account's requests that are admitted,
+    /// relative to that of all requests.
+    pub min_relative: f64,
+    /// Upper bound of the turns that are assigned, relative to the admitted rate. Callers that
+    /// return are late already, so more turns would be at the cost of those that can be in time.
+    pub max_turns: f64,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Config {
+            gap_ms: 500.0,
+            smoothing_ms: 400.0,
+            min_rate: 0.05,
+            min_relative: 0.3,
+            max_turns: 0.1,
+        }
+    }
+}
+
+/// Computes the level of one service.
+#[derive(Clone, Debug)]
+pub struct Controller {
+    config: Config,
+    arrivals_per_s: [f64; PRIORITIES],
+    turns_per_s: f64,
+    accounts: BTreeMap<AccountId, f64>,
+    updated_at: Option<Millis>,
+}
+
+/// Rate below which an account is forgotten.
+const MIN_ACCOUNT_PER_S: f64 = 0.1;
+
+impl Controller {
+    /// No demand seen yet.
+    pub fn new(config: Config) -> Controller {
+        Controller {
+            config,
+            arrivals_per_s: [0.0; PRIORITIES],
+            turns_per_s: 0.0,
+            accounts: BTreeMap::new(),
+            updated_at: None,
+        }
+    }
+
+    /// The level for the demand since the last update, and the room now.
+    pub fn update(&mut self, demand: &Demand, room: &Room, now: Millis) -> Level {
+        self.smooth(demand, now);
+        let total_per_s: f64 = self.arrivals_per_s.iter().sum();
+        let admitted_per_s = self.admitted_per_s(room);
+        if total_per_s + self.turns_per_s <= admitted_per_s {
+            return Level::open();
+        }
+        let turns_per_s = self.turns_per_s.min(self.config.max_turns * admitted_per_s);
+        let free_per_s = admitted_per_s - turns_per_s;
+        let overall = (free_per_s / total_per_s.max(f64::MIN_POSITIVE)).min(1.0);
+        let floor = self.config.min_relative * overall;
+        let mut level = Level::open();
+        let mut left_per_s = free_per_s * (1.0 - self.config.min_relative);
+        for (priority, arrivals_per_s) in self.arrivals_per_s.into_iter().enumerate() {
+            if arrivals_per_s <= 0.0 {
+                // The first requests of a priority are admitted as those of the priority before.
+                level.admitted[priority] =
+                    priority.checked_sub(1).map_or(1.0, |p| level.admitted[p]);
+                continue;
+            }
+            let above_floor = (arrivals_per_s * (1.0 - floor)).min(left_per_s);
+            left_per_s -= above_floor;
+            let fraction = floor + above_floor / arrivals_per_s;
+            self.share(priority, fraction, floor, &mut level);
+        }
+        let refused_per_s = (total_per_s - free_per_s).max(f64::MIN_POSITIVE);
+        level.turns = (self.config.max_turns * admitted_per_s / refused_per_s).min(1.0);
+        level
+    }
+
+    /// Streams per second that all gateways together are to admit.
+    fn admitted_per_s(&self, room: &Room) -> f64 {
+        let gap_per_s = (room.streams - room.open) * 1_000.0 / self.config.gap_ms;
+        (room.completions_per_s + gap_per_s).max(room.streams * self.config.min_rate)
+    }
+
+    fn smooth(&mut self, demand: &Demand, now: Millis) {
+        let weight = match self.updated_at.replace(now) {
+            None => 1.0,
+            Some(last) => 1.0 - (-(now.since(last).0 as f64) / self.config.smoothing_ms).exp(),
+        };
+        for (mean, rate) in self.arrivals_per_s.iter_mut().zip(demand.arrivals_per_s) {
+            *mean += weight * (rate - *mean);
+        }
+        self.turns_per_s += weight * (demand.turns_per_s - self.turns_per_s);
+        for mean in self.accounts.values_mut() {
+            *mean *= 1.0 - weight;
+        }
+        for (account, rate) in &demand.accounts {
+            *self.accounts.entry(*account).or_default() += weight * rate;
+        }
+        self.accounts.retain(|_, mean| *mean >= MIN_ACCOUNT_PER_S);
+    }
+
+    /// Divides what a priority gets among accounts: those below the share get all that they ask for,
+    /// the others get the share.
+    fn share(&self, priority: usize, fraction: f64, floor: f64, level: &mut Level) {
+        let arrivals_per_s = self.arrivals_per_s[priority];
+        let listed = || self.accounts.iter().filter(|(account, _)| account.priority() == priority);
+        let smallest = listed().map(|(_, rate)| *rate).fold(f64::INFINITY, f64::min);
+        level.admitted[priority] = fraction;
+        if fraction >= 1.0 || smallest.is_infinite() {
+            return;
+        }
+        // Accounts that are not listed are no larger than the smallest one that is.
+        let unlisted_per_s =
+            (arrivals_per_s - listed().map(|(_, rate)| rate).sum::<f64>()).max(0.0);
+        let unlisted = unlisted_per_s / smallest;
+        let part = |rate: f64, share: f64| (share / rate).clamp(floor, 1.0);
+        let admitted_per_s = |share: f64| {
+            let of_listed: f64 = listed().map(|(_, rate)| rate * part(*rate, share)).sum();
+            of_listed + unlisted * smallest * part(smallest, share)
+        };
+        let (mut low, mut high) = (0.0, arrivals_per_s);
+        for _ in 0..40 {
+            let middle = f64::midpoint(low, high);
+            if admitted_per_s(middle) < fraction * arrivals_per_s {
+                low = middle;
+            } else {
+                high = middle;
+            }
+        }
+        let of_smallest = part(smallest, high);
+        level.admitted[priority] = of_smallest;
+        let above = listed().map(|(account, rate)| (*account, part(*rate, high) / of_smallest));
+        level.accounts.extend(above.filter(|(_, relative)| *relative < 1.0));
+    }
+}
