The room of a service: keeper, views and exchange

The keeper gets reports of all gateways and reads of all ranks, and replies with the level, the occupation of each server and the state of each group. Fields of the messages carry their units as suffix, as the house-style check requires.

--- a/crates/core/src/direct/admission.rs
+++ b/crates/core/src/direct/admission.rs
@@ -16,6 +16,7 @@
 
 use crate::clock::Millis;
 use crate::direct::attempts::MAX_RETRY_AFTER;
+use crate::direct::room::view::StreamSummary;
 
 /// Weight of the newest stream in the mean durations. Some tens of streams last about 2 s.
 const NEWEST_STREAM_WEIGHT: f64 = 0.1;
@@ -222,6 +223,16 @@
     pub fn first_ms(&self) -> f64 {
         self.first_ms
     }
+
+    /// The open streams, with their means.
+    pub fn summary(&self) -> StreamSummary {
+        StreamSummary {
+            open: self.streams as u32,
+            stream_ms: self.stream_ms,
+            first_ms: self.first_ms,
+            pass_ms: self.pass_ms + self.config.deviations * self.deviation_ms,
+        }
+    }
 }
 
 fn update_mean(mean: &mut f64, value: f64) {
--- a/crates/core/src/direct/pool.rs
+++ b/crates/core/src/direct/pool.rs
@@ -10,6 +10,7 @@
 
 mod choice;
 mod limits;
+mod slots;
 
 use std::collections::HashMap;
 use std::collections::HashSet;
--- a/crates/core/src/direct/serving.rs
+++ b/crates/core/src/direct/serving.rs
@@ -5,6 +5,7 @@
 //! A [`ServingConfig`] is shared by the requests that began under it. A newer version replaces it
 //! as a whole.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 
 use rand::Rng;
@@ -12,6 +13,7 @@
 
 use crate::clock::Millis;
 use crate::direct::pool::WarmUpConfig;
+use crate::direct::room::estimate::StreamObjective;
 
 /// Whether requests of a route may run more than once, and whether the answer is a stream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -216,6 +218,9 @@
     pub limits: CallerLimits,
     /// Services by name.
     pub services: HashMap<String, Service>,
+    /// Services with a route that has an objective for the pauses between events, with the
+    /// strictest objectives of such routes.
+    pub stream_objectives: BTreeMap<String, StreamObjective>,
     routes: Vec<Route>,
     accounts: Vec<Account>,
     by_host: HashMap<String, HashMap<String, RouteKey>>,
@@ -240,8 +245,19 @@
         for (index, account) in accounts.iter().enumerate() {
             by_key.extend(account.keys.iter().map(|key| (key.clone(), AccountKey(index))));
         }
-        let services = services.into_iter().map(|one| (one.name.clone(), one)).collect();
-        ServingConfig { version, limits, services, routes, accounts, by_host, by_key }
+        let services: HashMap<String, Service> =
+            services.into_iter().map(|one| (one.name.clone(), one)).collect();
+        let stream_objectives = stream_objectives(&routes, &services);
+        ServingConfig {
+            version,
+            limits,
+            services,
+            stream_objectives,
+            routes,
+            accounts,
+            by_host,
+            by_key,
+        }
     }
 
     /// The route of `host` with the longest prefix of `path`, and the client account of `key`.
@@ -290,3 +306,26 @@
         slashes.map(|(end, _)| &path[..=end]).find_map(|prefix| prefixes.get(prefix)).copied()
     }
 }
+
+fn stream_objectives(
+    routes: &[Route],
+    services: &HashMap<String, Service>,
+) -> BTreeMap<String, StreamObjective> {
+    let mut objectives: BTreeMap<String, StreamObjective> = BTreeMap::new();
+    for route in routes.iter().filter(|route| route.kind == RouteKind::Stream) {
+        let Some(pause) = route.pause_ms else { continue };
+        let (first_ms, pause_ms) = (route.objective_ms.0 as f64, pause.0 as f64);
+        for split in &route.splits {
+            let min_pass_ms =
+                services.get(&split.service).map_or(0.0, |service| service.min_pass_ms);
+            let objective = objectives.entry(split.service.clone()).or_insert(StreamObjective {
+                first_ms,
+                pause_ms,
+                min_pass_ms,
+            });
+            objective.first_ms = objective.first_ms.min(first_ms);
+            objective.pause_ms = objective.pause_ms.min(pause_ms);
+        }
+    }
+    objectives
+}
--- a/crates/direct/src/admission_queue.rs
+++ b/crates/direct/src/admission_queue.rs
@@ -17,6 +17,7 @@
 use hooktrestle_core::direct::admission::Admission;
 use hooktrestle_core::direct::admission::Decision;
 use hooktrestle_core::direct::admission::LatencyObjective;
+use hooktrestle_core::direct::room::view::StreamSummary;
 use tokio::sync::oneshot;
 
 /// Order of queued requests: priority, deadline, then order of arrival.
@@ -96,6 +97,11 @@
         Ok(AdmittedStream::new(self.clone(), self.clock.now()))
     }
 
+    /// The admitted streams, with their means.
+    pub fn summary(&self) -> StreamSummary {
+        self.admission.borrow().summary()
+    }
+
     /// Admits all queued requests, so that they are refused at once if no server accepts requests.
     pub fn admit_all(self: &Rc<Self>) {
         let waiting = std::mem::take(&mut *self.waiting.borrow_mut());
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -10,6 +10,7 @@
 mod eras;
 mod evacuations;
 pub mod limits;
+mod rooms;
 mod server_notices;
 pub(crate) mod slow_servers;
 mod tables;
@@ -64,6 +65,7 @@
 use crate::event_log::EventLog;
 use crate::gateway::by_service::ByService;
 use crate::gateway::crashes::CrashDetection;
+use crate::gateway::rooms::Rooms;
 use crate::gateway::slow_servers::Reach;
 use crate::metrics::Metrics;
 use crate::permits::PermitGranters;
@@ -158,6 +160,7 @@
     outages: ByService<Outages>,
     admission_queues: ByService<Rc<AdmissionQueue>>,
     heads: ByService<Heads>,
+    rooms: Rooms,
     budget: Cell<budget::Config>,
     /// Sidecars that did not answer, and until when each is skipped.
     unanswered_sidecars: RefCell<HashMap<Key<Server>, Millis>>,
@@ -226,6 +229,7 @@
             outages: ByService::default(),
             admission_queues: ByService::default(),
             heads: ByService::default(),
+            rooms: Rooms::default(),
             budget: Cell::new(budget),
             unanswered_sidecars: RefCell::default(),
             relays: RefCell::default(),
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod process;
 mod relay;
 mod request;
+mod room;
 pub mod settings;
 pub mod sidecar;
 mod stalled_groups;
--- a/crates/direct/src/maps.rs
+++ b/crates/direct/src/maps.rs
@@ -81,6 +81,10 @@
 /// paces sends a request to every rank.
 const COUNT_READS_PER_PACE_READ: u32 = 2;
 
+/// Reports of ranks per second up to which paces are read with each read of counts while the room of
+/// the service is more than half taken. Each report costs the leader some tens of microseconds.
+const MAX_RANK_REPORTS_PER_S: usize = 1_200;
+
 /// Number of ranks whose counts are read directly, in turn. Each read has a price, and the requests
 /// of one rank are a sample of all.
 const MAX_DIRECT_RANKS: usize = 2;
@@ -375,14 +379,15 @@
             return;
         }
         let round = self.rounds.replace(self.rounds.get().wrapping_add(1));
-        let with_paces = round.is_multiple_of(COUNT_READS_PER_PACE_READ);
+        let is_pace_round = round.is_multiple_of(COUNT_READS_PER_PACE_READ);
+        let with_paces = is_pace_round || self.is_room_read_due(ranks.len());
         // One after the other, so that one connection to each sidecar is sufficient: a leader has
         // hundreds of them.
         if with_paces {
             self.read_paces(&ranks).await;
         }
         let mut samples = self.read_through_sidecars(&ranks).await;
-        if samples.is_empty() && with_paces {
+        if samples.is_empty() && is_pace_round {
             samples.extend(self.read_directly(&ranks).await);
         }
         let now = self.gateway.now();
@@ -398,6 +403,13 @@
         self.counts_read.notify_waiters();
     }
 
+    /// Whether the reports of all ranks are read more often than their paces require, since the
+    /// room of the service is more than half taken.
+    fn is_room_read_due(&self, ranks: usize) -> bool {
+        let reports_per_s = ranks * 1_000 / COUNTS_INTERVAL.as_millis() as usize;
+        reports_per_s <= MAX_RANK_REPORTS_PER_S && self.gateway.is_room_busy(&self.name)
+    }
+
     /// Reads counts through sidecars, which has no price.
     async fn read_through_sidecars(&self, ranks: &[Key<Server>]) -> Vec<(Key<Server>, Counts)> {
         if self.gateway.sidecars_port == 0 {
--- a/crates/direct/src/maps/paces.rs
+++ b/crates/direct/src/maps/paces.rs
@@ -9,12 +9,16 @@
 use futures_util::future::join_all;
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::pool::Server;
+use hooktrestle_core::direct::room::groups::GroupId;
+use hooktrestle_core::direct::room::groups::RankReading;
 use hooktrestle_core::direct::slow_servers::SlowServerReport;
 use hooktrestle_core::util::arena::Key;
+use hooktrestle_core::util::hash;
 
 use crate::engine;
 use crate::engine::Path;
 use crate::maps::Service;
+use crate::platform::EngineReport;
 use crate::platform::Platform;
 
 /// Pace from which a server is slow and gets no requests while other servers have room, since all
@@ -61,23 +65,42 @@
 }
 
 impl<P: Platform> Service<P> {
-    /// Reads how fast the ranks are through sidecars, which has no price. A rank without an answer
-    /// has the usual pace.
+    /// Reads how fast and how occupied the ranks are through sidecars, which has no price. A rank
+    /// without an answer has the usual pace.
     pub(super) async fn read_paces(&self, ranks: &[Key<Server>]) {
         if self.gateway.sidecars_port == 0 {
             return;
         }
         let reads = ranks.iter().map(|key| async {
             let report = engine::report(&self.gateway, *key, Path::Sidecar).await?;
-            Some((*key, report.pace.clamp(PACE_BOUNDS.0, PACE_BOUNDS.1)))
+            Some((*key, report))
         });
-        let received: BTreeMap<Key<Server>, f64> =
+        let received: Vec<(Key<Server>, EngineReport)> =
             join_all(reads).await.into_iter().flatten().collect();
         self.record_reached(received.len(), ranks.len());
-        self.paces.borrow_mut().by_rank = received;
+        let reading = |(key, report): &(Key<Server>, EngineReport)| self.reading(*key, report);
+        let readings: Vec<RankReading> = received.iter().map(reading).collect();
+        self.gateway.record_rank_readings(&self.name, &readings);
+        let pace = |report: &EngineReport| report.pace.clamp(PACE_BOUNDS.0, PACE_BOUNDS.1);
+        self.paces.borrow_mut().by_rank =
+            received.iter().map(|(key, report)| (*key, pace(report))).collect();
         self.report_slow_servers();
     }
 
+    /// The report of a rank, for the room of the service.
+    fn reading(&self, key: Key<Server>, report: &EngineReport) -> RankReading {
+        RankReading {
+            server: self.gateway.with_pool(|pool| pool.incarnation(key)),
+            group: GroupId(hash::of(&report.group)),
+            epoch: report.state.epoch,
+            pass: report.state.pass,
+            is_open: report.state.open,
+            pace: report.pace,
+            running: report.running,
+            queued: report.queued,
+        }
+    }
+
     /// Reports the slow servers to all gateways, if that is due.
     fn report_slow_servers(&self) {
         let mut paces = self.paces.borrow_mut();
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -9,9 +9,11 @@
 //!
 //! - [`connection_pool`]: idle connections to other gateways.
 //! - [`messages`]: the messages, and their translation into types of the core.
+//! - [`room_messages`]: the messages about the room of a service.
 
 pub(crate) mod connection_pool;
 pub(crate) mod messages;
+pub(crate) mod room_messages;
 
 use std::cell::RefCell;
 use std::io;
--- a/crates/direct/src/peers/messages.rs
+++ b/crates/direct/src/peers/messages.rs
@@ -43,6 +43,7 @@
 use crate::permits;
 use crate::platform::Platform;
 use crate::platform::Table;
+use crate::room;
 
 /// Limit of the nesting of a message. Messages are four levels deep.
 const DEPTH_LIMIT: usize = 16;
@@ -71,6 +72,9 @@
         gateway.apply_limits(&received_limits(request, now, delay));
         return permits::reply(gateway, permits);
     }
+    if let Some(asked) = &request.room_asked {
+        return room::reply(gateway, asked);
+    }
     let received = received_heartbeats(request, delay);
     let unknown = apply_message(gateway, request, &received, delay);
     let message = own_state(gateway, Some(request));
--- a/crates/direct/src/platform.rs
+++ b/crates/direct/src/platform.rs
@@ -169,6 +169,10 @@
     pub size: usize,
     /// Duration of its work, relative to the usual duration.
     pub pace: f64,
+    /// Requests that it runs.
+    pub running: u32,
+    /// Requests that wait at it.
+    pub queued: u32,
     /// State of the rank.
     pub state: RankReport,
 }
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -38,6 +38,7 @@
 use crate::permits;
 use crate::platform::Platform;
 use crate::platform::Table;
+use crate::room;
 use crate::settings;
 use crate::sidecar;
 use crate::stalled_groups;
@@ -166,6 +167,7 @@
     tokio::task::spawn_local(maps::run(gateway.clone()));
     tokio::task::spawn_local(stalled_groups::watch(gateway.clone()));
     tokio::task::spawn_local(permits::run(gateway.clone()));
+    tokio::task::spawn_local(room::run(gateway.clone()));
     let (peers, exchanger) = (started.peers.clone(), gateway.clone());
     tokio::task::spawn_local(async move { peers.run(exchanger).await });
 }
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -1392,7 +1392,7 @@
     ///Client accounts with the most requests: number of the account, and requests.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub accounts: ::std::vec::Vec<[u64; 2usize]>,
-    ///Requests by priority, admitted or not, without those of `turns`.
+    ///Requests by priority, admitted or not, without those of `turn_requests`.
     pub arrivals: ::std::vec::Vec<u64>,
     ///Mean time to the first event of a stream; 0 if unknown.
     #[serde(default)]
@@ -1403,19 +1403,19 @@
     #[serde(default)]
     pub known_list_number: u64,
     ///Streams that the gateway has admitted and that have not ended.
-    pub open_streams: u64,
+    pub open_requests: u64,
     ///Mean pause between events plus its mean deviation; 0 if unknown.
     #[serde(default)]
     pub pass_ms: u64,
     pub service: ::std::string::String,
-    ///Time over which `arrivals`, `accounts` and `turns` were counted.
+    ///Time over which `arrivals`, `accounts` and `turn_requests` were counted.
     pub span_ms: u64,
     ///Mean duration of a stream; 0 if unknown.
     #[serde(default)]
     pub stream_ms: u64,
     ///Requests that arrived in their turn after a refusal.
     #[serde(default)]
-    pub turns: u64,
+    pub turn_requests: u64,
 }
 ///Which share of the demand for one service all gateways admit, and how occupied its servers are.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
@@ -1449,7 +1449,7 @@
     pub service: ::std::string::String,
     ///Thousandths of the refused requests that are assigned a turn.
     #[serde(default)]
-    pub turns: u64,
+    pub turn_part: u64,
 }
 ///A condition of a transaction: the row must have exactly this version.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
