--- a/crates/core/src/direct/level.rs
+++ b/crates/core/src/direct/level.rs
@@ -20,6 +20,7 @@
 pub use controller::Room;
 pub use gate::Gate;
 pub use gate::GateRequest;
+pub use gate::Return;
 pub use gate::Verdict;
 
 /// Which requests are admitted.
--- a/crates/core/src/direct/level/controller.rs
+++ b/crates/core/src/direct/level/controller.rs
@@ -5,8 +5,14 @@
 //! The rate of admissions is that at which streams end, plus what closes the gap between the room
 //! and the open streams within a fixed time. So the open streams approach the room and stay there,
 //! also where the estimates of demand are wrong.
+//!
+//! A level takes effect some 100 ms after the reports on which it rests. The controller adds to the
+//! open streams what the levels of that time admit under the newest demand. Of callers that return,
+//! fewer are admitted than of new ones, since the order of admission changes slowly; an integral of
+//! the gap makes up for them.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 
 use crate::clock::Millis;
 use crate::direct::level::Level;
@@ -41,8 +47,17 @@
     /// Time within which the gap between room and open streams closes. Below twice the delay of the
     /// reports, open streams would oscillate.
     pub gap_ms: f64,
-    /// Time constant of the smoothed demand: a few reports.
+    /// Time within which an excess of open streams above the room ends. Shorter than `gap_ms`: all
+    /// streams that begin meanwhile are late.
+    pub excess_ms: f64,
+    /// Time constant of the integral of the gap. At four times `gap_ms` it is critically damped.
+    pub integral_ms: f64,
+    /// Time from the reports to the effect of a level that follows from them.
+    pub delay: Millis,
+    /// Time constant of the smoothed demand: about one interval of reports.
     pub smoothing_ms: f64,
+    /// Deviations from the smoothed demand above which it has jumped.
+    pub jump_deviations: f64,
     /// Lower bound of the admitted rate, in streams per second relative to the room. It keeps some
     /// streams going from which the room is seen to return.
     pub min_rate: f64,
@@ -58,7 +73,11 @@
     fn default() -> Self {
         Config {
             gap_ms: 500.0,
-            smoothing_ms: 400.0,
+            excess_ms: 200.0,
+            integral_ms: 2_000.0,
+            delay: Millis(300),
+            smoothing_ms: 150.0,
+            jump_deviations: 3.0,
             min_rate: 0.05,
             min_relative: 0.3,
             max_turns: 0.1,
@@ -74,8 +93,28 @@
     turns_per_s: f64,
     accounts: BTreeMap<AccountId, f64>,
     updated_at: Option<Millis>,
+    /// Levels that the reports do not show yet.
+    recent: VecDeque<Recent>,
+    /// Integral of the gap, as a rate.
+    integral_per_s: f64,
 }
 
+/// A recent level, and the demand for which it was computed.
+#[derive(Clone, Copy, Debug)]
+struct Recent {
+    at: Millis,
+    admitted: [f64; PRIORITIES],
+    arrivals_per_s: [f64; PRIORITIES],
+    /// Admitted rate less that of the streams that ended.
+    surplus_per_s: f64,
+}
+
+/// Gap relative to the room above which the integral stays as it is.
+const MAX_INTEGRATED_GAP: f64 = 0.25;
+
+/// Bounds of the integral relative to the rate at which streams end.
+const INTEGRAL_RANGE: (f64, f64) = (-0.5, 1.5);
+
 /// Rate below which an account is forgotten.
 const MIN_ACCOUNT_PER_S: f64 = 0.1;
 
@@ -88,17 +127,65 @@
             turns_per_s: 0.0,
             accounts: BTreeMap::new(),
             updated_at: None,
+            recent: VecDeque::new(),
+            integral_per_s: 0.0,
         }
     }
 
     /// The level for the demand since the last update, and the room now.
     pub fn update(&mut self, demand: &Demand, room: &Room, now: Millis) -> Level {
-        self.smooth(demand, now);
+        let span_ms = self.smooth(demand, now);
         let total_per_s: f64 = self.arrivals_per_s.iter().sum();
-        let admitted_per_s = self.admitted_per_s(room);
-        if total_per_s + self.turns_per_s <= admitted_per_s {
-            return Level::open();
+        let demand_per_s = total_per_s + self.turns_per_s;
+        let gap = room.streams - room.open - self.unreported(now);
+        let close_ms = if gap < 0.0 { self.config.excess_ms } else { self.config.gap_ms };
+        let wanted_per_s = room.completions_per_s + gap * 1_000.0 / close_ms;
+        let min_per_s = room.streams * self.config.min_rate;
+        let admitted_per_s = (wanted_per_s + self.integral_per_s).max(min_per_s);
+        let is_open = demand_per_s <= admitted_per_s;
+        self.integrate(gap, room, is_open, span_ms);
+        let level = if is_open { Level::open() } else { self.divide(total_per_s, admitted_per_s) };
+        self.recent.push_back(Recent {
+            at: now,
+            admitted: self.means(&level),
+            arrivals_per_s: self.arrivals_per_s,
+            surplus_per_s: wanted_per_s.max(min_per_s).min(demand_per_s) - room.completions_per_s,
+        });
+        level
+    }
+
+    /// Streams that are admitted by the levels that the reports do not show yet, less those that
+    /// end.
+    fn unreported(&mut self, now: Millis) -> f64 {
+        while self.recent.front().is_some_and(|recent| now.since(recent.at) > self.config.delay) {
+            self.recent.pop_front();
         }
+        let mut until = now;
+        let mut streams = 0.0;
+        for recent in self.recent.iter().rev() {
+            let more: f64 = (0..PRIORITIES)
+                .map(|p| recent.admitted[p] * (self.arrivals_per_s[p] - recent.arrivals_per_s[p]))
+                .sum();
+            streams += (recent.surplus_per_s + more) * until.since(recent.at).0 as f64 / 1_000.0;
+            until = recent.at;
+        }
+        streams
+    }
+
+    fn integrate(&mut self, gap: f64, room: &Room, is_open: bool, span_ms: f64) {
+        if is_open {
+            self.integral_per_s = 0.0;
+        } else if gap.abs() <= room.streams * MAX_INTEGRATED_GAP {
+            let gap_per_s = gap * 1_000.0 / self.config.gap_ms;
+            let (min, max) = INTEGRAL_RANGE;
+            self.integral_per_s = (self.integral_per_s
+                + gap_per_s * span_ms / self.config.integral_ms)
+                .clamp(min * room.completions_per_s, max * room.completions_per_s);
+        }
+    }
+
+    /// Divides the admitted rate among priorities, the most urgent first, and turns.
+    fn divide(&self, total_per_s: f64, admitted_per_s: f64) -> Level {
         let turns_per_s = self.turns_per_s.min(self.config.max_turns * admitted_per_s);
         let free_per_s = admitted_per_s - turns_per_s;
         let overall = (free_per_s / total_per_s.max(f64::MIN_POSITIVE)).min(1.0);
@@ -109,7 +196,7 @@
             if arrivals_per_s <= 0.0 {
                 // The first requests of a priority are admitted as those of the priority before.
                 level.admitted[priority] =
-                    priority.checked_sub(1).map_or(1.0, |p| level.admitted[p]);
+                    priority.checked_sub(1).map_or(1.0, |before| level.admitted[before]);
                 continue;
             }
             let above_floor = (arrivals_per_s * (1.0 - floor)).min(left_per_s);
@@ -122,17 +209,23 @@
         level
     }
 
-    /// Streams per second that all gateways together are to admit.
-    fn admitted_per_s(&self, room: &Room) -> f64 {
-        let gap_per_s = (room.streams - room.open) * 1_000.0 / self.config.gap_ms;
-        (room.completions_per_s + gap_per_s).max(room.streams * self.config.min_rate)
+    /// Fraction of the requests of each priority that a level admits, over all accounts.
+    fn means(&self, level: &Level) -> [f64; PRIORITIES] {
+        let mut means = level.admitted;
+        for (account, relative) in &level.accounts {
+            let priority = account.priority();
+            let part = self.accounts.get(account).copied().unwrap_or(0.0)
+                / self.arrivals_per_s[priority].max(f64::MIN_POSITIVE);
+            means[priority] -= level.admitted[priority] * part.min(1.0) * (1.0 - relative);
+        }
+        means
     }
 
-    fn smooth(&mut self, demand: &Demand, now: Millis) {
-        let weight = match self.updated_at.replace(now) {
-            None => 1.0,
-            Some(last) => 1.0 - (-(now.since(last).0 as f64) / self.config.smoothing_ms).exp(),
-        };
+    /// Includes the newest demand, and returns the time since the last update.
+    fn smooth(&mut self, demand: &Demand, now: Millis) -> f64 {
+        let span_ms = self.updated_at.replace(now).map(|last| now.since(last).0 as f64);
+        let weight =
+            span_ms.map_or(1.0, |span_ms| 1.0 - (-span_ms / self.config.smoothing_ms).exp());
         for (mean, rate) in self.arrivals_per_s.iter_mut().zip(demand.arrivals_per_s) {
             *mean += weight * (rate - *mean);
         }
@@ -144,6 +237,7 @@
             *self.accounts.entry(*account).or_default() += weight * rate;
         }
         self.accounts.retain(|_, mean| *mean >= MIN_ACCOUNT_PER_S);
+        span_ms.unwrap_or(0.0)
     }
 
     /// Divides what a priority gets among accounts: those below the share get all that they ask for,
--- a/crates/core/src/direct/level/gate.rs
+++ b/crates/core/src/direct/level/gate.rs
@@ -49,10 +49,18 @@
     /// It is sent, because its caller returned in its turn.
     AdmittedInTurn,
     /// It is not sent.
-    Refused {
-        /// When the caller may return; `None` if no time that it waits for is of use.
-        retry_after: Option<Millis>,
-    },
+    Refused(Return),
+}
+
+/// When the caller of a refused request is to return.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Return {
+    /// After this time, in a turn that is kept for it.
+    InTurn(Millis),
+    /// After this time at the earliest, without a turn.
+    NotBefore(Millis),
+    /// There is no use in a retry within the time that the caller waits.
+    Never,
 }
 
 /// The level in force at one gateway.
@@ -117,7 +125,12 @@
         let turn = turns::is_assigned(request.key, turns)
             .then(|| turns::until_next(request.key, shared, max))
             .flatten();
-        Verdict::Refused { retry_after: turn.or_else(|| turns::outside(request.key, shared, max)) }
+        Verdict::Refused(match turn {
+            Some(after) => Return::InTurn(after),
+            None => {
+                turns::outside(request.key, shared, max).map_or(Return::Never, Return::NotBefore)
+            }
+        })
     }
 
     /// Takes the key's turn, if it is now and was not taken.
