Choice of the server by free slots: the pool takes the keeper's notices of occupation

Servers are chosen in proportion to their free slots, as far as their group bears more streams. Without a recent notice the turns apply as before. Not wired yet.

--- a/crates/core/src/direct/pool.rs
+++ b/crates/core/src/direct/pool.rs
@@ -10,12 +10,14 @@
 
 mod choice;
 mod limits;
+mod occupancy;
 
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
 
 pub use self::choice::Demand;
+use self::occupancy::Occupancy;
 use crate::clock::Millis;
 use crate::direct::advertised_limit::AdvertisedLimit;
 use crate::direct::advertised_limit::Rate;
@@ -186,6 +188,8 @@
     /// Servers that are listed at an address.
     by_address: HashMap<SocketAddr, Vec<Key<Server>>>,
     services: HashMap<String, Service>,
+    /// Occupation of servers, by their service.
+    occupancies: HashMap<String, Occupancy>,
     /// Data centres that operators evacuate.
     evacuated: HashSet<String>,
     /// How servers warm up, by their service.
@@ -203,6 +207,7 @@
             limits: HashMap::new(),
             by_address: HashMap::new(),
             services: HashMap::new(),
+            occupancies: HashMap::new(),
             evacuated: HashSet::new(),
             warm_ups: HashMap::new(),
         }
--- a/crates/core/src/direct/pool/choice.rs
+++ b/crates/core/src/direct/pool/choice.rs
@@ -3,13 +3,17 @@
 //! Decides which server gets the request, and whether there is a better one than its present one.
 
 use rand::Rng;
+use rand::RngExt;
 
 use super::Pool;
 use super::Server;
+use super::Service;
+use super::occupancy::Occupancy;
 use crate::clock::Millis;
 use crate::direct::pool::ListedServer;
 use crate::direct::serving::Residency;
 use crate::routing;
+use crate::util::arena::Arena;
 use crate::util::arena::Key;
 
 /// A request for which a server is chosen.
@@ -63,11 +67,30 @@
                 });
                 candidate.usable = fits && !is_closed && demand.allows(*key, &server.listed);
             }
+            let occupancy =
+                self.occupancies.get(demand.service).filter(|known| known.is_fresh(now));
+            let pick = match occupancy {
+                Some(occupancy) => pick_by_weight(found, &self.servers, occupancy, rng),
+                None => Pick::ByTurns,
+            };
             let config = &self.config.routing;
-            let candidates = &mut found.candidates;
-            let chosen = routing::choose(config, candidates, &[], demand.cost, now, rng);
+            let chosen = match pick {
+                Pick::Server(index) => {
+                    found.candidates[index].own_requests += 1;
+                    Some(index)
+                }
+                // Without any weight, servers that are a last resort may be in a better group.
+                Pick::NoWeight if !last_resort => None,
+                Pick::NoWeight | Pick::ByTurns => {
+                    routing::choose(config, &mut found.candidates, &[], demand.cost, now, rng)
+                }
+            };
             if let Some(index) = chosen {
-                return Some(found.servers[index]);
+                let key = found.servers[index];
+                if let Some(occupancy) = self.occupancies.get_mut(demand.service) {
+                    occupancy.record_sent(key, now);
+                }
+                return Some(key);
             }
         }
         None
@@ -86,3 +109,51 @@
         })
     }
 }
+
+/// How a server is chosen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Pick {
+    /// The server with this index.
+    Server(usize),
+    /// No usable server is in a group that bears more streams.
+    NoWeight,
+    /// Nothing recent is known about the occupation of the servers.
+    ByTurns,
+}
+
+/// Picks a usable server of a service at random in proportion to the weights. A server whose
+/// occupation is unknown has the mean weight.
+fn pick_by_weight<R: Rng>(
+    found: &Service,
+    servers: &Arena<Server>,
+    occupancy: &Occupancy,
+    rng: &mut R,
+) -> Pick {
+    let weight = |index: usize| {
+        let candidate = &found.candidates[index];
+        let key = found.servers[index];
+        occupancy.weight(key, servers[key].listed.slots, candidate.own_requests)
+    };
+    let usable = (0..found.servers.len()).filter(|index| found.candidates[*index].usable);
+    let weights: Vec<(usize, Option<f64>)> = usable.map(|index| (index, weight(index))).collect();
+    let known: Vec<f64> = weights.iter().filter_map(|(_, weight)| *weight).collect();
+    if known.is_empty() {
+        return Pick::ByTurns;
+    }
+    let mean = known.iter().sum::<f64>() / known.len() as f64;
+    let weights = weights.iter().map(|(index, weight)| (*index, weight.unwrap_or(mean)));
+    let total: f64 = weights.clone().map(|(_, weight)| weight).sum();
+    if total <= 0.0 {
+        return Pick::NoWeight;
+    }
+    let mut left = rng.random_range(0.0..total);
+    let mut last = Pick::NoWeight;
+    for (index, weight) in weights.filter(|(_, weight)| *weight > 0.0) {
+        left -= weight;
+        last = Pick::Server(index);
+        if left < 0.0 {
+            break;
+        }
+    }
+    last
+}
