--- a/crates/direct/src/gateway/rooms.rs
+++ b/crates/direct/src/gateway/rooms.rs
@@ -116,12 +116,18 @@
             .state(format_args!("{service} {verb}: {open} streams open, room for {streams}"));
     }
 
-    /// Applies a notice of the keeper.
+    /// Applies a notice of the keeper: the level to new requests, and the occupation of servers to
+    /// the choice among them.
     pub(crate) fn apply_room_notice(&self, service: &str, notice: &RoomNotice) {
         let now = self.now();
         let lifetime = room::notice_lifetime(self.count_sharing(now));
         self.with_room_view(service, |view| {
-            view.apply(notice, lifetime, now);
+            if !view.apply(notice, lifetime, now) {
+                return;
+            }
+            let Some(list) = view.list_of(notice) else { return };
+            let RoomNotice { occupied, groups, age, .. } = notice;
+            self.with_pool(|pool| pool.apply_occupancy(service, list, occupied, groups, *age, now));
         });
     }
 
