--- a/crates/core/src/direct/room/estimate.rs
+++ b/crates/core/src/direct/room/estimate.rs
@@ -9,7 +9,6 @@
 
 use super::GroupState;
 use super::groups::GroupPasses;
-use crate::clock::Millis;
 use crate::direct::advertised_limit::Rate;
 
 /// Lower bound of the fraction of a group's slots that it carries while it runs passes.
@@ -66,6 +65,8 @@
 pub struct GroupRoom {
     /// State to report to all gateways.
     pub state: GroupState,
+    /// Streams that it carries.
+    pub streams: f64,
     /// Streams that its open servers have slots for.
     pub slots: f64,
     /// Whether passes are too long for another cause than the number of streams.
@@ -73,16 +74,11 @@
 }
 
 /// The room of a group with these slots.
-pub fn group_room(
-    passes: &GroupPasses,
-    slots: f64,
-    objective: &StreamObjective,
-    now: Millis,
-) -> GroupRoom {
-    let pass_ms = passes.length_ms(now);
-    if !passes.is_open(objective.pause_ms, now) {
+pub fn group_room(passes: &GroupPasses, slots: f64, objective: &StreamObjective) -> GroupRoom {
+    let pass_ms = passes.length_ms();
+    if !passes.is_open(objective.pause_ms) {
         let state = GroupState { is_open: false, pass_ms, room: 0 };
-        return GroupRoom { state, slots: 0.0, is_hampered: false };
+        return GroupRoom { state, streams: 0.0, slots: 0.0, is_hampered: false };
     }
     let available_ms = (objective.pause_ms - objective.min_pass_ms).max(0.0);
     let added_ms = pass_ms - objective.min_pass_ms;
@@ -97,9 +93,9 @@
     } else {
         slots
     };
-    let room = carried.clamp(MIN_FRACTION * slots, slots);
-    let state = GroupState { is_open: true, pass_ms, room: room as u32 };
-    GroupRoom { state, slots, is_hampered }
+    let streams = carried.clamp(MIN_FRACTION * slots, slots);
+    let state = GroupState { is_open: true, pass_ms, room: streams as u32 };
+    GroupRoom { state, streams, slots, is_hampered }
 }
 
 /// Number of streams that a service carries: those of its groups, and of the servers that belong to
@@ -109,7 +105,7 @@
     let has_unhampered = open().any(|group| !group.is_hampered);
     let of_group = |group: &GroupRoom| match group.is_hampered && !has_unhampered {
         true => group.slots,
-        false => f64::from(group.state.room),
+        false => group.streams,
     };
     open().map(of_group).sum::<f64>() + ungrouped_slots
 }
--- a/crates/core/src/direct/room/groups.rs
+++ b/crates/core/src/direct/room/groups.rs
@@ -4,7 +4,8 @@
 //!
 //! All ranks of a group make each pass together, so the highest pass number of a group counts. A
 //! pass that takes longer than the mean counts before it has ended: a group that stalls is noticed
-//! by the passes that it does not begin.
+//! by the passes that it does not begin. Reads see whole passes only, two or three at a time, so
+//! their mean length is the time of many passes by their number.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -13,8 +14,8 @@
 use crate::clock::Millis;
 use crate::direct::crashes::ServerIncarnation;
 
-/// Time constant of the means: a pass of this age weighs about a third.
-const DECAY_MS: f64 = 200.0;
+/// Time constant of the means: some reads, since each sees whole passes only.
+const DECAY_MS: f64 = 400.0;
 
 /// Time for which the last report of a rank counts. A sidecar that does not answer is skipped for a
 /// second.
@@ -60,23 +61,30 @@
 pub struct GroupPasses {
     epoch: u64,
     pass: u64,
+    /// When `pass` was first read, and the time of the last read.
     pass_at: Millis,
+    read_at: Millis,
     is_open: bool,
     has_slow_rank: bool,
-    /// Whether requests ran at the last report.
+    /// Whether a rank gave no answer to the last read.
+    lacks_answer: bool,
+    /// Whether requests ran at the last read.
     is_busy: bool,
-    mean_ms: f64,
-    deviation_ms: f64,
+    /// Number of passes and their duration; older ones weigh less.
+    passes: f64,
+    span_ms: f64,
     mean_streams: f64,
 }
 
 impl GroupPasses {
-    /// Length of its passes, with their mean deviation; 0 if unknown.
-    pub fn length_ms(&self, now: Millis) -> f64 {
+    /// Mean length of its passes, or the time that the present one has taken so far if that is
+    /// longer; 0 if unknown.
+    pub fn length_ms(&self) -> f64 {
         if !self.is_busy {
             return 0.0;
         }
-        (self.mean_ms + self.deviation_ms).max(self.unfinished_ms(now))
+        let mean_ms = if self.passes > 0.0 { self.span_ms / self.passes } else { 0.0 };
+        mean_ms.max(self.unfinished_ms())
     }
 
     /// Mean number of requests that ran in the passes.
@@ -89,50 +97,43 @@
         self.has_slow_rank
     }
 
-    /// Whether it runs passes, if the longest pass within the objective takes `objective_ms`.
-    pub fn is_open(&self, objective_ms: f64, now: Millis) -> bool {
+    /// Whether it runs passes, if the longest pass within the objective takes `objective_ms`. A
+    /// group with a rank that does not answer is stalled after half the time.
+    pub fn is_open(&self, objective_ms: f64) -> bool {
         let stall_ms = (STALL_PASSES * objective_ms).max(MIN_STALL_MS);
-        self.is_open && self.unfinished_ms(now) < stall_ms
+        let stall_ms = if self.lacks_answer { stall_ms / 2.0 } else { stall_ms };
+        self.is_open && self.unfinished_ms() < stall_ms
     }
 
-    /// Time since the last pass began, if requests run and it is longer than the mean pass.
-    fn unfinished_ms(&self, now: Millis) -> f64 {
-        let since_ms = now.since(self.pass_at).0 as f64;
-        if self.is_busy && since_ms > self.mean_ms + self.deviation_ms { since_ms } else { 0.0 }
+    /// Time without a new pass although requests run, as far as it was read.
+    fn unfinished_ms(&self) -> f64 {
+        if self.is_busy { self.read_at.since(self.pass_at).0 as f64 } else { 0.0 }
     }
 
     fn record(&mut self, epoch: u64, pass: u64, running: u32, now: Millis) {
         let was_busy = std::mem::replace(&mut self.is_busy, running > 0);
-        if epoch != self.epoch || self.pass_at == Millis::ZERO {
-            let GroupPasses { is_open, has_slow_rank, is_busy, .. } = *self;
-            let none = GroupPasses::default();
-            *self = GroupPasses { epoch, pass, is_open, has_slow_rank, is_busy, ..none };
-            self.pass_at = now;
+        let is_first = self.read_at == Millis::ZERO;
+        self.read_at = now;
+        if epoch != self.epoch || is_first {
+            (self.epoch, self.pass, self.pass_at) = (epoch, pass, now);
+            (self.passes, self.span_ms) = (0.0, 0.0);
+            self.mean_streams = f64::from(running);
             return;
         }
-        if pass <= self.pass {
-            // A group without work makes no passes.
-            if !was_busy {
-                self.pass_at = now;
-            }
-            return;
-        }
-        let span_ms = now.since(self.pass_at).0 as f64;
-        let passes = (pass - self.pass) as f64;
-        (self.pass, self.pass_at) = (pass, now);
+        // A group without work makes no passes.
         if !was_busy {
+            (self.pass, self.pass_at) = (pass, now);
             return;
         }
-        let length_ms = span_ms / passes;
-        if self.mean_ms == 0.0 {
-            (self.mean_ms, self.mean_streams) = (length_ms, f64::from(running));
+        if pass <= self.pass {
             return;
         }
-        let weight = 1.0 - (-span_ms / DECAY_MS).exp();
-        let difference_ms = length_ms - self.mean_ms;
-        self.mean_ms += weight * difference_ms;
-        self.deviation_ms += weight * (difference_ms.abs() - self.deviation_ms);
-        self.mean_streams += weight * (f64::from(running) - self.mean_streams);
+        let span_ms = now.since(self.pass_at).0 as f64;
+        let kept = (-span_ms / DECAY_MS).exp();
+        self.passes = self.passes * kept + (pass - self.pass) as f64;
+        self.span_ms = self.span_ms * kept + span_ms;
+        self.mean_streams += (1.0 - kept) * (f64::from(running) - self.mean_streams);
+        (self.pass, self.pass_at) = (pass, now);
     }
 }
 
@@ -173,6 +174,7 @@
             passes.is_open = fresh().all(|(report, _)| report.is_open);
             passes.has_slow_rank = fresh().any(|(report, _)| report.pace >= SLOW_PACE);
         }
+        passes.lacks_answer = known.clone().any(|(_, at)| *at != now);
         passes.record(epoch, pass, running, now);
     }
 
@@ -186,7 +188,7 @@
         *self = Readings::default();
     }
 
-    /// Index of each group among the groups, in the order of their passes.
+    /// All groups with their passes, in the order of [`Readings::servers`].
     pub fn groups(&self) -> impl Iterator<Item = (GroupId, &GroupPasses)> {
         self.groups.iter().map(|(id, passes)| (*id, passes))
     }
--- a/crates/core/src/direct/room/keeper.rs
+++ b/crates/core/src/direct/room/keeper.rs
@@ -129,7 +129,7 @@
             self.readings.clear();
         }
         let means = self.means();
-        let groups = self.groups(input, means, now);
+        let groups = self.groups(input, means);
         self.room = self.estimate(input, &groups, means);
         let level = self.controller.update(&self.demand(input.gateways), &self.room, now);
         let (list, occupied) = self.readings.servers();
@@ -187,7 +187,7 @@
         (gateways as f64 / heard).clamp(1.0, MAX_SCALE)
     }
 
-    fn groups(&self, input: &KeeperInput<'_>, means: StreamMeans, now: Millis) -> Vec<GroupRoom> {
+    fn groups(&self, input: &KeeperInput<'_>, means: StreamMeans) -> Vec<GroupRoom> {
         let mut slots = BTreeMap::new();
         for (server, open) in input.open_servers {
             if let Some(group) = self.readings.group_of(*server) {
@@ -197,7 +197,7 @@
         let slots_of = |group| slots.get(&group).copied().unwrap_or_default();
         let groups = self.readings.groups();
         groups
-            .map(|(id, passes)| estimate::group_room(passes, slots_of(id), &input.objective, now))
+            .map(|(id, passes)| estimate::group_room(passes, slots_of(id), &input.objective))
             .collect()
     }
 
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -54,3 +54,4 @@
 mod table_sync;
 
 pub use gateway::Gateway;
+pub use peers::room_messages;
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -13,7 +13,7 @@
 
 pub(crate) mod connection_pool;
 pub(crate) mod messages;
-pub(crate) mod room_messages;
+pub mod room_messages;
 
 use std::cell::RefCell;
 use std::io;
--- a/crates/direct/src/peers/room_messages.rs
+++ b/crates/direct/src/peers/room_messages.rs
@@ -22,7 +22,7 @@
 const THOUSANDTHS: f64 = 1_000.0;
 
 /// Encodes a gateway's report on a service.
-pub(crate) fn report_to_wire(service: &str, report: &GatewayReport) -> RoomAsked {
+pub fn report_to_wire(service: &str, report: &GatewayReport) -> RoomAsked {
     RoomAsked {
         service: service.to_owned(),
         gateway_number: report.gateway.0,
@@ -39,7 +39,7 @@
 }
 
 /// Decodes a gateway's report on a service.
-pub(crate) fn report_from_wire(message: &RoomAsked) -> GatewayReport {
+pub fn report_from_wire(message: &RoomAsked) -> GatewayReport {
     let accounts = message.accounts.iter().take(MAX_REPORTED_ACCOUNTS);
     GatewayReport {
         gateway: IncarnationId(message.gateway_number),
@@ -56,7 +56,7 @@
 }
 
 /// Encodes a notice of the keeper.
-pub(crate) fn notice_to_wire(service: &str, notice: &RoomNotice) -> RoomGiven {
+pub fn notice_to_wire(service: &str, notice: &RoomNotice) -> RoomGiven {
     let servers = notice.list.iter().flat_map(|list| &list.servers);
     let groups = notice
         .groups
@@ -80,7 +80,7 @@
 }
 
 /// Decodes a notice of the keeper that was sent up to `delay` ago.
-pub(crate) fn notice_from_wire(message: &RoomGiven, delay: Millis) -> RoomNotice {
+pub fn notice_from_wire(message: &RoomGiven, delay: Millis) -> RoomNotice {
     let servers = message.servers.iter();
     let servers = servers.map(|&[server, group]| (ServerIncarnation(server), group as usize));
     let list = (!message.servers.is_empty())
