--- a/crates/core/src/direct/room/keeper.rs
+++ b/crates/core/src/direct/room/keeper.rs
@@ -35,6 +35,9 @@
 /// Time for which reports of ranks count after the last read.
 const READINGS_LIFETIME: Millis = Millis(1_000);
 
+/// Shortest time between two changes of the level that are logged.
+const MIN_CHANGE_INTERVAL: Millis = Millis(1_000);
+
 /// Upper bound of the factor by which reports are scaled for gateways that have not reported: most
 /// of the gateways may have sent their reports to another keeper.
 const MAX_SCALE: f64 = 8.0;
@@ -74,7 +77,8 @@
     notice: Option<(RoomNotice, Millis)>,
     /// Number of the last notice.
     number: u64,
-    is_closed: bool,
+    /// The last change of the level that was returned, and its time.
+    last_change: (LevelChange, Millis),
 }
 
 impl RoomKeeper {
@@ -89,7 +93,7 @@
             list: ServerList::default(),
             notice: None,
             number,
-            is_closed: false,
+            last_change: (LevelChange::Opened, Millis::ZERO),
         }
     }
 
@@ -120,7 +124,7 @@
         recent && 2.0 * self.room.open > self.room.streams
     }
 
-    /// Computes the next notice; returns a change of the level.
+    /// Computes the next notice; returns a change of the level to log, at most one a second.
     pub fn update(&mut self, input: &KeeperInput<'_>, now: Millis) -> Option<LevelChange> {
         let lifetime = report_lifetime(input.gateways);
         self.reports.retain(|_, (_, at)| now.since(*at) < lifetime);
@@ -134,7 +138,10 @@
         let level = self.controller.update(&self.demand(input.gateways), &self.room, now);
         let (list, occupied) = self.readings.servers();
         self.number += 1;
-        let was_closed = std::mem::replace(&mut self.is_closed, level != Level::open());
+        let state = match level == Level::open() {
+            true => LevelChange::Opened,
+            false => LevelChange::Closed,
+        };
         let notice = RoomNotice {
             keeper: input.fencing_token,
             number: self.number,
@@ -148,11 +155,12 @@
         };
         self.list = list;
         self.notice = Some((notice, now));
-        match (was_closed, self.is_closed) {
-            (false, true) => Some(LevelChange::Closed),
-            (true, false) => Some(LevelChange::Opened),
-            _ => None,
+        let (last, at) = self.last_change;
+        if state == last || now.since(at) < MIN_CHANGE_INTERVAL {
+            return None;
         }
+        self.last_change = (state, now);
+        Some(state)
     }
 
     /// The last notice, for a gateway that has the list with this number; `None` before the first
--- a/crates/core/src/direct/room/view.rs
+++ b/crates/core/src/direct/room/view.rs
@@ -6,6 +6,7 @@
 
 use super::AccountId;
 use super::GatewayReport;
+use super::GroupState;
 use super::MAX_REPORTED_ACCOUNTS;
 use super::PRIORITIES;
 use super::RoomNotice;
@@ -99,6 +100,7 @@
     /// Applies the level to requests.
     pub gate: Gate,
     list: ServerList,
+    groups: Vec<GroupState>,
     applied: Option<Applied>,
 }
 
@@ -148,6 +150,7 @@
         if let Some(list) = &notice.list {
             self.list = list.clone();
         }
+        self.groups.clone_from(&notice.groups);
         self.gate.apply(notice.level.clone(), notice.clock, now);
         true
     }
@@ -158,6 +161,11 @@
         is_known.then_some(&self.list)
     }
 
+    /// State of each group by the newest notice.
+    pub fn groups(&self) -> &[GroupState] {
+        &self.groups
+    }
+
     /// The clock that all gateways share; that of this process before the first notice.
     pub fn shared_clock(&self, now: Millis) -> Millis {
         let offset_ms = self.applied.map_or(0, |applied| applied.clock_offset_ms);
--- a/crates/direct/src/gateway/rooms.rs
+++ b/crates/direct/src/gateway/rooms.rs
@@ -106,6 +106,7 @@
     /// Logs a change of the level.
     fn record_room(&self, service: &str, change: Option<LevelChange>) {
         let room = self.with_room_keeper(service, |keeper| keeper.room());
+        self.metrics.record_room(service, room.streams, room.open);
         let Some(change) = change else { return };
         let verb = match change {
             LevelChange::Closed => "refuses a part of the requests",
@@ -125,6 +126,7 @@
             if !view.apply(notice, lifetime, now) {
                 return;
             }
+            self.metrics.record_admitted(service, &notice.level.admitted);
             let Some(list) = view.list_of(notice) else { return };
             let RoomNotice { occupied, groups, age, .. } = notice;
             self.with_pool(|pool| pool.apply_occupancy(service, list, occupied, groups, *age, now));
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -4,6 +4,7 @@
 
 use hooktrestle_schema::Cause;
 use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::metrics::histogram::exponential_buckets;
@@ -13,6 +14,9 @@
 /// 16 s.
 const BUCKETS: (f64, f64, u16) = (1.0, 2.0, 15);
 
+/// Labels of a metric: names and values.
+type Labels = Vec<(&'static str, String)>;
+
 /// Counters, gauges and histograms of a gateway.
 pub struct Metrics {
     /// Requests that were admitted.
@@ -67,6 +71,13 @@
     /// Number of different requests that are refused because servers crashed while running
     /// them.
     pub crashing_known: Gauge,
+    /// For each service whose room this gateway keeps: streams that its servers carry.
+    pub room_streams: Family<Labels, Gauge>,
+    /// For each service whose room this gateway keeps: open streams of all gateways.
+    pub open_streams: Family<Labels, Gauge>,
+    /// For each service and priority: thousandths of the requests that are admitted, by the newest
+    /// notice.
+    pub admitted_thousandths: Family<Labels, Gauge>,
     /// Milliseconds from the head of a request to the head of its answer.
     pub head_ms: Histogram,
     /// Milliseconds between two events of a stream: the duration of a pass of its group.
@@ -103,6 +114,9 @@
             gateways_alive: Gauge::default(),
             evacuated_data_centres: Gauge::default(),
             crashing_known: Gauge::default(),
+            room_streams: Family::default(),
+            open_streams: Family::default(),
+            admitted_thousandths: Family::default(),
             head_ms: Histogram::new(exponential_buckets(start, factor, length)),
             event_gap_ms: Histogram::new(exponential_buckets(start, factor, length)),
             registry: Registry::with_prefix("hooktrestle"),
@@ -145,6 +159,16 @@
         metrics.registry.register("evacuated", help, metrics.evacuated_data_centres.clone());
         let help = "Different requests that are refused because servers crash under them";
         metrics.registry.register("crashing_known", help, metrics.crashing_known.clone());
+        let help = "Streams that the servers of a service carry, at the keeper of its room";
+        metrics.registry.register("room_streams", help, metrics.room_streams.clone());
+        let help = "Open streams of a service at all gateways, at the keeper of its room";
+        metrics.registry.register("room_open_streams", help, metrics.open_streams.clone());
+        let help = "Thousandths of the requests of a priority that are admitted";
+        metrics.registry.register(
+            "admitted_thousandths",
+            help,
+            metrics.admitted_thousandths.clone(),
+        );
         let help = "Milliseconds from a request's head to its answer's head";
         metrics.registry.register("head_ms", help, metrics.head_ms.clone());
         let help = "Milliseconds between two events of a stream";
@@ -163,6 +187,28 @@
         }
     }
 
+    /// Records the room of a service, which this gateway keeps.
+    pub fn record_room(&self, service: &str, streams: f64, open: f64) {
+        let labels = || vec![("service", service.to_owned())];
+        self.room_streams.get_or_create(&labels()).set(streams as i64);
+        self.open_streams.get_or_create(&labels()).set(open as i64);
+    }
+
+    /// Removes the room of a service, which this gateway no longer keeps.
+    pub fn remove_room(&self, service: &str) {
+        let labels = vec![("service", service.to_owned())];
+        self.room_streams.remove(&labels);
+        self.open_streams.remove(&labels);
+    }
+
+    /// Records the fractions of the requests of a service that are admitted, by priority.
+    pub fn record_admitted(&self, service: &str, admitted: &[f64]) {
+        for (priority, fraction) in admitted.iter().enumerate() {
+            let labels = vec![("service", service.to_owned()), ("priority", priority.to_string())];
+            self.admitted_thousandths.get_or_create(&labels).set((fraction * 1_000.0) as i64);
+        }
+    }
+
     /// All metrics, in the text format that scrapers read.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/direct/src/room.rs
+++ b/crates/direct/src/room.rs
@@ -68,9 +68,15 @@
 /// Reports on one service for as long as its streams have an objective.
 async fn report_on<P: Platform>(gateway: Rc<Gateway<P>>, service: String) {
     let connections = ConnectionPool::new(MAX_IDLE_CONNECTIONS);
+    let mut last_keeper = None;
     while gateway.serving().stream_objectives.contains_key(&service) {
-        if gateway.readiness() != Readiness::Starting {
-            report(&gateway, &service, &connections).await;
+        if gateway.readiness() != Readiness::Starting
+            && let Some(keeper) = keeper(&gateway, &service)
+        {
+            if last_keeper.replace(keeper.incarnation) != Some(keeper.incarnation) {
+                record_keeper(&gateway, &service, &keeper);
+            }
+            report(&gateway, &service, &connections, &keeper).await;
         }
         let reported_at = gateway.now();
         loop {
@@ -84,13 +90,22 @@
     }
 }
 
+/// Records that a gateway became the keeper of a service's room.
+fn record_keeper<P: Platform>(gateway: &Gateway<P>, service: &str, keeper: &Keeper) {
+    if !keeper.is_own {
+        gateway.metrics.remove_room(service);
+    }
+    let address = keeper.address;
+    gateway.event_log.state(format_args!("the gateway at {address} keeps the room of {service}"));
+}
+
 /// Sends one report, and applies the notice that follows.
 async fn report<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     service: &str,
     connections: &ConnectionPool,
+    keeper: &Keeper,
 ) {
-    let Some(keeper) = keeper(gateway, service) else { return };
     let report = gateway.take_room_report(service);
     if keeper.is_own {
         if let Some(notice) = gateway.record_room_report(service, report) {
