--- a/crates/core/src/direct/fingerprint.rs
+++ b/crates/core/src/direct/fingerprint.rs
@@ -22,4 +22,15 @@
         hasher.update(body);
         Fingerprint(hasher.digest())
     }
+
+    /// A key that also tells apart callers with the same request, as far as their headers differ:
+    /// `texts` are headers that a caller sends with each retry.
+    pub fn caller_key<'a>(self, texts: impl IntoIterator<Item = &'a str>) -> u64 {
+        let mut hasher = Xxh3::with_seed(self.0);
+        for text in texts {
+            hasher.update(&(text.len() as u64).to_le_bytes());
+            hasher.update(text.as_bytes());
+        }
+        hasher.digest()
+    }
 }
--- a/crates/core/src/direct/level/controller.rs
+++ b/crates/core/src/direct/level/controller.rs
@@ -50,20 +50,28 @@
     /// Time within which an excess of open streams above the room ends. Shorter than `gap_ms`: all
     /// streams that begin meanwhile are late.
     pub excess_ms: f64,
-    /// Time constant of the integral of the gap. At four times `gap_ms` it is critically damped.
+    /// Time constant of the integral of the gap. With half of the requests refused and four times
+    /// `gap_ms`, it is critically damped.
     pub integral_ms: f64,
     /// Time from the reports to the effect of a level that follows from them.
     pub delay: Millis,
     /// Time constant of the smoothed demand: about one interval of reports.
     pub smoothing_ms: f64,
+    /// Time constant of the accounts' parts of the demand. A part of a few requests per second shows
+    /// only over some seconds.
+    pub accounts_smoothing_ms: f64,
     /// Deviations from the smoothed demand above which it has jumped.
     pub jump_deviations: f64,
+    /// What is added to a jump, relative to it: most reports span only a part of it.
+    pub jump_lead: f64,
     /// Lower bound of the admitted rate, in streams per second relative to the room. It keeps some
     /// streams going from which the room is seen to return.
     pub min_rate: f64,
-    /// Lower bound of the fraction of a priority's or an account's requests that are admitted,
-    /// relative to that of all requests.
+    /// Lower bound of the fraction of a priority's requests that are admitted, relative to that of
+    /// all requests.
     pub min_relative: f64,
+    /// The same for an account's requests of one priority.
+    pub min_account: f64,
     /// Upper bound of the turns that are assigned, relative to the admitted rate. Callers that
     /// return are late already, so more turns would be at the cost of those that can be in time.
     pub max_turns: f64,
@@ -75,11 +83,14 @@
             gap_ms: 500.0,
             excess_ms: 200.0,
             integral_ms: 2_000.0,
-            delay: Millis(300),
+            delay: Millis(400),
             smoothing_ms: 150.0,
+            accounts_smoothing_ms: 1_500.0,
             jump_deviations: 3.0,
+            jump_lead: 0.5,
             min_rate: 0.05,
-            min_relative: 0.3,
+            min_relative: 0.4,
+            min_account: 0.3,
             max_turns: 0.1,
         }
     }
@@ -91,7 +102,10 @@
     config: Config,
     arrivals_per_s: [f64; PRIORITIES],
     turns_per_s: f64,
+    completions_per_s: f64,
+    /// Requests per second of accounts, and of all accounts of each priority, over a longer time.
     accounts: BTreeMap<AccountId, f64>,
+    accounts_per_s: [f64; PRIORITIES],
     updated_at: Option<Millis>,
     /// Levels that the reports do not show yet.
     recent: VecDeque<Recent>,
@@ -118,6 +132,12 @@
 /// Rate below which an account is forgotten.
 const MIN_ACCOUNT_PER_S: f64 = 0.1;
 
+/// Steps in which the share of the accounts is found.
+const BISECTIONS: usize = 30;
+
+/// Number of accounts of one priority that are limited one by one.
+const MAX_LISTED_ACCOUNTS: usize = 8;
+
 impl Controller {
     /// No demand seen yet.
     pub fn new(config: Config) -> Controller {
@@ -125,7 +145,9 @@
             config,
             arrivals_per_s: [0.0; PRIORITIES],
             turns_per_s: 0.0,
+            completions_per_s: 0.0,
             accounts: BTreeMap::new(),
+            accounts_per_s: [0.0; PRIORITIES],
             updated_at: None,
             recent: VecDeque::new(),
             integral_per_s: 0.0,
@@ -134,14 +156,16 @@
 
     /// The level for the demand since the last update, and the room now.
     pub fn update(&mut self, demand: &Demand, room: &Room, now: Millis) -> Level {
-        let span_ms = self.smooth(demand, now);
+        let span_ms = self.smooth(demand, room, now);
         let total_per_s: f64 = self.arrivals_per_s.iter().sum();
         let demand_per_s = total_per_s + self.turns_per_s;
         let gap = room.streams - room.open - self.unreported(now);
         let close_ms = if gap < 0.0 { self.config.excess_ms } else { self.config.gap_ms };
-        let wanted_per_s = room.completions_per_s + gap * 1_000.0 / close_ms;
+        let wanted_per_s = self.completions_per_s + gap * 1_000.0 / close_ms;
         let min_per_s = room.streams * self.config.min_rate;
-        let admitted_per_s = (wanted_per_s + self.integral_per_s).max(min_per_s);
+        // Where nothing is refused, there are no callers that return.
+        let refused = (1.0 - wanted_per_s / demand_per_s.max(f64::MIN_POSITIVE)).clamp(0.0, 1.0);
+        let admitted_per_s = (wanted_per_s + refused * self.integral_per_s).max(min_per_s);
         let is_open = demand_per_s <= admitted_per_s;
         self.integrate(gap, room, is_open, span_ms);
         let level = if is_open { Level::open() } else { self.divide(total_per_s, admitted_per_s) };
@@ -149,7 +173,7 @@
             at: now,
             admitted: self.means(&level),
             arrivals_per_s: self.arrivals_per_s,
-            surplus_per_s: wanted_per_s.max(min_per_s).min(demand_per_s) - room.completions_per_s,
+            surplus_per_s: wanted_per_s.max(min_per_s).min(demand_per_s) - self.completions_per_s,
         });
         level
     }
@@ -180,7 +204,7 @@
             let (min, max) = INTEGRAL_RANGE;
             self.integral_per_s = (self.integral_per_s
                 + gap_per_s * span_ms / self.config.integral_ms)
-                .clamp(min * room.completions_per_s, max * room.completions_per_s);
+                .clamp(min * self.completions_per_s, max * self.completions_per_s);
         }
     }
 
@@ -201,8 +225,8 @@
             }
             let above_floor = (arrivals_per_s * (1.0 - floor)).min(left_per_s);
             left_per_s -= above_floor;
-            let fraction = floor + above_floor / arrivals_per_s;
-            self.share(priority, fraction, floor, &mut level);
+            let fraction = (floor + above_floor / arrivals_per_s).min(1.0);
+            self.share(priority, fraction, self.config.min_account * overall, &mut level);
         }
         let refused_per_s = (total_per_s - free_per_s).max(f64::MIN_POSITIVE);
         level.turns = (self.config.max_turns * admitted_per_s / refused_per_s).min(1.0);
@@ -214,22 +238,42 @@
         let mut means = level.admitted;
         for (account, relative) in &level.accounts {
             let priority = account.priority();
-            let part = self.accounts.get(account).copied().unwrap_or(0.0)
-                / self.arrivals_per_s[priority].max(f64::MIN_POSITIVE);
-            means[priority] -= level.admitted[priority] * part.min(1.0) * (1.0 - relative);
+            means[priority] -= level.admitted[priority] * self.part(*account) * (1.0 - relative);
         }
         means
     }
 
+    /// An account's part of the requests of its priority.
+    fn part(&self, account: AccountId) -> f64 {
+        let all_per_s = self.accounts_per_s[account.priority()].max(f64::MIN_POSITIVE);
+        self.accounts.get(&account).map_or(0.0, |rate| (rate / all_per_s).min(1.0))
+    }
+
     /// Includes the newest demand, and returns the time since the last update.
-    fn smooth(&mut self, demand: &Demand, now: Millis) -> f64 {
+    fn smooth(&mut self, demand: &Demand, room: &Room, now: Millis) -> f64 {
         let span_ms = self.updated_at.replace(now).map(|last| now.since(last).0 as f64);
-        let weight =
-            span_ms.map_or(1.0, |span_ms| 1.0 - (-span_ms / self.config.smoothing_ms).exp());
+        let mean_per_s: f64 = self.arrivals_per_s.iter().sum();
+        let rise_per_s = demand.arrivals_per_s.iter().sum::<f64>() - mean_per_s;
+        // Requests arrive independently of each other, so their number in the time constant varies
+        // by its square root.
+        let deviation_per_s = (mean_per_s * 1_000.0 / self.config.smoothing_ms).sqrt();
+        let has_jumped = rise_per_s > self.config.jump_deviations * deviation_per_s;
+        let weight = match span_ms {
+            Some(span_ms) if !has_jumped => 1.0 - (-span_ms / self.config.smoothing_ms).exp(),
+            Some(_) => 1.0 + self.config.jump_lead,
+            None => 1.0,
+        };
         for (mean, rate) in self.arrivals_per_s.iter_mut().zip(demand.arrivals_per_s) {
             *mean += weight * (rate - *mean);
         }
         self.turns_per_s += weight * (demand.turns_per_s - self.turns_per_s);
+        let since_ms = span_ms.unwrap_or(f64::INFINITY);
+        let weight = 1.0 - (-since_ms / self.config.smoothing_ms).exp();
+        self.completions_per_s += weight * (room.completions_per_s - self.completions_per_s);
+        let weight = 1.0 - (-since_ms / self.config.accounts_smoothing_ms).exp();
+        for (mean, rate) in self.accounts_per_s.iter_mut().zip(demand.arrivals_per_s) {
+            *mean += weight * (rate - *mean);
+        }
         for mean in self.accounts.values_mut() {
             *mean *= 1.0 - weight;
         }
@@ -241,36 +285,34 @@
     }
 
     /// Divides what a priority gets among accounts: those below the share get all that they ask for,
-    /// the others get the share.
+    /// the others get the share. All quantities are parts of the requests of the priority.
     fn share(&self, priority: usize, fraction: f64, floor: f64, level: &mut Level) {
-        let arrivals_per_s = self.arrivals_per_s[priority];
-        let listed = || self.accounts.iter().filter(|(account, _)| account.priority() == priority);
-        let smallest = listed().map(|(_, rate)| *rate).fold(f64::INFINITY, f64::min);
         level.admitted[priority] = fraction;
-        if fraction >= 1.0 || smallest.is_infinite() {
-            return;
-        }
+        let of_priority = self.accounts.keys().filter(|account| account.priority() == priority);
+        let mut parts: Vec<_> =
+            of_priority.map(|account| (*account, self.part(*account))).collect();
+        parts.sort_by(|one, other| other.1.total_cmp(&one.1));
+        parts.truncate(MAX_LISTED_ACCOUNTS);
+        let Some((_, smallest)) = parts.last().copied().filter(|_| fraction < 1.0) else { return };
         // Accounts that are not listed are no larger than the smallest one that is.
-        let unlisted_per_s =
-            (arrivals_per_s - listed().map(|(_, rate)| rate).sum::<f64>()).max(0.0);
-        let unlisted = unlisted_per_s / smallest;
-        let part = |rate: f64, share: f64| (share / rate).clamp(floor, 1.0);
-        let admitted_per_s = |share: f64| {
-            let of_listed: f64 = listed().map(|(_, rate)| rate * part(*rate, share)).sum();
-            of_listed + unlisted * smallest * part(smallest, share)
+        let unlisted = (1.0 - parts.iter().map(|(_, part)| part).sum::<f64>()).max(0.0);
+        let admitted = |part: f64, share: f64| (share / part).clamp(floor, 1.0);
+        let sum = |share: f64| {
+            let of_listed: f64 = parts.iter().map(|(_, part)| part * admitted(*part, share)).sum();
+            of_listed + unlisted * admitted(smallest, share)
         };
-        let (mut low, mut high) = (0.0, arrivals_per_s);
-        for _ in 0..40 {
+        let (mut low, mut high) = (0.0, 1.0);
+        for _ in 0..BISECTIONS {
             let middle = f64::midpoint(low, high);
-            if admitted_per_s(middle) < fraction * arrivals_per_s {
+            if sum(middle) < fraction {
                 low = middle;
             } else {
                 high = middle;
             }
         }
-        let of_smallest = part(smallest, high);
+        let of_smallest = admitted(smallest, high);
         level.admitted[priority] = of_smallest;
-        let above = listed().map(|(account, rate)| (*account, part(*rate, high) / of_smallest));
-        level.accounts.extend(above.filter(|(_, relative)| *relative < 1.0));
+        let limited = parts.iter().map(|(one, part)| (*one, admitted(*part, high) / of_smallest));
+        level.accounts.extend(limited.filter(|(_, relative)| *relative < 1.0));
     }
 }
--- a/crates/core/src/direct/level/gate.rs
+++ b/crates/core/src/direct/level/gate.rs
@@ -17,8 +17,12 @@
 pub const MAX_LEVEL_AGE: Millis = Millis(1_500);
 
 /// Streams that a gateway admits while no level is in force, relative to its equal part of the
-/// slots. Gateways get unequal demand, and not all lack the level at the same time.
-const OWN_PART_FACTOR: f64 = 1.5;
+/// slots, if the last level refused requests: some of the gateways may lack the level for long.
+const CLOSED_PART_FACTOR: f64 = 1.25;
+
+/// The same if the last level admitted all requests: deviations above the equal part. The number of
+/// a gateway's streams varies by the square root of their mean.
+const OPEN_PART_DEVIATIONS: f64 = 2.0;
 
 /// Fraction of the time left for which callers wait before they retry.
 const WAIT_FRACTION: f64 = 1.0 / 3.0;
@@ -111,9 +115,10 @@
         let fraction = self
             .level(now)
             .map(|level| (level.fraction(request.priority, request.account), level.turns));
+        let position = turns::position(request.key, shared);
         let (is_admitted, turns) = match fraction {
-            Some((fraction, turns)) => (turns::position(request.key, shared) < fraction, turns),
-            None => (f64::from(request.open_streams) < own_part * OWN_PART_FACTOR, 0.0),
+            Some((fraction, turns)) => (position < fraction, turns),
+            None => (f64::from(request.open_streams) + position < self.own_bound(own_part), 0.0),
         };
         if !is_admitted && self.take_turn(request.key, shared, now) {
             return Verdict::AdmittedInTurn;
@@ -133,6 +138,15 @@
         })
     }
 
+    /// Bound of the gateway's streams while no level is in force.
+    fn own_bound(&self, own_part: f64) -> f64 {
+        if self.level.as_ref().is_some_and(|last| *last != Level::open()) {
+            own_part * CLOSED_PART_FACTOR
+        } else {
+            own_part + OPEN_PART_DEVIATIONS * own_part.sqrt()
+        }
+    }
+
     /// Takes the key's turn, if it is now and was not taken.
     fn take_turn(&mut self, key: u64, shared: Millis, now: Millis) -> bool {
         let assigned = self.assigned.iter().map(|(_, turns)| *turns).fold(0.0, f64::max);
--- a/crates/core/tests/level_fleet/mod.rs
+++ b/crates/core/tests/level_fleet/mod.rs
@@ -39,18 +39,23 @@
 /// Reports of each gateway lapse.
 const MAX_REPORT_AGE: Millis = Millis(1_000);
 const ACCOUNTS: u64 = 24;
-const LISTED: usize = 8;
+const LISTED: usize = 16;
 
 /// Streams per second that these slots carry.
 pub fn rate_per_s(slots: usize) -> f64 {
     slots as f64 * 1_000.0 / STREAM_MS
 }
 
-/// Open streams that are in time: slots, and half of the slack in the queue.
+/// Streams that the servers carry in time: slots, and half of the slack in the queue.
 pub fn room(slots: usize) -> f64 {
     slots as f64 + rate_per_s(slots) * SLACK.0 as f64 / 2_000.0
 }
 
+/// The room at which the keeper aims: less than what is in time, since open streams vary.
+fn target(slots: usize) -> f64 {
+    slots as f64 + rate_per_s(slots) * SLACK.0 as f64 / 4_000.0
+}
+
 /// Way in which gateways decide.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Way {
@@ -72,14 +77,15 @@
 /// What became of the requests of 1 s.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Second {
+    pub asked: u32,
     pub in_time: u32,
     pub late: u32,
     pub most_open: usize,
 }
 
 struct Report {
-    at: Millis,
     open: usize,
+    ended: u32,
     arrivals: [u32; PRIORITIES],
     turns: u32,
     accounts: BTreeMap<AccountId, u32>,
@@ -95,13 +101,15 @@
     is_cut: bool,
 }
 
-fn empty_report(at: Millis) -> Report {
-    Report { at, open: 0, arrivals: [0; PRIORITIES], turns: 0, accounts: BTreeMap::new() }
+fn empty_report() -> Report {
+    Report { open: 0, ended: 0, arrivals: [0; PRIORITIES], turns: 0, accounts: BTreeMap::new() }
 }
 
 pub struct Fleet {
     pub now: Millis,
     pub slots: usize,
+    /// Priorities of requests, at equal rates.
+    pub priorities: [u8; 4],
     /// Requests per second, of callers that repeat at once, and of one account more than others.
     pub per_s: f64,
     pub repeaters: f64,
@@ -132,6 +140,7 @@
         let mut fleet = Fleet {
             now: Millis(10_000),
             slots: SLOTS,
+            priorities: [0, 1, 1, 2],
             per_s: 300.0,
             repeaters: 0.0,
             large_account: 0.0,
@@ -162,7 +171,7 @@
             gate: Gate::new(),
             admission: Admission::new(admission::Config::default()),
             open: 0,
-            report: empty_report(self.now),
+            report: empty_report(),
             next_report_at: self.now + Millis(self.rng.random_range(0..REPORT_INTERVAL.0)),
             is_alive: true,
             is_cut: false,
@@ -202,7 +211,7 @@
             self.next_key += 1;
             let is_large = self.rng.random_bool(self.large_account);
             let account = if is_large { 0 } else { self.rng.random_range(0..ACCOUNTS) };
-            let priority = [0, 1, 1, 2][self.rng.random_range(0..4)];
+            let priority = self.priorities[self.rng.random_range(0..4)];
             let request = Request {
                 key: self.next_key,
                 account,
@@ -228,6 +237,7 @@
             }
             self.running.pop();
             self.gateways[gateway].open -= 1;
+            self.gateways[gateway].report.ended += 1;
             self.gateways[gateway].admission.ended(Some(STREAM_MS));
         }
         let open = self.running.len() + self.queue.len();
@@ -241,12 +251,15 @@
             } else {
                 second.late += 1
             }
-            let length = STREAM_MS * self.rng.random_range(0.4..1.6);
+            // Most answers are short, and some are several times as long.
+            let draw = |rng: &mut ChaCha8Rng| -rng.random_range(1e-9_f64..1.0).ln();
+            let length = STREAM_MS / 2.0 * (draw(&mut self.rng) + draw(&mut self.rng));
             self.running.push(Reverse((self.now + Millis(length as u64), gateway)));
         }
     }
 
     fn ask(&mut self, mut request: Request) {
+        self.seconds.last_mut().expect("a second has begun").asked += 1;
         let alive: Vec<usize> =
             (0..self.gateways.len()).filter(|index| self.gateways[*index].is_alive).collect();
         let index = alive[self.rng.random_range(0..alive.len())];
@@ -327,7 +340,7 @@
                 continue;
             }
             gateway.next_report_at = self.now + REPORT_INTERVAL;
-            let mut report = std::mem::replace(&mut gateway.report, empty_report(self.now));
+            let mut report = std::mem::replace(&mut gateway.report, empty_report());
             report.open = gateway.open;
             if gateway.is_cut || self.rng.random_bool(LOST) {
                 continue;
@@ -347,7 +360,7 @@
             self.reports.insert(index, (report, self.now));
             self.update_level();
             if !self.rng.random_bool(LOST) {
-                self.send(index, true, empty_report(self.now), self.level.clone());
+                self.send(index, true, empty_report(), self.level.clone());
             }
         }
     }
@@ -371,8 +384,10 @@
         let mut demand = Demand::default();
         let mut accounts: BTreeMap<AccountId, f64> = BTreeMap::new();
         let mut open = 0;
+        let mut ended = 0;
         for (report, _) in self.reports.values() {
             open += report.open;
+            ended += report.ended;
             demand.turns_per_s += f64::from(report.turns) * per_s;
             for (sum, count) in demand.arrivals_per_s.iter_mut().zip(report.arrivals) {
                 *sum += f64::from(count) * per_s;
@@ -389,8 +404,8 @@
         demand.accounts = accounts;
         let part = (heard / known).min(1.0);
         let open = open as f64;
-        let completions_per_s = rate_per_s(self.slots).min(open * 1_000.0 / STREAM_MS);
-        let room = Room { streams: room(self.slots) * part, open, completions_per_s };
+        let completions_per_s = f64::from(ended) * per_s;
+        let room = Room { streams: target(self.slots) * part, open, completions_per_s };
         self.level = self.controller.update(&demand, &room, self.now);
     }
 }
--- a/crates/direct/src/admission_queue.rs
+++ b/crates/direct/src/admission_queue.rs
@@ -97,6 +97,11 @@
         Ok(AdmittedStream::new(self.clone(), self.clock.now()))
     }
 
+    /// Admits a stream that the level of all gateways admits.
+    pub fn admit_at_once(self: &Rc<Self>) -> AdmittedStream {
+        AdmittedStream::new(self.clone(), self.clock.now())
+    }
+
     /// The admitted streams, with their means.
     pub fn summary(&self) -> StreamSummary {
         self.admission.borrow().summary()
--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -15,6 +15,7 @@
 use futures_util::Stream;
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::attempts;
+use hooktrestle_core::direct::level::Return;
 use hooktrestle_core::verdict::Refusal;
 use hooktrestle_schema::Cause;
 use hooktrestle_schema::RefusedStep;
@@ -43,6 +44,7 @@
 use crate::forward::Reply;
 use crate::gateway::Gateway;
 use crate::gateway::Phase;
+use crate::gateway::levels::LevelDecision;
 use crate::headers;
 use crate::platform::Platform;
 use crate::relay;
@@ -210,7 +212,25 @@
     }
     let busy = || gateway.with_pool(|pool| pool.busy_fraction(&request.service));
     let Some(admission) = request.admission_request(busy) else { return Ok(()) };
-    match gateway.admission_queue(&request.service).admit(admission).await {
+    let queue = gateway.admission_queue(&request.service);
+    let names = gateway.platform.headers();
+    let to_gate = request.gate_request(names, queue.summary().open, gateway.now());
+    match gateway.decide_by_level(&request.service, &to_gate) {
+        LevelDecision::Admitted => {
+            request.admitted_stream = Some(queue.admit_at_once());
+            return Ok(());
+        }
+        LevelDecision::Unknown => {}
+        LevelDecision::Refused(to_return) => {
+            gateway.metrics.streams_over_capacity.inc();
+            let refusal = Refusal::not_run(Cause::QueueFull);
+            return Err(match to_return {
+                Return::InTurn(after) | Return::NotBefore(after) => refusal.retry_after(after),
+                Return::Never => refusal,
+            });
+        }
+    }
+    match queue.admit(admission).await {
         Ok(admitted) => {
             request.admitted_stream = Some(admitted);
             Ok(())
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -9,6 +9,7 @@
 pub(crate) mod crashes;
 mod eras;
 mod evacuations;
+pub(crate) mod levels;
 pub mod limits;
 mod rooms;
 mod server_notices;
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -8,8 +8,10 @@
 use hooktrestle_core::direct::admission::LatencyObjective;
 use hooktrestle_core::direct::attempts::RETRY_AFTER_NO_SERVER;
 use hooktrestle_core::direct::fingerprint::Fingerprint;
+use hooktrestle_core::direct::level::GateRequest;
 use hooktrestle_core::direct::pool::Demand;
 use hooktrestle_core::direct::pool::Server;
+use hooktrestle_core::direct::room::AccountId;
 use hooktrestle_core::direct::serving::AccountKey;
 use hooktrestle_core::direct::serving::Denial;
 use hooktrestle_core::direct::serving::Residency;
@@ -139,6 +141,21 @@
         })
     }
 
+    /// The request for a stream, as the level of all gateways decides on it. `open_streams` is the
+    /// number of streams of its service that this gateway has open.
+    pub fn gate_request(&self, names: &HeaderNames, open_streams: u32, now: Millis) -> GateRequest {
+        let account = self.account.map(|account| self.serving.account(account).name.as_str());
+        let own = [&names.token_counts, &names.length_hint];
+        let texts = own.map(|name| headers::text(&self.headers, name).unwrap_or_default());
+        GateRequest {
+            priority: self.priority,
+            account: AccountId::of(account.unwrap_or_default(), self.priority),
+            key: self.fingerprint.caller_key(texts),
+            open_streams,
+            left: self.deadline.since(now),
+        }
+    }
+
     /// Whether the answer is a stream of events.
     pub fn is_stream(&self) -> bool {
         self.route().kind == RouteKind::Stream
