--- a/crates/core/src/direct/level.rs
+++ b/crates/core/src/direct/level.rs
@@ -43,9 +43,13 @@
 
     /// Fraction of the requests of an account that are admitted.
     pub fn fraction(&self, priority: u8, account: AccountId) -> f64 {
-        let admitted = self.admitted[usize::from(priority).min(PRIORITIES - 1)];
+        self.admitted[usize::from(priority).min(PRIORITIES - 1)] * self.relative(account)
+    }
+
+    /// Fraction of an account's requests that are admitted, relative to that of their priority.
+    pub fn relative(&self, account: AccountId) -> f64 {
         let found = self.accounts.iter().find(|(listed, _)| *listed == account);
-        admitted * found.map_or(1.0, |(_, fraction)| *fraction)
+        found.map_or(1.0, |(_, relative)| *relative)
     }
 }
 
--- a/crates/core/src/direct/level/gate.rs
+++ b/crates/core/src/direct/level/gate.rs
@@ -112,9 +112,11 @@
     /// streams while no level is in force.
     pub fn decide(&mut self, request: &GateRequest, own_part: f64, now: Millis) -> Verdict {
         let shared = self.shared(now);
-        let fraction = self
-            .level(now)
-            .map(|level| (level.fraction(request.priority, request.account), level.turns));
+        // An account above its share gets fewer turns too, or its refused requests would get most.
+        let fraction = self.level(now).map(|level| {
+            let turns = level.turns * level.relative(request.account);
+            (level.fraction(request.priority, request.account), turns)
+        });
         let position = turns::position(request.key, shared);
         let (is_admitted, turns) = match fraction {
             Some((fraction, turns)) => (position < fraction, turns),
