Choice of the server: each gateway has a part of the slots in which it chooses first

A gateway knows of most requests at its part as soon as they begin and end. Elsewhere it chooses in proportion to free slots, less where passes are longer than in other groups.

--- a/crates/core/src/direct/pool.rs
+++ b/crates/core/src/direct/pool.rs
@@ -18,6 +18,7 @@
 
 pub use self::choice::Demand;
 use self::occupancy::Occupancy;
+pub use self::occupancy::Position;
 use crate::clock::Millis;
 use crate::direct::advertised_limit::AdvertisedLimit;
 use crate::direct::advertised_limit::Rate;
@@ -190,6 +191,8 @@
     services: HashMap<String, Service>,
     /// Occupation of servers, by their service.
     occupancies: HashMap<String, Occupancy>,
+    /// Position of this gateway among those that serve.
+    position: Option<Position>,
     /// Data centres that operators evacuate.
     evacuated: HashSet<String>,
     /// How servers warm up, by their service.
@@ -208,6 +211,7 @@
             by_address: HashMap::new(),
             services: HashMap::new(),
             occupancies: HashMap::new(),
+            position: None,
             evacuated: HashSet::new(),
             warm_ups: HashMap::new(),
         }
@@ -500,6 +504,9 @@
         if let Some(candidate) = self.candidate(key) {
             candidate.ended();
         }
+        if let Some(occupancy) = self.occupancies.get_mut(&self.servers[key].listed.service) {
+            occupancy.record_ended(key, now);
+        }
         if outcome == AttemptOutcome::Replaced {
             self.mark_replaced(key);
         }
--- a/crates/core/src/direct/pool/choice.rs
+++ b/crates/core/src/direct/pool/choice.rs
@@ -9,6 +9,7 @@
 use super::Server;
 use super::Service;
 use super::occupancy::Occupancy;
+use super::occupancy::Weights;
 use crate::clock::Millis;
 use crate::direct::pool::ListedServer;
 use crate::direct::serving::Residency;
@@ -121,36 +122,48 @@
     ByTurns,
 }
 
-/// Picks a usable server of a service at random in proportion to the weights. A server whose
-/// occupation is unknown has the mean weight.
+/// Picks a usable server of a service: one of the own part with free slots, otherwise any of them at
+/// random in proportion to the weights. A server whose occupation is unknown has the mean weight.
 fn pick_by_weight<R: Rng>(
     found: &Service,
     servers: &Arena<Server>,
     occupancy: &Occupancy,
     rng: &mut R,
 ) -> Pick {
-    let weight = |index: usize| {
+    let weights = |index: usize| {
         let candidate = &found.candidates[index];
         let key = found.servers[index];
-        occupancy.weight(key, servers[key].listed.slots, candidate.own_requests)
+        occupancy.weights(key, servers[key].listed.slots, candidate.own_requests)
     };
     let usable = (0..found.servers.len()).filter(|index| found.candidates[*index].usable);
-    let weights: Vec<(usize, Option<f64>)> = usable.map(|index| (index, weight(index))).collect();
-    let known: Vec<f64> = weights.iter().filter_map(|(_, weight)| *weight).collect();
-    if known.is_empty() {
+    let weights: Vec<(usize, Option<Weights>)> =
+        usable.map(|index| (index, weights(index))).collect();
+    let known = || weights.iter().filter_map(|(index, weights)| Some((*index, (*weights)?)));
+    let count = known().count();
+    if count == 0 {
         return Pick::ByTurns;
     }
-    let mean = known.iter().sum::<f64>() / known.len() as f64;
-    let weights = weights.iter().map(|(index, weight)| (*index, weight.unwrap_or(mean)));
+    let of_own = known().map(|(index, weights)| (index, weights.of_own));
+    if let Some(index) = pick(of_own, rng) {
+        return Pick::Server(index);
+    }
+    let mean = known().map(|(_, weights)| weights.of_all).sum::<f64>() / count as f64;
+    let of_all =
+        weights.iter().map(|(index, weights)| (*index, weights.map_or(mean, |one| one.of_all)));
+    pick(of_all, rng).map_or(Pick::NoWeight, Pick::Server)
+}
+
+/// An index at random in proportion to the weights; `None` if all of them are 0.
+fn pick<R: Rng>(weights: impl Iterator<Item = (usize, f64)> + Clone, rng: &mut R) -> Option<usize> {
     let total: f64 = weights.clone().map(|(_, weight)| weight).sum();
     if total <= 0.0 {
-        return Pick::NoWeight;
+        return None;
     }
     let mut left = rng.random_range(0.0..total);
-    let mut last = Pick::NoWeight;
+    let mut last = None;
     for (index, weight) in weights.filter(|(_, weight)| *weight > 0.0) {
         left -= weight;
-        last = Pick::Server(index);
+        last = Some(index);
         if left < 0.0 {
             break;
         }
