--- a/crates/core/src/direct/pool.rs
+++ b/crates/core/src/direct/pool.rs
@@ -11,6 +11,7 @@
 mod choice;
 mod limits;
 mod occupancy;
+mod slots;
 
 use std::collections::HashMap;
 use std::collections::HashSet;
