--- a/crates/core/src/direct/pool/occupancy.rs
+++ b/crates/core/src/direct/pool/occupancy.rs
@@ -126,14 +126,26 @@
     }
 }
 
+/// What is known of the servers of a group.
+#[derive(Clone, Copy, Debug, Default)]
+struct GroupSums {
+    occupied: u32,
+    free_slots: u32,
+    has_slow_server: bool,
+}
+
 /// The fraction of the free slots of a group that its passes bear, where the shortest passes of an
 /// open group take `shortest_ms`.
-fn usable_fraction(group: &GroupState, occupied: u32, free_slots: u32, shortest_ms: f64) -> f64 {
+fn usable_fraction(group: &GroupState, sums: GroupSums, shortest_ms: f64) -> f64 {
     if !group.is_open {
         return 0.0;
     }
-    let left = f64::from(group.room.saturating_sub(occupied));
-    let of_room = (left / f64::from(free_slots.max(1))).clamp(PROBE_FRACTION, 1.0);
+    // A group without requests shows no pass, and those that come would wait for its slow server.
+    if group.pass_ms <= 0.0 && sums.has_slow_server {
+        return PROBE_FRACTION;
+    }
+    let left = f64::from(group.room.saturating_sub(sums.occupied));
+    let of_room = (left / f64::from(sums.free_slots.max(1))).clamp(PROBE_FRACTION, 1.0);
     // In a group with passes twice as long, half as many streams end in a given time, and each of
     // them is late more often.
     let of_pace = if group.pass_ms > shortest_ms { shortest_ms / group.pass_ms } else { 1.0 };
@@ -173,7 +185,7 @@
         let known = self.occupancies.entry(service.to_owned()).or_default();
         known.read_at = read_at;
         known.servers.clear();
-        let mut sums = vec![(0, 0); groups.len()];
+        let mut sums = vec![GroupSums::default(); groups.len()];
         let slots_of = |incarnation| {
             let key = self.by_incarnation.get(incarnation);
             key.map_or(0, |key| self.servers[*key].listed.slots)
@@ -185,16 +197,15 @@
             let slots = self.servers[key].listed.slots;
             let own_slots = own_slots(position, slots_before, slots, total_slots);
             slots_before += slots;
-            let Some((occupied, free)) = sums.get_mut(*group) else { continue };
-            *occupied += requests;
-            *free += slots.saturating_sub(*requests);
+            let Some(sums) = sums.get_mut(*group) else { continue };
+            sums.occupied += requests;
+            sums.free_slots += slots.saturating_sub(*requests);
+            sums.has_slow_server |= self.servers[key].slow_until > now;
             let (group, requests) = (*group, *requests);
             known.servers.insert(key, Occupied { group, requests, own_change: 0, own_slots });
         }
         let shortest_ms = shortest_pass_ms(groups);
-        let fraction = |(group, (occupied, free)): (&GroupState, (u32, u32))| {
-            usable_fraction(group, occupied, free, shortest_ms)
-        };
+        let fraction = |(group, sums)| usable_fraction(group, sums, shortest_ms);
         known.usable_fractions = groups.iter().zip(sums).map(fraction).collect();
         for own in known.own_changes.iter().filter(|own| own.at > read_at) {
             if let Some(server) = known.servers.get_mut(&own.server) {
--- a/crates/direct/src/gateway/rooms.rs
+++ b/crates/direct/src/gateway/rooms.rs
@@ -8,6 +8,7 @@
 use hooktrestle_core::clock::Clock;
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::members::IncarnationId;
+use hooktrestle_core::direct::pool::Position;
 use hooktrestle_core::direct::room;
 use hooktrestle_core::direct::room::GatewayReport;
 use hooktrestle_core::direct::room::RoomNotice;
@@ -127,10 +128,24 @@
             }
             let Some(list) = view.list_of(notice) else { return };
             let RoomNotice { occupied, groups, age, .. } = notice;
-            self.with_pool(|pool| pool.apply_occupancy(service, list, occupied, groups, *age, now));
+            let position = self.position(now);
+            self.with_pool(|pool| {
+                pool.set_position(position);
+                pool.apply_occupancy(service, list, occupied, groups, *age, now);
+            });
         });
     }
 
+    /// This gateway's position among those that serve; `None` if it is not one of them.
+    fn position(&self, now: Millis) -> Option<Position> {
+        self.with_members(|members| {
+            let serving = members.serving_gateways(now);
+            let own = members.own().incarnation_id();
+            let index = serving.iter().position(|member| member.incarnation_id() == own)?;
+            Some(Position { index, count: serving.len() })
+        })
+    }
+
     /// Time until this gateway's next report on a service.
     pub(crate) fn room_report_interval(&self, service: &str) -> Millis {
         let now = self.clock.now();
