--- a/crates/core/src/direct/admission.rs
+++ b/crates/core/src/direct/admission.rs
@@ -93,6 +93,8 @@
     last_pass_at: Option<Millis>,
     /// Number of open streams.
     streams: usize,
+    /// Number of streams that have ended.
+    ended: u64,
     /// Number of waiting requests.
     waiting: usize,
     /// Mean duration of a stream.
@@ -113,6 +115,7 @@
             mean_streams: 0.0,
             last_pass_at: None,
             streams: 0,
+            ended: 0,
             waiting: 0,
             stream_ms: 0.0,
             first_ms: 0.0,
@@ -214,6 +217,7 @@
     /// Records the end of a stream, with its duration if it sent any event.
     pub fn ended(&mut self, after_ms: Option<f64>) {
         self.streams = self.streams.saturating_sub(1);
+        self.ended += 1;
         if let Some(after_ms) = after_ms {
             update_mean(&mut self.stream_ms, after_ms);
         }
@@ -228,6 +232,7 @@
     pub fn summary(&self) -> StreamSummary {
         StreamSummary {
             open: self.streams as u32,
+            ended: self.ended,
             stream_ms: self.stream_ms,
             first_ms: self.first_ms,
             pass_ms: self.pass_ms + self.config.deviations * self.deviation_ms,
--- a/crates/core/src/direct/room.rs
+++ b/crates/core/src/direct/room.rs
@@ -92,6 +92,8 @@
     pub span: Millis,
     /// Streams that it has admitted and that have not ended.
     pub open_streams: u32,
+    /// Streams that ended.
+    pub ended_streams: u32,
     /// Requests by priority, admitted or not, without those that arrived in their turn.
     pub arrivals: [u32; PRIORITIES],
     /// Requests that arrived in their turn after a refusal.
@@ -108,6 +110,13 @@
     pub known_list: u64,
 }
 
+impl GatewayReport {
+    /// The rate of what was counted `count` times in the span of the report.
+    fn per_s(&self, count: u32) -> f64 {
+        f64::from(count) * 1_000.0 / self.span.0.max(1) as f64
+    }
+}
+
 /// A group of ranks that make each pass together; a server without ranks is a group of its own.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct GroupState {
--- a/crates/core/src/direct/room/estimate.rs
+++ b/crates/core/src/direct/room/estimate.rs
@@ -110,11 +110,6 @@
     open().map(of_group).sum::<f64>() + ungrouped_slots
 }
 
-/// Streams that end per second while `open` are open.
-pub fn completions_per_s(open: f64, means: StreamMeans) -> f64 {
-    if means.stream_ms > 0.0 { open * 1_000.0 / means.stream_ms } else { 0.0 }
-}
-
 /// Number of streams that may queue and still begin in time.
 pub fn queueable(completions_per_s: f64, objective: &StreamObjective, means: StreamMeans) -> f64 {
     let left_ms = (objective.first_ms - means.first_ms).max(0.0);
--- a/crates/core/src/direct/room/keeper.rs
+++ b/crates/core/src/direct/room/keeper.rs
@@ -38,6 +38,9 @@
 /// Shortest time between two changes of the level that are logged.
 const MIN_CHANGE_INTERVAL: Millis = Millis(1_000);
 
+/// Time constant of the rate at which streams end.
+const COMPLETIONS_DECAY_MS: f64 = 300.0;
+
 /// Upper bound of the factor by which reports are scaled for gateways that have not reported: most
 /// of the gateways may have sent their reports to another keeper.
 const MAX_SCALE: f64 = 8.0;
@@ -73,6 +76,8 @@
     readings: Readings,
     controller: Controller,
     room: Room,
+    /// Streams that end per second, smoothed.
+    completions_per_s: f64,
     list: ServerList,
     notice: Option<(RoomNotice, Millis)>,
     /// Number of the last notice.
@@ -90,6 +95,7 @@
             readings: Readings::default(),
             controller: Controller::new(level::Config::default()),
             room: Room::default(),
+            completions_per_s: 0.0,
             list: ServerList::default(),
             notice: None,
             number,
@@ -133,6 +139,7 @@
             self.readings.clear();
         }
         let means = self.means();
+        self.smooth_completions(input.gateways, now);
         let groups = self.groups(input, means);
         self.room = self.estimate(input, &groups, means);
         let level = self.controller.update(&self.demand(input.gateways), &self.room, now);
@@ -195,6 +202,16 @@
         (gateways as f64 / heard).clamp(1.0, MAX_SCALE)
     }
 
+    /// Updates the rate at which streams end.
+    fn smooth_completions(&mut self, gateways: usize, now: Millis) {
+        let ended = self.reports.values().map(|(report, _)| report.per_s(report.ended_streams));
+        let per_s = ended.sum::<f64>() * self.scale(gateways);
+        let since_ms =
+            self.notice.as_ref().map_or(f64::INFINITY, |(_, at)| now.since(*at).0 as f64);
+        let weight = 1.0 - (-since_ms / COMPLETIONS_DECAY_MS).exp();
+        self.completions_per_s += weight * (per_s - self.completions_per_s);
+    }
+
     fn groups(&self, input: &KeeperInput<'_>, means: StreamMeans) -> Vec<GroupRoom> {
         let mut slots = BTreeMap::new();
         for (server, open) in input.open_servers {
@@ -217,7 +234,7 @@
         // Streams of a gateway whose reports are lost still occupy servers.
         let open = (f64::from(reported) * self.scale(input.gateways))
             .max(f64::from(self.readings.occupied()));
-        let completions_per_s = estimate::completions_per_s(open, means);
+        let completions_per_s = self.completions_per_s;
         let queueable = estimate::queueable(completions_per_s, &input.objective, means);
         let streams = estimate::carried(groups, ungrouped_slots) + queueable;
         Room { streams, open, completions_per_s }
@@ -229,8 +246,7 @@
         let mut demand = Demand::default();
         let mut accounts = BTreeMap::new();
         for (report, _) in self.reports.values() {
-            let per_s =
-                |count: u32| f64::from(count) * scale * 1_000.0 / report.span.0.max(1) as f64;
+            let per_s = |count| report.per_s(count) * scale;
             for priority in 0..PRIORITIES {
                 demand.arrivals_per_s[priority] += per_s(report.arrivals[priority]);
             }
--- a/crates/core/src/direct/room/view.rs
+++ b/crates/core/src/direct/room/view.rs
@@ -26,6 +26,8 @@
 pub struct Arrivals {
     by_priority: [u32; PRIORITIES],
     turns: u32,
+    /// Streams that had ended at the last report, since the start of the process.
+    ended_before: u64,
     accounts: HashMap<AccountId, u32>,
     since: Millis,
     last_at: Option<Millis>,
@@ -51,6 +53,7 @@
     pub fn put_back(&mut self, report: &GatewayReport) {
         self.since = self.since - report.span;
         self.turns += report.turns;
+        self.ended_before -= u64::from(report.ended_streams);
         for (count, lost) in self.by_priority.iter_mut().zip(report.arrivals) {
             *count += lost;
         }
@@ -74,6 +77,8 @@
 pub struct StreamSummary {
     /// Streams that it has admitted and that have not ended.
     pub open: u32,
+    /// Streams that have ended since the start of the process.
+    pub ended: u64,
     /// Mean duration of a stream.
     pub stream_ms: f64,
     /// Mean time to the first event of a stream.
@@ -117,12 +122,18 @@
         streams: &StreamSummary,
         now: Millis,
     ) -> GatewayReport {
-        let next = Arrivals { since: now, last_at: self.arrivals.last_at, ..Arrivals::default() };
+        let next = Arrivals {
+            since: now,
+            last_at: self.arrivals.last_at,
+            ended_before: streams.ended,
+            ..Arrivals::default()
+        };
         let counted = std::mem::replace(&mut self.arrivals, next);
         GatewayReport {
             gateway,
             span: now.since(counted.since),
             open_streams: streams.open,
+            ended_streams: (streams.ended - counted.ended_before) as u32,
             arrivals: counted.by_priority,
             turns: counted.turns,
             accounts: counted.largest_accounts(),
--- a/crates/core/tests/room.rs
+++ b/crates/core/tests/room.rs
@@ -38,6 +38,7 @@
         gateway: IncarnationId(gateway),
         span: Millis(200),
         open_streams,
+        ended_streams: open_streams / 7,
         arrivals: by_priority,
         turns: 0,
         accounts: Vec::new(),
@@ -256,6 +257,8 @@
     }
     let level = fixture.notice(GATEWAYS).level;
     assert!(level.admitted[1] < 0.5, "{level:?}");
+    let completions_per_s = fixture.keeper.room().completions_per_s;
+    assert!((completions_per_s - 34.0 * 3.0 * 5.0).abs() < 5.0, "{completions_per_s}");
     for _ in 0..10 {
         fixture.read();
         for gateway in 0..GATEWAYS as u64 {
@@ -271,12 +274,15 @@
     let mut view = RoomView::default();
     let streams = StreamSummary::default();
     view.take_report(IncarnationId(1), &streams, Millis(1_000));
+    let streams = StreamSummary { ended: 4, ..streams };
     view.arrivals.record(2, Some(AccountId(5)), false, Millis(1_100));
     view.arrivals.record(2, None, true, Millis(1_150));
     let lost = view.take_report(IncarnationId(1), &streams, Millis(1_200));
     view.arrivals.put_back(&lost);
     view.arrivals.record(2, Some(AccountId(5)), false, Millis(1_300));
+    let streams = StreamSummary { ended: 6, ..streams };
     let next = view.take_report(IncarnationId(1), &streams, Millis(1_400));
+    assert_eq!((lost.ended_streams, next.ended_streams), (4, 6));
     assert_eq!((next.arrivals[2], next.turns, next.span), (2, 1, Millis(400)));
     assert_eq!(next.accounts, [(AccountId(5), 2)]);
 }
--- a/crates/direct/tests/room_messages.rs
+++ b/crates/direct/tests/room_messages.rs
@@ -26,6 +26,7 @@
         gateway: IncarnationId(u64::MAX),
         span: Millis(200),
         open_streams: 40,
+        ended_streams: 6,
         arrivals: [1, 2, 0, 0, 0, 0, 0, 0, 0, 3],
         turns: 4,
         accounts: accounts.collect(),
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -1394,6 +1394,9 @@
     pub accounts: ::std::vec::Vec<[u64; 2usize]>,
     ///Requests by priority, admitted or not, without those of `turn_requests`.
     pub arrivals: ::std::vec::Vec<u64>,
+    ///Streams that ended within `span_ms`.
+    #[serde(default)]
+    pub ended_requests: u64,
     ///Mean time to the first event of a stream; 0 if unknown.
     #[serde(default)]
     pub first_ms: u64,
