--- a/crates/core/src/direct/level/controller.rs
+++ b/crates/core/src/direct/level/controller.rs
@@ -80,7 +80,7 @@
 impl Default for Config {
     fn default() -> Self {
         Config {
-            gap_ms: 400.0,
+            gap_ms: 350.0,
             excess_ms: 200.0,
             integral_ms: 2_000.0,
             delay: Millis(400),
