Maps: with long passes a switch comes into force with the next pass

A rank twelve times as slow made two more passes of 300 ms or more with the old map, and the next switch waited for it (trace of two slow ranks on three groups: 1.0 s, of which 613 ms in prepare). The pass length is expected from the skew of the layout: the mean of earlier passes shows it seconds later. Test seen red: 2 passes ahead at a skew of 12 with the values for fresh reports.

--- a/crates/core/src/direct/expert_layout.rs
+++ b/crates/core/src/direct/expert_layout.rs
@@ -30,6 +30,9 @@
 /// of demand in that time is followed only after the switch.
 const MIN_GAIN_PER_COPY_SECOND: f64 = 0.33;
 
+/// Skew of layouts that follow demand.
+const USUAL_SKEW: f64 = 1.3;
+
 /// Layout of a group: for each set, the holders of each expert.
 pub type Layout = Vec<Vec<Holders>>;
 
@@ -93,6 +96,12 @@
     is_worth_it.then_some(Planned { layout: planned, skew_before, skew_after })
 }
 
+/// Length of the passes of a group with a layout of this skew, where passes usually take
+/// `usual_length`. A mean of earlier passes shows only seconds later that a rank became slow.
+pub fn expected_pass(usual_length: Millis, skew: f64) -> Millis {
+    Millis((usual_length.0 as f64 * (skew / USUAL_SKEW).max(1.0)) as u64)
+}
+
 /// Number of copies that a rank may make for one switch, over all sets.
 fn max_copies_per_rank(shape: &ExpertShape) -> usize {
     let fitting = MAX_COPY_TIME.0 as f64 / copy_ms(shape).max(1.0);
--- a/crates/core/src/direct/map_orders/config.rs
+++ b/crates/core/src/direct/map_orders/config.rs
@@ -32,6 +32,10 @@
     pub max_idle_rounds: u32,
 }
 
+/// Length of passes from which a map is to come into force with the next pass: a poll and the hold
+/// take less time, and each further pass with the old map costs more than a hold that comes late.
+const LONG_PASS: Millis = Millis(120);
+
 impl Default for Config {
     /// Values for engines whose reports are 200 ms old and whose passes take 35 to 90 ms.
     fn default() -> Self {
@@ -64,6 +68,12 @@
         }
     }
 
+    /// The same values for passes of this length.
+    pub fn with_pass_length(self, pass_length: Millis) -> Config {
+        let passes_ahead = if pass_length >= LONG_PASS { 1 } else { self.passes_ahead };
+        Config { pass_length, passes_ahead, ..self }
+    }
+
     /// `unanswered_margin` as a number of passes, rounded up.
     pub(super) fn unanswered_margin_passes(&self) -> u64 {
         self.unanswered_margin.0.div_ceil(self.pass_length.0.max(1))
--- a/crates/core/tests/map_orders.rs
+++ b/crates/core/tests/map_orders.rs
@@ -8,6 +8,7 @@
 mod ranks;
 
 use hooktrestle_core::clock::Millis;
+use hooktrestle_core::direct::expert_layout;
 use hooktrestle_core::direct::map_orders::Config;
 use hooktrestle_core::direct::map_orders::Next;
 use hooktrestle_core::direct::map_orders::Order;
@@ -324,12 +325,17 @@
 /// How many passes ahead of the newest one a switch is set, with passes of `pass` each, where the
 /// first answer to an order is lost.
 fn lead_after_a_lost_answer(pass: Millis) -> u64 {
-    let config = Config { pass_length: pass, ..Config::for_fresh_reports() };
+    lead(Config { pass_length: pass, ..Config::for_fresh_reports() }, true)
+}
+
+/// How many passes ahead of the newest one a switch is set, if the first answer to an order is lost
+/// or not.
+fn lead(config: Config, loses_answer: bool) -> u64 {
     let mut group = Group::new(3);
     let mut switch =
         Switch::new(config, Versions::of_fencing_token(1), 3, Start::Unknown, Millis::ZERO);
     let content = group.plan();
-    let mut lost = false;
+    let mut lost = !loses_answer;
     for _ in 0..60 {
         match switch.step() {
             Next::Round(requests) => {
@@ -364,6 +370,18 @@
     assert_eq!(long - sure, 3, "250 ms of passes of 120 ms");
 }
 
+/// With a rank twelve times as slow, a pass takes 300 ms or more, and the group makes two of them
+/// with its old map although the new one is ready.
+#[test]
+fn a_switch_comes_into_force_with_the_next_pass_if_passes_are_long() {
+    let usual = Config::for_fresh_reports().passes_ahead;
+    let of_skew = |skew| {
+        let length = expert_layout::expected_pass(Millis(63), skew);
+        lead(Config::for_fresh_reports().with_pass_length(length), false)
+    };
+    assert_eq!([1.0, 1.5, 12.0].map(of_skew), [usual, usual, 1]);
+}
+
 #[test]
 fn the_switch_pauses_before_it_polls_an_armed_group_again() {
     let group = Group::new(3);
--- a/crates/direct/src/maps/group.rs
+++ b/crates/direct/src/maps/group.rs
@@ -90,6 +90,7 @@
         let Some(current) = &known else { continue };
         let Some(planned) = next_layout(&service, current, &ranks) else { continue };
         let switch = begin(&service, versions, current, &planned, ranks.len());
+        let planned = planned.layout;
         let map = expert_layout::by_rank(&planned, ranks.len());
         let target = SwitchTarget { ranks: &ranks, map: &map, newest: RefCell::default() };
         let (ended_switch, outcome) = run_switch(&service, &target, switch, current).await;
@@ -103,36 +104,40 @@
     service: &Service<P>,
     current: &KnownMap,
     ranks: &[Key<Server>],
-) -> Option<Layout> {
+) -> Option<Planned> {
     let demand = service.demand.borrow();
     let paces = service.paces_of(ranks);
     let planned = expert_layout::plan(&service.shape, &demand, &current.layout, &paces);
     let Some(planned) = planned else {
-        return current.is_switch_unfinished.then(|| current.layout.clone());
+        let layout = || current.layout.clone();
+        let unchanged = || Planned { layout: layout(), skew_before: 1.0, skew_after: 1.0 };
+        return current.is_switch_unfinished.then(unchanged);
     };
-    let Planned { layout, skew_before, skew_after } = planned;
+    let Planned { skew_before, skew_after, .. } = planned;
     let line = format_args!(
         "planned a map that changes the skew from {skew_before:.2} to {skew_after:.2}"
     );
     service.gateway.event_log.state(line);
-    Some(layout)
+    Some(planned)
 }
 
 fn begin<P: Platform>(
     service: &Service<P>,
     versions: Versions,
     current: &KnownMap,
-    planned: &Layout,
+    planned: &Planned,
     ranks: usize,
 ) -> Switch {
     let has_sidecars = service.gateway.sidecars_port > 0;
-    let mut config = if has_sidecars {
+    let config = if has_sidecars {
         map_orders::Config::for_fresh_reports()
     } else {
         map_orders::Config::default()
     };
-    config.pass_length = service.passes.borrow().length().unwrap_or(config.pass_length);
-    let copy = expert_layout::copy_time(&service.shape, &current.layout, planned, ranks);
+    let usual_length = service.passes.borrow().length().unwrap_or(config.pass_length);
+    let config =
+        config.with_pass_length(expert_layout::expected_pass(usual_length, planned.skew_before));
+    let copy = expert_layout::copy_time(&service.shape, &current.layout, &planned.layout, ranks);
     Switch::new(config, versions, ranks, current.start, copy)
 }
 
