--- a/crates/core/src/direct/room/estimate.rs
+++ b/crates/core/src/direct/room/estimate.rs
@@ -18,6 +18,13 @@
 /// streams.
 const MIN_BUSY_FRACTION: f64 = 0.5;
 
+/// Deviation of the number of streams at a server that slots are kept free for, relative to the
+/// square root of its slots.
+const SPREAD: f64 = 0.5;
+
+/// Lower bound of the fraction of a server's slots that are used.
+const MIN_USED_FRACTION: f64 = 0.5;
+
 /// Fraction of the time left until the first event is due for which a stream may queue.
 const QUEUE_FRACTION: f64 = 0.5;
 
@@ -58,6 +65,15 @@
         let Some(rate) = self.warm_up_rate.filter(|_| means.stream_ms > 0.0) else { return slots };
         slots.min(rate.in_1000_s as f64 / 1_000.0 * means.stream_ms / 1_000.0)
     }
+
+    /// Number of streams on average at which a new one usually finds a free slot. Gateways choose
+    /// without knowing what the others choose, so the number at a server deviates from the mean by
+    /// about its square root.
+    pub fn streams_without_queue(&self, means: StreamMeans) -> f64 {
+        let slots = f64::from(self.slots);
+        let mean = (slots - SPREAD * slots.sqrt()).max(MIN_USED_FRACTION * slots);
+        self.streams(means).min(mean)
+    }
 }
 
 /// The room of one group.
@@ -69,16 +85,28 @@
     pub streams: f64,
     /// Streams that its open servers have slots for.
     pub slots: f64,
+    /// Streams on average at which a new one usually finds a free slot.
+    pub without_queue: f64,
     /// Whether passes are too long for another cause than the number of streams.
     pub is_hampered: bool,
 }
 
 /// The room of a group with these slots.
-pub fn group_room(passes: &GroupPasses, slots: f64, objective: &StreamObjective) -> GroupRoom {
+pub fn group_room(
+    passes: &GroupPasses,
+    (slots, without_queue): (f64, f64),
+    objective: &StreamObjective,
+) -> GroupRoom {
     let pass_ms = passes.length_ms();
     if !passes.is_open(objective.pause_ms) {
         let state = GroupState { is_open: false, pass_ms, room: 0 };
-        return GroupRoom { state, streams: 0.0, slots: 0.0, is_hampered: false };
+        return GroupRoom {
+            state,
+            streams: 0.0,
+            slots: 0.0,
+            without_queue: 0.0,
+            is_hampered: false,
+        };
     }
     let available_ms = (objective.pause_ms - objective.min_pass_ms).max(0.0);
     let added_ms = pass_ms - objective.min_pass_ms;
@@ -95,7 +123,7 @@
     };
     let streams = carried.clamp(MIN_FRACTION * slots, slots);
     let state = GroupState { is_open: true, pass_ms, room: streams as u32 };
-    GroupRoom { state, streams, slots, is_hampered }
+    GroupRoom { state, streams, slots, without_queue, is_hampered }
 }
 
 /// Number of streams that a service carries: those of its groups, and of the servers that belong to
@@ -104,8 +132,8 @@
     let open = || groups.iter().filter(|group| group.state.is_open);
     let has_unhampered = open().any(|group| !group.is_hampered);
     let of_group = |group: &GroupRoom| match group.is_hampered && !has_unhampered {
-        true => group.slots,
-        false => group.streams,
+        true => group.without_queue,
+        false => group.streams.min(group.without_queue),
     };
     open().map(of_group).sum::<f64>() + ungrouped_slots
 }
--- a/crates/core/src/direct/room/keeper.rs
+++ b/crates/core/src/direct/room/keeper.rs
@@ -216,7 +216,9 @@
         let mut slots = BTreeMap::new();
         for (server, open) in input.open_servers {
             if let Some(group) = self.readings.group_of(*server) {
-                *slots.entry(group).or_insert(0.0) += open.streams(means);
+                let (slots, without_queue) = slots.entry(group).or_insert((0.0, 0.0));
+                *slots += open.streams(means);
+                *without_queue += open.streams_without_queue(means);
             }
         }
         let slots_of = |group| slots.get(&group).copied().unwrap_or_default();
@@ -229,7 +231,7 @@
     fn estimate(&self, input: &KeeperInput<'_>, groups: &[GroupRoom], means: StreamMeans) -> Room {
         let ungrouped = input.open_servers.iter();
         let ungrouped = ungrouped.filter(|(server, _)| self.readings.group_of(*server).is_none());
-        let ungrouped_slots = ungrouped.map(|(_, open)| open.streams(means)).sum();
+        let ungrouped_slots = ungrouped.map(|(_, open)| open.streams_without_queue(means)).sum();
         let reported: u32 = self.reports.values().map(|(report, _)| report.open_streams).sum();
         // Streams of a gateway whose reports are lost still occupy servers.
         let open = (f64::from(reported) * self.scale(input.gateways))
