--- a/crates/core/src/direct/pool/choice.rs
+++ b/crates/core/src/direct/pool/choice.rs
@@ -77,7 +77,9 @@
             let config = &self.config.routing;
             let chosen = match pick {
                 Pick::Server(index) => {
-                    found.candidates[index].own_requests += 1;
+                    let candidate = &mut found.candidates[index];
+                    candidate.own_requests += 1;
+                    candidate.turns += demand.cost;
                     Some(index)
                 }
                 // Without any weight, servers that are a last resort may be in a better group.
--- a/crates/core/src/direct/pool/limits.rs
+++ b/crates/core/src/direct/pool/limits.rs
@@ -183,6 +183,9 @@
             candidate.ended();
             candidate.turns -= cost;
         }
+        if let Some(occupancy) = self.occupancies.get_mut(&self.servers[key].listed.service) {
+            occupancy.undo_sent(key);
+        }
     }
 
     /// The time until which a server is sent nothing, because it is backing off or has no permit.
--- a/crates/core/src/direct/pool/occupancy.rs
+++ b/crates/core/src/direct/pool/occupancy.rs
@@ -101,6 +101,16 @@
         self.record(OwnChange { at: now, server, change: -1 });
     }
 
+    /// Undoes the record of a request that was not sent after all.
+    pub(super) fn undo_sent(&mut self, server: Key<Server>) {
+        let is_it = |own: &OwnChange| own.server == server && own.change > 0;
+        let Some(index) = self.own_changes.iter().rposition(is_it) else { return };
+        let at = self.own_changes.remove(index).map_or(Millis::ZERO, |own| own.at);
+        if let Some(known) = self.servers.get_mut(&server).filter(|_| at > self.read_at) {
+            known.own_change -= 1;
+        }
+    }
+
     fn record(&mut self, own: OwnChange) {
         if let Some(server) = self.servers.get_mut(&own.server) {
             server.own_change += own.change;
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -121,6 +121,8 @@
     pub readers: Readers,
     /// Wakes the task that polls stalled groups.
     pub stall_detected: Notify,
+    /// Wakes the streams: a report of slow servers was applied.
+    pub slow_servers_reported: Notify,
     /// Wakes the gossip task: an update is urgent.
     pub urgent_gossip: Notify,
     /// Notified when the urgent gossip rounds are done.
@@ -196,6 +198,7 @@
             sidecars_port,
             readers: Readers::new(own.memory_bytes),
             stall_detected: Notify::new(),
+            slow_servers_reported: Notify::new(),
             urgent_gossip: Notify::new(),
             urgent_gossip_done: Notify::new(),
             urgent_rounds: Cell::new(None),
--- a/crates/direct/src/gateway/slow_servers.rs
+++ b/crates/direct/src/gateway/slow_servers.rs
@@ -38,6 +38,7 @@
             return;
         }
         self.with_pool(|pool| pool.set_slow(service, &report.servers, report.age, now));
+        self.slow_servers_reported.notify_waiters();
         self.request_urgent_gossip(Reach::All);
     }
 
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -95,6 +95,8 @@
     End,
     Truncated,
     IdleTimeout,
+    /// The server was reported as slow, and another one can resume the stream.
+    LeaveSlowServer,
     Deadline,
 }
 
@@ -136,6 +138,8 @@
                     return Some((Err(TruncatedStream), relay));
                 }
             }
+            // Left at the next turn of this loop.
+            SourceItem::LeaveSlowServer => {}
             SourceItem::Deadline => {
                 relay.source = None;
                 return Some((Err(TruncatedStream), relay));
@@ -168,18 +172,26 @@
 
 /// The next item of the source; `None` if the stream has ended.
 async fn next_source_item<P: Platform>(relay: &mut Relay<P>) -> Option<SourceItem> {
-    let source = relay.source.as_mut()?;
-    let (clock, deadline, resumable) =
-        (relay.gateway.clock, relay.request.deadline, relay.resumable);
+    let Relay { gateway, request, attempts, source, resumable, .. } = relay;
+    let (source, deadline, resumable) = (source.as_mut()?, request.deadline, *resumable);
+    let server = source.guard.server();
     let idle_at = Instant::now() + SOURCE_IDLE_TIMEOUT;
     loop {
         let frame = tokio::select! {
             biased;
             frame = source.body.frame() => frame,
-            () = clock.sleep_until(deadline) => return Some(SourceItem::Deadline),
+            () = gateway.clock.sleep_until(deadline) => return Some(SourceItem::Deadline),
             // This timer does not count the time of a suspension, which is no sign of an idle
             // server.
             () = time::sleep_until(idle_at), if resumable => return Some(SourceItem::IdleTimeout),
+            // The server's next event comes only at the end of a pass that it delays for all streams
+            // of its group.
+            () = gateway.slow_servers_reported.notified(), if resumable => {
+                if can_leave_slow_server(gateway, request, attempts, server) {
+                    return Some(SourceItem::LeaveSlowServer);
+                }
+                continue;
+            }
         };
         return Some(match frame {
             Some(Ok(frame)) => match frame.into_data() {
@@ -197,10 +209,20 @@
 fn should_leave_slow_server<P: Platform>(relay: &Relay<P>) -> bool {
     let Relay { gateway, request, attempts, source, resumable, .. } = relay;
     let Some(source) = source else { return false };
-    if !*resumable || !attempts.allows_another() {
+    *resumable && can_leave_slow_server(gateway, request, attempts, source.guard.server())
+}
+
+/// Whether a server is slow, and one that is not slow can resume a stream that is there.
+fn can_leave_slow_server<P: Platform>(
+    gateway: &Gateway<P>,
+    request: &Request<P>,
+    attempts: &Attempts,
+    server: Key<Server>,
+) -> bool {
+    if !attempts.allows_another() {
         return false;
     }
-    let (now, server) = (gateway.now(), source.guard.server());
+    let now = gateway.now();
     let has_better_server = gateway.with_pool(|pool| {
         let demand = request.demand(attempts.tried());
         pool.is_slow(server, now) && pool.has_alternative(&demand, server, now)
