--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -25,6 +25,7 @@
 use crate::gateway::crashes::Progress;
 use crate::platform::Platform;
 use crate::request::Request;
+use crate::slow_exit;
 
 /// Maximum size of an answer that is not a stream. It is buffered whole before it is forwarded,
 /// because the request cannot be sent again once its caller receives a part of the answer. A larger
@@ -98,7 +99,7 @@
         };
         let server = guard.server();
         attempts.begin();
-        let fate = match try_server(gateway, request, guard).await {
+        let fate = match try_server(gateway, request, attempts, guard).await {
             AttemptResult::Answered(answer) => return answer,
             AttemptResult::Failed(head, body) => {
                 failure = Some((head, body));
@@ -147,9 +148,16 @@
 async fn try_server<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     request: &Request<P>,
+    attempts: &Attempts,
     guard: AttemptGuard<P>,
 ) -> AttemptResult<P> {
-    let answer = match exchange::attempt(gateway, request, guard, None).await {
+    let server = guard.server();
+    let attempt = tokio::select! {
+        biased;
+        attempt = exchange::attempt(gateway, request, guard, None) => attempt,
+        () = slow_exit::may_leave(gateway, request, attempts, server) => Err(Fate::MayHaveRun),
+    };
+    let answer = match attempt {
         Ok(answer) => answer,
         Err(fate) => return AttemptResult::Unanswered(fate),
     };
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -50,6 +50,7 @@
 mod room;
 pub mod settings;
 pub mod sidecar;
+mod slow_exit;
 mod stalled_groups;
 mod table_sync;
 
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -38,6 +38,7 @@
 use crate::gateway::crashes::Progress;
 use crate::platform::Platform;
 use crate::request::Request;
+use crate::slow_exit;
 
 /// Time without bytes from a server after which its stream is resumed at another server. Groups
 /// stall for 1,500 ms when a rank is lost, and callers disconnect after 2,000 ms.
@@ -187,7 +188,7 @@
             // The server's next event comes only at the end of a pass that it delays for all streams
             // of its group.
             () = gateway.slow_servers_reported.notified(), if resumable => {
-                if can_leave_slow_server(gateway, request, attempts, server) {
+                if slow_exit::can_leave(gateway, request, attempts, server) {
                     return Some(SourceItem::LeaveSlowServer);
                 }
                 continue;
@@ -209,25 +210,7 @@
 fn should_leave_slow_server<P: Platform>(relay: &Relay<P>) -> bool {
     let Relay { gateway, request, attempts, source, resumable, .. } = relay;
     let Some(source) = source else { return false };
-    *resumable && can_leave_slow_server(gateway, request, attempts, source.guard.server())
-}
-
-/// Whether a server is slow, and one that is not slow can resume a stream that is there.
-fn can_leave_slow_server<P: Platform>(
-    gateway: &Gateway<P>,
-    request: &Request<P>,
-    attempts: &Attempts,
-    server: Key<Server>,
-) -> bool {
-    if !attempts.allows_another() {
-        return false;
-    }
-    let now = gateway.now();
-    let has_better_server = gateway.with_pool(|pool| {
-        let demand = request.demand(attempts.tried());
-        pool.is_slow(server, now) && pool.has_alternative(&demand, server, now)
-    });
-    has_better_server && gateway.budget_has_retry(&request.service)
+    *resumable && slow_exit::can_leave(gateway, request, attempts, source.guard.server())
 }
 
 /// Drops the source and returns its server; `None` if there is none.
