--- a/crates/core/src/direct/serving.rs
+++ b/crates/core/src/direct/serving.rs
@@ -6,6 +6,7 @@
 //! as a whole.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 
 use rand::Rng;
@@ -13,6 +14,7 @@
 
 use crate::clock::Millis;
 use crate::direct::pool::WarmUpConfig;
+use crate::direct::room::PRIORITIES;
 use crate::direct::room::estimate::StreamObjective;
 
 /// Whether requests of a route may run more than once, and whether the answer is a stream.
@@ -221,6 +223,8 @@
     /// Services with a route that has an objective for the pauses between events, with the
     /// strictest objectives of such routes.
     pub stream_objectives: BTreeMap<String, StreamObjective>,
+    /// Priorities of all streams, by account and by route, in their order.
+    urgencies: Vec<(u8, u8)>,
     routes: Vec<Route>,
     accounts: Vec<Account>,
     by_host: HashMap<String, HashMap<String, RouteKey>>,
@@ -248,11 +252,13 @@
         let services: HashMap<String, Service> =
             services.into_iter().map(|one| (one.name.clone(), one)).collect();
         let stream_objectives = stream_objectives(&routes, &services);
+        let urgencies = urgencies(&routes, &accounts);
         ServingConfig {
             version,
             limits,
             services,
             stream_objectives,
+            urgencies,
             routes,
             accounts,
             by_host,
@@ -284,6 +290,15 @@
         &self.routes[key.0]
     }
 
+    /// Rank of a stream among those that compete for the same room, from 0, the most urgent: by the
+    /// priority of the account, then by that of the route.
+    pub fn urgency(&self, route: RouteKey, account: Option<AccountKey>) -> u8 {
+        let of_account = account.and_then(|account| self.account(account).priority);
+        let pair = priorities(self.route(route), of_account);
+        let rank = self.urgencies.partition_point(|ranked| *ranked < pair);
+        rank.min(PRIORITIES - 1) as u8
+    }
+
     /// A client account by its key.
     pub fn account(&self, key: AccountKey) -> &Account {
         &self.accounts[key.0]
@@ -307,6 +322,21 @@
     }
 }
 
+/// Priority of a stream by its account, or by its route if the account has none, and by its route.
+fn priorities(route: &Route, of_account: Option<u8>) -> (u8, u8) {
+    (of_account.unwrap_or(route.priority), route.priority)
+}
+
+fn urgencies(routes: &[Route], accounts: &[Account]) -> Vec<(u8, u8)> {
+    let of_accounts: BTreeSet<Option<u8>> =
+        accounts.iter().map(|account| account.priority).chain([None]).collect();
+    let streams = routes.iter().filter(|route| route.kind == RouteKind::Stream);
+    let pairs: BTreeSet<(u8, u8)> = streams
+        .flat_map(|route| of_accounts.iter().map(|of_account| priorities(route, *of_account)))
+        .collect();
+    pairs.into_iter().collect()
+}
+
 fn stream_objectives(
     routes: &[Route],
     services: &HashMap<String, Service>,
