--- a/crates/core/src/direct/pool.rs
+++ b/crates/core/src/direct/pool.rs
@@ -10,12 +10,16 @@
 
 mod choice;
 mod limits;
+mod occupancy;
+mod slots;
 
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
 
 pub use self::choice::Demand;
+use self::occupancy::Occupancy;
+pub use self::occupancy::Position;
 use crate::clock::Millis;
 use crate::direct::advertised_limit::AdvertisedLimit;
 use crate::direct::advertised_limit::Rate;
@@ -186,6 +190,10 @@
     /// Servers that are listed at an address.
     by_address: HashMap<SocketAddr, Vec<Key<Server>>>,
     services: HashMap<String, Service>,
+    /// Occupation of servers, by their service.
+    occupancies: HashMap<String, Occupancy>,
+    /// Position of this gateway among those that serve.
+    position: Option<Position>,
     /// Data centres that operators evacuate.
     evacuated: HashSet<String>,
     /// How servers warm up, by their service.
@@ -203,6 +211,8 @@
             limits: HashMap::new(),
             by_address: HashMap::new(),
             services: HashMap::new(),
+            occupancies: HashMap::new(),
+            position: None,
             evacuated: HashSet::new(),
             warm_ups: HashMap::new(),
         }
@@ -495,6 +505,9 @@
         if let Some(candidate) = self.candidate(key) {
             candidate.ended();
         }
+        if let Some(occupancy) = self.occupancies.get_mut(&self.servers[key].listed.service) {
+            occupancy.record_ended(key, now);
+        }
         if outcome == AttemptOutcome::Replaced {
             self.mark_replaced(key);
         }
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -9,7 +9,9 @@
 pub(crate) mod crashes;
 mod eras;
 mod evacuations;
+pub(crate) mod levels;
 pub mod limits;
+mod rooms;
 mod server_notices;
 pub(crate) mod slow_servers;
 mod tables;
@@ -64,6 +66,7 @@
 use crate::event_log::EventLog;
 use crate::gateway::by_service::ByService;
 use crate::gateway::crashes::CrashDetection;
+use crate::gateway::rooms::Rooms;
 use crate::gateway::slow_servers::Reach;
 use crate::metrics::Metrics;
 use crate::permits::PermitGranters;
@@ -119,6 +122,8 @@
     pub readers: Readers,
     /// Wakes the task that polls stalled groups.
     pub stall_detected: Notify,
+    /// Wakes the streams: a report of slow servers was applied.
+    pub slow_servers_reported: Notify,
     /// Wakes the gossip task: an update is urgent.
     pub urgent_gossip: Notify,
     /// Notified when the urgent gossip rounds are done.
@@ -158,6 +163,7 @@
     outages: ByService<Outages>,
     admission_queues: ByService<Rc<AdmissionQueue>>,
     heads: ByService<Heads>,
+    rooms: Rooms,
     budget: Cell<budget::Config>,
     /// Sidecars that did not answer, and until when each is skipped.
     unanswered_sidecars: RefCell<HashMap<Key<Server>, Millis>>,
@@ -193,6 +199,7 @@
             sidecars_port,
             readers: Readers::new(own.memory_bytes),
             stall_detected: Notify::new(),
+            slow_servers_reported: Notify::new(),
             urgent_gossip: Notify::new(),
             urgent_gossip_done: Notify::new(),
             urgent_rounds: Cell::new(None),
@@ -226,6 +233,7 @@
             outages: ByService::default(),
             admission_queues: ByService::default(),
             heads: ByService::default(),
+            rooms: Rooms::default(),
             budget: Cell::new(budget),
             unanswered_sidecars: RefCell::default(),
             relays: RefCell::default(),
