--- a/crates/core/src/direct/members/table.rs
+++ b/crates/core/src/direct/members/table.rs
@@ -9,6 +9,8 @@
 use super::Members;
 use super::Readiness;
 use crate::clock::Millis;
+use crate::direct::permits::GatewayId;
+use crate::util::hash;
 
 impl Members {
     /// Applies the platform's table of gateways. A row does not prove that its gateway is alive: a
@@ -106,13 +108,27 @@
                 entry.member.readiness == Readiness::Leaving && !self.is_alive(entry, now)
             })
         };
+        let names = self.fleet_names(now).into_iter();
+        let others = names.filter(|name| *name != self.own.name && !has_stopped(name));
+        Some(1 + others.count())
+    }
+
+    /// All gateways that may run, this one included. `None` unless the platform's table was read and
+    /// lists this gateway: the table of a fleet that is being set up lacks gateways. Those that
+    /// announced that they leave are included, as their processes may run on.
+    pub fn whole_fleet(&self, now: Millis) -> Option<Vec<GatewayId>> {
+        self.listed.as_ref().filter(|listed| listed.contains(&self.own.name))?;
+        let names = self.fleet_names(now).into_iter();
+        Some(names.map(|name| GatewayId(hash::of(name))).collect())
+    }
+
+    /// Names of the gateways that are known, listed or removed recently.
+    fn fleet_names(&self, now: Millis) -> HashSet<&str> {
         let listed = self.listed.iter().flatten().map(String::as_str);
         let before = self.listed_before.iter().filter(|(_, until)| **until > now);
         let listed = listed.chain(before.map(|(name, _)| name.as_str()));
         let removed = self.removed_names.iter().filter(|(_, until)| **until > now);
         let listed = listed.chain(removed.map(|(name, _)| name.as_str()));
-        let names: HashSet<&str> = self.others.keys().map(String::as_str).chain(listed).collect();
-        let others = names.into_iter().filter(|name| *name != self.own.name && !has_stopped(name));
-        Some(1 + others.count())
+        self.others.keys().map(String::as_str).chain(listed).collect()
     }
 }
--- a/crates/core/src/direct/permits.rs
+++ b/crates/core/src/direct/permits.rs
@@ -16,6 +16,12 @@
 //! before that time is over. So the sum stays within the limit however many gateways grant permits
 //! at once, also on both sides of a network partition, and an isolated gateway has its own share.
 //!
+//! A gateway that has just started does not know where its predecessor delegated the share, and one
+//! whose granting gateway has ended cannot withdraw its share from there. Such a gateway learns
+//! that its share is free from the gateway that it asks, if that one still counts the share, or if
+//! all other gateways have disclaimed: each has stated that it counts no share of another gateway,
+//! and accepts none for a while. Otherwise the gateway waits until its share counts nowhere.
+//!
 //! The alternative, a share that each gateway keeps for itself, is of no use if it is a tenth of a
 //! request per second. The cost: while the granting gateway changes, permits of some seconds are
 //! lost; the share of a gateway that is gone for good is lost until the gateway is no longer
@@ -36,6 +42,13 @@
 /// transit for the difference to `DELEGATED_FOR`.
 const RESERVED_FOR: Millis = Millis(2_500);
 
+/// How long a gateway accepts no share after it disclaimed. Messages that delegate a share may be in
+/// transit for the difference to [`DISCLAIMER_VALIDITY`], and so may the disclaimer: half of it each.
+const DISCLAIMED_FOR: Millis = Millis(2_000);
+
+/// How long a disclaimer holds at the gateway that received it.
+const DISCLAIMER_VALIDITY: Millis = Millis(1_000);
+
 /// Interval at which a gateway that requests no permits renews the delegation of its share.
 pub const DELEGATION_INTERVAL: Millis = Millis(600);
 
@@ -107,10 +120,16 @@
     own: GatewayId,
     own_incarnation: IncarnationId,
     delegated_to: Option<IncarnationId>,
+    /// When the own share was last delegated; `None` before.
+    delegated_at: Option<Millis>,
     /// Until when the own share is reserved for the gateway that it is delegated to.
     reserved_until: Millis,
     /// Shares delegated to this gateway, by their owner, with the time until which they count.
     shares: HashMap<GatewayId, Millis>,
+    /// Until when this gateway accepts no share of another one, as it has stated.
+    disclaimed_until: Millis,
+    /// Gateways that have disclaimed, with the time until which that holds.
+    disclaimers: HashMap<GatewayId, Millis>,
     buckets: HashMap<Subject, TokenBucket>,
 }
 
@@ -122,8 +141,11 @@
             own,
             own_incarnation,
             delegated_to: None,
+            delegated_at: None,
             reserved_until: now + RESERVED_FOR,
             shares: HashMap::new(),
+            disclaimed_until: Millis::ZERO,
+            disclaimers: HashMap::new(),
             buckets: HashMap::new(),
         }
     }
@@ -140,13 +162,71 @@
             self.shares.remove(&self.own);
         }
         self.delegated_to = Some(to);
+        self.delegated_at = Some(now);
         self.reserved_until = now + RESERVED_FOR;
         true
     }
 
-    /// A gateway, which may be this one, has delegated its share to this one.
+    /// Whether the own share is reserved for a gateway that this one does not know, since an earlier
+    /// process may have delegated it.
+    pub fn awaits_own_share(&self, now: Millis) -> bool {
+        self.delegated_to.is_none() && now < self.reserved_until
+    }
+
+    /// Whether the own share was delegated at this time or later.
+    pub fn has_delegated_since(&self, at: Millis) -> bool {
+        self.delegated_at.is_some_and(|delegated_at| delegated_at >= at)
+    }
+
+    /// A gateway, which may be this one, has delegated its share to this one. A share of another
+    /// gateway is not accepted after a disclaimer.
     pub fn add_share(&mut self, from: GatewayId, now: Millis) {
-        self.shares.insert(from, now + DELEGATED_FOR);
+        if from == self.own || now >= self.disclaimed_until {
+            self.shares.insert(from, now + DELEGATED_FOR);
+        }
+    }
+
+    /// Disclaims: from now on this gateway accepts no share of another one for a while. Returns
+    /// whether it did; it does not while it counts such a share.
+    pub fn disclaim(&mut self, now: Millis) -> bool {
+        self.shares.retain(|_, until| *until > now);
+        let counts_none = self.shares.keys().all(|owner| *owner == self.own);
+        if counts_none {
+            self.disclaimed_until = now + DISCLAIMED_FOR;
+        }
+        counts_none
+    }
+
+    /// Another gateway has disclaimed.
+    pub fn record_disclaimer(&mut self, from: GatewayId, now: Millis) {
+        self.disclaimers.insert(from, now + DISCLAIMER_VALIDITY);
+    }
+
+    /// Whether the share of `owner` counts at no gateway but this one: it counts here, or all other
+    /// gateways have disclaimed. `fleet` has all gateways, alive or not; `None` if it may lack one.
+    pub fn is_share_free(
+        &self,
+        owner: GatewayId,
+        fleet: Option<&[GatewayId]>,
+        now: Millis,
+    ) -> bool {
+        let holds = |until: Option<&Millis>| until.is_some_and(|until| *until > now);
+        let has_disclaimed =
+            |gateway: &GatewayId| *gateway == self.own || holds(self.disclaimers.get(gateway));
+        now >= self.disclaimed_until
+            && (holds(self.shares.get(&owner))
+                || fleet.is_some_and(|fleet| fleet.iter().all(has_disclaimed)))
+    }
+
+    /// The gateway `by`, which may be this one, has replied to a request of `requested_at` that the
+    /// own share counts at no other gateway. The share can then be delegated to it at once.
+    pub fn confirm_free_share(&mut self, by: IncarnationId, requested_at: Millis, now: Millis) {
+        if !self.has_delegated_since(requested_at)
+            && self.delegated_to != Some(self.own_incarnation)
+        {
+            self.delegated_to = Some(by);
+            self.reserved_until = now + RESERVED_FOR;
+        }
     }
 
     /// Grants permits for a server with this limit, as many as are wanted or available. A new
--- a/crates/core/src/direct/pool/limits.rs
+++ b/crates/core/src/direct/pool/limits.rs
@@ -58,6 +58,11 @@
             .collect()
     }
 
+    /// Whether servers of any service are cold after a start.
+    pub fn has_warm_ups(&self) -> bool {
+        !self.warm_ups.is_empty()
+    }
+
     /// Whether a listed server advertises a limit or is warming up.
     pub fn has_limits(&self, now: Millis) -> bool {
         let mut limited = self.limits.iter().filter(|(_, limited)| limited.is_limited(now));
--- a/crates/direct/src/gateway/configurations.rs
+++ b/crates/direct/src/gateway/configurations.rs
@@ -45,6 +45,7 @@
         let warm_ups = serving.services.iter();
         let warm_ups = warm_ups.filter_map(|(name, one)| Some((name.clone(), one.warm_up?)));
         self.with_pool(|pool| pool.set_warm_ups(warm_ups.collect()));
+        self.limits_changed.notify_one();
         self.serving.replace(Rc::new(serving));
         self.event_log.state(format_args!("configuration {version} in force, from {source}"));
     }
--- a/crates/direct/src/members_table.rs
+++ b/crates/direct/src/members_table.rs
@@ -12,6 +12,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::Phase;
 use crate::peers::messages;
+use crate::permits;
 use crate::platform::Failure;
 use crate::platform::MAX_MEMBER_ROWS;
 use crate::platform::Platform;
@@ -29,6 +30,13 @@
 /// Time in which a gateway may find others by its seeds, before it reads the table.
 const ALONE_DELAY: Millis = Millis(500);
 
+/// Time in which a gateway that awaits its share of the limits may find others, before it reads the
+/// table for the first time. If it grants permits, it has to know all gateways.
+const FIRST_READ_DELAY: Millis = Millis(100);
+
+/// Time between two checks of whether the first read is due.
+const FIRST_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Pause after a failed call, before it is doubled for each failure, and the maximum number of
 /// doublings.
 const RETRY_PAUSE_MS: u64 = 125;
@@ -46,7 +54,8 @@
         if let Some(result) = done {
             keeper.record_result(&gateway, result);
         }
-        time::sleep(CHECK_INTERVAL).await;
+        let awaits_first_read = keeper.read_at.is_none() && permits::awaits_share(&gateway);
+        time::sleep(if awaits_first_read { FIRST_CHECK_INTERVAL } else { CHECK_INTERVAL }).await;
     }
 }
 
@@ -102,6 +111,9 @@
         }
         let (delay, read_interval) = match is_alone {
             true => (ALONE_DELAY, ALONE_READ_INTERVAL),
+            false if self.read_at.is_none() && permits::awaits_share(gateway) => {
+                (FIRST_READ_DELAY, READ_INTERVAL)
+            }
             false => (propagation_time, READ_INTERVAL),
         };
         let since = *self.since.get_or_insert(now);
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -16,6 +16,7 @@
 use hooktrestle_core::direct::crashes::ServerIncarnation;
 use hooktrestle_core::direct::fingerprint::Fingerprint;
 use hooktrestle_core::direct::members::IncarnationId;
+use hooktrestle_core::direct::members::Readiness;
 use hooktrestle_core::direct::permits::DELEGATION_INTERVAL;
 use hooktrestle_core::direct::permits::GatewayId;
 use hooktrestle_core::direct::permits::Grant;
@@ -36,6 +37,12 @@
 /// Time for which a granting gateway that did not answer is skipped.
 const SKIP_FOR: Millis = Millis(3_000);
 
+/// Minimum time until another attempt to delegate the own share.
+const MIN_RETRY_INTERVAL: Millis = Millis(100);
+
+/// Time between two such attempts, for each gateway of the fleet.
+const RETRY_SPACING_MS: u64 = 2;
+
 /// Maximum number of idle connections to granting gateways.
 const MAX_IDLE_CONNECTIONS: usize = 4;
 
@@ -81,10 +88,11 @@
 }
 
 impl PermitRequest {
-    fn message(self, own: GatewayId, hands_over: bool) -> PermitsAsked {
+    fn message(self, own: GatewayId, hands_over: bool, counts_no_shares: bool) -> PermitsAsked {
         let nothing = PermitsAsked {
             gateway_number: own.0,
             hands_over,
+            counts_no_shares,
             server_number: None,
             wanted_requests: 0,
             returning_requests: None,
@@ -114,18 +122,43 @@
     is_own: bool,
 }
 
-/// Delegates the own share at intervals while any server has a limit, until the process ends.
+/// Delegates the own share at intervals while any server has a limit, until the process ends. After
+/// a start it does so, too, if servers may be cold: their limits are then usable at once.
 pub async fn run<P: Platform>(gateway: Rc<Gateway<P>>) {
     loop {
-        while gateway.with_pool(|pool| pool.has_limits(gateway.now())) {
+        while needs_share(&gateway) {
+            let asked_at = gateway.now();
             // Without a granting gateway this has no effect.
             let _ = request_permits(&gateway, PermitRequest::ShareOnly).await;
-            time::sleep(Duration::from(DELEGATION_INTERVAL)).await;
+            let interval =
+                match gateway.with_permits(|permits| permits.has_delegated_since(asked_at)) {
+                    true => DELEGATION_INTERVAL,
+                    false => retry_interval(&gateway),
+                };
+            time::sleep(Duration::from(interval)).await;
         }
         gateway.limits_changed.notified().await;
     }
 }
 
+fn needs_share<P: Platform>(gateway: &Gateway<P>) -> bool {
+    gateway.with_pool(|pool| pool.has_limits(gateway.now())) || awaits_share(gateway)
+}
+
+/// Whether servers may be cold and the own share is reserved since the start of this gateway.
+pub(crate) fn awaits_share<P: Platform>(gateway: &Gateway<P>) -> bool {
+    let is_awaited = gateway.with_permits(|permits| permits.awaits_own_share(gateway.now()));
+    is_awaited && gateway.with_pool(|pool| pool.has_warm_ups())
+}
+
+/// Time until another attempt to delegate the own share after one that failed. It is longer with
+/// many gateways, since all of them may ask after a common start.
+fn retry_interval<P: Platform>(gateway: &Gateway<P>) -> Millis {
+    let fleet = gateway.with_members(|members| members.fleet_size(gateway.now()));
+    let spaced = Millis(fleet.unwrap_or_default() as u64 * RETRY_SPACING_MS);
+    MIN_RETRY_INTERVAL.max(spaced).min(DELEGATION_INTERVAL)
+}
+
 /// Requests permits; `None` if there is no answer.
 pub async fn request_permits<P: Platform>(
     gateway: &Rc<Gateway<P>>,
@@ -134,19 +167,31 @@
     let granter = granter(gateway)?;
     let now = gateway.now();
     let own = gateway.with_members(|members| members.own().gateway_id());
-    let hands_over =
-        gateway.with_permits(|permits| permits.delegate_share(granter.incarnation, now));
-    let request = wanted.message(own, hands_over);
     if granter.is_own {
-        return Some(grant_locally(gateway, &request));
+        return Some(grant_from_own_share(gateway, own, wanted));
     }
+    // A gateway that does not serve yet may soon grant permits itself.
+    let is_ready = gateway.readiness() == Readiness::Ready;
+    let (hands_over, counts_no_shares) = gateway.with_permits(|permits| {
+        let hands_over = permits.delegate_share(granter.incarnation, now);
+        (hands_over, !hands_over && is_ready && permits.disclaim(now))
+    });
+    let request = wanted.message(own, hands_over, counts_no_shares);
     let server = request.server_number.map(ServerIncarnation);
     let limits = server.map(|server| messages::limit_entries(gateway, server)).unwrap_or_default();
     let message = PeerNews { permits_asked: Some(request), limits, ..messages::empty_message() };
     let exchanged =
         time::timeout(Duration::from(ASK_TIMEOUT), exchange(gateway, granter.address, &message));
     match exchanged.await {
-        Ok(Ok(granted)) => Some(granted),
+        Ok(Ok((granted, is_share_free))) => {
+            if is_share_free && !hands_over {
+                let replied_at = gateway.now();
+                gateway.with_permits(|permits| {
+                    permits.confirm_free_share(granter.incarnation, now, replied_at);
+                });
+            }
+            Some(granted)
+        }
         Ok(Err(_)) | Err(_) => {
             gateway.event_log.state(format_args!(
                 "{} did not answer a permit request and is skipped",
@@ -177,7 +222,7 @@
     gateway: &Rc<Gateway<P>>,
     address: SocketAddr,
     message: &PeerNews,
-) -> Result<Grant> {
+) -> Result<(Grant, bool)> {
     let sent_at = gateway.now();
     let attempt = async |idle| exchange_over(idle, address, message).await;
     let reply = gateway.permit_granters.connections.exchange(address, attempt).await?;
@@ -187,7 +232,9 @@
         gateway.now().since(sent_at),
     ));
     let granted = reply.permits_given.ok_or_else(|| eyre!("the reply contains no permits"))?;
-    Ok(Grant { permits: granted.permitted_requests, retry_in: Millis(granted.again_in_ms) })
+    let grant =
+        Grant { permits: granted.permitted_requests, retry_in: Millis(granted.again_in_ms) };
+    Ok((grant, granted.share_is_free))
 }
 
 async fn exchange_over(
@@ -210,17 +257,47 @@
     let is_fresh = gateway.recent_suspension(LATE_READ_WINDOW).is_none();
     let hands_over = request.hands_over && is_fresh;
     let granted = grant_locally(gateway, &PermitsAsked { hands_over, ..request.clone() });
+    let sender = GatewayId(request.gateway_number);
+    let now = gateway.now();
+    if request.counts_no_shares && is_fresh {
+        gateway.with_permits(|permits| permits.record_disclaimer(sender, now));
+    }
+    let share_is_free = !request.hands_over && is_share_free(gateway, sender, now);
     let server = request.server_number.map(ServerIncarnation);
     PeerNews {
         limits: server.map(|server| messages::limit_entries(gateway, server)).unwrap_or_default(),
         permits_given: Some(PermitsGiven {
             permitted_requests: granted.permits,
             again_in_ms: granted.retry_in.0,
+            share_is_free,
         }),
         ..messages::empty_message()
     }
 }
 
+fn is_share_free<P: Platform>(gateway: &Gateway<P>, owner: GatewayId, now: Millis) -> bool {
+    let fleet = gateway.with_members(|members| members.whole_fleet(now));
+    gateway.with_permits(|permits| permits.is_share_free(owner, fleet.as_deref(), now))
+}
+
+/// Grants permits as this gateway's own granting gateway.
+fn grant_from_own_share<P: Platform>(
+    gateway: &Gateway<P>,
+    own: GatewayId,
+    wanted: PermitRequest,
+) -> Grant {
+    let now = gateway.now();
+    let incarnation = gateway.with_members(|members| members.own().incarnation_id());
+    let mut hands_over = gateway.with_permits(|permits| permits.delegate_share(incarnation, now));
+    if !hands_over && is_share_free(gateway, own, now) {
+        hands_over = gateway.with_permits(|permits| {
+            permits.confirm_free_share(incarnation, now, now);
+            permits.delegate_share(incarnation, now)
+        });
+    }
+    grant_locally(gateway, &wanted.message(own, hands_over, false))
+}
+
 fn grant_locally<P: Platform>(gateway: &Gateway<P>, request: &PermitsAsked) -> Grant {
     let now = gateway.now();
     let gateways = gateway.with_members(|members| members.fleet_size(now));
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -1162,6 +1162,9 @@
 ///Request for permits from another gateway: to send requests to a server that advertises a limit or is in its ramp-up after a back-off, or to retry one request that is suspected of crashing servers. With none of these, the message only delegates the sender's share of the limits.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct PermitsAsked {
+    ///Whether the sender counts no share of another gateway, and accepts none for the next two seconds.
+    #[serde(default)]
+    pub counts_no_shares: bool,
     ///Identifies the sending gateway, with the same value in all its incarnations.
     pub gateway_number: u64,
     ///Whether the sender delegates its share of the limits to the receiver.
@@ -1189,6 +1192,9 @@
     pub again_in_ms: u64,
     ///Number of requests that may be sent.
     pub permitted_requests: u32,
+    ///Whether the receiver's share counts at no gateway but the sender, so that it can be delegated to the sender at once.
+    #[serde(default)]
+    pub share_is_free: bool,
 }
 ///Section `[platform]`.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
