Retry times in an outage follow the order of refusals, as widely as callers wait

Callers retry once or twice and wait for a third of the time they have left. So retries begin at the expected end of an outage and are spread evenly; an outage that lasts longer than expected is answered by the longest wait.

--- a/crates/core/src/direct/advertised_limit.rs
+++ b/crates/core/src/direct/advertised_limit.rs
@@ -275,6 +275,13 @@
         self.valid_until = requested_at + PERMIT_VALIDITY;
     }
 
+    /// Permits can be requested again at once: more shares of the limit are delegated now than at
+    /// the last answer.
+    pub fn reopen(&mut self, now: Millis) {
+        self.ask_not_before = self.ask_not_before.min(now);
+        self.expected_at = self.expected_at.min(now);
+    }
+
     fn recent_by(&self, now: Millis) -> f64 {
         self.recent * (-(now.since(self.recent_at).0 as f64) / RECENT_DECAY_MS).exp()
     }
--- a/crates/core/src/direct/outage.rs
+++ b/crates/core/src/direct/outage.rs
@@ -2,15 +2,24 @@
 //! Input are the beginning and end of outages; the state is the expected duration of an outage.
 //! This module decides how long a refused caller is asked to wait.
 //!
-//! Callers retry once or twice. A caller that retries too early is lost, and one that retries late
-//! only waits longer. The duration of an outage is not known when it begins. It is expected to last
-//! as long as earlier ones did, and at first as long as a group takes to stall and form again.
+//! A caller that retries before the outage is over is refused again, and callers that all retry as
+//! it ends take the room of new requests. Callers retry once or twice, and wait for a third of the
+//! time that they have left, at most. So retries are spread from the expected end of the outage on,
+//! in the order of the refusals, as widely as callers wait. An outage that lasts longer than expected
+//! may end at any time: its callers retry as late as they wait. A time beyond that is told only if
+//! none lies within.
+//!
+//! The duration of an outage is not known when it begins. It is expected to last as long as earlier
+//! ones did, and at first as long as a group takes to stall and form again.
 
 use crate::clock::Millis;
 use crate::direct::attempts::MAX_RETRY_AFTER;
 use crate::direct::attempts::RETRY_AFTER_NO_SERVER;
 
-/// Fraction of the remaining time over which retries of callers are spread.
+/// Callers wait for this part of the time that they have left, at most.
+const WAITED_PART_OF_TIME_LEFT: u64 = 3;
+
+/// Fraction of the remaining time over which retries of callers are spread, if it is known.
 const JITTER_FRACTION: f64 = 0.25;
 
 /// Expected duration of an outage, and bounds on what is learned from one.
@@ -70,13 +79,22 @@
     }
 
     /// Time after which a caller that is refused now is to retry; `None` if the service has no
-    /// outage. `fraction` is drawn uniformly from 0 to 1. It spreads the retries, which would
-    /// otherwise all arrive at the same moment.
-    pub fn retry_after(&self, now: Millis, fraction: f64) -> Option<Millis> {
+    /// outage. `time_left` is the time until the caller's deadline. `fraction` is drawn uniformly
+    /// from 0 to 1 and spreads the retries. A time beyond what the caller waits for means that the
+    /// outage is not expected to end before that.
+    pub fn retry_after(&self, now: Millis, time_left: Millis, fraction: f64) -> Option<Millis> {
         let Config { min_retry_after, max_retry_after, .. } = self.config;
-        let left_ms = self.expected_ms - now.since(self.since?).0 as f64;
-        let left = Millis(left_ms.max(min_retry_after.0 as f64) as u64);
-        Some(add_jitter(left, fraction).min(max_retry_after))
+        let longest_wait = Millis(time_left.0 / WAITED_PART_OF_TIME_LEFT).min(max_retry_after);
+        let elapsed_ms = now.since(self.since?).0 as f64;
+        let left_ms = (self.expected_ms - elapsed_ms).max(min_retry_after.0 as f64);
+        let longest_ms = longest_wait.0 as f64;
+        if left_ms > longest_ms {
+            return Some(Millis(left_ms as u64));
+        }
+        // Refusals of the expected duration are spread over the longest wait.
+        let spread_ms = elapsed_ms * longest_ms / self.expected_ms;
+        let earliest_ms = (left_ms + spread_ms).min(longest_ms);
+        Some(Millis((earliest_ms + (longest_ms - earliest_ms) * fraction) as u64))
     }
 }
 
--- a/crates/core/src/direct/permits.rs
+++ b/crates/core/src/direct/permits.rs
@@ -267,6 +267,11 @@
         let bucket =
             self.buckets.entry(subject).or_insert(TokenBucket::with_level(initial_level, now));
         let permits = bucket.take(per_ms, wanted, now);
-        Grant { permits, retry_in: bucket.until(1.0, per_ms, now) }
+        // Without any share the rate is not known yet: shares may be reserved for other gateways.
+        let retry_in = match per_ms > 0.0 {
+            true => bucket.until(1.0, per_ms, now),
+            false => RESERVED_FOR,
+        };
+        Grant { permits, retry_in }
     }
 }
--- a/crates/core/src/direct/pool/limits.rs
+++ b/crates/core/src/direct/pool/limits.rs
@@ -171,6 +171,11 @@
         }
     }
 
+    /// [`AdvertisedLimit::reopen`] for all servers.
+    pub fn reopen_limits(&mut self, now: Millis) {
+        self.limits.values_mut().for_each(|limited| limited.reopen(now));
+    }
+
     /// The earliest time at which a permit may be available for a server that is otherwise
     /// available and that a request may be sent to.
     pub fn next_permit_at(&self, demand: &Demand<'_>, now: Millis) -> Option<Millis> {
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -128,7 +128,8 @@
     refusal: Refusal,
 ) -> ForwardOutcome<P> {
     let may_retry = refusal.retry_after.is_some();
-    match gateway.outage_retry_after(&request.service).filter(|_| may_retry) {
+    let after = gateway.outage_retry_after(&request.service, request.deadline);
+    match after.filter(|_| may_retry) {
         Some(after) => ForwardOutcome::Refused(refusal.retry_after(after)),
         None => ForwardOutcome::Refused(refusal),
     }
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -428,12 +428,15 @@
     }
 
     /// When a caller that is refused now is to retry, if no server of the service accepts requests.
-    pub fn outage_retry_after(&self, service: &str) -> Option<Millis> {
+    /// `deadline` is the caller's.
+    pub fn outage_retry_after(&self, service: &str, deadline: Millis) -> Option<Millis> {
         if let Some(after) = self.all_unavailable_for(service) {
             return Some(after);
         }
         let (now, fraction) = (self.now(), rand::rng().random());
-        self.with_outages(service, |outages| outages.retry_after(now, fraction))
+        self.with_outages(service, |outages| {
+            outages.retry_after(now, deadline.since(now), fraction)
+        })
     }
 
     /// Admission of streams of a service.
--- a/crates/direct/src/gateway/server_notices.rs
+++ b/crates/direct/src/gateway/server_notices.rs
@@ -3,6 +3,7 @@
 //! This module decides which servers get no requests, and when a refused caller is to retry.
 
 use hooktrestle_core::clock::Millis;
+use hooktrestle_core::direct::attempts::MAX_RETRY_AFTER;
 use hooktrestle_core::direct::outage;
 use hooktrestle_core::direct::pool::Server;
 use hooktrestle_core::direct::server_notices;
@@ -62,10 +63,12 @@
 
     /// Time after which a refused caller is to retry, if all servers of a service that would accept
     /// requests are backing off or at their limits: when the first one accepts requests again, plus
-    /// jitter, so that callers do not all retry at that moment.
+    /// jitter, so that callers do not all retry at that moment. Jitter does not exceed what callers
+    /// wait for.
     pub fn all_unavailable_for(&self, service: &str) -> Option<Millis> {
         let now = self.now();
         let until = self.with_pool(|pool| pool.all_unavailable_until(service, now))?;
-        Some(outage::add_jitter(until.since(now), rand::rng().random()))
+        let left = until.since(now);
+        Some(outage::add_jitter(left, rand::rng().random()).min(MAX_RETRY_AFTER.max(left)))
     }
 }
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -189,6 +189,7 @@
                 gateway.with_permits(|permits| {
                     permits.confirm_free_share(granter.incarnation, now, replied_at);
                 });
+                gateway.with_pool(|pool| pool.reopen_limits(replied_at));
             }
             Some(granted)
         }
