--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -13,6 +13,8 @@
 //! - [`server_notices`]: notices of a backend server that it backs off or is leaving.
 //! - [`advertised_limit`], [`permits`]: limits that backend servers advertise for all gateways
 //!   together.
+//! - [`shared_faults`]: faults of servers that any gateway observed, and servers to avoid.
+//! - [`queue_wait`]: whether a request would begin in time at a server that has a queue.
 //! - [`slow_servers`]: reports of slow backend servers, which gateways gossip.
 //! - [`admission`]: number of streams that a service can carry, from the duration of its passes.
 //! - [`room`]: what gateways report of the demand for a service, and what its servers can carry.
@@ -55,11 +57,13 @@
 pub mod passes;
 pub mod permits;
 pub mod pool;
+pub mod queue_wait;
 pub mod relays;
 pub mod replica;
 pub mod room;
 pub mod server_notices;
 pub mod serving;
+pub mod shared_faults;
 pub mod slow_servers;
 pub mod truncated_answers;
 pub mod unconfirmed;
--- a/crates/core/src/direct/pool.rs
+++ b/crates/core/src/direct/pool.rs
@@ -10,18 +10,21 @@
 
 mod choice;
 mod limits;
+mod plain;
 
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
 
 pub use self::choice::Demand;
+pub use self::choice::PlainDemand;
 use crate::clock::Millis;
 use crate::direct::advertised_limit::AdvertisedLimit;
 use crate::direct::advertised_limit::Rate;
 use crate::direct::crashes::ServerIncarnation;
 use crate::direct::replica::Revision;
 use crate::direct::server_notices::ServerNotices;
+use crate::direct::shared_faults::SharedFaults;
 use crate::direct::slow_servers;
 use crate::routing;
 use crate::routing::Candidate;
@@ -165,6 +168,8 @@
     cold_until: Millis,
     /// Its notices: a back-off that it requested, and that it is leaving.
     notices: ServerNotices,
+    /// Mean processing time of a request that is no stream; 0 if unknown.
+    work_ms: f64,
 }
 
 /// The listed servers of a service. Both arrays have the same order.
@@ -190,6 +195,8 @@
     evacuated: HashSet<String>,
     /// How servers warm up, by their service.
     warm_ups: HashMap<String, WarmUpConfig>,
+    /// Faults that gateways observed.
+    faults: SharedFaults,
 }
 
 impl Pool {
@@ -205,6 +212,7 @@
             services: HashMap::new(),
             evacuated: HashSet::new(),
             warm_ups: HashMap::new(),
+            faults: SharedFaults::default(),
         }
     }
 
@@ -289,6 +297,7 @@
             evacuated,
             cold_until: Millis::ZERO,
             notices: ServerNotices::default(),
+            work_ms: 0.0,
         };
         let key = self.servers.push(server);
         self.add_to_service(key);
--- a/crates/core/src/direct/pool/choice.rs
+++ b/crates/core/src/direct/pool/choice.rs
@@ -9,6 +9,7 @@
 use crate::clock::Millis;
 use crate::direct::pool::ListedServer;
 use crate::direct::serving::Residency;
+use crate::direct::shared_faults::Repeatability;
 use crate::routing;
 use crate::util::arena::Key;
 
@@ -23,12 +24,23 @@
     pub tried: &'a [Key<Server>],
     /// Its work relative to a usual request.
     pub cost: f64,
+    /// What holds for a request whose answer is not a stream.
+    pub plain: Option<PlainDemand>,
+}
+
+/// A request whose answer is not a stream.
+#[derive(Clone, Copy, Debug)]
+pub struct PlainDemand {
+    /// Whether it may be sent again.
+    pub repeatability: Repeatability,
+    /// When it ends at the latest.
+    pub deadline: Millis,
 }
 
 impl<'a> Demand<'a> {
     /// A usual request that may be processed anywhere and was sent to no server.
     pub fn for_service(service: &'a str) -> Demand<'a> {
-        Demand { service, residency: Residency::default(), tried: &[], cost: 1.0 }
+        Demand { service, residency: Residency::default(), tried: &[], cost: 1.0, plain: None }
     }
 
     /// Whether the request may be sent to a server.
@@ -41,13 +53,16 @@
     /// Chooses a server for a request, and counts its turn. Servers that are in cooldown, slow, or in the
     /// ramp-up after a requested back-off are chosen only if no other server is left. Servers of a
     /// stalled group are excluded because they refuse. Servers that are backing off, or that
-    /// advertise a limit and have no permit available, are excluded as well.
+    /// advertise a limit and have no permit available, are excluded as well. For requests that are
+    /// no streams, see [`plain`](super::plain).
     pub fn choose<R: Rng>(
         &mut self,
         demand: &Demand<'_>,
         now: Millis,
         rng: &mut R,
     ) -> Option<Key<Server>> {
+        let avoided = self.avoided(demand, now);
+        let overdue = self.overdue(demand, now);
         let found = self.services.get_mut(demand.service)?;
         for last_resort in [false, true] {
             for (key, candidate) in found.servers.iter().zip(&mut found.candidates) {
@@ -56,11 +71,12 @@
                 let fits = if last_resort {
                     server.is_available(now)
                 } else {
-                    server.is_preferred(requests, now)
+                    server.is_preferred(requests, now) && !avoided.contains(key)
                 };
                 let is_closed = self.limits.get(key).is_some_and(|limited| {
                     limited.is_closed(now) && (limited.is_limited(now) || !last_resort)
                 });
+                let is_closed = is_closed || overdue.contains(key);
                 candidate.usable = fits && !is_closed && demand.allows(*key, &server.listed);
             }
             let config = &self.config.routing;
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -112,7 +112,7 @@
             route: Some(&self.route().homes),
             account: self.account.map(|account| &self.serving.account(account).homes),
         };
-        Demand { service: &self.service, residency, tried, cost: self.cost }
+        Demand { service: &self.service, residency, tried, cost: self.cost, plain: None }
     }
 
     /// Id as text, for log lines.
