--- a/crates/core/src/direct/attempts.rs
+++ b/crates/core/src/direct/attempts.rs
@@ -39,7 +39,7 @@
 
 /// Retry time for a request that did not run because servers are full: about the time in which a
 /// server accepts its next request.
-const RETRY_AFTER_FULL: Millis = Millis(150);
+pub const RETRY_AFTER_FULL: Millis = Millis(150);
 
 /// Retry time where no server is available. The users' groups take 600 ms to accept requests again
 /// once their last rank has returned.
--- a/crates/core/src/direct/shared_faults.rs
+++ b/crates/core/src/direct/shared_faults.rs
@@ -14,6 +14,7 @@
 
 use crate::clock::Millis;
 use crate::direct::crashes::ServerIncarnation;
+use crate::direct::pool::AttemptOutcome;
 
 /// Time for which a fault counts for requests that run at most once.
 pub const FAULT_LIFETIME: Millis = Millis(8_000);
@@ -73,6 +74,21 @@
     }
 }
 
+/// Whether the outcome of an attempt is a fault of its server. An answer that reports a failure is
+/// one only for a request that runs at most once: others are sent to a second server, where most
+/// fail again, because of what they ask for.
+pub fn is_fault(outcome: AttemptOutcome, repeatability: Repeatability) -> bool {
+    match outcome {
+        AttemptOutcome::Lost | AttemptOutcome::Unreachable | AttemptOutcome::Overtaken => true,
+        AttemptOutcome::Failed => repeatability == Repeatability::Once,
+        AttemptOutcome::Answered
+        | AttemptOutcome::Abandoned
+        | AttemptOutcome::Full
+        | AttemptOutcome::Stalled
+        | AttemptOutcome::Replaced => false,
+    }
+}
+
 /// Recent faults of all servers.
 #[derive(Clone, Debug, Default)]
 pub struct SharedFaults {
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -11,7 +11,10 @@
 use hooktrestle_core::direct::attempts::Fate;
 use hooktrestle_core::direct::overtaken;
 use hooktrestle_core::direct::pool::AttemptOutcome;
+use hooktrestle_core::direct::pool::Demand;
 use hooktrestle_core::direct::pool::Server;
+use hooktrestle_core::direct::shared_faults;
+use hooktrestle_core::direct::shared_faults::Repeatability;
 use hooktrestle_core::util::arena::Key;
 use hooktrestle_schema::ConnectionStep;
 use hooktrestle_schema::LimitStep;
@@ -49,6 +52,8 @@
     server: Key<Server>,
     /// Estimated work of the request, relative to a typical request.
     cost: f64,
+    /// Whether the request may be sent again, if its answer is no stream.
+    repeatability: Option<Repeatability>,
     permit: Option<Permit>,
     /// Deadline of the request.
     deadline: Millis,
@@ -61,10 +66,12 @@
     pub fn new(
         gateway: Rc<Gateway<P>>,
         server: Key<Server>,
-        cost: f64,
+        demand: &Demand<'_>,
         deadline: Millis,
     ) -> AttemptGuard<P> {
-        AttemptGuard { gateway, server, cost, permit: None, deadline, outcome: None }
+        let repeatability = demand.plain.map(|plain| plain.repeatability);
+        let cost = demand.cost;
+        AttemptGuard { gateway, server, cost, repeatability, permit: None, deadline, outcome: None }
     }
 
     /// Acquires a permit to send the request; `None` if none is available now.
@@ -107,6 +114,9 @@
             if now >= self.deadline { AttemptOutcome::Lost } else { AttemptOutcome::Abandoned };
         let outcome = self.outcome.unwrap_or(unanswered);
         self.gateway.with_pool(|pool| pool.ended(self.server, outcome, now));
+        if self.repeatability.is_some_and(|one| shared_faults::is_fault(outcome, one)) {
+            self.gateway.record_fault(self.server);
+        }
     }
 }
 
@@ -185,9 +195,26 @@
     gateway.with_pool(|pool| pool.record_answer(guard.server()));
     let now = gateway.now();
     gateway.with_heads(&request.service, |heads| heads.began(guard.server(), sent_at, now));
+    if !request.is_stream() {
+        record_duration(gateway, request, guard.server(), now.since(sent_at));
+    }
     Ok(Answer { head, body, connection, guard, began_at: now })
 }
 
+/// Records how long a server took for a request that is no stream. An answer that alone took longer
+/// than the latency objective is a fault of the server.
+fn record_duration<P: Platform>(
+    gateway: &Gateway<P>,
+    request: &Request<P>,
+    server: Key<Server>,
+    took: Millis,
+) {
+    gateway.with_pool(|pool| pool.record_duration(server, took));
+    if took > request.route().objective_ms {
+        gateway.record_fault(server);
+    }
+}
+
 /// Waits until a request at a server is overtaken by requests to other servers that were sent
 /// later. Never returns if the request may not be sent again.
 async fn overtaken<P: Platform>(
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use hooktrestle_core::clock::Millis;
+use hooktrestle_core::direct::attempts;
 use hooktrestle_core::direct::attempts::Attempts;
 use hooktrestle_core::direct::attempts::Fate;
 use hooktrestle_core::direct::attempts::Next;
@@ -85,6 +86,13 @@
             return ForwardOutcome::Refused(attempts.refuse_with_retry_after(cause, left));
         }
         let Some(guard) = next_attempt(gateway, request, attempts).await else {
+            if let Some(after) = gateway.too_late_for(&request.demand(attempts.tried()))
+                && failure.is_none()
+            {
+                let after = after.clamp(attempts::RETRY_AFTER_FULL, attempts::MAX_RETRY_AFTER);
+                let refusal = attempts.refuse_with_retry_after(Cause::QueueFull, after);
+                return ForwardOutcome::Refused(refusal);
+            }
             // A back-off or an advertised limit is no outage, because its end is known.
             if attempts.tried().is_empty()
                 && gateway.all_unavailable_for(&request.service).is_none()
@@ -176,7 +184,7 @@
         let now = gateway.now();
         let chosen = gateway.with_pool(|pool| pool.choose(&demand, now, &mut rand::rng()));
         if let Some(server) = chosen {
-            let guard = AttemptGuard::new(gateway.clone(), server, demand.cost, request.deadline);
+            let guard = AttemptGuard::new(gateway.clone(), server, &demand, request.deadline);
             match guard.acquire_permit().await {
                 Some(guard) => return Some(guard),
                 None => continue,
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -9,6 +9,7 @@
 pub(crate) mod crashes;
 mod eras;
 mod evacuations;
+mod faults;
 pub mod limits;
 mod server_notices;
 pub(crate) mod slow_servers;
--- a/crates/direct/src/peers/messages.rs
+++ b/crates/direct/src/peers/messages.rs
@@ -233,6 +233,7 @@
             .iter()
             .map(|(server, advertised)| limit_to_wire(*server, advertised, now))
             .collect(),
+        faults: gateway.faults_to_wire(),
         ..empty_message()
     }
 }
@@ -256,6 +257,7 @@
         crashes: Vec::new(),
         cleared: Vec::new(),
         limits: Vec::new(),
+        faults: Vec::new(),
         permits_asked: None,
         permits_given: None,
         room_asked: None,
@@ -350,6 +352,7 @@
     });
     gateway.merge_crashes(&crashes, &cleared.collect::<Vec<_>>());
     gateway.apply_limits(&received_limits(message, now, delay));
+    gateway.merge_faults(&message.faults, delay);
     for table_update in &message.news {
         if let Some(table) = Table::of_name(&table_update.table) {
             gateway.apply_update(table, &update_from_wire(table_update), "peer");
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -9,6 +9,7 @@
 use hooktrestle_core::direct::attempts::RETRY_AFTER_NO_SERVER;
 use hooktrestle_core::direct::fingerprint::Fingerprint;
 use hooktrestle_core::direct::pool::Demand;
+use hooktrestle_core::direct::pool::PlainDemand;
 use hooktrestle_core::direct::pool::Server;
 use hooktrestle_core::direct::serving::AccountKey;
 use hooktrestle_core::direct::serving::Denial;
@@ -17,6 +18,7 @@
 use hooktrestle_core::direct::serving::RouteKey;
 use hooktrestle_core::direct::serving::RouteKind;
 use hooktrestle_core::direct::serving::ServingConfig;
+use hooktrestle_core::direct::shared_faults::Repeatability;
 use hooktrestle_core::util::arena::Key;
 use hooktrestle_core::verdict::Refusal;
 use hooktrestle_schema::Cause;
@@ -112,7 +114,17 @@
             route: Some(&self.route().homes),
             account: self.account.map(|account| &self.serving.account(account).homes),
         };
-        Demand { service: &self.service, residency, tried, cost: self.cost, plain: None }
+        Demand { service: &self.service, residency, tried, cost: self.cost, plain: self.plain() }
+    }
+
+    /// What matters for the choice of a server if the answer is no stream.
+    fn plain(&self) -> Option<PlainDemand> {
+        let repeatability = match self.route().kind {
+            RouteKind::Stream => return None,
+            RouteKind::Once => Repeatability::Once,
+            RouteKind::Repeatable => Repeatability::Repeatable,
+        };
+        Some(PlainDemand { repeatability, deadline: self.deadline })
     }
 
     /// Id as text, for log lines.
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -1135,6 +1135,9 @@
     ///Crash reports of which the receiver may know more: the server's number and the reporter's number.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub crashes_wanted: ::std::vec::Vec<[u64; 2usize]>,
+    ///Recent faults of backend servers: the server's number, the number of the gateway's incarnation that observed it, the number that this gave it, and time in ms since then.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub faults: ::std::vec::Vec<[u64; 4usize]>,
     ///Keys of the evacuations of data centres that are in force although the store has lost their rows.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub held_evacuations: ::std::vec::Vec<::std::string::String>,
--- a/crates/soak/src/backends.rs
+++ b/crates/soak/src/backends.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hooktrestle_users_standin::add_streams_by_priority;
 use hooktrestle_users_standin::add_warm_up;
 use hooktrestle_users_standin::configuration_with;
 use hooktrestle_users_standin::evacuation;
@@ -40,6 +41,13 @@
 /// Limit texts that servers advertise: valid numbers and invalid texts.
 const LIMIT_VALUES: [&str; 8] = ["1.3", "0.4", "2", "0", "7.25", "1e12", "-1", "soon"];
 
+/// Slots of each server in a burst of callers, as its row says, and the requests that wait for one.
+const BUSY_SLOTS: (u32, u32) = (4, 8);
+
+/// Time between two events of a stream, in a burst of callers and otherwise.
+const BUSY_EVENT_INTERVAL: Duration = Duration::from_millis(10);
+const EVENT_INTERVAL: Duration = Duration::from_millis(2);
+
 /// Maximum age of the snapshot with which the store returns in a drill.
 const MAX_SNAPSHOT_AGE: Duration = Duration::from_secs(10);
 
@@ -99,11 +107,16 @@
     snapshots: RefCell<VecDeque<(Instant, Snapshot)>>,
     /// Number of drills in progress.
     drills: Cell<u32>,
+    /// Slots and queue of each server, while they are bounded.
+    slots: Cell<Option<(u32, u32)>>,
+    /// Whether the configuration has streams of two priorities, for bursts of callers.
+    has_priorities: bool,
 }
 
 impl Backends {
-    /// Starts a store with a configuration, and `servers` servers.
-    pub async fn start(servers: usize, ledger: Rc<Ledger>) -> Rc<Backends> {
+    /// Starts a store with a configuration, and `servers` servers. The configuration has streams of
+    /// two priorities if `has_priorities` is set.
+    pub async fn start(servers: usize, has_priorities: bool, ledger: Rc<Ledger>) -> Rc<Backends> {
         let backends = Rc::new(Backends {
             store: Store::start().await,
             ledger,
@@ -115,6 +128,8 @@
             crash_bodies: RefCell::default(),
             snapshots: RefCell::default(),
             drills: Cell::default(),
+            slots: Cell::default(),
+            has_priorities,
         });
         backends.configure();
         for _ in 0..servers {
@@ -133,6 +148,9 @@
         let route = route_of(version);
         let mut configuration = configuration_with(version, &[&route]);
         add_warm_up(&mut configuration, WARM_UP_PER_S, COLD_START);
+        if self.has_priorities {
+            add_streams_by_priority(&mut configuration);
+        }
         self.store.put("op", "config", &configuration);
         self.version.set(version);
         self.accepted_at.set(Instant::now());
@@ -149,6 +167,7 @@
         self.started_count.set(number);
         let server = Server::start(&format!("s{number}")).await;
         server.set_default_action(Action::Work);
+        self.apply_slots(&server);
         self.crash_bodies.borrow().iter().for_each(|body| server.crash_on(body));
         let proxy = Proxy::open(server.address).await;
         let data_centre = DataCentres::of_number(number);
@@ -166,6 +185,23 @@
         self.active.borrow_mut().push(proxied);
     }
 
+    fn apply_slots(&self, server: &Server) {
+        server.limit_slots(self.slots.get());
+        let is_bounded = self.slots.get().is_some();
+        server.set_event_interval(if is_bounded { BUSY_EVENT_INTERVAL } else { EVENT_INTERVAL });
+    }
+
+    /// Bounds the slots of all servers for a time.
+    async fn bound_slots(&self, duration: Duration) {
+        let apply = |slots| {
+            self.slots.set(slots);
+            self.active.borrow().iter().for_each(|proxied| self.apply_slots(&proxied.server));
+        };
+        apply(Some(BUSY_SLOTS));
+        time::sleep(duration).await;
+        apply(None);
+    }
+
     /// From now on servers crash when they run a request with this body, and others replace them.
     pub fn crash_on(&self, body: &str) {
         self.crash_bodies.borrow_mut().push(body.to_owned());
@@ -245,6 +281,7 @@
             FaultKind::StoreForgets => self.store.discard_history(),
             FaultKind::StoreDrill => self.drill(target, duration).await,
             FaultKind::Evacuation => self.evacuate(target, duration).await,
+            FaultKind::Overload => self.bound_slots(duration).await,
             FaultKind::ServerMute
             | FaultKind::ServerReset
             | FaultKind::ServerSlow
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -71,13 +71,14 @@
         RunContext { fleet, backends, ledger, running: Cell::new(true), last_number: Cell::new(0) }
     }
 
-    fn next_id(&self) -> String {
+    /// The id of the next request.
+    pub fn next_id(&self) -> String {
         self.last_number.set(self.last_number.get() + 1);
         format!("r{}", self.last_number.get())
     }
 
     /// Records a request and the current incarnation of the gateway that it goes to.
-    fn record_request(&self, id: &str, repeatable: bool, gateway: SocketAddr) {
+    pub fn record_request(&self, id: &str, repeatable: bool, gateway: SocketAddr) {
         self.ledger.record_request(id, repeatable);
         let mut gateways = self.fleet.gateways.iter().enumerate();
         if let Some((number, found)) = gateways.find(|(_, found)| found.at.callers == gateway) {
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -20,6 +20,7 @@
 use crate::data_centres::DataCentres;
 use crate::limits::AdvertisedLimits;
 use crate::limits::LimitCheck;
+use crate::overload::Overload;
 use crate::schedule::FaultKind;
 use crate::schedule::PLANNED;
 
@@ -100,6 +101,10 @@
     /// A request known to crash servers is sent to no more servers, and no other request is refused
     /// as one.
     Crashing,
+    /// Urgent requests are served as often as less urgent ones while there is too little room.
+    Priority,
+    /// No request ends by its deadline without being sent to a server.
+    Offered,
     /// All gateways serve again after the last fault.
     Recovery,
 }
@@ -228,6 +233,10 @@
     pub data_centres: RefCell<DataCentres>,
     /// Runs of requests after their first run.
     pub retries: Cell<u32>,
+    /// Bursts of callers.
+    pub overload: Overload,
+    /// Requests that reached a server.
+    offered: RefCell<HashSet<String>>,
 }
 
 impl Ledger {
@@ -249,6 +258,8 @@
             limits: RefCell::default(),
             data_centres: RefCell::default(),
             retries: Cell::new(0),
+            overload: Overload::default(),
+            offered: RefCell::default(),
         }
     }
 
@@ -468,6 +479,10 @@
         let mut servers = self.servers.borrow_mut();
         for WatchedServer { server, checked, leaving_since } in servers.iter_mut() {
             for arrival in server.received_since(*checked) {
+                // Whether it runs is not known yet.
+                if arrival.is_queued {
+                    break;
+                }
                 *checked += 1;
                 self.check_arrival(server, &arrival, *leaving_since);
             }
@@ -503,6 +518,7 @@
                 format!("{id} reached {} after its caller disconnected", server.id),
             );
         }
+        self.offered.borrow_mut().insert(id.to_owned());
         self.check_crashing(server, arrival);
         self.check_notices(server, arrival, request);
         self.check_limit(server, arrival);
@@ -535,6 +551,16 @@
         }
     }
 
+    /// Checks what became of bursts of callers, at the end of the run.
+    pub fn check_overload(&self) {
+        for (guarantee, violation) in self.overload.check(&self.offered.borrow()) {
+            match violation {
+                None => self.record_check(guarantee),
+                Some(detail) => self.report(guarantee, detail),
+            }
+        }
+    }
+
     /// Checks the number of retries in each window, at the end of the run.
     pub fn check_retries(&self) {
         let RetryBound { ratio, slack, window } = RETRY_BOUND;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -19,6 +19,7 @@
 //! - [`bounds`]: the time bounds of these guarantees.
 //! - [`data_centres`]: evacuations, and what servers take while they are cold.
 //! - [`limits`]: the rates that servers advertise as their limits, and the rates that they receive.
+//! - [`overload`]: bursts of callers beyond the room of the servers.
 //! - [`run`]: one run of one seed.
 //! - [`shrink`]: the fewest faults with which a seed still fails.
 //!
@@ -33,6 +34,7 @@
 pub mod ledger;
 pub mod limits;
 pub mod network;
+pub mod overload;
 pub mod run;
 pub mod schedule;
 pub mod shrink;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -30,6 +30,7 @@
 use crate::ledger::Guarantee;
 use crate::ledger::Ledger;
 use crate::ledger::Violation;
+use crate::overload;
 use crate::schedule::Fault;
 use crate::schedule::FaultKind;
 
@@ -107,7 +108,8 @@
 
 async fn run_faults(config: &Config, seed: u64, faults: &[Fault]) -> Result<Report> {
     let ledger = Rc::new(Ledger::new(config.bounds));
-    let backends = Backends::start(config.servers, ledger.clone()).await;
+    let has_bursts = faults.iter().any(|fault| fault.kind == FaultKind::Overload);
+    let backends = Backends::start(config.servers, has_bursts, ledger.clone()).await;
     let (program, folder) = (&config.program, &config.folder);
     let fleet = Fleet::start(config.gateways, program, folder, &backends, ledger.clone()).await?;
     let context = Rc::new(RunContext::new(fleet.clone(), backends.clone(), ledger.clone()));
@@ -137,6 +139,7 @@
     context.running.set(false);
     ledger.poll();
     ledger.check_retries();
+    ledger.check_overload();
     fleet.kill_all();
     let retries = ledger.retries.get();
     Ok(Report {
@@ -167,6 +170,11 @@
         let now = Instant::now();
         context.ledger.record_fault(fault.kind, now, now + effect_duration(&fault));
         let (fleet, backends) = (context.fleet.clone(), context.backends.clone());
+        if fault.kind == FaultKind::Overload {
+            for number in 0..overload::BURST_CALLERS {
+                task::spawn_local(overload::send_streams(context.clone(), fault, number));
+            }
+        }
         if fault.kind == FaultKind::CrashingRequest {
             task::spawn_local(send_crashing_requests(context.clone(), fault));
             continue;
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -85,10 +85,12 @@
     Evacuation,
     /// A server crashes; another one replaces it at the end of the fault, and is cold at first.
     ServerReturnsCold,
+    /// Servers process few requests at once, and many more callers come than they have room for.
+    Overload,
 }
 
 /// All kinds, with their names for `--faults`.
-pub const FAULT_KINDS: [(&str, FaultKind); 35] = [
+pub const FAULT_KINDS: [(&str, FaultKind); 36] = [
     ("kill", FaultKind::Kill),
     ("off", FaultKind::Off),
     ("kill-all", FaultKind::KillAll),
@@ -124,6 +126,7 @@
     ("server-names-limit", FaultKind::ServerNamesLimit),
     ("evacuation", FaultKind::Evacuation),
     ("server-returns-cold", FaultKind::ServerReturnsCold),
+    ("overload", FaultKind::Overload),
 ];
 
 impl FaultKind {
@@ -221,7 +224,7 @@
 
 /// Kinds that are drawn from random generators of their own, so that the other faults of a seed are
 /// the same with and without them.
-const SEPARATELY_DRAWN: [FaultKind; 7] = [
+const SEPARATELY_DRAWN: [FaultKind; 8] = [
     FaultKind::CrashingRequest,
     FaultKind::ServerAsksRest,
     FaultKind::ServerSaysItLeaves,
@@ -229,6 +232,7 @@
     FaultKind::StoreDrill,
     FaultKind::Evacuation,
     FaultKind::ServerReturnsCold,
+    FaultKind::Overload,
 ];
 
 /// Time between two drills; one in so many is followed by the next after the shorter time.
@@ -242,6 +246,10 @@
 /// Time between the starts of two faults in which a server sends a notice.
 const NOTICE_GAP_MS: std::ops::Range<u64> = 1_000..8_000;
 
+/// Time from the start of a period with faults to a burst of callers in it, and how long one lasts.
+const OVERLOAD_DELAY_MS: std::ops::Range<u64> = 0..1_500;
+const OVERLOAD_DURATION_MS: std::ops::Range<u64> = 4_000..8_000;
+
 /// How long a gateway is off: other gateways remove its record after 60 s.
 const OFF_DURATION: Duration = Duration::from_secs(80);
 
@@ -253,10 +261,11 @@
     let end = length.saturating_sub(FAULT_FREE_END);
     let planned: Vec<FaultKind> =
         kinds.iter().copied().filter(|kind| PLANNED.contains(kind)).collect();
-    let (mut faults, mut begin) = (Vec::new(), Duration::ZERO);
+    let (mut faults, mut begin, mut periods) = (Vec::new(), Duration::ZERO, Vec::new());
     while begin < end {
         let period_end = begin + Duration::from_millis(rng.random_range(FAULT_PERIOD_MS));
         draw_period(&mut rng, &kinds, begin..period_end.min(end), &mut faults);
+        periods.push(begin..period_end.min(end));
         begin = period_end + Duration::from_millis(QUIET_PERIOD_MS);
         draw_period(&mut rng, &planned, period_end..begin.min(end), &mut faults);
     }
@@ -271,6 +280,7 @@
         match kind {
             FaultKind::CrashingRequest => draw_crashing_requests(&mut rng, end, &mut faults),
             FaultKind::StoreDrill => draw_drills(&mut rng, end, &mut faults),
+            FaultKind::Overload => draw_overloads(&mut rng, &periods, &mut faults),
             _ => draw_notices(&mut rng, kind, end, &mut faults),
         }
     }
@@ -310,6 +320,24 @@
     }
 }
 
+/// Adds a burst of callers to each period with faults: in quiet periods it would excuse what the
+/// service guarantees there.
+fn draw_overloads(
+    rng: &mut ChaCha8Rng,
+    periods: &[std::ops::Range<Duration>],
+    faults: &mut Vec<Fault>,
+) {
+    for period in periods {
+        let at = period.start + Duration::from_millis(rng.random_range(OVERLOAD_DELAY_MS));
+        let duration = Duration::from_millis(rng.random_range(OVERLOAD_DURATION_MS));
+        let target = rng.random_range(0..1_000);
+        let duration = duration.min(period.end.saturating_sub(at));
+        if !duration.is_zero() {
+            faults.push(Fault { at, duration, kind: FaultKind::Overload, target });
+        }
+    }
+}
+
 /// Adds requests that crash servers, at any time.
 fn draw_crashing_requests(rng: &mut ChaCha8Rng, end: Duration, faults: &mut Vec<Fault>) {
     let mut at = Duration::ZERO;
