--- a/crates/core/src/direct/shared_faults.rs
+++ b/crates/core/src/direct/shared_faults.rs
@@ -74,13 +74,13 @@
     }
 }
 
-/// Whether the outcome of an attempt is a fault of its server. An answer that reports a failure is
-/// one only for a request that runs at most once: others are sent to a second server, where most
-/// fail again, because of what they ask for.
+/// Whether the outcome of an attempt is a fault of its server. A failure that the server reports, or
+/// an answer that others overtook, is one only for a request that runs at most once: others are sent
+/// to a second server, where most fail again, because of what they ask for.
 pub fn is_fault(outcome: AttemptOutcome, repeatability: Repeatability) -> bool {
     match outcome {
-        AttemptOutcome::Lost | AttemptOutcome::Unreachable | AttemptOutcome::Overtaken => true,
-        AttemptOutcome::Failed => repeatability == Repeatability::Once,
+        AttemptOutcome::Lost | AttemptOutcome::Unreachable => true,
+        AttemptOutcome::Failed | AttemptOutcome::Overtaken => repeatability == Repeatability::Once,
         AttemptOutcome::Answered
         | AttemptOutcome::Abandoned
         | AttemptOutcome::Full
@@ -89,6 +89,13 @@
     }
 }
 
+/// Whether it is a fault of a server that an attempt ended without any answer, by its deadline or
+/// because its caller left, later than its latency objective. The same reason as in [`is_fault`]
+/// holds, unless no connection to the server was open.
+pub fn is_silence_a_fault(connected: bool, repeatability: Repeatability) -> bool {
+    !connected || repeatability == Repeatability::Once
+}
+
 /// Recent faults of all servers.
 #[derive(Clone, Debug, Default)]
 pub struct SharedFaults {
--- a/crates/core/tests/plain_requests.rs
+++ b/crates/core/tests/plain_requests.rs
@@ -21,6 +21,8 @@
 use hooktrestle_core::direct::shared_faults::Repeatability;
 use hooktrestle_core::direct::shared_faults::SharedFault;
 use hooktrestle_core::direct::shared_faults::SharedFaults;
+use hooktrestle_core::direct::shared_faults::is_fault;
+use hooktrestle_core::direct::shared_faults::is_silence_a_fault;
 use hooktrestle_core::util::arena::Key;
 use proptest::collection::vec;
 use proptest::prelude::*;
@@ -229,6 +231,24 @@
     assert!(pool.choose(&stream, now, &mut rng).is_some());
 }
 
+/// Requests that test a deadline, or that an application always fails, end the same at any server.
+/// Taken for faults, they made gateways avoid servers that were well.
+#[test]
+fn what_a_repeatable_request_causes_itself_is_no_fault_of_its_server() {
+    let repeatable = Repeatability::Repeatable;
+    assert!(!is_fault(AttemptOutcome::Failed, repeatable));
+    assert!(!is_fault(AttemptOutcome::Overtaken, repeatable));
+    assert!(!is_silence_a_fault(true, repeatable));
+    assert!(is_fault(AttemptOutcome::Failed, Repeatability::Once));
+    assert!(is_silence_a_fault(true, Repeatability::Once));
+    for repeatability in [Repeatability::Once, repeatable] {
+        assert!(is_fault(AttemptOutcome::Lost, repeatability));
+        assert!(is_fault(AttemptOutcome::Unreachable, repeatability));
+        assert!(is_silence_a_fault(false, repeatability));
+        assert!(!is_fault(AttemptOutcome::Full, repeatability));
+    }
+}
+
 proptest! {
     /// Whatever is reported, in whichever order and how often, a service keeps a server that is not
     /// avoided, and a message is bounded.
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -2,6 +2,7 @@
 //! the answer or the fate of the attempt. Its state is an [`AttemptGuard`] and a connection, pooled
 //! or new. It decides whether the request may be sent, and which outcome the pool records.
 
+use std::cell::Cell;
 use std::future;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,7 +12,6 @@
 use hooktrestle_core::direct::attempts::Fate;
 use hooktrestle_core::direct::overtaken;
 use hooktrestle_core::direct::pool::AttemptOutcome;
-use hooktrestle_core::direct::pool::Demand;
 use hooktrestle_core::direct::pool::Server;
 use hooktrestle_core::direct::shared_faults;
 use hooktrestle_core::direct::shared_faults::Repeatability;
@@ -57,21 +57,35 @@
     permit: Option<Permit>,
     /// Deadline of the request.
     deadline: Millis,
+    /// When the attempt began, and the latency objective of the request.
+    began_at: Millis,
+    objective: Millis,
+    /// Whether a connection to the server was open.
+    connected: Cell<bool>,
     /// Outcome of the attempt, once it is known.
     outcome: Option<AttemptOutcome>,
 }
 
 impl<P: Platform> AttemptGuard<P> {
-    /// An attempt at `server`, which the pool has chosen, for a request with this deadline.
+    /// An attempt of `request` at `server`, which the pool has chosen for it.
     pub fn new(
         gateway: Rc<Gateway<P>>,
         server: Key<Server>,
-        demand: &Demand<'_>,
-        deadline: Millis,
+        request: &Request<P>,
     ) -> AttemptGuard<P> {
-        let repeatability = demand.plain.map(|plain| plain.repeatability);
-        let cost = demand.cost;
-        AttemptGuard { gateway, server, cost, repeatability, permit: None, deadline, outcome: None }
+        let plain = request.demand(&[]).plain;
+        AttemptGuard {
+            server,
+            cost: request.cost,
+            repeatability: plain.map(|plain| plain.repeatability),
+            permit: None,
+            deadline: request.deadline,
+            began_at: gateway.now(),
+            objective: request.route().objective_ms,
+            connected: Cell::new(false),
+            outcome: None,
+            gateway,
+        }
     }
 
     /// Acquires a permit to send the request; `None` if none is available now.
@@ -114,7 +128,17 @@
             if now >= self.deadline { AttemptOutcome::Lost } else { AttemptOutcome::Abandoned };
         let outcome = self.outcome.unwrap_or(unanswered);
         self.gateway.with_pool(|pool| pool.ended(self.server, outcome, now));
-        if self.repeatability.is_some_and(|one| shared_faults::is_fault(outcome, one)) {
+        let Some(repeatability) = self.repeatability else { return };
+        let is_fault = match self.outcome {
+            Some(outcome) => shared_faults::is_fault(outcome, repeatability),
+            None => {
+                let waited = now.since(self.began_at);
+                let waited_long = waited > self.objective;
+                waited_long
+                    && shared_faults::is_silence_a_fault(self.connected.get(), repeatability)
+            }
+        };
+        if is_fault {
             self.gateway.record_fault(self.server);
         }
     }
@@ -303,6 +327,7 @@
             Some(connection) => connection,
             None => open(gateway, server).await?,
         };
+        guard.connected.set(true);
         let now = gateway.now();
         if now >= request.deadline || !guard.may_send(now) {
             gateway.connections.put_back(connection);
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -184,7 +184,7 @@
         let now = gateway.now();
         let chosen = gateway.with_pool(|pool| pool.choose(&demand, now, &mut rand::rng()));
         if let Some(server) = chosen {
-            let guard = AttemptGuard::new(gateway.clone(), server, &demand, request.deadline);
+            let guard = AttemptGuard::new(gateway.clone(), server, request);
             match guard.acquire_permit().await {
                 Some(guard) => return Some(guard),
                 None => continue,
