--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -47,9 +47,11 @@
 pub mod process;
 mod relay;
 mod request;
+mod room;
 pub mod settings;
 pub mod sidecar;
 mod stalled_groups;
 mod table_sync;
 
 pub use gateway::Gateway;
+pub use peers::room_messages;
