--- a/crates/soak/src/overload.rs
+++ b/crates/soak/src/overload.rs
@@ -98,6 +98,22 @@
         *self.refusals.borrow_mut() += 1;
     }
 
+    /// The counts in words; empty if there was no burst.
+    pub fn summary(&self) -> String {
+        let [urgent, other] = *self.counts.borrow();
+        if urgent.sent + other.sent == 0 {
+            return String::new();
+        }
+        format!(
+            ", {} of {} urgent and {} of {} other streams of bursts served with {} refusals",
+            urgent.served,
+            urgent.sent,
+            other.served,
+            other.sent,
+            self.refusals.borrow()
+        )
+    }
+
     /// Checks what is known at the end of a run, when all that reached servers is in `offered`.
     pub fn check(&self, offered: &HashSet<String>) -> Vec<OverloadCheck> {
         let mut checks = Vec::new();
@@ -105,12 +121,8 @@
         if urgent.sent >= MIN_REQUESTS && other.sent >= MIN_REQUESTS {
             let chance = DEVIATIONS * (urgent.variance() + other.variance()).sqrt();
             let lacks = other.served_fraction() - urgent.served_fraction();
-            let detail = || {
-                let refusals = self.refusals.borrow();
-                format!(
-                    "urgent {urgent:?} are served less often than others {other:?}, {refusals} refusals"
-                )
-            };
+            let detail =
+                || format!("urgent ones are served less often than others{}", self.summary());
             checks.push((Guarantee::Priority, (lacks > TOLERANCE + chance).then(detail)));
         }
         if urgent.sent + other.sent > 0 {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -72,6 +72,8 @@
     pub request_counts: (usize, usize),
     /// Runs of requests after their first run.
     pub retries: u32,
+    /// What became of bursts of callers.
+    pub bursts: String,
     /// How often each time-bounded guarantee was checked.
     pub check_counts: BTreeMap<Guarantee, u32>,
     /// Time and length of the longest delay of the test thread: callers, servers and the store do
@@ -83,6 +85,7 @@
     fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
         let (sent, answered) = self.request_counts;
         write!(formatter, "{answered} of {sent} requests answered, {} ran again", self.retries)?;
+        formatter.write_str(&self.bursts)?;
         for (guarantee, times) in &self.check_counts {
             write!(formatter, ", {guarantee:?} checked {times} times")?;
         }
@@ -146,6 +149,7 @@
         violations: ledger.violations(),
         request_counts: ledger.request_counts(),
         retries,
+        bursts: ledger.overload.summary(),
         check_counts: ledger.check_counts(),
         max_lateness: late.get(),
     })
