--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -10,6 +10,7 @@
 mod eras;
 mod evacuations;
 mod faults;
+pub(crate) mod levels;
 pub mod limits;
 mod rooms;
 mod server_notices;
--- a/crates/soak/src/overload.rs
+++ b/crates/soak/src/overload.rs
@@ -144,12 +144,14 @@
     while Instant::now() < end && context.running.get() {
         let route = rng.random_range(0..STREAMS_BY_PRIORITY.len());
         let path = format!("/{}/{}", STREAMS_BY_PRIORITY[route], rng.random_range(EVENTS));
-        let mut result = send(&context, &client, &mut rng, &path).await;
+        // Both tries of a request are the same one to gateways, and no other request is.
+        let body = format!("burst, {}", context.next_id());
+        let mut result = send(&context, &client, &mut rng, &path, &body).await;
         if let Sent::Refused(after) = result {
             if !is_impatient {
                 time::sleep(after).await;
             }
-            result = send(&context, &client, &mut rng, &path).await;
+            result = send(&context, &client, &mut rng, &path, &body).await;
         }
         context.ledger.overload.record(route, matches!(result, Sent::Served));
         if !matches!(result, Sent::Served) {
@@ -166,14 +168,20 @@
     Failed,
 }
 
-async fn send(context: &RunContext, client: &Client, rng: &mut ChaCha8Rng, path: &str) -> Sent {
+async fn send(
+    context: &RunContext,
+    client: &Client,
+    rng: &mut ChaCha8Rng,
+    path: &str,
+    body: &str,
+) -> Sent {
     let id = context.next_id();
     let gateways = &context.fleet.gateways;
     let gateway = gateways[rng.random_range(0..gateways.len())].at.callers;
     context.record_request(&id, true, gateway);
     let key = KEY_WITHOUT_PRIORITY;
     let request = caller::request_with_key(client, gateway, path, &id, DEADLINE_MS, key);
-    let Ok(answer) = request.send().await else {
+    let Ok(answer) = request.body(body.to_owned()).send().await else {
         context.ledger.record_verdict(&id, Verdict::Open);
         return Sent::Failed;
     };
