--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -183,6 +183,15 @@
         Cause::BackendFailed | Cause::DeadlinePassed => {
             "Look whether other requests name the same servers at that time."
         }
+        Cause::QueueFull => {
+            "There was no room within the time that the caller had left. Compare `room_open_streams` \
+             with `room_streams` at the gateway that logs `refuses a part of the requests`, and \
+             `admitted_thousandths` between gateways. For a route without streams, the queues of all \
+             servers lasted longer than its deadline."
+        }
+        Cause::BackendRefused => {
+            "All servers that were tried were full: their other requests at that time show for how long."
+        }
         Cause::Leaving => "The gateway was stopping; another one accepts the request at once.",
         Cause::NotReady => "The gateway had no configuration yet: look for `store lost`.",
         _ => "The cause gives the reason.",
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -19,6 +19,7 @@
   7.4 entry-2 [2026-01-12 02:39:41.600] [info] [journal, a.rs:5] request=r2 {"limit":{"server_number":4,"named":"12.5"}}
   7.4 entry-2 [2026-01-12 02:39:42.000] [info] [journal, a.rs:5] request=r2 {"leave":{"server_number":4,"reason":"slow","after_event_number":7,"next":"again"}}
   7.5 entry-2 [2026-01-12 02:39:42.000] [info] [journal, a.rs:5] request=r3 server=4 in an older form
+  7.6 entry-2 [2026-01-12 02:39:42.100] [info] [journal, a.rs:5] request=r4 {"refused":{"held_ms":0,"cause":"queue-full","verdict":"not-run"}}
 "#;
 
 fn explain(arguments: &[&str]) -> Output {
@@ -70,6 +71,15 @@
     assert!(message.ends_with("the next server answered.\n"), "{message}");
 }
 
+#[test]
+fn explain_names_the_metrics_that_show_why_there_was_no_room() {
+    let message = text(&explain(&["r4"]).stdout);
+    assert!(message.contains("It did not run, and the caller got this guarantee."), "{message}");
+    for metric in ["room_streams", "room_open_streams", "admitted_thousandths"] {
+        assert!(message.contains(metric), "{message}");
+    }
+}
+
 #[test]
 fn explain_prints_json_on_request() {
     let steps: serde_json::Value =
