--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -2,6 +2,7 @@
 //! the answer or the fate of the attempt. Its state is an [`AttemptGuard`] and a connection, pooled
 //! or new. It decides whether the request may be sent, and which outcome the pool records.
 
+use std::cell::Cell;
 use std::future;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,6 +13,8 @@
 use hooktrestle_core::direct::overtaken;
 use hooktrestle_core::direct::pool::AttemptOutcome;
 use hooktrestle_core::direct::pool::Server;
+use hooktrestle_core::direct::shared_faults;
+use hooktrestle_core::direct::shared_faults::Repeatability;
 use hooktrestle_core::util::arena::Key;
 use hooktrestle_schema::ConnectionStep;
 use hooktrestle_schema::LimitStep;
@@ -49,22 +52,40 @@
     server: Key<Server>,
     /// Estimated work of the request, relative to a typical request.
     cost: f64,
+    /// Whether the request may be sent again, if its answer is no stream.
+    repeatability: Option<Repeatability>,
     permit: Option<Permit>,
     /// Deadline of the request.
     deadline: Millis,
+    /// When the attempt began, and the latency objective of the request.
+    began_at: Millis,
+    objective: Millis,
+    /// Whether a connection to the server was open.
+    connected: Cell<bool>,
     /// Outcome of the attempt, once it is known.
     outcome: Option<AttemptOutcome>,
 }
 
 impl<P: Platform> AttemptGuard<P> {
-    /// An attempt at `server`, which the pool has chosen, for a request with this deadline.
+    /// An attempt of `request` at `server`, which the pool has chosen for it.
     pub fn new(
         gateway: Rc<Gateway<P>>,
         server: Key<Server>,
-        cost: f64,
-        deadline: Millis,
+        request: &Request<P>,
     ) -> AttemptGuard<P> {
-        AttemptGuard { gateway, server, cost, permit: None, deadline, outcome: None }
+        let plain = request.demand(&[]).plain;
+        AttemptGuard {
+            server,
+            cost: request.cost,
+            repeatability: plain.map(|plain| plain.repeatability),
+            permit: None,
+            deadline: request.deadline,
+            began_at: gateway.now(),
+            objective: request.route().objective_ms,
+            connected: Cell::new(false),
+            outcome: None,
+            gateway,
+        }
     }
 
     /// Acquires a permit to send the request; `None` if none is available now.
@@ -107,6 +128,19 @@
             if now >= self.deadline { AttemptOutcome::Lost } else { AttemptOutcome::Abandoned };
         let outcome = self.outcome.unwrap_or(unanswered);
         self.gateway.with_pool(|pool| pool.ended(self.server, outcome, now));
+        let Some(repeatability) = self.repeatability else { return };
+        let is_fault = match self.outcome {
+            Some(outcome) => shared_faults::is_fault(outcome, repeatability),
+            None => {
+                let waited = now.since(self.began_at);
+                let waited_long = waited > self.objective;
+                waited_long
+                    && shared_faults::is_silence_a_fault(self.connected.get(), repeatability)
+            }
+        };
+        if is_fault {
+            self.gateway.record_fault(self.server);
+        }
     }
 }
 
@@ -185,9 +219,26 @@
     gateway.with_pool(|pool| pool.record_answer(guard.server()));
     let now = gateway.now();
     gateway.with_heads(&request.service, |heads| heads.began(guard.server(), sent_at, now));
+    if !request.is_stream() {
+        record_duration(gateway, request, guard.server(), now.since(sent_at));
+    }
     Ok(Answer { head, body, connection, guard, began_at: now })
 }
 
+/// Records how long a server took for a request that is no stream. An answer that alone took longer
+/// than the latency objective is a fault of the server.
+fn record_duration<P: Platform>(
+    gateway: &Gateway<P>,
+    request: &Request<P>,
+    server: Key<Server>,
+    took: Millis,
+) {
+    gateway.with_pool(|pool| pool.record_duration(server, took));
+    if took > request.route().objective_ms {
+        gateway.record_fault(server);
+    }
+}
+
 /// Waits until a request at a server is overtaken by requests to other servers that were sent
 /// later. Never returns if the request may not be sent again.
 async fn overtaken<P: Platform>(
@@ -276,6 +327,7 @@
             Some(connection) => connection,
             None => open(gateway, server).await?,
         };
+        guard.connected.set(true);
         let now = gateway.now();
         if now >= request.deadline || !guard.may_send(now) {
             gateway.connections.put_back(connection);
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -9,6 +9,7 @@
 pub(crate) mod crashes;
 mod eras;
 mod evacuations;
+mod faults;
 pub(crate) mod levels;
 pub mod limits;
 mod rooms;
