Maps: a claim of a process that has been replaced is not protected

Change: a claim names its process; one whose process gossip shows to be replaced is void, and who finds a claim tries again after at most 1 s.

--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -360,6 +360,12 @@
         self.others.values().map(|entry| &entry.member).chain([&self.own])
     }
 
+    /// Whether a process of a gateway has been replaced by a later one.
+    pub fn is_replaced(&self, name: &str, incarnation: u64) -> bool {
+        let later = |member: &Member| member.name == name && member.incarnation > incarnation;
+        incarnation > 0 && self.known().any(later)
+    }
+
     /// Removes gateways that were not alive for [`Config::remove_after`]. The age since they were
     /// alive counts, so that all gateways remove them at about the same time. Gateways that are
     /// known from the platform's table alone stay as long as their rows.
--- a/crates/direct/src/maps.rs
+++ b/crates/direct/src/maps.rs
@@ -44,6 +44,7 @@
 use crate::platform::Claim;
 use crate::platform::Claimant;
 use crate::platform::EngineReport;
+use crate::platform::MapHolder;
 use crate::platform::Platform;
 
 /// Time between two checks of who is to lead.
@@ -235,6 +236,10 @@
         .state(format_args!("leadership of the maps of {} ended", service.name));
 }
 
+/// Longest time between two tries to claim a leadership that another gateway holds: its process may
+/// be replaced meanwhile, and gossip about it takes as long.
+const MAX_CLAIM_PAUSE: Millis = Millis(1_000);
+
 /// Claims leadership of a service's maps, and returns its fencing token. Without a token the
 /// leadership ends.
 async fn claim<P: Platform>(
@@ -244,11 +249,25 @@
 ) -> Option<u64> {
     // The claim is protected until all gateways know of it. Otherwise a gateway that does not know
     // of it yet could claim leadership and send orders, too.
-    let (holder, newest_token, protected) = gateway.with_members(|members| {
-        (members.own().name.clone(), members.highest_fencing_token(), members.propagation_time())
+    let (own, newest_token, protected) = gateway.with_members(|members| {
+        (members.own().clone(), members.highest_fencing_token(), members.propagation_time())
     });
-    let claimant = Claimant { holder: &holder, newest_token };
-    match gateway.platform.claim_map_leadership(service, &claimant, protected).await {
+    let claimant =
+        Claimant { holder: &own.name, incarnation: own.incarnation, newest_token, replaced: None };
+    let claimed = gateway.platform.claim_map_leadership(service, &claimant, protected).await;
+    let is_replaced = |holder: &MapHolder| {
+        gateway.with_members(|members| members.is_replaced(&holder.name, holder.incarnation))
+    };
+    let claimed = match claimed {
+        // The holder lost its power, or was killed, right after its claim.
+        Ok(Claim::HeldBy(holder)) if is_replaced(&holder) => {
+            let claimant =
+                Claimant { replaced: Some((&holder.name, holder.incarnation)), ..claimant };
+            gateway.platform.claim_map_leadership(service, &claimant, protected).await
+        }
+        other => other,
+    };
+    match claimed {
         Ok(Claim::Held(fencing_token)) => {
             gateway.event_log.state(format_args!(
                 "leading the maps of {service} with fencing token {fencing_token}"
@@ -256,8 +275,9 @@
             return Some(fencing_token);
         }
         Ok(Claim::HeldBy(other)) => {
-            gateway.event_log.state(format_args!("the maps of {service} are led by {other}"));
-            leadership.yield_for(protected, gateway.now());
+            let line = format_args!("the maps of {service} are led by {}", other.name);
+            gateway.event_log.state(line);
+            leadership.yield_for(other.protected_for.min(MAX_CLAIM_PAUSE), gateway.now());
         }
         Err(failure) => {
             gateway
@@ -308,12 +328,17 @@
         }
         self.renewal_due_at.set(now + CLAIM_RENEWAL_INTERVAL);
         let era = self.gateway.platform.store_era();
-        let holder = self.gateway.with_members(|members| members.own().name.clone());
-        let claimant = Claimant { holder: &holder, newest_token: self.fencing_token };
+        let own = self.gateway.with_members(|members| members.own().clone());
+        let claimant = Claimant {
+            holder: &own.name,
+            incarnation: own.incarnation,
+            newest_token: self.fencing_token,
+            replaced: None,
+        };
         match self.gateway.platform.renew_map_leadership(&self.name, &claimant).await {
             Ok(Claim::Held(_)) => return era,
             Ok(Claim::HeldBy(other)) => {
-                let line = format_args!("the maps of {} are led by {other}", self.name);
+                let line = format_args!("the maps of {} are led by {}", self.name, other.name);
                 self.gateway.event_log.state(line);
                 self.leadership.yield_for(RECLAIM_PAUSE, self.gateway.now());
             }
--- a/crates/direct/src/platform.rs
+++ b/crates/direct/src/platform.rs
@@ -94,8 +94,12 @@
 pub struct Claimant<'a> {
     /// Name of the instance.
     pub holder: &'a str,
+    /// Its process.
+    pub incarnation: u64,
     /// The highest fencing token that the instance holds or knows of; 0 if none.
     pub newest_token: u64,
+    /// A holder whose process has been replaced, by its instance and process: its claim is void.
+    pub replaced: Option<(&'a str, u64)>,
 }
 
 /// Result of a claim.
@@ -104,7 +108,20 @@
     /// The claim is in force, with a fencing token that is higher than all earlier ones.
     Held(u64),
     /// Another instance has a recent claim, or one with a higher token.
-    HeldBy(String),
+    HeldBy(MapHolder),
+}
+
+/// The holder of a claim.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct MapHolder {
+    /// Name of its instance.
+    pub name: String,
+    /// Its process, as in [`Member::incarnation`]; 0 if unknown.
+    ///
+    /// [`Member::incarnation`]: hooktrestle_core::direct::members::Member::incarnation
+    pub incarnation: u64,
+    /// For how much longer the claim is protected.
+    pub protected_for: Millis,
 }
 
 /// Crashes at which one request was present, as the platform stores them for gateways that start
@@ -236,7 +253,7 @@
     ) -> impl Future<Output = Result<u64, Failure>>;
 
     /// Claims leadership of a service's expert maps, unless another instance did so less than
-    /// `protected` ago.
+    /// `protected` ago and its process has not been replaced.
     fn claim_map_leadership(
         &self,
         service: &str,
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -933,6 +933,9 @@
     pub fence_number: u64,
     ///Name of the leader's instance.
     pub holder: ::std::string::String,
+    ///The leader's process; 0 in rows of an earlier version.
+    #[serde(default)]
+    pub incarnation: u64,
 }
 ///State of a rank that has joined a ballot.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
