--- a/crates/core/src/direct/level/controller.rs
+++ b/crates/core/src/direct/level/controller.rs
@@ -44,14 +44,11 @@
 /// Parameters of the controller.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Config {
-    /// Time within which the gap between room and open streams closes. Below twice the delay of the
-    /// reports, open streams would oscillate.
+    /// Time within which the gap between room and open streams closes, once the streams are counted
+    /// that the reports do not show yet. Below it, the variation of the reports would dominate.
     pub gap_ms: f64,
-    /// Time within which an excess of open streams above the room ends. Shorter than `gap_ms`: all
-    /// streams that begin meanwhile are late.
-    pub excess_ms: f64,
-    /// Time constant of the integral of the gap. With half of the requests refused and four times
-    /// `gap_ms`, it is critically damped.
+    /// Time constant of the integral of the gap: slow against the delay, so that it follows how many
+    /// callers return, and not a burst.
     pub integral_ms: f64,
     /// Time from the reports to the effect of a level that follows from them.
     pub delay: Millis,
@@ -80,10 +77,9 @@
 impl Default for Config {
     fn default() -> Self {
         Config {
-            gap_ms: 350.0,
-            excess_ms: 200.0,
+            gap_ms: 200.0,
             integral_ms: 2_000.0,
-            delay: Millis(400),
+            delay: Millis(300),
             smoothing_ms: 150.0,
             accounts_smoothing_ms: 1_500.0,
             jump_deviations: 3.0,
@@ -160,8 +156,7 @@
         let total_per_s: f64 = self.arrivals_per_s.iter().sum();
         let demand_per_s = total_per_s + self.turns_per_s;
         let gap = room.streams - room.open - self.unreported(now);
-        let close_ms = if gap < 0.0 { self.config.excess_ms } else { self.config.gap_ms };
-        let wanted_per_s = self.completions_per_s + gap * 1_000.0 / close_ms;
+        let wanted_per_s = self.completions_per_s + gap * 1_000.0 / self.config.gap_ms;
         let min_per_s = room.streams * self.config.min_rate;
         // Where nothing is refused, there are no callers that return.
         let refused = (1.0 - wanted_per_s / demand_per_s.max(f64::MIN_POSITIVE)).clamp(0.0, 1.0);
