--- a/crates/core/tests/room.rs
+++ b/crates/core/tests/room.rs
@@ -8,6 +8,11 @@
 use hooktrestle_core::direct::members::IncarnationId;
 use hooktrestle_core::direct::members::Member;
 use hooktrestle_core::direct::members::Readiness;
+use hooktrestle_core::direct::pool::Config as PoolConfig;
+use hooktrestle_core::direct::pool::ListedServer;
+use hooktrestle_core::direct::pool::Pool;
+use hooktrestle_core::direct::pool::WarmUpConfig;
+use hooktrestle_core::direct::replica::Revision;
 use hooktrestle_core::direct::room;
 use hooktrestle_core::direct::room::AccountId;
 use hooktrestle_core::direct::room::GatewayReport;
@@ -237,6 +242,41 @@
     assert_room(&fixture, ALL_ROOM / 2.0);
 }
 
+/// Guards against room that is reckoned from servers that accept nothing: one that is leaving, one
+/// whose group is stalled, one in an evacuated data centre.
+#[test]
+fn slots_count_only_at_servers_that_accept_requests() {
+    let now = Millis(5_000);
+    let mut pool = Pool::new(PoolConfig::default());
+    for (number, id) in ["open", "leaving", "stalled", "evacuated"].into_iter().enumerate() {
+        let listed = ListedServer {
+            id: id.to_owned(),
+            service: "assistant".to_owned(),
+            address: format!("127.0.0.1:{}", 9_000 + number).parse().expect("an address"),
+            data_centre: if id == "evacuated" { "mill" } else { "hall" }.to_owned(),
+            region: String::new(),
+            slots: SLOTS,
+            leaving: id == "leaving",
+            cold_for: Millis::ZERO,
+            started_unix_ms: None,
+        };
+        pool.list(listed, Revision { era: 0, count: number as u64 });
+    }
+    let keys = pool.present_of("assistant");
+    pool.set_stalled(keys[2], true);
+    pool.set_evacuated(["mill".to_owned()].into(), now);
+    let open = pool.open_slots("assistant", now);
+    assert_eq!(open, [(pool.incarnation(keys[0]), OpenSlots { slots: SLOTS, warm_up_rate: None })]);
+    // The servers that return are cold.
+    let rate = Rate { in_1000_s: 14_000 };
+    let warm_up = WarmUpConfig { duration: Millis(3_000), rate };
+    pool.set_warm_ups([("assistant".to_owned(), warm_up)].into());
+    pool.set_evacuated([].into(), now);
+    let returned = pool.open_slots("assistant", now);
+    assert_eq!(returned[1].1, OpenSlots { slots: SLOTS, warm_up_rate: Some(rate) });
+    assert_eq!(pool.open_slots("assistant", now + warm_up.duration)[1].1.warm_up_rate, None);
+}
+
 /// After a start of all, the keeper hears of some gateways first.
 #[test]
 fn gateways_that_have_not_reported_are_assumed_to_be_like_the_others() {
