--- a/crates/core/src/direct/pool.rs
+++ b/crates/core/src/direct/pool.rs
@@ -484,11 +484,18 @@
     pub fn set_slow(&mut self, service: &str, ids: &[String], age: Millis, now: Millis) {
         let Some(found) = self.services.get(service) else { return };
         let until = now + self.config.slow_duration - age;
+        let mut newly_slow = Vec::new();
         for key in &found.servers {
             let server = &mut self.servers[*key];
             let slow = ids.contains(&server.listed.id);
+            if slow && server.slow_until <= now {
+                newly_slow.push(*key);
+            }
             server.slow_until = if slow { until } else { Millis::ZERO };
         }
+        if let Some(occupancy) = self.occupancies.get_mut(service) {
+            occupancy.record_newly_slow(&newly_slow, now);
+        }
     }
 
     /// Records a load report of a server.
--- a/crates/core/src/direct/pool/occupancy.rs
+++ b/crates/core/src/direct/pool/occupancy.rs
@@ -13,6 +13,7 @@
 //! all gateways send in this way lowers all weights in the same proportion, so it doesn't have to be
 //! known.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 
@@ -33,6 +34,10 @@
 /// it shows whether the group is fast again.
 const PROBE_FRACTION: f64 = 0.02;
 
+/// Time after the report of a slow server for which its group is only probed. Its passes are longer
+/// at once, and the notices show that after some hundred milliseconds.
+const NEWLY_SLOW_DURATION: Millis = Millis(500);
+
 /// Weight from which a server of the own part is chosen first: one free slot.
 const MIN_OWN_WEIGHT: f64 = 1.0;
 
@@ -81,6 +86,8 @@
     servers: HashMap<Key<Server>, Occupied>,
     /// For each group, the fraction of its servers' free slots that its passes bear.
     usable_fractions: Vec<f64>,
+    /// Servers that were reported as slow, with the time until which their groups are only probed.
+    newly_slow: Vec<(Key<Server>, Millis)>,
     /// Changes within the lifetime of a reading, in the order of their times.
     own_changes: VecDeque<OwnChange>,
 }
@@ -101,6 +108,27 @@
         self.record(OwnChange { at: now, server, change: -1 });
     }
 
+    /// Records that servers were reported as slow that were not slow before.
+    pub(super) fn record_newly_slow(&mut self, servers: &[Key<Server>], now: Millis) {
+        let until = now + NEWLY_SLOW_DURATION;
+        self.newly_slow.extend(servers.iter().map(|server| (*server, until)));
+        self.limit_newly_slow(now);
+    }
+
+    /// Only probes the groups of servers that have just become slow, unless there are no others.
+    fn limit_newly_slow(&mut self, now: Millis) {
+        self.newly_slow.retain(|(_, until)| *until > now);
+        let known = self.newly_slow.iter().filter_map(|(server, _)| self.servers.get(server));
+        let slow_groups: BTreeSet<usize> = known.map(|server| server.group).collect();
+        let fractions = || self.usable_fractions.iter().enumerate();
+        if !fractions().any(|(group, usable)| *usable > 0.0 && !slow_groups.contains(&group)) {
+            return;
+        }
+        for group in slow_groups {
+            self.usable_fractions[group] = self.usable_fractions[group].min(PROBE_FRACTION);
+        }
+    }
+
     /// Undoes the record of a request that was not sent after all.
     pub(super) fn undo_sent(&mut self, server: Key<Server>) {
         let is_it = |own: &OwnChange| own.server == server && own.change > 0;
@@ -217,6 +245,7 @@
         let shortest_ms = shortest_pass_ms(groups);
         let fraction = |(group, sums)| usable_fraction(group, sums, shortest_ms);
         known.usable_fractions = groups.iter().zip(sums).map(fraction).collect();
+        known.limit_newly_slow(now);
         for own in known.own_changes.iter().filter(|own| own.at > read_at) {
             if let Some(server) = known.servers.get_mut(&own.server) {
                 server.own_change += own.change;
--- a/crates/core/tests/choices.rs
+++ b/crates/core/tests/choices.rs
@@ -304,6 +304,34 @@
     }
 }
 
+/// Guards against streams that are sent to a group whose passes have just become long: the report of
+/// a slow server arrives before any notice that shows them.
+#[test]
+fn a_group_is_left_at_the_report_of_a_slow_server() {
+    // Servers are reported as slow at 1 s, and the notice is as before.
+    let share = |slow: &[&str], at: u64| {
+        let mut fleet = Fleet::new(Play::even(8, 3, 300.0), 1);
+        let Reading { occupied, groups, .. } = fleet.read(0);
+        let ids: Vec<String> = slow.iter().map(|id| (*id).to_owned()).collect();
+        for pool in &mut fleet.pools {
+            let age = Millis(150);
+            pool.apply_occupancy(SERVICE, &fleet.list, &occupied, &groups, age, Millis(1_000));
+            pool.set_slow(SERVICE, &ids, Millis::ZERO, Millis(1_000));
+            pool.apply_occupancy(SERVICE, &fleet.list, &occupied, &groups, age, Millis(at));
+        }
+        (0..300).for_each(|_| fleet.arrive(at));
+        fleet.share(0, at, at + 1)
+    };
+    let usual = 0.25..0.42;
+    assert!(usual.contains(&share(&[], 1_100)));
+    let left = share(&["s3"], 1_100);
+    assert!(left < 0.05, "{left}");
+    let all = share(&["s3", "s30", "s60"], 1_100);
+    assert!(usual.contains(&all), "{all}: no other group is left");
+    let later = share(&["s3"], 1_600);
+    assert!(usual.contains(&later), "{later}: by now notices show how long its passes are");
+}
+
 /// The last notice lapses: a group that it called closed gets its turns once the keeper is cut off.
 #[test]
 fn without_recent_notices_servers_get_even_turns() {
