--- a/crates/core/src/direct/room/keeper.rs
+++ b/crates/core/src/direct/room/keeper.rs
@@ -35,6 +35,12 @@
 /// Time for which reports of ranks count after the last read.
 const READINGS_LIFETIME: Millis = Millis(1_000);
 
+/// Shortest time between two changes of the level that are logged.
+const MIN_CHANGE_INTERVAL: Millis = Millis(1_000);
+
+/// Time constant of the rate at which streams end.
+const COMPLETIONS_DECAY_MS: f64 = 300.0;
+
 /// Upper bound of the factor by which reports are scaled for gateways that have not reported: most
 /// of the gateways may have sent their reports to another keeper.
 const MAX_SCALE: f64 = 8.0;
@@ -70,11 +76,14 @@
     readings: Readings,
     controller: Controller,
     room: Room,
+    /// Streams that end per second, smoothed.
+    completions_per_s: f64,
     list: ServerList,
     notice: Option<(RoomNotice, Millis)>,
     /// Number of the last notice.
     number: u64,
-    is_closed: bool,
+    /// The last change of the level that was returned, and its time.
+    last_change: (LevelChange, Millis),
 }
 
 impl RoomKeeper {
@@ -86,10 +95,11 @@
             readings: Readings::default(),
             controller: Controller::new(level::Config::default()),
             room: Room::default(),
+            completions_per_s: 0.0,
             list: ServerList::default(),
             notice: None,
             number,
-            is_closed: false,
+            last_change: (LevelChange::Opened, Millis::ZERO),
         }
     }
 
@@ -120,7 +130,7 @@
         recent && 2.0 * self.room.open > self.room.streams
     }
 
-    /// Computes the next notice; returns a change of the level.
+    /// Computes the next notice; returns a change of the level to log, at most one a second.
     pub fn update(&mut self, input: &KeeperInput<'_>, now: Millis) -> Option<LevelChange> {
         let lifetime = report_lifetime(input.gateways);
         self.reports.retain(|_, (_, at)| now.since(*at) < lifetime);
@@ -129,12 +139,16 @@
             self.readings.clear();
         }
         let means = self.means();
+        self.smooth_completions(input.gateways, now);
         let groups = self.groups(input, means);
         self.room = self.estimate(input, &groups, means);
         let level = self.controller.update(&self.demand(input.gateways), &self.room, now);
         let (list, occupied) = self.readings.servers();
         self.number += 1;
-        let was_closed = std::mem::replace(&mut self.is_closed, level != Level::open());
+        let state = match level == Level::open() {
+            true => LevelChange::Opened,
+            false => LevelChange::Closed,
+        };
         let notice = RoomNotice {
             keeper: input.fencing_token,
             number: self.number,
@@ -148,11 +162,12 @@
         };
         self.list = list;
         self.notice = Some((notice, now));
-        match (was_closed, self.is_closed) {
-            (false, true) => Some(LevelChange::Closed),
-            (true, false) => Some(LevelChange::Opened),
-            _ => None,
+        let (last, at) = self.last_change;
+        if state == last || now.since(at) < MIN_CHANGE_INTERVAL {
+            return None;
         }
+        self.last_change = (state, now);
+        Some(state)
     }
 
     /// The last notice, for a gateway that has the list with this number; `None` before the first
@@ -187,11 +202,23 @@
         (gateways as f64 / heard).clamp(1.0, MAX_SCALE)
     }
 
+    /// Updates the rate at which streams end.
+    fn smooth_completions(&mut self, gateways: usize, now: Millis) {
+        let ended = self.reports.values().map(|(report, _)| report.per_s(report.ended_streams));
+        let per_s = ended.sum::<f64>() * self.scale(gateways);
+        let since_ms =
+            self.notice.as_ref().map_or(f64::INFINITY, |(_, at)| now.since(*at).0 as f64);
+        let weight = 1.0 - (-since_ms / COMPLETIONS_DECAY_MS).exp();
+        self.completions_per_s += weight * (per_s - self.completions_per_s);
+    }
+
     fn groups(&self, input: &KeeperInput<'_>, means: StreamMeans) -> Vec<GroupRoom> {
         let mut slots = BTreeMap::new();
         for (server, open) in input.open_servers {
             if let Some(group) = self.readings.group_of(*server) {
-                *slots.entry(group).or_insert(0.0) += open.streams(means);
+                let (slots, without_queue) = slots.entry(group).or_insert((0.0, 0.0));
+                *slots += open.streams(means);
+                *without_queue += open.streams_without_queue(means);
             }
         }
         let slots_of = |group| slots.get(&group).copied().unwrap_or_default();
@@ -204,12 +231,12 @@
     fn estimate(&self, input: &KeeperInput<'_>, groups: &[GroupRoom], means: StreamMeans) -> Room {
         let ungrouped = input.open_servers.iter();
         let ungrouped = ungrouped.filter(|(server, _)| self.readings.group_of(*server).is_none());
-        let ungrouped_slots = ungrouped.map(|(_, open)| open.streams(means)).sum();
+        let ungrouped_slots = ungrouped.map(|(_, open)| open.streams_without_queue(means)).sum();
         let reported: u32 = self.reports.values().map(|(report, _)| report.open_streams).sum();
         // Streams of a gateway whose reports are lost still occupy servers.
         let open = (f64::from(reported) * self.scale(input.gateways))
             .max(f64::from(self.readings.occupied()));
-        let completions_per_s = estimate::completions_per_s(open, means);
+        let completions_per_s = self.completions_per_s;
         let queueable = estimate::queueable(completions_per_s, &input.objective, means);
         let streams = estimate::carried(groups, ungrouped_slots) + queueable;
         Room { streams, open, completions_per_s }
@@ -221,8 +248,7 @@
         let mut demand = Demand::default();
         let mut accounts = BTreeMap::new();
         for (report, _) in self.reports.values() {
-            let per_s =
-                |count: u32| f64::from(count) * scale * 1_000.0 / report.span.0.max(1) as f64;
+            let per_s = |count| report.per_s(count) * scale;
             for priority in 0..PRIORITIES {
                 demand.arrivals_per_s[priority] += per_s(report.arrivals[priority]);
             }
