--- a/crates/core/src/direct/permits.rs
+++ b/crates/core/src/direct/permits.rs
@@ -186,6 +186,11 @@
         }
     }
 
+    /// Whether this gateway counts the share of a gateway, which may be this one.
+    pub fn counts_share(&self, owner: GatewayId, now: Millis) -> bool {
+        self.shares.get(&owner).is_some_and(|until| *until > now)
+    }
+
     /// Disclaims: from now on this gateway accepts no share of another one for a while. Returns
     /// whether it did; it does not while it counts such a share.
     pub fn disclaim(&mut self, now: Millis) -> bool {
@@ -210,11 +215,12 @@
         fleet: Option<&[GatewayId]>,
         now: Millis,
     ) -> bool {
-        let holds = |until: Option<&Millis>| until.is_some_and(|until| *until > now);
-        let has_disclaimed =
-            |gateway: &GatewayId| *gateway == self.own || holds(self.disclaimers.get(gateway));
+        let has_disclaimed = |gateway: &GatewayId| {
+            let disclaimer = self.disclaimers.get(gateway);
+            *gateway == self.own || disclaimer.is_some_and(|until| *until > now)
+        };
         now >= self.disclaimed_until
-            && (holds(self.shares.get(&owner))
+            && (self.counts_share(owner, now)
                 || fleet.is_some_and(|fleet| fleet.iter().all(has_disclaimed)))
     }
 
--- a/crates/core/tests/cold_starts.rs
+++ b/crates/core/tests/cold_starts.rs
@@ -120,6 +120,8 @@
     events: BinaryHeap<Reverse<(Millis, u64, Event)>>,
     count: u64,
     arrived: Vec<Millis>,
+    /// Shares that counted at two gateways, and when.
+    counted_twice: Vec<(GatewayId, Millis)>,
 }
 
 impl Simulation {
@@ -190,6 +192,13 @@
         }
     }
 
+    fn check_counts_once(&mut self, owner: GatewayId, now: Millis) {
+        let counts = |one: &&Gateway| one.runs && one.permits.counts_share(owner, now);
+        if self.gateways.iter().filter(counts).count() > 1 {
+            self.counted_twice.push((owner, now));
+        }
+    }
+
     fn want(&mut self, number: usize, now: Millis) {
         match self.gateways[number].limited.take(None, now) {
             Permission::Free | Permission::Until(_) => self.arrived.push(now),
@@ -227,6 +236,10 @@
         if ask.counts_none {
             permits.record_disclaimer(owner, now);
         }
+        if permits.counts_share(owner, now) {
+            self.check_counts_once(owner, now);
+        }
+        let permits = &mut self.gateways[to].permits;
         let is_free = permits.is_share_free(owner, Some(&self.fleet), now);
         let (rate, total) = (Rate::per_s(RATE_PER_S), Some(self.fleet.len()));
         let server = ServerIncarnation(1);
@@ -239,13 +252,13 @@
     }
 }
 
-/// Arrival times of requests at the server. Demand is ten times what it takes, at all gateways.
+/// Plays a fault. Demand is ten times what it takes, at all gateways.
 fn play(
     gateways: usize,
     fault: Fault,
     (network, trust): (Network, Trust),
     seed: u64,
-) -> Vec<Millis> {
+) -> Simulation {
     let mut play = Simulation {
         rng: ChaCha8Rng::seed_from_u64(seed),
         trust,
@@ -255,6 +268,7 @@
         events: BinaryHeap::new(),
         count: 0,
         arrived: Vec::new(),
+        counted_twice: Vec::new(),
     };
     for number in 0..gateways {
         play.at(Millis(number as u64 % 50), Event::Learns(number));
@@ -295,7 +309,7 @@
     while let Some(Reverse((now, _, event))) = play.events.pop().filter(|next| next.0.0 < END) {
         play.step(now, event);
     }
-    play.arrived
+    play
 }
 
 fn max_in_window(arrived: &[Millis]) -> usize {
@@ -313,14 +327,13 @@
 #[test]
 fn a_cold_server_never_gets_more_than_the_rule_allows_after_starts() {
     for fault in [Fault::AllStart, Fault::SomeStart, Fault::GranterDies, Fault::StartsAndCuts] {
-        for gateways in [1, 2, 3, 8, 34, 300] {
-            for seed in 0..if gateways > 34 { 3 } else { 40 } {
-                let arrived = play(gateways, fault, (Network::Bad, Trust::Confirmed), seed);
-                let found = max_in_window(&arrived);
-                assert!(
-                    found <= ALLOWED,
-                    "{gateways}, {fault:?}, seed {seed}: {found} in a window"
-                );
+        for (gateways, seeds) in [(1, 10), (2, 150), (3, 150), (8, 60), (34, 15), (300, 2)] {
+            for seed in 0..seeds {
+                let played = play(gateways, fault, (Network::Bad, Trust::Confirmed), seed);
+                let found = max_in_window(&played.arrived);
+                let context = format!("{gateways} gateways, {fault:?}, seed {seed}");
+                assert!(found <= ALLOWED, "{context}: {found} in a window");
+                assert_eq!(played.counted_twice, [], "{context}");
             }
         }
     }
@@ -330,8 +343,8 @@
 fn a_cold_server_gets_most_of_what_it_takes_half_a_second_after_a_start_of_all() {
     for gateways in [1, 3, 8, 34, 300] {
         for seed in 0..5 {
-            let arrived = play(gateways, Fault::AllStart, (Network::Good, Trust::Confirmed), seed);
-            let used = used_after_start(&arrived);
+            let trust = (Network::Good, Trust::Confirmed);
+            let used = used_after_start(&play(gateways, Fault::AllStart, trust, seed).arrived);
             assert!(used as f64 >= 0.8 * RATE_PER_S, "{gateways}, seed {seed}: {used} in a second");
         }
     }
@@ -340,8 +353,8 @@
 #[test]
 fn the_simulation_detects_shares_that_are_reserved_or_used_too_early() {
     let reserved = play(34, Fault::AllStart, (Network::Good, Trust::Never), 1);
-    assert_eq!(used_after_start(&reserved), 0);
+    assert_eq!(used_after_start(&reserved.arrived), 0);
     let trust = (Network::Bad, Trust::Always);
-    let excess = |seed| max_in_window(&play(8, Fault::StartsAndCuts, trust, seed));
-    assert!((0..40).any(|seed| excess(seed) > ALLOWED), "none in 40 seeds");
+    let counts_twice = |seed| !play(8, Fault::StartsAndCuts, trust, seed).counted_twice.is_empty();
+    assert!((0..5).all(counts_twice), "a share counts twice with each of these seeds");
 }
--- a/crates/core/tests/stopped_gateways.rs
+++ b/crates/core/tests/stopped_gateways.rs
@@ -16,7 +16,10 @@
 use fleet::numbered;
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::members::Config;
+use hooktrestle_core::direct::members::Member;
+use hooktrestle_core::direct::members::MemberRecord;
 use hooktrestle_core::direct::members::Members;
+use hooktrestle_core::direct::members::Readiness;
 use hooktrestle_core::direct::replica::Change;
 use hooktrestle_core::direct::replica::Replica;
 use hooktrestle_core::direct::replica::Update;
@@ -192,3 +195,22 @@
     members.apply_table(&listed[..3], Millis(700_200));
     assert_eq!(members.fleet_size(Millis(700_200)), Some(3));
 }
+
+/// Guards against shares of limits that are used too early after a start: a gateway that is missing
+/// from the list of all, as it is new or about to stop, may still count them.
+#[test]
+fn the_whole_fleet_is_known_only_by_a_table_that_lists_the_gateway_itself() {
+    let mut members = Members::new(Config::default(), numbered(0, 1));
+    members.record_exchange(Millis::ZERO);
+    assert_eq!(members.whole_fleet(Millis::ZERO), None, "the table was not read");
+    let listed: Vec<_> = (0..7).map(|number| numbered(number, 1)).collect();
+    members.apply_table(&listed[1..], Millis::ZERO);
+    assert_eq!(members.whole_fleet(Millis::ZERO), None, "the fleet is being set up");
+    members.apply_table(&listed, Millis::ZERO);
+    let leaving = Member { readiness: Readiness::Leaving, ..numbered(7, 1) };
+    members.apply_record(&MemberRecord { member: leaving, age: Millis::ZERO }, Millis::ZERO);
+    let mut fleet = members.whole_fleet(Millis(10_000)).expect("the table was read");
+    let mut all: Vec<_> = (0..8).map(|number| numbered(number, 1).gateway_id()).collect();
+    (fleet.sort(), all.sort());
+    assert_eq!(fleet, all);
+}
