--- a/crates/core/tests/stopped_gateways.rs
+++ b/crates/core/tests/stopped_gateways.rs
@@ -211,6 +211,7 @@
     members.apply_record(&MemberRecord { member: leaving, age: Millis::ZERO }, Millis::ZERO);
     let mut fleet = members.whole_fleet(Millis(10_000)).expect("the table was read");
     let mut all: Vec<_> = (0..8).map(|number| numbered(number, 1).gateway_id()).collect();
-    (fleet.sort(), all.sort());
+    fleet.sort();
+    all.sort();
     assert_eq!(fleet, all);
 }
