--- a/crates/core/src/direct/pool/limits.rs
+++ b/crates/core/src/direct/pool/limits.rs
@@ -58,6 +58,11 @@
             .collect()
     }
 
+    /// Whether servers of any service are cold after a start.
+    pub fn has_warm_ups(&self) -> bool {
+        !self.warm_ups.is_empty()
+    }
+
     /// Whether a listed server advertises a limit or is warming up.
     pub fn has_limits(&self, now: Millis) -> bool {
         let mut limited = self.limits.iter().filter(|(_, limited)| limited.is_limited(now));
@@ -166,6 +171,11 @@
         }
     }
 
+    /// [`AdvertisedLimit::reopen`] for all servers.
+    pub fn reopen_limits(&mut self, now: Millis) {
+        self.limits.values_mut().for_each(|limited| limited.reopen(now));
+    }
+
     /// The earliest time at which a permit may be available for a server that is otherwise
     /// available and that a request may be sent to.
     pub fn next_permit_at(&self, demand: &Demand<'_>, now: Millis) -> Option<Millis> {
