--- a/crates/soak/src/overload.rs
+++ b/crates/soak/src/overload.rs
@@ -38,7 +38,7 @@
 const IMPATIENT_ONE_IN: u64 = 4;
 
 /// Pause before the next request after one that failed.
-const PAUSE: Duration = Duration::from_millis(100);
+const PAUSE: Duration = Duration::from_millis(400);
 
 /// The users' rule: an urgent kind is served less often than another one by at most this fraction.
 const TOLERANCE: f64 = 0.05;
