--- a/crates/direct/tests/room_messages.rs
+++ b/crates/direct/tests/room_messages.rs
@@ -22,12 +22,14 @@
 
 fn report() -> GatewayReport {
     let accounts = (0..room::MAX_REPORTED_ACCOUNTS as u64).map(|id| (AccountId(u64::MAX - id), 9));
+    let mut arrivals = [0; room::PRIORITIES];
+    (arrivals[0], arrivals[1], arrivals[room::PRIORITIES - 1]) = (1, 2, 3);
     GatewayReport {
         gateway: IncarnationId(u64::MAX),
         span: Millis(200),
         open_streams: 40,
         ended_streams: 6,
-        arrivals: [1, 2, 0, 0, 0, 0, 0, 0, 0, 3],
+        arrivals,
         turns: 4,
         accounts: accounts.collect(),
         stream_ms: 1_400.0,
