Level: in force for as long as notices of the fleet's size last

With 432 gateways a report comes each 1.4 s, so a level that lapses after 1.5 s would lapse between notices. The lifetime of a notice now goes with it to the gate.

--- a/crates/core/src/direct/level/gate.rs
+++ b/crates/core/src/direct/level/gate.rs
@@ -13,9 +13,6 @@
 use crate::direct::level::turns;
 use crate::direct::room::AccountId;
 
-/// How long a level is in force. Several notices have to be lost before it lapses.
-pub const MAX_LEVEL_AGE: Millis = Millis(1_500);
-
 /// Streams that a gateway admits while no level is in force, relative to its equal part of the
 /// slots, if the last level refused requests: some of the gateways may lack the level for long.
 const CLOSED_PART_FACTOR: f64 = 1.25;
@@ -71,7 +68,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Gate {
     level: Option<Level>,
-    applied_at: Millis,
+    in_force_until: Millis,
     /// The shared clock less the own one.
     offset_ms: Option<i64>,
     /// Fractions of turns that were assigned within a period.
@@ -86,8 +83,8 @@
         Gate::default()
     }
 
-    /// Puts a level in force, which was sent at `shared_clock`.
-    pub fn apply(&mut self, level: Level, shared_clock: Millis, now: Millis) {
+    /// Puts a level in force for `lifetime`, which was sent at `shared_clock`.
+    pub fn apply(&mut self, level: Level, shared_clock: Millis, lifetime: Millis, now: Millis) {
         let sent_ms = shared_clock.0 as i64 - now.0 as i64;
         // A message that took longer shows an earlier clock.
         let is_delayed = |known: i64| known >= sent_ms && known - sent_ms < MAX_CLOCK_STEP.0 as i64;
@@ -100,12 +97,12 @@
             self.assigned.push_back((now, level.turns));
         }
         self.level = Some(level);
-        self.applied_at = now;
+        self.in_force_until = now + lifetime;
     }
 
     /// The level in force, if there is one.
     pub fn level(&self, now: Millis) -> Option<&Level> {
-        self.level.as_ref().filter(|_| now.since(self.applied_at) <= MAX_LEVEL_AGE)
+        self.level.as_ref().filter(|_| now <= self.in_force_until)
     }
 
     /// Decides on a request. `own_part` is the gateway's equal part of the slots, which bounds its
--- a/crates/core/src/direct/room/view.rs
+++ b/crates/core/src/direct/room/view.rs
@@ -162,7 +162,7 @@
             self.list = list.clone();
         }
         self.groups.clone_from(&notice.groups);
-        self.gate.apply(notice.level.clone(), notice.clock, now);
+        self.gate.apply(notice.level.clone(), notice.clock, lifetime, now);
         true
     }
 
--- a/crates/core/tests/level_fleet/mod.rs
+++ b/crates/core/tests/level_fleet/mod.rs
@@ -366,7 +366,8 @@
             self.messages.pop();
             let (report, level) = self.sent.remove(&(sent_at, index)).expect("it was sent");
             if is_notice {
-                self.gateways[index].gate.apply(level, sent_at, self.now);
+                let lifetime = Millis(1_500);
+                self.gateways[index].gate.apply(level, sent_at, lifetime, self.now);
                 continue;
             }
             self.reports.insert(index, (report, self.now));
--- a/crates/core/tests/levels.rs
+++ b/crates/core/tests/levels.rs
@@ -29,6 +29,9 @@
 use level_fleet::room;
 
 const SECOND: Millis = Millis(1_000);
+
+/// Time for which a level is in force.
+const LIFETIME: Millis = Millis(1_500);
 const GATEWAYS: [usize; 3] = [8, 34, 432];
 
 /// A fleet with ordinary demand.
@@ -205,7 +208,7 @@
     let open = |open_streams| GateRequest { open_streams, ..request(1, 8_000) };
     assert_eq!(gate.decide(&open(34), 25.0, SECOND), Verdict::Admitted);
     assert!(matches!(gate.decide(&open(35), 25.0, SECOND), Verdict::Refused(_)));
-    gate.apply(Level::open(), Millis(1_000), SECOND);
+    gate.apply(Level::open(), Millis(1_000), LIFETIME, SECOND);
     assert_eq!(gate.decide(&open(100), 25.0, Millis(2_500)), Verdict::Admitted);
     assert!(matches!(gate.decide(&open(100), 25.0, Millis(2_501)), Verdict::Refused(_)));
 }
@@ -251,8 +254,8 @@
     ) {
         let closed = Level { admitted: [0.0; PRIORITIES], turns: 1.0, accounts: Vec::new() };
         let (mut first, mut second) = (Gate::new(), Gate::new());
-        first.apply(closed.clone(), Millis(shared_ms), Millis(50));
-        second.apply(closed.clone(), Millis(shared_ms), Millis(900_000));
+        first.apply(closed.clone(), Millis(shared_ms), LIFETIME, Millis(50));
+        second.apply(closed.clone(), Millis(shared_ms), LIFETIME, Millis(900_000));
         let refused = first.decide(&request(key, left_ms), 0.0, Millis(50));
         let again = second.decide(&request(key, left_ms), 0.0, Millis(900_000));
         if refused == Verdict::AdmittedInTurn {
@@ -265,7 +268,7 @@
             Verdict::Refused(Return::InTurn(after)) => {
                 prop_assert!(after.0 * 3 <= left_ms && after >= Millis(300));
                 let at = Millis(900_000) + after + Millis(delay_ms);
-                second.apply(closed, Millis(shared_ms) + after + Millis(delay_ms), at);
+                second.apply(closed, Millis(shared_ms) + after + Millis(delay_ms), LIFETIME, at);
                 let back = request(key, left_ms);
                 prop_assert_eq!(second.decide(&back, 0.0, at), Verdict::AdmittedInTurn);
                 prop_assert!(matches!(second.decide(&back, 0.0, at), Verdict::Refused(_)));
