--- a/crates/core/src/direct/level/gate.rs
+++ b/crates/core/src/direct/level/gate.rs
@@ -30,9 +30,7 @@
 /// A request to the gate.
 #[derive(Clone, Copy, Debug)]
 pub struct GateRequest {
-    /// Rank among the streams of the service, as [`ServingConfig::urgency`] counts it.
-    ///
-    /// [`ServingConfig::urgency`]: crate::direct::serving::ServingConfig::urgency
+    /// Priority; 0 is the most urgent.
     pub priority: u8,
     /// The client account.
     pub account: AccountId,
@@ -44,13 +42,6 @@
     pub left: Millis,
 }
 
-impl GateRequest {
-    /// Whether its rank is that of callers that have waited for longer than the objective.
-    fn is_late(&self) -> bool {
-        self.priority % 2 == 1
-    }
-}
-
 /// The decision on a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Verdict {
@@ -123,7 +114,7 @@
             let turns = level.turns * level.relative(request.account);
             (level.fraction(request.priority, request.account), turns)
         });
-        let position = turns::position(request.key, request.is_late(), shared);
+        let position = turns::position(request.key, shared);
         let (is_admitted, turns) = match fraction {
             Some((fraction, turns)) => (position < fraction, turns),
             None => (f64::from(request.open_streams) + position < self.own_bound(own_part), 0.0),
--- a/crates/core/src/direct/level/turns.rs
+++ b/crates/core/src/direct/level/turns.rs
@@ -31,7 +31,6 @@
 #[derive(Clone, Copy)]
 enum Draw {
     Position = 1,
-    LatePosition = 5,
     Turn = 2,
     Phase = 3,
     Spread = 4,
@@ -45,12 +44,10 @@
 
 /// Position of a request in the order of admission, from 0, which is admitted first, to 1.
 ///
-/// Positions fall slowly, so that no request is refused for good. A request that is late has another
-/// position than the first try of its caller, which was refused since it was among the last.
-pub fn position(key: u64, is_late: bool, shared: Millis) -> f64 {
+/// Positions fall slowly, so that no request is refused for good.
+pub fn position(key: u64, shared: Millis) -> f64 {
     let rotated = (shared.0 % ROTATION.0) as f64 / ROTATION.0 as f64;
-    let draw = if is_late { Draw::LatePosition } else { Draw::Position };
-    (fraction(key, draw) - rotated).rem_euclid(1.0)
+    (fraction(key, Draw::Position) - rotated).rem_euclid(1.0)
 }
 
 /// Whether a refused request is assigned a turn where this fraction of them is.
