--- a/crates/core/src/direct/level.rs
+++ b/crates/core/src/direct/level.rs
@@ -54,7 +54,7 @@
 }
 
 /// Bits of an [`AccountId`] that hold the priority.
-const PRIORITY_BITS: u64 = 0x1f;
+const PRIORITY_BITS: u64 = 0xf;
 
 impl AccountId {
     /// A client account's requests of one priority; requests without an account have an empty name.
--- a/crates/core/src/direct/room.rs
+++ b/crates/core/src/direct/room.rs
@@ -22,11 +22,8 @@
 use crate::direct::members::IncarnationId;
 use crate::direct::members::Member;
 
-/// Number of ranks of streams, from 0, the most urgent: two for each pair of priorities of an account
-/// and a route, as [`ServingConfig::urgency`] counts them.
-///
-/// [`ServingConfig::urgency`]: crate::direct::serving::ServingConfig::urgency
-pub const PRIORITIES: usize = 20;
+/// Number of priorities, from 0, the most urgent.
+pub const PRIORITIES: usize = 10;
 
 /// Maximum number of client accounts in a report.
 pub const MAX_REPORTED_ACCOUNTS: usize = 16;
--- a/crates/core/src/direct/serving.rs
+++ b/crates/core/src/direct/serving.rs
@@ -107,12 +107,6 @@
         }
     }
 
-    /// Whether a caller that waits for this much longer has been waiting for longer than the latency
-    /// objective, if it waits for as long in all as the route allows.
-    fn is_late(&self, left: Millis) -> bool {
-        left + self.objective_ms < self.timeout_ms
-    }
-
     /// Draws the service for one request, by weight.
     pub fn draw<R: Rng>(&self, rng: &mut R) -> Option<&str> {
         let total: u32 = self.splits.iter().map(|split| split.weight).sum();
@@ -297,15 +291,12 @@
     }
 
     /// Rank of a stream among those that compete for the same room, from 0, the most urgent: by the
-    /// priority of the account, then by that of the route. Of equals, those whose callers wait for
-    /// less time than `left` requires come last: their first event is late already, since they were
-    /// refused before, and each of them would take the place of one that can be in time.
-    pub fn urgency(&self, route: RouteKey, account: Option<AccountKey>, left: Millis) -> u8 {
+    /// priority of the account, then by that of the route.
+    pub fn urgency(&self, route: RouteKey, account: Option<AccountKey>) -> u8 {
         let of_account = account.and_then(|account| self.account(account).priority);
         let pair = priorities(self.route(route), of_account);
-        let rank = 2 * self.urgencies.partition_point(|ranked| *ranked < pair);
-        let of_pair = rank.min(PRIORITIES - 2);
-        (of_pair + usize::from(self.route(route).is_late(left))) as u8
+        let rank = self.urgencies.partition_point(|ranked| *ranked < pair);
+        rank.min(PRIORITIES - 1) as u8
     }
 
     /// A client account by its key.
