--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -250,3 +250,19 @@
     }
     Err(eyre::eyre!("the peer closed the connection before its reply"))
 }
+
+/// Sends a message over an idle connection, or a new one that is opened within `timeout`; returns the
+/// connection and the reply.
+pub(crate) async fn round_trip_over(
+    idle: Option<Socket>,
+    address: SocketAddr,
+    request: &PeerNews,
+    timeout: Duration,
+) -> eyre::Result<(Socket, PeerNews)> {
+    let mut socket = match idle {
+        Some(socket) => socket,
+        None => connect(address, timeout).await?,
+    };
+    let reply = round_trip(&mut socket, request).await?;
+    Ok((socket, reply))
+}
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -28,7 +28,6 @@
 use crate::gateway::Gateway;
 use crate::gateway::crashes::TRIAL_INTERVAL;
 use crate::peers;
-use crate::peers::Socket;
 use crate::peers::connection_pool::ConnectionPool;
 use crate::peers::messages;
 use crate::peers::messages::LATE_READ_WINDOW;
@@ -225,7 +224,9 @@
     message: &PeerNews,
 ) -> Result<(Grant, bool)> {
     let sent_at = gateway.now();
-    let attempt = async |idle| exchange_over(idle, address, message).await;
+    let attempt = async |idle| {
+        peers::round_trip_over(idle, address, message, Duration::from(ASK_TIMEOUT)).await
+    };
     let reply = gateway.permit_granters.connections.exchange(address, attempt).await?;
     gateway.apply_limits(&messages::received_limits(
         &reply,
@@ -238,19 +239,6 @@
     Ok((grant, granted.share_is_free))
 }
 
-async fn exchange_over(
-    idle: Option<Socket>,
-    address: SocketAddr,
-    message: &PeerNews,
-) -> Result<(Socket, PeerNews)> {
-    let mut socket = match idle {
-        Some(socket) => socket,
-        None => peers::connect(address, Duration::from(ASK_TIMEOUT)).await?,
-    };
-    let reply = peers::round_trip(&mut socket, message).await?;
-    Ok((socket, reply))
-}
-
 /// The reply to a permit request of another gateway.
 pub(crate) fn reply<P: Platform>(gateway: &Gateway<P>, request: &PermitsAsked) -> PeerNews {
     // A request that is read after a suspension of this process may be as old as the suspension.
--- a/crates/direct/src/room.rs
+++ b/crates/direct/src/room.rs
@@ -22,7 +22,6 @@
 
 use crate::gateway::Gateway;
 use crate::peers;
-use crate::peers::Socket;
 use crate::peers::connection_pool::ConnectionPool;
 use crate::peers::messages;
 use crate::peers::room_messages;
@@ -154,26 +153,14 @@
     let asked = room_messages::report_to_wire(service, report);
     let message = PeerNews { room_asked: Some(asked), ..messages::empty_message() };
     let sent_at = gateway.now();
-    let attempt = async |idle| exchange_over(idle, address, &message).await;
+    let attempt =
+        async |idle| peers::round_trip_over(idle, address, &message, EXCHANGE_TIMEOUT).await;
     let reply = connections.exchange(address, attempt).await?;
     let given = reply.room_given.ok_or_else(|| eyre!("the reply contains no notice"))?;
     let delay = gateway.now().since(sent_at);
     Ok(room_messages::notice_from_wire(&given, delay))
 }
 
-async fn exchange_over(
-    idle: Option<Socket>,
-    address: SocketAddr,
-    message: &PeerNews,
-) -> Result<(Socket, PeerNews)> {
-    let mut socket = match idle {
-        Some(socket) => socket,
-        None => peers::connect(address, EXCHANGE_TIMEOUT).await?,
-    };
-    let reply = peers::round_trip(&mut socket, message).await?;
-    Ok((socket, reply))
-}
-
 /// The reply to a report of another gateway.
 pub(crate) fn reply<P: Platform>(gateway: &Gateway<P>, asked: &RoomAsked) -> PeerNews {
     let report = room_messages::report_from_wire(asked);
