Urgency: one word for the place of a stream by the priorities of its account and its route

The room and the level called it priority, which is a setting of accounts and routes, or rank, which is a server of a group. The label of admitted_thousandths follows. Tests of the room share the numbered gateways of the simulated fleet.

--- a/crates/core/src/direct/level.rs
+++ b/crates/core/src/direct/level.rs
@@ -1,5 +1,5 @@
 //! Admission level of a service: which share of the demand all gateways admit.
-//! Input: demand by priority and account, and the room that is left. State: smoothed demand.
+//! Input: demand by urgency and account, and the room that is left. State: smoothed demand.
 //! Decides which requests are admitted, and when the callers of the others return.
 //!
 //! The keeper of the room computes the level with a [`Controller`]. Each gateway applies it to the
@@ -7,7 +7,7 @@
 //! result at all gateways.
 
 use crate::direct::room::AccountId;
-use crate::direct::room::PRIORITIES;
+use crate::direct::room::URGENCIES;
 use crate::util::hash;
 
 pub mod controller;
@@ -26,47 +26,47 @@
 /// Which requests are admitted.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Level {
-    /// Fraction of the requests that are admitted, by priority.
-    pub admitted: [f64; PRIORITIES],
+    /// Fraction of the requests that are admitted, by urgency.
+    pub admitted: [f64; URGENCIES],
     /// Fraction of the refused requests that are assigned a turn.
     pub turns: f64,
     /// Accounts above their share, with the fraction of their requests that are admitted. It applies
-    /// in addition to that of their priority.
+    /// in addition to that of their urgency.
     pub accounts: Vec<(AccountId, f64)>,
 }
 
 impl Level {
     /// The level that admits all requests.
     pub fn open() -> Level {
-        Level { admitted: [1.0; PRIORITIES], turns: 0.0, accounts: Vec::new() }
+        Level { admitted: [1.0; URGENCIES], turns: 0.0, accounts: Vec::new() }
     }
 
     /// Fraction of the requests of an account that are admitted.
-    pub fn fraction(&self, priority: u8, account: AccountId) -> f64 {
-        self.admitted[usize::from(priority).min(PRIORITIES - 1)] * self.relative(account)
+    pub fn fraction(&self, urgency: u8, account: AccountId) -> f64 {
+        self.admitted[usize::from(urgency).min(URGENCIES - 1)] * self.relative(account)
     }
 
-    /// Fraction of an account's requests that are admitted, relative to that of their priority.
+    /// Fraction of an account's requests that are admitted, relative to that of their urgency.
     pub fn relative(&self, account: AccountId) -> f64 {
         let found = self.accounts.iter().find(|(listed, _)| *listed == account);
         found.map_or(1.0, |(_, relative)| *relative)
     }
 }
 
-/// Bits of an [`AccountId`] that hold the priority.
-const PRIORITY_BITS: u64 = 0xf;
+/// Bits of an [`AccountId`] that hold the urgency.
+const URGENCY_BITS: u64 = 0xf;
 
 impl AccountId {
-    /// A client account's requests of one priority; requests without an account have an empty name.
+    /// A client account's requests of one urgency; requests without an account have an empty name.
     ///
-    /// Accounts share the room among equals only, so an account with requests of two priorities
+    /// Accounts share the room among equals only, so an account with requests of two urgencies
     /// counts as two.
-    pub fn of(name: &str, priority: u8) -> AccountId {
-        AccountId(hash::of(name) & !PRIORITY_BITS | u64::from(priority) & PRIORITY_BITS)
+    pub fn of(name: &str, urgency: u8) -> AccountId {
+        AccountId(hash::of(name) & !URGENCY_BITS | u64::from(urgency) & URGENCY_BITS)
     }
 
     /// Priority of the requests.
-    pub fn priority(self) -> usize {
-        ((self.0 & PRIORITY_BITS) as usize).min(PRIORITIES - 1)
+    pub fn urgency(self) -> usize {
+        ((self.0 & URGENCY_BITS) as usize).min(URGENCIES - 1)
     }
 }
--- a/crates/core/src/direct/level/controller.rs
+++ b/crates/core/src/direct/level/controller.rs
@@ -1,6 +1,6 @@
 //! Controller of the admission level, at the keeper of a service's room.
-//! Input: demand by priority and account, and the room. State: smoothed demand.
-//! Decides which fraction of the requests is admitted, by priority and by account.
+//! Input: demand by urgency and account, and the room. State: smoothed demand.
+//! Decides which fraction of the requests is admitted, by urgency and by account.
 //!
 //! The rate of admissions is that at which streams end, plus what closes the gap between the room
 //! and the open streams within a fixed time. So the open streams approach the room and stay there,
@@ -17,13 +17,13 @@
 use crate::clock::Millis;
 use crate::direct::level::Level;
 use crate::direct::room::AccountId;
-use crate::direct::room::PRIORITIES;
+use crate::direct::room::URGENCIES;
 
 /// Demand for a service at all gateways together.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Demand {
-    /// Requests per second by priority, without those in their turn.
-    pub arrivals_per_s: [f64; PRIORITIES],
+    /// Requests per second by urgency, without those in their turn.
+    pub arrivals_per_s: [f64; URGENCIES],
     /// Requests per second that arrive in their turn.
     pub turns_per_s: f64,
     /// Requests per second of the accounts with the most.
@@ -64,10 +64,10 @@
     /// Lower bound of the admitted rate, in streams per second relative to the room. It keeps some
     /// streams going from which the room is seen to return.
     pub min_rate: f64,
-    /// Lower bound of the fraction of a priority's requests that are admitted, relative to that of
+    /// Lower bound of the fraction of an urgency's requests that are admitted, relative to that of
     /// all requests.
     pub min_relative: f64,
-    /// The same for an account's requests of one priority.
+    /// The same for an account's requests of one urgency.
     pub min_account: f64,
     /// Upper bound of the turns that are assigned, relative to the admitted rate. Callers that
     /// return are late already, so more turns would be at the cost of those that can be in time.
@@ -96,12 +96,12 @@
 #[derive(Clone, Debug)]
 pub struct Controller {
     config: Config,
-    arrivals_per_s: [f64; PRIORITIES],
+    arrivals_per_s: [f64; URGENCIES],
     turns_per_s: f64,
     completions_per_s: f64,
-    /// Requests per second of accounts, and of all accounts of each priority, over a longer time.
+    /// Requests per second of accounts, and of all accounts of each urgency, over a longer time.
     accounts: BTreeMap<AccountId, f64>,
-    accounts_per_s: [f64; PRIORITIES],
+    accounts_per_s: [f64; URGENCIES],
     updated_at: Option<Millis>,
     /// Levels that the reports do not show yet.
     recent: VecDeque<Recent>,
@@ -113,8 +113,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Recent {
     at: Millis,
-    admitted: [f64; PRIORITIES],
-    arrivals_per_s: [f64; PRIORITIES],
+    admitted: [f64; URGENCIES],
+    arrivals_per_s: [f64; URGENCIES],
     /// Admitted rate less that of the streams that ended.
     surplus_per_s: f64,
 }
@@ -131,7 +131,7 @@
 /// Steps in which the share of the accounts is found.
 const BISECTIONS: usize = 30;
 
-/// Number of accounts of one priority that are limited one by one.
+/// Number of accounts of one urgency that are limited one by one.
 const MAX_LISTED_ACCOUNTS: usize = 8;
 
 impl Controller {
@@ -139,11 +139,11 @@
     pub fn new(config: Config) -> Controller {
         Controller {
             config,
-            arrivals_per_s: [0.0; PRIORITIES],
+            arrivals_per_s: [0.0; URGENCIES],
             turns_per_s: 0.0,
             completions_per_s: 0.0,
             accounts: BTreeMap::new(),
-            accounts_per_s: [0.0; PRIORITIES],
+            accounts_per_s: [0.0; URGENCIES],
             updated_at: None,
             recent: VecDeque::new(),
             integral_per_s: 0.0,
@@ -182,7 +182,7 @@
         let mut until = now;
         let mut streams = 0.0;
         for recent in self.recent.iter().rev() {
-            let more: f64 = (0..PRIORITIES)
+            let more: f64 = (0..URGENCIES)
                 .map(|p| recent.admitted[p] * (self.arrivals_per_s[p] - recent.arrivals_per_s[p]))
                 .sum();
             streams += (recent.surplus_per_s + more) * until.since(recent.at).0 as f64 / 1_000.0;
@@ -203,7 +203,7 @@
         }
     }
 
-    /// Divides the admitted rate among priorities, the most urgent first, and turns.
+    /// Divides the admitted rate among urgencies, the most urgent first, and turns.
     fn divide(&self, total_per_s: f64, admitted_per_s: f64) -> Level {
         let turns_per_s = self.turns_per_s.min(self.config.max_turns * admitted_per_s);
         let free_per_s = admitted_per_s - turns_per_s;
@@ -211,36 +211,36 @@
         let floor = self.config.min_relative * overall;
         let mut level = Level::open();
         let mut left_per_s = free_per_s * (1.0 - self.config.min_relative);
-        for (priority, arrivals_per_s) in self.arrivals_per_s.into_iter().enumerate() {
+        for (urgency, arrivals_per_s) in self.arrivals_per_s.into_iter().enumerate() {
             if arrivals_per_s <= 0.0 {
-                // The first requests of a priority are admitted as those of the priority before.
-                level.admitted[priority] =
-                    priority.checked_sub(1).map_or(1.0, |before| level.admitted[before]);
+                // The first requests of an urgency are admitted as those of the urgency before.
+                level.admitted[urgency] =
+                    urgency.checked_sub(1).map_or(1.0, |before| level.admitted[before]);
                 continue;
             }
             let above_floor = (arrivals_per_s * (1.0 - floor)).min(left_per_s);
             left_per_s -= above_floor;
             let fraction = (floor + above_floor / arrivals_per_s).min(1.0);
-            self.share(priority, fraction, self.config.min_account * overall, &mut level);
+            self.share(urgency, fraction, self.config.min_account * overall, &mut level);
         }
         let refused_per_s = (total_per_s - free_per_s).max(f64::MIN_POSITIVE);
         level.turns = (self.config.max_turns * admitted_per_s / refused_per_s).min(1.0);
         level
     }
 
-    /// Fraction of the requests of each priority that a level admits, over all accounts.
-    fn means(&self, level: &Level) -> [f64; PRIORITIES] {
+    /// Fraction of the requests of each urgency that a level admits, over all accounts.
+    fn means(&self, level: &Level) -> [f64; URGENCIES] {
         let mut means = level.admitted;
         for (account, relative) in &level.accounts {
-            let priority = account.priority();
-            means[priority] -= level.admitted[priority] * self.part(*account) * (1.0 - relative);
+            let urgency = account.urgency();
+            means[urgency] -= level.admitted[urgency] * self.part(*account) * (1.0 - relative);
         }
         means
     }
 
-    /// An account's part of the requests of its priority.
+    /// An account's part of the requests of its urgency.
     fn part(&self, account: AccountId) -> f64 {
-        let all_per_s = self.accounts_per_s[account.priority()].max(f64::MIN_POSITIVE);
+        let all_per_s = self.accounts_per_s[account.urgency()].max(f64::MIN_POSITIVE);
         self.accounts.get(&account).map_or(0.0, |rate| (rate / all_per_s).min(1.0))
     }
 
@@ -279,13 +279,12 @@
         span_ms.unwrap_or(0.0)
     }
 
-    /// Divides what a priority gets among accounts: those below the share get all that they ask for,
-    /// the others get the share. All quantities are parts of the requests of the priority.
-    fn share(&self, priority: usize, fraction: f64, floor: f64, level: &mut Level) {
-        level.admitted[priority] = fraction;
-        let of_priority = self.accounts.keys().filter(|account| account.priority() == priority);
-        let mut parts: Vec<_> =
-            of_priority.map(|account| (*account, self.part(*account))).collect();
+    /// Divides what an urgency gets among accounts: those below the share get all that they ask for,
+    /// the others get the share. All quantities are parts of the requests of the urgency.
+    fn share(&self, urgency: usize, fraction: f64, floor: f64, level: &mut Level) {
+        level.admitted[urgency] = fraction;
+        let of_urgency = self.accounts.keys().filter(|account| account.urgency() == urgency);
+        let mut parts: Vec<_> = of_urgency.map(|account| (*account, self.part(*account))).collect();
         parts.sort_by(|one, other| other.1.total_cmp(&one.1));
         parts.truncate(MAX_LISTED_ACCOUNTS);
         let Some((_, smallest)) = parts.last().copied().filter(|_| fraction < 1.0) else { return };
@@ -306,7 +305,7 @@
             }
         }
         let of_smallest = admitted(smallest, high);
-        level.admitted[priority] = of_smallest;
+        level.admitted[urgency] = of_smallest;
         let limited = parts.iter().map(|(one, part)| (*one, admitted(*part, high) / of_smallest));
         level.accounts.extend(limited.filter(|(_, relative)| *relative < 1.0));
     }
--- a/crates/core/src/direct/level/gate.rs
+++ b/crates/core/src/direct/level/gate.rs
@@ -31,7 +31,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct GateRequest {
     /// Priority; 0 is the most urgent.
-    pub priority: u8,
+    pub urgency: u8,
     /// The client account.
     pub account: AccountId,
     /// Hash of all that identifies the request and its caller, and is the same for each retry.
@@ -112,7 +112,7 @@
         // An account above its share gets fewer turns too, or its refused requests would get most.
         let fraction = self.level(now).map(|level| {
             let turns = level.turns * level.relative(request.account);
-            (level.fraction(request.priority, request.account), turns)
+            (level.fraction(request.urgency, request.account), turns)
         });
         let position = turns::position(request.key, shared);
         let (is_admitted, turns) = match fraction {
--- a/crates/core/src/direct/room.rs
+++ b/crates/core/src/direct/room.rs
@@ -22,8 +22,11 @@
 use crate::direct::members::IncarnationId;
 use crate::direct::members::Member;
 
-/// Number of priorities, from 0, the most urgent.
-pub const PRIORITIES: usize = 10;
+/// Number of urgencies that streams have, from 0, the most urgent: their order by the priority of the
+/// account, then of the route, as [`ServingConfig::urgency`] counts it.
+///
+/// [`ServingConfig::urgency`]: crate::direct::serving::ServingConfig::urgency
+pub const URGENCIES: usize = 10;
 
 /// Maximum number of client accounts in a report.
 pub const MAX_REPORTED_ACCOUNTS: usize = 16;
@@ -94,8 +97,8 @@
     pub open_streams: u32,
     /// Streams that ended.
     pub ended_streams: u32,
-    /// Requests by priority, admitted or not, without those that arrived in their turn.
-    pub arrivals: [u32; PRIORITIES],
+    /// Requests by urgency, admitted or not, without those that arrived in their turn.
+    pub arrivals: [u32; URGENCIES],
     /// Requests that arrived in their turn after a refusal.
     pub turns: u32,
     /// Client accounts with the most requests.
--- a/crates/core/src/direct/room/keeper.rs
+++ b/crates/core/src/direct/room/keeper.rs
@@ -8,9 +8,9 @@
 
 use super::GatewayReport;
 use super::MAX_REPORTED_ACCOUNTS;
-use super::PRIORITIES;
 use super::RoomNotice;
 use super::ServerList;
+use super::URGENCIES;
 use super::estimate;
 use super::estimate::GroupRoom;
 use super::estimate::OpenSlots;
@@ -249,8 +249,8 @@
         let mut accounts = BTreeMap::new();
         for (report, _) in self.reports.values() {
             let per_s = |count| report.per_s(count) * scale;
-            for priority in 0..PRIORITIES {
-                demand.arrivals_per_s[priority] += per_s(report.arrivals[priority]);
+            for urgency in 0..URGENCIES {
+                demand.arrivals_per_s[urgency] += per_s(report.arrivals[urgency]);
             }
             demand.turns_per_s += per_s(report.turns);
             for (account, count) in &report.accounts {
--- a/crates/core/src/direct/room/view.rs
+++ b/crates/core/src/direct/room/view.rs
@@ -8,9 +8,9 @@
 use super::GatewayReport;
 use super::GroupState;
 use super::MAX_REPORTED_ACCOUNTS;
-use super::PRIORITIES;
 use super::RoomNotice;
 use super::ServerList;
+use super::URGENCIES;
 use crate::clock::Millis;
 use crate::direct::level::Gate;
 use crate::direct::members::IncarnationId;
@@ -24,7 +24,7 @@
 /// Requests for streams since the last report.
 #[derive(Clone, Debug, Default)]
 pub struct Arrivals {
-    by_priority: [u32; PRIORITIES],
+    by_urgency: [u32; URGENCIES],
     turns: u32,
     /// Streams that had ended at the last report, since the start of the process.
     ended_before: u64,
@@ -35,13 +35,13 @@
 
 impl Arrivals {
     /// Counts a request. `in_turn` is whether it arrives in its turn after a refusal.
-    pub fn record(&mut self, priority: u8, account: Option<AccountId>, in_turn: bool, now: Millis) {
+    pub fn record(&mut self, urgency: u8, account: Option<AccountId>, in_turn: bool, now: Millis) {
         self.last_at = Some(now);
         if in_turn {
             self.turns += 1;
             return;
         }
-        self.by_priority[usize::from(priority).min(PRIORITIES - 1)] += 1;
+        self.by_urgency[usize::from(urgency).min(URGENCIES - 1)] += 1;
         let Some(account) = account else { return };
         let has_space = self.accounts.len() < MAX_COUNTED_ACCOUNTS;
         if has_space || self.accounts.contains_key(&account) {
@@ -54,7 +54,7 @@
         self.since = self.since - report.span;
         self.turns += report.turns;
         self.ended_before -= u64::from(report.ended_streams);
-        for (count, lost) in self.by_priority.iter_mut().zip(report.arrivals) {
+        for (count, lost) in self.by_urgency.iter_mut().zip(report.arrivals) {
             *count += lost;
         }
         for (account, lost) in &report.accounts {
@@ -134,7 +134,7 @@
             span: now.since(counted.since),
             open_streams: streams.open,
             ended_streams: (streams.ended - counted.ended_before) as u32,
-            arrivals: counted.by_priority,
+            arrivals: counted.by_urgency,
             turns: counted.turns,
             accounts: counted.largest_accounts(),
             stream_ms: streams.stream_ms,
--- a/crates/core/src/direct/serving.rs
+++ b/crates/core/src/direct/serving.rs
@@ -14,7 +14,7 @@
 
 use crate::clock::Millis;
 use crate::direct::pool::WarmUpConfig;
-use crate::direct::room::PRIORITIES;
+use crate::direct::room::URGENCIES;
 use crate::direct::room::estimate::StreamObjective;
 
 /// Whether requests of a route may run more than once, and whether the answer is a stream.
@@ -290,13 +290,13 @@
         &self.routes[key.0]
     }
 
-    /// Rank of a stream among those that compete for the same room, from 0, the most urgent: by the
-    /// priority of the account, then by that of the route.
+    /// Urgency of a stream among those that compete for the same room, from 0, the most urgent: its
+    /// place by the priority of the account, then by that of the route.
     pub fn urgency(&self, route: RouteKey, account: Option<AccountKey>) -> u8 {
         let of_account = account.and_then(|account| self.account(account).priority);
         let pair = priorities(self.route(route), of_account);
-        let rank = self.urgencies.partition_point(|ranked| *ranked < pair);
-        rank.min(PRIORITIES - 1) as u8
+        let place = self.urgencies.partition_point(|known| *known < pair);
+        place.min(URGENCIES - 1) as u8
     }
 
     /// A client account by its key.
--- a/crates/core/tests/direct_tables.rs
+++ b/crates/core/tests/direct_tables.rs
@@ -79,7 +79,7 @@
 /// Guards against streams of an account with a priority of its own that all count alike, so that the
 /// most urgent route gets no room first.
 #[test]
-fn streams_are_ranked_by_the_account_then_by_the_route() {
+fn the_urgency_of_a_stream_follows_the_account_then_the_route() {
     let stream = |prefix: &str, priority| Route {
         kind: RouteKind::Stream,
         priority,
@@ -95,15 +95,15 @@
         vec![account("first", Some(0)), account("second", Some(1)), account("any", None)];
     let routes = vec![stream("/late/", 2), stream("/early/", 0), route("h", "/whole/", false)];
     let serving = ServingConfig::new(7, routes, Vec::new(), accounts, CallerLimits::default());
-    let rank = |key: &str, path: &str| {
+    let urgency = |key: &str, path: &str| {
         let (route, account) = serving.admit("h", path, Some(key)).expect("it is known");
         serving.urgency(route, account)
     };
-    let ranks =
+    let urgencies =
         [("first", "/early/"), ("first", "/late/"), ("second", "/early/"), ("second", "/late/")]
-            .map(|(key, path)| rank(key, path));
-    assert_eq!(ranks, [0, 1, 2, 3]);
-    assert_eq!((rank("any", "/early/"), rank("any", "/late/")), (0, 4));
+            .map(|(key, path)| urgency(key, path));
+    assert_eq!(urgencies, [0, 1, 2, 3]);
+    assert_eq!((urgency("any", "/early/"), urgency("any", "/late/")), (0, 4));
 }
 
 /// Guards against requests that are processed outside the homes of their route or of their client
--- a/crates/core/tests/fleet/mod.rs
+++ b/crates/core/tests/fleet/mod.rs
@@ -3,9 +3,9 @@
 //! although they stopped, and running ones that are missing.
 
 pub mod gossip;
+pub mod member;
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 
 use gossip::exchange;
 use hooktrestle_core::clock::Millis;
@@ -13,7 +13,9 @@
 use hooktrestle_core::direct::members::Distance;
 use hooktrestle_core::direct::members::Member;
 use hooktrestle_core::direct::members::Members;
-use hooktrestle_core::direct::members::Readiness;
+use member::FIRST_PORT;
+use member::address;
+use member::numbered;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -30,31 +32,6 @@
 /// Number of gateways that are seeds.
 const SEEDS: usize = 2;
 
-/// The first port of callers: gateway number `n` has `FIRST_PORT + n`.
-const FIRST_PORT: u16 = 1_000;
-
-/// The gateway with a number; its addresses contain the number.
-pub fn numbered(number: usize, incarnation: u64) -> Member {
-    let address = address(number);
-    Member {
-        name: format!("g{number:03}"),
-        incarnation,
-        heartbeat: 0,
-        callers_at: address,
-        peers_at: address,
-        data_centre: "hall".to_owned(),
-        memory_bytes: 0,
-        readiness: Readiness::Ready,
-        store_answers: true,
-        leader_fencing_token: 0,
-    }
-}
-
-/// Address of the gateway with a number.
-pub fn address(number: usize) -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + number as u16))
-}
-
 struct Process {
     members: Members,
     started_at: Millis,
--- a/crates/core/tests/level_fleet/mod.rs
+++ b/crates/core/tests/level_fleet/mod.rs
@@ -24,7 +24,7 @@
 use hooktrestle_core::direct::level::Room;
 use hooktrestle_core::direct::level::Verdict;
 use hooktrestle_core::direct::room::AccountId;
-use hooktrestle_core::direct::room::PRIORITIES;
+use hooktrestle_core::direct::room::URGENCIES;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -68,7 +68,7 @@
 pub struct Request {
     pub key: u64,
     pub account: u64,
-    pub priority: u8,
+    pub urgency: u8,
     pub asked_at: Millis,
     retries: u32,
     has_turn: bool,
@@ -86,7 +86,7 @@
 struct Report {
     open: usize,
     ended: u32,
-    arrivals: [u32; PRIORITIES],
+    arrivals: [u32; URGENCIES],
     turns: u32,
     accounts: BTreeMap<AccountId, u32>,
 }
@@ -102,21 +102,21 @@
 }
 
 fn empty_report() -> Report {
-    Report { open: 0, ended: 0, arrivals: [0; PRIORITIES], turns: 0, accounts: BTreeMap::new() }
+    Report { open: 0, ended: 0, arrivals: [0; URGENCIES], turns: 0, accounts: BTreeMap::new() }
 }
 
 pub struct Fleet {
     pub now: Millis,
     pub slots: usize,
     /// Priorities of requests, at equal rates.
-    pub priorities: [u8; 4],
+    pub urgencies: [u8; 4],
     /// Requests per second, of callers that repeat at once, and of one account more than others.
     pub per_s: f64,
     pub repeaters: f64,
     pub large_account: f64,
     pub seconds: Vec<Second>,
-    /// By priority and by account: requests, and those that were admitted at first.
-    pub by_priority: [(u32, u32); 3],
+    /// By urgency and by account: requests, and those that were admitted at first.
+    pub by_urgency: [(u32, u32); 3],
     pub by_account: Vec<(u32, u32)>,
     /// Callers that returned in their turn, and those of them that were admitted.
     pub returned: (u32, u32),
@@ -140,12 +140,12 @@
         let mut fleet = Fleet {
             now: Millis(10_000),
             slots: SLOTS,
-            priorities: [0, 1, 1, 2],
+            urgencies: [0, 1, 1, 2],
             per_s: 300.0,
             repeaters: 0.0,
             large_account: 0.0,
             seconds: Vec::new(),
-            by_priority: [(0, 0); 3],
+            by_urgency: [(0, 0); 3],
             by_account: vec![(0, 0); ACCOUNTS as usize],
             returned: (0, 0),
             way,
@@ -211,11 +211,11 @@
             self.next_key += 1;
             let is_large = self.rng.random_bool(self.large_account);
             let account = if is_large { 0 } else { self.rng.random_range(0..ACCOUNTS) };
-            let priority = self.priorities[self.rng.random_range(0..4)];
+            let urgency = self.urgencies[self.rng.random_range(0..4)];
             let request = Request {
                 key: self.next_key,
                 account,
-                priority,
+                urgency,
                 asked_at: self.now,
                 retries: 0,
                 has_turn: false,
@@ -263,12 +263,12 @@
         let alive: Vec<usize> =
             (0..self.gateways.len()).filter(|index| self.gateways[*index].is_alive).collect();
         let index = alive[self.rng.random_range(0..alive.len())];
-        let account = AccountId::of(&request.account.to_string(), request.priority);
+        let account = AccountId::of(&request.account.to_string(), request.urgency);
         let gateway = &mut self.gateways[index];
         let verdict = match self.way {
             Way::Level => gateway.gate.decide(
                 &GateRequest {
-                    priority: request.priority,
+                    urgency: request.urgency,
                     account,
                     key: request.key.wrapping_mul(0x9e37_79b9_7f4a_7c15),
                     open_streams: gateway.open as u32,
@@ -296,7 +296,7 @@
         if is_in_turn {
             report.turns += 1;
         } else {
-            report.arrivals[usize::from(request.priority)] += 1;
+            report.arrivals[usize::from(request.urgency)] += 1;
             *report.accounts.entry(account).or_default() += 1;
         }
         let refused = match verdict {
@@ -305,8 +305,8 @@
         };
         if request.retries == 0 {
             let admitted = u32::from(refused.is_none());
-            let of_priority = &mut self.by_priority[usize::from(request.priority)];
-            *of_priority = (of_priority.0 + 1, of_priority.1 + admitted);
+            let of_urgency = &mut self.by_urgency[usize::from(request.urgency)];
+            *of_urgency = (of_urgency.0 + 1, of_urgency.1 + admitted);
             let of_account = &mut self.by_account[request.account as usize];
             *of_account = (of_account.0 + 1, of_account.1 + admitted);
         }
--- a/crates/core/tests/levels.rs
+++ b/crates/core/tests/levels.rs
@@ -18,7 +18,7 @@
 use hooktrestle_core::direct::level::Room;
 use hooktrestle_core::direct::level::Verdict;
 use hooktrestle_core::direct::room::AccountId;
-use hooktrestle_core::direct::room::PRIORITIES;
+use hooktrestle_core::direct::room::URGENCIES;
 use proptest::prelude::*;
 
 use level_fleet::Fleet;
@@ -62,7 +62,7 @@
     let due = |second: &Second| f64::from(second.asked).min(rate_per_s(SLOTS));
     let due: f64 = seconds.iter().map(due).sum();
     assert!(late == 0 && f64::from(served) >= 0.9 * due, "{what}: {seconds:?}");
-    fleet.by_priority = Default::default();
+    fleet.by_urgency = Default::default();
     fleet.run(SECOND);
     let (asked, admitted) = sums(fleet);
     assert_eq!(asked, admitted, "{what}");
@@ -70,7 +70,7 @@
 
 fn sums(fleet: &Fleet) -> (u32, u32) {
     let add = |sum: (u32, u32), one: &(u32, u32)| (sum.0 + one.0, sum.1 + one.1);
-    fleet.by_priority.iter().fold((0, 0), add)
+    fleet.by_urgency.iter().fold((0, 0), add)
 }
 
 fn fraction((asked, admitted): (u32, u32)) -> f64 {
@@ -85,13 +85,13 @@
             let mut fleet = fleet(gateways);
             fleet.per_s = factor * rate_per_s(SLOTS);
             fleet.run(Millis(2_000));
-            fleet.by_priority = Default::default();
+            fleet.by_urgency = Default::default();
             fleet.run(Millis(6_000));
             let seconds = fleet.seconds[3..].to_vec();
             let excess = |second: &Second| second.most_open as f64 > 1.1 * room(SLOTS);
             assert!(!seconds[1..].iter().any(excess), "{what}: {seconds:?}");
             check_overload(&seconds[2..], SLOTS, &what);
-            let fractions = fleet.by_priority.map(fraction);
+            let fractions = fleet.by_urgency.map(fraction);
             assert!(fractions[0] >= fractions[1] && fractions[1] >= fractions[2], "{fractions:?}");
             // What floors and turns leave to the most urgent quarter is more than half of the room.
             let due = (0.5 * rate_per_s(SLOTS) / (0.25 * fleet.per_s)).min(1.0);
@@ -173,7 +173,7 @@
 fn by_size(large_account: f64, per_s: f64) -> (f64, f64) {
     let mut fleet = fleet(34);
     fleet.slots = SLOTS / 2;
-    fleet.priorities = [1; 4];
+    fleet.urgencies = [1; 4];
     (fleet.per_s, fleet.large_account) = (per_s, large_account);
     fleet.run(SECOND);
     fleet.by_account.fill((0, 0));
@@ -197,7 +197,7 @@
 
 fn request(key: u64, left_ms: u64) -> GateRequest {
     let account = AccountId::of("one", 1);
-    GateRequest { priority: 1, account, key, open_streams: 0, left: Millis(left_ms) }
+    GateRequest { urgency: 1, account, key, open_streams: 0, left: Millis(left_ms) }
 }
 
 #[test]
@@ -212,7 +212,7 @@
 }
 
 proptest! {
-    /// Whatever is measured, some requests are admitted while there is room, and each priority gets
+    /// Whatever is measured, some requests are admitted while there is room, and each urgency gets
     /// its part.
     #[test]
     fn the_level_never_starves_all(
@@ -230,12 +230,12 @@
             let level = controller.update(&demand, &room, Millis(100 * number as u64));
             let total: f64 = arrivals.iter().sum();
             let least = 0.9 * (streams * Config::default().min_rate / total).min(1.0);
-            for priority in (0..PRIORITIES).filter(|priority| arrivals[*priority] > 0.0) {
-                let admitted = level.admitted[priority];
+            for urgency in (0..URGENCIES).filter(|urgency| arrivals[*urgency] > 0.0) {
+                let admitted = level.admitted[urgency];
                 prop_assert!(admitted >= 0.299 * least && admitted <= 1.0, "{level:?}");
             }
             for (account, relative) in &level.accounts {
-                let admitted = relative * level.admitted[account.priority()];
+                let admitted = relative * level.admitted[account.urgency()];
                 prop_assert!(admitted >= 0.299 * least, "{level:?}");
             }
         }
@@ -250,7 +250,7 @@
         delay_ms in 0_u64..40,
         left_ms in 1_000_u64..9_000,
     ) {
-        let closed = Level { admitted: [0.0; PRIORITIES], turns: 1.0, accounts: Vec::new() };
+        let closed = Level { admitted: [0.0; URGENCIES], turns: 1.0, accounts: Vec::new() };
         let (mut first, mut second) = (Gate::new(), Gate::new());
         first.apply(closed.clone(), Millis(shared_ms), LIFETIME, Millis(50));
         second.apply(closed.clone(), Millis(shared_ms), LIFETIME, Millis(900_000));
--- a/crates/core/tests/room.rs
+++ b/crates/core/tests/room.rs
@@ -2,12 +2,14 @@
 //! room that does not follow the servers (a group that stalls, a cold server, a slow rank), and
 //! against demand that is counted wrongly while gateways, reports or the keeper are lost.
 
+#[path = "fleet/member.rs"]
+mod member;
+
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::advertised_limit::Rate;
 use hooktrestle_core::direct::crashes::ServerIncarnation;
 use hooktrestle_core::direct::members::IncarnationId;
 use hooktrestle_core::direct::members::Member;
-use hooktrestle_core::direct::members::Readiness;
 use hooktrestle_core::direct::pool::Config as PoolConfig;
 use hooktrestle_core::direct::pool::ListedServer;
 use hooktrestle_core::direct::pool::Pool;
@@ -26,6 +28,7 @@
 use hooktrestle_core::direct::room::keeper::RoomKeeper;
 use hooktrestle_core::direct::room::view::RoomView;
 use hooktrestle_core::direct::room::view::StreamSummary;
+use member::numbered;
 
 const OBJECTIVE: StreamObjective =
     StreamObjective { first_ms: 400.0, pause_ms: 120.0, min_pass_ms: 30.0 };
@@ -41,14 +44,14 @@
 const LIFETIME: Millis = Millis(1_500);
 
 fn report(gateway: u64, open_streams: u32, arrivals: u32) -> GatewayReport {
-    let mut by_priority = [0; room::PRIORITIES];
-    by_priority[1] = arrivals;
+    let mut by_urgency = [0; room::URGENCIES];
+    by_urgency[1] = arrivals;
     GatewayReport {
         gateway: IncarnationId(gateway),
         span: Millis(200),
         open_streams,
         ended_streams: open_streams / 7,
-        arrivals: by_priority,
+        arrivals: by_urgency,
         turns: 0,
         accounts: Vec::new(),
         stream_ms: 1_400.0,
@@ -378,34 +381,23 @@
     assert!(view.apply(&notice(0, 91), LIFETIME, Millis(2_520)));
 }
 
-fn member(name: &str, token: u64) -> Member {
-    let address = "127.0.0.1:1".parse().expect("an address");
-    Member {
-        name: name.to_owned(),
-        incarnation: 1,
-        heartbeat: 1,
-        callers_at: address,
-        peers_at: address,
-        data_centre: "hall".to_owned(),
-        memory_bytes: 0,
-        readiness: Readiness::Ready,
-        store_answers: true,
-        leader_fencing_token: token,
-    }
+/// A gateway that leads with this fencing token, or leads no maps if it is 0.
+fn leader(number: usize, leader_fencing_token: u64) -> Member {
+    Member { leader_fencing_token, ..numbered(number, 1) }
 }
 
 #[test]
 fn the_newest_leader_that_answers_keeps_the_room_else_the_first_gateway() {
-    let members = [member("a", 0), member("b", 4), member("c", 6)];
+    let members = [leader(0, 0), leader(1, 4), leader(2, 6)];
     let serving: Vec<&Member> = members.iter().collect();
     let name = |has_experts, skipped: &[&Member]| {
         let is_skipped = |id| skipped.iter().any(|member| member.incarnation_id() == id);
         room::choose_keeper(&serving, has_experts, is_skipped).map(|member| member.name.as_str())
     };
-    assert_eq!(name(true, &[]), Some("c"));
-    assert_eq!(name(true, &[&members[2]]), Some("b"));
-    assert_eq!(name(true, &[&members[1], &members[2]]), Some("a"));
-    assert_eq!(name(false, &[]), Some("a"));
+    assert_eq!(name(true, &[]), Some("g002"));
+    assert_eq!(name(true, &[&members[2]]), Some("g001"));
+    assert_eq!(name(true, &[&members[1], &members[2]]), Some("g000"));
+    assert_eq!(name(false, &[]), Some("g000"));
     assert_eq!(name(false, &serving), None);
 }
 
--- a/crates/core/tests/stopped_gateways.rs
+++ b/crates/core/tests/stopped_gateways.rs
@@ -13,7 +13,7 @@
 
 use fleet::Fleet;
 use fleet::STEP;
-use fleet::numbered;
+use fleet::member::numbered;
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::members::Config;
 use hooktrestle_core::direct::members::Member;
--- a/crates/direct/src/gateway/levels.rs
+++ b/crates/direct/src/gateway/levels.rs
@@ -34,7 +34,7 @@
         self.with_room_view(service, |view| {
             let verdict = view.gate.decide(request, own_part, now);
             let in_turn = verdict == Verdict::AdmittedInTurn;
-            view.arrivals.record(request.priority, Some(request.account), in_turn, now);
+            view.arrivals.record(request.urgency, Some(request.account), in_turn, now);
             match verdict {
                 Verdict::Refused(to_return) => LevelDecision::Refused(to_return),
                 Verdict::Admitted if !has_level => LevelDecision::Unknown,
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -75,7 +75,7 @@
     pub room_streams: Family<Labels, Gauge>,
     /// For each service whose room this gateway keeps: open streams of all gateways.
     pub open_streams: Family<Labels, Gauge>,
-    /// For each service and priority: thousandths of the requests that are admitted, by the newest
+    /// For each service and urgency: thousandths of the requests that are admitted, by the newest
     /// notice.
     pub admitted_thousandths: Family<Labels, Gauge>,
     /// Milliseconds from the head of a request to the head of its answer.
@@ -163,7 +163,7 @@
         metrics.registry.register("room_streams", help, metrics.room_streams.clone());
         let help = "Open streams of a service at all gateways, at the keeper of its room";
         metrics.registry.register("room_open_streams", help, metrics.open_streams.clone());
-        let help = "Thousandths of the requests of a priority that are admitted";
+        let help = "Thousandths of the requests of an urgency that are admitted";
         metrics.registry.register(
             "admitted_thousandths",
             help,
@@ -201,10 +201,10 @@
         self.open_streams.remove(&labels);
     }
 
-    /// Records the fractions of the requests of a service that are admitted, by priority.
+    /// Records the fractions of the requests of a service that are admitted, by urgency.
     pub fn record_admitted(&self, service: &str, admitted: &[f64]) {
-        for (priority, fraction) in admitted.iter().enumerate() {
-            let labels = vec![("service", service.to_owned()), ("priority", priority.to_string())];
+        for (urgency, fraction) in admitted.iter().enumerate() {
+            let labels = vec![("service", service.to_owned()), ("urgency", urgency.to_string())];
             self.admitted_thousandths.get_or_create(&labels).set((fraction * 1_000.0) as i64);
         }
     }
--- a/crates/direct/src/peers/room_messages.rs
+++ b/crates/direct/src/peers/room_messages.rs
@@ -12,9 +12,9 @@
 use hooktrestle_core::direct::room::GatewayReport;
 use hooktrestle_core::direct::room::GroupState;
 use hooktrestle_core::direct::room::MAX_REPORTED_ACCOUNTS;
-use hooktrestle_core::direct::room::PRIORITIES;
 use hooktrestle_core::direct::room::RoomNotice;
 use hooktrestle_core::direct::room::ServerList;
+use hooktrestle_core::direct::room::URGENCIES;
 use hooktrestle_schema::RoomAsked;
 use hooktrestle_schema::RoomGiven;
 
@@ -125,13 +125,13 @@
 }
 
 /// The values without those at the end that are equal to `usual`.
-fn without_trailing(values: [u64; PRIORITIES], usual: u64) -> Vec<u64> {
+fn without_trailing(values: [u64; URGENCIES], usual: u64) -> Vec<u64> {
     let used = values.iter().rposition(|value| *value != usual).map_or(0, |last| last + 1);
     values[..used].to_vec()
 }
 
 /// Reverse of [`without_trailing`].
-fn filled(values: &[u64], usual: u64) -> [u64; PRIORITIES] {
+fn filled(values: &[u64], usual: u64) -> [u64; URGENCIES] {
     let mut all = values.iter().copied().chain(iter::repeat(usual));
     std::array::from_fn(|_| all.next().unwrap_or(usual))
 }
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -159,10 +159,10 @@
         let account = self.account.map(|account| self.serving.account(account).name.as_str());
         let own = [&names.token_counts, &names.length_hint];
         let texts = own.map(|name| headers::text(&self.headers, name).unwrap_or_default());
-        let priority = self.serving.urgency(self.route, self.account);
+        let urgency = self.serving.urgency(self.route, self.account);
         GateRequest {
-            priority,
-            account: AccountId::of(account.unwrap_or_default(), priority),
+            urgency,
+            account: AccountId::of(account.unwrap_or_default(), urgency),
             key: self.fingerprint.caller_key(texts),
             open_streams,
             left: self.deadline.since(now),
--- a/crates/direct/tests/room_messages.rs
+++ b/crates/direct/tests/room_messages.rs
@@ -22,8 +22,8 @@
 
 fn report() -> GatewayReport {
     let accounts = (0..room::MAX_REPORTED_ACCOUNTS as u64).map(|id| (AccountId(u64::MAX - id), 9));
-    let mut arrivals = [0; room::PRIORITIES];
-    (arrivals[0], arrivals[1], arrivals[room::PRIORITIES - 1]) = (1, 2, 3);
+    let mut arrivals = [0; room::URGENCIES];
+    (arrivals[0], arrivals[1], arrivals[room::URGENCIES - 1]) = (1, 2, 3);
     GatewayReport {
         gateway: IncarnationId(u64::MAX),
         span: Millis(200),
@@ -83,12 +83,12 @@
     asked.arrivals = vec![u64::MAX; 30];
     asked.accounts = vec![[1, u64::MAX]; 500];
     let received = report_from_wire(&asked);
-    assert_eq!(received.arrivals, [u32::MAX; room::PRIORITIES]);
+    assert_eq!(received.arrivals, [u32::MAX; room::URGENCIES]);
     assert_eq!(received.accounts.len(), room::MAX_REPORTED_ACCOUNTS);
     let mut given: RoomGiven = notice_to_wire(SERVICE, &notice(2));
     given.admitted = vec![5_000];
     let received = notice_from_wire(&given, Millis::ZERO);
-    assert_eq!(received.level.admitted, [1.0; room::PRIORITIES]);
+    assert_eq!(received.level.admitted, [1.0; room::URGENCIES]);
 }
 
 /// The keeper also serves callers, over a link of a few hundred Mbit/s.
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -1407,7 +1407,7 @@
     ///Client accounts with the most requests: number of the account, and requests.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub accounts: ::std::vec::Vec<[u64; 2usize]>,
-    ///Requests by priority, admitted or not, without those of `turn_requests`.
+    ///Requests by urgency, admitted or not, without those of `turn_requests`.
     pub arrivals: ::std::vec::Vec<u64>,
     ///Streams that ended within `span_ms`.
     #[serde(default)]
@@ -1441,7 +1441,7 @@
     ///Client accounts above their share: number of the account, and thousandths of its requests that are admitted.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub accounts: ::std::vec::Vec<[u64; 2usize]>,
-    ///By priority: thousandths of the requests that are admitted.
+    ///By urgency: thousandths of the requests that are admitted.
     pub admitted: ::std::vec::Vec<u64>,
     ///Time since `occupied` and `groups` were read.
     #[serde(default)]
