--- a/crates/core/tests/choices.rs
+++ b/crates/core/tests/choices.rs
@@ -6,6 +6,7 @@
 //! streams that are sent to a group whose passes are too long.
 
 use std::collections::VecDeque;
+use std::ops::Range;
 
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::crashes::ServerIncarnation;
@@ -25,48 +26,50 @@
 const SERVICE: &str = "hints";
 const SERVERS: usize = 72;
 const SLOTS: u32 = 10;
-const STEP: u64 = 5;
-const NOTICE_INTERVAL: u64 = 200;
 
-/// Work of a stream in ms, at the usual length of passes.
-const STREAM_MS: std::ops::Range<f64> = 900.0..1_900.0;
+/// Time between two steps of a play.
+const STEP_MS: u64 = 5;
+
+const NOTICE_INTERVAL_MS: u64 = 200;
+
+/// Duration of a stream at the usual length of passes.
+const STREAM_MS: Range<f64> = 900.0..1_900.0;
 
 /// Length of usual passes.
 const PASS_MS: f64 = 63.0;
 
 /// Longest wait for a slot with which the first event is in time.
-const MAX_WAIT: u64 = 235;
+const MAX_WAIT_MS: u64 = 235;
 
 /// What a play varies.
 #[derive(Clone, Copy)]
 struct Play {
     gateways: usize,
     groups: usize,
-    /// Streams per second.
-    rate: f64,
+    rate_per_s: f64,
     /// Time until which gateways get notices, of which each tenth is lost.
-    notices_until: u64,
-    /// Pace of the first group from [`CHANGE_AT`] on; 0 if it stalls and is gone.
+    notices_until_ms: u64,
+    /// Pace of the first group from [`CHANGE_AT_MS`] on; 0 if it stalls and is gone.
     pace: f64,
     /// Time at which the change ends.
-    change_until: u64,
+    change_until_ms: u64,
     /// Slots of the second half of the servers.
     slots_of_half: u32,
 }
 
-const CHANGE_AT: u64 = 3_000;
-const END_AT: u64 = 9_000;
+const CHANGE_AT_MS: u64 = 3_000;
+const END_AT_MS: u64 = 9_000;
 
 impl Play {
-    fn even(gateways: usize, groups: usize, rate: f64) -> Play {
-        let change_until = END_AT;
+    fn even(gateways: usize, groups: usize, rate_per_s: f64) -> Play {
+        let change_until_ms = END_AT_MS;
         Play {
             gateways,
             groups,
-            rate,
-            notices_until: END_AT,
+            rate_per_s,
+            notices_until_ms: END_AT_MS,
             pace: 1.0,
-            change_until,
+            change_until_ms,
             slots_of_half: SLOTS,
         }
     }
@@ -74,7 +77,8 @@
 
 struct Stream {
     gateway: usize,
-    arrived: u64,
+    /// Its index in [`Fleet::sent`].
+    sent_index: usize,
     left_ms: f64,
 }
 
@@ -95,13 +99,13 @@
 struct Reading {
     occupied: Vec<u32>,
     groups: Vec<GroupState>,
-    read_at: u64,
+    read_at_ms: u64,
 }
 
-/// A stream: when it arrived, how long it waited for a slot, and its server.
+/// A stream: when it arrived_ms: now, how long it waited for a slot, and its server.
 struct Sent {
-    at: u64,
-    wait: Option<u64>,
+    at_ms: u64,
+    wait_ms: Option<u64>,
     server: usize,
 }
 
@@ -141,7 +145,7 @@
     }
 
     fn pace(&self, group: usize, now: u64) -> f64 {
-        let changed = group == 0 && (CHANGE_AT..self.play.change_until).contains(&now);
+        let changed = group == 0 && (CHANGE_AT_MS..self.play.change_until_ms).contains(&now);
         if changed { self.play.pace } else { 1.0 }
     }
 
@@ -156,7 +160,7 @@
         Reading {
             occupied: self.servers.iter().map(SimServer::occupied).collect(),
             groups: (0..self.play.groups).map(state).collect(),
-            read_at: now,
+            read_at_ms: now,
         }
     }
 
@@ -166,7 +170,7 @@
             if self.rng.random_bool(0.1) {
                 continue;
             }
-            let age = Millis(now - reading.read_at);
+            let age = Millis(now - reading.read_at_ms);
             let (occupied, groups) = (&reading.occupied, &reading.groups);
             pool.apply_occupancy(SERVICE, &self.list, occupied, groups, age, Millis(now));
         }
@@ -179,9 +183,9 @@
         let pool = &mut self.pools[gateway];
         let key = pool.choose(&demand, Millis(now), &mut self.rng).expect("a server is open");
         let server = self.keys.iter().position(|one| *one == key).expect("it is listed");
-        let arrived = self.sent.len() as u64;
-        self.servers[server].queued.push_back(Stream { gateway, arrived, left_ms });
-        self.sent.push(Sent { at: now, wait: None, server });
+        let sent_index = self.sent.len();
+        self.servers[server].queued.push_back(Stream { gateway, sent_index, left_ms });
+        self.sent.push(Sent { at_ms: now, wait_ms: None, server });
     }
 
     fn serve(&mut self, now: u64) {
@@ -190,11 +194,11 @@
             let server = &mut self.servers[number];
             while server.running.len() < server.slots as usize && pace > 0.0 {
                 let Some(stream) = server.queued.pop_front() else { break };
-                let sent = &mut self.sent[stream.arrived as usize];
-                sent.wait = Some(now - sent.at);
+                let sent = &mut self.sent[stream.sent_index];
+                sent.wait_ms = Some(now - sent.at_ms);
                 server.running.push(stream);
             }
-            let worked_ms = if pace > 0.0 { STEP as f64 / pace } else { 0.0 };
+            let worked_ms = if pace > 0.0 { STEP_MS as f64 / pace } else { 0.0 };
             let pools = &mut self.pools;
             server.running.retain_mut(|stream| {
                 stream.left_ms -= worked_ms;
@@ -208,15 +212,15 @@
 
     fn run(mut self) -> Fleet {
         let mut reading = self.read(0);
-        for now in (0..END_AT).step_by(STEP as usize) {
-            let due = self.play.rate * STEP as f64 / 1_000.0;
+        for now in (0..END_AT_MS).step_by(STEP_MS as usize) {
+            let due = self.play.rate_per_s * STEP_MS as f64 / 1_000.0;
             let arrivals = (0..16).filter(|_| self.rng.random_bool(due / 16.0)).count();
             (0..arrivals).for_each(|_| self.arrive(now));
             self.serve(now);
-            if now % NOTICE_INTERVAL == 100 {
+            if now % NOTICE_INTERVAL_MS == 100 {
                 reading = self.read(now);
             }
-            if now % NOTICE_INTERVAL == 0 && now < self.play.notices_until {
+            if now % NOTICE_INTERVAL_MS == 0 && now < self.play.notices_until_ms {
                 self.notify(&reading, now);
             }
         }
@@ -225,14 +229,15 @@
 
     /// Fraction of the streams that arrived in this time which waited too long for a slot.
     fn late(&self, from: u64, until: u64) -> f64 {
-        let window = || self.sent.iter().filter(|sent| (from..until).contains(&sent.at));
-        let late = window().filter(|sent| sent.wait.is_none_or(|wait| wait > MAX_WAIT)).count();
+        let window = || self.sent.iter().filter(|sent| (from..until).contains(&sent.at_ms));
+        let late =
+            window().filter(|sent| sent.wait_ms.is_none_or(|wait| wait > MAX_WAIT_MS)).count();
         late as f64 / window().count() as f64
     }
 
     /// Fraction of the streams that arrived in this time which were sent to a group.
     fn share(&self, group: usize, from: u64, until: u64) -> f64 {
-        let window = || self.sent.iter().filter(|sent| (from..until).contains(&sent.at));
+        let window = || self.sent.iter().filter(|sent| (from..until).contains(&sent.at_ms));
         let there = window().filter(|sent| self.servers[sent.server].group == group).count();
         there as f64 / window().count() as f64
     }
@@ -288,17 +293,17 @@
 /// than it has free slots.
 #[test]
 fn a_group_is_left_at_once_and_returns_without_a_burst() {
-    let change_until = 7_000;
+    let change_until_ms = 7_000;
     for gateways in [8, 34, 432] {
         for pace in [4.0, 12.0, 0.0] {
-            let play = Play { pace, change_until, ..Play::even(gateways, 3, 260.0) };
-            let late = mean(play, |fleet| fleet.late(CHANGE_AT + 500, change_until));
+            let play = Play { pace, change_until_ms, ..Play::even(gateways, 3, 260.0) };
+            let late = mean(play, |fleet| fleet.late(CHANGE_AT_MS + 500, change_until_ms));
             assert!(late < 0.05, "{late} with {gateways} gateways at pace {pace}");
-            let share = mean(play, |fleet| fleet.share(0, CHANGE_AT + 500, change_until));
+            let share = mean(play, |fleet| fleet.share(0, CHANGE_AT_MS + 500, change_until_ms));
             assert!(share < 0.02, "share of {share} with {gateways} gateways at pace {pace}");
-            let late = mean(play, |fleet| fleet.late(change_until + 500, END_AT));
+            let late = mean(play, |fleet| fleet.late(change_until_ms + 500, END_AT_MS));
             assert!(late < 0.05, "{late} afterwards with {gateways} gateways at pace {pace}");
-            let share = mean(play, |fleet| fleet.share(0, change_until + 500, END_AT));
+            let share = mean(play, |fleet| fleet.share(0, change_until_ms + 500, END_AT_MS));
             assert!((0.25..0.5).contains(&share), "share of {share} afterwards");
         }
     }
@@ -335,8 +340,8 @@
 /// The last notice lapses: a group that it called closed gets its turns once the keeper is cut off.
 #[test]
 fn without_recent_notices_servers_get_even_turns() {
-    let (notices_until, change_until) = (4_000, 4_500);
-    let play = Play { pace: 0.0, notices_until, change_until, ..Play::even(34, 3, 300.0) };
-    let share = mean(play, |fleet| fleet.share(0, 5_500, END_AT));
+    let (notices_until_ms, change_until_ms) = (4_000, 4_500);
+    let play = Play { pace: 0.0, notices_until_ms, change_until_ms, ..Play::even(34, 3, 300.0) };
+    let share = mean(play, |fleet| fleet.share(0, 5_500, END_AT_MS));
     assert!((0.3..0.37).contains(&share), "{share}");
 }
