--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -23,6 +23,7 @@
 //! - [`fingerprint`]: identifies retries of one request.
 //! - [`overtaken`]: requests at a server that does not respond while others answer later ones.
 //! - [`truncated_answers`]: truncated answers, and requests that were at a server when it crashed.
+//! - [`unconfirmed_endings`]: attempts that were abandoned, until their server answers again.
 //! - [`crashes`]: requests that crash the servers that run them, from reports of all gateways.
 //! - [`outage`]: time after which callers retry while no server can accept a request.
 //! - [`budget`]: number of retries after failures, over a sliding window.
@@ -67,4 +68,5 @@
 pub mod slow_servers;
 pub mod truncated_answers;
 pub mod unconfirmed;
+pub mod unconfirmed_endings;
 pub mod unread_answers;
--- a/crates/core/src/direct/crashes.rs
+++ b/crates/core/src/direct/crashes.rs
@@ -13,20 +13,36 @@
 //! another server within a moment and stall another group. Afterwards one gateway after the other
 //! sends it again, one attempt at a time. Two such crashes are as strong evidence as three others.
 //!
+//! A request that is sent often is at several crashes by chance. If it ended well at least as often
+//! as it was at crashes, or got to different points of its run there, these are weak evidence: it is
+//! sent one attempt at a time, and refused only after further crashes. An attempt that its caller
+//! abandoned clears the request too, if the server lived on and the attempt lasted longer than the
+//! request had run at its crashes.
+//!
 //! Reports only grow until they expire. So gateways that merge each other's reports in any order
 //! reach the same result, and a gateway that receives them late needs nothing but the reports.
 //!
 //! This protects the servers of a service from a caller that retries such a request: without it,
 //! most of them crash and their groups stall.
 
+mod config;
+mod evidence;
+mod exposure;
 mod report;
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
-use std::collections::VecDeque;
 
+pub use self::config::Config;
+use self::evidence::Count;
+use self::evidence::Counts;
+use self::evidence::Verdict;
+use self::exposure::Ending;
+pub use self::exposure::EndingCount;
+use self::exposure::Exposure;
+pub use self::exposure::Extent;
 use self::report::Aged;
 pub use self::report::Cleared;
 pub use self::report::Crash;
@@ -40,48 +56,6 @@
 use crate::direct::fingerprint::Fingerprint;
 use crate::util::hash;
 
-/// Thresholds, times and limits of the stored state.
-#[derive(Clone, Copy, Debug)]
-pub struct Config {
-    /// Number of crashes from which a request is refused. Two can be a coincidence: a stream that
-    /// is resumed after a crash can be at the next one. The users' rule counts from the third.
-    pub min_crashes: usize,
-    /// The same for crashes in [`Stage::Starting`], which lasts for a tenth of the run time.
-    pub min_starts: usize,
-    /// How long a request is held back after a crash at which it was in [`Stage::Starting`]. A
-    /// server of the users' deployment is back within 3.3 s, and its group opens 0.6 s later.
-    pub hold_back: Millis,
-    /// Upper bound of an extra hold-back that differs between gateways. Otherwise all gateways
-    /// would send the requests that arrived meanwhile at the same time, and each would crash one
-    /// server. A crash report reaches other gateways within some tens of milliseconds.
-    pub hold_back_spread: Millis,
-    /// How long a report counts: as long as a person needs to examine what was refused. A request
-    /// that still crashes servers afterwards causes three more crashes in each such period.
-    pub report_ttl: Millis,
-    /// Maximum number of crash reports, and of cleared requests; the oldest are evicted first.
-    pub max_crashes: usize,
-    /// Maximum number of requests in one report. A server of the users' deployment runs 12 at once.
-    pub max_suspects: usize,
-    /// Number of the latest completed requests of this gateway that are stored, for the seconds by
-    /// which a crash report may be late. A gateway of the users' deployment has 13 a second.
-    pub max_completed: usize,
-}
-
-impl Default for Config {
-    fn default() -> Self {
-        Config {
-            min_crashes: 3,
-            min_starts: 2,
-            hold_back: Millis(5_000),
-            hold_back_spread: Millis(5_000),
-            report_ttl: Millis(600_000),
-            max_crashes: 256,
-            max_suspects: 32,
-            max_completed: 512,
-        }
-    }
-}
-
 /// What a merged report or completion changed.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum MergeOutcome {
@@ -119,44 +93,14 @@
 /// Error of times that are rounded to milliseconds at both ends.
 const ROUNDING: Millis = Millis(2);
 
-/// Number of crashes at which a request was, and its longest run time at one of the servers.
-#[derive(Clone, Copy, Default)]
-struct Count {
-    all: usize,
-    at_start: usize,
-    longest: Millis,
-}
-
-/// The [`Count`] of each request.
-#[derive(Default)]
-struct Counts(HashMap<Fingerprint, Count>);
-
-impl Counts {
-    fn add(&mut self, report: &Merged) {
-        for (fingerprint, suspect) in &report.suspects {
-            let count = self.0.entry(*fingerprint).or_default();
-            count.all += 1;
-            count.at_start += usize::from(suspect.stage == Stage::Starting);
-            count.longest = count.longest.max(suspect.ran);
-        }
-    }
-
-    /// Of the requests at a crash that were at enough crashes, those with the shortest run time.
-    fn culprits_of(&self, report: &Merged, config: &Config) -> Vec<Fingerprint> {
-        let counted = report.suspects.keys().map(|one| (self.0[one], *one));
-        let enough =
-            |count: &Count| count.all >= config.min_crashes || count.at_start >= config.min_starts;
-        let culprits: Vec<(Millis, Fingerprint)> = counted
-            .filter(|(count, _)| enough(count))
-            .map(|(count, one)| (count.longest, one))
-            .collect();
-        let shortest = culprits.iter().map(|(longest, _)| *longest).min();
-        culprits
-            .into_iter()
-            .filter(|(longest, _)| Some(*longest) == shortest)
-            .map(|(_, one)| one)
-            .collect()
-    }
+/// How a request is sent against which there is weak evidence.
+#[derive(Clone, Copy, Debug)]
+struct WeakSuspect {
+    /// Whether it is held back after its latest crash. One that ends well is not: its next attempt
+    /// probably clears it.
+    is_held_back: bool,
+    /// Until when it is sent one attempt at a time.
+    until: Millis,
 }
 
 /// Whether a request that is not refused may be sent now.
@@ -164,7 +108,8 @@
 pub enum Quarantine {
     /// No crash speaks against the request.
     Free,
-    /// The request was in [`Stage::Starting`] at a crash some time ago: one attempt at a time.
+    /// The request was in [`Stage::Starting`] at a crash some time ago, or there is weak evidence
+    /// against it: one attempt at a time.
     OneAtATime,
     /// The request is not sent for this much longer.
     HeldBack(Millis),
@@ -178,12 +123,14 @@
     own: Reporter,
     reports: BTreeMap<CrashReportId, Report>,
     cleared: BTreeMap<Fingerprint, Aged>,
-    /// The requests that completed here most recently, with the time of each.
-    recent: VecDeque<(Fingerprint, Millis)>,
+    /// Attempts that ended without a crash.
+    exposure: Exposure,
     /// Refused requests, with the end of each refusal.
     refused: HashMap<Fingerprint, Millis>,
     /// Requests that were in [`Stage::Starting`] at a crash; most requests are not among them.
     began_at_crash: BTreeSet<Fingerprint>,
+    /// Requests that were at enough crashes, against which these are weak evidence.
+    weak_suspects: HashMap<Fingerprint, WeakSuspect>,
 }
 
 impl Crashes {
@@ -194,9 +141,10 @@
             own,
             reports: BTreeMap::new(),
             cleared: BTreeMap::new(),
-            recent: VecDeque::new(),
+            exposure: Exposure::default(),
             refused: HashMap::new(),
             began_at_crash: BTreeSet::new(),
+            weak_suspects: HashMap::new(),
         }
     }
 
@@ -209,17 +157,24 @@
     /// Whether a request may be sent. It is held back if it was in [`Stage::Starting`] at a crash
     /// at which no refused request was.
     pub fn quarantine(&self, fingerprint: Fingerprint, now: Millis) -> Quarantine {
-        if !self.began_at_crash.contains(&fingerprint) {
+        let weak = self.weak_suspects.get(&fingerprint).filter(|weak| weak.until > now);
+        if !self.began_at_crash.contains(&fingerprint) && weak.is_none() {
             return Quarantine::Free;
         }
+        let holds_back_all = weak.is_some_and(|weak| weak.is_held_back);
         let merged = self.merged(now);
         let unexplained = merged.iter().filter(|(_, crash)| {
             let is_explained =
                 crash.suspects.keys().any(|one| self.refused_for(*one, now).is_some());
-            crash.was_at_start(fingerprint) && !is_explained
+            let holds_back = match holds_back_all {
+                true => crash.suspects.contains_key(&fingerprint),
+                false => crash.was_at_start(fingerprint),
+            };
+            holds_back && !is_explained
         });
         let left = unexplained.map(|(server, crash)| self.held_for(*server).since(crash.age)).max();
         match left {
+            None if weak.is_some() => Quarantine::OneAtATime,
             None => Quarantine::Free,
             Some(Millis::ZERO) => Quarantine::OneAtATime,
             Some(left) => Quarantine::HeldBack(left),
@@ -316,22 +271,110 @@
 
     /// Records a request that completed at this gateway, suspect or not: reports may be late.
     pub fn record_completed(&mut self, fingerprint: Fingerprint, now: Millis) -> MergeOutcome {
-        if self.recent.len() == self.config.max_completed {
-            self.recent.pop_front();
+        self.record_ending(Ending { fingerprint, at: now, extent: Extent::Completed }, now)
+    }
+
+    /// Records an attempt at this gateway that ended at `at` before its answer was complete, and
+    /// whose server answered a request that was sent later.
+    pub fn record_survived(
+        &mut self,
+        fingerprint: Fingerprint,
+        extent: Extent,
+        at: Millis,
+        now: Millis,
+    ) -> MergeOutcome {
+        self.record_ending(Ending { fingerprint, at, extent }, now)
+    }
+
+    fn record_ending(&mut self, ending: Ending, now: Millis) -> MergeOutcome {
+        let fingerprint = ending.fingerprint;
+        self.exposure.add(ending, self.config.max_endings);
+        if !self.is_suspect(fingerprint) {
+            return MergeOutcome::Unchanged;
+        }
+        if ending.extent == Extent::Completed || self.is_cleared_by(ending, now) {
+            return self.clear(Cleared { fingerprint, age: now.since(ending.at) }, now);
         }
-        self.recent.push_back((fingerprint, now));
+        self.count_endings(&[fingerprint], now)
+    }
+
+    /// Whether an attempt that ended here, with those before it, shows that the request caused none
+    /// of the crashes so far.
+    fn is_cleared_by(&self, ending: Ending, now: Millis) -> bool {
+        let mut crashes = self.crashes_with(ending.fingerprint, now);
+        crashes.retain(|(age, _)| *age >= now.since(ending.at));
+        let suspects = || crashes.iter().map(|(_, suspect)| *suspect);
+        if !crashes.is_empty() && suspects().all(|suspect| ending.extent.outlasts(suspect)) {
+            return true;
+        }
+        let Some(shortest) = suspects().min_by_key(|one| (one.stage, one.ran)) else {
+            return false;
+        };
+        let since = crashes.iter().map(|(age, _)| *age).min().unwrap_or_default();
+        let later = self.exposure.recent(ending.fingerprint);
+        let later = later.filter(|one| now.since(one.at) < since && one.extent.outlasts(shortest));
+        later.count() >= self.config.min_abandoned
+    }
+
+    /// The crashes at which a request was: the age of each, and the request's progress there.
+    fn crashes_with(&self, fingerprint: Fingerprint, now: Millis) -> Vec<(Millis, Suspect)> {
         if !self.is_suspect(fingerprint) {
+            return Vec::new();
+        }
+        let merged = self.merged(now).into_values();
+        merged.filter_map(|crash| Some((crash.age, *crash.suspects.get(&fingerprint)?))).collect()
+    }
+
+    /// Counts the attempts here that ended well, of those requests that were at several crashes.
+    fn count_endings(&mut self, fingerprints: &[Fingerprint], now: Millis) -> MergeOutcome {
+        let mut has_risen = false;
+        for fingerprint in fingerprints {
+            if self.exposure.recent(*fingerprint).next().is_none() {
+                continue;
+            }
+            let crashes = self.crashes_with(*fingerprint, now);
+            let suspects = crashes.iter().map(|(_, suspect)| *suspect);
+            let shortest = suspects.min_by_key(|one| (one.stage, one.ran));
+            let Some(shortest) = shortest.filter(|_| crashes.len() > 1) else { continue };
+            has_risen |= self.exposure.count_own(self.own, shortest, now);
+        }
+        self.after_count(has_risen, now)
+    }
+
+    /// Merges a count that another gateway reported or the platform stores.
+    pub fn merge_ending_count(&mut self, received: EndingCount, now: Millis) -> MergeOutcome {
+        let is_valid = received.age < self.config.report_ttl;
+        let has_risen = is_valid && self.exposure.merge(received, now);
+        self.after_count(has_risen, now)
+    }
+
+    fn after_count(&mut self, has_risen: bool, now: Millis) -> MergeOutcome {
+        if !has_risen {
             return MergeOutcome::Unchanged;
         }
-        self.clear(Cleared { fingerprint, age: Millis::ZERO }, now)
+        self.remove_expired(now);
+        self.update_refused(now);
+        MergeOutcome::Urgent
+    }
+
+    /// The number of attempts that ended well at each gateway, of requests that were at several
+    /// crashes.
+    pub fn ending_counts(&self, now: Millis) -> Vec<EndingCount> {
+        self.exposure.counts(now, self.config.report_ttl).collect()
+    }
+
+    /// The number of attempts of a request that ended well, at all gateways together.
+    pub fn endings_of(&self, fingerprint: Fingerprint, now: Millis) -> u32 {
+        self.exposure.total(fingerprint, now, self.config.report_ttl)
     }
 
     /// Records a crash that was observed here or reported by another gateway.
     pub fn record(&mut self, crash: &Crash, now: Millis) -> MergeOutcome {
         let outcome = self.record_report(crash, now);
         let since = |one: &Suspect| {
-            let recent = self.recent.iter().rev().find(|(recent, _)| *recent == one.fingerprint);
-            recent.map(|(_, at)| now.since(*at)).filter(|age| *age < crash.age)
+            let mut ended = self.exposure.recent(one.fingerprint);
+            let last = ended.find(|ending| ending.extent.outlasts(*one));
+            last.map(|ending| now.since(ending.at)).filter(|age| *age < crash.age)
         };
         let recent = crash.suspects.iter().filter_map(|one| Some((one.fingerprint, since(one)?)));
         let recent: Vec<(Fingerprint, Millis)> = recent.collect();
@@ -339,7 +382,10 @@
             .into_iter()
             .map(|(fingerprint, age)| self.clear(Cleared { fingerprint, age }, now))
             .max();
-        cleared.map_or(outcome, |cleared| cleared.max(outcome))
+        let suspects: Vec<Fingerprint> =
+            crash.suspects.iter().map(|suspect| suspect.fingerprint).collect();
+        let counted = self.count_endings(&suspects, now);
+        outcome.max(counted).max(cleared.unwrap_or(outcome))
     }
 
     fn record_report(&mut self, crash: &Crash, now: Millis) -> MergeOutcome {
@@ -410,9 +456,11 @@
     /// Removes what has expired, and the oldest entries above the limits.
     pub fn remove_expired(&mut self, now: Millis) {
         let Config { report_ttl, max_crashes, .. } = self.config;
+        self.exposure.remove_expired(now, report_ttl, max_crashes);
         self.reports.retain(|_, report| report.at.age(now) < report_ttl);
         self.cleared.retain(|_, at| at.age(now) < report_ttl);
         self.refused.retain(|_, until| *until > now);
+        self.weak_suspects.retain(|_, weak| weak.until > now);
         while self.reports.len() > max_crashes {
             let oldest = self.reports.iter().max_by_key(|(_, report)| report.at.age(now));
             let Some(id) = oldest.map(|(id, _)| *id) else { break };
@@ -442,7 +490,8 @@
             }
             unexplained.push(report);
             counts.add(report);
-            let culprits = counts.culprits_of(report, &self.config);
+            let verdict = |one: Fingerprint, count: &Count| self.verdict(one, count, now);
+            let culprits = counts.culprits_of(report, verdict);
             if culprits.is_empty() {
                 continue;
             }
@@ -452,12 +501,28 @@
             found.extend(culprits);
         }
         let until = |one: &Fingerprint| (*one, now + self.time_left(*one, &merged));
+        let weak = counts.iter().filter_map(|(one, count)| {
+            let is_held_back = match self.verdict(one, count, now) {
+                Verdict::EndsWell => false,
+                Verdict::Inconsistent => true,
+                Verdict::TooFew | Verdict::Culprit => return None,
+            };
+            let until = now + self.time_left(one, &merged);
+            Some((one, WeakSuspect { is_held_back, until }))
+        });
+        let weak_suspects = weak.collect();
         self.refused = found.iter().map(until).collect();
+        self.weak_suspects = weak_suspects;
         let suspects = merged.values().flat_map(|crash| crash.suspects.values());
         let began = suspects.filter(|one| one.stage == Stage::Starting);
         self.began_at_crash = began.map(|one| one.fingerprint).collect();
     }
 
+    /// What the crashes that no other request explains show about a request.
+    fn verdict(&self, fingerprint: Fingerprint, count: &Count, now: Millis) -> Verdict {
+        count.verdict(self.endings_of(fingerprint, now) as usize, &self.config)
+    }
+
     /// For how much longer enough crashes at which a request was still count.
     fn time_left(&self, one: Fingerprint, merged: &BTreeMap<ServerIncarnation, Merged>) -> Millis {
         let with_it = merged.values().filter(|crash| crash.suspects.contains_key(&one));
@@ -471,9 +536,11 @@
         of_all.max(of_start)
     }
 
-    /// Digest of all known reports. Two gateways with the same digest have none to exchange.
+    /// Digest of all known reports and counts. Two gateways with the same digest have none to
+    /// exchange.
     pub fn digest(&self, now: Millis) -> u64 {
-        self.report_digests(now).iter().fold(0, |all, (_, digest)| all ^ digest)
+        let endings = self.exposure.digest(now, self.config.report_ttl);
+        self.report_digests(now).iter().fold(endings, |all, (_, digest)| all ^ digest)
     }
 
     /// The known reports, each with a digest of its suspects.
--- /dev/null
+++ b/crates/core/src/direct/crashes/config.rs
@@ -0,0 +1,55 @@
+//! Configuration of the evidence of crashes. It has no input and no state.
+//! Decides after how many crashes and for how long a request is refused or held back.
+
+use crate::clock::Millis;
+
+/// Thresholds, times and limits of the stored state.
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    /// Number of crashes from which a request is refused. Two can be a coincidence: a stream that
+    /// is resumed after a crash can be at the next one. The users' rule counts from the third.
+    pub min_crashes: usize,
+    /// The same for crashes in [`Stage::Starting`], which lasts for a tenth of the run time.
+    pub min_starts: usize,
+    /// Number of further crashes from which a request is refused against which the others are weak
+    /// evidence. The users' rule allows three attempts after the third crash.
+    pub extra_crashes: usize,
+    /// Number of abandoned attempts that clear a request if each lasted longer than the request had
+    /// run at one of its crashes; a single one does so if it lasted longer than at all of them.
+    pub min_abandoned: usize,
+    /// How long a request is held back after a crash at which it was in [`Stage::Starting`]. A
+    /// server of the users' deployment is back within 3.3 s, and its group opens 0.6 s later.
+    pub hold_back: Millis,
+    /// Upper bound of an extra hold-back that differs between gateways. Otherwise all gateways
+    /// would send the requests that arrived meanwhile at the same time, and each would crash one
+    /// server. A crash report reaches other gateways within some tens of milliseconds.
+    pub hold_back_spread: Millis,
+    /// How long a report counts: as long as a person needs to examine what was refused. A request
+    /// that still crashes servers afterwards causes three more crashes in each such period.
+    pub report_ttl: Millis,
+    /// Maximum number of crash reports, and of cleared requests; the oldest are evicted first.
+    pub max_crashes: usize,
+    /// Maximum number of requests in one report. A server of the users' deployment runs 12 at once.
+    pub max_suspects: usize,
+    /// Number of the latest attempts of this gateway that ended well which are stored, for crash
+    /// reports that are late and as evidence for requests that are sent repeatedly. A gateway of
+    /// the users' deployment has 13 a second.
+    pub max_endings: usize,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Config {
+            min_crashes: 3,
+            min_starts: 2,
+            extra_crashes: 2,
+            min_abandoned: 3,
+            hold_back: Millis(5_000),
+            hold_back_spread: Millis(5_000),
+            report_ttl: Millis(600_000),
+            max_crashes: 256,
+            max_suspects: 32,
+            max_endings: 2_048,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/direct/crashes/evidence.rs
@@ -0,0 +1,114 @@
+//! Evidence that a request crashes servers, from the crashes at which it was.
+//! Input: its progress at each crash, and how often it ended well. It has no state.
+//! Decides whether the request is refused, sent one attempt at a time, or not restricted.
+//!
+//! A request that crashes servers does so at about the same point of its run. One that was at a
+//! crash by chance may have got to any point, or may have been sent to a server that was down.
+
+use std::collections::HashMap;
+
+use crate::clock::Millis;
+use crate::direct::crashes::Config;
+use crate::direct::crashes::Merged;
+use crate::direct::crashes::report::Stage;
+use crate::direct::crashes::report::Suspect;
+use crate::direct::fingerprint::Fingerprint;
+
+/// How much longer than its shortest run a request may have run at crashes that count as the same
+/// point of its run: twice as long, since servers differ in speed and load, and a short time more.
+const MAX_RUN_RATIO: u64 = 2;
+const MAX_RUN_DIFFERENCE: Millis = Millis(10);
+
+/// What the crashes at which a request was show.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Verdict {
+    /// They are too few.
+    TooFew,
+    /// They are enough, but the request ended well at least as often.
+    EndsWell,
+    /// They are enough, but some of them may have had another cause.
+    Inconsistent,
+    /// The request crashes servers.
+    Culprit,
+}
+
+/// The progress of a request at the crashes that no other request explains.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Count {
+    progress: Vec<Suspect>,
+}
+
+impl Count {
+    fn at_start(&self) -> usize {
+        self.progress.iter().filter(|one| one.stage == Stage::Starting).count()
+    }
+
+    fn longest(&self) -> Millis {
+        self.progress.iter().map(|one| one.ran).max().unwrap_or_default()
+    }
+
+    /// Maximum number of crashes at the same point of the run.
+    fn consistent(&self) -> usize {
+        let certain = || self.progress.iter().filter(|one| one.stage > Stage::Doubtful);
+        let is_same = |first: &Suspect, other: &Suspect| {
+            let longest = Millis(first.ran.0 * MAX_RUN_RATIO) + MAX_RUN_DIFFERENCE;
+            other.stage == first.stage && (first.ran..=longest).contains(&other.ran)
+        };
+        let alike = certain().map(|first| certain().filter(|other| is_same(first, other)).count());
+        alike.max().unwrap_or(0)
+    }
+
+    /// What the crashes show about a request of which this many attempts ended well.
+    pub(super) fn verdict(&self, ended_well: usize, config: &Config) -> Verdict {
+        let Config { min_crashes, min_starts, extra_crashes, .. } = *config;
+        let (all, at_start) = (self.progress.len(), self.at_start());
+        let is_enough = |extra| all >= min_crashes + extra || at_start >= min_starts + extra;
+        if !is_enough(0) {
+            Verdict::TooFew
+        } else if is_enough(extra_crashes) {
+            Verdict::Culprit
+        } else if ended_well >= all {
+            Verdict::EndsWell
+        } else if at_start >= min_starts || self.consistent() >= min_crashes {
+            Verdict::Culprit
+        } else {
+            Verdict::Inconsistent
+        }
+    }
+}
+
+/// The [`Count`] of each request.
+#[derive(Default)]
+pub(super) struct Counts(HashMap<Fingerprint, Count>);
+
+impl Counts {
+    pub(super) fn add(&mut self, crash: &Merged) {
+        for (fingerprint, suspect) in &crash.suspects {
+            self.0.entry(*fingerprint).or_default().progress.push(*suspect);
+        }
+    }
+
+    /// Of the requests at a crash that crash servers, those with the shortest run time.
+    pub(super) fn culprits_of(
+        &self,
+        crash: &Merged,
+        verdict: impl Fn(Fingerprint, &Count) -> Verdict,
+    ) -> Vec<Fingerprint> {
+        let counted = crash.suspects.keys().map(|one| (&self.0[one], *one));
+        let culprits: Vec<(Millis, Fingerprint)> = counted
+            .filter(|(count, one)| verdict(*one, count) == Verdict::Culprit)
+            .map(|(count, one)| (count.longest(), one))
+            .collect();
+        let shortest = culprits.iter().map(|(longest, _)| *longest).min();
+        culprits
+            .into_iter()
+            .filter(|(longest, _)| Some(*longest) == shortest)
+            .map(|(_, one)| one)
+            .collect()
+    }
+
+    /// Each request with its count.
+    pub(super) fn iter(&self) -> impl Iterator<Item = (Fingerprint, &Count)> {
+        self.0.iter().map(|(fingerprint, count)| (*fingerprint, count))
+    }
+}
--- a/crates/core/src/direct/crashes/report.rs
+++ b/crates/core/src/direct/crashes/report.rs
@@ -24,6 +24,11 @@
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Reporter(pub u64);
 
+impl Reporter {
+    /// Stands for all gateways in what the platform stores.
+    pub const STORED: Reporter = Reporter(0);
+}
+
 /// Identifies a report: the server that crashed, and the gateway process that observed it.
 pub type CrashReportId = (ServerIncarnation, Reporter);
 
@@ -31,6 +36,9 @@
 /// several times, the furthest stage counts: the request did no harm up to that stage.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Stage {
+    /// The answer had not begun, and the address of the server accepts connections although the
+    /// server has crashed: it may have crashed before the request was sent.
+    Doubtful,
     /// The answer had not begun: the server may have crashed before the request was sent.
     Waiting,
     /// The answer had begun, and nothing more of it had arrived.
--- a/crates/core/tests/crashes.rs
+++ b/crates/core/tests/crashes.rs
@@ -14,6 +14,8 @@
 use hooktrestle_core::direct::crashes::Crash;
 use hooktrestle_core::direct::crashes::CrashReportId;
 use hooktrestle_core::direct::crashes::Crashes;
+use hooktrestle_core::direct::crashes::EndingCount;
+use hooktrestle_core::direct::crashes::Extent;
 use hooktrestle_core::direct::crashes::MergeOutcome;
 use hooktrestle_core::direct::crashes::Quarantine;
 use hooktrestle_core::direct::crashes::Reporter;
@@ -30,6 +32,7 @@
 
 /// Number of seeds for which the fleet is simulated.
 const SEEDS: u64 = 40;
+const SEEDS_WITH_BURSTS: u64 = 6;
 
 fn crash(server: u64, suspects: &[(u64, u64)]) -> Crash {
     let suspects = suspects.iter().map(|(fingerprint, ran_ms)| Suspect {
@@ -198,6 +201,21 @@
     }
 }
 
+/// Guards against refusing a request that callers always abandon, in a fleet whose servers crash in
+/// bursts. It never completes, and is at several crashes of each burst.
+#[test]
+fn a_fleet_with_bursts_of_crashes_refuses_only_requests_that_crash_servers() {
+    let (mut refused, mut sent, mut culprits_crashed) = (0, 0, 0);
+    for seed in 0..SEEDS_WITH_BURSTS {
+        let outcome = Fleet::new(Plan::with_bursts(seed)).run_to_end();
+        refused += outcome.innocents_refused;
+        sent += outcome.innocents;
+        culprits_crashed += outcome.crashes_by_culprits;
+    }
+    println!("{refused} of {sent} refused, {culprits_crashed} crashes by culprits");
+    assert_eq!(refused, 0, "of {sent}");
+}
+
 #[test]
 fn a_completion_between_a_crash_and_its_report_clears_the_request() {
     let mut crashes = Crashes::new(Config::default(), Reporter(1));
@@ -356,3 +374,148 @@
     assert!(left >= Config::default().report_ttl - Millis(9_000));
     assert_eq!(crashes.refused_for(Fingerprint(7), later + left), None);
 }
+
+/// Reports of three crashes with the same request, which ran for these times.
+fn crashes_with_runs(fingerprint: u64, runs_ms: [u64; 3]) -> Vec<Crash> {
+    let numbered = runs_ms.into_iter().enumerate();
+    numbered.map(|(number, ran_ms)| crash(number as u64 + 1, &[(fingerprint, ran_ms)])).collect()
+}
+
+/// Guards against a refusal for ten minutes of a request that is sent all the time, completes
+/// mostly, and was at three crashes by chance between two completions.
+#[test]
+fn a_request_that_mostly_completes_is_refused_only_after_further_crashes() {
+    let mut crashes = Crashes::new(Config::default(), Reporter(1));
+    for number in 0..8 {
+        crashes.record_completed(Fingerprint(7), NOW - Millis(1_000 * (number + 1)));
+    }
+    for report in crashes_with_runs(7, [90, 80, 95]) {
+        crashes.record(&report, NOW);
+    }
+    assert_eq!(crashes.refused(NOW), []);
+    assert_eq!(crashes.quarantine(Fingerprint(7), NOW), Quarantine::OneAtATime);
+    // Its next completion clears it.
+    let mut cleared = crashes.clone();
+    assert_eq!(cleared.record_completed(Fingerprint(7), NOW + Millis(50)), MergeOutcome::Urgent);
+    assert_eq!(cleared.quarantine(Fingerprint(7), NOW + Millis(50)), Quarantine::Free);
+    // Otherwise two more crashes refuse it.
+    crashes.record(&crash(4, &[(7, 90)]), NOW);
+    assert_eq!(crashes.refused(NOW), []);
+    crashes.record(&crash(5, &[(7, 90)]), NOW);
+    assert_eq!(crashes.refused(NOW), [Fingerprint(7)]);
+    // Fewer completions than crashes do not keep a request from being refused.
+    let mut crashes = Crashes::new(Config::default(), Reporter(1));
+    for number in 0..2 {
+        crashes.record_completed(Fingerprint(7), NOW - Millis(1_000 * (number + 1)));
+    }
+    for report in crashes_with_runs(7, [90, 80, 95]) {
+        crashes.record(&report, NOW);
+    }
+    assert_eq!(crashes.refused(NOW), [Fingerprint(7)]);
+}
+
+/// Guards against gateways that differ in what they refuse: attempts that ended well at one of them
+/// count at all, and after a restart of all.
+#[test]
+fn gateways_exchange_how_many_attempts_ended_well() {
+    let [mut one, mut other] = [1, 2].map(|own| Crashes::new(Config::default(), Reporter(own)));
+    for number in 0..2 {
+        one.record_completed(Fingerprint(7), NOW - Millis(1_000 * (number + 1)));
+        other.record_completed(Fingerprint(7), NOW - Millis(1_000 * (number + 1)));
+    }
+    for report in crashes_with_runs(7, [90, 80, 95]) {
+        one.record(&report, NOW);
+        other.record(&report, NOW);
+    }
+    assert_eq!(one.refused(NOW), [Fingerprint(7)], "two of five attempts ended well");
+    assert_ne!(one.digest(NOW), other.digest(NOW));
+    for count in other.ending_counts(NOW) {
+        one.merge_ending_count(count, NOW);
+    }
+    for count in one.ending_counts(NOW) {
+        other.merge_ending_count(count, NOW);
+    }
+    assert_eq!(one.digest(NOW), other.digest(NOW));
+    for crashes in [&one, &other] {
+        assert_eq!(crashes.refused(NOW), []);
+        assert_eq!(crashes.quarantine(Fingerprint(7), NOW), Quarantine::OneAtATime);
+    }
+    let stored = EndingCount {
+        fingerprint: Fingerprint(7),
+        reporter: Reporter::STORED,
+        count: one.endings_of(Fingerprint(7), NOW),
+        age: Millis::ZERO,
+    };
+    let mut restarted = Crashes::new(Config::default(), Reporter(3));
+    restarted.merge_ending_count(stored, NOW);
+    for report in one.crashes_of(Fingerprint(7), NOW) {
+        restarted.record(&report, NOW);
+    }
+    assert_eq!(restarted.refused(NOW), []);
+    one.merge_ending_count(stored, NOW);
+    assert_eq!(one.endings_of(Fingerprint(7), NOW), 4, "the stored sum is not added to its parts");
+}
+
+/// Guards against refusing a request that its callers always abandon: it never completes, so
+/// nothing cleared it, and it is at three crashes sooner or later.
+#[test]
+fn an_abandoned_attempt_at_a_server_that_lives_on_clears_the_request() {
+    let with_crashes = || with_reports(&crashes_with_runs(7, [10, 40, 20])[..2]);
+    let later = NOW + Millis(100);
+    let ended = |ran_ms| Extent::Ended(Stage::Waiting, Millis(ran_ms));
+    // One that lasted longer than at all crashes.
+    let mut crashes = with_crashes();
+    crashes.record_survived(Fingerprint(7), ended(45), later, later);
+    assert!(!crashes.is_suspect(Fingerprint(7)));
+    // Three that lasted longer than at one of them.
+    let mut crashes = with_crashes();
+    for number in 0..3 {
+        assert!(crashes.is_suspect(Fingerprint(7)), "{number} are too few");
+        crashes.record_survived(Fingerprint(7), ended(15), later, later);
+    }
+    assert!(!crashes.is_suspect(Fingerprint(7)));
+    // Shorter ones show nothing, however many there are, nor do those before the crashes.
+    let mut crashes = with_crashes();
+    for _ in 0..20 {
+        crashes.record_survived(Fingerprint(7), ended(9), later, later);
+        crashes.record_survived(Fingerprint(7), ended(45), NOW - Millis(10), later);
+    }
+    assert!(crashes.is_suspect(Fingerprint(7)));
+    // One that waited does not clear a request under which servers crashed as they began it.
+    let mut crashes = with_reports(&[at_start(1, 7)]);
+    crashes.record_survived(Fingerprint(7), ended(5_000), later, later);
+    assert!(crashes.is_suspect(Fingerprint(7)));
+}
+
+/// Guards against refusing a request that got to different points of its run at three crashes: what
+/// it does later cannot have crashed the server that crashed first.
+#[test]
+fn crashes_at_different_points_of_the_run_hold_a_request_back_first() {
+    let mut crashes = with_reports(&crashes_with_runs(7, [190, 50, 5]));
+    assert_eq!(crashes.refused(NOW), []);
+    let Quarantine::HeldBack(left) = crashes.quarantine(Fingerprint(7), NOW) else { panic!() };
+    assert_eq!(crashes.quarantine(Fingerprint(7), NOW + left), Quarantine::OneAtATime);
+    let third_alike = NOW + left;
+    crashes.record(&crash(4, &[(7, 55)]), third_alike);
+    assert_eq!(crashes.refused(third_alike), []);
+    crashes.record(&crash(5, &[(7, 60)]), third_alike);
+    assert_eq!(crashes.refused(third_alike), [Fingerprint(7)]);
+}
+
+/// Guards against refusing a request that was sent to servers which had already crashed, behind an
+/// address that still accepts connections.
+#[test]
+fn crashes_behind_addresses_that_accept_connections_hold_a_request_back_first() {
+    let mut crashes = Crashes::new(Config::default(), Reporter(1));
+    for mut report in crashes_with_runs(7, [2, 2, 2]) {
+        report.suspects[0].stage = Stage::Doubtful;
+        crashes.record(&report, NOW);
+    }
+    assert_eq!(crashes.refused(NOW), []);
+    assert!(matches!(crashes.quarantine(Fingerprint(7), NOW), Quarantine::HeldBack(_)));
+    // Two trials are left.
+    crashes.record(&crash(4, &[(7, 2)]), NOW);
+    assert_eq!(crashes.refused(NOW), []);
+    crashes.record(&crash(5, &[(7, 2)]), NOW);
+    assert_eq!(crashes.refused(NOW), [Fingerprint(7)]);
+}
--- a/crates/direct/src/crash_sync.rs
+++ b/crates/direct/src/crash_sync.rs
@@ -11,6 +11,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hooktrestle_core::clock::Millis;
+use hooktrestle_core::direct::crashes::EndingCount;
+use hooktrestle_core::direct::crashes::Reporter;
 use hooktrestle_core::direct::fingerprint::Fingerprint;
 use tokio::time;
 
@@ -31,11 +34,14 @@
 /// Maximum number of rows that one call writes, and that it removes. The store accepts 100 in all.
 const MAX_ROWS: usize = 50;
 
+/// Number of crashes and of ended attempts in the stored row of a request, as far as this gateway
+/// knows. Both only grow while the row exists.
+type StoredSizes = (usize, u32);
+
 /// Reads the stored rows, then keeps them up to date until the process ends.
 pub async fn sync_crashes<P: Platform>(gateway: Rc<Gateway<P>>) {
-    // Number of stored crashes of each request, as far as this gateway knows.
     let mut eras = gateway.watch_eras();
-    let mut stored: BTreeMap<Fingerprint, usize> = read(&gateway).await;
+    let mut stored: BTreeMap<Fingerprint, StoredSizes> = read(&gateway).await;
     let mut read_era = gateway.platform.store_era();
     loop {
         tokio::select! {
@@ -86,16 +92,22 @@
     More,
 }
 
-async fn read<P: Platform>(gateway: &Gateway<P>) -> BTreeMap<Fingerprint, usize> {
+async fn read<P: Platform>(gateway: &Gateway<P>) -> BTreeMap<Fingerprint, StoredSizes> {
     let mut pauses = RetryPauses::default();
     loop {
         match gateway.platform.read_crashes().await {
             Ok(rows) => {
                 for row in &rows {
-                    gateway.merge_crashes(&row.crashes, &[]);
+                    let ended = EndingCount {
+                        fingerprint: row.fingerprint,
+                        reporter: Reporter::STORED,
+                        count: row.ended_attempts,
+                        age: Millis::ZERO,
+                    };
+                    gateway.merge_crashes(&row.crashes, &[], &[ended]);
                 }
                 gateway.record_crashes_read();
-                return rows.iter().map(|row| (row.fingerprint, row.crashes.len())).collect();
+                return rows.iter().map(|row| (row.fingerprint, sizes(row))).collect();
             }
             Err(failure) => {
                 // Other gateways send the crashes that they know.
@@ -106,13 +118,17 @@
     }
 }
 
+fn sizes(row: &StoredCrashes) -> StoredSizes {
+    (row.crashes.len(), row.ended_attempts)
+}
+
 /// Writes and removes changed rows, as many as one call may contain.
 async fn write<P: Platform>(
     gateway: &Gateway<P>,
-    stored: &mut BTreeMap<Fingerprint, usize>,
+    stored: &mut BTreeMap<Fingerprint, StoredSizes>,
 ) -> Result<Remaining, Failure> {
     let mut put: Vec<StoredCrashes> = gateway.crashes_to_store();
-    put.retain(|row| stored.get(&row.fingerprint) != Some(&row.crashes.len()));
+    put.retain(|row| stored.get(&row.fingerprint) != Some(&sizes(row)));
     put.truncate(MAX_ROWS);
     let wanted = gateway.with_crashes(|crashes| crashes.repeat_suspects(gateway.now()));
     let expired = stored.keys().filter(|fingerprint| !wanted.contains(fingerprint));
@@ -121,7 +137,7 @@
         return Ok(Remaining::Nothing);
     }
     gateway.platform.write_crashes(&put, &expired).await?;
-    stored.extend(put.iter().map(|row| (row.fingerprint, row.crashes.len())));
+    stored.extend(put.iter().map(|row| (row.fingerprint, sizes(row))));
     stored.retain(|fingerprint, _| !expired.contains(fingerprint));
     Ok(Remaining::More)
 }
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::attempts::Fate;
+use hooktrestle_core::direct::fingerprint::Fingerprint;
 use hooktrestle_core::direct::overtaken;
 use hooktrestle_core::direct::pool::AttemptOutcome;
 use hooktrestle_core::direct::pool::Server;
@@ -62,6 +63,9 @@
     objective: Millis,
     /// Whether a connection to the server was open.
     connected: Cell<bool>,
+    fingerprint: Fingerprint,
+    /// How far the request got at the server, until the end of the answer or a failure is recorded.
+    progress: Cell<Option<Progress>>,
     /// Outcome of the attempt, once it is known.
     outcome: Option<AttemptOutcome>,
 }
@@ -83,6 +87,8 @@
             began_at: gateway.now(),
             objective: request.route().objective_ms,
             connected: Cell::new(false),
+            fingerprint: request.fingerprint,
+            progress: Cell::new(None),
             outcome: None,
             gateway,
         }
@@ -109,6 +115,11 @@
         self.server
     }
 
+    /// Sets how far the request got, or `None` once its end is recorded elsewhere.
+    pub fn set_progress(&self, progress: Option<Progress>) {
+        self.progress.set(progress);
+    }
+
     /// Sets the outcome that is reported to the pool.
     pub fn end(&mut self, outcome: AttemptOutcome) {
         self.outcome = Some(outcome);
@@ -121,6 +132,9 @@
             // Nothing was sent. The caller may have disconnected while a permit was requested.
             return self.gateway.with_pool(|pool| pool.undo_choice(self.server, self.cost));
         }
+        if let Some(progress) = self.progress.get() {
+            self.gateway.record_ended_attempt(self.server, self.fingerprint, progress);
+        }
         let now = self.gateway.now();
         // Without an outcome, either the deadline has passed or the caller has disconnected. The
         // latter is no evidence about the server.
@@ -191,6 +205,7 @@
     let requests_back_off = record_back_off(gateway, request, guard.server(), &head);
     record_limit(gateway, request, guard.server(), &head, sent_at);
     if !is_answer_to(request, names, &head, reused) {
+        guard.set_progress(None);
         guard.end(AttemptOutcome::Lost);
         let step = OtherAnswerStep { server_number: guard.server().number() };
         gateway.event_log.request(request.id_text(), step);
@@ -199,6 +214,7 @@
     gateway.record_server_answer(guard.server(), sent_at);
     record_server_load(gateway, guard.server(), &head);
     if is_refusal(gateway, &head) {
+        guard.set_progress(None);
         let outcome =
             if requests_back_off { AttemptOutcome::Full } else { refusal_outcome(gateway, &head) };
         guard.end(outcome);
@@ -218,6 +234,7 @@
     gateway.record_outage_ended(&request.service);
     gateway.with_pool(|pool| pool.record_answer(guard.server()));
     let now = gateway.now();
+    guard.set_progress(Some(Progress::Starting(now)));
     gateway.with_heads(&request.service, |heads| heads.began(guard.server(), sent_at, now));
     if !request.is_stream() {
         record_duration(gateway, request, guard.server(), now.since(sent_at));
@@ -336,11 +353,13 @@
         let reused = connection.used();
         let message = message(gateway, request, server, after_event);
         let sent_at = gateway.now();
+        guard.set_progress(Some(Progress::Sent(sent_at)));
         let answered = tokio::select! {
             biased;
             answered = connection.sender().try_send_request(message) => answered,
             () = overtaken(gateway, request, server, sent_at) => {
                 gateway.metrics.overtaken.inc();
+                guard.set_progress(None);
                 gateway
                     .record_truncated_answer(server, request.fingerprint, Progress::Sent(sent_at))
                     .await;
@@ -353,6 +372,7 @@
                 return Ok(Sent { response, connection, reused, sent_at });
             }
             Err(mut error) => {
+                guard.set_progress(None);
                 let unsent = error.take_message().is_some();
                 if !unsent {
                     gateway
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -52,7 +52,9 @@
 pub async fn forward<P: Platform>(gateway: &Rc<Gateway<P>>, request: &Request<P>) -> Reply<P> {
     gateway.count_request(&request.service);
     let route = request.route();
-    let mut attempts = Attempts::new(route.max_attempts, route.is_repeatable());
+    // A trial that ends without an answer may have crashed its server: no second server gets it.
+    let is_repeatable = route.is_repeatable() && request.trial.is_none();
+    let mut attempts = Attempts::new(route.max_attempts, is_repeatable);
     let trying = try_servers(gateway, request, &mut attempts);
     let tried = gateway.clock.timeout_at(request.deadline, trying).await;
     match tried {
@@ -219,12 +221,14 @@
         Ok(collected) => {
             gateway.connections.put_back(connection);
             if head.status.is_success() {
+                guard.set_progress(None);
                 gateway.record_completed_request(request.fingerprint);
             }
             Some((head, collected.to_bytes()))
         }
         Err(_) => {
             guard.end(AttemptOutcome::Lost);
+            guard.set_progress(None);
             let progress = Progress::Running(began_at);
             gateway.record_truncated_answer(guard.server(), request.fingerprint, progress).await;
             None
--- a/crates/direct/src/gateway/crashes.rs
+++ b/crates/direct/src/gateway/crashes.rs
@@ -16,6 +16,8 @@
 use hooktrestle_core::direct::crashes::Cleared;
 use hooktrestle_core::direct::crashes::Crash;
 use hooktrestle_core::direct::crashes::Crashes;
+use hooktrestle_core::direct::crashes::EndingCount;
+use hooktrestle_core::direct::crashes::Extent;
 use hooktrestle_core::direct::crashes::MergeOutcome;
 use hooktrestle_core::direct::crashes::Quarantine;
 use hooktrestle_core::direct::crashes::Reporter;
@@ -26,6 +28,8 @@
 use hooktrestle_core::direct::permits::Grant;
 use hooktrestle_core::direct::pool::Server;
 use hooktrestle_core::direct::truncated_answers::TruncatedAnswers;
+use hooktrestle_core::direct::unconfirmed_endings::EndedAttempt;
+use hooktrestle_core::direct::unconfirmed_endings::UnconfirmedEndings;
 use hooktrestle_core::util::arena::Key;
 use hooktrestle_schema::Cause;
 use tokio::time;
@@ -57,14 +61,23 @@
 }
 
 impl Progress {
-    fn suspect(self, fingerprint: Fingerprint, now: Millis) -> Suspect {
-        let (at, stage) = match self {
+    fn parts(self) -> (Millis, Stage) {
+        match self {
             Progress::Sent(at) => (at, Stage::Waiting),
             Progress::Starting(at) => (at, Stage::Starting),
             Progress::Running(at) => (at, Stage::Running),
-        };
+        }
+    }
+
+    fn suspect(self, fingerprint: Fingerprint, now: Millis) -> Suspect {
+        let (at, stage) = self.parts();
         Suspect { fingerprint, ran: now.since(at), stage }
     }
+
+    fn extent(self, now: Millis) -> Extent {
+        let (at, stage) = self.parts();
+        Extent::Ended(stage, now.since(at))
+    }
 }
 
 /// Whether a server has crashed.
@@ -83,6 +96,9 @@
     status: CrashStatus,
     /// Whether a probe of the server is running.
     is_probing: bool,
+    /// Whether a probe was accepted. If the server has crashed all the same, its address accepts
+    /// connections without it, behind a proxy for instance.
+    was_accepted: bool,
 }
 
 /// A trial of a request that began at a server just as the server crashed: all gateways together
@@ -102,6 +118,8 @@
 #[derive(Default)]
 pub(super) struct CrashDetection {
     truncations: HashMap<Key<Server>, ServerTruncations>,
+    /// Attempts that ended without an answer, at servers that have not answered since.
+    unconfirmed: HashMap<Key<Server>, UnconfirmedEndings>,
     /// Requests that were at a crash which this gateway detected. This gateway stores them on the
     /// platform.
     own: BTreeSet<Fingerprint>,
@@ -179,6 +197,7 @@
                     answers: TruncatedAnswers::default(),
                     status: CrashStatus::Unconfirmed,
                     is_probing: false,
+                    was_accepted: false,
                 });
             truncations.answers.add(suspect, now);
             (truncations.status, truncations.is_probing)
@@ -210,7 +229,14 @@
         let address = self.with_pool(|pool| pool.server(server).listed.address);
         self.metrics.connections_opened.inc();
         match Connection::open(server, address).await {
-            Ok(connection) => self.connections.put_back(connection),
+            Ok(connection) => {
+                self.connections.put_back(connection);
+                if let Some(truncations) =
+                    self.crash_detection.borrow_mut().truncations.get_mut(&server)
+                {
+                    truncations.was_accepted = true;
+                }
+            }
             Err(error) if is_refusal(&error) => self.mark_crashed(server),
             // It may be unreachable from here; the server list decides.
             Err(_) => {}
@@ -249,7 +275,11 @@
         let (crashed_at, suspects) = {
             let mut detection = self.crash_detection.borrow_mut();
             let Some(truncations) = detection.truncations.get_mut(&server) else { return };
-            let (crashed_at, suspects) = truncations.answers.confirm_crash();
+            let (crashed_at, mut suspects) = truncations.answers.confirm_crash();
+            if truncations.was_accepted {
+                let unanswered = suspects.iter_mut().filter(|one| one.stage == Stage::Waiting);
+                unanswered.for_each(|suspect| suspect.stage = Stage::Doubtful);
+            }
             detection.own.extend(suspects.iter().map(|suspect| suspect.fingerprint));
             (crashed_at, suspects)
         };
@@ -267,20 +297,45 @@
         let reporter = Reporter(self.with_members(|members| members.own().incarnation_id().0));
         let age_error = Millis::ZERO;
         let crash = Crash { server: incarnation, reporter, age, age_error, suspects };
-        self.merge_crashes(&[crash], &[]);
+        self.merge_crashes(&[crash], &[], &[]);
     }
 
-    /// Records that a server answered a request that was sent at `sent_at`.
+    /// Records that a server answered a request that was sent at `sent_at`: attempts that ended
+    /// there before did not crash it.
     pub fn record_server_answer(&self, server: Key<Server>, sent_at: Millis) {
-        let mut detection = self.crash_detection.borrow_mut();
-        let truncations = detection.truncations.get_mut(&server);
-        if let Some(truncations) =
-            truncations.filter(|truncations| truncations.status == CrashStatus::Unconfirmed)
-        {
-            truncations.answers.record_answer(sent_at);
+        let now = self.now();
+        let survived = {
+            let mut detection = self.crash_detection.borrow_mut();
+            let truncations = detection.truncations.get_mut(&server);
+            if let Some(truncations) =
+                truncations.filter(|truncations| truncations.status == CrashStatus::Unconfirmed)
+            {
+                truncations.answers.record_answer(sent_at);
+            }
+            let unconfirmed = detection.unconfirmed.get_mut(&server);
+            unconfirmed.map(|unconfirmed| unconfirmed.confirm(sent_at)).unwrap_or_default()
+        };
+        for EndedAttempt { fingerprint, extent, at } in survived {
+            let outcome = self.crashes.borrow_mut().record_survived(fingerprint, extent, at, now);
+            self.act_on(outcome, now);
         }
     }
 
+    /// Records that an attempt ended before its answer was complete, and that its server was up as
+    /// far as known: the caller disconnected, say. It counts once the server answers again.
+    pub fn record_ended_attempt(
+        &self,
+        server: Key<Server>,
+        fingerprint: Fingerprint,
+        progress: Progress,
+    ) {
+        let now = self.now();
+        let mut detection = self.crash_detection.borrow_mut();
+        detection.unconfirmed.retain(|_, unconfirmed| !unconfirmed.is_expired(now));
+        let attempt = EndedAttempt { fingerprint, extent: progress.extent(now), at: now };
+        detection.unconfirmed.entry(server).or_default().add(attempt);
+    }
+
     /// Records that a request got its complete answer.
     pub fn record_completed_request(&self, fingerprint: Fingerprint) {
         let now = self.now();
@@ -288,15 +343,16 @@
         self.act_on(outcome, now);
     }
 
-    /// Merges crashes that were detected here or reported by another gateway, and requests urgent
-    /// gossip if they are urgent.
-    pub fn merge_crashes(&self, crashes: &[Crash], cleared: &[Cleared]) {
+    /// Merges crashes that were detected here or reported by another gateway, completed requests
+    /// and counts of attempts, and requests urgent gossip if they are urgent.
+    pub fn merge_crashes(&self, crashes: &[Crash], cleared: &[Cleared], counts: &[EndingCount]) {
         let now = self.now();
         let outcome = {
             let mut known = self.crashes.borrow_mut();
+            let of_counts = counts.iter().map(|one| known.merge_ending_count(*one, now)).max();
             let of_crashes = crashes.iter().map(|crash| known.record(crash, now)).max();
             let of_cleared = cleared.iter().map(|one| known.clear(*one, now)).max();
-            of_crashes.max(of_cleared)
+            of_crashes.max(of_cleared).max(of_counts)
         };
         self.act_on(outcome.unwrap_or(MergeOutcome::Unchanged), now);
     }
@@ -353,10 +409,11 @@
         let candidates = crashes.repeat_suspects(now);
         let mut detection = self.crash_detection.borrow_mut();
         detection.own.retain(|one| crashes.is_suspect(*one));
-        let rows = detection
-            .own
-            .intersection(&candidates)
-            .map(|one| StoredCrashes { fingerprint: *one, crashes: crashes.crashes_of(*one, now) });
+        let rows = detection.own.intersection(&candidates).map(|one| StoredCrashes {
+            fingerprint: *one,
+            crashes: crashes.crashes_of(*one, now),
+            ended_attempts: crashes.endings_of(*one, now),
+        });
         rows.collect()
     }
 }
--- a/crates/direct/src/peers/messages.rs
+++ b/crates/direct/src/peers/messages.rs
@@ -15,6 +15,7 @@
 use hooktrestle_core::direct::crashes::Cleared;
 use hooktrestle_core::direct::crashes::Crash;
 use hooktrestle_core::direct::crashes::CrashReportId;
+use hooktrestle_core::direct::crashes::EndingCount;
 use hooktrestle_core::direct::crashes::Reporter;
 use hooktrestle_core::direct::crashes::ServerIncarnation;
 use hooktrestle_core::direct::crashes::Stage;
@@ -133,6 +134,7 @@
             .map(|((server, reporter), digest)| [server.0, reporter.0, *digest])
             .collect(),
         cleared: cleared.iter().map(cleared_to_wire).collect(),
+        ending_counts: ending_counts(gateway, now),
         ..message
     }
 }
@@ -158,6 +160,7 @@
         crashes: missing.iter().map(|crash| crash_to_wire(crash, transit)).collect(),
         crashes_wanted: wanted.iter().map(|(server, reporter)| [server.0, reporter.0]).collect(),
         cleared: cleared.iter().map(cleared_to_wire).collect(),
+        ending_counts: ending_counts(gateway, now),
         ..message
     }
 }
@@ -173,6 +176,7 @@
         Stage::Waiting => 0,
         Stage::Running => 1,
         Stage::Starting => 2,
+        Stage::Doubtful => 3,
     }
 }
 
@@ -180,6 +184,7 @@
     match number {
         0 => Stage::Waiting,
         2 => Stage::Starting,
+        3 => Stage::Doubtful,
         _ => Stage::Running,
     }
 }
@@ -217,6 +222,23 @@
     [cleared.fingerprint.0, cleared.age.0]
 }
 
+fn ending_counts<P: Platform>(gateway: &Gateway<P>, now: Millis) -> Vec<[u64; 4]> {
+    let counts = gateway.with_crashes(|crashes| crashes.ending_counts(now)).into_iter();
+    let to_wire =
+        |one: EndingCount| [one.fingerprint.0, one.reporter.0, u64::from(one.count), one.age.0];
+    counts.map(to_wire).collect()
+}
+
+fn ending_count_from_wire(message: &[u64; 4], delay: Millis) -> EndingCount {
+    let &[fingerprint, reporter, count, age_ms] = message;
+    EndingCount {
+        fingerprint: Fingerprint(fingerprint),
+        reporter: Reporter(reporter),
+        count: u32::try_from(count).unwrap_or(u32::MAX),
+        age: Millis(age_ms) + delay,
+    }
+}
+
 /// What this gateway knows of tables, slow servers, crashes and limits, with the table updates that
 /// the peer lacks according to its message.
 fn own_state<P: Platform>(gateway: &Gateway<P>, other: Option<&PeerNews>) -> PeerNews {
@@ -272,6 +294,7 @@
         crashes_wanted: Vec::new(),
         crashes: Vec::new(),
         cleared: Vec::new(),
+        ending_counts: Vec::new(),
         limits: Vec::new(),
         faults: Vec::new(),
         permits_asked: None,
@@ -366,7 +389,8 @@
         fingerprint: Fingerprint(fingerprint),
         age: Millis(age_ms) + delay,
     });
-    gateway.merge_crashes(&crashes, &cleared.collect::<Vec<_>>());
+    let counts = message.ending_counts.iter().map(|one| ending_count_from_wire(one, delay));
+    gateway.merge_crashes(&crashes, &cleared.collect::<Vec<_>>(), &counts.collect::<Vec<_>>());
     gateway.apply_limits(&received_limits(message, now, delay));
     gateway.merge_faults(&message.faults, delay);
     for table_update in &message.news {
--- a/crates/direct/src/platform.rs
+++ b/crates/direct/src/platform.rs
@@ -132,6 +132,8 @@
     pub fingerprint: Fingerprint,
     /// The crashes, without the other requests that were present.
     pub crashes: Vec<Crash>,
+    /// Number of attempts of the request that ended without a crash.
+    pub ended_attempts: u32,
 }
 
 /// A row of a table whose value is invalid.
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -110,6 +110,11 @@
         }
         match next_source_item(&mut relay).await? {
             SourceItem::Bytes(bytes) => {
+                if !relay.has_body_bytes
+                    && let Some(source) = &relay.source
+                {
+                    source.guard.set_progress(Some(Progress::Running(source.began_at)));
+                }
                 relay.has_body_bytes = true;
                 let complete = relay.events.push(&bytes);
                 if !complete.is_empty() {
@@ -153,6 +158,7 @@
 fn end<P: Platform>(relay: &mut Relay<P>) -> Option<Bytes> {
     let remaining = relay.events.end();
     if let Some(source) = relay.source.take() {
+        source.guard.set_progress(None);
         source.recycle(&relay.gateway);
     }
     relay.gateway.record_completed_request(relay.request.fingerprint);
@@ -168,6 +174,7 @@
     let is_starting = !relay.has_body_bytes && matches!(item, SourceItem::Truncated);
     let progress = if is_starting { Progress::Starting } else { Progress::Running };
     let (server, progress) = (source.guard.server(), progress(source.began_at));
+    source.guard.set_progress(None);
     relay.gateway.record_truncated_answer(server, relay.request.fingerprint, progress).await;
 }
 
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -323,13 +323,16 @@
     pub reporter_number: u64,
     ///Identifies one incarnation of the server.
     pub server_number: u64,
-    ///Requests that were at the server: fingerprint, time in ms that the server had had it, and stage: 0 if the answer had not begun, 2 if it had begun and nothing more of it had arrived, otherwise 1.
+    ///Requests that were at the server: fingerprint, time in ms that the server had had it, and stage: 0 if the answer had not begun, 3 if it had not and the server's address accepts connections after the crash, 2 if it had begun and nothing more of it had arrived, otherwise 1.
     pub suspects: ::std::vec::Vec<[u64; 3usize]>,
 }
 ///Crashes at which one request was, as stored on the platform.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct CrashRow {
     pub crashes: ::std::vec::Vec<KeptCrash>,
+    ///Number of attempts of the request that ended without a crash, up to a maximum for each gateway.
+    #[serde(default)]
+    pub ended_attempts: u32,
 }
 ///Either direction: the receiver of a body has capacity for more of it.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
@@ -793,6 +796,9 @@
     pub at_start: bool,
     ///Time of the crash, by the store's clock.
     pub crashed_ms: u64,
+    ///Whether the answer had not begun, and the server may have crashed before the request was sent.
+    #[serde(default)]
+    pub is_doubtful: bool,
     ///Time that the request had been at the server.
     pub ran_ms: u64,
     ///Identifies one incarnation of the server.
@@ -1141,6 +1147,9 @@
     ///Crash reports of which the receiver may know more: the server's number and the reporter's number.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub crashes_wanted: ::std::vec::Vec<[u64; 2usize]>,
+    ///Attempts of requests that ended without a crash: fingerprint, the reporter's number, number of attempts, and time in ms since the last of them was counted.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub ending_counts: ::std::vec::Vec<[u64; 4usize]>,
     ///Recent faults of backend servers: the server's number, the number of the gateway's incarnation that observed it, the number that this gave it, and time in ms since then.
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub faults: ::std::vec::Vec<[u64; 4usize]>,
