Crash evidence: counts of at most four gateways a request; rows are written again only when the verdict can change

At hundreds of gateways each would have had a count of its own, more than the limit of all, so that gateways which evict different ones would exchange them in each round. The highest four are enough, and the same in any order.

--- a/crates/core/src/direct/crashes.rs
+++ b/crates/core/src/direct/crashes.rs
@@ -39,6 +39,7 @@
 use self::evidence::Count;
 use self::evidence::Counts;
 use self::evidence::Verdict;
+use self::evidence::WeakSuspect;
 use self::exposure::Ending;
 pub use self::exposure::EndingCount;
 use self::exposure::Exposure;
@@ -93,16 +94,6 @@
 /// Error of times that are rounded to milliseconds at both ends.
 const ROUNDING: Millis = Millis(2);
 
-/// How a request is sent against which there is weak evidence.
-#[derive(Clone, Copy, Debug)]
-struct WeakSuspect {
-    /// Whether it is held back after its latest crash. One that ends well is not: its next attempt
-    /// probably clears it.
-    is_held_back: bool,
-    /// Until when it is sent one attempt at a time.
-    until: Millis,
-}
-
 /// Whether a request that is not refused may be sent now.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Quarantine {
@@ -352,9 +343,13 @@
         if !has_risen {
             return MergeOutcome::Unchanged;
         }
+        let restricted = (self.refused.len(), self.weak_suspects.len());
         self.remove_expired(now);
         self.update_refused(now);
-        MergeOutcome::Urgent
+        match restricted == (self.refused.len(), self.weak_suspects.len()) {
+            true => MergeOutcome::Changed,
+            false => MergeOutcome::Urgent,
+        }
     }
 
     /// The number of attempts that ended well at each gateway, of requests that were at several
--- a/crates/core/src/direct/crashes/evidence.rs
+++ b/crates/core/src/direct/crashes/evidence.rs
@@ -32,6 +32,16 @@
     Culprit,
 }
 
+/// How a request is sent against which there is weak evidence.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct WeakSuspect {
+    /// Whether it is held back after its latest crash. One that ends well is not: its next attempt
+    /// probably clears it.
+    pub(super) is_held_back: bool,
+    /// Until when it is sent one attempt at a time.
+    pub(super) until: Millis,
+}
+
 /// The progress of a request at the crashes that no other request explains.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Count {
--- a/crates/core/src/direct/crashes/exposure.rs
+++ b/crates/core/src/direct/crashes/exposure.rs
@@ -20,6 +20,10 @@
 /// Maximum count that a gateway reports for one request: more endings change nothing.
 const MAX_COUNT: u32 = 8;
 
+/// Maximum number of gateways whose counts are stored for one request: those with the highest
+/// counts, so that gateways which merge in any order store the same ones.
+const MAX_REPORTERS: usize = 4;
+
 /// How far a request got in an attempt whose server did not crash.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Extent {
@@ -102,17 +106,31 @@
         }
         let at = Aged { age_at_merge: age, error: Millis::ZERO, merged_at: now };
         self.counts.insert((fingerprint, reporter), (count, at));
+        let ranked = self.counts_of(fingerprint).map(|(reporter, (count, _))| (*count, reporter));
+        if ranked.clone().count() > MAX_REPORTERS
+            && let Some((_, lowest)) = ranked.min()
+        {
+            self.counts.remove(&(fingerprint, lowest));
+            return lowest != reporter;
+        }
         true
     }
 
-    /// Number of attempts of a request that ended well, at all gateways together. The count that
-    /// the platform stores, under [`Reporter::STORED`], is such a sum.
-    pub(super) fn total(&self, fingerprint: Fingerprint, now: Millis, ttl: Millis) -> u32 {
+    fn counts_of(
+        &self,
+        fingerprint: Fingerprint,
+    ) -> impl Iterator<Item = (Reporter, &(u32, Aged))> + Clone {
         let range = (fingerprint, Reporter(u64::MIN))..=(fingerprint, Reporter(u64::MAX));
-        let valid = self.counts.range(range).filter(|(_, (_, at))| at.age(now) < ttl);
+        self.counts.range(range).map(|((_, reporter), count)| (*reporter, count))
+    }
+
+    /// Number of attempts of a request that ended well, at the gateways whose counts are stored. The
+    /// count that the platform stores, under [`Reporter::STORED`], is such a sum.
+    pub(super) fn total(&self, fingerprint: Fingerprint, now: Millis, ttl: Millis) -> u32 {
+        let valid = self.counts_of(fingerprint).filter(|(_, (_, at))| at.age(now) < ttl);
         let (mut stored, mut observed) = (0, 0);
-        for ((_, reporter), (count, _)) in valid {
-            match *reporter {
+        for (reporter, (count, _)) in valid {
+            match reporter {
                 Reporter::STORED => stored = *count,
                 _ => observed += *count,
             }
--- a/crates/core/tests/crashes.rs
+++ b/crates/core/tests/crashes.rs
@@ -454,6 +454,16 @@
     assert_eq!(restarted.refused(NOW), []);
     one.merge_ending_count(stored, NOW);
     assert_eq!(one.endings_of(Fingerprint(7), NOW), 4, "the stored sum is not added to its parts");
+    // The counts of many gateways are bounded, and the same in any order.
+    let counts = |number: u64| EndingCount { reporter: Reporter(10 + number), count: 5, ..stored };
+    (0..300).for_each(|number| {
+        one.merge_ending_count(counts(number), NOW);
+    });
+    (0..300).rev().for_each(|number| {
+        other.merge_ending_count(counts(number), NOW);
+    });
+    assert_eq!(one.ending_counts(NOW).len(), 4);
+    assert_eq!(one.digest(NOW), other.digest(NOW));
 }
 
 /// Guards against refusing a request that its callers always abandon: it never completes, so
--- a/crates/direct/src/crash_sync.rs
+++ b/crates/direct/src/crash_sync.rs
@@ -34,14 +34,14 @@
 /// Maximum number of rows that one call writes, and that it removes. The store accepts 100 in all.
 const MAX_ROWS: usize = 50;
 
-/// Number of crashes and of ended attempts in the stored row of a request, as far as this gateway
-/// knows. Both only grow while the row exists.
-type StoredSizes = (usize, u32);
+/// Number of crashes in the stored row of a request, as far as this gateway knows, and whether as
+/// many attempts of it ended well: a row is written again only if this changes.
+type StoredEvidence = (usize, bool);
 
 /// Reads the stored rows, then keeps them up to date until the process ends.
 pub async fn sync_crashes<P: Platform>(gateway: Rc<Gateway<P>>) {
     let mut eras = gateway.watch_eras();
-    let mut stored: BTreeMap<Fingerprint, StoredSizes> = read(&gateway).await;
+    let mut stored: BTreeMap<Fingerprint, StoredEvidence> = read(&gateway).await;
     let mut read_era = gateway.platform.store_era();
     loop {
         tokio::select! {
@@ -92,7 +92,7 @@
     More,
 }
 
-async fn read<P: Platform>(gateway: &Gateway<P>) -> BTreeMap<Fingerprint, StoredSizes> {
+async fn read<P: Platform>(gateway: &Gateway<P>) -> BTreeMap<Fingerprint, StoredEvidence> {
     let mut pauses = RetryPauses::default();
     loop {
         match gateway.platform.read_crashes().await {
@@ -107,7 +107,7 @@
                     gateway.merge_crashes(&row.crashes, &[], &[ended]);
                 }
                 gateway.record_crashes_read();
-                return rows.iter().map(|row| (row.fingerprint, sizes(row))).collect();
+                return rows.iter().map(|row| (row.fingerprint, evidence(row))).collect();
             }
             Err(failure) => {
                 // Other gateways send the crashes that they know.
@@ -118,17 +118,18 @@
     }
 }
 
-fn sizes(row: &StoredCrashes) -> StoredSizes {
-    (row.crashes.len(), row.ended_attempts)
+fn evidence(row: &StoredCrashes) -> StoredEvidence {
+    let count = row.crashes.len();
+    (count, row.ended_attempts as usize >= count)
 }
 
 /// Writes and removes changed rows, as many as one call may contain.
 async fn write<P: Platform>(
     gateway: &Gateway<P>,
-    stored: &mut BTreeMap<Fingerprint, StoredSizes>,
+    stored: &mut BTreeMap<Fingerprint, StoredEvidence>,
 ) -> Result<Remaining, Failure> {
     let mut put: Vec<StoredCrashes> = gateway.crashes_to_store();
-    put.retain(|row| stored.get(&row.fingerprint) != Some(&sizes(row)));
+    put.retain(|row| stored.get(&row.fingerprint) != Some(&evidence(row)));
     put.truncate(MAX_ROWS);
     let wanted = gateway.with_crashes(|crashes| crashes.repeat_suspects(gateway.now()));
     let expired = stored.keys().filter(|fingerprint| !wanted.contains(fingerprint));
@@ -137,7 +138,7 @@
         return Ok(Remaining::Nothing);
     }
     gateway.platform.write_crashes(&put, &expired).await?;
-    stored.extend(put.iter().map(|row| (row.fingerprint, sizes(row))));
+    stored.extend(put.iter().map(|row| (row.fingerprint, evidence(row))));
     stored.retain(|fingerprint, _| !expired.contains(fingerprint));
     Ok(Remaining::More)
 }
