--- a/crates/core/tests/truncated_answers.rs
+++ b/crates/core/tests/truncated_answers.rs
@@ -8,12 +8,16 @@
 use hooktrestle_core::direct::crashes::Config;
 use hooktrestle_core::direct::crashes::Crash;
 use hooktrestle_core::direct::crashes::Crashes;
+use hooktrestle_core::direct::crashes::Extent;
 use hooktrestle_core::direct::crashes::Reporter;
 use hooktrestle_core::direct::crashes::ServerIncarnation;
 use hooktrestle_core::direct::crashes::Stage;
 use hooktrestle_core::direct::crashes::Suspect;
 use hooktrestle_core::direct::fingerprint::Fingerprint;
+use hooktrestle_core::direct::truncated_answers::RETENTION;
 use hooktrestle_core::direct::truncated_answers::TruncatedAnswers;
+use hooktrestle_core::direct::unconfirmed_endings::EndedAttempt;
+use hooktrestle_core::direct::unconfirmed_endings::UnconfirmedEndings;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -134,3 +138,25 @@
     assert_eq!(crashed_at, Millis(2_000));
     assert!(there.is_empty(), "the request that was there is no longer stored: {there:?}");
 }
+
+/// Guards against clearing a request that crashed its server just after its caller disconnected:
+/// only an answer to a later request shows that the server is up.
+#[test]
+fn an_abandoned_attempt_counts_once_its_server_answers_a_later_request() {
+    let ended_at = |at| EndedAttempt {
+        fingerprint: COMMON,
+        extent: Extent::Ended(Stage::Waiting, Millis(30)),
+        at,
+    };
+    let mut unconfirmed = UnconfirmedEndings::default();
+    unconfirmed.add(ended_at(Millis(10_000)));
+    unconfirmed.add(ended_at(Millis(10_100)));
+    assert_eq!(unconfirmed.confirm(Millis(9_999)), [], "the answered request was sent before");
+    assert_eq!(unconfirmed.confirm(Millis(10_050)), [ended_at(Millis(10_000))]);
+    assert_eq!(unconfirmed.confirm(Millis(10_050)), [], "it counts once");
+    // Without an answer for long, nothing is known of the server.
+    let later = Millis(10_100) + RETENTION;
+    assert!(unconfirmed.is_expired(later));
+    unconfirmed.add(ended_at(later));
+    assert_eq!(unconfirmed.confirm(later), [ended_at(later)]);
+}
