Answers without length or chunks: their framing is decoded once, logged and counted

A body that only its connection delimits looks complete wherever it was truncated, and neither logs nor metrics told such an answer from others. The framing is now a value of the answer, decoded where its head is. An `end` line names the framing and the bytes of an incomplete last event where the end of a stream does not confirm that it is complete, and `answers_unframed` counts such answers. No decision has changed.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -15,6 +15,7 @@
 use eyre::WrapErr;
 use hooktrestle_schema::AttemptFate;
 use hooktrestle_schema::Cause;
+use hooktrestle_schema::Framing;
 use hooktrestle_schema::LeaveReason;
 use hooktrestle_schema::NextStep;
 use hooktrestle_schema::RequestStep;
@@ -113,6 +114,17 @@
                 step.server_number, step.named
             )
         }
+        RequestStep::End(step) => {
+            let framing = match step.framing {
+                Framing::Length => "its length",
+                Framing::Chunks => "its last chunk",
+                Framing::Connection => "the end of its connection alone",
+            };
+            format!(
+                "the answer of server {} ended by {framing}, inside an event by {} bytes",
+                step.server_number, step.incomplete_bytes
+            )
+        }
         RequestStep::Leave(step) => {
             let why = match step.reason {
                 LeaveReason::BrokenOff => "truncated the stream or stopped sending",
--- a/crates/core/src/direct/events.rs
+++ b/crates/core/src/direct/events.rs
@@ -21,6 +21,11 @@
         self.last_id
     }
 
+    /// Number of buffered bytes of an incomplete event.
+    pub fn incomplete_bytes(&self) -> usize {
+        self.buffered.len()
+    }
+
     /// Adds received bytes, and returns the complete events that are new to the caller.
     pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
         self.buffered.extend_from_slice(bytes);
--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -154,7 +154,7 @@
         }
         Ok((request, Reply::Stream(answer, attempts))) => {
             let head = forwarded_head(answer.head.clone());
-            let frames = relay::frames(gateway.clone(), request, attempts, answer);
+            let frames = relay::frames(gateway.clone(), request, attempts, *answer);
             (head, Content::Stream(Box::pin(frames)))
         }
         Ok((_, Reply::Refused(refusal))) | Err(refusal) => {
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -18,6 +18,7 @@
 use hooktrestle_core::direct::shared_faults::Repeatability;
 use hooktrestle_core::util::arena::Key;
 use hooktrestle_schema::ConnectionStep;
+use hooktrestle_schema::Framing;
 use hooktrestle_schema::LimitStep;
 use hooktrestle_schema::OtherAnswerStep;
 use hooktrestle_schema::RestStep;
@@ -30,6 +31,7 @@
 use tokio::time;
 
 use crate::connections::Connection;
+use crate::framing;
 use crate::gateway::Gateway;
 use crate::gateway::crashes::Progress;
 use crate::gateway::limits::Permit;
@@ -170,6 +172,8 @@
     pub guard: AttemptGuard<P>,
     /// When its head was received.
     pub began_at: Millis,
+    /// What delimits its body.
+    pub framing: Framing,
 }
 
 impl<P: Platform> Answer<P> {
@@ -239,7 +243,11 @@
     if !request.is_stream() {
         record_duration(gateway, request, guard.server(), now.since(sent_at));
     }
-    Ok(Answer { head, body, connection, guard, began_at: now })
+    let framing = framing::of(&head.headers, &body);
+    if framing == Framing::Connection {
+        gateway.metrics.answers_unframed.inc();
+    }
+    Ok(Answer { head, body, connection, guard, began_at: now, framing })
 }
 
 /// Records how long a server took for a request that is no stream. An answer that alone took longer
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -43,7 +43,7 @@
     /// The whole answer of a server.
     Whole(Parts, Bytes),
     /// A stream of events that has begun, with the attempts that it took.
-    Stream(Answer<P>, Attempts),
+    Stream(Box<Answer<P>>, Attempts),
     /// A refusal or failure that the gateway itself reports.
     Refused(Refusal),
 }
@@ -67,7 +67,7 @@
 
 enum ForwardOutcome<P: Platform> {
     Whole(Parts, Bytes),
-    Stream(Answer<P>),
+    Stream(Box<Answer<P>>),
     Refused(Refusal),
 }
 
@@ -173,7 +173,7 @@
         Err(fate) => return AttemptResult::Unanswered(fate),
     };
     if request.is_stream() && answer.head.status == StatusCode::OK {
-        return AttemptResult::Answered(ForwardOutcome::Stream(answer));
+        return AttemptResult::Answered(ForwardOutcome::Stream(Box::new(answer)));
     }
     match whole(gateway, request, answer).await {
         Some((head, body)) if head.status.is_server_error() => AttemptResult::Failed(head, body),
@@ -216,7 +216,7 @@
     request: &Request<P>,
     answer: Answer<P>,
 ) -> Option<(Parts, Bytes)> {
-    let Answer { head, body, connection, mut guard, began_at } = answer;
+    let Answer { head, body, connection, mut guard, began_at, .. } = answer;
     match Limited::new(body, MAX_BUFFERED_ANSWER_BYTES).collect().await {
         Ok(collected) => {
             gateway.connections.put_back(connection);
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -36,6 +36,7 @@
 mod event_log;
 mod exchange;
 mod forward;
+mod framing;
 mod gateway;
 mod headers;
 mod maps;
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -29,6 +29,8 @@
     pub streams_over_capacity: Counter,
     /// Attempts that were sent to backend servers.
     pub attempts: Counter,
+    /// Answers whose body only the end of its connection delimits.
+    pub answers_unframed: Counter,
     /// Streams resumed at another server.
     pub resumed: Counter,
     /// Retries that the budget did not allow.
@@ -94,6 +96,7 @@
             refused: Counter::default(),
             streams_over_capacity: Counter::default(),
             attempts: Counter::default(),
+            answers_unframed: Counter::default(),
             resumed: Counter::default(),
             retries_denied: Counter::default(),
             connections_opened: Counter::default(),
@@ -131,6 +134,7 @@
                 &metrics.streams_over_capacity,
             ),
             ("attempts", "Attempts that were sent", &metrics.attempts),
+            ("answers_unframed", "Answers without length or chunks", &metrics.answers_unframed),
             ("resumed", "Streams taken up at another server", &metrics.resumed),
             ("repeats_denied", "Repeats beyond the budget", &metrics.retries_denied),
             ("dialled", "Connections opened to backend servers", &metrics.connections_opened),
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -21,6 +21,8 @@
 use hooktrestle_core::direct::pool::AttemptOutcome;
 use hooktrestle_core::direct::pool::Server;
 use hooktrestle_core::util::arena::Key;
+use hooktrestle_schema::EndStep;
+use hooktrestle_schema::Framing;
 use hooktrestle_schema::LeaveReason;
 use hooktrestle_schema::LeaveStep;
 use http::StatusCode;
@@ -130,6 +132,7 @@
                 }
             }
             SourceItem::End => {
+                log_end(&relay);
                 let remaining = end(&mut relay)?;
                 return Some((Ok(Frame::data(remaining)), relay));
             }
@@ -154,6 +157,24 @@
     }
 }
 
+/// Logs the end of a source that does not show by itself that the stream is complete.
+fn log_end<P: Platform>(relay: &Relay<P>) {
+    let Relay { gateway, request, source, events, .. } = relay;
+    let Some(source) = source else { return };
+    let incomplete_bytes = events.incomplete_bytes() as u64;
+    if source.framing != Framing::Connection && incomplete_bytes == 0 {
+        return;
+    }
+    let step = EndStep {
+        fingerprint_number: request.fingerprint.0,
+        server_number: source.guard.server().number(),
+        framing: source.framing,
+        after_event_number: events.last_id(),
+        incomplete_bytes,
+    };
+    gateway.event_log.request(request.id_text(), step);
+}
+
 /// Ends a stream whose source has ended properly; returns the bytes left to forward, if any.
 fn end<P: Platform>(relay: &mut Relay<P>) -> Option<Bytes> {
     let remaining = relay.events.end();
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -473,6 +473,20 @@
     pub platform: DirectPlatformSettings,
     pub repeats: DirectRepeatSettings,
 }
+///The body of an answer ended without a sign that it is complete: no length or last chunk confirms it, or the last event is incomplete.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct EndStep {
+    ///Number of the last complete event.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub after_event_number: ::std::option::Option<u64>,
+    ///Fingerprint of the request's path, account and body.
+    #[serde(default)]
+    pub fingerprint_number: u64,
+    pub framing: Framing,
+    ///Bytes of the incomplete last event.
+    pub incomplete_bytes: u64,
+    pub server_number: u32,
+}
 ///One gateway that a caller may use.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct Endpoint {
@@ -590,6 +604,68 @@
         Self::MapReply(value)
     }
 }
+///What delimits the body of an answer.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum Framing {
+    ///Its length, or a status or method without a body.
+    #[serde(rename = "length")]
+    Length,
+    ///Its last chunk.
+    #[serde(rename = "chunks")]
+    Chunks,
+    ///The end of its connection, at which a truncated body looks complete.
+    #[serde(rename = "connection")]
+    Connection,
+}
+impl ::std::fmt::Display for Framing {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Length => f.write_str("length"),
+            Self::Chunks => f.write_str("chunks"),
+            Self::Connection => f.write_str("connection"),
+        }
+    }
+}
+impl ::std::str::FromStr for Framing {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "length" => Ok(Self::Length),
+            "chunks" => Ok(Self::Chunks),
+            "connection" => Ok(Self::Connection),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for Framing {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for Framing {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
 ///Section `[gateway]`.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -1363,6 +1439,8 @@
     Rest(RestStep),
     #[serde(rename = "limit")]
     Limit(LimitStep),
+    #[serde(rename = "end")]
+    End(EndStep),
     #[serde(rename = "leave")]
     Leave(LeaveStep),
     #[serde(rename = "refused")]
@@ -1393,6 +1471,11 @@
         Self::Limit(value)
     }
 }
+impl ::std::convert::From<EndStep> for RequestStep {
+    fn from(value: EndStep) -> Self {
+        Self::End(value)
+    }
+}
 impl ::std::convert::From<LeaveStep> for RequestStep {
     fn from(value: LeaveStep) -> Self {
         Self::Leave(value)
