Ends of answers: an end that nothing confirms is not taken for that of a complete answer

Callers saw an answer that had broken off as a complete one: 200, the server's signature and a short body in proper framing, 5 ms after the server had crashed. Servers may now frame answers by the end of their connection alone, and a crash ends that as well. The relay took the end of a body for the end of its stream however the body was framed, forwarded the incomplete event with it, and recorded the request as completed, which cleared it of crashes; answers that are no streams the same.

Whether an answer is complete is now decided by its framing and by where in the stream it ended. Inside an event, or before the first one without length or chunks, it is truncated. Otherwise, without length or chunks, the server is connected to: if it refuses, the answer is truncated. If not, it is complete, and counts for its request once the server answers a later one. An event of which the caller has a part is not resumed elsewhere. An answer that names another media type or a content coding is forwarded as it is.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -21,6 +21,7 @@
 //! - [`level`]: which share of the demand all gateways admit, in which order, and who is refused.
 //! - [`attempts`]: what follows an attempt: an answer, another attempt, or a refusal.
 //! - [`fingerprint`]: identifies retries of one request.
+//! - [`answer_ends`]: whether an answer that has ended is complete.
 //! - [`overtaken`]: requests at a server that does not respond while others answer later ones.
 //! - [`truncated_answers`]: truncated answers, and requests that were at a server when it crashed.
 //! - [`unconfirmed_endings`]: attempts that were abandoned, until their server answers again.
@@ -38,6 +39,7 @@
 
 pub mod admission;
 pub mod advertised_limit;
+pub mod answer_ends;
 pub mod attempts;
 pub mod budget;
 pub mod count_deltas;
--- a/crates/core/src/direct/events.rs
+++ b/crates/core/src/direct/events.rs
@@ -8,11 +8,26 @@
 /// Maximum size of an incomplete event in the buffer; a longer one is forwarded in pieces.
 const MAX_BUFFERED_BYTES: usize = 1 << 20;
 
+/// Where a stream has ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Position {
+    /// No event was complete.
+    BeforeFirstEvent,
+    /// Between two events, or after the last one.
+    BetweenEvents,
+    /// Inside an event.
+    InsideEvent,
+}
+
 /// The stream of one caller: buffered bytes, and the id of the last forwarded event.
 #[derive(Clone, Debug, Default)]
 pub struct EventBuffer {
     buffered: Vec<u8>,
     last_id: Option<u64>,
+    /// Whether an event was complete.
+    has_begun: bool,
+    /// Whether the caller has a part of the event that is being received.
+    is_event_split: bool,
 }
 
 impl EventBuffer {
@@ -26,6 +41,22 @@
         self.buffered.len()
     }
 
+    /// Where the stream is after the bytes so far.
+    pub fn position(&self) -> Position {
+        if self.is_event_split || !self.buffered.is_empty() {
+            Position::InsideEvent
+        } else if self.has_begun {
+            Position::BetweenEvents
+        } else {
+            Position::BeforeFirstEvent
+        }
+    }
+
+    /// Whether the caller has a part of an event, so that the rest must come from the same server.
+    pub fn is_event_split(&self) -> bool {
+        self.is_event_split
+    }
+
     /// Adds received bytes, and returns the complete events that are new to the caller.
     pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
         self.buffered.extend_from_slice(bytes);
@@ -42,10 +73,12 @@
                 None => forwarded.extend_from_slice(event),
             }
             begin = end;
+            (self.has_begun, self.is_event_split) = (true, false);
         }
         self.buffered.drain(..begin);
         if self.buffered.len() > MAX_BUFFERED_BYTES {
             forwarded.append(&mut self.buffered);
+            self.is_event_split = true;
         }
         forwarded
     }
@@ -55,30 +88,33 @@
         self.buffered.clear();
     }
 
-    /// Ends the stream, and returns the bytes of an incomplete last event.
+    /// Ends the stream, and returns bytes that are no complete event.
     pub fn end(&mut self) -> Vec<u8> {
         std::mem::take(&mut self.buffered)
     }
 }
 
-/// Index after the blank line that ends the event at `begin`.
+/// Index after the blank line that ends the event at `begin`. A line ends with a line feed, a
+/// carriage return or both.
 fn event_end(bytes: &[u8], begin: usize) -> Option<usize> {
-    let mut line = begin;
-    for (index, byte) in bytes.iter().enumerate().skip(begin) {
-        if *byte != b'\n' {
+    let (mut line, mut index) = (begin, begin);
+    while let Some(byte) = bytes.get(index) {
+        index += 1;
+        if !matches!(byte, b'\n' | b'\r') {
             continue;
         }
-        let text = &bytes[line..index];
-        if text.is_empty() || text == b"\r" {
-            return Some(index + 1);
+        let is_empty = index - 1 == line;
+        index += usize::from(*byte == b'\r' && bytes.get(index) == Some(&b'\n'));
+        if is_empty {
+            return Some(index);
         }
-        line = index + 1;
+        line = index;
     }
     None
 }
 
 fn id(event: &[u8]) -> Option<u64> {
-    event.split(|byte| *byte == b'\n').find_map(|line| {
+    event.split(|byte| matches!(byte, b'\n' | b'\r')).find_map(|line| {
         let value = line.strip_prefix(b"id:")?;
         std::str::from_utf8(value).ok()?.trim().parse().ok()
     })
--- a/crates/core/tests/direct_requests.rs
+++ b/crates/core/tests/direct_requests.rs
@@ -16,6 +16,7 @@
 use hooktrestle_core::direct::budget;
 use hooktrestle_core::direct::budget::RetryBudget;
 use hooktrestle_core::direct::events::EventBuffer;
+use hooktrestle_core::direct::events::Position;
 use hooktrestle_core::direct::expert_plan;
 use hooktrestle_core::direct::holders::Holders;
 use hooktrestle_core::direct::holders::Rank;
@@ -457,7 +458,7 @@
         // The next server may resume after the last complete event or restart the stream. This one
         // restarts it.
         feed(&mut events, &whole);
-        forwarded.extend(events.end());
+        prop_assert_eq!(events.position(), Position::BetweenEvents);
         prop_assert_eq!(forwarded, whole);
     }
 
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -6,6 +6,8 @@
 
 use bytes::Bytes;
 use hooktrestle_core::clock::Millis;
+use hooktrestle_core::direct::answer_ends;
+use hooktrestle_core::direct::answer_ends::AnswerEnd;
 use hooktrestle_core::direct::attempts;
 use hooktrestle_core::direct::attempts::Attempts;
 use hooktrestle_core::direct::attempts::Fate;
@@ -23,6 +25,7 @@
 use crate::exchange::Answer;
 use crate::exchange::AttemptGuard;
 use crate::gateway::Gateway;
+use crate::gateway::crashes::Completion;
 use crate::gateway::crashes::Progress;
 use crate::platform::Platform;
 use crate::request::Request;
@@ -210,27 +213,36 @@
     }
 }
 
-/// Reads an answer to its end; `None` if it was truncated.
+/// Reads an answer to its end; `None` if it was truncated. An end that does not show that the answer
+/// is complete counts if the server is still up.
 async fn whole<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     request: &Request<P>,
     answer: Answer<P>,
 ) -> Option<(Parts, Bytes)> {
-    let Answer { head, body, connection, mut guard, began_at, .. } = answer;
-    match Limited::new(body, MAX_BUFFERED_ANSWER_BYTES).collect().await {
-        Ok(collected) => {
+    let Answer { head, body, connection, mut guard, began_at, framing } = answer;
+    let server = guard.server();
+    let collected = Limited::new(body, MAX_BUFFERED_ANSWER_BYTES).collect().await;
+    let completion = match answer_ends::of_body(framing) {
+        AnswerEnd::Complete => Completion::Confirmed,
+        AnswerEnd::Unconfirmed | AnswerEnd::Truncated => Completion::Unconfirmed,
+    };
+    let is_truncated = collected.is_err()
+        || completion == Completion::Unconfirmed && gateway.has_crashed(server).await;
+    match collected {
+        Ok(collected) if !is_truncated => {
             gateway.connections.put_back(connection);
             if head.status.is_success() {
                 guard.set_progress(None);
-                gateway.record_completed_request(request.fingerprint);
+                gateway.record_completed_request(server, request.fingerprint, completion);
             }
             Some((head, collected.to_bytes()))
         }
-        Err(_) => {
+        _ => {
             guard.end(AttemptOutcome::Lost);
             guard.set_progress(None);
             let progress = Progress::Running(began_at);
-            gateway.record_truncated_answer(guard.server(), request.fingerprint, progress).await;
+            gateway.record_truncated_answer(server, request.fingerprint, progress).await;
             None
         }
     }
--- a/crates/direct/src/gateway/crashes.rs
+++ b/crates/direct/src/gateway/crashes.rs
@@ -80,6 +80,16 @@
     }
 }
 
+/// Whether the end of an answer shows that it is complete.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Completion {
+    /// It does.
+    Confirmed,
+    /// Only its connection delimits the answer. The answer is complete if its server did not crash
+    /// then, which a later answer of the server shows.
+    Unconfirmed,
+}
+
 /// Whether a server has crashed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum CrashStatus {
@@ -89,6 +99,17 @@
     Confirmed,
 }
 
+/// What a server does with a new connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Reachability {
+    /// It accepts the connection.
+    Accepts,
+    /// No process listens at its address.
+    Refuses,
+    /// Neither in time: it may be unreachable from here.
+    Unknown,
+}
+
 /// Truncated answers of one server.
 #[derive(Debug)]
 struct ServerTruncations {
@@ -226,23 +247,39 @@
 
     /// Probes whether a server has crashed.
     async fn probe(self: &Rc<Self>, server: Key<Server>) {
-        let address = self.with_pool(|pool| pool.server(server).listed.address);
-        self.metrics.connections_opened.inc();
-        match Connection::open(server, address).await {
-            Ok(connection) => {
-                self.connections.put_back(connection);
+        match self.connect(server).await {
+            Reachability::Accepts => {
                 if let Some(truncations) =
                     self.crash_detection.borrow_mut().truncations.get_mut(&server)
                 {
                     truncations.was_accepted = true;
                 }
             }
-            Err(error) if is_refusal(&error) => self.mark_crashed(server),
-            // It may be unreachable from here; the server list decides.
-            Err(_) => {}
+            Reachability::Refuses => self.mark_crashed(server),
+            // The server list decides.
+            Reachability::Unknown => {}
         }
     }
 
+    /// Whether a server accepts a new connection.
+    async fn connect(&self, server: Key<Server>) -> Reachability {
+        let address = self.with_pool(|pool| pool.server(server).listed.address);
+        self.metrics.connections_opened.inc();
+        match Connection::open(server, address).await {
+            Ok(connection) => {
+                self.connections.put_back(connection);
+                Reachability::Accepts
+            }
+            Err(error) if is_refusal(&error) => Reachability::Refuses,
+            Err(_) => Reachability::Unknown,
+        }
+    }
+
+    /// Whether a server has crashed, as far as a new connection to it shows.
+    pub async fn has_crashed(&self, server: Key<Server>) -> bool {
+        self.connect(server).await == Reachability::Refuses
+    }
+
     /// Handles a change of the server list: servers that are no longer listed and were not leaving
     /// have crashed, if they sent truncated answers.
     pub(super) fn mark_unlisted_crashed(&self) {
@@ -329,20 +366,33 @@
         fingerprint: Fingerprint,
         progress: Progress,
     ) {
-        let now = self.now();
-        let mut detection = self.crash_detection.borrow_mut();
-        detection.unconfirmed.retain(|_, unconfirmed| !unconfirmed.is_expired(now));
-        let attempt = EndedAttempt { fingerprint, extent: progress.extent(now), at: now };
-        detection.unconfirmed.entry(server).or_default().add(attempt);
+        self.add_unconfirmed(server, fingerprint, progress.extent(self.now()));
     }
 
-    /// Records that a request got its complete answer.
-    pub fn record_completed_request(&self, fingerprint: Fingerprint) {
+    /// Records that a request got its complete answer from a server.
+    pub fn record_completed_request(
+        &self,
+        server: Key<Server>,
+        fingerprint: Fingerprint,
+        completion: Completion,
+    ) {
         let now = self.now();
+        if completion == Completion::Unconfirmed {
+            return self.add_unconfirmed(server, fingerprint, Extent::Completed);
+        }
         let outcome = self.crashes.borrow_mut().record_completed(fingerprint, now);
         self.act_on(outcome, now);
     }
 
+    /// Records how an attempt ended, which counts once its server answers a later request.
+    fn add_unconfirmed(&self, server: Key<Server>, fingerprint: Fingerprint, extent: Extent) {
+        let now = self.now();
+        let mut detection = self.crash_detection.borrow_mut();
+        detection.unconfirmed.retain(|_, unconfirmed| !unconfirmed.is_expired(now));
+        let attempt = EndedAttempt { fingerprint, extent, at: now };
+        detection.unconfirmed.entry(server).or_default().add(attempt);
+    }
+
     /// Merges crashes that were detected here or reported by another gateway, completed requests
     /// and counts of attempts, and requests urgent gossip if they are urgent.
     pub fn merge_crashes(&self, crashes: &[Crash], cleared: &[Cleared], counts: &[EndingCount]) {
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -2,7 +2,8 @@
 //! caller. Its state is the current source, the last forwarded event and the attempts made so far.
 //! It decides when the stream leaves its server, and whether another server resumes it.
 //!
-//! If a server truncates the stream, another server resumes it after the last event that the caller
+//! The end of a body is the end of its stream only if its framing shows that, or if its server is
+//! still up afterwards; see [`answer_ends`]. If a server truncates the stream, another server resumes it after the last event that the caller
 //! has, where the route allows that. Otherwise the caller's connection is closed, so that the
 //! answer does not look complete. A stream leaves a server that is reported as slow in the same
 //! way, if it can: all streams of its group wait for that server.
@@ -14,6 +15,9 @@
 use bytes::Bytes;
 use futures_util::Stream;
 use futures_util::stream;
+use hooktrestle_core::direct::answer_ends;
+use hooktrestle_core::direct::answer_ends::AnswerEnd;
+use hooktrestle_core::direct::answer_ends::Content;
 use hooktrestle_core::direct::attempts::Attempts;
 use hooktrestle_core::direct::attempts::Fate;
 use hooktrestle_core::direct::attempts::Next;
@@ -26,7 +30,6 @@
 use hooktrestle_schema::LeaveReason;
 use hooktrestle_schema::LeaveStep;
 use http::StatusCode;
-use http::header;
 use http_body_util::BodyExt;
 use hyper::body::Frame;
 use tokio::time;
@@ -36,7 +39,9 @@
 use crate::exchange;
 use crate::exchange::Answer;
 use crate::forward;
+use crate::framing;
 use crate::gateway::Gateway;
+use crate::gateway::crashes::Completion;
 use crate::gateway::crashes::Progress;
 use crate::platform::Platform;
 use crate::request::Request;
@@ -64,6 +69,8 @@
     attempts: Attempts,
     source: Option<Answer<P>>,
     events: EventBuffer,
+    /// What is known of the content. An opaque one is forwarded as it is received.
+    content: Content,
     /// Whether the source has sent bytes of its body.
     has_body_bytes: bool,
     /// Whether another server may resume the stream.
@@ -77,15 +84,18 @@
     attempts: Attempts,
     answer: Answer<P>,
 ) -> impl Stream<Item = Result<Frame<Bytes>, TruncatedStream>> {
+    let content = framing::content(&answer.head.headers);
     // If the answer has a length, the bytes from another server would have to add up to it.
-    let resumable =
-        request.route().resumable && !answer.head.headers.contains_key(header::CONTENT_LENGTH);
+    let resumable = request.route().resumable
+        && content != Content::Opaque
+        && answer.framing != Framing::Length;
     let relay = Relay {
         gateway,
         request,
         attempts,
         source: Some(answer),
         events: EventBuffer::default(),
+        content,
         has_body_bytes: false,
         resumable,
     };
@@ -118,6 +128,9 @@
                     source.guard.set_progress(Some(Progress::Running(source.began_at)));
                 }
                 relay.has_body_bytes = true;
+                if relay.content == Content::Opaque {
+                    return Some((Ok(Frame::data(bytes)), relay));
+                }
                 let complete = relay.events.push(&bytes);
                 if !complete.is_empty() {
                     let pause = relay
@@ -131,19 +144,19 @@
                     return Some((Ok(Frame::data(Bytes::from(complete))), relay));
                 }
             }
-            SourceItem::End => {
-                log_end(&relay);
-                let remaining = end(&mut relay)?;
-                return Some((Ok(Frame::data(remaining)), relay));
-            }
-            item @ (SourceItem::Truncated | SourceItem::IdleTimeout) => {
-                record_truncation(&relay, &item).await;
-                if !resume(&mut relay, LeaveReason::BrokenOff).await {
-                    if relay.gateway.crash_refusal(relay.request.fingerprint).is_some() {
-                        // The caller retries at once at any gateway, so the crash is reported to
-                        // the other gateways first.
-                        relay.gateway.await_urgent_gossip().await;
+            SourceItem::End => match end_of_source(&relay).await? {
+                SourceEnd::Complete(completion) => {
+                    let remaining = complete(&mut relay, completion)?;
+                    return Some((Ok(Frame::data(remaining)), relay));
+                }
+                SourceEnd::Truncated => {
+                    if !leave_truncated(&mut relay, SourceItem::Truncated).await {
+                        return Some((Err(TruncatedStream), relay));
                     }
+                }
+            },
+            item @ (SourceItem::Truncated | SourceItem::IdleTimeout) => {
+                if !leave_truncated(&mut relay, item).await {
                     return Some((Err(TruncatedStream), relay));
                 }
             }
@@ -157,34 +170,63 @@
     }
 }
 
-/// Logs the end of a source that does not show by itself that the stream is complete.
-fn log_end<P: Platform>(relay: &Relay<P>) {
-    let Relay { gateway, request, source, events, .. } = relay;
-    let Some(source) = source else { return };
-    let incomplete_bytes = events.incomplete_bytes() as u64;
-    if source.framing != Framing::Connection && incomplete_bytes == 0 {
-        return;
+/// What the end of the source's body is to its stream.
+enum SourceEnd {
+    Complete(Completion),
+    Truncated,
+}
+
+/// What the end of the source is to the stream; `None` if there is no source. An end that does not
+/// show by itself that the stream is complete is logged, and its server is asked whether it is up.
+async fn end_of_source<P: Platform>(relay: &Relay<P>) -> Option<SourceEnd> {
+    let Relay { gateway, request, source, events, content, .. } = relay;
+    let source = source.as_ref()?;
+    let end = answer_ends::of_stream(source.framing, *content, events.position());
+    if end == AnswerEnd::Complete {
+        return Some(SourceEnd::Complete(Completion::Confirmed));
     }
+    let server = source.guard.server();
     let step = EndStep {
         fingerprint_number: request.fingerprint.0,
-        server_number: source.guard.server().number(),
+        server_number: server.number(),
         framing: source.framing,
         after_event_number: events.last_id(),
-        incomplete_bytes,
+        incomplete_bytes: events.incomplete_bytes() as u64,
     };
     gateway.event_log.request(request.id_text(), step);
+    let is_truncated = end == AnswerEnd::Truncated || gateway.has_crashed(server).await;
+    Some(match is_truncated {
+        true => SourceEnd::Truncated,
+        false => SourceEnd::Complete(Completion::Unconfirmed),
+    })
 }
 
-/// Ends a stream whose source has ended properly; returns the bytes left to forward, if any.
-fn end<P: Platform>(relay: &mut Relay<P>) -> Option<Bytes> {
-    let remaining = relay.events.end();
+/// Ends a stream whose source has sent all of it; returns the bytes left to forward, if any.
+fn complete<P: Platform>(relay: &mut Relay<P>, completion: Completion) -> Option<Bytes> {
     if let Some(source) = relay.source.take() {
         source.guard.set_progress(None);
+        let (server, fingerprint) = (source.guard.server(), relay.request.fingerprint);
+        relay.gateway.record_completed_request(server, fingerprint, completion);
         source.recycle(&relay.gateway);
     }
-    relay.gateway.record_completed_request(relay.request.fingerprint);
     relay.gateway.metrics.answered.inc();
-    Some(Bytes::from(remaining)).filter(|remaining| !remaining.is_empty())
+    let remaining = relay.events.end();
+    (!remaining.is_empty()).then(|| Bytes::from(remaining))
+}
+
+/// Leaves a source that truncated the stream or sends nothing; returns whether another server
+/// resumes the stream.
+async fn leave_truncated<P: Platform>(relay: &mut Relay<P>, item: SourceItem) -> bool {
+    record_truncation(relay, &item).await;
+    if resume(relay, LeaveReason::BrokenOff).await {
+        return true;
+    }
+    if relay.gateway.crash_refusal(relay.request.fingerprint).is_some() {
+        // The caller retries at once at any gateway, so the crash is reported to the other gateways
+        // first.
+        relay.gateway.await_urgent_gossip().await;
+    }
+    false
 }
 
 /// Records that the source has truncated the stream or sends nothing.
@@ -290,7 +332,8 @@
     reason: LeaveReason,
 ) -> bool {
     let Relay { gateway, request, attempts, events, resumable, .. } = relay;
-    let is_allowed = *resumable && gateway.crash_refusal(request.fingerprint).is_none();
+    let can_resume = *resumable && !events.is_event_split();
+    let is_allowed = can_resume && gateway.crash_refusal(request.fingerprint).is_none();
     let covered = || is_allowed && gateway.take_retry(&request.service);
     let next = attempts.after_failure(server, fate, covered);
     let step = LeaveStep {
