Callers of HTTP/1.0: a truncated stream resets their connection

An answer to such a caller has no chunks, so an orderly end of the connection is the end of the stream, and a truncated stream looked complete. Its connection is now reset.

--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -129,7 +129,7 @@
     match activity {
         Activity::Idle(since) => since + limits.idle_ms,
         Activity::Reading(since) => since + limits.header_ms,
-        Activity::Answering => gateway.now() + limits.idle_ms,
+        Activity::Answering | Activity::Truncated => gateway.now() + limits.idle_ms,
     }
 }
 
@@ -141,7 +141,7 @@
     reader: Rc<Reader<P>>,
     shared_activity: SharedActivity,
 ) -> ServiceResult<impl Stream<Item = Result<Frame<Bytes>, TruncatedStream>>, P> {
-    let guard = AnswerGuard { shared_activity, clock: gateway.clock };
+    let guard = AnswerGuard { shared_activity, clock: gateway.clock, version: request.version() };
     let in_flight = gateway.begin_request();
     let received_at = gateway.now();
     let (parts, body) = request.into_parts();
--- a/crates/direct/src/callers/activity.rs
+++ b/crates/direct/src/callers/activity.rs
@@ -7,12 +7,15 @@
 use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
 
 use hooktrestle_clock::ProcessClock;
 use hooktrestle_core::clock::Clock;
 use hooktrestle_core::clock::Millis;
+use http::Version;
 use hyper::rt::ReadBufCursor;
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::net::TcpStream;
 
 use crate::callers::reader::Reader;
@@ -27,6 +30,8 @@
     Reading(Millis),
     /// The answer to a request is not complete.
     Answering,
+    /// The answer was truncated, and an orderly end of the connection would make it look complete.
+    Truncated,
 }
 
 /// The activity of a connection, shared between its reads and its answers.
@@ -36,11 +41,25 @@
 pub(super) struct AnswerGuard {
     pub(super) shared_activity: SharedActivity,
     pub(super) clock: ProcessClock,
+    /// HTTP version of the caller.
+    pub(super) version: Version,
+}
+
+impl AnswerGuard {
+    /// Records that the answer was truncated. To a caller of HTTP/1.0, which knows no chunks, only a
+    /// reset of its connection shows that.
+    pub(super) fn record_truncated(&self) {
+        if self.version < Version::HTTP_11 {
+            self.shared_activity.set(Activity::Truncated);
+        }
+    }
 }
 
 impl Drop for AnswerGuard {
     fn drop(&mut self) {
-        self.shared_activity.set(Activity::Idle(self.clock.now()));
+        if !matches!(self.shared_activity.get(), Activity::Truncated) {
+            self.shared_activity.set(Activity::Idle(self.clock.now()));
+        }
     }
 }
 
@@ -63,6 +82,16 @@
     }
 }
 
+impl<P: Platform> Drop for TrackedConnection<P> {
+    fn drop(&mut self) {
+        if matches!(self.shared_activity.get(), Activity::Truncated) {
+            let socket = SockRef::from(self.inner.inner());
+            // An error means that the connection has ended already.
+            let _ = socket.set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
 impl<P: Platform> hyper::rt::Read for TrackedConnection<P> {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/direct/src/callers/body.rs
+++ b/crates/direct/src/callers/body.rs
@@ -28,7 +28,7 @@
 pub(super) struct CallerBody<S, P: Platform> {
     content: Content<S>,
     reader: Rc<Reader<P>>,
-    _guard: AnswerGuard,
+    guard: AnswerGuard,
     _in_flight: InFlight<P>,
 }
 
@@ -41,7 +41,7 @@
         in_flight: InFlight<P>,
     ) -> Self {
         reader.set_streaming(matches!(content, Content::Stream(_)));
-        CallerBody { content, reader, _guard: guard, _in_flight: in_flight }
+        CallerBody { content, reader, guard, _in_flight: in_flight }
     }
 }
 
@@ -69,8 +69,12 @@
             }
             Content::Stream(frames) => frames.as_mut().poll_next(context),
         };
-        if let Poll::Ready(Some(Ok(frame))) = &polled {
-            self.reader.hold(frame.data_ref().map_or(0, Bytes::len));
+        match &polled {
+            Poll::Ready(Some(Ok(frame))) => {
+                self.reader.hold(frame.data_ref().map_or(0, Bytes::len));
+            }
+            Poll::Ready(Some(Err(_))) => self.guard.record_truncated(),
+            Poll::Ready(None) | Poll::Pending => {}
         }
         polled
     }
