Sidecars: an answer without length or chunks is complete only if its server is still up

A stream of events with a content coding was never complete, since its end marker cannot be found; its framing now decides.

--- a/crates/hooktrestled/src/sidecar/run.rs
+++ b/crates/hooktrestled/src/sidecar/run.rs
@@ -2,6 +2,7 @@
 //! Input: a [`Job`], chunks of its body, and credit. State: the answer's sequence number and tail.
 //! Decides whether the run ended complete, not started or failed.
 
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,6 +12,9 @@
 use futures_util::stream;
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::advertised_limit::Rate;
+use hooktrestle_core::direct::answer_ends;
+use hooktrestle_core::direct::answer_ends::AnswerEnd;
+use hooktrestle_core::direct::answer_ends::Content;
 use hooktrestle_core::direct::server_notices;
 use hooktrestle_core::verdict::Refusal;
 use hooktrestle_link::Sender;
@@ -19,6 +23,7 @@
 use hooktrestle_schema::CreditFrame;
 use hooktrestle_schema::ExpertCounts;
 use hooktrestle_schema::Frame;
+use hooktrestle_schema::Framing;
 use hooktrestle_schema::HeadFrame;
 use hooktrestle_schema::Header;
 use hooktrestle_schema::MapOrder;
@@ -28,10 +33,17 @@
 use opentelemetry::trace::SpanKind;
 use reqwest::Method;
 use reqwest::Response;
+use reqwest::Url;
+use reqwest::header::CONTENT_ENCODING;
+use reqwest::header::CONTENT_TYPE;
 use reqwest::header::HeaderMap;
+use reqwest::header::HeaderName;
 use reqwest::header::RETRY_AFTER;
+use reqwest::header::TRANSFER_ENCODING;
+use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
+use tokio::time;
 
 use crate::traces::Hop;
 use crate::traces::TRACEPARENT;
@@ -123,6 +135,16 @@
         response.json().await.unwrap_or(MapReply::Silent)
     }
 
+    /// Whether the backend server still accepts connections. An answer that only the end of its
+    /// connection delimits is complete if the server did not crash just then.
+    async fn is_up(&self) -> bool {
+        let Ok(url) = Url::parse(&self.base_url) else { return true };
+        let host = url.host_str().unwrap_or_default();
+        let port = url.port_or_known_default().unwrap_or_default();
+        let opened = time::timeout(CONNECT_TIMEOUT, TcpStream::connect((host, port))).await;
+        !matches!(opened, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+    }
+
     /// Number of tokens of each expert since the engine of the rank started.
     pub(super) async fn counts(&self) -> Result<ExpertCounts> {
         let url = format!("{}/control/counts", self.base_url);
@@ -162,7 +184,7 @@
         let back_off = retry_after.and_then(server_notices::parse_back_off);
         return RunEnd::NotStarted(Refusal::not_run(Cause::BackendRefused), back_off);
     }
-    answer(job, response).await
+    answer(backend, job, response).await
 }
 
 async fn send(backend: &Backend, job: &mut Job, hop: &Hop) -> reqwest::Result<Response> {
@@ -202,8 +224,9 @@
     reqwest::Body::wrap_stream(bytes)
 }
 
-async fn answer(job: &Job, response: Response) -> RunEnd {
-    let is_stream = is_event_stream(response.headers());
+async fn answer(backend: &Backend, job: &Job, response: Response) -> RunEnd {
+    let framing = framing(&response);
+    let content = content(response.headers());
     let head = HeadFrame {
         id: job.frame.id.clone(),
         status: response.status().as_u16(),
@@ -222,7 +245,12 @@
             return RunEnd::LinkClosed;
         }
     }
-    if is_stream && !out.has_stream_end() {
+    let is_truncated = match (content, answer_ends::of_body(framing)) {
+        (Content::Events, _) => !out.has_stream_end(),
+        (_, AnswerEnd::Complete) => false,
+        (_, AnswerEnd::Unconfirmed | AnswerEnd::Truncated) => !backend.is_up().await,
+    };
+    if is_truncated {
         return RunEnd::Failed(Refusal::ran(Cause::BackendFailed));
     }
     if out.finish().await { RunEnd::Complete } else { RunEnd::LinkClosed }
@@ -283,9 +311,17 @@
     }
 }
 
-fn is_event_stream(headers: &HeaderMap) -> bool {
-    let kind = headers.get(reqwest::header::CONTENT_TYPE).and_then(|value| value.to_str().ok());
-    kind.is_some_and(|kind| kind.starts_with("text/event-stream"))
+fn framing(response: &Response) -> Framing {
+    let codings = text(response.headers(), &TRANSFER_ENCODING);
+    answer_ends::framing(response.content_length().is_some(), codings)
+}
+
+fn content(headers: &HeaderMap) -> Content {
+    Content::of(text(headers, &CONTENT_TYPE), text(headers, &CONTENT_ENCODING))
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get_all(name).iter().next_back()?.to_str().ok()
 }
 
 /// The answer's headers without the hop-by-hop ones.
