Log lines of truncated streams name the parts of their prompts

Requests that crash servers share a part of their prompts, and logs named what a request is as a whole alone. The fingerprints of the parts that requests may share are now computed with that of the whole, and stand in the `leave` line. No decision has changed.

--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -184,7 +184,7 @@
             Err(Refusal::not_run(Cause::Leaving).retry_after(Millis::ZERO))
         }
         Ok(mut request) => {
-            let trial = gateway.begin_trial_if_suspect(request.fingerprint).await;
+            let trial = gateway.begin_trial_if_suspect(request.fingerprints.whole).await;
             request.trial =
                 trial.map_err(|(cause, left)| Refusal::not_run(cause).retry_after(left))?;
             admit_stream(gateway, &mut request).await?;
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -89,7 +89,7 @@
             began_at: gateway.now(),
             objective: request.route().objective_ms,
             connected: Cell::new(false),
-            fingerprint: request.fingerprint,
+            fingerprint: request.fingerprints.whole,
             progress: Cell::new(None),
             outcome: None,
             gateway,
@@ -369,7 +369,7 @@
                 gateway.metrics.overtaken.inc();
                 guard.set_progress(None);
                 gateway
-                    .record_truncated_answer(server, request.fingerprint, Progress::Sent(sent_at))
+                    .record_truncated_answer(server, request.fingerprints.whole, Progress::Sent(sent_at))
                     .await;
                 return Err(NoAnswer { fate: Fate::MayHaveRun, outcome: AttemptOutcome::Overtaken });
             }
@@ -386,7 +386,7 @@
                     gateway
                         .record_truncated_answer(
                             server,
-                            request.fingerprint,
+                            request.fingerprints.whole,
                             Progress::Sent(sent_at),
                         )
                         .await;
@@ -397,7 +397,7 @@
                 }
                 let error = error.error().to_string();
                 let step = ConnectionStep {
-                    fingerprint_number: request.fingerprint.0,
+                    fingerprint_number: request.fingerprints.whole.0,
                     server_number: server.number(),
                     fresh,
                     unsent,
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -88,7 +88,7 @@
         if gateway.now() >= request.deadline {
             return ForwardOutcome::Refused(attempts.refuse(Cause::DeadlinePassed));
         }
-        if let Some((cause, left)) = gateway.crash_refusal(request.fingerprint) {
+        if let Some((cause, left)) = gateway.crash_refusal(request.fingerprints.whole) {
             return ForwardOutcome::Refused(attempts.refuse_with_retry_after(cause, left));
         }
         let Some(guard) = next_attempt(gateway, request, attempts).await else {
@@ -234,7 +234,7 @@
             gateway.connections.put_back(connection);
             if head.status.is_success() {
                 guard.set_progress(None);
-                gateway.record_completed_request(server, request.fingerprint, completion);
+                gateway.record_completed_request(server, request.fingerprints.whole, completion);
             }
             Some((head, collected.to_bytes()))
         }
@@ -242,7 +242,7 @@
             guard.end(AttemptOutcome::Lost);
             guard.set_progress(None);
             let progress = Progress::Running(began_at);
-            gateway.record_truncated_answer(server, request.fingerprint, progress).await;
+            gateway.record_truncated_answer(server, request.fingerprints.whole, progress).await;
             None
         }
     }
--- a/crates/direct/src/platform.rs
+++ b/crates/direct/src/platform.rs
@@ -225,6 +225,9 @@
     pub token_counts: HeaderName,
     /// The caller's estimate of the number of tokens of the answer.
     pub length_hint: HeaderName,
+    /// Parts of a request's prompt in order: `ID:TOKENS`, separated by commas. The last one is the
+    /// request's own, the others may be shared.
+    pub prompt_parts: HeaderName,
 }
 
 /// The platform that a gateway runs on.
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -187,7 +187,7 @@
     }
     let server = source.guard.server();
     let step = EndStep {
-        fingerprint_number: request.fingerprint.0,
+        fingerprint_number: request.fingerprints.whole.0,
         server_number: server.number(),
         framing: source.framing,
         after_event_number: events.last_id(),
@@ -205,7 +205,7 @@
 fn complete<P: Platform>(relay: &mut Relay<P>, completion: Completion) -> Option<Bytes> {
     if let Some(source) = relay.source.take() {
         source.guard.set_progress(None);
-        let (server, fingerprint) = (source.guard.server(), relay.request.fingerprint);
+        let (server, fingerprint) = (source.guard.server(), relay.request.fingerprints.whole);
         relay.gateway.record_completed_request(server, fingerprint, completion);
         source.recycle(&relay.gateway);
     }
@@ -221,7 +221,7 @@
     if resume(relay, LeaveReason::BrokenOff).await {
         return true;
     }
-    if relay.gateway.crash_refusal(relay.request.fingerprint).is_some() {
+    if relay.gateway.crash_refusal(relay.request.fingerprints.whole).is_some() {
         // The caller retries at once at any gateway, so the crash is reported to the other gateways
         // first.
         relay.gateway.await_urgent_gossip().await;
@@ -238,7 +238,7 @@
     let progress = if is_starting { Progress::Starting } else { Progress::Running };
     let (server, progress) = (source.guard.server(), progress(source.began_at));
     source.guard.set_progress(None);
-    relay.gateway.record_truncated_answer(server, relay.request.fingerprint, progress).await;
+    relay.gateway.record_truncated_answer(server, relay.request.fingerprints.whole, progress).await;
 }
 
 /// The next item of the source; `None` if the stream has ended.
@@ -333,13 +333,14 @@
 ) -> bool {
     let Relay { gateway, request, attempts, events, resumable, .. } = relay;
     let can_resume = *resumable && !events.is_event_split();
-    let is_allowed = can_resume && gateway.crash_refusal(request.fingerprint).is_none();
+    let is_allowed = can_resume && gateway.crash_refusal(request.fingerprints.whole).is_none();
     let covered = || is_allowed && gateway.take_retry(&request.service);
     let next = attempts.after_failure(server, fate, covered);
     let step = LeaveStep {
-        fingerprint_number: request.fingerprint.0,
+        fingerprint_number: request.fingerprints.whole.0,
         server_number: server.number(),
         reason,
+        part_numbers: request.fingerprints.parts.iter().map(|part| part.0).collect(),
         after_event_number: events.last_id(),
         next: next.step(),
     };
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -8,6 +8,7 @@
 use hooktrestle_core::direct::admission::LatencyObjective;
 use hooktrestle_core::direct::attempts::RETRY_AFTER_NO_SERVER;
 use hooktrestle_core::direct::fingerprint::Fingerprint;
+use hooktrestle_core::direct::fingerprint::Fingerprints;
 use hooktrestle_core::direct::level::GateRequest;
 use hooktrestle_core::direct::pool::Demand;
 use hooktrestle_core::direct::pool::PlainDemand;
@@ -88,8 +89,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
-    /// Fingerprint, which is the same for each retry by the caller.
-    pub fingerprint: Fingerprint,
+    /// Fingerprints, which are the same for each retry by the caller.
+    pub fingerprints: Fingerprints,
     /// Deadline: that of the caller or of its route, whichever is earlier.
     pub deadline: Millis,
     /// Estimated work, relative to a typical request.
@@ -163,7 +164,7 @@
         GateRequest {
             urgency,
             account: AccountId::of(account.unwrap_or_default(), urgency),
-            key: self.fingerprint.caller_key(texts),
+            key: self.fingerprints.whole.caller_key(texts),
             open_streams,
             left: self.deadline.since(now),
         }
@@ -211,7 +212,8 @@
     let cost = cost(&parts.headers, names);
     let uri = origin_form(&parts.uri);
     let account_name = account.map(|key| serving.account(key).name.as_str());
-    let fingerprint = Fingerprint::of(&uri.to_string(), account_name, &body);
+    let whole = Fingerprint::of(&uri.to_string(), account_name, &body);
+    let fingerprints = Fingerprints::new(whole, &service, part_ids(&parts.headers, names));
     let priority = priority(&serving, route, account);
     let headers = forwarded_headers(parts.headers, names, &serving, account, priority);
     Ok(Request {
@@ -224,7 +226,7 @@
         uri,
         headers,
         body,
-        fingerprint,
+        fingerprints,
         deadline,
         cost,
         received_at,
@@ -301,6 +303,13 @@
     ((prompt * PROMPT_TOKEN_COST + answer) / TYPICAL_REQUEST_TOKENS).clamp(min_cost, max_cost)
 }
 
+/// The ids of the parts of a prompt.
+fn part_ids<'a>(headers: &'a HeaderMap, names: &HeaderNames) -> impl Iterator<Item = &'a str> {
+    let text = headers::text(headers, &names.prompt_parts).unwrap_or_default();
+    let ids = text.split(',').map(|part| part.split(':').next().unwrap_or_default().trim());
+    ids.filter(|id| !id.is_empty())
+}
+
 fn origin_form(uri: &Uri) -> Uri {
     let path = uri.path_and_query().cloned();
     path.map_or_else(|| Uri::from_static("/"), Uri::from)
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -952,6 +952,9 @@
     #[serde(default)]
     pub fingerprint_number: u64,
     pub next: NextStep,
+    ///Fingerprints of the parts of the request's prompt that other requests may share.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub part_numbers: ::std::vec::Vec<u64>,
     pub reason: LeaveReason,
     pub server_number: u32,
 }
