Crash evidence: a stream has got beyond its beginning with its first complete event

Servers that crash as they begin an answer may do so inside the first event. Its bytes counted as progress, so such a stream was resumed at a second server at once, which crashed too. What the caller can be given, a complete event, now tells the beginning from the run.

--- a/crates/core/src/direct/crashes/report.rs
+++ b/crates/core/src/direct/crashes/report.rs
@@ -41,9 +41,9 @@
     Doubtful,
     /// The answer had not begun: the server may have crashed before the request was sent.
     Waiting,
-    /// The answer had begun, and nothing more of it had arrived.
+    /// The answer had begun, and no complete event of it had arrived.
     Starting,
-    /// More of the answer had arrived.
+    /// Some of the answer's content had arrived: a complete event, if it is a stream.
     Running,
 }
 
--- a/crates/core/src/direct/events.rs
+++ b/crates/core/src/direct/events.rs
@@ -24,8 +24,8 @@
 pub struct EventBuffer {
     buffered: Vec<u8>,
     last_id: Option<u64>,
-    /// Whether an event was complete.
-    has_begun: bool,
+    /// Number of complete events, also of those that the caller had already.
+    complete_count: u64,
     /// Whether the caller has a part of the event that is being received.
     is_event_split: bool,
 }
@@ -45,13 +45,18 @@
     pub fn position(&self) -> Position {
         if self.is_event_split || !self.buffered.is_empty() {
             Position::InsideEvent
-        } else if self.has_begun {
+        } else if self.complete_count > 0 {
             Position::BetweenEvents
         } else {
             Position::BeforeFirstEvent
         }
     }
 
+    /// Number of complete events so far, also of those that the caller had already.
+    pub fn complete_count(&self) -> u64 {
+        self.complete_count
+    }
+
     /// Whether the caller has a part of an event, so that the rest must come from the same server.
     pub fn is_event_split(&self) -> bool {
         self.is_event_split
@@ -73,7 +78,8 @@
                 None => forwarded.extend_from_slice(event),
             }
             begin = end;
-            (self.has_begun, self.is_event_split) = (true, false);
+            self.complete_count += 1;
+            self.is_event_split = false;
         }
         self.buffered.drain(..begin);
         if self.buffered.len() > MAX_BUFFERED_BYTES {
--- a/crates/direct/src/gateway/crashes.rs
+++ b/crates/direct/src/gateway/crashes.rs
@@ -54,9 +54,9 @@
 pub enum Progress {
     /// It was sent, and no answer began.
     Sent(Millis),
-    /// An answer began, and nothing followed.
+    /// An answer began, and no complete event followed.
     Starting(Millis),
-    /// An answer began, and more of it followed.
+    /// An answer began, and content followed: a complete event, if it is a stream.
     Running(Millis),
 }
 
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -71,8 +71,8 @@
     events: EventBuffer,
     /// What is known of the content. An opaque one is forwarded as it is received.
     content: Content,
-    /// Whether the source has sent bytes of its body.
-    has_body_bytes: bool,
+    /// Whether the source has sent a complete event or, of opaque content, anything of its body.
+    has_progress: bool,
     /// Whether another server may resume the stream.
     resumable: bool,
 }
@@ -96,7 +96,7 @@
         source: Some(answer),
         events: EventBuffer::default(),
         content,
-        has_body_bytes: false,
+        has_progress: false,
         resumable,
     };
     stream::unfold(relay, next_frame)
@@ -122,16 +122,15 @@
         }
         match next_source_item(&mut relay).await? {
             SourceItem::Bytes(bytes) => {
-                if !relay.has_body_bytes
-                    && let Some(source) = &relay.source
-                {
-                    source.guard.set_progress(Some(Progress::Running(source.began_at)));
-                }
-                relay.has_body_bytes = true;
                 if relay.content == Content::Opaque {
+                    record_progress(&mut relay);
                     return Some((Ok(Frame::data(bytes)), relay));
                 }
+                let complete_count = relay.events.complete_count();
                 let complete = relay.events.push(&bytes);
+                if relay.events.complete_count() > complete_count {
+                    record_progress(&mut relay);
+                }
                 if !complete.is_empty() {
                     let pause = relay
                         .request
@@ -229,12 +228,20 @@
     false
 }
 
+/// Records that the source has got further than the beginning of its answer.
+fn record_progress<P: Platform>(relay: &mut Relay<P>) {
+    if let Some(source) = relay.source.as_ref().filter(|_| !relay.has_progress) {
+        source.guard.set_progress(Some(Progress::Running(source.began_at)));
+    }
+    relay.has_progress = true;
+}
+
 /// Records that the source has truncated the stream or sends nothing.
 async fn record_truncation<P: Platform>(relay: &Relay<P>, item: &SourceItem) {
     let Some(source) = &relay.source else { return };
     // A server that sends nothing keeps doing so. Whether it crashed as this stream began need not
     // be determined at once.
-    let is_starting = !relay.has_body_bytes && matches!(item, SourceItem::Truncated);
+    let is_starting = !relay.has_progress && matches!(item, SourceItem::Truncated);
     let progress = if is_starting { Progress::Starting } else { Progress::Running };
     let (server, progress) = (source.guard.server(), progress(source.began_at));
     source.guard.set_progress(None);
@@ -312,7 +319,7 @@
             Ok(Ok(answer)) if answer.head.status == StatusCode::OK => {
                 relay.gateway.metrics.resumed.inc();
                 relay.source = Some(answer);
-                relay.has_body_bytes = false;
+                relay.has_progress = false;
                 return true;
             }
             Ok(Ok(_)) => Fate::Failed,
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -323,7 +323,7 @@
     pub reporter_number: u64,
     ///Identifies one incarnation of the server.
     pub server_number: u64,
-    ///Requests that were at the server: fingerprint, time in ms that the server had had it, and stage: 0 if the answer had not begun, 3 if it had not and the server's address accepts connections after the crash, 2 if it had begun and nothing more of it had arrived, otherwise 1.
+    ///Requests that were at the server: fingerprint, time in ms that the server had had it, and stage: 0 if the answer had not begun, 3 if it had not and the server's address accepts connections after the crash, 2 if it had begun and no complete event of it had arrived, otherwise 1.
     pub suspects: ::std::vec::Vec<[u64; 3usize]>,
 }
 ///Crashes at which one request was, as stored on the platform.
@@ -867,7 +867,7 @@
 ///One crash of a `CrashRow`.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct KeptCrash {
-    ///Whether the answer to the request had begun and nothing more of it had arrived.
+    ///Whether the answer to the request had begun and no complete event of it had arrived.
     #[serde(default)]
     pub at_start: bool,
     ///Time of the crash, by the store's clock.
