Crash evidence: parts of prompts are weighed like whole requests

Callers saw most requests of a service unserved for half a minute at a time: requests that differ, and share one part of their prompts, crashed one server after the other, and the groups of these stood still. Evidence was kept by the fingerprint of the whole request.

Fingerprints now are of two kinds, whole requests and parts of prompts, told apart by one bit, so that reports, gossip, counts, trials and stored rows take both. The parts of a request are suspect if its answer was just beginning at the crash. A request explains its crashes first; what is left is attributed to the part at most of them, from the third on, unless requests with it complete. Parts that crashes do not tell apart are held back and tried one at a time, which clears the sound one. Only parts that are restricted are stored. Of a part that many requests share one ending in a second is recorded.

--- a/crates/core/src/direct/crashes.rs
+++ b/crates/core/src/direct/crashes.rs
@@ -19,26 +19,27 @@
 //! abandoned clears the request too, if the server lived on and the attempt lasted longer than the
 //! request had run at its crashes.
 //!
+//! Requests that differ may share a part of their prompts that crashes servers. Parts are known by
+//! fingerprints of their own, and are weighed like requests: see `attribution`.
+//!
 //! Reports only grow until they expire. So gateways that merge each other's reports in any order
 //! reach the same result, and a gateway that receives them late needs nothing but the reports.
 //!
 //! This protects the servers of a service from a caller that retries such a request: without it,
 //! most of them crash and their groups stall.
 
+mod attribution;
 mod config;
 mod evidence;
 mod exposure;
 mod report;
 
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 
+use self::attribution::Attribution;
 pub use self::config::Config;
-use self::evidence::Count;
-use self::evidence::Counts;
-use self::evidence::Verdict;
 use self::evidence::WeakSuspect;
 use self::exposure::Ending;
 pub use self::exposure::EndingCount;
@@ -55,6 +56,7 @@
 pub use self::report::UNKNOWN_AGE_ERROR;
 use crate::clock::Millis;
 use crate::direct::fingerprint::Fingerprint;
+use crate::direct::fingerprint::FingerprintKind;
 use crate::util::hash;
 
 /// What a merged report or completion changed.
@@ -152,6 +154,7 @@
         if !self.began_at_crash.contains(&fingerprint) && weak.is_none() {
             return Quarantine::Free;
         }
+        let is_request = fingerprint.kind() == FingerprintKind::Request;
         let holds_back_all = weak.is_some_and(|weak| weak.is_held_back);
         let merged = self.merged(now);
         let unexplained = merged.iter().filter(|(_, crash)| {
@@ -159,7 +162,7 @@
                 crash.suspects.keys().any(|one| self.refused_for(*one, now).is_some());
             let holds_back = match holds_back_all {
                 true => crash.suspects.contains_key(&fingerprint),
-                false => crash.was_at_start(fingerprint),
+                false => is_request && crash.was_at_start(fingerprint),
             };
             holds_back && !is_explained
         });
@@ -260,6 +263,16 @@
         more
     }
 
+    /// What a new process is to know of: requests at more than one crash, and restricted parts.
+    pub fn worth_storing(&self, now: Millis) -> BTreeSet<Fingerprint> {
+        let is_restricted = |one: &Fingerprint| {
+            self.refused.contains_key(one) || self.weak_suspects.contains_key(one)
+        };
+        let mut known = self.repeat_suspects(now);
+        known.retain(|one| one.kind() == FingerprintKind::Request || is_restricted(one));
+        known
+    }
+
     /// Records a request that completed at this gateway, suspect or not: reports may be late.
     pub fn record_completed(&mut self, fingerprint: Fingerprint, now: Millis) -> MergeOutcome {
         self.record_ending(Ending { fingerprint, at: now, extent: Extent::Completed }, now)
@@ -468,69 +481,28 @@
         }
     }
 
-    /// Determines which requests are refused, crash by crash from the oldest on. A request that was
-    /// at enough crashes explains all crashes at which it was, and they do not count against the
-    /// other requests there. Of several requests at the same crashes, the one with the shortest run
-    /// time is taken as the cause: the others had usually been there before it.
+    /// Determines what is refused, and what is sent one attempt at a time.
     fn update_refused(&mut self, now: Millis) {
         let merged = self.merged(now);
-        let mut by_age: Vec<(&ServerIncarnation, &Merged)> = merged.iter().collect();
-        by_age.sort_by_key(|(server, crash)| (Reverse(crash.age), **server));
-        let mut found: Vec<Fingerprint> = Vec::new();
-        let mut unexplained: Vec<&Merged> = Vec::new();
-        let mut counts = Counts::default();
-        for (_, report) in by_age {
-            if found.iter().any(|fingerprint| report.suspects.contains_key(fingerprint)) {
-                continue;
-            }
-            unexplained.push(report);
-            counts.add(report);
-            let verdict = |one: Fingerprint, count: &Count| self.verdict(one, count, now);
-            let culprits = counts.culprits_of(report, verdict);
-            if culprits.is_empty() {
-                continue;
-            }
-            unexplained.retain(|one| !culprits.iter().any(|it| one.suspects.contains_key(it)));
-            counts = Counts::default();
-            unexplained.iter().for_each(|one| counts.add(one));
-            found.extend(culprits);
-        }
-        let until = |one: &Fingerprint| (*one, now + self.time_left(*one, &merged));
-        let weak = counts.iter().filter_map(|(one, count)| {
-            let is_held_back = match self.verdict(one, count, now) {
-                Verdict::EndsWell => false,
-                Verdict::Inconsistent => true,
-                Verdict::TooFew | Verdict::Culprit => return None,
-            };
-            let until = now + self.time_left(one, &merged);
-            Some((one, WeakSuspect { is_held_back, until }))
+        let ended_well = |one| self.endings_of(one, now) as usize;
+        let Attribution { culprits, weak } =
+            attribution::attribute(&merged, ended_well, &self.config);
+        let until = |one| now + attribution::time_left(one, &merged, &self.config);
+        let weak = weak.into_iter().map(|(one, is_held_back)| {
+            let until = until(one);
+            (one, WeakSuspect { is_held_back, until })
         });
         let weak_suspects = weak.collect();
-        self.refused = found.iter().map(until).collect();
+        self.refused = culprits.into_iter().map(|one| (one, until(one))).collect();
         self.weak_suspects = weak_suspects;
         let suspects = merged.values().flat_map(|crash| crash.suspects.values());
-        let began = suspects.filter(|one| one.stage == Stage::Starting);
+        // A part is restricted only by the weighing: most requests may share it.
+        let began = suspects.filter(|one| {
+            one.stage == Stage::Starting && one.fingerprint.kind() == FingerprintKind::Request
+        });
         self.began_at_crash = began.map(|one| one.fingerprint).collect();
     }
 
-    /// What the crashes that no other request explains show about a request.
-    fn verdict(&self, fingerprint: Fingerprint, count: &Count, now: Millis) -> Verdict {
-        count.verdict(self.endings_of(fingerprint, now) as usize, &self.config)
-    }
-
-    /// For how much longer enough crashes at which a request was still count.
-    fn time_left(&self, one: Fingerprint, merged: &BTreeMap<ServerIncarnation, Merged>) -> Millis {
-        let with_it = merged.values().filter(|crash| crash.suspects.contains_key(&one));
-        let at_start = merged.values().filter(|crash| crash.was_at_start(one));
-        let left = |ages: &mut Vec<Millis>, enough: usize| {
-            ages.sort();
-            ages.get(enough - 1).map_or(Millis::ZERO, |age| self.config.report_ttl - *age)
-        };
-        let of_all = left(&mut with_it.map(|crash| crash.age).collect(), self.config.min_crashes);
-        let of_start = left(&mut at_start.map(|crash| crash.age).collect(), self.config.min_starts);
-        of_all.max(of_start)
-    }
-
     /// Digest of all known reports and counts. Two gateways with the same digest have none to
     /// exchange.
     pub fn digest(&self, now: Millis) -> u64 {
--- a/crates/core/src/direct/crashes/config.rs
+++ b/crates/core/src/direct/crashes/config.rs
@@ -11,6 +11,9 @@
     pub min_crashes: usize,
     /// The same for crashes in [`Stage::Starting`], which lasts for a tenth of the run time.
     pub min_starts: usize,
+    /// The same for a part of prompts, at crashes in [`Stage::Starting`]: many requests share one, and
+    /// two of them can begin at servers that crash together. The users' rule counts from the fifth.
+    pub min_part_starts: usize,
     /// Number of further crashes from which a request is refused against which the others are weak
     /// evidence. The users' rule allows three attempts after the third crash.
     pub extra_crashes: usize,
@@ -42,6 +45,7 @@
         Config {
             min_crashes: 3,
             min_starts: 2,
+            min_part_starts: 3,
             extra_crashes: 2,
             min_abandoned: 3,
             hold_back: Millis(5_000),
--- a/crates/core/src/direct/crashes/evidence.rs
+++ b/crates/core/src/direct/crashes/evidence.rs
@@ -1,4 +1,4 @@
-//! Evidence that a request crashes servers, from the crashes at which it was.
+//! Evidence that a request, or a part of prompts, crashes servers, from the crashes at which it was.
 //! Input: its progress at each crash, and how often it ended well. It has no state.
 //! Decides whether the request is refused, sent one attempt at a time, or not restricted.
 //!
@@ -13,6 +13,7 @@
 use crate::direct::crashes::report::Stage;
 use crate::direct::crashes::report::Suspect;
 use crate::direct::fingerprint::Fingerprint;
+use crate::direct::fingerprint::FingerprintKind;
 
 /// How much longer than its shortest run a request may have run at crashes that count as the same
 /// point of its run: twice as long, since servers differ in speed and load, and a short time more.
@@ -49,7 +50,8 @@
 }
 
 impl Count {
-    fn at_start(&self) -> usize {
+    /// Number of crashes at which it was just beginning.
+    pub(super) fn at_start(&self) -> usize {
         self.progress.iter().filter(|one| one.stage == Stage::Starting).count()
     }
 
@@ -68,8 +70,38 @@
         alike.max().unwrap_or(0)
     }
 
-    /// What the crashes show about a request of which this many attempts ended well.
-    pub(super) fn verdict(&self, ended_well: usize, config: &Config) -> Verdict {
+    /// What the crashes show about a request, or a part of prompts, of which this many attempts ended
+    /// well.
+    pub(super) fn verdict(
+        &self,
+        kind: FingerprintKind,
+        ended_well: usize,
+        config: &Config,
+    ) -> Verdict {
+        match kind {
+            FingerprintKind::Request => self.verdict_on_request(ended_well, config),
+            FingerprintKind::Part => self.verdict_on_part(ended_well, config),
+        }
+    }
+
+    /// No request ends well with a part that crashes servers. Where one did, either others crashed
+    /// the servers, or the servers have changed since: the next attempts show which.
+    fn verdict_on_part(&self, ended_well: usize, config: &Config) -> Verdict {
+        let Config { min_part_starts, extra_crashes, .. } = *config;
+        let at_start = self.at_start();
+        let is_enough = |extra| at_start >= min_part_starts + extra;
+        if !is_enough(0) {
+            Verdict::TooFew
+        } else if ended_well == 0 || (ended_well < at_start && is_enough(2 * extra_crashes)) {
+            Verdict::Culprit
+        } else if ended_well < at_start && is_enough(extra_crashes) {
+            Verdict::Inconsistent
+        } else {
+            Verdict::EndsWell
+        }
+    }
+
+    fn verdict_on_request(&self, ended_well: usize, config: &Config) -> Verdict {
         let Config { min_crashes, min_starts, extra_crashes, .. } = *config;
         let (all, at_start) = (self.progress.len(), self.at_start());
         let is_enough = |extra| all >= min_crashes + extra || at_start >= min_starts + extra;
@@ -87,14 +119,23 @@
     }
 }
 
-/// The [`Count`] of each request.
-#[derive(Default)]
-pub(super) struct Counts(HashMap<Fingerprint, Count>);
+/// The [`Count`] of each request, or of each part.
+pub(super) struct Counts {
+    kind: FingerprintKind,
+    counts: HashMap<Fingerprint, Count>,
+}
 
 impl Counts {
+    /// No crashes yet, for fingerprints of one kind.
+    pub(super) fn new(kind: FingerprintKind) -> Counts {
+        Counts { kind, counts: HashMap::new() }
+    }
+
     pub(super) fn add(&mut self, crash: &Merged) {
         for (fingerprint, suspect) in &crash.suspects {
-            self.0.entry(*fingerprint).or_default().progress.push(*suspect);
+            if fingerprint.kind() == self.kind {
+                self.counts.entry(*fingerprint).or_default().progress.push(*suspect);
+            }
         }
     }
 
@@ -104,7 +145,7 @@
         crash: &Merged,
         verdict: impl Fn(Fingerprint, &Count) -> Verdict,
     ) -> Vec<Fingerprint> {
-        let counted = crash.suspects.keys().map(|one| (&self.0[one], *one));
+        let counted = crash.suspects.keys().filter_map(|one| Some((self.counts.get(one)?, *one)));
         let culprits: Vec<(Millis, Fingerprint)> = counted
             .filter(|(count, one)| verdict(*one, count) == Verdict::Culprit)
             .map(|(count, one)| (count.longest(), one))
@@ -117,8 +158,8 @@
             .collect()
     }
 
-    /// Each request with its count.
+    /// Each of them with its count.
     pub(super) fn iter(&self) -> impl Iterator<Item = (Fingerprint, &Count)> {
-        self.0.iter().map(|(fingerprint, count)| (*fingerprint, count))
+        self.counts.iter().map(|(fingerprint, count)| (*fingerprint, count))
     }
 }
--- a/crates/core/src/direct/crashes/exposure.rs
+++ b/crates/core/src/direct/crashes/exposure.rs
@@ -15,6 +15,7 @@
 use crate::direct::crashes::report::Stage;
 use crate::direct::crashes::report::Suspect;
 use crate::direct::fingerprint::Fingerprint;
+use crate::direct::fingerprint::FingerprintKind;
 use crate::util::hash;
 
 /// Maximum count that a gateway reports for one request: more endings change nothing.
@@ -24,6 +25,9 @@
 /// counts, so that gateways which merge in any order store the same ones.
 const MAX_REPORTERS: usize = 4;
 
+/// Shortest time between two recorded attempts with the same part in their prompts.
+const PART_INTERVAL: Millis = Millis(1_000);
+
 /// How far a request got in an attempt whose server did not crash.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Extent {
@@ -74,8 +78,14 @@
 }
 
 impl Exposure {
-    /// Records an attempt that ended here, and removes the oldest above `max`.
+    /// Records an attempt that ended here, and removes the oldest above `max`. Of a part that many
+    /// requests share, one attempt in an interval is enough.
     pub(super) fn add(&mut self, ending: Ending, max: usize) {
+        let is_part = ending.fingerprint.kind() == FingerprintKind::Part;
+        let last = || self.recent(ending.fingerprint).next();
+        if is_part && last().is_some_and(|last| ending.at.since(last.at) < PART_INTERVAL) {
+            return;
+        }
         while self.recent.len() >= max.max(1) {
             self.recent.pop_front();
         }
--- a/crates/core/src/direct/unconfirmed_endings.rs
+++ b/crates/core/src/direct/unconfirmed_endings.rs
@@ -11,7 +11,7 @@
 use crate::direct::truncated_answers::RETENTION;
 
 /// Maximum number of attempts that are stored for one server; the oldest are removed first.
-const MAX_ATTEMPTS: usize = 32;
+const MAX_ATTEMPTS: usize = 64;
 
 /// An attempt that ended at `at`, after the request had got as far as `extent`.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- /dev/null
+++ b/crates/core/tests/crashing_parts.rs
@@ -0,0 +1,192 @@
+//! Guards against two failures: a part of prompts that crashes servers is not refused, because no two
+//! requests with it are alike, or a sound part is refused in its place, because it is in the same
+//! requests. There are tests of single rules, and of what gateways exchange and store.
+
+use hooktrestle_core::clock::Millis;
+use hooktrestle_core::direct::crashes::Cleared;
+use hooktrestle_core::direct::crashes::Config;
+use hooktrestle_core::direct::crashes::Crash;
+use hooktrestle_core::direct::crashes::Crashes;
+use hooktrestle_core::direct::crashes::Quarantine;
+use hooktrestle_core::direct::crashes::Reporter;
+use hooktrestle_core::direct::crashes::ServerIncarnation;
+use hooktrestle_core::direct::crashes::Stage;
+use hooktrestle_core::direct::crashes::Suspect;
+use hooktrestle_core::direct::fingerprint::Fingerprint;
+use hooktrestle_core::direct::fingerprint::FingerprintKind;
+use hooktrestle_core::direct::fingerprint::Fingerprints;
+
+const NOW: Millis = Millis(50_000);
+
+/// Number of crashes from which requests with a part are refused.
+const MIN_CRASHES: u64 = 3;
+
+fn part(id: &str) -> Fingerprint {
+    Fingerprint::of_part("hints", id)
+}
+
+/// A crash as a request of its own began there, with these parts in its prompt.
+fn crash(server: u64, ids: &[&str]) -> Crash {
+    let whole = Fingerprint::of("/flow/9", Some("paper"), &server.to_le_bytes());
+    let all = std::iter::once(whole).chain(ids.iter().map(|id| part(id)));
+    let suspects =
+        all.map(|fingerprint| Suspect { fingerprint, ran: Millis(90), stage: Stage::Starting });
+    Crash {
+        server: ServerIncarnation(server),
+        reporter: Reporter(1),
+        age: Millis::ZERO,
+        age_error: Millis::ZERO,
+        suspects: suspects.collect(),
+    }
+}
+
+fn with_crashes(count: u64, ids: &[&str]) -> Crashes {
+    let mut crashes = Crashes::new(Config::default(), Reporter(1));
+    for server in 0..count {
+        crashes.record(&crash(server, ids), NOW);
+    }
+    crashes
+}
+
+#[test]
+fn fingerprints_of_requests_and_parts_are_told_apart() {
+    let whole = Fingerprint::of("/a", None, b"body");
+    assert_eq!(whole.kind(), FingerprintKind::Request);
+    assert_eq!(part("1f").kind(), FingerprintKind::Part);
+    assert_ne!(part("1f"), Fingerprint::of_part("others", "1f"), "of another service");
+    let many: Vec<String> = (0..100).map(|number| number.to_string()).collect();
+    let ids = |count: usize| many[..count].iter().map(String::as_str);
+    for (count, shared) in [(0, 0), (1, 0), (3, 2), (100, 8)] {
+        let all = Fingerprints::new(whole, "hints", ids(count));
+        assert_eq!(all.parts.len(), shared, "{count}: the last one is the request's own");
+        assert_eq!(all.iter().next(), Some(whole));
+    }
+}
+
+#[test]
+fn a_part_at_enough_crashes_of_different_requests_is_refused() {
+    let mut crashes = with_crashes(MIN_CRASHES - 1, &["bad"]);
+    assert_eq!(crashes.refused(NOW), []);
+    assert_eq!(crashes.quarantine(part("bad"), NOW), Quarantine::Free);
+    crashes.record(&crash(MIN_CRASHES, &["bad"]), NOW);
+    assert_eq!(crashes.refused(NOW), [part("bad")]);
+    assert_eq!(crashes.refused_for(part("bad"), NOW), Some(Config::default().report_ttl));
+    assert_eq!(crashes.worth_storing(NOW).into_iter().collect::<Vec<_>>(), [part("bad")]);
+    // What was there beside it is free.
+    let whole = crash(1, &[]).suspects[0].fingerprint;
+    assert_eq!(crashes.quarantine(whole, NOW), Quarantine::Free);
+}
+
+#[test]
+fn a_part_is_not_refused_for_crashes_of_one_request() {
+    let mut crashes = Crashes::new(Config::default(), Reporter(1));
+    for server in 0..4 {
+        let same = crash(0, &["shared"]);
+        crashes.record(&Crash { server: ServerIncarnation(server), ..same }, NOW);
+    }
+    assert_eq!(crashes.refused(NOW), [crash(0, &[]).suspects[0].fingerprint]);
+    assert_eq!(crashes.quarantine(part("shared"), NOW), Quarantine::Free);
+}
+
+#[test]
+fn a_part_whose_requests_complete_is_not_taken_for_the_cause() {
+    let mut crashes = Crashes::new(Config::default(), Reporter(1));
+    crashes.record_completed(part("common"), NOW - Millis(2_000));
+    for server in 0..MIN_CRASHES {
+        crashes.record(&crash(server, &["common", "bad"]), NOW);
+    }
+    assert_eq!(crashes.refused(NOW), [part("bad")]);
+    assert_eq!(crashes.quarantine(part("common"), NOW), Quarantine::Free);
+    assert_eq!(crashes.worth_storing(NOW).len(), 1, "only what is refused is stored");
+}
+
+/// Two parts of which nothing else is known are tried one at a time, which shows the sound one.
+#[test]
+fn parts_that_crashes_do_not_tell_apart_are_tried_one_at_a_time() {
+    let mut crashes = with_crashes(MIN_CRASHES, &["common", "bad"]);
+    assert_eq!(crashes.refused(NOW), []);
+    let later = NOW + Millis(11_000);
+    for id in ["common", "bad"] {
+        assert!(matches!(crashes.quarantine(part(id), NOW), Quarantine::HeldBack(_)), "{id}");
+        assert_eq!(crashes.quarantine(part(id), later), Quarantine::OneAtATime, "{id}");
+    }
+    crashes.record_completed(part("common"), later);
+    assert_eq!(crashes.refused(later), [part("bad")]);
+    assert_eq!(crashes.quarantine(part("common"), later), Quarantine::Free);
+    // Without that, both are refused at last.
+    let crashes = with_crashes(MIN_CRASHES + 4, &["common", "bad"]);
+    assert_eq!(crashes.refused(NOW).len(), 2);
+}
+
+/// Servers may have changed since requests with a part completed.
+#[test]
+fn a_part_that_completed_before_many_crashes_is_tried_and_then_refused() {
+    let mut crashes = Crashes::new(Config::default(), Reporter(1));
+    crashes.record_completed(part("bad"), NOW - Millis(2_000));
+    let seen: Vec<(Quarantine, usize)> = (0..8)
+        .map(|server| {
+            crashes.record(&crash(server, &["bad"]), NOW);
+            (crashes.quarantine(part("bad"), NOW), crashes.refused(NOW).len())
+        })
+        .collect();
+    assert!(seen[..4].iter().all(|one| *one == (Quarantine::Free, 0)), "{seen:?}");
+    assert!(seen[4..6].iter().all(|one| *one == (Quarantine::OneAtATime, 0)), "{seen:?}");
+    assert!(seen[6..].iter().all(|(_, refused)| *refused == 1), "{seen:?}");
+}
+
+#[test]
+fn a_part_beyond_the_beginning_of_an_answer_does_not_count() {
+    let mut crashes = Crashes::new(Config::default(), Reporter(1));
+    for server in 0..10 {
+        let mut report = crash(server, &["sound"]);
+        report.suspects[1].stage = Stage::Running;
+        crashes.record(&report, NOW);
+    }
+    assert_eq!(crashes.refused(NOW), []);
+    assert_eq!(crashes.quarantine(part("sound"), NOW), Quarantine::Free);
+}
+
+/// A gateway that starts late, or restarts, knows what the others know.
+#[test]
+fn a_late_gateway_receives_what_is_known_of_parts() {
+    let mut known = Crashes::new(Config::default(), Reporter(1));
+    known.record_completed(part("common"), NOW - Millis(2_000));
+    for server in 0..MIN_CRASHES {
+        known.record(&crash(server, &["common", "bad"]), NOW);
+    }
+    let mut late = Crashes::new(Config::default(), Reporter(2));
+    for count in known.ending_counts(NOW) {
+        late.merge_ending_count(count, NOW);
+    }
+    let (reports, _) = known.compare(&[], NOW);
+    for report in &reports {
+        late.record(report, NOW);
+    }
+    assert_eq!(late.refused(NOW), [part("bad")]);
+    assert_eq!(late.quarantine(part("common"), NOW), Quarantine::Free);
+    // Crashes as the platform stores them, for a gateway without peers.
+    let mut restarted = Crashes::new(Config::default(), Reporter(3));
+    for report in &known.crashes_of(part("bad"), NOW) {
+        restarted.record(report, NOW);
+    }
+    assert_eq!(restarted.refused(NOW), [part("bad")]);
+    restarted.clear(Cleared { fingerprint: part("bad"), age: Millis::ZERO }, NOW);
+    assert_eq!(restarted.refused(NOW), [], "a completion frees it");
+}
+
+#[test]
+fn memory_of_parts_is_bounded() {
+    let config = Config::default();
+    let mut crashes = Crashes::new(config, Reporter(1));
+    let ids: Vec<String> = (0..60).map(|number| number.to_string()).collect();
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    for server in 0..400 {
+        crashes.record(&crash(server, &ids), NOW + Millis(server));
+    }
+    let end = NOW + Millis(1_000);
+    let digests = crashes.report_digests(end);
+    assert_eq!(digests.len(), config.max_crashes);
+    let known: Vec<_> = digests.iter().map(|(id, _)| *id).collect();
+    let reports = crashes.reports_by_id(&known, end);
+    assert!(reports.iter().all(|one| one.suspects.len() <= config.max_suspects));
+}
--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -184,9 +184,9 @@
             Err(Refusal::not_run(Cause::Leaving).retry_after(Millis::ZERO))
         }
         Ok(mut request) => {
-            let trial = gateway.begin_trial_if_suspect(request.fingerprints.whole).await;
-            request.trial =
-                trial.map_err(|(cause, left)| Refusal::not_run(cause).retry_after(left))?;
+            let trials = gateway.begin_trials_if_suspect(&request.fingerprints).await;
+            request.trials =
+                trials.map_err(|(cause, left)| Refusal::not_run(cause).retry_after(left))?;
             admit_stream(gateway, &mut request).await?;
             let reply = forward::forward(gateway, &request).await;
             Ok((request, reply))
--- a/crates/direct/src/crash_sync.rs
+++ b/crates/direct/src/crash_sync.rs
@@ -131,7 +131,7 @@
     let mut put: Vec<StoredCrashes> = gateway.crashes_to_store();
     put.retain(|row| stored.get(&row.fingerprint) != Some(&evidence(row)));
     put.truncate(MAX_ROWS);
-    let wanted = gateway.with_crashes(|crashes| crashes.repeat_suspects(gateway.now()));
+    let wanted = gateway.with_crashes(|crashes| crashes.worth_storing(gateway.now()));
     let expired = stored.keys().filter(|fingerprint| !wanted.contains(fingerprint));
     let expired: Vec<Fingerprint> = expired.take(MAX_ROWS).copied().collect();
     if put.is_empty() && expired.is_empty() {
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::attempts::Fate;
-use hooktrestle_core::direct::fingerprint::Fingerprint;
+use hooktrestle_core::direct::fingerprint::Fingerprints;
 use hooktrestle_core::direct::overtaken;
 use hooktrestle_core::direct::pool::AttemptOutcome;
 use hooktrestle_core::direct::pool::Server;
@@ -65,7 +65,7 @@
     objective: Millis,
     /// Whether a connection to the server was open.
     connected: Cell<bool>,
-    fingerprint: Fingerprint,
+    fingerprints: Fingerprints,
     /// How far the request got at the server, until the end of the answer or a failure is recorded.
     progress: Cell<Option<Progress>>,
     /// Outcome of the attempt, once it is known.
@@ -89,7 +89,7 @@
             began_at: gateway.now(),
             objective: request.route().objective_ms,
             connected: Cell::new(false),
-            fingerprint: request.fingerprints.whole,
+            fingerprints: request.fingerprints.clone(),
             progress: Cell::new(None),
             outcome: None,
             gateway,
@@ -135,7 +135,7 @@
             return self.gateway.with_pool(|pool| pool.undo_choice(self.server, self.cost));
         }
         if let Some(progress) = self.progress.get() {
-            self.gateway.record_ended_attempt(self.server, self.fingerprint, progress);
+            self.gateway.record_ended_attempt(self.server, &self.fingerprints, progress);
         }
         let now = self.gateway.now();
         // Without an outcome, either the deadline has passed or the caller has disconnected. The
@@ -369,7 +369,7 @@
                 gateway.metrics.overtaken.inc();
                 guard.set_progress(None);
                 gateway
-                    .record_truncated_answer(server, request.fingerprints.whole, Progress::Sent(sent_at))
+                    .record_truncated_answer(server, &request.fingerprints, Progress::Sent(sent_at))
                     .await;
                 return Err(NoAnswer { fate: Fate::MayHaveRun, outcome: AttemptOutcome::Overtaken });
             }
@@ -386,7 +386,7 @@
                     gateway
                         .record_truncated_answer(
                             server,
-                            request.fingerprints.whole,
+                            &request.fingerprints,
                             Progress::Sent(sent_at),
                         )
                         .await;
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -56,7 +56,7 @@
     gateway.count_request(&request.service);
     let route = request.route();
     // A trial that ends without an answer may have crashed its server: no second server gets it.
-    let is_repeatable = route.is_repeatable() && request.trial.is_none();
+    let is_repeatable = route.is_repeatable() && request.trials.is_empty();
     let mut attempts = Attempts::new(route.max_attempts, is_repeatable);
     let trying = try_servers(gateway, request, &mut attempts);
     let tried = gateway.clock.timeout_at(request.deadline, trying).await;
@@ -88,7 +88,7 @@
         if gateway.now() >= request.deadline {
             return ForwardOutcome::Refused(attempts.refuse(Cause::DeadlinePassed));
         }
-        if let Some((cause, left)) = gateway.crash_refusal(request.fingerprints.whole) {
+        if let Some((cause, left)) = gateway.crash_refusal(&request.fingerprints) {
             return ForwardOutcome::Refused(attempts.refuse_with_retry_after(cause, left));
         }
         let Some(guard) = next_attempt(gateway, request, attempts).await else {
@@ -234,7 +234,7 @@
             gateway.connections.put_back(connection);
             if head.status.is_success() {
                 guard.set_progress(None);
-                gateway.record_completed_request(server, request.fingerprints.whole, completion);
+                gateway.record_completed_request(server, &request.fingerprints, completion);
             }
             Some((head, collected.to_bytes()))
         }
@@ -242,7 +242,7 @@
             guard.end(AttemptOutcome::Lost);
             guard.set_progress(None);
             let progress = Progress::Running(began_at);
-            gateway.record_truncated_answer(server, request.fingerprints.whole, progress).await;
+            gateway.record_truncated_answer(server, &request.fingerprints, progress).await;
             None
         }
     }
--- a/crates/direct/src/gateway/crashes.rs
+++ b/crates/direct/src/gateway/crashes.rs
@@ -25,6 +25,8 @@
 use hooktrestle_core::direct::crashes::Stage;
 use hooktrestle_core::direct::crashes::Suspect;
 use hooktrestle_core::direct::fingerprint::Fingerprint;
+use hooktrestle_core::direct::fingerprint::FingerprintKind;
+use hooktrestle_core::direct::fingerprint::Fingerprints;
 use hooktrestle_core::direct::permits::Grant;
 use hooktrestle_core::direct::pool::Server;
 use hooktrestle_core::direct::truncated_answers::TruncatedAnswers;
@@ -69,9 +71,14 @@
         }
     }
 
-    fn suspect(self, fingerprint: Fingerprint, now: Millis) -> Suspect {
+    /// What was at a server whose answer was truncated now. The parts of a prompt are suspect if the
+    /// answer was just beginning.
+    fn suspects(self, fingerprints: &Fingerprints, now: Millis) -> impl Iterator<Item = Suspect> {
         let (at, stage) = self.parts();
-        Suspect { fingerprint, ran: now.since(at), stage }
+        let ran = now.since(at);
+        let parts = fingerprints.parts.iter().filter(move |_| stage == Stage::Starting).copied();
+        let all = std::iter::once(fingerprints.whole).chain(parts);
+        all.map(move |fingerprint| Suspect { fingerprint, ran, stage })
     }
 
     fn extent(self, now: Millis) -> Extent {
@@ -122,8 +129,8 @@
     was_accepted: bool,
 }
 
-/// A trial of a request that began at a server just as the server crashed: all gateways together
-/// send such a request to one server at a time. The trial ends when this value is dropped.
+/// A trial of a request that began at a server just as the server crashed, or of a part of prompts: all
+/// gateways together send such a request to one server at a time. The trial ends when this value is dropped.
 pub struct Trial<P: Platform> {
     gateway: Rc<Gateway<P>>,
     fingerprint: Fingerprint,
@@ -154,33 +161,51 @@
 
 impl<P: Platform> Gateway<P> {
     /// Why a request is not sent to any server and for how much longer, if that is so: servers
-    /// crashed while running it, or one did just as the request began there.
-    pub fn crash_refusal(&self, fingerprint: Fingerprint) -> Option<(Cause, Millis)> {
+    /// crashed while running it or others with a part of its prompt, or one did just as the request
+    /// began there.
+    pub fn crash_refusal(&self, fingerprints: &Fingerprints) -> Option<(Cause, Millis)> {
         let now = self.now();
         let crashes = self.crashes.borrow();
-        if let Some(left) = crashes.refused_for(fingerprint, now) {
+        let refused = fingerprints.iter().filter_map(|one| crashes.refused_for(one, now)).max();
+        if let Some(left) = refused {
             return Some((Cause::CrashesServers, left));
         }
-        let Quarantine::HeldBack(left) = crashes.quarantine(fingerprint, now) else { return None };
-        Some((Cause::CrashSuspect, left))
+        let held = fingerprints.iter().filter_map(|one| match crashes.quarantine(one, now) {
+            Quarantine::HeldBack(left) => Some(left),
+            Quarantine::Free | Quarantine::OneAtATime => None,
+        });
+        held.max().map(|left| (Cause::CrashSuspect, left))
     }
 
-    /// Begins a request; returns a trial if the request is to be sent one at a time.
+    /// Begins a request; returns its trials if it, or requests with a part of its prompt, are to be
+    /// sent one at a time.
     ///
     /// # Errors
     ///
-    /// The request is refused or held back, or it is on trial and another trial of it is in flight:
-    /// the cause, and for how much longer.
-    pub async fn begin_trial_if_suspect(
+    /// The request is refused or held back, or it is on trial and another trial is in flight: the
+    /// cause, and for how much longer.
+    pub async fn begin_trials_if_suspect(
         self: &Rc<Self>,
-        fingerprint: Fingerprint,
-    ) -> Result<Option<Trial<P>>, (Cause, Millis)> {
-        if let Some(refusal) = self.crash_refusal(fingerprint) {
+        fingerprints: &Fingerprints,
+    ) -> Result<Vec<Trial<P>>, (Cause, Millis)> {
+        if let Some(refusal) = self.crash_refusal(fingerprints) {
             return Err(refusal);
         }
-        if self.crashes.borrow().quarantine(fingerprint, self.now()) != Quarantine::OneAtATime {
-            return Ok(None);
+        let mut trials = Vec::new();
+        for fingerprint in fingerprints.iter() {
+            let now = self.now();
+            let quarantine = self.with_crashes(|crashes| crashes.quarantine(fingerprint, now));
+            if quarantine == Quarantine::OneAtATime {
+                trials.push(self.begin_trial(fingerprint).await?);
+            }
         }
+        Ok(trials)
+    }
+
+    async fn begin_trial(
+        self: &Rc<Self>,
+        fingerprint: Fingerprint,
+    ) -> Result<Trial<P>, (Cause, Millis)> {
         if !self.crash_detection.borrow_mut().on_trial.insert(fingerprint) {
             return Err((Cause::CrashSuspect, TRIAL_INTERVAL));
         }
@@ -188,7 +213,7 @@
         // Without a reply this gateway can only limit its own trials to one at a time.
         match permits::request_permits(self, PermitRequest::Trial(fingerprint)).await {
             Some(Grant { permits: 0, retry_in }) => Err((Cause::CrashSuspect, retry_in)),
-            Some(_) | None => Ok(Some(trial)),
+            Some(_) | None => Ok(trial),
         }
     }
 
@@ -205,11 +230,11 @@
     pub async fn record_truncated_answer(
         self: &Rc<Self>,
         server: Key<Server>,
-        fingerprint: Fingerprint,
+        fingerprints: &Fingerprints,
         progress: Progress,
     ) {
         let now = self.now();
-        let suspect = progress.suspect(fingerprint, now);
+        let is_starting = matches!(progress, Progress::Starting(_));
         let (status, is_probing) = {
             let mut detection = self.crash_detection.borrow_mut();
             detection.truncations.retain(|_, truncations| !truncations.answers.is_expired(now));
@@ -220,13 +245,16 @@
                     is_probing: false,
                     was_accepted: false,
                 });
-            truncations.answers.add(suspect, now);
+            for suspect in progress.suspects(fingerprints, now) {
+                truncations.answers.add(suspect, now);
+            }
             (truncations.status, truncations.is_probing)
         };
         if status == CrashStatus::Confirmed {
             self.report(server);
-        } else if suspect.stage == Stage::Starting
-            || self.with_crashes(|crashes| crashes.is_one_crash_from_refusal(fingerprint, now))
+        } else if is_starting
+            || self
+                .with_crashes(|crashes| crashes.is_one_crash_from_refusal(fingerprints.whole, now))
         {
             self.probe(server).await;
         } else if !is_probing {
@@ -325,7 +353,9 @@
         }
         let incarnation = self.with_pool(|pool| {
             let listed = &pool.server(server).listed;
-            let count = suspects.len();
+            let requests =
+                suspects.iter().filter(|one| one.fingerprint.kind() == FingerprintKind::Request);
+            let count = requests.count();
             self.event_log
                 .state(format_args!("server {} crashed while running {count} requests", listed.id));
             ServerIncarnation::of(&listed.id, listed.started_unix_ms)
@@ -363,34 +393,48 @@
     pub fn record_ended_attempt(
         &self,
         server: Key<Server>,
-        fingerprint: Fingerprint,
+        fingerprints: &Fingerprints,
         progress: Progress,
     ) {
-        self.add_unconfirmed(server, fingerprint, progress.extent(self.now()));
+        self.add_unconfirmed(server, fingerprints, progress.extent(self.now()));
     }
 
     /// Records that a request got its complete answer from a server.
     pub fn record_completed_request(
         &self,
         server: Key<Server>,
-        fingerprint: Fingerprint,
+        fingerprints: &Fingerprints,
         completion: Completion,
     ) {
         let now = self.now();
         if completion == Completion::Unconfirmed {
-            return self.add_unconfirmed(server, fingerprint, Extent::Completed);
+            self.add_unconfirmed(server, fingerprints, Extent::Completed);
         }
-        let outcome = self.crashes.borrow_mut().record_completed(fingerprint, now);
-        self.act_on(outcome, now);
+        // Whatever became of the server: the answer has got beyond its beginning, which is all that
+        // counts for the parts of the prompt.
+        let is_counted = |one: &Fingerprint| {
+            completion == Completion::Confirmed || one.kind() == FingerprintKind::Part
+        };
+        let outcome = {
+            let mut crashes = self.crashes.borrow_mut();
+            let counted = fingerprints.iter().filter(is_counted);
+            counted.map(|one| crashes.record_completed(one, now)).max()
+        };
+        self.act_on(outcome.unwrap_or(MergeOutcome::Unchanged), now);
     }
 
-    /// Records how an attempt ended, which counts once its server answers a later request.
-    fn add_unconfirmed(&self, server: Key<Server>, fingerprint: Fingerprint, extent: Extent) {
+    /// Records how an attempt ended, which counts once its server answers a later request. For the
+    /// parts of its prompt it counts if the answer had got beyond its beginning.
+    fn add_unconfirmed(&self, server: Key<Server>, fingerprints: &Fingerprints, extent: Extent) {
         let now = self.now();
         let mut detection = self.crash_detection.borrow_mut();
         detection.unconfirmed.retain(|_, unconfirmed| !unconfirmed.is_expired(now));
-        let attempt = EndedAttempt { fingerprint, extent, at: now };
-        detection.unconfirmed.entry(server).or_default().add(attempt);
+        let has_begun = matches!(extent, Extent::Completed | Extent::Ended(Stage::Running, _));
+        let parts = fingerprints.parts.iter().filter(|_| has_begun).copied();
+        let unconfirmed = detection.unconfirmed.entry(server).or_default();
+        for fingerprint in std::iter::once(fingerprints.whole).chain(parts) {
+            unconfirmed.add(EndedAttempt { fingerprint, extent, at: now });
+        }
     }
 
     /// Merges crashes that were detected here or reported by another gateway, completed requests
@@ -424,17 +468,17 @@
             self.crashes.borrow().refused(now).into_iter().collect();
         self.metrics.crashing_known.set(refused.len() as i64);
         let mut detection = self.crash_detection.borrow_mut();
-        for fingerprint in refused.difference(&detection.refusals_logged) {
-            let number = fingerprint.0;
-            self.event_log.state(format_args!(
-                "request with fingerprint {number} is refused: servers crashed while running it"
-            ));
+        let subject = |one: &Fingerprint| match one.kind() {
+            FingerprintKind::Request => format!("request with fingerprint {}", one.0),
+            FingerprintKind::Part => format!("every request with prompt part {}", one.0),
+        };
+        for one in refused.difference(&detection.refusals_logged) {
+            let subject = subject(one);
+            self.event_log
+                .state(format_args!("{subject} is refused: servers crashed while running it"));
         }
-        for fingerprint in detection.refusals_logged.difference(&refused) {
-            self.event_log.state(format_args!(
-                "request with fingerprint {} is no longer refused",
-                fingerprint.0
-            ));
+        for one in detection.refusals_logged.difference(&refused) {
+            self.event_log.state(format_args!("{} is no longer refused", subject(one)));
         }
         detection.refusals_logged = refused;
     }
@@ -449,14 +493,14 @@
         act(&self.crashes.borrow())
     }
 
-    /// Removes expired crashes; returns the requests that were at more than one crash, of which
-    /// this gateway detected one.
+    /// Removes expired crashes; returns what a new process is to know of and was at a crash that this
+    /// gateway detected.
     pub fn crashes_to_store(&self) -> Vec<StoredCrashes> {
         let now = self.now();
         self.crashes.borrow_mut().remove_expired(now);
         self.log_refused(now);
         let crashes = self.crashes.borrow();
-        let candidates = crashes.repeat_suspects(now);
+        let candidates = crashes.worth_storing(now);
         let mut detection = self.crash_detection.borrow_mut();
         detection.own.retain(|one| crashes.is_suspect(*one));
         let rows = detection.own.intersection(&candidates).map(|one| StoredCrashes {
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -204,8 +204,8 @@
 fn complete<P: Platform>(relay: &mut Relay<P>, completion: Completion) -> Option<Bytes> {
     if let Some(source) = relay.source.take() {
         source.guard.set_progress(None);
-        let (server, fingerprint) = (source.guard.server(), relay.request.fingerprints.whole);
-        relay.gateway.record_completed_request(server, fingerprint, completion);
+        let (server, fingerprints) = (source.guard.server(), &relay.request.fingerprints);
+        relay.gateway.record_completed_request(server, fingerprints, completion);
         source.recycle(&relay.gateway);
     }
     relay.gateway.metrics.answered.inc();
@@ -220,7 +220,7 @@
     if resume(relay, LeaveReason::BrokenOff).await {
         return true;
     }
-    if relay.gateway.crash_refusal(relay.request.fingerprints.whole).is_some() {
+    if relay.gateway.crash_refusal(&relay.request.fingerprints).is_some() {
         // The caller retries at once at any gateway, so the crash is reported to the other gateways
         // first.
         relay.gateway.await_urgent_gossip().await;
@@ -245,7 +245,7 @@
     let progress = if is_starting { Progress::Starting } else { Progress::Running };
     let (server, progress) = (source.guard.server(), progress(source.began_at));
     source.guard.set_progress(None);
-    relay.gateway.record_truncated_answer(server, relay.request.fingerprints.whole, progress).await;
+    relay.gateway.record_truncated_answer(server, &relay.request.fingerprints, progress).await;
 }
 
 /// The next item of the source; `None` if the stream has ended.
@@ -340,7 +340,7 @@
 ) -> bool {
     let Relay { gateway, request, attempts, events, resumable, .. } = relay;
     let can_resume = *resumable && !events.is_event_split();
-    let is_allowed = can_resume && gateway.crash_refusal(request.fingerprints.whole).is_none();
+    let is_allowed = can_resume && gateway.crash_refusal(&request.fingerprints).is_none();
     let covered = || is_allowed && gateway.take_retry(&request.service);
     let next = attempts.after_failure(server, fate, covered);
     let step = LeaveStep {
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -101,8 +101,8 @@
     pub priority: u8,
     /// Its place among the admitted streams, if it is a stream that was admitted.
     pub admitted_stream: Option<AdmittedStream>,
-    /// Its trial, if it is a crash suspect that is tried one at a time.
-    pub trial: Option<Trial<P>>,
+    /// Its trials, if it or a part of its prompt is a crash suspect that is tried one at a time.
+    pub trials: Vec<Trial<P>>,
 }
 
 impl<P: Platform> Request<P> {
@@ -232,7 +232,7 @@
         received_at,
         priority,
         admitted_stream: None,
-        trial: None,
+        trials: Vec::new(),
     })
 }
 
