Crash evidence: a part explains crashes before requests that were at two of them each

Where addresses accept connections to servers that are down, a crash is known late, and a request with a part that crashes servers is resumed at a second one meanwhile. Crashes now count for a part first, unless one request was at most of them.

--- a/crates/core/src/direct/crashes/attribution.rs
+++ b/crates/core/src/direct/crashes/attribution.rs
@@ -2,10 +2,10 @@
 //! Input: the crashes with what was at each, and how often each of these ended well. It has no
 //! state. Decides which of them are refused, and which are sent one attempt at a time.
 //!
-//! A request that was at enough crashes explains them, and they do not count against what else was
-//! there. What no request explains may be due to a part that different requests share. It counts as
-//! there if such a request was just beginning: a part that crashes servers does so whatever else the
-//! request holds, while other requests with a sound part complete.
+//! What was at enough crashes explains them, and they do not count against what else was there. A
+//! part counts as there if a request with it was just beginning: a part that crashes servers does so
+//! whatever else the request holds, while other requests with a sound part complete. If one request
+//! was at most of the crashes of a part, the request is the cause, else the part is.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -38,25 +38,25 @@
 ) -> Attribution {
     let mut by_age: Vec<(&ServerIncarnation, &Merged)> = merged.iter().collect();
     by_age.sort_by_key(|(server, crash)| (Reverse(crash.age), **server));
+    let by_age: Vec<&Merged> = by_age.into_iter().map(|(_, crash)| crash).collect();
     let mut found = Attribution::default();
-    let unexplained = attribute_to_requests(by_age, &ended_well, config, &mut found);
-    attribute_to_parts(unexplained, &ended_well, config, &mut found);
+    attribute_to_parts(by_age.clone(), &ended_well, config, &mut found);
+    attribute_to_requests(by_age, &ended_well, config, &mut found);
     found
 }
 
 /// Crash by crash from the oldest on. Of several requests at the same crashes, the one with the
-/// shortest run time is taken as the cause: the others had usually been there before it. Returns the
-/// crashes that no request explains.
-fn attribute_to_requests<'a>(
-    by_age: Vec<(&ServerIncarnation, &'a Merged)>,
+/// shortest run time is taken as the cause: the others had usually been there before it.
+fn attribute_to_requests(
+    by_age: Vec<&Merged>,
     ended_well: &impl Fn(Fingerprint) -> usize,
     config: &Config,
     found: &mut Attribution,
-) -> Vec<&'a Merged> {
+) {
     let kind = FingerprintKind::Request;
     let mut unexplained: Vec<&Merged> = Vec::new();
     let mut counts = Counts::new(kind);
-    for (_, crash) in by_age {
+    for crash in by_age {
         if found.culprits.iter().any(|one| crash.suspects.contains_key(one)) {
             continue;
         }
@@ -79,7 +79,14 @@
             Verdict::TooFew | Verdict::Culprit => None,
         }
     }));
-    unexplained
+}
+
+/// Whether one request was at more than half of the crashes at which a part was just beginning.
+fn is_of_one_request(part: Fingerprint, crashes: &[&Merged]) -> bool {
+    let mut counts = Counts::new(FingerprintKind::Request);
+    let with_part: Vec<&&Merged> = crashes.iter().filter(|it| it.was_at_start(part)).collect();
+    with_part.iter().for_each(|crash| counts.add(crash));
+    counts.iter().any(|(_, count)| 2 * count.at_start() > with_part.len())
 }
 
 /// The part at most crashes first. Another part that was at most of the same crashes, and of which no
@@ -97,7 +104,9 @@
         unexplained.iter().for_each(|crash| counts.add(crash));
         let verdict =
             |one: Fingerprint, count: &Count| count.verdict(kind, ended_well(one), config);
-        let suspects = counts.iter().filter(|(one, it)| verdict(*one, it) == Verdict::Culprit);
+        let suspects = counts.iter().filter(|(one, it)| {
+            verdict(*one, it) == Verdict::Culprit && !is_of_one_request(*one, &unexplained)
+        });
         let mut suspects: Vec<(usize, Fingerprint)> =
             suspects.map(|(one, count)| (count.at_start(), one)).collect();
         suspects.sort();
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -88,6 +88,18 @@
     assert_eq!(crashes.quarantine(part("shared"), NOW), Quarantine::Free);
 }
 
+/// Guards against a part that is never found because each request with it is at two crashes: it was
+/// resumed at a second server before the first was known to have crashed.
+#[test]
+fn a_part_at_crashes_of_requests_that_each_crash_two_servers_is_refused() {
+    let mut crashes = Crashes::new(Config::default(), Reporter(1));
+    for server in 0..6 {
+        let same = crash(server / 2, &["bad"]);
+        crashes.record(&Crash { server: ServerIncarnation(server), ..same }, NOW);
+    }
+    assert_eq!(crashes.refused(NOW), [part("bad")]);
+}
+
 #[test]
 fn a_part_whose_requests_complete_is_not_taken_for_the_cause() {
     let mut crashes = Crashes::new(Config::default(), Reporter(1));
