Soak: parts that crash servers, and answers without length or chunks

Two further faults: requests that differ and share a part that crashes servers, beside streams that share their other part, and servers whose answers end with their connection. The ledger checks that such a part reaches at most three servers once five have crashed, and, as before, that answers are whole and that no other request is refused. The line on a refusal tells crashes and endings.

--- a/crates/direct/src/gateway/crashes.rs
+++ b/crates/direct/src/gateway/crashes.rs
@@ -473,9 +473,13 @@
             FingerprintKind::Part => format!("every request with prompt part {}", one.0),
         };
         for one in refused.difference(&detection.refusals_logged) {
-            let subject = subject(one);
-            self.event_log
-                .state(format_args!("{subject} is refused: servers crashed while running it"));
+            let (subject, crashes) = (subject(one), self.crashes.borrow());
+            let (count, endings) =
+                (crashes.crashes_of(*one, now).len(), crashes.endings_of(*one, now));
+            self.event_log.state(format_args!(
+                "{subject} is refused: servers crashed while running it, {count} in all; \
+                 {endings} attempts ended well"
+            ));
         }
         for one in detection.refusals_logged.difference(&refused) {
             self.event_log.state(format_args!("{} is no longer refused", subject(one)));
--- a/crates/soak/src/backends.rs
+++ b/crates/soak/src/backends.rs
@@ -14,6 +14,7 @@
 use hooktrestle_users_standin::evacuation;
 use hooktrestle_users_standin::proxy::Proxy;
 use hooktrestle_users_standin::server::Action;
+use hooktrestle_users_standin::server::Framing;
 use hooktrestle_users_standin::server::Server;
 use hooktrestle_users_standin::store::Mode;
 use hooktrestle_users_standin::store::Snapshot;
@@ -23,6 +24,7 @@
 use tokio::time;
 use tokio::time::Instant;
 
+use crate::crashing::CrashCause;
 use crate::data_centres::COLD_START;
 use crate::data_centres::DATA_CENTRES;
 use crate::data_centres::DataCentres;
@@ -101,8 +103,8 @@
     started_count: Cell<u32>,
     version: Cell<u64>,
     accepted_at: Cell<Instant>,
-    /// Request bodies that crash servers.
-    crash_bodies: RefCell<Vec<String>>,
+    /// What crashes servers.
+    crash_causes: RefCell<Vec<CrashCause>>,
     /// Snapshots of the store, the newest at the end.
     snapshots: RefCell<VecDeque<(Instant, Snapshot)>>,
     /// Number of drills in progress.
@@ -125,7 +127,7 @@
             started_count: Cell::new(0),
             version: Cell::new(0),
             accepted_at: Cell::new(Instant::now()),
-            crash_bodies: RefCell::default(),
+            crash_causes: RefCell::default(),
             snapshots: RefCell::default(),
             drills: Cell::default(),
             slots: Cell::default(),
@@ -168,7 +170,7 @@
         let server = Server::start(&format!("s{number}")).await;
         server.set_default_action(Action::Work);
         self.apply_slots(&server);
-        self.crash_bodies.borrow().iter().for_each(|body| server.crash_on(body));
+        self.crash_causes.borrow().iter().for_each(|cause| apply_cause(&server, cause));
         let proxy = Proxy::open(server.address).await;
         let data_centre = DataCentres::of_number(number);
         self.ledger.watch_server(&server);
@@ -202,10 +204,10 @@
         apply(None);
     }
 
-    /// From now on servers crash when they run a request with this body, and others replace them.
-    pub fn crash_on(&self, body: &str) {
-        self.crash_bodies.borrow_mut().push(body.to_owned());
-        self.active.borrow().iter().for_each(|proxied| proxied.server.crash_on(body));
+    /// From now on servers crash for this cause, and others replace them.
+    pub fn add_crash_cause(&self, cause: CrashCause) {
+        self.active.borrow().iter().for_each(|proxied| apply_cause(&proxied.server, &cause));
+        self.crash_causes.borrow_mut().push(cause);
     }
 
     /// Takes a snapshot of the store, and drops snapshots that are too old for a drill.
@@ -297,6 +299,7 @@
             | FaultKind::ServerAsksRest
             | FaultKind::ServerSaysItLeaves
             | FaultKind::ServerNamesLimit
+            | FaultKind::ServerUnframed
             | FaultKind::ServerReturnsCold => {
                 if let Some(proxied) = self.pick(target) {
                     self.inject_server_fault(kind, proxied, target, duration).await;
@@ -347,6 +350,11 @@
                 time::sleep(duration).await;
                 return server.advertise_limit(None);
             }
+            FaultKind::ServerUnframed => {
+                server.set_framing(Framing::Connection);
+                time::sleep(duration).await;
+                return server.set_framing(Framing::Message);
+            }
             FaultKind::ServerDrain => return self.drain(&proxied).await,
             FaultKind::ServerCrash => {
                 return self.crash(&server, duration, Temperature::Warm).await;
@@ -431,6 +439,13 @@
     }
 }
 
+fn apply_cause(server: &Server, cause: &CrashCause) {
+    match cause {
+        CrashCause::Body(body) => server.crash_on(body),
+        CrashCause::Part(part) => server.crash_on_part(part),
+    }
+}
+
 /// The route that only this version of the configuration has.
 pub fn route_of(version: u64) -> String {
     format!("v{version}")
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -20,6 +20,7 @@
 
 use crate::backends::Backends;
 use crate::backends::route_of;
+use crate::crashing::CrashCause;
 use crate::fleet::Fleet;
 use crate::fleet::Gateway;
 use crate::ledger::GatewayIncarnation;
@@ -27,6 +28,7 @@
 use crate::ledger::Ledger;
 use crate::ledger::Verdict;
 use crate::schedule::Fault;
+use crate::schedule::FaultKind;
 
 /// Deadline of requests.
 const DEADLINE_MS: u64 = 3_000;
@@ -46,6 +48,14 @@
 /// Cause with which a gateway holds back a request that a server was starting when it crashed.
 const CRASH_SUSPECT: &str = "crash-suspect";
 
+/// Header that names the parts of a prompt.
+const PROMPT_PARTS_HEADER: &str = "prompt-prefix";
+
+/// The part that the prompts of all streams share, and the number of further parts that sound ones
+/// share.
+const COMMON_PART: &str = "c0";
+const SHARED_PARTS: u32 = 3;
+
 /// Number of events of a stream.
 const EVENTS: std::ops::Range<u32> = 2..60;
 
@@ -189,6 +199,13 @@
         let (ledger, sent_at) = (self.context.ledger.clone(), Instant::now());
         self.context.record_request(&id, spec.repeatable, gateway);
         let request = caller::request(&self.client, gateway, &spec.path, &id, DEADLINE_MS);
+        let request = match spec.events {
+            Some(events) => {
+                let others = format!("d{}", events % SHARED_PARTS);
+                request.header(PROMPT_PARTS_HEADER, prompt_parts(&id, &others))
+            }
+            None => request,
+        };
         let answer = read_answer(request, &id, &spec, &ledger);
         let max_wait = spec.disconnects_after.unwrap_or(Duration::from_millis(2 * DEADLINE_MS));
         let verdict = match time::timeout(max_wait, answer).await {
@@ -278,13 +295,26 @@
     if whole { Verdict::Answered } else { Verdict::Open }
 }
 
-/// Sends a request that crashes servers repeatedly, to randomly drawn gateways.
+/// The value of the header that names the parts of a prompt: one that all streams share, others, and
+/// one of the request alone.
+fn prompt_parts(id: &str, others: &str) -> String {
+    format!("{COMMON_PART}:100,{others}:40,{id}:20")
+}
+
+/// Sends requests that crash servers, to randomly drawn gateways: the same one repeatedly, or
+/// different ones whose prompts share a part.
 pub async fn send_crashing_requests(context: Rc<RunContext>, fault: Fault) {
-    let body = format!("crashes servers, {}", context.next_id());
-    context.ledger.add_crashing_body(&body);
-    context.backends.crash_on(&body);
+    let name = context.next_id();
+    let is_part = fault.kind == FaultKind::CrashingPart;
+    let cause = match is_part {
+        true => CrashCause::Part(format!("bad-{name}")),
+        false => CrashCause::Body(format!("crashes servers, {name}")),
+    };
+    context.ledger.add_crash_cause(cause.clone());
+    context.backends.add_crash_cause(cause.clone());
     let mut rng = ChaCha8Rng::seed_from_u64(fault.target as u64);
     let path = ["/flow/9", "/safe/9", "/once/9"][rng.random_range(0..3)];
+    let path = if is_part { "/flow/9" } else { path };
     let client = Client::new();
     let end = Instant::now() + fault.duration;
     while Instant::now() < end && context.running.get() {
@@ -292,7 +322,14 @@
         let id = context.next_id();
         context.record_request(&id, !path.starts_with("/once"), gateway.at.callers);
         let request = caller::request(&client, gateway.at.callers, path, &id, DEADLINE_MS);
-        let verdict = match request.body(body.clone()).send().await {
+        let request = match &cause {
+            CrashCause::Body(body) => request.body(body.clone()),
+            CrashCause::Part(part) => {
+                let parts = prompt_parts(&id, part);
+                request.header(PROMPT_PARTS_HEADER, parts).body(format!("prompt of {id}"))
+            }
+        };
+        let verdict = match request.send().await {
             Ok(answer) if caller::reports_not_run(&answer) && !caller::is_signed(&answer) => {
                 Verdict::NotRun
             }
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -16,6 +16,9 @@
 use tokio::time::Instant;
 
 pub use crate::bounds::Bounds;
+use crate::crashing::CrashCause;
+use crate::crashing::CrashCheck;
+use crate::crashing::Crashing;
 use crate::data_centres::DataCentreCheck;
 use crate::data_centres::DataCentres;
 use crate::limits::AdvertisedLimits;
@@ -26,11 +29,17 @@
 
 /// Faults during which crashing requests are checked: they affect neither gateways nor the messages
 /// that gateways receive.
-const ALLOWED_FOR_CRASHES: [FaultKind; 4] =
-    [FaultKind::HangUp, FaultKind::ServerDrain, FaultKind::ServerCrash, FaultKind::CrashingRequest];
+const ALLOWED_FOR_CRASHES: [FaultKind; 6] = [
+    FaultKind::HangUp,
+    FaultKind::ServerDrain,
+    FaultKind::ServerCrash,
+    FaultKind::CrashingRequest,
+    FaultKind::CrashingPart,
+    FaultKind::ServerUnframed,
+];
 
 /// Faults during which notices of servers are checked: they delay no answer and no gateway.
-const ALLOWED_FOR_NOTICES: [FaultKind; 18] = [
+const ALLOWED_FOR_NOTICES: [FaultKind; 20] = [
     FaultKind::HangUp,
     FaultKind::StoreBusy,
     FaultKind::StoreSilent,
@@ -46,6 +55,8 @@
     FaultKind::ServerAnswersTwice,
     FaultKind::ServerForges,
     FaultKind::CrashingRequest,
+    FaultKind::CrashingPart,
+    FaultKind::ServerUnframed,
     FaultKind::ServerAsksRest,
     FaultKind::ServerSaysItLeaves,
     FaultKind::ServerNamesLimit,
@@ -60,8 +71,12 @@
 const SETTLE_TIME: Duration = Duration::from_secs(4);
 
 /// Faults in which servers crash.
-const CRASH_FAULTS: [FaultKind; 3] =
-    [FaultKind::ServerCrash, FaultKind::ServerReturnsCold, FaultKind::CrashingRequest];
+const CRASH_FAULTS: [FaultKind; 4] = [
+    FaultKind::ServerCrash,
+    FaultKind::ServerReturnsCold,
+    FaultKind::CrashingRequest,
+    FaultKind::CrashingPart,
+];
 
 /// A guarantee of the service.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -195,21 +210,6 @@
     until: Option<Instant>,
 }
 
-/// Arrivals of a request that crashes servers.
-#[derive(Clone, Copy, Debug, Default)]
-struct CrashState {
-    crashes: u32,
-    /// When it crashed a server for the third time.
-    threshold_at: Option<Instant>,
-    /// Arrivals at servers after all gateways had time to receive the crash reports.
-    late_arrivals: u32,
-}
-
-/// Number of crashes that identify a crashing request, and of arrivals that are allowed after all
-/// gateways had time to receive the crash reports: both are required of the service.
-const CRASH_THRESHOLD: u32 = 3;
-const MAX_LATE_ARRIVALS: u32 = 3;
-
 /// All observations of a run.
 pub struct Ledger {
     start: Instant,
@@ -223,8 +223,7 @@
     /// How often each time-bounded guarantee was checked.
     check_counts: RefCell<BTreeMap<Guarantee, u32>>,
     reported_disconnects: RefCell<HashSet<String>>,
-    /// Request bodies that crash servers, with their arrivals.
-    crashing: RefCell<HashMap<String, CrashState>>,
+    crashing: RefCell<Crashing>,
     /// The gateway process that each request was sent to.
     gateways: RefCell<HashMap<String, GatewayIncarnation>>,
     notices: RefCell<Vec<Notice>>,
@@ -329,31 +328,19 @@
         crash_faults.any(|(_, _, until)| *until + self.bounds.held_back > now)
     }
 
-    /// Records a request body that crashes servers.
-    pub fn add_crashing_body(&self, body: &str) {
-        self.crashing.borrow_mut().insert(body.to_owned(), CrashState::default());
+    /// Records what crashes servers.
+    pub fn add_crash_cause(&self, cause: CrashCause) {
+        self.crashing.borrow_mut().add(cause);
     }
 
     fn check_crashing(&self, server: &Server, arrival: &ReceivedRequest) {
-        let quiet = self.no_faults_but(&ALLOWED_FOR_CRASHES, arrival.at - self.bounds.propagation);
+        let propagation = self.bounds.propagation;
+        let is_quiet = self.no_faults_but(&ALLOWED_FOR_CRASHES, arrival.at - propagation);
         let mut crashing = self.crashing.borrow_mut();
-        let Some(state) = crashing.get_mut(&arrival.body) else { return };
-        state.crashes += u32::from(arrival.ran);
-        if state.crashes >= CRASH_THRESHOLD && state.threshold_at.is_none() {
-            state.threshold_at = Some(arrival.at);
-            drop(crashing);
-            self.record_check(Guarantee::Crashing);
-            return;
-        }
-        let known = state.threshold_at.is_some_and(|at| arrival.at > at + self.bounds.propagation);
-        state.late_arrivals += u32::from(known && quiet);
-        if known && quiet && state.late_arrivals > MAX_LATE_ARRIVALS {
-            let detail = format!(
-                "{} was sent {}, {} crashes in all",
-                server.id, arrival.body, state.crashes
-            );
-            drop(crashing);
-            self.report(Guarantee::Crashing, detail);
+        match crashing.check(&server.id, arrival, propagation, is_quiet) {
+            CrashCheck::NotCounted => {}
+            CrashCheck::Identified => self.record_check(Guarantee::Crashing),
+            CrashCheck::Exceeded(detail) => self.report(Guarantee::Crashing, detail),
         }
     }
 
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`backends`]: the store and the backend servers, and their faults.
 //! - [`network`]: faults of the connections between gateways and these.
 //! - [`callers`]: the clients that send requests, and wait for answers or disconnect.
+//! - [`crashing`]: requests and parts of prompts that crash servers, and what they still reach.
 //! - [`ledger`]: the answers to callers, the requests that servers ran, and the checks of the
 //!   guarantees.
 //! - [`bounds`]: the time bounds of these guarantees.
@@ -29,6 +30,7 @@
 pub mod backends;
 pub mod bounds;
 pub mod callers;
+pub mod crashing;
 pub mod data_centres;
 pub mod fleet;
 pub mod ledger;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -179,7 +179,7 @@
                 task::spawn_local(overload::send_streams(context.clone(), fault, number));
             }
         }
-        if fault.kind == FaultKind::CrashingRequest {
+        if matches!(fault.kind, FaultKind::CrashingRequest | FaultKind::CrashingPart) {
             task::spawn_local(send_crashing_requests(context.clone(), fault));
             continue;
         }
@@ -199,7 +199,9 @@
             fault.duration + Duration::from_secs(2)
         }
         // Until the servers that crashed last are replaced.
-        FaultKind::CrashingRequest => fault.duration + Duration::from_secs(4),
+        FaultKind::CrashingRequest | FaultKind::CrashingPart => {
+            fault.duration + Duration::from_secs(4)
+        }
         // The other gateways recover while it is off, so that only its start counts.
         FaultKind::Off => Duration::ZERO,
         // The maximum duration of a stop.
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -74,6 +74,11 @@
     ServerForges,
     /// A request that crashes each server that runs it is sent repeatedly.
     CrashingRequest,
+    /// Requests that differ are sent whose prompts share a part that crashes each server which runs
+    /// them.
+    CrashingPart,
+    /// A server's answers have neither a length nor chunks, and end with their connection.
+    ServerUnframed,
     /// A server refuses requests, and asks for a back-off.
     ServerAsksRest,
     /// A server announces in its answers that it is leaving, and its row does not show it; another
@@ -90,7 +95,7 @@
 }
 
 /// All kinds, with their names for `--faults`.
-pub const FAULT_KINDS: [(&str, FaultKind); 36] = [
+pub const FAULT_KINDS: [(&str, FaultKind); 38] = [
     ("kill", FaultKind::Kill),
     ("off", FaultKind::Off),
     ("kill-all", FaultKind::KillAll),
@@ -121,6 +126,8 @@
     ("server-answers-twice", FaultKind::ServerAnswersTwice),
     ("server-forges", FaultKind::ServerForges),
     ("crashing-request", FaultKind::CrashingRequest),
+    ("crashing-part", FaultKind::CrashingPart),
+    ("server-unframed", FaultKind::ServerUnframed),
     ("server-asks-rest", FaultKind::ServerAsksRest),
     ("server-says-it-leaves", FaultKind::ServerSaysItLeaves),
     ("server-names-limit", FaultKind::ServerNamesLimit),
@@ -212,20 +219,23 @@
 const CRASHING_REQUEST_DURATION_MS: std::ops::Range<u64> = 6_000..20_000;
 
 /// Planned operations, and notices of servers: all guarantees hold during them.
-pub const PLANNED: [FaultKind; 7] = [
+pub const PLANNED: [FaultKind; 8] = [
     FaultKind::Stop,
     FaultKind::HangUp,
     FaultKind::ServerDrain,
     FaultKind::ServerAsksRest,
     FaultKind::ServerSaysItLeaves,
     FaultKind::ServerNamesLimit,
+    FaultKind::ServerUnframed,
     FaultKind::Evacuation,
 ];
 
 /// Kinds that are drawn from random generators of their own, so that the other faults of a seed are
 /// the same with and without them.
-const SEPARATELY_DRAWN: [FaultKind; 8] = [
+const SEPARATELY_DRAWN: [FaultKind; 10] = [
     FaultKind::CrashingRequest,
+    FaultKind::CrashingPart,
+    FaultKind::ServerUnframed,
     FaultKind::ServerAsksRest,
     FaultKind::ServerSaysItLeaves,
     FaultKind::ServerNamesLimit,
@@ -278,7 +288,14 @@
     for kind in separate {
         let mut rng = ChaCha8Rng::seed_from_u64(!seed);
         match kind {
-            FaultKind::CrashingRequest => draw_crashing_requests(&mut rng, end, &mut faults),
+            FaultKind::CrashingRequest => {
+                draw_crashing_requests(&mut rng, kind, end, &mut faults);
+            }
+            FaultKind::CrashingPart => {
+                // At other times than crashing requests.
+                let mut rng = ChaCha8Rng::seed_from_u64((!seed).rotate_left(1));
+                draw_crashing_requests(&mut rng, kind, end, &mut faults);
+            }
             FaultKind::StoreDrill => draw_drills(&mut rng, end, &mut faults),
             FaultKind::Overload => draw_overloads(&mut rng, &periods, &mut faults),
             _ => draw_notices(&mut rng, kind, end, &mut faults),
@@ -295,7 +312,10 @@
     let mut at = Duration::from_millis(rng.random_range(NOTICE_GAP_MS) / (2 + kind as u64 % 2));
     while at < end {
         // Limits and evacuations are checked only after they have been in force for some seconds.
-        let is_long = matches!(kind, FaultKind::ServerNamesLimit | FaultKind::Evacuation);
+        let is_long = matches!(
+            kind,
+            FaultKind::ServerNamesLimit | FaultKind::Evacuation | FaultKind::ServerUnframed
+        );
         let times = if is_long { 4 } else { 1 };
         let duration = Duration::from_millis(rng.random_range(DURATION_MS)) * times;
         let target = rng.random_range(0..1_000);
@@ -338,8 +358,13 @@
     }
 }
 
-/// Adds requests that crash servers, at any time.
-fn draw_crashing_requests(rng: &mut ChaCha8Rng, end: Duration, faults: &mut Vec<Fault>) {
+/// Adds requests, or parts of prompts, that crash servers, at any time.
+fn draw_crashing_requests(
+    rng: &mut ChaCha8Rng,
+    kind: FaultKind,
+    end: Duration,
+    faults: &mut Vec<Fault>,
+) {
     let mut at = Duration::ZERO;
     loop {
         at += Duration::from_millis(rng.random_range(CRASHING_REQUEST_GAP_MS));
@@ -349,7 +374,7 @@
         let duration =
             Duration::from_millis(rng.random_range(CRASHING_REQUEST_DURATION_MS)).min(end - at);
         let target = rng.random_range(0..1_000);
-        faults.push(Fault { at, duration, kind: FaultKind::CrashingRequest, target });
+        faults.push(Fault { at, duration, kind, target });
     }
 }
 
--- a/crates/soak/tests/ledger.rs
+++ b/crates/soak/tests/ledger.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use hooktrestle_soak::crashing::CrashCause;
 use hooktrestle_soak::ledger::Bounds;
 use hooktrestle_soak::ledger::GatewayIncarnation;
 use hooktrestle_soak::ledger::Guarantee;
@@ -236,3 +237,26 @@
         assert_eq!(violated(&ledger), [Guarantee::Limit], "no limit is advertised any more");
     });
 }
+
+#[test]
+fn a_part_that_crashes_servers_and_still_reaches_them_is_a_violation() {
+    run(async {
+        let ledger = Ledger::new(zero_bounds());
+        let server = start_server(&ledger).await;
+        ledger.add_crash_cause(CrashCause::Part("bad".to_owned()));
+        // Five crashes identify it, and three more arrivals may cross the reports.
+        for (part, arrivals, violations) in [("sound", 12, 0), ("bad", 8, 0), ("bad", 1, 1)] {
+            for number in 0..arrivals {
+                let id = format!("{part}-{violations}-{number}");
+                ledger.record_request(&id, true);
+                let request =
+                    caller::request(&Client::new(), server.address, "/once/0", &id, 1_000);
+                let parts = format!("c0:10,{part}:20,{id}:5");
+                request.header("prompt-prefix", parts).send().await.unwrap();
+                ledger.poll();
+            }
+            let expected = vec![Guarantee::Crashing; violations];
+            assert_eq!(violated(&ledger), expected, "{part}");
+        }
+    });
+}
