--- a/crates/core/src/direct/answer_ends.rs
+++ b/crates/core/src/direct/answer_ends.rs
@@ -2,8 +2,8 @@
 //! Input: what delimits the body, and where in a stream of events it ended. It keeps no state.
 //! Decides whether the answer is complete, or whether its server has to be asked.
 //!
-//! A server that crashes closes its connections like one that has sent all, so a body that only its
-//! connection delimits looks complete wherever it was truncated (RFC 9112, section 8). A stream of
+//! An answer without length or chunks ends with its connection. Such unframed answers need care: a
+//! server that crashes closes its connections like one that has sent all, so the body looks complete wherever it was truncated (RFC 9112, section 8). A stream of
 //! events that ends inside an event is truncated however its body is framed.
 
 use hooktrestle_schema::Framing;
--- a/crates/core/src/direct/crashes/attribution.rs
+++ b/crates/core/src/direct/crashes/attribution.rs
@@ -1,4 +1,4 @@
-//! Attribution of crashes to the requests, or to the parts of prompts, that caused them.
+//! Attribution of crashes to requests, or to the parts of prompts that requests share.
 //! Input: the crashes with what was at each, and how often each of these ended well. It has no
 //! state. Decides which of them are refused, and which are sent one attempt at a time.
 //!
--- a/crates/direct/src/gateway/crashes.rs
+++ b/crates/direct/src/gateway/crashes.rs
@@ -129,8 +129,9 @@
     was_accepted: bool,
 }
 
-/// A trial of a request that began at a server just as the server crashed, or of a part of prompts: all
-/// gateways together send such a request to one server at a time. The trial ends when this value is dropped.
+/// A trial of a request that began at a server just as the server crashed, or of a part of prompts:
+/// all gateways together send such a request to one server at a time. The trial ends when this value
+/// is dropped.
 pub struct Trial<P: Platform> {
     gateway: Rc<Gateway<P>>,
     fingerprint: Fingerprint,
