--- a/crates/core/src/direct/answer_ends.rs
+++ b/crates/core/src/direct/answer_ends.rs
@@ -3,8 +3,9 @@
 //! Decides whether the answer is complete, or whether its server has to be asked.
 //!
 //! An answer without length or chunks ends with its connection. Such unframed answers need care: a
-//! server that crashes closes its connections like one that has sent all, so the body looks complete wherever it was truncated (RFC 9112, section 8). A stream of
-//! events that ends inside an event is truncated however its body is framed.
+//! server that crashes closes its connections like one that has sent all, so the body looks complete
+//! wherever it was truncated (RFC 9112, section 8). A stream of events that ends inside an event is
+//! truncated however its body is framed.
 
 use hooktrestle_schema::Framing;
 
