--- a/crates/core/tests/crashes.rs
+++ b/crates/core/tests/crashes.rs
@@ -5,9 +5,11 @@
 //! crashes.
 
 mod crash_fleet;
+mod crash_reports;
 
 use crash_fleet::Fleet;
 use crash_fleet::Plan;
+use crash_reports::report;
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::crashes::Cleared;
 use hooktrestle_core::direct::crashes::Config;
@@ -19,7 +21,6 @@
 use hooktrestle_core::direct::crashes::MergeOutcome;
 use hooktrestle_core::direct::crashes::Quarantine;
 use hooktrestle_core::direct::crashes::Reporter;
-use hooktrestle_core::direct::crashes::ServerIncarnation;
 use hooktrestle_core::direct::crashes::Stage;
 use hooktrestle_core::direct::crashes::Suspect;
 use hooktrestle_core::direct::fingerprint::Fingerprint;
@@ -40,13 +41,7 @@
         ran: Millis(*ran_ms),
         stage: Stage::Waiting,
     });
-    Crash {
-        server: ServerIncarnation(server),
-        reporter: Reporter(1),
-        age: Millis::ZERO,
-        age_error: Millis::ZERO,
-        suspects: suspects.collect(),
-    }
+    report(server, suspects)
 }
 
 fn with_reports(reports: &[Crash]) -> Crashes {
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -2,6 +2,9 @@
 //! requests with it are alike, or a sound part is refused in its place, because it is in the same
 //! requests. There are tests of single rules, and of what gateways exchange and store.
 
+mod crash_reports;
+
+use crash_reports::report;
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::crashes::Cleared;
 use hooktrestle_core::direct::crashes::Config;
@@ -31,13 +34,7 @@
     let all = std::iter::once(whole).chain(ids.iter().map(|id| part(id)));
     let suspects =
         all.map(|fingerprint| Suspect { fingerprint, ran: Millis(90), stage: Stage::Starting });
-    Crash {
-        server: ServerIncarnation(server),
-        reporter: Reporter(1),
-        age: Millis::ZERO,
-        age_error: Millis::ZERO,
-        suspects: suspects.collect(),
-    }
+    report(server, suspects)
 }
 
 fn with_crashes(count: u64, ids: &[&str]) -> Crashes {
