--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -15,6 +15,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 
@@ -32,7 +33,7 @@
     """record.txt: what was sent, answered and run, with seconds since the start."""
 
     def __init__(self, path):
-        self.file = open(path, "w", encoding="utf-8")
+        self.file = open(path, "w", encoding="utf-8", buffering=1)
         self.began = time.monotonic()
 
     def now(self):
@@ -375,7 +376,8 @@
 
 def main(case, folder):
     """Runs a case, `case(record, trouble)` -> (broken, summary); exits as the issue asks."""
-    record = Record(os.path.join(folder, "record.txt"))
+    name = sys.argv[1] if len(sys.argv) > 1 else "record.txt"
+    record = Record(os.path.join(folder, name))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     code = 2
 
