Retry budget: a line as it is used up, and a counter of the retries charged to it

The line names retries and requests in the window, the gateways that share the slack, and how long the process has run: it tells a budget that begins anew from one that is divided by too few gateways, and the sum of the retries charged tells both from requests that arrive again without being charged.

--- a/crates/core/src/direct/budget.rs
+++ b/crates/core/src/direct/budget.rs
@@ -26,18 +26,37 @@
 /// Fraction of the bound that one process may use. The remainder is reserved for restarts.
 const USABLE_FRACTION: f64 = 0.5;
 
+/// Minimum time between two reports of denied retries.
+const DENIAL_REPORT_INTERVAL: Millis = Millis(1_000);
+
+/// Requests and retries in the current window.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Usage {
+    /// Requests that this gateway received.
+    pub requests: usize,
+    /// Retries that it has taken.
+    pub retries: usize,
+}
+
 /// Requests and retries of one service at one gateway.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     config: Config,
     requests: VecDeque<Millis>,
     retries: VecDeque<Millis>,
+    /// When a denied retry was last reported.
+    denial_reported_at: Option<Millis>,
 }
 
 impl RetryBudget {
     /// A budget without any retries taken.
     pub fn new(config: Config) -> RetryBudget {
-        RetryBudget { config, requests: VecDeque::new(), retries: VecDeque::new() }
+        RetryBudget {
+            config,
+            requests: VecDeque::new(),
+            retries: VecDeque::new(),
+            denial_reported_at: None,
+        }
     }
 
     /// Replaces the bounds. Retries already taken still count.
@@ -70,6 +89,17 @@
         (self.retries.len() as f64) + 1.0 <= max_retries
     }
 
+    /// What was used in the current window, to be logged after a retry was denied; `None` if a
+    /// denied retry was reported lately.
+    pub fn denial_to_report(&mut self, now: Millis) -> Option<Usage> {
+        let is_recent = |at: Millis| now.since(at) < DENIAL_REPORT_INTERVAL;
+        if self.denial_reported_at.is_some_and(is_recent) {
+            return None;
+        }
+        self.denial_reported_at = Some(now);
+        Some(Usage { requests: self.requests.len(), retries: self.retries.len() })
+    }
+
     fn remove_expired(&mut self, now: Millis) {
         let window = self.config.window;
         for times in [&mut self.requests, &mut self.retries] {
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -30,6 +30,7 @@
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::budget;
 use hooktrestle_core::direct::budget::RetryBudget;
+use hooktrestle_core::direct::budget::Usage;
 use hooktrestle_core::direct::crashes::Config as CrashConfig;
 use hooktrestle_core::direct::crashes::Crashes;
 use hooktrestle_core::direct::crashes::Reporter;
@@ -411,12 +412,25 @@
         let now = self.now();
         let gateways = self.count_sharing(now);
         let covered = self.with_budget(service, |budget| budget.take(now, gateways));
-        if !covered {
+        if covered {
+            self.metrics.retries.inc();
+        } else {
             self.metrics.retries_denied.inc();
+            self.report_denied_retry(service, gateways, now);
         }
         covered
     }
 
+    fn report_denied_retry(&self, service: &str, gateways: usize, now: Millis) {
+        let denied = self.with_budget(service, |budget| budget.denial_to_report(now));
+        let Some(Usage { requests, retries }) = denied else { return };
+        self.event_log.state(format_args!(
+            "retry budget of {service} is used up: {retries} retries for {requests} requests in its \
+             window, slack shared by {gateways} gateways, process up for {} ms",
+            now.0
+        ));
+    }
+
     /// Whether this gateway's share of the budget has a retry at a service left.
     pub fn budget_has_retry(&self, service: &str) -> bool {
         let now = self.now();
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -33,6 +33,8 @@
     pub answers_unframed: Counter,
     /// Streams resumed at another server.
     pub resumed: Counter,
+    /// Retries that were charged to the budget.
+    pub retries: Counter,
     /// Retries that the budget did not allow.
     pub retries_denied: Counter,
     /// Connections opened to backend servers.
@@ -98,6 +100,7 @@
             attempts: Counter::default(),
             answers_unframed: Counter::default(),
             resumed: Counter::default(),
+            retries: Counter::default(),
             retries_denied: Counter::default(),
             connections_opened: Counter::default(),
             overtaken: Counter::default(),
@@ -136,6 +139,7 @@
             ("attempts", "Attempts that were sent", &metrics.attempts),
             ("answers_unframed", "Answers without length or chunks", &metrics.answers_unframed),
             ("resumed", "Streams taken up at another server", &metrics.resumed),
+            ("repeats", "Repeats charged to the budget", &metrics.retries),
             ("repeats_denied", "Repeats beyond the budget", &metrics.retries_denied),
             ("dialled", "Connections opened to backend servers", &metrics.connections_opened),
             ("overtaken", "Requests taken from a silent server", &metrics.overtaken),
