--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -23,6 +23,7 @@
 use hooktrestle_soak::fleet::Fleet;
 use hooktrestle_soak::ledger::Bounds;
 use hooktrestle_soak::ledger::Ledger;
+use hooktrestle_soak::retries::RetryBound;
 use hooktrestle_users_standin::caller;
 use hooktrestle_users_standin::high_capacity_configuration;
 use hooktrestle_users_standin::server::Action;
@@ -107,7 +108,9 @@
     server.set_event_interval(EVENT_PAUSE);
     backends.store.put("op", "config", &high_capacity_configuration(2));
     backends.store.put("servers", &server.id, &server.high_capacity_entry());
-    let fleet = Fleet::start(1, &config.program, &config.folder, &backends, ledger).await?;
+    let retries = RetryBound::default();
+    let fleet =
+        Fleet::start(1, &config.program, &config.folder, &backends, retries, ledger).await?;
     let gateway = fleet.gateways[0].clone();
     let client = Client::new();
     let ready_deadline = Instant::now() + Bounds::default().recovery;
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -31,9 +31,8 @@
 use crate::backends::Backends;
 use crate::ledger::Guarantee;
 use crate::ledger::Ledger;
-use crate::ledger::RETRY_BOUND;
-use crate::ledger::RetryBound;
 use crate::network;
+use crate::retries::RetryBound;
 use crate::schedule::FaultKind;
 
 /// Maximum duration of a planned stop, in the settings of the gateways.
@@ -156,6 +155,7 @@
         program: &Path,
         folder: &Path,
         backends: &Backends,
+        retries: RetryBound,
         ledger: Rc<Ledger>,
     ) -> Result<Rc<Fleet>> {
         let addresses: Vec<Addresses> = (0..count).map(addresses).collect();
@@ -166,7 +166,8 @@
             let store = backends.add_store_endpoint().await;
             let store_proxy = Proxy::open(store.address).await;
             let settings = folder.join(format!("{name}.ini"));
-            fs::write(&settings, settings_text(&name, &at, store_proxy.address, &seeds.join(",")))?;
+            let text = settings_text(&name, &at, store_proxy.address, &seeds.join(","), retries);
+            fs::write(&settings, text)?;
             gateways.push(Rc::new(Gateway {
                 name,
                 at,
@@ -333,8 +334,14 @@
     }
 }
 
-fn settings_text(name: &str, at: &Addresses, store: SocketAddr, seeds: &str) -> String {
-    let RetryBound { ratio, slack, window } = RETRY_BOUND;
+fn settings_text(
+    name: &str,
+    at: &Addresses,
+    store: SocketAddr,
+    seeds: &str,
+    retries: RetryBound,
+) -> String {
+    let RetryBound { ratio, slack, window } = retries;
     let Addresses { callers, endpoints, readiness, peers } = at;
     format!(
         "[instance]\nname = {name}\ndata_centre = hall\nstop_within_s = {STOP_WITHIN_S}\n\
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -24,6 +24,9 @@
 use crate::limits::AdvertisedLimits;
 use crate::limits::LimitCheck;
 use crate::overload::Overload;
+use crate::retries;
+use crate::retries::RetryBound;
+use crate::retries::RetryPeak;
 use crate::schedule::FaultKind;
 use crate::schedule::PLANNED;
 
@@ -167,21 +170,6 @@
     pub verdict: Verdict,
 }
 
-/// A bound on retries.
-#[derive(Clone, Copy, Debug)]
-pub struct RetryBound {
-    /// Fraction of the requests that may be retried.
-    pub ratio: f64,
-    /// Retries allowed in addition.
-    pub slack: u32,
-    /// Length of the window that both apply to.
-    pub window: Duration,
-}
-
-/// The bound in the settings of the gateways.
-pub const RETRY_BOUND: RetryBound =
-    RetryBound { ratio: 0.2, slack: 20, window: Duration::from_secs(10) };
-
 /// A server whose arrivals are checked.
 struct WatchedServer {
     server: Server,
@@ -548,37 +536,20 @@
         }
     }
 
-    /// Checks the number of retries in each window, at the end of the run.
-    pub fn check_retries(&self) {
-        let RetryBound { ratio, slack, window } = RETRY_BOUND;
-        let mut sent: Vec<Instant> =
-            self.requests.borrow().values().map(|request| request.sent_at).collect();
-        sent.sort();
-        let mut arrivals: Vec<(Instant, String)> = self
-            .servers
-            .borrow()
-            .iter()
-            .flat_map(|watched| watched.server.received())
-            .filter(|one| !one.id().is_empty())
-            .map(|one| (one.at, one.id().to_owned()))
-            .collect();
-        arrivals.sort();
-        let mut seen = HashSet::new();
-        let retried: Vec<Instant> =
-            arrivals.into_iter().filter_map(|(at, id)| (!seen.insert(id)).then_some(at)).collect();
-        let within = |times: &[Instant], from: Instant, to: Instant| {
-            times.partition_point(|at| *at <= to) - times.partition_point(|at| *at <= from)
-        };
-        for end in &retried {
-            let Some(from) = end.checked_sub(window) else { continue };
-            let before = from.checked_sub(window).unwrap_or(from);
-            let requests = within(&sent, from, *end).max(within(&sent, before, from));
-            let retries = within(&retried, from, *end);
-            if retries as f64 > ratio * requests as f64 + f64::from(slack) {
-                let detail = format!("{retries} retries of {requests} requests in a window");
-                self.report(Guarantee::Repeats, detail);
-                return;
-            }
+    /// Checks the number of retries in each window, at the end of the run; returns the window that
+    /// came nearest to the bound.
+    pub fn check_retries(&self, bound: RetryBound) -> RetryPeak {
+        let sent = self.requests.borrow().values().map(|request| request.sent_at).collect();
+        let servers = self.servers.borrow();
+        let received = servers.iter().flat_map(|watched| watched.server.received());
+        let received = received.filter(|one| !one.id().is_empty());
+        let arrivals = received.map(|one| (one.at, one.id().to_owned())).collect();
+        let peak = retries::peak(sent, arrivals, bound);
+        if peak.share() > 1.0 {
+            let RetryPeak { retries, allowed } = peak;
+            let detail = format!("{retries} retries in a window, {allowed:.0} allowed");
+            self.report(Guarantee::Repeats, detail);
         }
+        peak
     }
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -21,6 +21,7 @@
 //! - [`data_centres`]: evacuations, and what servers take while they are cold.
 //! - [`limits`]: the rates that servers advertise as their limits, and the rates that they receive.
 //! - [`overload`]: bursts of callers beyond the room of the servers.
+//! - [`retries`]: the retries in every window, and their bound.
 //! - [`run`]: one run of one seed.
 //! - [`shrink`]: the fewest faults with which a seed still fails.
 //!
@@ -37,6 +38,7 @@
 pub mod limits;
 pub mod network;
 pub mod overload;
+pub mod retries;
 pub mod run;
 pub mod schedule;
 pub mod shrink;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -11,6 +11,7 @@
 use eyre::eyre;
 use hooktrestle_soak::fleet;
 use hooktrestle_soak::ledger::Bounds;
+use hooktrestle_soak::retries::RetryBound;
 use hooktrestle_soak::run;
 use hooktrestle_soak::run::Config;
 use hooktrestle_soak::schedule;
@@ -46,6 +47,8 @@
             optional --faults names: String
             /// Lists the names of the faults.
             optional --list-faults
+            /// Retries that gateways may take in 10 s beyond a fifth of the requests; default 20.
+            optional --slack count: u32
             /// Factor by which the time bounds are extended on busy machines; default 1.
             optional --stretch times: u32
             /// Gateway program; default the one in the folder of this program.
@@ -116,6 +119,7 @@
         servers: flags.servers.unwrap_or(4),
         callers: flags.callers.unwrap_or(12),
         bounds: Bounds::scaled(flags.stretch.unwrap_or(1)),
+        retries: RetryBound { slack: flags.slack.unwrap_or(20), ..RetryBound::default() },
     };
     ensure!(config.gateways > 0, "--gateways must be 1 or more");
     ensure!(config.servers > 0, "--servers must be 1 or more");
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -31,6 +31,8 @@
 use crate::ledger::Ledger;
 use crate::ledger::Violation;
 use crate::overload;
+use crate::retries::RetryBound;
+use crate::retries::RetryPeak;
 use crate::schedule::Fault;
 use crate::schedule::FaultKind;
 
@@ -61,6 +63,8 @@
     pub callers: usize,
     /// Time bounds of the guarantees.
     pub bounds: Bounds,
+    /// Bound on retries, in the settings of the gateways.
+    pub retries: RetryBound,
 }
 
 /// Result of a run.
@@ -72,6 +76,8 @@
     pub request_counts: (usize, usize),
     /// Runs of requests after their first run.
     pub retries: u32,
+    /// The window in which retries came nearest to their bound.
+    pub retry_peak: RetryPeak,
     /// What became of bursts of callers.
     pub bursts: String,
     /// How often each time-bounded guarantee was checked.
@@ -85,6 +91,8 @@
     fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
         let (sent, answered) = self.request_counts;
         write!(formatter, "{answered} of {sent} requests answered, {} ran again", self.retries)?;
+        let RetryPeak { retries, allowed } = self.retry_peak;
+        write!(formatter, " (at most {retries} of {allowed:.0} allowed in a window)")?;
         formatter.write_str(&self.bursts)?;
         for (guarantee, times) in &self.check_counts {
             write!(formatter, ", {guarantee:?} checked {times} times")?;
@@ -114,7 +122,9 @@
     let has_bursts = faults.iter().any(|fault| fault.kind == FaultKind::Overload);
     let backends = Backends::start(config.servers, has_bursts, ledger.clone()).await;
     let (program, folder) = (&config.program, &config.folder);
-    let fleet = Fleet::start(config.gateways, program, folder, &backends, ledger.clone()).await?;
+    let fleet =
+        Fleet::start(config.gateways, program, folder, &backends, config.retries, ledger.clone());
+    let fleet = fleet.await?;
     let context = Rc::new(RunContext::new(fleet.clone(), backends.clone(), ledger.clone()));
     wait_until_ready(&context).await;
     for number in 0..config.callers {
@@ -141,7 +151,7 @@
     wait_until_ready(&context).await;
     context.running.set(false);
     ledger.poll();
-    ledger.check_retries();
+    let retry_peak = ledger.check_retries(config.retries);
     ledger.check_overload();
     fleet.kill_all();
     let retries = ledger.retries.get();
@@ -149,6 +159,7 @@
         violations: ledger.violations(),
         request_counts: ledger.request_counts(),
         retries,
+        retry_peak,
         bursts: ledger.overload.summary(),
         check_counts: ledger.check_counts(),
         max_lateness: late.get(),
--- a/crates/soak/tests/ledger.rs
+++ b/crates/soak/tests/ledger.rs
@@ -10,6 +10,7 @@
 use hooktrestle_soak::ledger::Guarantee;
 use hooktrestle_soak::ledger::Ledger;
 use hooktrestle_soak::ledger::Verdict;
+use hooktrestle_soak::retries::RetryBound;
 use hooktrestle_users_standin::caller;
 use hooktrestle_users_standin::server::Action;
 use hooktrestle_users_standin::server::Server;
@@ -145,7 +146,7 @@
         for _ in 0..30 {
             send_request(&server, "r1").await;
         }
-        ledger.check_retries();
+        ledger.check_retries(RetryBound::default());
         assert_eq!(violated(&ledger), [Guarantee::Repeats]);
     });
 }
