Logs: bytes that callers have not read as a process stops or a connection is idle; memory at the start

They tell an answer that is lost in the process from a request that was still running, and show which memory a process assumes for its instance.

--- a/crates/core/src/direct/unread_answers.rs
+++ b/crates/core/src/direct/unread_answers.rs
@@ -70,6 +70,11 @@
         self.held_bytes
     }
 
+    /// Bytes held for one caller.
+    pub fn held_bytes_of(&self, id: ReaderId) -> usize {
+        self.readers.get(&id).map_or(0, |reader| reader.bytes)
+    }
+
     /// Holds bytes for a caller. Returns the callers to close so that the budget is kept, the one
     /// that has read nothing for the longest time first. What is held for them does not count any
     /// more.
--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -108,7 +108,7 @@
             () = reader.is_to_close() => return,
             () = gateway.clock.sleep_until(until) => {
                 if expiry(shared_activity.get(), &gateway) <= gateway.now() {
-                    return;
+                    return reader.record_closed_idle();
                 }
                 if reader.stall_ends_at().is_some_and(|ends_at| ends_at <= gateway.now()) {
                     return reader.record_closed_stalled();
--- a/crates/direct/src/callers/reader.rs
+++ b/crates/direct/src/callers/reader.rs
@@ -46,6 +46,11 @@
             close_signals: RefCell::default(),
         }
     }
+
+    /// Bytes of answers that callers have not read.
+    pub fn held_bytes(&self) -> usize {
+        self.unread.borrow().held_bytes()
+    }
 }
 
 /// One connection of a caller; removed from the gateway's readers when it is dropped.
@@ -112,8 +117,20 @@
         self.gateway.metrics.readers_closed.inc();
     }
 
+    /// Records that the connection is closed because it is idle. What is held for its caller is
+    /// lost.
+    pub(super) fn record_closed_idle(&self) {
+        let held = self.gateway.readers.unread.borrow().held_bytes_of(self.id);
+        if held > 0 {
+            self.gateway.metrics.readers_closed.inc();
+            self.gateway
+                .event_log
+                .state(format_args!("idle connection closed, {held} bytes of its answer not read"));
+        }
+    }
+
     fn observe_held(&self) {
-        let held = self.gateway.readers.unread.borrow().held_bytes();
+        let held = self.gateway.readers.held_bytes();
         self.gateway.metrics.unread_bytes.set(held as i64);
     }
 }
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -151,7 +151,11 @@
     tokio::task::spawn_local(callers::serve(gateway.clone(), callers_listener));
     tokio::task::spawn_local(peers::serve(gateway.clone(), peers_listener));
     spawn_background_tasks(&started);
-    gateway.event_log.state(format_args!("{} started", settings.instance.name));
+    gateway.event_log.state(format_args!(
+        "{} started, memory of the instance {} MB",
+        settings.instance.name,
+        gateway.with_members(|members| members.own().memory_bytes) >> 20
+    ));
     Ok(started)
 }
 
@@ -232,7 +236,11 @@
         }
         time::sleep(STOP_POLL_INTERVAL).await;
     }
-    gateway.event_log.state(format_args!("stopped, {} requests in flight", gateway.in_flight()));
+    gateway.event_log.state(format_args!(
+        "stopped, {} requests in flight, {} bytes of answers not read",
+        gateway.in_flight(),
+        gateway.readers.held_bytes()
+    ));
 }
 
 fn modified(file: &Path) -> Option<SystemTime> {
