An answer is in flight until its connection has written it, also in a planned stop

Callers that read slowly lost answers which servers had completed: a planned stop ended the process 3.3 s after SIGTERM with 0.9 of 1 MB not written, and without a stop the idle time-out of the connection counted from when the HTTP library had taken the answer. The library drops the body once it has taken all of it, and with it the request ceased to be in flight and its connection became idle.

The delivery now ends as the connection is flushed, which the library does with an empty buffer, or as it is closed. A complete answer is held until the deadline of its caller at least: how far a caller has read shows only as the kernel accepts further bytes, which may take longer than the idle time-out.

--- a/crates/core/src/direct/unread_answers.rs
+++ b/crates/core/src/direct/unread_answers.rs
@@ -33,6 +33,8 @@
     stalled_since: Option<Millis>,
     /// Whether its answer is a stream that is under way.
     is_streaming: bool,
+    /// Until when it waits for its answer.
+    deadline: Option<Millis>,
 }
 
 /// What is held for the callers of one gateway.
@@ -105,6 +107,13 @@
         }
     }
 
+    /// Sets until when a caller waits for its answer.
+    pub fn set_deadline(&mut self, id: ReaderId, deadline: Option<Millis>) {
+        if let Some(reader) = self.readers.get_mut(&id) {
+            reader.deadline = deadline;
+        }
+    }
+
     /// Records that a caller has read bytes; heads of answers, which are not held, may be among
     /// them.
     pub fn record_read(&mut self, id: ReaderId, bytes: usize) {
@@ -123,12 +132,15 @@
         }
     }
 
-    /// When a caller is closed unless it reads: early for a stream that is under way, after
-    /// `idle_timeout` for a complete answer. `None` if it reads.
+    /// When a caller is closed unless it reads: early for a stream that is under way; for a complete
+    /// answer after `idle_timeout`, and not before its deadline. A caller may read for a long time
+    /// before the kernel accepts further bytes for it. `None` if it reads.
     pub fn stall_ends_at(&self, id: ReaderId, idle_timeout: Millis) -> Option<Millis> {
         let reader = self.readers.get(&id)?;
-        let timeout =
-            if reader.is_streaming { self.config.stream_stall_timeout } else { idle_timeout };
-        Some(reader.stalled_since? + timeout)
+        let stalled_since = reader.stalled_since?;
+        if reader.is_streaming {
+            return Some(stalled_since + self.config.stream_stall_timeout);
+        }
+        Some((stalled_since + idle_timeout).max(reader.deadline.unwrap_or_default()))
     }
 }
--- a/crates/core/tests/unread_answers.rs
+++ b/crates/core/tests/unread_answers.rs
@@ -39,6 +39,21 @@
     assert_eq!(unread.stall_ends_at(caller, IDLE_TIMEOUT), None, "it reads again");
 }
 
+/// Guards against a complete answer that is dropped while its caller still waits for it.
+#[test]
+fn a_complete_answer_is_held_until_the_deadline_of_its_caller() {
+    let mut unread = UnreadAnswers::new(CONFIG);
+    let caller = unread.open();
+    unread.hold(caller, 10);
+    unread.record_stall(caller, Millis(100));
+    unread.set_deadline(caller, Some(Millis(40_000)));
+    assert_eq!(unread.stall_ends_at(caller, IDLE_TIMEOUT), Some(Millis(40_000)));
+    unread.set_deadline(caller, Some(Millis(9_000)));
+    assert_eq!(unread.stall_ends_at(caller, IDLE_TIMEOUT), Some(Millis(15_100)));
+    unread.set_streaming(caller, true);
+    assert_eq!(unread.stall_ends_at(caller, IDLE_TIMEOUT), Some(Millis(2_100)));
+}
+
 proptest! {
     /// The bytes held are those of the open callers, and beyond the budget only if all read.
     #[test]
--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -4,6 +4,7 @@
 
 mod activity;
 mod body;
+mod delivery;
 pub(crate) mod reader;
 
 use std::cell::Cell;
@@ -39,6 +40,7 @@
 use crate::callers::activity::TrackedConnection;
 use crate::callers::body::CallerBody;
 use crate::callers::body::Content;
+use crate::callers::delivery::Delivery;
 use crate::callers::reader::Reader;
 use crate::forward;
 use crate::forward::Reply;
@@ -82,6 +84,7 @@
         reader: reader.clone(),
     };
     let service = service_fn(|request: http::Request<Incoming>| {
+        reader.record_written();
         shared_activity.set(Activity::Answering);
         let shared_activity = shared_activity.clone();
         let (gateway, reader) = (gateway.clone(), reader.clone());
@@ -142,17 +145,20 @@
     shared_activity: SharedActivity,
 ) -> ServiceResult<impl Stream<Item = Result<Frame<Bytes>, TruncatedStream>>, P> {
     let guard = AnswerGuard { shared_activity, clock: gateway.clock, version: request.version() };
-    let in_flight = gateway.begin_request();
+    let delivery = Delivery::new(guard, gateway.begin_request());
     let received_at = gateway.now();
     let (parts, body) = request.into_parts();
     let id = parts.headers.get(&gateway.platform.headers().request_id).cloned();
     gateway.metrics.requests.inc();
+    reader.set_deadline(None);
     let (head, content) = match reply(&gateway, parts, body).await {
-        Ok((_, Reply::Whole(head, body))) => {
+        Ok((request, Reply::Whole(head, body))) => {
             gateway.metrics.answered.inc();
+            reader.set_deadline(Some(request.deadline));
             (forwarded_head(head), Content::Whole(Some(body)))
         }
         Ok((request, Reply::Stream(answer, attempts))) => {
+            reader.set_deadline(Some(request.deadline));
             let head = forwarded_head(answer.head.clone());
             let frames = relay::frames(gateway.clone(), request, attempts, *answer);
             (head, Content::Stream(Box::pin(frames)))
@@ -163,8 +169,7 @@
         }
     };
     gateway.metrics.head_ms.observe(gateway.now().since(received_at).0 as f64);
-    let mut response =
-        Response::from_parts(head, CallerBody::new(content, reader, guard, in_flight));
+    let mut response = Response::from_parts(head, CallerBody::new(content, reader, delivery));
     if gateway.phase() == Phase::Stopping {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
--- a/crates/direct/src/callers/activity.rs
+++ b/crates/direct/src/callers/activity.rs
@@ -117,8 +117,13 @@
         written
     }
 
+    /// The HTTP library flushes the connection once its own buffer is empty.
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(context)
+        let flushed = Pin::new(&mut self.inner).poll_flush(context);
+        if matches!(flushed, Poll::Ready(Ok(()))) {
+            self.reader.record_written();
+        }
+        flushed
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/direct/src/callers/body.rs
+++ b/crates/direct/src/callers/body.rs
@@ -1,5 +1,6 @@
 //! The body of an answer to a caller: yields the bytes of a whole answer, or the frames of a
-//! stream. Until it is dropped, its request counts as in flight and its connection is not idle.
+//! stream. The HTTP library drops it once it has taken all of it, before the caller has read that;
+//! its request then counts as in flight until the connection has written everything.
 
 use std::pin::Pin;
 use std::rc::Rc;
@@ -12,9 +13,8 @@
 use http_body::SizeHint;
 use hyper::body::Frame;
 
-use crate::callers::activity::AnswerGuard;
+use crate::callers::delivery::Delivery;
 use crate::callers::reader::Reader;
-use crate::gateway::InFlight;
 use crate::platform::Platform;
 use crate::relay::TruncatedStream;
 
@@ -28,26 +28,23 @@
 pub(super) struct CallerBody<S, P: Platform> {
     content: Content<S>,
     reader: Rc<Reader<P>>,
-    guard: AnswerGuard,
-    _in_flight: InFlight<P>,
+    /// Present until the body is dropped.
+    delivery: Option<Delivery<P>>,
 }
 
 impl<S, P: Platform> CallerBody<S, P> {
-    /// Until it is dropped, the request is in flight and its connection is not idle.
-    pub(super) fn new(
-        content: Content<S>,
-        reader: Rc<Reader<P>>,
-        guard: AnswerGuard,
-        in_flight: InFlight<P>,
-    ) -> Self {
+    pub(super) fn new(content: Content<S>, reader: Rc<Reader<P>>, delivery: Delivery<P>) -> Self {
         reader.set_streaming(matches!(content, Content::Stream(_)));
-        CallerBody { content, reader, guard, _in_flight: in_flight }
+        CallerBody { content, reader, delivery: Some(delivery) }
     }
 }
 
 impl<S, P: Platform> Drop for CallerBody<S, P> {
     fn drop(&mut self) {
         self.reader.set_streaming(false);
+        if let Some(delivery) = self.delivery.take() {
+            self.reader.end_when_written(delivery);
+        }
     }
 }
 
@@ -73,7 +70,11 @@
             Poll::Ready(Some(Ok(frame))) => {
                 self.reader.hold(frame.data_ref().map_or(0, Bytes::len));
             }
-            Poll::Ready(Some(Err(_))) => self.guard.record_truncated(),
+            Poll::Ready(Some(Err(_))) => {
+                if let Some(delivery) = &self.delivery {
+                    delivery.record_truncated();
+                }
+            }
             Poll::Ready(None) | Poll::Pending => {}
         }
         polled
--- /dev/null
+++ b/crates/direct/src/callers/delivery.rs
@@ -0,0 +1,24 @@
+//! The delivery of one answer: from the request until the connection has written the whole answer.
+//! Until it is dropped, the request counts as in flight and its connection is not idle.
+
+use crate::callers::activity::AnswerGuard;
+use crate::gateway::InFlight;
+use crate::platform::Platform;
+
+/// The delivery of one answer.
+pub(super) struct Delivery<P: Platform> {
+    guard: AnswerGuard,
+    _in_flight: InFlight<P>,
+}
+
+impl<P: Platform> Delivery<P> {
+    /// Begins with the request.
+    pub(super) fn new(guard: AnswerGuard, in_flight: InFlight<P>) -> Delivery<P> {
+        Delivery { guard, _in_flight: in_flight }
+    }
+
+    /// Records that the answer was truncated.
+    pub(super) fn record_truncated(&self) {
+        self.guard.record_truncated();
+    }
+}
--- a/crates/direct/src/callers/reader.rs
+++ b/crates/direct/src/callers/reader.rs
@@ -14,6 +14,7 @@
 use hooktrestle_core::direct::unread_answers::UnreadAnswers;
 use tokio::sync::Notify;
 
+use crate::callers::delivery::Delivery;
 use crate::gateway::Gateway;
 use crate::platform::Platform;
 
@@ -58,6 +59,8 @@
     gateway: Rc<Gateway<P>>,
     id: ReaderId,
     close_signal: Rc<Notify>,
+    /// The answer that the connection has taken and not written completely.
+    unwritten: RefCell<Option<Delivery<P>>>,
 }
 
 impl<P: Platform> Reader<P> {
@@ -65,7 +68,18 @@
         let id = gateway.readers.unread.borrow_mut().open();
         let close_signal = Rc::new(Notify::new());
         gateway.readers.close_signals.borrow_mut().insert(id, close_signal.clone());
-        Rc::new(Reader { gateway, id, close_signal })
+        Rc::new(Reader { gateway, id, close_signal, unwritten: RefCell::new(None) })
+    }
+
+    /// Ends a delivery once the connection has written everything, or is closed.
+    pub(super) fn end_when_written(&self, delivery: Delivery<P>) {
+        self.unwritten.replace(Some(delivery));
+    }
+
+    /// Records that the connection has written everything that it has taken, or that its next
+    /// request begins, whose answer is written later.
+    pub(super) fn record_written(&self) {
+        drop(self.unwritten.take());
     }
 
     /// Holds bytes of an answer for the caller, and closes the slowest readers if that exceeds the
@@ -97,6 +111,11 @@
         self.gateway.readers.unread.borrow_mut().record_stall(self.id, self.gateway.now());
     }
 
+    /// Records until when the caller waits for the answer that begins.
+    pub(super) fn set_deadline(&self, deadline: Option<Millis>) {
+        self.gateway.readers.unread.borrow_mut().set_deadline(self.id, deadline);
+    }
+
     pub(super) fn set_streaming(&self, is_streaming: bool) {
         self.gateway.readers.unread.borrow_mut().set_streaming(self.id, is_streaming);
     }
