Settings: the memory of the instance, in place of that of its host

The bytes that a gateway holds for callers who read slowly are bounded by a quarter of the memory that the kernel reports. Found by reading; the line at the start of a gateway shows it.

The style check knows megabytes as a unit: the platform tells the memory in them.

--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -267,15 +267,18 @@
         callers_at,
         peers_at,
         data_centre: settings.instance.data_centre.clone(),
-        memory_bytes: memory_bytes(),
+        memory_bytes: memory_bytes(settings),
         readiness: Readiness::Starting,
         store_answers: false,
         leader_fencing_token: 0,
     }
 }
 
-/// Memory of this machine.
-fn memory_bytes() -> u64 {
+/// Memory of this instance: that of its settings, or else what the kernel reports.
+pub fn memory_bytes(settings: &DirectSettings) -> u64 {
+    if settings.instance.memory_mb > 0 {
+        return settings.instance.memory_mb << 20;
+    }
     let info = rustix::system::sysinfo();
     (info.totalram as u64).saturating_mul(u64::from(info.mem_unit))
 }
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -413,6 +413,9 @@
 pub struct DirectInstanceSettings {
     ///Data centre of the instance.
     pub data_centre: ::std::string::String,
+    ///Memory of the instance, beyond which the platform ends the process; 0 for what the kernel reports, which may be that of the whole host.
+    #[serde(default)]
+    pub memory_mb: u64,
     ///Unique name of the instance.
     pub name: ::std::string::String,
     ///Regions of all data centres, separated by commas, each as DATA_CENTRE:REGION. Operators restrict requests to regions.
--- a/xtask/src/style.rs
+++ b/xtask/src/style.rs
@@ -52,9 +52,10 @@
 ];
 
 /// Allowed last parts of the names of numeric fields in the schema: units and counted things.
-const UNITS: [&str; 29] = [
+const UNITS: [&str; 30] = [
     "ms",
     "bytes",
+    "mb",
     "tokens",
     "requests",
     "s",
