Bodies of requests take a bounded part of the instance's memory

64 bodies of 4 MB took a gateway to 524 MB; on real processes with 260 MB both gateways were killed for their memory and 108 of 108 requests ended in a closed channel, 21 after a server had run them. Nothing bounded the bodies that a gateway holds, and each was copied once more when it was complete.

Bytes are reserved before they are read, a quarter of the instance's memory at most, of which small bodies keep a part. A request without room is refused as not run with a time to retry, and what is left of its body is discarded: closing the connection would reset the answer.

bodies_of_requests_stay_within_the_memory_of_the_instance failed before and passes, with 2, 8 and 64 callers.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -27,6 +27,7 @@
 //! - [`unconfirmed_endings`]: attempts that were abandoned, until their server answers again.
 //! - [`crashes`]: requests that crash the servers that run them, from reports of all gateways.
 //! - [`outage`]: time after which callers retry while no server can accept a request.
+//! - [`body_memory`]: memory that the bodies of requests may take.
 //! - [`budget`]: number of retries after failures, over a sliding window.
 //! - [`expert_demand`], [`expert_plan`], [`expert_layout`], [`holders`]: how often experts are
 //!   chosen, and which ranks are to hold them.
@@ -41,6 +42,7 @@
 pub mod advertised_limit;
 pub mod answer_ends;
 pub mod attempts;
+pub mod body_memory;
 pub mod budget;
 pub mod count_deltas;
 pub mod crashes;
--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -132,7 +132,9 @@
     match activity {
         Activity::Idle(since) => since + limits.idle_ms,
         Activity::Reading(since) => since + limits.header_ms,
-        Activity::Answering | Activity::Truncated => gateway.now() + limits.idle_ms,
+        Activity::Answering | Activity::Discarding | Activity::Truncated => {
+            gateway.now() + limits.idle_ms
+        }
     }
 }
 
@@ -144,7 +146,11 @@
     reader: Rc<Reader<P>>,
     shared_activity: SharedActivity,
 ) -> ServiceResult<impl Stream<Item = Result<Frame<Bytes>, TruncatedStream>>, P> {
-    let guard = AnswerGuard { shared_activity, clock: gateway.clock, version: request.version() };
+    let guard = AnswerGuard {
+        shared_activity: shared_activity.clone(),
+        clock: gateway.clock,
+        version: request.version(),
+    };
     let delivery = Delivery::new(guard, gateway.begin_request());
     let received_at = gateway.now();
     let (parts, body) = request.into_parts();
@@ -163,8 +169,16 @@
             let frames = relay::frames(gateway.clone(), request, attempts, *answer);
             (head, Content::Stream(Box::pin(frames)))
         }
-        Ok((_, Reply::Refused(refusal))) | Err(refusal) => {
+        Ok((_, Reply::Refused(refusal))) => {
+            record_refusal(&gateway, id.as_ref(), received_at, &refusal);
+            refused(&refusal, id, &gateway)
+        }
+        Err(NotForwarded { refusal, unread_body }) => {
             record_refusal(&gateway, id.as_ref(), received_at, &refusal);
+            if let Some((body, until)) = unread_body {
+                let discarded = activity::discard(shared_activity, gateway.clock, body, until);
+                tokio::task::spawn_local(discarded);
+            }
             refused(&refusal, id, &gateway)
         }
     };
@@ -176,17 +190,29 @@
     Ok(response)
 }
 
-/// The reply to a request, with the request, which is needed until its answer ends; or the refusal
-/// of a request that was sent to no server.
+/// A request that was sent to no server.
+struct NotForwarded {
+    refusal: Refusal,
+    /// What is left of its body, and until when its caller may send it.
+    unread_body: Option<(Incoming, Millis)>,
+}
+
+impl From<Refusal> for NotForwarded {
+    fn from(refusal: Refusal) -> NotForwarded {
+        NotForwarded { refusal, unread_body: None }
+    }
+}
+
+/// The reply to a request, with the request, which is needed until its answer ends.
 async fn reply<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     parts: http::request::Parts,
     body: Incoming,
-) -> Result<(Request<P>, Reply<P>), Refusal> {
+) -> Result<(Request<P>, Reply<P>), NotForwarded> {
     match request::read(gateway, parts, body).await {
         Ok(request) if !gateway.accepts(request.route().kind) => {
             // Another gateway can accept the request at once.
-            Err(Refusal::not_run(Cause::Leaving).retry_after(Millis::ZERO))
+            Err(Refusal::not_run(Cause::Leaving).retry_after(Millis::ZERO).into())
         }
         Ok(mut request) => {
             let trials = gateway.begin_trials_if_suspect(&request.fingerprints).await;
@@ -196,9 +222,13 @@
             let reply = forward::forward(gateway, &request).await;
             Ok((request, reply))
         }
-        Err(ReadError::Refused(refusal)) => Err(refusal),
+        Err(ReadError::Refused(refusal)) => Err(refusal.into()),
+        Err(ReadError::NoRoom { refusal, unread_body }) => {
+            gateway.metrics.bodies_refused.inc();
+            Err(NotForwarded { refusal, unread_body })
+        }
         // The caller has disconnected, so this refusal is only logged and counted.
-        Err(ReadError::Disconnected) => Err(Refusal::not_run(Cause::Cancelled)),
+        Err(ReadError::Disconnected) => Err(Refusal::not_run(Cause::Cancelled).into()),
     }
 }
 
--- a/crates/direct/src/callers/activity.rs
+++ b/crates/direct/src/callers/activity.rs
@@ -13,6 +13,8 @@
 use hooktrestle_core::clock::Clock;
 use hooktrestle_core::clock::Millis;
 use http::Version;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use hyper::rt::ReadBufCursor;
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
@@ -30,6 +32,8 @@
     Reading(Millis),
     /// The answer to a request is not complete.
     Answering,
+    /// The body of a refused request is discarded as it arrives; the answer may be complete.
+    Discarding,
     /// The answer was truncated, and an orderly end of the connection would make it look complete.
     Truncated,
 }
@@ -57,12 +61,29 @@
 
 impl Drop for AnswerGuard {
     fn drop(&mut self) {
-        if !matches!(self.shared_activity.get(), Activity::Truncated) {
+        if matches!(self.shared_activity.get(), Activity::Answering) {
             self.shared_activity.set(Activity::Idle(self.clock.now()));
         }
     }
 }
 
+/// Discards the body of a refused request, until a time at the latest. Its caller may read the
+/// answer only once it has sent the whole request, and closing the connection would reset it.
+pub(super) async fn discard(
+    shared_activity: SharedActivity,
+    clock: ProcessClock,
+    mut body: Incoming,
+    until: Millis,
+) {
+    shared_activity.set(Activity::Discarding);
+    let rest = async { while let Some(Ok(_)) = body.frame().await {} };
+    // A caller that sends for longer has given up.
+    let _ = clock.timeout_at(until, rest).await;
+    if matches!(shared_activity.get(), Activity::Discarding) {
+        shared_activity.set(Activity::Idle(clock.now()));
+    }
+}
+
 /// A connection that records when the first bytes of a request are received, and whether the caller
 /// reads.
 pub(super) struct TrackedConnection<P: Platform> {
--- a/crates/direct/src/callers/reader.rs
+++ b/crates/direct/src/callers/reader.rs
@@ -18,7 +18,7 @@
 use crate::gateway::Gateway;
 use crate::platform::Platform;
 
-/// Fraction of the instance's memory for answers that callers have not read, as a divisor.
+/// Fraction of the instance's memory for what is held for callers, as a divisor.
 const BUDGET_DIVISOR: u64 = 4;
 
 /// Budget if the memory of the instance is not known.
@@ -27,6 +27,14 @@
 /// As [`Config::stream_stall_timeout`]: callers themselves give up a stream after a pause of 2 s.
 const STREAM_STALL_TIMEOUT: Millis = Millis(2_000);
 
+/// Bytes that a gateway may hold for its callers of each kind: unread answers, and bodies.
+pub(crate) fn budget_bytes(memory_bytes: u64) -> usize {
+    match memory_bytes {
+        0 => DEFAULT_BUDGET_BYTES,
+        known => (known / BUDGET_DIVISOR) as usize,
+    }
+}
+
 /// All readers of a gateway.
 pub struct Readers {
     unread: RefCell<UnreadAnswers>,
@@ -37,10 +45,7 @@
 impl Readers {
     /// No readers, at an instance with this memory; 0 if that is not known.
     pub fn new(memory_bytes: u64) -> Readers {
-        let budget_bytes = match memory_bytes {
-            0 => DEFAULT_BUDGET_BYTES,
-            known => (known / BUDGET_DIVISOR) as usize,
-        };
+        let budget_bytes = budget_bytes(memory_bytes);
         let config = Config { budget_bytes, stream_stall_timeout: STREAM_STALL_TIMEOUT };
         Readers {
             unread: RefCell::new(UnreadAnswers::new(config)),
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -61,7 +61,9 @@
 use tokio::sync::watch;
 
 use crate::admission_queue::AdmissionQueue;
+use crate::bodies::Bodies;
 use crate::callers::reader::Readers;
+use crate::callers::reader::budget_bytes;
 use crate::connections::Connections;
 use crate::connections::MAX_IDLE_PER_SERVER;
 use crate::connections::MAX_IDLE_PER_SIDECAR;
@@ -120,8 +122,10 @@
     pub sidecars: Connections,
     /// Port on which sidecars listen; 0 if there are none.
     pub sidecars_port: u16,
-    /// Callers, and what is held for them.
+    /// Callers, and the answers that are held for them.
     pub readers: Readers,
+    /// The bodies of requests.
+    pub bodies: Bodies,
     /// Wakes the task that polls stalled groups.
     pub stall_detected: Notify,
     /// Wakes the streams: a report of slow servers was applied.
@@ -190,16 +194,19 @@
         sidecars_port: u16,
         clock: ProcessClock,
     ) -> Gateway<P> {
+        let metrics = Metrics::default();
+        let bodies = Bodies::new(budget_bytes(own.memory_bytes), metrics.body_bytes.clone());
         Gateway {
             platform,
             clock,
             suspension: Cell::default(),
             event_log: EventLog::default(),
-            metrics: Metrics::default(),
+            metrics,
             connections: Connections::new(clock, MAX_IDLE_PER_SERVER),
             sidecars: Connections::new(clock, MAX_IDLE_PER_SIDECAR),
             sidecars_port,
             readers: Readers::new(own.memory_bytes),
+            bodies,
             stall_detected: Notify::new(),
             slow_servers_reported: Notify::new(),
             urgent_gossip: Notify::new(),
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -5,7 +5,8 @@
 //! The path of a request:
 //!
 //! 1. `callers` accepts connections through `accept` and watches how long they are idle.
-//! 2. `request` reads one request and admits it under the configuration in force.
+//! 2. `request` reads one request and admits it under the configuration in force; `bodies` bounds
+//!    the memory that bodies take.
 //! 3. `admission_queue` admits a stream if the passes of its service remain short enough.
 //! 4. `forward` sends it, with retries where these are allowed, and returns its one answer.
 //! 5. `exchange` makes one attempt, over a connection from `connections`.
@@ -26,6 +27,7 @@
 
 mod accept;
 pub mod admission_queue;
+mod bodies;
 mod callers;
 mod compression;
 mod connections;
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -66,6 +66,10 @@
     pub permits_unavailable: Counter,
     /// Connections closed because their callers did not read their answers.
     pub readers_closed: Counter,
+    /// Requests refused because there was no room for their bodies.
+    pub bodies_refused: Counter,
+    /// Bytes reserved for the bodies of requests.
+    pub body_bytes: Gauge,
     /// Bytes of answers that callers have not read yet.
     pub unread_bytes: Gauge,
     /// Gateways that callers may be sent to, this one included.
@@ -116,6 +120,8 @@
             permits_granted: Counter::default(),
             permits_unavailable: Counter::default(),
             readers_closed: Counter::default(),
+            bodies_refused: Counter::default(),
+            body_bytes: Gauge::default(),
             unread_bytes: Gauge::default(),
             gateways_alive: Gauge::default(),
             evacuated_data_centres: Gauge::default(),
@@ -154,6 +160,7 @@
             ("permits_given", "Permits given out for all gateways", &metrics.permits_granted),
             ("permits_lacking", "Times that there was no permit", &metrics.permits_unavailable),
             ("readers_closed", "Callers that did not read", &metrics.readers_closed),
+            ("bodies_refused", "Requests without room for their body", &metrics.bodies_refused),
             ("ranks_unled", "Servers in groups too large to be led", &metrics.ranks_without_leader),
         ];
         for (name, help, counter) in counters {
@@ -161,6 +168,8 @@
         }
         let help = "Gateways that are heard of, this one included";
         metrics.registry.register("gateways_living", help, metrics.gateways_alive.clone());
+        let help = "Bytes reserved for the bodies of requests";
+        metrics.registry.register("body_bytes", help, metrics.body_bytes.clone());
         let help = "Bytes of answers that callers have not read yet";
         metrics.registry.register("unread_bytes", help, metrics.unread_bytes.clone());
         let help = "Data centres that operators evacuate";
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -31,13 +31,12 @@
 use http::Uri;
 use http::header;
 use http::request::Parts;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 
 use crate::admission_queue::AdmissionRequest;
 use crate::admission_queue::AdmittedStream;
+use crate::bodies::BodyError;
+use crate::bodies::ReservedBytes;
 use crate::gateway::Gateway;
 use crate::gateway::crashes::Trial;
 use crate::headers;
@@ -67,6 +66,14 @@
 pub enum ReadError {
     /// The request is refused.
     Refused(Refusal),
+    /// The request is refused because there is no room for its body.
+    NoRoom {
+        /// The refusal.
+        refusal: Refusal,
+        /// What is left of the body, and until when the caller may send it; `None` if the caller
+        /// waits for a sign to send it.
+        unread_body: Option<(Incoming, Millis)>,
+    },
     /// The caller disconnected.
     Disconnected,
 }
@@ -89,6 +96,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// Memory of the body, which may have to be sent again until the answer ends.
+    _body_memory: ReservedBytes,
     /// Fingerprints, which are the same for each retry by the caller.
     pub fingerprints: Fingerprints,
     /// Deadline: that of the caller or of its route, whichever is earlier.
@@ -184,7 +193,7 @@
 pub async fn read<P: Platform>(
     gateway: &Gateway<P>,
     parts: Parts,
-    body: Incoming,
+    mut body: Incoming,
 ) -> Result<Request<P>, ReadError> {
     let received_at = gateway.now();
     let serving = gateway.serving();
@@ -202,12 +211,18 @@
     let requested = headers::number(&parts.headers, &names.deadline_ms).map(Millis);
     let deadline =
         received_at + requested.unwrap_or(found_route.timeout_ms).min(found_route.timeout_ms);
-    let body = read_body(body, serving.limits.body_bytes);
+    let reading = gateway.bodies.read(&mut body, serving.limits.body_bytes);
     // A caller that sends slowly holds what it has sent no longer than it waits for the answer.
-    let Ok(body) = gateway.clock.timeout_at(deadline, body).await else {
-        return Err(ReadError::Refused(Refusal::not_run(Cause::DeadlinePassed)));
+    let read = gateway.clock.timeout_at(deadline, reading).await;
+    let (body, body_memory) = match read {
+        Ok(Ok(read)) => read,
+        Ok(Err(BodyError::TooLarge)) => {
+            return Err(ReadError::Refused(Refusal::not_run(Cause::TooLarge)));
+        }
+        Ok(Err(BodyError::NoRoom)) => return Err(no_room(&parts, body, deadline)),
+        Ok(Err(BodyError::Disconnected)) => return Err(ReadError::Disconnected),
+        Err(_) => return Err(ReadError::Refused(Refusal::not_run(Cause::DeadlinePassed))),
     };
-    let body = body?;
     let service = found_route.draw(&mut rand::rng()).unwrap_or_default().to_owned();
     let cost = cost(&parts.headers, names);
     let uri = origin_form(&parts.uri);
@@ -226,6 +241,7 @@
         uri,
         headers,
         body,
+        _body_memory: body_memory,
         fingerprints,
         deadline,
         cost,
@@ -253,14 +269,13 @@
     })
 }
 
-async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, ReadError> {
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => {
-            Err(ReadError::Refused(Refusal::not_run(Cause::TooLarge)))
-        }
-        Err(_) => Err(ReadError::Disconnected),
-    }
+/// The refusal of a request without room for its body. Others need some time to leave.
+fn no_room(parts: &Parts, body: Incoming, deadline: Millis) -> ReadError {
+    let refusal = Refusal::not_run(Cause::QueueFull).retry_after(RETRY_AFTER_NO_SERVER);
+    // Reading it would be the sign for which the caller waits.
+    let is_held_back = parts.headers.contains_key(header::EXPECT);
+    let unread_body = (!is_held_back).then_some((body, deadline));
+    ReadError::NoRoom { refusal, unread_body }
 }
 
 /// The headers for backend servers. The caller's key is replaced by the name of its client account;
