Soak: gateways that are restarted in a series while answers are lost; callers that use a gateway until it is gone

A request to a gateway that is no longer listed is counted only if it was answered or has reached a server: the gateway may be gone, or have closed the connection meanwhile.

--- a/crates/soak/src/backends.rs
+++ b/crates/soak/src/backends.rs
@@ -204,6 +204,17 @@
         apply(None);
     }
 
+    /// Makes all servers run requests and lose the answers for a time.
+    async fn lose_answers(&self, duration: Duration) {
+        let servers = self.active.borrow().clone();
+        let set = |action: Action| {
+            servers.iter().for_each(|proxied| proxied.server.set_default_action(action.clone()));
+        };
+        set(Action::LoseAnswer);
+        time::sleep(duration).await;
+        set(Action::Work);
+    }
+
     /// From now on servers crash for this cause, and others replace them.
     pub fn add_crash_cause(&self, cause: CrashCause) {
         self.active.borrow().iter().for_each(|proxied| apply_cause(&proxied.server, &cause));
@@ -284,6 +295,7 @@
             FaultKind::StoreDrill => self.drill(target, duration).await,
             FaultKind::Evacuation => self.evacuate(target, duration).await,
             FaultKind::Overload => self.bound_slots(duration).await,
+            FaultKind::RestartSeries => self.lose_answers(duration).await,
             FaultKind::ServerMute
             | FaultKind::ServerReset
             | FaultKind::ServerSlow
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -110,9 +110,16 @@
     client: Client,
     rng: ChaCha8Rng,
     addresses: Vec<SocketAddr>,
+    /// The newest list of gateways that it got.
+    listed: Vec<SocketAddr>,
+    /// Whether it uses gateways that are no longer listed until they are gone.
+    keeps_gateways: bool,
     refresh_at: Instant,
 }
 
+/// One in so many callers uses gateways until they are gone.
+const KEEPS_GATEWAYS_ONE_IN: u64 = 4;
+
 /// A request to send.
 #[derive(Clone, Debug)]
 struct RequestSpec {
@@ -127,8 +134,15 @@
     /// Creates a caller with connections of its own, which draws requests from a seed.
     pub fn new(context: Rc<RunContext>, seed: u64) -> Caller {
         let rng = ChaCha8Rng::seed_from_u64(seed);
-        let refresh_at = Instant::now();
-        Caller { context, client: Client::new(), rng, addresses: Vec::new(), refresh_at }
+        Caller {
+            context,
+            client: Client::new(),
+            rng,
+            addresses: Vec::new(),
+            listed: Vec::new(),
+            keeps_gateways: seed.is_multiple_of(KEEPS_GATEWAYS_ONE_IN),
+            refresh_at: Instant::now(),
+        }
     }
 
     /// Sends requests until the run ends.
@@ -163,7 +177,13 @@
             }
         }
         self.refresh_at = Instant::now() + Duration::from_millis(self.rng.random_range(REFRESH_MS));
-        self.addresses = list;
+        self.listed.clone_from(&list);
+        if self.keeps_gateways {
+            self.addresses.retain(|address| !list.contains(address));
+            self.addresses.extend(list);
+        } else {
+            self.addresses = list;
+        }
     }
 
     fn check_listed(&self, source: &Gateway, listed: &Gateway) {
@@ -213,7 +233,13 @@
             Err(_) => Verdict::Left(Instant::now()),
         };
         ledger.record_verdict(&id, verdict);
-        if spec.disconnects_after.is_none() && ledger.no_faults_since(sent_at) {
+        // A request to a gateway that is no longer listed may find it gone, or cross its end.
+        let is_undelivered = || {
+            let is_listed = self.listed.contains(&gateway);
+            verdict == Verdict::Open && !is_listed && !ledger.was_offered(&id)
+        };
+        let is_checked = spec.disconnects_after.is_none() && ledger.no_faults_since(sent_at);
+        if is_checked && !is_undelivered() {
             ledger.record_check(Guarantee::Answered);
             if matches!(verdict, Verdict::Open | Verdict::Left(_)) {
                 let path = &spec.path;
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -41,6 +41,9 @@
 /// Time between two checks of whether a process has exited.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time from a start of all gateways to their next kill in a series.
+const RESTART_INTERVAL: Duration = Duration::from_millis(1_500);
+
 /// Time in which a process that was started or resumed receives the current state.
 const SETTLE_TIME: Duration = Duration::from_secs(4);
 
@@ -212,6 +215,7 @@
                 self.kill(&[gateway], duration).await
             }
             FaultKind::KillAll => self.kill(&self.gateways, duration).await,
+            FaultKind::RestartSeries => self.restart_repeatedly(duration).await,
             FaultKind::Pause => self.pause(&gateway, duration).await,
             FaultKind::Stop => self.stop(&gateway).await,
             FaultKind::HangUp => gateway.signal(Signal::HUP),
@@ -248,6 +252,15 @@
         gateways.iter().for_each(|gateway| self.end_fault(gateway));
     }
 
+    /// Kills all gateways and starts them again, until the time has passed.
+    async fn restart_repeatedly(&self, duration: Duration) {
+        let end = Instant::now() + duration;
+        while Instant::now() < end {
+            self.kill(&self.gateways, POLL_INTERVAL).await;
+            time::sleep(RESTART_INTERVAL).await;
+        }
+    }
+
     async fn pause(&self, gateway: &Gateway, duration: Duration) {
         gateway.active_faults.set(gateway.active_faults.get() + 1);
         gateway.signal(Signal::STOP);
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -449,6 +449,12 @@
         }
     }
 
+    /// Whether a request has reached a server.
+    pub fn was_offered(&self, id: &str) -> bool {
+        self.poll();
+        self.offered.borrow().contains(id)
+    }
+
     /// Checks what has reached servers since the last call.
     pub fn poll(&self) {
         let mut servers = self.servers.borrow_mut();
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -196,8 +196,8 @@
         }
         task::spawn_local(async move {
             let Fault { kind, target, duration, .. } = fault;
-            fleet.inject(kind, target, duration).await;
-            backends.inject(kind, target, duration).await;
+            let of_gateways = fleet.inject(kind, target, duration);
+            tokio::join!(of_gateways, backends.inject(kind, target, duration));
         });
     }
 }
@@ -209,6 +209,8 @@
         FaultKind::ServerCrash | FaultKind::ServerReturnsCold => {
             fault.duration + Duration::from_secs(2)
         }
+        // Until the gateways that were killed last have started.
+        FaultKind::RestartSeries => fault.duration + Duration::from_secs(2),
         // Until the servers that crashed last are replaced.
         FaultKind::CrashingRequest | FaultKind::CrashingPart => {
             fault.duration + Duration::from_secs(4)
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -92,10 +92,13 @@
     ServerReturnsCold,
     /// Servers process few requests at once, and many more callers come than they have room for.
     Overload,
+    /// All gateways are killed and started again and again, while all servers run requests and lose
+    /// the answers.
+    RestartSeries,
 }
 
 /// All kinds, with their names for `--faults`.
-pub const FAULT_KINDS: [(&str, FaultKind); 38] = [
+pub const FAULT_KINDS: [(&str, FaultKind); 39] = [
     ("kill", FaultKind::Kill),
     ("off", FaultKind::Off),
     ("kill-all", FaultKind::KillAll),
@@ -134,6 +137,7 @@
     ("evacuation", FaultKind::Evacuation),
     ("server-returns-cold", FaultKind::ServerReturnsCold),
     ("overload", FaultKind::Overload),
+    ("restart-series", FaultKind::RestartSeries),
 ];
 
 impl FaultKind {
@@ -232,7 +236,7 @@
 
 /// Kinds that are drawn from random generators of their own, so that the other faults of a seed are
 /// the same with and without them.
-const SEPARATELY_DRAWN: [FaultKind; 10] = [
+const SEPARATELY_DRAWN: [FaultKind; 11] = [
     FaultKind::CrashingRequest,
     FaultKind::CrashingPart,
     FaultKind::ServerUnframed,
@@ -243,6 +247,7 @@
     FaultKind::Evacuation,
     FaultKind::ServerReturnsCold,
     FaultKind::Overload,
+    FaultKind::RestartSeries,
 ];
 
 /// Time between two drills; one in so many is followed by the next after the shorter time.
@@ -256,9 +261,12 @@
 /// Time between the starts of two faults in which a server sends a notice.
 const NOTICE_GAP_MS: std::ops::Range<u64> = 1_000..8_000;
 
-/// Time from the start of a period with faults to a burst of callers in it, and how long one lasts.
-const OVERLOAD_DELAY_MS: std::ops::Range<u64> = 0..1_500;
+/// Time from the start of a period with faults to a fault that is drawn for each such period.
+const PERIOD_DELAY_MS: std::ops::Range<u64> = 0..1_500;
+
+/// How long a burst of callers and a series of restarts last.
 const OVERLOAD_DURATION_MS: std::ops::Range<u64> = 4_000..8_000;
+const RESTARTS_DURATION_MS: std::ops::Range<u64> = 6_000..12_000;
 
 /// How long a gateway is off: other gateways remove its record after 60 s.
 const OFF_DURATION: Duration = Duration::from_secs(80);
@@ -297,7 +305,14 @@
                 draw_crashing_requests(&mut rng, kind, end, &mut faults);
             }
             FaultKind::StoreDrill => draw_drills(&mut rng, end, &mut faults),
-            FaultKind::Overload => draw_overloads(&mut rng, &periods, &mut faults),
+            FaultKind::Overload => {
+                draw_in_periods(&mut rng, kind, &periods, OVERLOAD_DURATION_MS, &mut faults)
+            }
+            FaultKind::RestartSeries => {
+                // At other times than bursts.
+                let mut rng = ChaCha8Rng::seed_from_u64((!seed).rotate_left(2));
+                draw_in_periods(&mut rng, kind, &periods, RESTARTS_DURATION_MS, &mut faults);
+            }
             _ => draw_notices(&mut rng, kind, end, &mut faults),
         }
     }
@@ -340,20 +355,22 @@
     }
 }
 
-/// Adds a burst of callers to each period with faults: in quiet periods it would excuse what the
+/// Adds a fault of a kind to each period with faults: in quiet periods it would excuse what the
 /// service guarantees there.
-fn draw_overloads(
+fn draw_in_periods(
     rng: &mut ChaCha8Rng,
+    kind: FaultKind,
     periods: &[std::ops::Range<Duration>],
+    duration_ms: std::ops::Range<u64>,
     faults: &mut Vec<Fault>,
 ) {
     for period in periods {
-        let at = period.start + Duration::from_millis(rng.random_range(OVERLOAD_DELAY_MS));
-        let duration = Duration::from_millis(rng.random_range(OVERLOAD_DURATION_MS));
+        let at = period.start + Duration::from_millis(rng.random_range(PERIOD_DELAY_MS));
+        let duration = Duration::from_millis(rng.random_range(duration_ms.clone()));
         let target = rng.random_range(0..1_000);
         let duration = duration.min(period.end.saturating_sub(at));
         if !duration.is_zero() {
-            faults.push(Fault { at, duration, kind: FaultKind::Overload, target });
+            faults.push(Fault { at, duration, kind, target });
         }
     }
 }
