Calls to engines take no surplus answer to a caller's request

Requests check the id of their answer, calls to engines did not.

An answer that names a request is none of an engine's, and an order that is sent directly gets a new connection, since a surplus answer to an earlier order names nothing.

--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -13,6 +13,8 @@
 use hooktrestle_core::direct::pool::Server;
 use hooktrestle_core::util::arena::Key;
 use hooktrestle_schema::CountsNews;
+use hooktrestle_schema::OtherAnswerStep;
+use http::HeaderMap;
 use http::Method;
 use http::Request;
 use http::StatusCode;
@@ -25,6 +27,7 @@
 use crate::compression;
 use crate::connections::Connection;
 use crate::gateway::Gateway;
+use crate::headers;
 use crate::platform::EngineReport;
 use crate::platform::EngineRequest;
 use crate::platform::Platform;
@@ -136,11 +139,14 @@
         Path::Through(_) if is_limited => Path::Any,
         path => path,
     };
-    let (mut connection, end) = connect(gateway, server, path).await?;
+    let (mut connection, end) = connect(gateway, server, path, encoded).await?;
     let request = request(gateway, server, encoded, end)?;
     let sent_at = gateway.now();
     let answer = connection.sender().send_request(request).await.ok()?;
     let (head, body) = answer.into_parts();
+    if end == RemoteEnd::Engine && is_of_request(gateway, server, &head.headers) {
+        return None;
+    }
     connection.on_answer(&head.headers);
     match end {
         RemoteEnd::Engine => {
@@ -164,6 +170,19 @@
     Some((head.status, body))
 }
 
+/// Whether an answer names a request of a caller, as a surplus one on a reused connection does; it
+/// is logged.
+fn is_of_request<P: Platform>(
+    gateway: &Gateway<P>,
+    server: Key<Server>,
+    headers: &HeaderMap,
+) -> bool {
+    let named = headers::text(headers, &gateway.platform.headers().request_id);
+    let Some(id) = named.filter(|id| !id.is_empty()) else { return false };
+    gateway.event_log.request(id, OtherAnswerStep { server_number: server.number() });
+    true
+}
+
 /// The HTTP request to a server's engine; `None` if the platform names a header or URI that HTTP
 /// does not allow.
 fn request<P: Platform>(
@@ -195,11 +214,14 @@
     request.body(Full::new(body.clone())).ok()
 }
 
-/// A connection over which the engine is reached, and the process at its remote end.
+/// A connection over which the engine is reached, and the process at its remote end. An order that
+/// is sent directly gets a new connection: on a reused one a surplus answer to an earlier call, which
+/// nothing tells from its own, would make it count as carried out.
 async fn connect<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     server: Key<Server>,
     path: Path,
+    encoded: &EncodedRequest,
 ) -> Option<(Connection, RemoteEnd)> {
     if let Path::Through(relay) = path {
         let at = SocketAddr::new(relay, gateway.sidecars_port);
@@ -220,7 +242,8 @@
     if gateway.with_pool(|pool| pool.limit(server).is_some()) {
         gateway.permit(server).await?;
     }
-    if let Some(connection) = gateway.connections.idle(server) {
+    let idle = encoded.method.is_safe().then(|| gateway.connections.idle(server)).flatten();
+    if let Some(connection) = idle {
         return Some((connection, RemoteEnd::Engine));
     }
     gateway.metrics.connections_opened.inc();
