A switch of maps ends once a report shows a later leader's version

Passes began with two maps where ranks check no fencing tokens: a leader that woke beside a later one disarmed what that one had armed and counted on. Versions rise from leader to leader, so a version above the switch's own is a later leader's work: the switch ends as superseded while it prepares its map, when it holds no pass.

--- a/crates/core/src/direct/map_orders.rs
+++ b/crates/core/src/direct/map_orders.rs
@@ -25,6 +25,8 @@
 //!   accepts while it is not armed fences off the old leader, which can no longer hold or arm rank
 //!   0 and so never reaches `go`. If rank 0 is armed already, the new leader completes the switch
 //!   of the old leader, for the same pass.
+//! - Ranks need not check tokens. A switch also ends once a report shows a later leader's version,
+//!   unless it may hold a pass.
 //! - A switch is never cancelled if rank 0 is armed. At the other ranks it is cancelled only after
 //!   rank 0 has accepted the new leader's map. The old hold is released only once every rank has
 //!   accepted that map.
@@ -352,6 +354,9 @@
             return self.end(Next::Changed);
         }
         self.epoch = Some(report.epoch);
+        if self.is_overtaken_by(report) {
+            return self.end(Next::Superseded);
+        }
         let rank = &mut self.ranks[index];
         rank.report = Some(report);
         rank.needs_report = false;
@@ -366,6 +371,14 @@
         }
     }
 
+    /// Whether a report shows a version above this switch's own while its map is prepared: that of a
+    /// later leader. Ranks need not check fencing tokens, so this switch must not disarm what that
+    /// leader has armed. Once a pass may be held, the switch continues, which releases it.
+    fn is_overtaken_by(&self, report: RankReport) -> bool {
+        let prepares = matches!(self.phase, Phase::Prepare | Phase::Copy);
+        prepares && report.newest_version() > self.version
+    }
+
     /// If rank 0 is armed, the previous leader's switch is completed. Other armed ranks are
     /// disarmed first.
     fn check_prepare(&mut self, index: usize, report: RankReport) {
--- a/crates/core/tests/map_orders.rs
+++ b/crates/core/tests/map_orders.rs
@@ -212,12 +212,13 @@
     assert!(group.holds_no_pass() || group.ranks[0].report.pass > 500);
 }
 
-#[test]
-fn no_pass_has_two_maps_and_no_group_stays_held() {
+/// Runs schedules of faults with groups of two to five ranks, prepared by `prepare`.
+fn assert_no_pass_has_two_maps(prepare: impl Fn(&mut Group)) {
     let mut total = 0;
     for seed in 0..4_000 {
         let ranks = 2 + (seed % 4) as usize;
         let mut group = Group::new(ranks);
+        prepare(&mut group);
         total += run_schedule(seed, ranks, HEAVY_FAULTS, &mut group);
         let before = group.history[group.history.len() - 100][0].pass;
         assert!(
@@ -229,16 +230,27 @@
 }
 
 #[test]
-fn the_schedules_detect_a_group_that_ignores_fencing_tokens() {
+fn no_pass_has_two_maps_and_no_group_stays_held() {
+    assert_no_pass_has_two_maps(|_| {});
+}
+
+/// Guards against a leader that wakes beside a later one, and disarms what that one has armed.
+#[test]
+fn no_pass_has_two_maps_in_a_group_that_ignores_fencing_tokens() {
+    assert_no_pass_has_two_maps(|group| group.checks_fencing_tokens = false);
+}
+
+#[test]
+fn the_schedules_detect_a_group_that_does_not_keep_holds() {
     let broken = (0..4_000).any(|seed| {
         let outcome = std::panic::catch_unwind(|| {
             let mut group = Group::new(3);
-            group.checks_fencing_tokens = false;
+            group.keeps_holds = false;
             run_schedule(seed, 3, HEAVY_FAULTS, &mut group)
         });
         outcome.is_err()
     });
-    assert!(broken, "no schedule detects a group that ignores fencing tokens");
+    assert!(broken, "no schedule detects a group that does not keep holds");
 }
 
 #[test]
--- a/crates/core/tests/ranks/mod.rs
+++ b/crates/core/tests/ranks/mod.rs
@@ -94,6 +94,8 @@
     pub busy: bool,
     /// Whether ranks refuse orders with a lower fencing token than the highest accepted one.
     pub checks_fencing_tokens: bool,
+    /// Whether a pass that is held does not begin.
+    pub keeps_holds: bool,
 }
 
 impl Group {
@@ -110,6 +112,7 @@
             passes_with_two_maps: 0,
             busy: true,
             checks_fencing_tokens: true,
+            keeps_holds: true,
         }
     }
 
@@ -163,7 +166,8 @@
 
     fn pass(&mut self) {
         let next = self.ranks[0].report.pass + 1;
-        if !self.busy || self.ranks.iter().any(|rank| rank.report.held == Some(next)) {
+        let is_held = self.ranks.iter().any(|rank| rank.report.held == Some(next));
+        if !self.busy || (is_held && self.keeps_holds) {
             return;
         }
         for rank in &mut self.ranks {
