Logs and metrics: requests that the end of a stop cuts off, streams that leave a silent server

Hypotheses on streams lost around planned stops could not be told apart: a stop logged a number of requests, and `leave` had one reason for a server that broke off and one that sends nothing. Now the last line of a stop says how long it took and how late its polls were, a second one when the requests were received that it cuts off; `leave` has the reason `silent`; `streams_truncated` counts streams that ended truncated for their callers.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -127,7 +127,8 @@
         }
         RequestStep::Leave(step) => {
             let why = match step.reason {
-                LeaveReason::BrokenOff => "truncated the stream or stopped sending",
+                LeaveReason::BrokenOff => "truncated the stream",
+                LeaveReason::Silent => "stopped sending",
                 LeaveReason::Slow => "was detected as slow",
             };
             let after =
--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -46,6 +46,7 @@
 use crate::forward::Reply;
 use crate::gateway::Gateway;
 use crate::gateway::Phase;
+use crate::gateway::in_flight::InFlight;
 use crate::gateway::levels::LevelDecision;
 use crate::headers;
 use crate::platform::Platform;
@@ -151,7 +152,7 @@
         clock: gateway.clock,
         version: request.version(),
     };
-    let delivery = Delivery::new(guard, gateway.begin_request());
+    let delivery = Delivery::new(guard, InFlight::begin(&gateway));
     let received_at = gateway.now();
     let (parts, body) = request.into_parts();
     let id = parts.headers.get(&gateway.platform.headers().request_id).cloned();
--- a/crates/direct/src/callers/body.rs
+++ b/crates/direct/src/callers/body.rs
@@ -71,6 +71,7 @@
                 self.reader.hold(frame.data_ref().map_or(0, Bytes::len));
             }
             Poll::Ready(Some(Err(_))) => {
+                self.reader.record_truncated();
                 if let Some(delivery) = &self.delivery {
                     delivery.record_truncated();
                 }
--- a/crates/direct/src/callers/delivery.rs
+++ b/crates/direct/src/callers/delivery.rs
@@ -2,7 +2,7 @@
 //! Until it is dropped, the request counts as in flight and its connection is not idle.
 
 use crate::callers::activity::AnswerGuard;
-use crate::gateway::InFlight;
+use crate::gateway::in_flight::InFlight;
 use crate::platform::Platform;
 
 /// The delivery of one answer.
--- a/crates/direct/src/callers/reader.rs
+++ b/crates/direct/src/callers/reader.rs
@@ -136,6 +136,11 @@
         self.close_signal.notified().await;
     }
 
+    /// Records that the caller gets a truncated stream.
+    pub(super) fn record_truncated(&self) {
+        self.gateway.metrics.streams_truncated.inc();
+    }
+
     /// Records that the connection is closed because its caller reads nothing.
     pub(super) fn record_closed_stalled(&self) {
         self.gateway.metrics.readers_closed.inc();
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -10,6 +10,7 @@
 mod eras;
 mod evacuations;
 mod faults;
+pub mod in_flight;
 pub(crate) mod levels;
 pub mod limits;
 mod rooms;
@@ -70,6 +71,7 @@
 use crate::event_log::EventLog;
 use crate::gateway::by_service::ByService;
 use crate::gateway::crashes::CrashDetection;
+use crate::gateway::in_flight::InFlightRequests;
 use crate::gateway::rooms::Rooms;
 use crate::gateway::slow_servers::Reach;
 use crate::metrics::Metrics;
@@ -177,8 +179,8 @@
     /// Invalid rows of the server list that were logged.
     ignored_rows_logged: RefCell<BTreeSet<String>>,
     phase: Cell<Phase>,
-    in_flight: Cell<usize>,
-    last_request_at: Cell<Millis>,
+    /// Requests without a complete answer.
+    pub in_flight: InFlightRequests,
     /// Until when streams are accepted while the process stops.
     streams_accepted_until: Cell<Millis>,
     /// Until when other requests are accepted while the process stops.
@@ -248,8 +250,7 @@
             relays: RefCell::default(),
             ignored_rows_logged: RefCell::default(),
             phase: Cell::new(Phase::Running),
-            in_flight: Cell::new(0),
-            last_request_at: Cell::new(Millis::ZERO),
+            in_flight: InFlightRequests::default(),
             streams_accepted_until: Cell::new(Millis::MAX),
             requests_accepted_until: Cell::new(Millis::MAX),
         }
@@ -344,23 +345,6 @@
         self.now() < accepted_until.get()
     }
 
-    /// Number of requests without a complete answer.
-    pub fn in_flight(&self) -> usize {
-        self.in_flight.get()
-    }
-
-    /// When the last request arrived.
-    pub fn last_request_at(&self) -> Millis {
-        self.last_request_at.get()
-    }
-
-    /// Counts a request as in flight until the returned value is dropped.
-    pub fn begin_request(self: &Rc<Self>) -> InFlight<P> {
-        self.in_flight.set(self.in_flight.get() + 1);
-        self.last_request_at.set(self.now());
-        InFlight { gateway: self.clone() }
-    }
-
     /// Whether the engine of a server is reached through its sidecar.
     pub fn uses_sidecar(&self, server: Key<Server>) -> bool {
         let until = self.unanswered_sidecars.borrow().get(&server).copied().unwrap_or_default();
@@ -505,14 +489,3 @@
         self.outages.with(service, || Outages::new(outage::Config::default()), act)
     }
 }
-
-/// A request without a complete answer.
-pub struct InFlight<P: Platform> {
-    gateway: Rc<Gateway<P>>,
-}
-
-impl<P: Platform> Drop for InFlight<P> {
-    fn drop(&mut self) {
-        self.gateway.in_flight.set(self.gateway.in_flight.get().saturating_sub(1));
-    }
-}
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -31,6 +31,8 @@
     pub attempts: Counter,
     /// Answers whose body only the end of its connection delimits.
     pub answers_unframed: Counter,
+    /// Streams that ended truncated for their callers.
+    pub streams_truncated: Counter,
     /// Streams resumed at another server.
     pub resumed: Counter,
     /// Retries that were charged to the budget.
@@ -103,6 +105,7 @@
             streams_over_capacity: Counter::default(),
             attempts: Counter::default(),
             answers_unframed: Counter::default(),
+            streams_truncated: Counter::default(),
             resumed: Counter::default(),
             retries: Counter::default(),
             retries_denied: Counter::default(),
@@ -144,6 +147,11 @@
             ),
             ("attempts", "Attempts that were sent", &metrics.attempts),
             ("answers_unframed", "Answers without length or chunks", &metrics.answers_unframed),
+            (
+                "streams_truncated",
+                "Streams that ended truncated for their callers",
+                &metrics.streams_truncated,
+            ),
             ("resumed", "Streams taken up at another server", &metrics.resumed),
             ("repeats", "Repeats charged to the budget", &metrics.retries),
             ("repeats_denied", "Repeats beyond the budget", &metrics.retries_denied),
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -220,27 +220,48 @@
     let Started { gateway, peers, .. } = started;
     let began = gateway.now();
     gateway.begin_stop(within);
-    gateway.event_log.state(format_args!("stopping, {} requests in flight", gateway.in_flight()));
+    let in_flight = &gateway.in_flight;
+    gateway.event_log.state(format_args!("stopping, {} requests in flight", in_flight.count()));
     let row_removed = members_table::remove_own_row(gateway);
     let announced = peers.announce(gateway);
     let notified = async { tokio::join!(announced, row_removed) };
     // Gateways that are not notified detect the stop when heartbeats are missing.
     drop(time::timeout(ANNOUNCE_TIMEOUT, notified).await);
+    let mut max_delay = Millis::ZERO;
     loop {
         let now = gateway.now();
         let spent = now.since(began);
         let quiet =
-            gateway.in_flight() == 0 && now.since(gateway.last_request_at()) >= QUIET_PERIOD;
+            in_flight.count() == 0 && now.since(in_flight.last_received_at()) >= QUIET_PERIOD;
         if (quiet && spent >= MIN_STOP) || spent + STOP_MARGIN >= within {
             break;
         }
-        time::sleep(STOP_POLL_INTERVAL).await;
+        let next_poll = now + Millis::from(STOP_POLL_INTERVAL);
+        gateway.clock.sleep_until(next_poll).await;
+        max_delay = max_delay.max(gateway.now().since(next_poll));
     }
+    log_stopped(gateway, began, max_delay);
+}
+
+/// Logs the end of a planned stop, with the requests that it cuts off, if any.
+fn log_stopped<P: Platform>(gateway: &Gateway<P>, began: Millis, max_delay: Millis) {
+    let in_flight = &gateway.in_flight;
     gateway.event_log.state(format_args!(
-        "stopped, {} requests in flight, {} bytes of answers not read",
-        gateway.in_flight(),
-        gateway.readers.held_bytes()
+        "stopped after {} ms, {} requests in flight, {} bytes of answers not read, polls up to {} \
+         ms late",
+        gateway.now().since(began).0,
+        in_flight.count(),
+        gateway.readers.held_bytes(),
+        max_delay.0
     ));
+    if let Some((first, last)) = in_flight.received_between() {
+        let after = |at: Millis| at.0.cast_signed() - began.0.cast_signed();
+        gateway.event_log.state(format_args!(
+            "requests cut off by the end of the stop were received {} to {} ms after its start",
+            after(first),
+            after(last)
+        ));
+    }
 }
 
 fn modified(file: &Path) -> Option<SystemTime> {
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -217,7 +217,11 @@
 /// resumes the stream.
 async fn leave_truncated<P: Platform>(relay: &mut Relay<P>, item: SourceItem) -> bool {
     record_truncation(relay, &item).await;
-    if resume(relay, LeaveReason::BrokenOff).await {
+    let reason = match item {
+        SourceItem::IdleTimeout => LeaveReason::Silent,
+        _ => LeaveReason::BrokenOff,
+    };
+    if resume(relay, reason).await {
         return true;
     }
     if relay.gateway.crash_refusal(&relay.request.fingerprints).is_some() {
@@ -294,7 +298,7 @@
 fn leave<P: Platform>(relay: &mut Relay<P>, reason: LeaveReason) -> Option<Key<Server>> {
     let mut left = relay.source.take()?;
     left.guard.end(match reason {
-        LeaveReason::BrokenOff => AttemptOutcome::Lost,
+        LeaveReason::BrokenOff | LeaveReason::Silent => AttemptOutcome::Lost,
         LeaveReason::Slow => AttemptOutcome::Abandoned,
     });
     relay.events.discard_partial();
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -906,6 +906,8 @@
 pub enum LeaveReason {
     #[serde(rename = "broken-off")]
     BrokenOff,
+    #[serde(rename = "silent")]
+    Silent,
     #[serde(rename = "slow")]
     Slow,
 }
@@ -913,6 +915,7 @@
     fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
         match *self {
             Self::BrokenOff => f.write_str("broken-off"),
+            Self::Silent => f.write_str("silent"),
             Self::Slow => f.write_str("slow"),
         }
     }
@@ -924,6 +927,7 @@
     ) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "broken-off" => Ok(Self::BrokenOff),
+            "silent" => Ok(Self::Silent),
             "slow" => Ok(Self::Slow),
             _ => Err("invalid value".into()),
         }
