A stream leaves a silent or slow server only once another one answers

Callers saw streams end without their last events while their servers ran them, several at once at one gateway, also during planned stops, where nothing excuses that. 1.65 s after the last bytes of its server, or at a report that the server is slow, a gateway closed the stream at its server first and then looked for another one. If there was none, if it refused, failed, lost its answer, or if no attempt or retry was left, the stream was cut off, although its server was sound. Servers of a group pause together, so that all streams of a gateway are cut at the same time.

Another server is now asked while the first one keeps the stream: it is left when the other has begun its answer, and kept if none does, or if it sends something before. Both attempts count against the limits of the route and the budget. A silent server is no longer left when nothing allows another attempt. The resumption is a module of its own.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -155,6 +155,7 @@
 fn next(next: NextStep) -> &'static str {
     match next {
         NextStep::Again => "another server is tried",
+        NextStep::Stay => "the stream stays there",
         NextStep::PassOn => "that answer is passed on",
         NextStep::GiveUp => "the gateway gives up",
     }
@@ -175,7 +176,7 @@
         RequestStep::Attempt(step) if step.next == NextStep::PassOn => {
             "The caller got the server's own failure.".to_owned()
         }
-        RequestStep::Leave(step) if step.next != NextStep::Again => {
+        RequestStep::Leave(step) if step.next == NextStep::GiveUp => {
             "The caller's connection was closed in the middle of the stream: no attempt or no retry \
              was left, or the route does not let streams be resumed."
                 .to_owned()
--- a/crates/core/src/direct/attempts.rs
+++ b/crates/core/src/direct/attempts.rs
@@ -60,6 +60,8 @@
     /// An attempt has begun and its fate is unknown.
     pending: bool,
     tried: Vec<Key<Server>>,
+    /// The server of an attempt that has been counted, and runs on beside later ones.
+    running: Option<Key<Server>>,
 }
 
 impl Attempts {
@@ -74,10 +76,11 @@
             may_have_run: false,
             pending: false,
             tried: Vec::new(),
+            running: None,
         }
     }
 
-    /// Servers at which an attempt has ended.
+    /// Servers at which an attempt has ended, or runs on beside later ones.
     pub fn tried(&self) -> &[Key<Server>] {
         &self.tried
     }
@@ -92,9 +95,30 @@
         self.may_have_run || self.pending
     }
 
-    /// Whether the limit of attempts allows another one after the current one.
+    /// Whether the limit of attempts allows another one after or beside the current one.
     pub fn allows_another(&self) -> bool {
-        self.sent + 1 < self.max_attempts
+        self.sent + u32::from(self.running.is_none()) < self.max_attempts
+    }
+
+    /// Records that another attempt is to begin while the one at `server` runs on; returns whether it
+    /// may. `take_retry` is called only if all other conditions allow that.
+    pub fn begin_beside(&mut self, server: Key<Server>, take_retry: impl FnOnce() -> bool) -> bool {
+        if !self.repeatable || !self.allows_another() || !take_retry() {
+            return false;
+        }
+        if self.running.is_none() {
+            self.running = Some(server);
+            self.tried.push(server);
+            self.sent += 1;
+            self.may_have_run = true;
+        }
+        true
+    }
+
+    /// Records that the attempt that ran on beside later ones was ended, because a later one has
+    /// taken over.
+    pub fn end_running(&mut self) {
+        self.running = None;
     }
 
     /// Records the start of an attempt. Until its fate is known, the request may run.
@@ -111,6 +135,21 @@
         take_retry: impl FnOnce() -> bool,
     ) -> Next {
         self.pending = false;
+        if self.running == Some(server) {
+            self.running = None;
+        } else {
+            self.count(server, fate);
+        }
+        if self.unsent >= MAX_UNSENT {
+            return self.give_up(fate);
+        }
+        // An unsent request causes no load at a server, so its retry is not charged to the budget.
+        let free = fate == Fate::NotSent && self.sent == 0;
+        let allowed = self.sent < self.max_attempts && (!self.may_have_run || self.repeatable);
+        if free || (allowed && take_retry()) { Next::Retry } else { self.give_up(fate) }
+    }
+
+    fn count(&mut self, server: Key<Server>, fate: Fate) {
         self.tried.push(server);
         match fate {
             Fate::NotSent => self.unsent += 1,
@@ -120,13 +159,6 @@
                 self.may_have_run = true;
             }
         }
-        if self.unsent >= MAX_UNSENT {
-            return self.give_up(fate);
-        }
-        // An unsent request causes no load at a server, so its retry is not charged to the budget.
-        let free = fate == Fate::NotSent && self.sent == 0;
-        let allowed = self.sent < self.max_attempts && (!self.may_have_run || self.repeatable);
-        if free || (allowed && take_retry()) { Next::Retry } else { self.give_up(fate) }
     }
 
     /// The refusal if no server is left to try or the deadline has passed.
--- a/crates/core/tests/direct_requests.rs
+++ b/crates/core/tests/direct_requests.rs
@@ -243,6 +243,41 @@
     assert!(matches!(unsent.after_failure(key(), Fate::NotSent, || false), Next::GiveUp(_)));
 }
 
+/// Guards against a stream that gets more attempts than its route allows, or fewer: one attempt runs
+/// on while others are made beside it, and ends later.
+#[test]
+fn an_attempt_that_runs_on_beside_others_counts_once() {
+    let mut pool = pool(&["a", "b", "c"]);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let [running, second, third] =
+        [(); 3].map(|()| pool.choose(&Demand::for_service("hints"), Millis(0), &mut rng).unwrap());
+    assert!(running != second && second != third && third != running);
+    let mut attempts = Attempts::new(3, true);
+    assert!(attempts.begin_beside(running, || true));
+    assert_eq!(attempts.tried(), [running]);
+    attempts.begin();
+    assert!(matches!(attempts.after_failure(second, Fate::NotRun, || false), Next::GiveUp(_)));
+    assert_eq!(attempts.sent(), 2);
+    assert!(attempts.allows_another());
+    // The first one ends, and is not counted again.
+    assert_eq!(attempts.after_failure(running, Fate::MayHaveRun, || true), Next::Retry);
+    assert_eq!(attempts.sent(), 2);
+    assert!(matches!(attempts.after_failure(third, Fate::MayHaveRun, || true), Next::GiveUp(_)));
+    assert_eq!(attempts.tried(), [running, second, third]);
+}
+
+/// Guards against attempts beside a running one that the route or the retry budget does not allow.
+#[test]
+fn an_attempt_beside_a_running_one_needs_all_that_a_retry_needs() {
+    assert!(!Attempts::new(2, false).begin_beside(key(), || true), "it must not run twice");
+    assert!(!Attempts::new(1, true).begin_beside(key(), || true), "no attempt is left");
+    assert!(!Attempts::new(2, true).begin_beside(key(), || false), "no retry is left");
+    let mut moved = Attempts::new(2, true);
+    assert!(moved.begin_beside(key(), || true));
+    moved.end_running();
+    assert!(!moved.begin_beside(key(), || true), "the other server runs the last attempt");
+}
+
 #[test]
 fn a_relisted_server_is_unaffected_by_attempts_from_before() {
     let mut pool = pool(&["a", "b", "c"]);
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -3,10 +3,13 @@
 //! It decides when the stream leaves its server, and whether another server resumes it.
 //!
 //! The end of a body is the end of its stream only if its framing shows that, or if its server is
-//! still up afterwards; see [`answer_ends`]. If a server truncates the stream, another server resumes it after the last event that the caller
-//! has, where the route allows that. Otherwise the caller's connection is closed, so that the
-//! answer does not look complete. A stream leaves a server that is reported as slow in the same
-//! way, if it can: all streams of its group wait for that server.
+//! still up afterwards; see [`answer_ends`]. If a server truncates the stream, another server
+//! resumes it after the last event that the caller has, where the route allows that. Otherwise the
+//! caller's connection is closed, so that the answer does not look complete. A stream leaves a
+//! server that sends nothing, or that is reported as slow, once another one has taken it over; until
+//! then it stays, since its server may be sound.
+
+mod resumption;
 
 use std::fmt;
 use std::rc::Rc;
@@ -19,26 +22,17 @@
 use hooktrestle_core::direct::answer_ends::AnswerEnd;
 use hooktrestle_core::direct::answer_ends::Content;
 use hooktrestle_core::direct::attempts::Attempts;
-use hooktrestle_core::direct::attempts::Fate;
-use hooktrestle_core::direct::attempts::Next;
 use hooktrestle_core::direct::events::EventBuffer;
-use hooktrestle_core::direct::pool::AttemptOutcome;
-use hooktrestle_core::direct::pool::Server;
-use hooktrestle_core::util::arena::Key;
 use hooktrestle_schema::EndStep;
 use hooktrestle_schema::Framing;
 use hooktrestle_schema::LeaveReason;
-use hooktrestle_schema::LeaveStep;
-use http::StatusCode;
 use http_body_util::BodyExt;
 use hyper::body::Frame;
 use tokio::time;
 use tokio::time::Instant;
 
 use crate::admission_queue::AdmittedStream;
-use crate::exchange;
 use crate::exchange::Answer;
-use crate::forward;
 use crate::framing;
 use crate::gateway::Gateway;
 use crate::gateway::crashes::Completion;
@@ -75,6 +69,8 @@
     has_progress: bool,
     /// Whether another server may resume the stream.
     resumable: bool,
+    /// What the source sent while another server was asked to resume the stream.
+    received: Option<SourceItem>,
 }
 
 /// The frames for the caller of a stream that has begun.
@@ -98,6 +94,7 @@
         content,
         has_progress: false,
         resumable,
+        received: None,
     };
     stream::unfold(relay, next_frame)
 }
@@ -117,8 +114,8 @@
     mut relay: Relay<P>,
 ) -> Option<(Result<Frame<Bytes>, TruncatedStream>, Relay<P>)> {
     loop {
-        if should_leave_slow_server(&relay) && !resume(&mut relay, LeaveReason::Slow).await {
-            return Some((Err(TruncatedStream), relay));
+        if should_leave_slow_server(&relay) {
+            resumption::move_from(&mut relay, LeaveReason::Slow).await;
         }
         match next_source_item(&mut relay).await? {
             SourceItem::Bytes(bytes) => {
@@ -149,16 +146,19 @@
                     return Some((Ok(Frame::data(remaining)), relay));
                 }
                 SourceEnd::Truncated => {
-                    if !leave_truncated(&mut relay, SourceItem::Truncated).await {
+                    if !leave_truncated(&mut relay).await {
                         return Some((Err(TruncatedStream), relay));
                     }
                 }
             },
-            item @ (SourceItem::Truncated | SourceItem::IdleTimeout) => {
-                if !leave_truncated(&mut relay, item).await {
+            SourceItem::Truncated => {
+                if !leave_truncated(&mut relay).await {
                     return Some((Err(TruncatedStream), relay));
                 }
             }
+            SourceItem::IdleTimeout => {
+                resumption::move_from(&mut relay, LeaveReason::Silent).await;
+            }
             // Left at the next turn of this loop.
             SourceItem::LeaveSlowServer => {}
             SourceItem::Deadline => {
@@ -213,15 +213,9 @@
     (!remaining.is_empty()).then(|| Bytes::from(remaining))
 }
 
-/// Leaves a source that truncated the stream or sends nothing; returns whether another server
-/// resumes the stream.
-async fn leave_truncated<P: Platform>(relay: &mut Relay<P>, item: SourceItem) -> bool {
-    record_truncation(relay, &item).await;
-    let reason = match item {
-        SourceItem::IdleTimeout => LeaveReason::Silent,
-        _ => LeaveReason::BrokenOff,
-    };
-    if resume(relay, reason).await {
+/// Leaves a source that truncated the stream; returns whether another server resumes the stream.
+async fn leave_truncated<P: Platform>(relay: &mut Relay<P>) -> bool {
+    if resumption::resume(relay).await {
         return true;
     }
     if relay.gateway.crash_refusal(&relay.request.fingerprints).is_some() {
@@ -240,50 +234,46 @@
     relay.has_progress = true;
 }
 
-/// Records that the source has truncated the stream or sends nothing.
-async fn record_truncation<P: Platform>(relay: &Relay<P>, item: &SourceItem) {
-    let Some(source) = &relay.source else { return };
-    // A server that sends nothing keeps doing so. Whether it crashed as this stream began need not
-    // be determined at once.
-    let is_starting = !relay.has_progress && matches!(item, SourceItem::Truncated);
-    let progress = if is_starting { Progress::Starting } else { Progress::Running };
-    let (server, progress) = (source.guard.server(), progress(source.began_at));
-    source.guard.set_progress(None);
-    relay.gateway.record_truncated_answer(server, &relay.request.fingerprints, progress).await;
-}
-
 /// The next item of the source; `None` if the stream has ended.
 async fn next_source_item<P: Platform>(relay: &mut Relay<P>) -> Option<SourceItem> {
+    if let Some(received) = relay.received.take() {
+        return Some(received);
+    }
+    let can_move = resumption::can_move(relay);
     let Relay { gateway, request, attempts, source, resumable, .. } = relay;
     let (source, deadline, resumable) = (source.as_mut()?, request.deadline, *resumable);
     let server = source.guard.server();
     let idle_at = Instant::now() + SOURCE_IDLE_TIMEOUT;
     loop {
-        let frame = tokio::select! {
+        tokio::select! {
             biased;
-            frame = source.body.frame() => frame,
+            frame = source.body.frame() => {
+                if let Some(item) = item_of(frame) {
+                    return Some(item);
+                }
+            }
             () = gateway.clock.sleep_until(deadline) => return Some(SourceItem::Deadline),
             // This timer does not count the time of a suspension, which is no sign of an idle
             // server.
-            () = time::sleep_until(idle_at), if resumable => return Some(SourceItem::IdleTimeout),
+            () = time::sleep_until(idle_at), if can_move => return Some(SourceItem::IdleTimeout),
             // The server's next event comes only at the end of a pass that it delays for all streams
             // of its group.
             () = gateway.slow_servers_reported.notified(), if resumable => {
                 if slow_exit::can_leave(gateway, request, attempts, server) {
                     return Some(SourceItem::LeaveSlowServer);
                 }
-                continue;
             }
-        };
-        return Some(match frame {
-            Some(Ok(frame)) => match frame.into_data() {
-                Ok(bytes) => SourceItem::Bytes(bytes),
-                // Trailers concern one connection only and are not forwarded.
-                Err(_) => continue,
-            },
-            None => SourceItem::End,
-            Some(Err(_)) => SourceItem::Truncated,
-        });
+        }
+    }
+}
+
+/// The item that a frame of the source is; `None` for trailers, which concern one connection only and
+/// are not forwarded.
+fn item_of(frame: Option<Result<Frame<Bytes>, hyper::Error>>) -> Option<SourceItem> {
+    match frame {
+        Some(Ok(frame)) => frame.into_data().ok().map(SourceItem::Bytes),
+        None => Some(SourceItem::End),
+        Some(Err(_)) => Some(SourceItem::Truncated),
     }
 }
 
@@ -293,68 +283,3 @@
     let Some(source) = source else { return false };
     *resumable && slow_exit::can_leave(gateway, request, attempts, source.guard.server())
 }
-
-/// Drops the source and returns its server; `None` if there is none.
-fn leave<P: Platform>(relay: &mut Relay<P>, reason: LeaveReason) -> Option<Key<Server>> {
-    let mut left = relay.source.take()?;
-    left.guard.end(match reason {
-        LeaveReason::BrokenOff | LeaveReason::Silent => AttemptOutcome::Lost,
-        LeaveReason::Slow => AttemptOutcome::Abandoned,
-    });
-    relay.events.discard_partial();
-    if let Some(admitted) = &mut relay.request.admitted_stream {
-        admitted.moved();
-    }
-    Some(left.guard.server())
-}
-
-/// Resumes the stream at another server after the last forwarded event; returns whether one did.
-async fn resume<P: Platform>(relay: &mut Relay<P>, reason: LeaveReason) -> bool {
-    let Some(mut server) = leave(relay, reason) else { return false };
-    let mut fate = Fate::MayHaveRun;
-    while may_resume(relay, server, fate, reason) {
-        let guard = forward::next_attempt(&relay.gateway, &relay.request, &relay.attempts).await;
-        let Some(guard) = guard else { return false };
-        server = guard.server();
-        relay.attempts.begin();
-        let after = relay.events.last_id();
-        let attempt = exchange::attempt(&relay.gateway, &relay.request, guard, after);
-        fate = match relay.gateway.clock.timeout_at(relay.request.deadline, attempt).await {
-            Ok(Ok(answer)) if answer.head.status == StatusCode::OK => {
-                relay.gateway.metrics.resumed.inc();
-                relay.source = Some(answer);
-                relay.has_progress = false;
-                return true;
-            }
-            Ok(Ok(_)) => Fate::Failed,
-            Ok(Err(fate)) => fate,
-            Err(_) => return false,
-        };
-    }
-    false
-}
-
-/// Decides whether another server may resume the stream after `server` failed or was left, and logs
-/// the decision.
-fn may_resume<P: Platform>(
-    relay: &mut Relay<P>,
-    server: Key<Server>,
-    fate: Fate,
-    reason: LeaveReason,
-) -> bool {
-    let Relay { gateway, request, attempts, events, resumable, .. } = relay;
-    let can_resume = *resumable && !events.is_event_split();
-    let is_allowed = can_resume && gateway.crash_refusal(&request.fingerprints).is_none();
-    let covered = || is_allowed && gateway.take_retry(&request.service);
-    let next = attempts.after_failure(server, fate, covered);
-    let step = LeaveStep {
-        fingerprint_number: request.fingerprints.whole.0,
-        server_number: server.number(),
-        reason,
-        part_numbers: request.fingerprints.parts.iter().map(|part| part.0).collect(),
-        after_event_number: events.last_id(),
-        next: next.step(),
-    };
-    gateway.event_log.request(request.id_text(), step);
-    next == Next::Retry
-}
--- /dev/null
+++ b/crates/direct/src/relay/resumption.rs
@@ -0,0 +1,215 @@
+//! Resumption of a stream at another server.
+//! Input: the relay of the stream, and why it is to leave its source. The state is the relay's.
+//! Decides whether another server is asked, and when the stream leaves its source.
+//!
+//! A source that broke off is left at once. One that sends nothing or is slow may be sound: it is
+//! left only after another server has answered. If none does, the stream goes on at its source.
+
+use std::time::Duration;
+
+use hooktrestle_core::direct::attempts::Fate;
+use hooktrestle_core::direct::attempts::Next;
+use hooktrestle_core::direct::pool::AttemptOutcome;
+use hooktrestle_core::direct::pool::Server;
+use hooktrestle_core::util::arena::Key;
+use hooktrestle_schema::LeaveReason;
+use hooktrestle_schema::LeaveStep;
+use hooktrestle_schema::NextStep;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use tokio::time;
+
+use crate::exchange;
+use crate::exchange::Answer;
+use crate::exchange::AttemptGuard;
+use crate::forward;
+use crate::gateway::crashes::Progress;
+use crate::platform::Platform;
+use crate::relay::Relay;
+use crate::relay::SourceItem;
+use crate::relay::item_of;
+
+/// Time in which another server has to begin its answer to a stream that is to leave a slow one.
+/// Nothing is forwarded meanwhile, and callers give up after 2,000 ms.
+const SLOW_EXIT_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Whether another server may be asked for a stream whose source sends nothing or is slow.
+pub(super) fn can_move<P: Platform>(relay: &Relay<P>) -> bool {
+    let Relay { gateway, request, attempts, events, resumable, .. } = relay;
+    *resumable
+        && !events.is_event_split()
+        && attempts.allows_another()
+        && gateway.budget_has_retry(&request.service)
+}
+
+/// Resumes the stream at another server after its source broke off; returns whether one did.
+pub(super) async fn resume<P: Platform>(relay: &mut Relay<P>) -> bool {
+    let Some(mut server) = leave(relay, LeaveReason::BrokenOff).await else { return false };
+    let mut fate = Fate::MayHaveRun;
+    while may_resume(relay, server, fate) {
+        let guard = forward::next_attempt(&relay.gateway, &relay.request, &relay.attempts).await;
+        let Some(guard) = guard else { return false };
+        server = guard.server();
+        relay.attempts.begin();
+        let after = relay.events.last_id();
+        let attempt = exchange::attempt(&relay.gateway, &relay.request, guard, after);
+        let answered = relay.gateway.clock.timeout_at(relay.request.deadline, attempt).await;
+        let Ok(answered) = answered else { return false };
+        fate = match answer_of(answered) {
+            Ok(answer) => {
+                take_over(relay, answer);
+                return true;
+            }
+            Err(fate) => fate,
+        };
+    }
+    false
+}
+
+/// Moves the stream from its source to another server, if one begins its answer. Otherwise the
+/// stream stays, and `relay.received` has what its source has sent meanwhile.
+pub(super) async fn move_from<P: Platform>(relay: &mut Relay<P>, reason: LeaveReason) {
+    let Some(server) = relay.source.as_ref().map(|source| source.guard.server()) else { return };
+    let mut may_begin = can_move(relay) && begin_beside(relay, server);
+    while may_begin {
+        log_leave(relay, server, reason, NextStep::Again);
+        let guard = forward::next_attempt(&relay.gateway, &relay.request, &relay.attempts).await;
+        let Some(guard) = guard else { break };
+        let other = guard.server();
+        let fate = match attempt_beside(relay, guard, reason).await {
+            Beside::Answered(answer) => {
+                leave(relay, reason).await;
+                relay.attempts.end_running();
+                return take_over(relay, *answer);
+            }
+            Beside::Failed(fate) => fate,
+            Beside::Stays(received) => {
+                relay.received = received;
+                relay.attempts.after_failure(other, Fate::MayHaveRun, || false);
+                break;
+            }
+        };
+        let Relay { gateway, request, attempts, .. } = relay;
+        let take_retry = || gateway.take_retry(&request.service);
+        may_begin = attempts.after_failure(other, fate, take_retry) == Next::Retry;
+    }
+    log_leave(relay, server, reason, NextStep::Stay);
+}
+
+/// Records that an attempt is to begin beside the one at `server`; returns whether it may.
+fn begin_beside<P: Platform>(relay: &mut Relay<P>, server: Key<Server>) -> bool {
+    let Relay { gateway, request, attempts, .. } = relay;
+    gateway.crash_refusal(&request.fingerprints).is_none()
+        && attempts.begin_beside(server, || gateway.take_retry(&request.service))
+}
+
+/// What came of an attempt beside the source.
+enum Beside<P: Platform> {
+    /// Another server answers.
+    Answered(Box<Answer<P>>),
+    /// Another server does not answer.
+    Failed(Fate),
+    /// The attempt was given up; the source may have sent something first.
+    Stays(Option<SourceItem>),
+}
+
+async fn attempt_beside<P: Platform>(
+    relay: &mut Relay<P>,
+    guard: AttemptGuard<P>,
+    reason: LeaveReason,
+) -> Beside<P> {
+    let Relay { gateway, request, attempts, source, events, .. } = relay;
+    attempts.begin();
+    let attempt = exchange::attempt(gateway, request, guard, events.last_id());
+    let attempt = gateway.clock.timeout_at(request.deadline, attempt);
+    // That a slow source goes on sending is no reason to stay there.
+    let is_silent = reason == LeaveReason::Silent;
+    let next_frame = async {
+        match source {
+            Some(source) => source.body.frame().await,
+            None => None,
+        }
+    };
+    tokio::select! {
+        biased;
+        answered = attempt => match answered.map(answer_of) {
+            Ok(Ok(answer)) => Beside::Answered(Box::new(answer)),
+            Ok(Err(fate)) => Beside::Failed(fate),
+            Err(_) => Beside::Stays(Some(SourceItem::Deadline)),
+        },
+        frame = next_frame, if is_silent => Beside::Stays(item_of(frame)),
+        () = time::sleep(SLOW_EXIT_TIMEOUT), if !is_silent => Beside::Stays(None),
+    }
+}
+
+/// The answer with which a server resumes a stream.
+fn answer_of<P: Platform>(answered: Result<Answer<P>, Fate>) -> Result<Answer<P>, Fate> {
+    answered.and_then(|answer| match answer.head.status {
+        StatusCode::OK => Ok(answer),
+        _ => Err(Fate::Failed),
+    })
+}
+
+fn take_over<P: Platform>(relay: &mut Relay<P>, answer: Answer<P>) {
+    relay.gateway.metrics.resumed.inc();
+    relay.source = Some(answer);
+    relay.has_progress = false;
+}
+
+/// Drops the source and returns its server; `None` if there is none.
+async fn leave<P: Platform>(relay: &mut Relay<P>, reason: LeaveReason) -> Option<Key<Server>> {
+    if reason != LeaveReason::Slow {
+        record_truncation(relay, reason).await;
+    }
+    let mut left = relay.source.take()?;
+    left.guard.end(match reason {
+        LeaveReason::BrokenOff | LeaveReason::Silent => AttemptOutcome::Lost,
+        LeaveReason::Slow => AttemptOutcome::Abandoned,
+    });
+    relay.events.discard_partial();
+    if let Some(admitted) = &mut relay.request.admitted_stream {
+        admitted.moved();
+    }
+    Some(left.guard.server())
+}
+
+/// Records that the source has truncated the stream or sends nothing.
+async fn record_truncation<P: Platform>(relay: &Relay<P>, reason: LeaveReason) {
+    let Some(source) = &relay.source else { return };
+    // A server that sends nothing keeps doing so. Whether it crashed as this stream began need not
+    // be determined at once.
+    let is_starting = !relay.has_progress && reason == LeaveReason::BrokenOff;
+    let progress = if is_starting { Progress::Starting } else { Progress::Running };
+    let (server, progress) = (source.guard.server(), progress(source.began_at));
+    source.guard.set_progress(None);
+    relay.gateway.record_truncated_answer(server, &relay.request.fingerprints, progress).await;
+}
+
+/// Decides whether another server may resume the stream after `server` failed, and logs that.
+fn may_resume<P: Platform>(relay: &mut Relay<P>, server: Key<Server>, fate: Fate) -> bool {
+    let Relay { gateway, request, attempts, events, resumable, .. } = relay;
+    let can_resume = *resumable && !events.is_event_split();
+    let is_allowed = can_resume && gateway.crash_refusal(&request.fingerprints).is_none();
+    let covered = || is_allowed && gateway.take_retry(&request.service);
+    let next = attempts.after_failure(server, fate, covered);
+    log_leave(relay, server, LeaveReason::BrokenOff, next.step());
+    next == Next::Retry
+}
+
+fn log_leave<P: Platform>(
+    relay: &Relay<P>,
+    server: Key<Server>,
+    reason: LeaveReason,
+    next: NextStep,
+) {
+    let Relay { gateway, request, events, .. } = relay;
+    let step = LeaveStep {
+        fingerprint_number: request.fingerprints.whole.0,
+        server_number: server.number(),
+        reason,
+        part_numbers: request.fingerprints.parts.iter().map(|part| part.0).collect(),
+        after_event_number: events.last_id(),
+        next,
+    };
+    gateway.event_log.request(request.id_text(), step);
+}
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -1157,6 +1157,8 @@
 pub enum NextStep {
     #[serde(rename = "again")]
     Again,
+    #[serde(rename = "stay")]
+    Stay,
     #[serde(rename = "pass-on")]
     PassOn,
     #[serde(rename = "give-up")]
@@ -1166,6 +1168,7 @@
     fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
         match *self {
             Self::Again => f.write_str("again"),
+            Self::Stay => f.write_str("stay"),
             Self::PassOn => f.write_str("pass-on"),
             Self::GiveUp => f.write_str("give-up"),
         }
@@ -1178,6 +1181,7 @@
     ) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "again" => Ok(Self::Again),
+            "stay" => Ok(Self::Stay),
             "pass-on" => Ok(Self::PassOn),
             "give-up" => Ok(Self::GiveUp),
             _ => Err("invalid value".into()),
