A planned stop accepts late only what ends before the process does

Callers lost requests that a server was running: a stop of 8 s accepted all requests but streams until 6 s, whatever their deadline, and ended after 7.5 s. Streams were accepted until 3 s, counted from when the process handled its signal.

Which requests a stop accepts is now one decision for all kinds (core: planned_stop): any in the first 5/16 of the stop, 2.5 of 8 s, so that half a second is left for a signal handled late and for requests that wait to be read; after that those whose deadline is earlier than the end of the process. Others are refused as not run, with a retry time of 0.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -19,6 +19,7 @@
 //! - [`admission`]: number of streams that a service can carry, from the duration of its passes.
 //! - [`room`]: what gateways report of the demand for a service, and what its servers can carry.
 //! - [`level`]: which share of the demand all gateways admit, in which order, and who is refused.
+//! - [`planned_stop`]: which requests a gateway accepts while it stops, and when its process ends.
 //! - [`attempts`]: what follows an attempt: an answer, another attempt, or a refusal.
 //! - [`fingerprint`]: identifies retries of one request.
 //! - [`answer_ends`]: whether an answer that has ended is complete.
@@ -61,6 +62,7 @@
 pub mod overtaken;
 pub mod passes;
 pub mod permits;
+pub mod planned_stop;
 pub mod pool;
 pub mod queue_wait;
 pub mod relays;
--- /dev/null
+++ b/crates/core/tests/planned_stop.rs
@@ -0,0 +1,66 @@
+//! Planned stops of a gateway. Guards against requests that are accepted although they may last
+//! longer than the process.
+
+use hooktrestle_core::clock::Millis;
+use hooktrestle_core::direct::planned_stop::Next;
+use hooktrestle_core::direct::planned_stop::PlannedStop;
+use hooktrestle_core::direct::planned_stop::Requests;
+
+const BEGAN_AT: Millis = Millis(10_000);
+const WITHIN: Millis = Millis(8_000);
+const CHECK_INTERVAL: Millis = Millis(50);
+
+/// Time of a stop until which callers may send requests that are cut off at its end.
+const EXCUSED_UNTIL: Millis = Millis(3_000);
+
+fn stop() -> PlannedStop {
+    PlannedStop::new(BEGAN_AT, WITHIN)
+}
+
+/// When the process ends if these requests are in flight all the time.
+fn end_of(stop: PlannedStop, requests: Requests) -> Millis {
+    let mut now = BEGAN_AT;
+    while stop.check(requests, now) == Next::Serve {
+        now = now + CHECK_INTERVAL;
+    }
+    now
+}
+
+/// Guards against an accepted request whose deadline is later than the end of the process, unless it
+/// was sent while callers may not know yet that the gateway stops.
+#[test]
+fn a_request_that_may_outlast_the_process_is_accepted_only_at_the_beginning() {
+    let busy = Requests { in_flight: 1, last_received_at: BEGAN_AT };
+    let ends_at = end_of(stop(), busy);
+    assert!(ends_at < BEGAN_AT + WITHIN, "before the process is killed");
+    for sent_ms in (0..8_000).step_by(10) {
+        for limit_ms in [100, 800, 1_500, 4_000, 8_000] {
+            let now = BEGAN_AT + Millis(sent_ms);
+            let deadline = now + Millis(limit_ms);
+            let accepted = stop().accepts(deadline, now);
+            let may_outlast = deadline >= ends_at;
+            assert!(!accepted || !may_outlast || sent_ms < EXCUSED_UNTIL.0, "{sent_ms} {limit_ms}");
+            // The process may have handled its signal late.
+            let accepted_late = stop().accepts(deadline, now) && sent_ms + 400 >= EXCUSED_UNTIL.0;
+            assert!(!accepted_late || !may_outlast, "{sent_ms} {limit_ms}");
+        }
+    }
+}
+
+/// Guards against refusals of requests that the process can still answer.
+#[test]
+fn a_request_whose_deadline_is_before_the_end_is_accepted() {
+    for (sent_ms, limit_ms) in [(0, 8_000), (2_400, 8_000), (3_000, 4_000), (6_000, 800)] {
+        let now = BEGAN_AT + Millis(sent_ms);
+        assert!(stop().accepts(now + Millis(limit_ms), now), "{sent_ms} {limit_ms}");
+    }
+}
+
+/// Guards against a stop that takes longer than it has to, or than it may.
+#[test]
+fn a_stop_ends_once_it_is_quiet_and_in_time() {
+    let idle = Requests { in_flight: 0, last_received_at: Millis::ZERO };
+    assert_eq!(end_of(stop(), idle), BEGAN_AT + Millis(3_300));
+    let busy = Requests { in_flight: 1, last_received_at: BEGAN_AT };
+    assert_eq!(end_of(stop(), busy), BEGAN_AT + Millis(7_500));
+}
--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -45,7 +45,6 @@
 use crate::forward;
 use crate::forward::Reply;
 use crate::gateway::Gateway;
-use crate::gateway::Phase;
 use crate::gateway::in_flight::InFlight;
 use crate::gateway::levels::LevelDecision;
 use crate::headers;
@@ -185,7 +184,7 @@
     };
     gateway.metrics.head_ms.observe(gateway.now().since(received_at).0 as f64);
     let mut response = Response::from_parts(head, CallerBody::new(content, reader, delivery));
-    if gateway.phase() == Phase::Stopping {
+    if gateway.is_stopping() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(response)
@@ -211,7 +210,7 @@
     body: Incoming,
 ) -> Result<(Request<P>, Reply<P>), NotForwarded> {
     match request::read(gateway, parts, body).await {
-        Ok(request) if !gateway.accepts(request.route().kind) => {
+        Ok(request) if !gateway.accepts(request.deadline) => {
             // Another gateway can accept the request at once.
             Err(Refusal::not_run(Cause::Leaving).retry_after(Millis::ZERO).into())
         }
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -45,12 +45,12 @@
 use hooktrestle_core::direct::overtaken;
 use hooktrestle_core::direct::overtaken::Heads;
 use hooktrestle_core::direct::permits::Permits;
+use hooktrestle_core::direct::planned_stop::PlannedStop;
 use hooktrestle_core::direct::pool;
 use hooktrestle_core::direct::pool::Pool;
 use hooktrestle_core::direct::pool::Server;
 use hooktrestle_core::direct::relays::Relays;
 use hooktrestle_core::direct::replica::Replica;
-use hooktrestle_core::direct::serving::RouteKind;
 use hooktrestle_core::direct::serving::ServingConfig;
 use hooktrestle_core::direct::slow_servers::SlowServerReports;
 use hooktrestle_core::direct::unconfirmed::Holds;
@@ -83,14 +83,6 @@
 /// direct call to an engine has a price.
 const SIDECAR_SKIPPED_FOR: Millis = Millis(1_000);
 
-/// Fraction of a planned stop in which streams are still accepted, as numerator and denominator: 3
-/// of 8 s, so that 4.5 s are left for streams of 1 to 2 s.
-const STREAM_FRACTION: (u64, u64) = (3, 8);
-
-/// The same fraction for all other requests: 6 of 8 s. They take some tenths of a second, and the
-/// process ends half a second before it has to.
-const REQUEST_FRACTION: (u64, u64) = (6, 8);
-
 /// Time after a suspension within which heartbeats of all gateways that are alive have arrived
 /// again: the time after which a gateway without a heartbeat is suspected.
 const MEMBERSHIP_RECOVERY: Millis = Millis(3_000);
@@ -99,12 +91,12 @@
 const PEER_STATE_TIMEOUT: Millis = Millis(1_000);
 
 /// Phase of a gateway process.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug)]
 pub enum Phase {
     /// It accepts requests.
     Running,
     /// It was asked to stop, and finishes the requests in flight.
-    Stopping,
+    Stopping(PlannedStop),
 }
 
 /// State of one gateway.
@@ -181,10 +173,6 @@
     phase: Cell<Phase>,
     /// Requests without a complete answer.
     pub in_flight: InFlightRequests,
-    /// Until when streams are accepted while the process stops.
-    streams_accepted_until: Cell<Millis>,
-    /// Until when other requests are accepted while the process stops.
-    requests_accepted_until: Cell<Millis>,
 }
 
 impl<P: Platform> Gateway<P> {
@@ -251,8 +239,6 @@
             ignored_rows_logged: RefCell::default(),
             phase: Cell::new(Phase::Running),
             in_flight: InFlightRequests::default(),
-            streams_accepted_until: Cell::new(Millis::MAX),
-            requests_accepted_until: Cell::new(Millis::MAX),
         }
     }
 
@@ -300,7 +286,7 @@
     /// tried to read the stored crashes, and has received the state of a peer or waited for it;
     /// while it stops it is leaving.
     pub fn readiness(&self) -> Readiness {
-        if self.phase.get() == Phase::Stopping {
+        if self.is_stopping() {
             Readiness::Leaving
         } else if self.knows_enough() {
             Readiness::Ready
@@ -321,28 +307,23 @@
         self.peer_state_received.set(true);
     }
 
-    /// Phase of the process.
-    pub fn phase(&self) -> Phase {
-        self.phase.get()
+    /// Whether the process was asked to stop.
+    pub fn is_stopping(&self) -> bool {
+        matches!(self.phase.get(), Phase::Stopping(_))
     }
 
-    /// Records that the process is to stop within a time.
-    pub fn begin_stop(&self, within: Millis) {
-        self.phase.set(Phase::Stopping);
-        let after = |(numerator, denominator): (u64, u64)| {
-            self.now() + Millis(within.0 * numerator / denominator)
-        };
-        self.streams_accepted_until.set(after(STREAM_FRACTION));
-        self.requests_accepted_until.set(after(REQUEST_FRACTION));
+    /// Records that the process is to stop.
+    pub fn begin_stop(&self, stop: PlannedStop) {
+        self.phase.set(Phase::Stopping(stop));
     }
 
-    /// Whether a request that arrives now can be expected to end before the process does.
-    pub fn accepts(&self, kind: RouteKind) -> bool {
-        let accepted_until = match kind {
-            RouteKind::Stream => &self.streams_accepted_until,
-            RouteKind::Repeatable | RouteKind::Once => &self.requests_accepted_until,
-        };
-        self.now() < accepted_until.get()
+    /// Whether a request with this deadline is accepted. While the process stops, another gateway has
+    /// to run a request that may last longer than this one.
+    pub fn accepts(&self, deadline: Millis) -> bool {
+        match self.phase.get() {
+            Phase::Running => true,
+            Phase::Stopping(stop) => stop.accepts(deadline, self.now()),
+        }
     }
 
     /// Whether the engine of a server is reached through its sidecar.
--- a/crates/direct/src/members_table.rs
+++ b/crates/direct/src/members_table.rs
@@ -10,7 +10,6 @@
 use tokio::time;
 
 use crate::gateway::Gateway;
-use crate::gateway::Phase;
 use crate::peers::messages;
 use crate::permits;
 use crate::platform::Failure;
@@ -45,7 +44,7 @@
 /// Keeps the table while this gateway is the one that does, until this process stops.
 pub async fn keep<P: Platform>(gateway: Rc<Gateway<P>>) {
     let mut keeper = Keeper::default();
-    while gateway.phase() == Phase::Running {
+    while !gateway.is_stopping() {
         let done = match keeper.next(&gateway) {
             Next::Nothing => None,
             Next::Read => Some(read_and_write(&gateway, &mut keeper).await),
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -18,6 +18,8 @@
 use hooktrestle_core::direct::budget;
 use hooktrestle_core::direct::members::Member;
 use hooktrestle_core::direct::members::Readiness;
+use hooktrestle_core::direct::planned_stop;
+use hooktrestle_core::direct::planned_stop::PlannedStop;
 use hooktrestle_schema::DirectSettings;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
@@ -53,20 +55,10 @@
 /// Interval between two checks of the remaining requests while the process stops.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Shortest planned stop: some callers use a list of gateways three times as long as they may, and
-/// the platform polls readiness once per second.
-const MIN_STOP: Millis = Millis(3_300);
-
-/// Time without a new request after which a process that stops is no longer needed.
-const QUIET_PERIOD: Millis = Millis(1_000);
-
 /// Longest wait until others were notified of a stop: the store may not answer, while requests in
 /// flight have to be finished.
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// How long before the end of the stop time the process ends by itself.
-const STOP_MARGIN: Millis = Millis(500);
-
 /// A gateway whose tasks are running.
 pub struct Started<P> {
     /// State that its tasks share.
@@ -219,7 +211,8 @@
 pub async fn stop<P: Platform>(started: &Started<P>, within: Millis) {
     let Started { gateway, peers, .. } = started;
     let began = gateway.now();
-    gateway.begin_stop(within);
+    let planned = PlannedStop::new(began, within);
+    gateway.begin_stop(planned);
     let in_flight = &gateway.in_flight;
     gateway.event_log.state(format_args!("stopping, {} requests in flight", in_flight.count()));
     let row_removed = members_table::remove_own_row(gateway);
@@ -230,15 +223,16 @@
     let mut max_delay = Millis::ZERO;
     loop {
         let now = gateway.now();
-        let spent = now.since(began);
-        let quiet =
-            in_flight.count() == 0 && now.since(in_flight.last_received_at()) >= QUIET_PERIOD;
-        if (quiet && spent >= MIN_STOP) || spent + STOP_MARGIN >= within {
+        let requests = planned_stop::Requests {
+            in_flight: in_flight.count(),
+            last_received_at: in_flight.last_received_at(),
+        };
+        if planned.check(requests, now) == planned_stop::Next::End {
             break;
         }
-        let next_poll = now + Millis::from(STOP_POLL_INTERVAL);
-        gateway.clock.sleep_until(next_poll).await;
-        max_delay = max_delay.max(gateway.now().since(next_poll));
+        let next_check = now + Millis::from(STOP_POLL_INTERVAL);
+        gateway.clock.sleep_until(next_check).await;
+        max_delay = max_delay.max(gateway.now().since(next_check));
     }
     log_stopped(gateway, began, max_delay);
 }
@@ -247,7 +241,7 @@
 fn log_stopped<P: Platform>(gateway: &Gateway<P>, began: Millis, max_delay: Millis) {
     let in_flight = &gateway.in_flight;
     gateway.event_log.state(format_args!(
-        "stopped after {} ms, {} requests in flight, {} bytes of answers not read, polls up to {} \
+        "stopped after {} ms, {} requests in flight, {} bytes of answers not read, checks up to {} \
          ms late",
         gateway.now().since(began).0,
         in_flight.count(),
