A process that stops reads what has arrived before it ends

A caller's connection was reset, with its request unread for 0.6 s: the process got no processor time as the time without requests passed, and the check that ends it ran before the request was read. The process now has to be quiet at two checks in a row, between which it reads. a_process_held_up_at_the_end_of_its_stop_answers_what_has_arrived fails on the code before (a suspension of 0.7 s).

--- a/crates/core/src/direct/planned_stop.rs
+++ b/crates/core/src/direct/planned_stop.rs
@@ -1,6 +1,7 @@
 //! The requests that a gateway accepts while it stops, and when its process ends.
-//! Input: when the stop began and how long it may take; deadlines and arrivals of requests. It keeps
-//! no state of its own. Decides whether a request is accepted, and whether the process ends.
+//! Input: when the stop began and how long it may take; deadlines and arrivals of requests. State:
+//! whether the gateway was quiet at the last check. Decides whether a request is accepted, and
+//! whether the process ends.
 //!
 //! A request whose deadline is earlier than the end of the process always gets its answer. Others
 //! are accepted only at the beginning of the stop, as callers may not know yet that it stops; later
@@ -50,6 +51,8 @@
     began_at: Millis,
     ends_at: Millis,
     accepts_any_until: Millis,
+    /// Whether there was nothing to do at the last check.
+    was_quiet: bool,
 }
 
 impl PlannedStop {
@@ -60,6 +63,7 @@
             began_at: now,
             ends_at: now + within.since(STOP_MARGIN),
             accepts_any_until: now + Millis(within.0 * numerator / denominator),
+            was_quiet: false,
         }
     }
 
@@ -68,11 +72,13 @@
         now < self.accepts_any_until || deadline + DELIVERY_TIME <= self.ends_at
     }
 
-    /// The next step, at a check.
-    pub fn check(&self, requests: Requests, now: Millis) -> Next {
+    /// The next step, at a check. The gateway has to be quiet at two checks in a row: requests that
+    /// arrived while the process got no processor time are read only after the first one.
+    pub fn check(&mut self, requests: Requests, now: Millis) -> Next {
         let is_quiet = requests.in_flight == 0
             && now.since(requests.last_received_at) >= QUIET_PERIOD
             && now.since(self.began_at) >= MIN_STOP;
-        if is_quiet || now >= self.ends_at { Next::End } else { Next::Serve }
+        let was_quiet = std::mem::replace(&mut self.was_quiet, is_quiet);
+        if (is_quiet && was_quiet) || now >= self.ends_at { Next::End } else { Next::Serve }
     }
 }
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -211,7 +211,7 @@
 pub async fn stop<P: Platform>(started: &Started<P>, within: Millis) {
     let Started { gateway, peers, .. } = started;
     let began = gateway.now();
-    let planned = PlannedStop::new(began, within);
+    let mut planned = PlannedStop::new(began, within);
     gateway.begin_stop(planned);
     let in_flight = &gateway.in_flight;
     gateway.event_log.state(format_args!("stopping, {} requests in flight", in_flight.count()));
