What servers send takes a bounded part of the memory

A server in trouble may send bytes without end, in a head or a body, until its connection is closed. 40 requests to one took a gateway to 166 MB of the 96 of its instance with a body (each may have 4 MB), 40 streams to 109 MB, and the body of a refusal or of an engine's answer was bounded by time alone; a process beyond its memory is killed, with all requests that it has in flight. 40 large complete answers took 150 MB, most of it in buffers that the HTTP library keeps for each connection at the size of the largest answer.

Answers that are read whole now reserve memory together, as bodies of requests do, until the caller has them: one of known size waits for room, one of unknown size is truncated, its connection closed at once. Heads, refusals and engines' answers have a size limit, an incomplete event is buffered up to 64 KiB, and whole answers are handed over in pieces of 16 KiB.

--- a/crates/core/src/direct/events.rs
+++ b/crates/core/src/direct/events.rs
@@ -6,7 +6,7 @@
 //! last complete one. So only complete events are forwarded, and each id only once.
 
 /// Maximum size of an incomplete event in the buffer; a longer one is forwarded in pieces.
-const MAX_BUFFERED_BYTES: usize = 1 << 20;
+const MAX_BUFFERED_BYTES: usize = 64 << 10;
 
 /// Where a stream has ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/direct/src/bodies.rs
+++ b/crates/direct/src/bodies.rs
@@ -1,4 +1,5 @@
-//! Bodies of callers' requests. Input: a body as it arrives. State: the bytes reserved for bodies.
+//! Bodies that are held whole: of callers' requests, and of answers that are no streams.
+//! Input: a body as it arrives. State: the bytes reserved for bodies.
 //! Decides by [`BodyMemory`] whether a body is read.
 
 use std::cell::RefCell;
@@ -9,8 +10,8 @@
 use hooktrestle_core::direct::body_memory::Reservation;
 use http_body::Body;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use prometheus_client::metrics::gauge::Gauge;
+use tokio::sync::Notify;
 
 /// Why a body was not read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -19,7 +20,7 @@
     TooLarge,
     /// There is no room for it beside those that are held.
     NoRoom,
-    /// The caller disconnected.
+    /// The sender disconnected.
     Disconnected,
 }
 
@@ -28,12 +29,18 @@
 pub struct Bodies {
     memory: Rc<RefCell<BodyMemory>>,
     held_bytes: Gauge,
+    /// Notified when the bytes of a body are released.
+    released: Rc<Notify>,
 }
 
 impl Bodies {
     /// Holds nothing. `held_bytes` shows how much is reserved.
     pub fn new(budget_bytes: usize, held_bytes: Gauge) -> Bodies {
-        Bodies { memory: Rc::new(RefCell::new(BodyMemory::new(budget_bytes))), held_bytes }
+        Bodies {
+            memory: Rc::new(RefCell::new(BodyMemory::new(budget_bytes))),
+            held_bytes,
+            released: Rc::default(),
+        }
     }
 
     /// Reads a body into memory that is reserved first: at once if its size is known, else as it
@@ -41,26 +48,49 @@
     ///
     /// # Errors
     ///
-    /// The body is too large, there is no room for it, or the caller disconnected.
-    pub async fn read(
+    /// The body is too large, there is no room for it, or the sender disconnected.
+    pub async fn read<B>(
         &self,
-        body: &mut Incoming,
+        body: &mut B,
         max_bytes: usize,
-    ) -> Result<(Bytes, ReservedBytes), BodyError> {
+    ) -> Result<(Bytes, ReservedBytes), BodyError>
+    where
+        B: Body<Data = Bytes> + Unpin,
+    {
         let mut reserved = ReservedBytes { bodies: self.clone(), bytes: 0 };
         let mut received = Vec::new();
-        if let Some(size) = body.size_hint().exact() {
-            let size = usize::try_from(size).unwrap_or(usize::MAX);
+        if let Some(size) = known_size(body) {
             reserved.extend(&mut received, size, max_bytes)?;
         }
-        while let Some(frame) = body.frame().await {
-            let Ok(frame) = frame else { return Err(BodyError::Disconnected) };
-            // Trailers are not forwarded.
-            let Ok(data) = frame.into_data() else { continue };
-            reserved.extend(&mut received, data.len(), max_bytes)?;
-            received.extend_from_slice(&data);
+        reserved.read(body, received, max_bytes).await
+    }
+
+    /// As [`Bodies::read`], but waits for room for a body of known size. One of unknown size, which
+    /// may never end, gets no room that others would wait for.
+    ///
+    /// # Errors
+    ///
+    /// As [`Bodies::read`].
+    pub async fn read_when_room<B>(
+        &self,
+        body: &mut B,
+        max_bytes: usize,
+    ) -> Result<(Bytes, ReservedBytes), BodyError>
+    where
+        B: Body<Data = Bytes> + Unpin,
+    {
+        let mut reserved = ReservedBytes { bodies: self.clone(), bytes: 0 };
+        let mut received = Vec::new();
+        if let Some(size) = known_size(body) {
+            loop {
+                let released = self.released.notified();
+                match reserved.extend(&mut received, size, max_bytes) {
+                    Err(BodyError::NoRoom) => released.await,
+                    other => break other?,
+                }
+            }
         }
-        Ok((Bytes::from(received), reserved))
+        reserved.read(body, received, max_bytes).await
     }
 
     fn observe_held(&self) {
@@ -75,6 +105,26 @@
 }
 
 impl ReservedBytes {
+    /// Reads a body behind what was received.
+    async fn read<B>(
+        mut self,
+        body: &mut B,
+        mut received: Vec<u8>,
+        max_bytes: usize,
+    ) -> Result<(Bytes, ReservedBytes), BodyError>
+    where
+        B: Body<Data = Bytes> + Unpin,
+    {
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else { return Err(BodyError::Disconnected) };
+            // Trailers are not forwarded.
+            let Ok(data) = frame.into_data() else { continue };
+            self.extend(&mut received, data.len(), max_bytes)?;
+            received.extend_from_slice(&data);
+        }
+        Ok((Bytes::from(received), self))
+    }
+
     /// Makes room for further bytes behind those received. The capacity is what counts as memory;
     /// it doubles, as that of a body of unknown size would otherwise be extended for each piece.
     fn extend(
@@ -106,5 +156,11 @@
     fn drop(&mut self) {
         self.bodies.memory.borrow_mut().release(self.bytes);
         self.bodies.observe_held();
+        self.bodies.released.notify_waiters();
     }
 }
+
+fn known_size<B: Body>(body: &B) -> Option<usize> {
+    let size = body.size_hint().exact()?;
+    Some(usize::try_from(size).unwrap_or(usize::MAX))
+}
--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -151,17 +151,18 @@
         clock: gateway.clock,
         version: request.version(),
     };
-    let delivery = Delivery::new(guard, InFlight::begin(&gateway));
+    let mut delivery = Delivery::new(guard, InFlight::begin(&gateway));
     let received_at = gateway.now();
     let (parts, body) = request.into_parts();
     let id = parts.headers.get(&gateway.platform.headers().request_id).cloned();
     gateway.metrics.requests.inc();
     reader.set_deadline(None);
     let (head, content) = match reply(&gateway, parts, body).await {
-        Ok((request, Reply::Whole(head, body))) => {
+        Ok((request, Reply::Whole(answer))) => {
             gateway.metrics.answered.inc();
             reader.set_deadline(Some(request.deadline));
-            (forwarded_head(head), Content::Whole(Some(body)))
+            delivery.hold(answer.memory);
+            (forwarded_head(answer.head), Content::Whole(answer.body))
         }
         Ok((request, Reply::Stream(answer, attempts))) => {
             reader.set_deadline(Some(request.deadline));
@@ -322,5 +323,5 @@
     response.headers_mut().insert(header::CONTENT_TYPE, json);
     // All fields of the body have a JSON representation.
     let body = serde_json::to_vec(&refusal.body()).unwrap_or_default();
-    (response.into_parts().0, Content::Whole(Some(Bytes::from(body))))
+    (response.into_parts().0, Content::Whole(Bytes::from(body)))
 }
--- a/crates/direct/src/callers/body.rs
+++ b/crates/direct/src/callers/body.rs
@@ -18,9 +18,13 @@
 use crate::platform::Platform;
 use crate::relay::TruncatedStream;
 
+/// Size of the pieces in which a whole answer is handed to the HTTP library, which copies each into a
+/// buffer that its connection keeps.
+const MAX_PIECE_BYTES: usize = 16 << 10;
+
 /// The bytes of a whole answer, or the frames of a stream.
 pub(super) enum Content<S> {
-    Whole(Option<Bytes>),
+    Whole(Bytes),
     Stream(Pin<Box<S>>),
 }
 
@@ -61,8 +65,8 @@
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedStream>>> {
         let polled = match &mut self.content {
             Content::Whole(bytes) => {
-                let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
-                Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
+                let piece = bytes.split_to(bytes.len().min(MAX_PIECE_BYTES));
+                Poll::Ready((!piece.is_empty()).then(|| Ok(Frame::data(piece))))
             }
             Content::Stream(frames) => frames.as_mut().poll_next(context),
         };
@@ -83,16 +87,14 @@
 
     fn is_end_stream(&self) -> bool {
         match &self.content {
-            Content::Whole(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+            Content::Whole(bytes) => bytes.is_empty(),
             Content::Stream(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match &self.content {
-            Content::Whole(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
-            }
+            Content::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
             Content::Stream(_) => SizeHint::default(),
         }
     }
--- a/crates/direct/src/callers/delivery.rs
+++ b/crates/direct/src/callers/delivery.rs
@@ -1,6 +1,7 @@
 //! The delivery of one answer: from the request until the connection has written the whole answer.
 //! Until it is dropped, the request counts as in flight and its connection is not idle.
 
+use crate::bodies::ReservedBytes;
 use crate::callers::activity::AnswerGuard;
 use crate::gateway::in_flight::InFlight;
 use crate::platform::Platform;
@@ -9,12 +10,19 @@
 pub(super) struct Delivery<P: Platform> {
     guard: AnswerGuard,
     _in_flight: InFlight<P>,
+    /// Memory of the answer, if it was read whole.
+    memory: Option<ReservedBytes>,
 }
 
 impl<P: Platform> Delivery<P> {
     /// Begins with the request.
     pub(super) fn new(guard: AnswerGuard, in_flight: InFlight<P>) -> Delivery<P> {
-        Delivery { guard, _in_flight: in_flight }
+        Delivery { guard, _in_flight: in_flight, memory: None }
+    }
+
+    /// Holds the memory of the answer until it has been written.
+    pub(super) fn hold(&mut self, memory: ReservedBytes) {
+        self.memory = Some(memory);
     }
 
     /// Records that the answer was truncated.
--- a/crates/direct/src/dial.rs
+++ b/crates/direct/src/dial.rs
@@ -27,6 +27,9 @@
 /// Unanswered keep-alive probes after which the connection fails.
 const KEEPALIVE_PROBES: u32 = 2;
 
+/// Maximum size of the head of an answer. A server in trouble may send one without end.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
 /// Opens a connection.
 ///
 /// # Errors
@@ -56,8 +59,10 @@
 ) -> io::Result<(SendRequest<Full<Bytes>>, AbortHandle)> {
     let stream = dial(address, timeout).await?;
     SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(MAX_HEAD_BYTES);
     let (sender, driver) =
-        http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+        builder.handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
     let task = tokio::task::spawn_local(async move {
         // The request that waits for an answer on this connection receives the error.
         drop(driver.await);
--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -22,6 +22,7 @@
 use http::header;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use tokio::time;
 
 use crate::compression;
@@ -160,7 +161,7 @@
             gateway.record_advertised_limit(server, &head, sent_at, false);
         }
     }
-    let body = body.collect().await.ok()?.to_bytes();
+    let body = Limited::new(body, sidecar::MAX_BODY_BYTES).collect().await.ok()?.to_bytes();
     match end {
         RemoteEnd::Engine => gateway.connections.put_back(connection),
         RemoteEnd::Sidecar => gateway.sidecars.put_back(connection),
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -27,6 +27,7 @@
 use http::response::Parts;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use hyper::body::Incoming;
 use tokio::time;
 
@@ -43,6 +44,9 @@
 /// Maximum time to read the body of a refusal, which arrives together with its head.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Maximum size of the body of a refusal. The connection of a larger one is closed.
+const MAX_REFUSAL_BYTES: usize = 64 << 10;
+
 /// Time after a suspension of this process in which answers that arrived meanwhile may still be
 /// unread.
 const READ_BACKLOG_GRACE: Millis = Millis(200);
@@ -501,7 +505,8 @@
 fn drain<P: Platform>(gateway: &Rc<Gateway<P>>, body: Incoming, connection: Connection) {
     let gateway = gateway.clone();
     tokio::task::spawn_local(async move {
-        if let Ok(Ok(_)) = time::timeout(DRAIN_TIMEOUT, body.collect()).await {
+        let rest = Limited::new(body, MAX_REFUSAL_BYTES).collect();
+        if let Ok(Ok(_)) = time::timeout(DRAIN_TIMEOUT, rest).await {
             gateway.connections.put_back(connection);
         }
     });
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -18,9 +18,8 @@
 use hooktrestle_schema::Cause;
 use http::StatusCode;
 use http::response::Parts;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 
+use crate::bodies::ReservedBytes;
 use crate::exchange;
 use crate::exchange::Answer;
 use crate::exchange::AttemptGuard;
@@ -41,10 +40,17 @@
 /// retry.
 pub const MAX_PERMIT_WAIT: Millis = Millis(50);
 
+/// The whole answer of a server, with the memory of its body, which is held until the caller has it.
+pub struct WholeAnswer {
+    pub head: Parts,
+    pub body: Bytes,
+    pub memory: ReservedBytes,
+}
+
 /// The reply to a caller.
 pub enum Reply<P: Platform> {
     /// The whole answer of a server.
-    Whole(Parts, Bytes),
+    Whole(WholeAnswer),
     /// A stream of events that has begun, with the attempts that it took.
     Stream(Box<Answer<P>>, Attempts),
     /// A refusal or failure that the gateway itself reports.
@@ -61,7 +67,7 @@
     let trying = try_servers(gateway, request, &mut attempts);
     let tried = gateway.clock.timeout_at(request.deadline, trying).await;
     match tried {
-        Ok(ForwardOutcome::Whole(head, body)) => Reply::Whole(head, body),
+        Ok(ForwardOutcome::Whole(answer)) => Reply::Whole(answer),
         Ok(ForwardOutcome::Stream(answer)) => Reply::Stream(answer, attempts),
         Ok(ForwardOutcome::Refused(refusal)) => Reply::Refused(refusal),
         Err(_) => Reply::Refused(attempts.refuse(Cause::DeadlinePassed)),
@@ -69,7 +75,7 @@
 }
 
 enum ForwardOutcome<P: Platform> {
-    Whole(Parts, Bytes),
+    Whole(WholeAnswer),
     Stream(Box<Answer<P>>),
     Refused(Refusal),
 }
@@ -106,7 +112,7 @@
                 gateway.record_outage_began(&request.service);
             }
             return match failure {
-                Some((head, body)) => ForwardOutcome::Whole(head, body),
+                Some(answer) => ForwardOutcome::Whole(answer),
                 None => refused(gateway, request, attempts.refuse(Cause::NoBackendServer)),
             };
         };
@@ -114,8 +120,8 @@
         attempts.begin();
         let fate = match try_server(gateway, request, attempts, guard).await {
             AttemptResult::Answered(answer) => return answer,
-            AttemptResult::Failed(head, body) => {
-                failure = Some((head, body));
+            AttemptResult::Failed(answer) => {
+                failure = Some(answer);
                 Fate::Failed
             }
             AttemptResult::Unanswered(fate) => fate,
@@ -126,7 +132,7 @@
         gateway.event_log.request(request.id_text(), step);
         match (next, failure.take()) {
             (Next::Retry, last) => failure = last,
-            (_, Some((head, body))) => return ForwardOutcome::Whole(head, body),
+            (_, Some(answer)) => return ForwardOutcome::Whole(answer),
             (Next::GiveUp(refusal), None) => return refused(gateway, request, refusal),
             (Next::PassOn, None) => {
                 return ForwardOutcome::Refused(attempts.refuse(Cause::BackendFailed));
@@ -154,7 +160,7 @@
     /// An answer for the caller.
     Answered(ForwardOutcome<P>),
     /// A whole answer that reports a failure of the server.
-    Failed(Parts, Bytes),
+    Failed(WholeAnswer),
     /// No whole answer.
     Unanswered(Fate),
 }
@@ -179,8 +185,8 @@
         return AttemptResult::Answered(ForwardOutcome::Stream(Box::new(answer)));
     }
     match whole(gateway, request, answer).await {
-        Some((head, body)) if head.status.is_server_error() => AttemptResult::Failed(head, body),
-        Some((head, body)) => AttemptResult::Answered(ForwardOutcome::Whole(head, body)),
+        Some(answer) if answer.head.status.is_server_error() => AttemptResult::Failed(answer),
+        Some(answer) => AttemptResult::Answered(ForwardOutcome::Whole(answer)),
         None => AttemptResult::Unanswered(Fate::MayHaveRun),
     }
 }
@@ -219,10 +225,10 @@
     gateway: &Rc<Gateway<P>>,
     request: &Request<P>,
     answer: Answer<P>,
-) -> Option<(Parts, Bytes)> {
-    let Answer { head, body, connection, mut guard, began_at, framing } = answer;
+) -> Option<WholeAnswer> {
+    let Answer { head, mut body, connection, mut guard, began_at, framing } = answer;
     let server = guard.server();
-    let collected = Limited::new(body, MAX_BUFFERED_ANSWER_BYTES).collect().await;
+    let collected = gateway.answers.read_when_room(&mut body, MAX_BUFFERED_ANSWER_BYTES).await;
     let completion = match answer_ends::of_body(framing) {
         AnswerEnd::Complete => Completion::Confirmed,
         AnswerEnd::Unconfirmed | AnswerEnd::Truncated => Completion::Unconfirmed,
@@ -230,15 +236,17 @@
     let is_truncated = collected.is_err()
         || completion == Completion::Unconfirmed && gateway.has_crashed(server).await;
     match collected {
-        Ok(collected) if !is_truncated => {
+        Ok((body, memory)) if !is_truncated => {
             gateway.connections.put_back(connection);
             if head.status.is_success() {
                 guard.set_progress(None);
                 gateway.record_completed_request(server, &request.fingerprints, completion);
             }
-            Some((head, collected.to_bytes()))
+            Some(WholeAnswer { head, body, memory })
         }
         _ => {
+            // A server that sends without end does so until its connection is closed.
+            drop((body, connection));
             guard.end(AttemptOutcome::Lost);
             guard.set_progress(None);
             let progress = Progress::Running(began_at);
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -120,6 +120,8 @@
     pub readers: Readers,
     /// The bodies of requests.
     pub bodies: Bodies,
+    /// The bodies of answers that are no streams, until they are complete.
+    pub answers: Bodies,
     /// Wakes the task that polls stalled groups.
     pub stall_detected: Notify,
     /// Wakes the streams: a report of slow servers was applied.
@@ -186,6 +188,7 @@
     ) -> Gateway<P> {
         let metrics = Metrics::default();
         let bodies = Bodies::new(budget_bytes(own.memory_bytes), metrics.body_bytes.clone());
+        let answers = Bodies::new(budget_bytes(own.memory_bytes), metrics.answer_bytes.clone());
         Gateway {
             platform,
             clock,
@@ -197,6 +200,7 @@
             sidecars_port,
             readers: Readers::new(own.memory_bytes),
             bodies,
+            answers,
             stall_detected: Notify::new(),
             slow_servers_reported: Notify::new(),
             urgent_gossip: Notify::new(),
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -72,6 +72,8 @@
     pub bodies_refused: Counter,
     /// Bytes reserved for the bodies of requests.
     pub body_bytes: Gauge,
+    /// Bytes reserved for answers that are read whole.
+    pub answer_bytes: Gauge,
     /// Bytes of answers that callers have not read yet.
     pub unread_bytes: Gauge,
     /// Gateways that callers may be sent to, this one included.
@@ -125,6 +127,7 @@
             readers_closed: Counter::default(),
             bodies_refused: Counter::default(),
             body_bytes: Gauge::default(),
+            answer_bytes: Gauge::default(),
             unread_bytes: Gauge::default(),
             gateways_alive: Gauge::default(),
             evacuated_data_centres: Gauge::default(),
@@ -178,6 +181,8 @@
         metrics.registry.register("gateways_living", help, metrics.gateways_alive.clone());
         let help = "Bytes reserved for the bodies of requests";
         metrics.registry.register("body_bytes", help, metrics.body_bytes.clone());
+        let help = "Bytes reserved for answers that are read whole";
+        metrics.registry.register("answer_bytes", help, metrics.answer_bytes.clone());
         let help = "Bytes of answers that callers have not read yet";
         metrics.registry.register("unread_bytes", help, metrics.unread_bytes.clone());
         let help = "Data centres that operators evacuate";
--- a/crates/direct/src/sidecar.rs
+++ b/crates/direct/src/sidecar.rs
@@ -196,7 +196,8 @@
         };
         let answer = sender.send_request(Request::from_parts(head, Full::new(body))).await?;
         let (mut head, body) = answer.into_parts();
-        let body = body.collect().await?.to_bytes();
+        let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
+        let body = body.map_err(|error| eyre!("body of the engine's answer: {error}"))?.to_bytes();
         self.idle.borrow_mut().entry(address).or_default().push(sender);
         headers::strip_hop_by_hop(&mut head.headers);
         match since.filter(|_| head.status.is_success()) {
