An overtaken request is given up only if another server may be asked

A repeatable request that took longer than later ones at other servers was given up at its server, sent to a second one, given up there as well and failed with 502, as no attempt was left: both servers were at work on it. It is the same class of fault as streams that left silent servers: what runs is given up before anything can replace it.

A request now stays where it is unless the route, the retry budget and the pool allow another attempt. An attempt counts against the limit from its beginning, also beside one that runs on. an_overtaken_request_without_further_attempts_is_answered_by_its_server fails on the code before (502 for 200).

--- a/crates/core/src/direct/attempts.rs
+++ b/crates/core/src/direct/attempts.rs
@@ -57,7 +57,7 @@
     sent: u32,
     unsent: u32,
     may_have_run: bool,
-    /// An attempt has begun and its fate is unknown.
+    /// An attempt has begun that is not counted yet.
     pending: bool,
     tried: Vec<Key<Server>>,
     /// The server of an attempt that has been counted, and runs on beside later ones.
@@ -97,7 +97,7 @@
 
     /// Whether the limit of attempts allows another one after or beside the current one.
     pub fn allows_another(&self) -> bool {
-        self.sent + u32::from(self.running.is_none()) < self.max_attempts
+        self.sent + u32::from(self.pending) < self.max_attempts
     }
 
     /// Records that another attempt is to begin while the one at `server` runs on; returns whether it
@@ -107,6 +107,7 @@
             return false;
         }
         if self.running.is_none() {
+            self.pending = false;
             self.running = Some(server);
             self.tried.push(server);
             self.sent += 1;
--- a/crates/core/tests/direct_requests.rs
+++ b/crates/core/tests/direct_requests.rs
@@ -253,6 +253,7 @@
         [(); 3].map(|()| pool.choose(&Demand::for_service("hints"), Millis(0), &mut rng).unwrap());
     assert!(running != second && second != third && third != running);
     let mut attempts = Attempts::new(3, true);
+    attempts.begin();
     assert!(attempts.begin_beside(running, || true));
     assert_eq!(attempts.tried(), [running]);
     attempts.begin();
@@ -269,11 +270,18 @@
 /// Guards against attempts beside a running one that the route or the retry budget does not allow.
 #[test]
 fn an_attempt_beside_a_running_one_needs_all_that_a_retry_needs() {
-    assert!(!Attempts::new(2, false).begin_beside(key(), || true), "it must not run twice");
-    assert!(!Attempts::new(1, true).begin_beside(key(), || true), "no attempt is left");
-    assert!(!Attempts::new(2, true).begin_beside(key(), || false), "no retry is left");
-    let mut moved = Attempts::new(2, true);
+    let begun = |max_attempts: u32, is_repeatable: bool| {
+        let mut attempts = Attempts::new(max_attempts, is_repeatable);
+        attempts.begin();
+        attempts
+    };
+    assert!(!begun(2, false).begin_beside(key(), || true), "it must not run twice");
+    assert!(!begun(1, true).begin_beside(key(), || true), "no attempt is left");
+    assert!(!begun(2, true).begin_beside(key(), || false), "no retry is left");
+    let mut moved = begun(2, true);
     assert!(moved.begin_beside(key(), || true));
+    moved.begin();
+    assert!(!moved.allows_another(), "both attempts have begun");
     moved.end_running();
     assert!(!moved.begin_beside(key(), || true), "the other server runs the last attempt");
 }
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use hooktrestle_core::clock::Millis;
+use hooktrestle_core::direct::attempts::Attempts;
 use hooktrestle_core::direct::attempts::Fate;
 use hooktrestle_core::direct::fingerprint::Fingerprints;
 use hooktrestle_core::direct::overtaken;
@@ -51,6 +52,9 @@
 /// unread.
 const READ_BACKLOG_GRACE: Millis = Millis(200);
 
+/// Interval between two checks of whether an overtaken request may be sent to another server.
+const RETRY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// An attempt at a server that the pool has chosen. Dropping it reports the outcome to the pool,
 /// also when the attempt was cancelled. Without a permit, dropping it undoes the choice of the
 /// server.
@@ -187,7 +191,8 @@
     }
 }
 
-/// Sends a request to a server and waits for the head of the answer.
+/// Sends a request to a server and waits for the head of the answer. `attempts` are those of the
+/// request, of which this is one.
 ///
 /// # Errors
 ///
@@ -195,11 +200,12 @@
 pub async fn attempt<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     request: &Request<P>,
+    attempts: &Attempts,
     guard: AttemptGuard<P>,
     after_event: Option<u64>,
 ) -> Result<Answer<P>, Fate> {
     let mut guard = guard;
-    let sent = send(gateway, request, &guard, after_event).await;
+    let sent = send(gateway, request, attempts, &guard, after_event).await;
     let Sent { response, mut connection, reused, sent_at } = match sent {
         Ok(sent) => sent,
         Err(NoAnswer { fate, outcome }) => {
@@ -269,10 +275,11 @@
 }
 
 /// Waits until a request at a server is overtaken by requests to other servers that were sent
-/// later. Never returns if the request may not be sent again.
+/// later, and may be sent to another server. Never returns if the request must not run twice.
 async fn overtaken<P: Platform>(
     gateway: &Gateway<P>,
     request: &Request<P>,
+    attempts: &Attempts,
     server: Key<Server>,
     sent_at: Millis,
 ) {
@@ -288,11 +295,26 @@
             overtaken::Next::GiveUp if gateway.recent_suspension(READ_BACKLOG_GRACE).is_some() => {
                 time::sleep(Duration::from(READ_BACKLOG_GRACE)).await;
             }
-            overtaken::Next::GiveUp => return,
+            overtaken::Next::GiveUp if can_retry(gateway, request, attempts, server) => return,
+            overtaken::Next::GiveUp => time::sleep(RETRY_CHECK_INTERVAL).await,
         }
     }
 }
 
+/// Whether a request that waits at a server may be sent to another one. Its server may be sound, so
+/// it is not given up there for nothing.
+fn can_retry<P: Platform>(
+    gateway: &Gateway<P>,
+    request: &Request<P>,
+    attempts: &Attempts,
+    server: Key<Server>,
+) -> bool {
+    let demand = request.demand(attempts.tried());
+    attempts.allows_another()
+        && gateway.budget_has_retry(&request.service)
+        && gateway.with_pool(|pool| pool.has_alternative(&demand, server, gateway.now()))
+}
+
 /// Whether an answer belongs to the request. An answer without a request id is accepted only on a
 /// new connection, which has carried no earlier request.
 fn is_answer_to<P: Platform>(
@@ -344,6 +366,7 @@
 async fn send<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     request: &Request<P>,
+    attempts: &Attempts,
     guard: &AttemptGuard<P>,
     after_event: Option<u64>,
 ) -> Result<Sent, NoAnswer> {
@@ -369,7 +392,7 @@
         let answered = tokio::select! {
             biased;
             answered = connection.sender().try_send_request(message) => answered,
-            () = overtaken(gateway, request, server, sent_at) => {
+            () = overtaken(gateway, request, attempts, server, sent_at) => {
                 gateway.metrics.overtaken.inc();
                 guard.set_progress(None);
                 gateway
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -174,7 +174,7 @@
     let server = guard.server();
     let attempt = tokio::select! {
         biased;
-        attempt = exchange::attempt(gateway, request, guard, None) => attempt,
+        attempt = exchange::attempt(gateway, request, attempts, guard, None) => attempt,
         () = slow_exit::may_leave(gateway, request, attempts, server) => Err(Fate::MayHaveRun),
     };
     let answer = match attempt {
