Soak: long requests, series of planned operations, and answers while the store is away

The requests of the soak lasted 0.6 s at most, so that no stop of 8 s could cut one off. A quarter of its callers now send requests of 0.6 to 7.5 s with a deadline of 8 s. planned-series stops gateways before the earlier ones have ended, with changed settings and new configurations all the time. Faults of the store alone no longer excuse a missing answer.

--- a/crates/soak/src/backends.rs
+++ b/crates/soak/src/backends.rs
@@ -16,6 +16,7 @@
 use hooktrestle_users_standin::server::Action;
 use hooktrestle_users_standin::server::Framing;
 use hooktrestle_users_standin::server::Server;
+use hooktrestle_users_standin::set_timeouts;
 use hooktrestle_users_standin::store::Mode;
 use hooktrestle_users_standin::store::Snapshot;
 use hooktrestle_users_standin::store::Store;
@@ -24,6 +25,7 @@
 use tokio::time;
 use tokio::time::Instant;
 
+use crate::callers::LONG_DEADLINE;
 use crate::crashing::CrashCause;
 use crate::data_centres::COLD_START;
 use crate::data_centres::DATA_CENTRES;
@@ -46,9 +48,13 @@
 /// Slots of each server in a burst of callers, as its row says, and the requests that wait for one.
 const BUSY_SLOTS: (u32, u32) = (4, 8);
 
-/// Time between two events of a stream, in a burst of callers and otherwise.
+/// Time between two events of a stream in a burst of callers.
 const BUSY_EVENT_INTERVAL: Duration = Duration::from_millis(10);
-const EVENT_INTERVAL: Duration = Duration::from_millis(2);
+/// Time between two events of a stream otherwise.
+pub const EVENT_INTERVAL: Duration = Duration::from_millis(2);
+
+/// Time between two configurations of a series.
+const SERIES_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Maximum age of the snapshot with which the store returns in a drill.
 const MAX_SNAPSHOT_AGE: Duration = Duration::from_secs(10);
@@ -150,6 +156,7 @@
         let route = route_of(version);
         let mut configuration = configuration_with(version, &[&route]);
         add_warm_up(&mut configuration, WARM_UP_PER_S, COLD_START);
+        set_timeouts(&mut configuration, LONG_DEADLINE);
         if self.has_priorities {
             add_streams_by_priority(&mut configuration);
         }
@@ -159,6 +166,15 @@
         true
     }
 
+    /// Writes new versions in quick succession.
+    pub async fn configure_in_series(&self, duration: Duration) {
+        let end = Instant::now() + duration;
+        while Instant::now() < end {
+            self.configure();
+            time::sleep(SERIES_INTERVAL).await;
+        }
+    }
+
     /// The newest configuration version, and when the store accepted it.
     pub fn newest_configuration(&self) -> (u64, Instant) {
         (self.version.get(), self.accepted_at.get())
@@ -296,6 +312,7 @@
             FaultKind::Evacuation => self.evacuate(target, duration).await,
             FaultKind::Overload => self.bound_slots(duration).await,
             FaultKind::RestartSeries => self.lose_answers(duration).await,
+            FaultKind::PlannedSeries => self.configure_in_series(duration).await,
             FaultKind::ServerMute
             | FaultKind::ServerReset
             | FaultKind::ServerSlow
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -19,8 +19,10 @@
 use tokio::time::Instant;
 
 use crate::backends::Backends;
+use crate::backends::EVENT_INTERVAL;
 use crate::backends::route_of;
 use crate::crashing::CrashCause;
+use crate::fleet;
 use crate::fleet::Fleet;
 use crate::fleet::Gateway;
 use crate::ledger::GatewayIncarnation;
@@ -33,6 +35,16 @@
 /// Deadline of requests.
 const DEADLINE_MS: u64 = 3_000;
 
+/// Deadline of long requests, and time-out of the routes.
+pub const LONG_DEADLINE: Duration = Duration::from_secs(8);
+
+/// Work of long requests: up to their deadline.
+const LONG_WORK_MS: std::ops::Range<u32> = 600..7_500;
+
+/// Time from `SIGTERM` until which requests may be sent that the end of the stop cuts off: their
+/// servers are at work on them in its last sixth.
+const LONG_REQUESTS_EXCUSED: Duration = Duration::from_secs(3);
+
 /// How long a caller uses a list of gateways before it fetches the list again.
 const REFRESH_MS: std::ops::Range<u64> = 1_000..3_000;
 
@@ -114,12 +126,17 @@
     listed: Vec<SocketAddr>,
     /// Whether it uses gateways that are no longer listed until they are gone.
     keeps_gateways: bool,
+    /// Whether all its requests are long.
+    is_long: bool,
     refresh_at: Instant,
 }
 
 /// One in so many callers uses gateways until they are gone.
 const KEEPS_GATEWAYS_ONE_IN: u64 = 4;
 
+/// One in so many of these callers, and as many of the others, send long requests only.
+const LONG_ONE_IN: u64 = 8;
+
 /// A request to send.
 #[derive(Clone, Debug)]
 struct RequestSpec {
@@ -127,6 +144,7 @@
     repeatable: bool,
     /// Number of events of a complete answer; `None` if the answer is the id of the request.
     events: Option<u32>,
+    deadline: Duration,
     disconnects_after: Option<Duration>,
 }
 
@@ -141,6 +159,7 @@
             addresses: Vec::new(),
             listed: Vec::new(),
             keeps_gateways: seed.is_multiple_of(KEEPS_GATEWAYS_ONE_IN),
+            is_long: seed % LONG_ONE_IN < 2,
             refresh_at: Instant::now(),
         }
     }
@@ -198,6 +217,9 @@
 
     fn draw_request(&mut self) -> RequestSpec {
         let rng = &mut self.rng;
+        if self.is_long {
+            return long_request(rng);
+        }
         let (work_ms, events) = (rng.random_range(0..80_u32), rng.random_range(EVENTS));
         let disconnects_after =
             rng.random_bool(0.1).then(|| Duration::from_millis(rng.random_range(1..60)));
@@ -210,7 +232,19 @@
         // A caller that disconnects leaves a long request behind.
         let work_or_abandoned_ms = if disconnects_after.is_some() { 2_500 } else { work_ms };
         let path = format!("/{route}/{}", events.unwrap_or(work_or_abandoned_ms));
-        RequestSpec { path, repeatable, events, disconnects_after }
+        let deadline = Duration::from_millis(DEADLINE_MS);
+        RequestSpec { path, repeatable, events, deadline, disconnects_after }
+    }
+
+    /// Whether a request was sent early in a stop of its gateway, and its server was still at work on it
+    /// at the end of that.
+    fn outlasted_stop(&self, gateway: SocketAddr, sent_at: Instant, id: &str) -> bool {
+        let stopped_at = self.context.gateway_at(gateway).and_then(|one| one.stopped_at.get());
+        stopped_at.is_some_and(|stopped_at| {
+            sent_at <= stopped_at + LONG_REQUESTS_EXCUSED
+                && Instant::now() >= stopped_at + fleet::LAST_SIXTH_OF_STOP
+                && self.context.ledger.was_offered(id)
+        })
     }
 
     /// Sends a request; returns whether it failed: refused as not run, or with an unknown outcome.
@@ -218,7 +252,8 @@
         let (spec, id) = (self.draw_request(), self.context.next_id());
         let (ledger, sent_at) = (self.context.ledger.clone(), Instant::now());
         self.context.record_request(&id, spec.repeatable, gateway);
-        let request = caller::request(&self.client, gateway, &spec.path, &id, DEADLINE_MS);
+        let deadline_ms = spec.deadline.as_millis() as u64;
+        let request = caller::request(&self.client, gateway, &spec.path, &id, deadline_ms);
         let request = match spec.events {
             Some(events) => {
                 let others = format!("d{}", events % SHARED_PARTS);
@@ -227,7 +262,7 @@
             None => request,
         };
         let answer = read_answer(request, &id, &spec, &ledger);
-        let max_wait = spec.disconnects_after.unwrap_or(Duration::from_millis(2 * DEADLINE_MS));
+        let max_wait = spec.disconnects_after.unwrap_or(2 * spec.deadline);
         let verdict = match time::timeout(max_wait, answer).await {
             Ok(verdict) => verdict,
             Err(_) => Verdict::Left(Instant::now()),
@@ -238,8 +273,10 @@
             let is_listed = self.listed.contains(&gateway);
             verdict == Verdict::Open && !is_listed && !ledger.was_offered(&id)
         };
-        let is_checked = spec.disconnects_after.is_none() && ledger.no_faults_since(sent_at);
-        if is_checked && !is_undelivered() {
+        let is_excused =
+            !ledger.no_faults_since(sent_at) && !ledger.no_faults_but_store_since(sent_at);
+        let is_checked = spec.disconnects_after.is_none() && !is_excused;
+        if is_checked && !is_undelivered() && !self.outlasted_stop(gateway, sent_at, &id) {
             ledger.record_check(Guarantee::Answered);
             if matches!(verdict, Verdict::Open | Verdict::Left(_)) {
                 let path = &spec.path;
@@ -257,6 +294,21 @@
     }
 }
 
+/// A request with work of up to its deadline. Timers are late, so that streams take twice as long as
+/// the time between their events says.
+fn long_request(rng: &mut ChaCha8Rng) -> RequestSpec {
+    let work_ms = rng.random_range(LONG_WORK_MS);
+    let events = Some(work_ms / (2 * EVENT_INTERVAL.as_millis() as u32));
+    let (route, repeatable, events) = match rng.random_range(0..4) {
+        0 => ("once", false, None),
+        1 => ("safe", true, None),
+        2 => ("flow", true, events),
+        _ => ("brook", false, events),
+    };
+    let path = format!("/{route}/{}", events.unwrap_or(work_ms));
+    RequestSpec { path, repeatable, events, deadline: LONG_DEADLINE, disconnects_after: None }
+}
+
 async fn read_answer(
     request: reqwest::RequestBuilder,
     id: &str,
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -17,6 +17,7 @@
 use eyre::Result;
 use eyre::WrapErr;
 use eyre::ensure;
+use futures_util::future::join_all;
 use hooktrestle_users_standin::proxy::Proxy;
 use hooktrestle_users_standin::store::Mode;
 use hooktrestle_users_standin::store::Store;
@@ -38,6 +39,13 @@
 /// Maximum duration of a planned stop, in the settings of the gateways.
 const STOP_WITHIN_S: u64 = 8;
 
+/// Time from `SIGTERM` to the last sixth of a stop.
+pub const LAST_SIXTH_OF_STOP: Duration = Duration::from_millis(STOP_WITHIN_S * 1_000 * 5 / 6);
+
+/// Time between the stops of a series, and between its signals that settings have changed.
+const SERIES_STOP_INTERVAL: Duration = Duration::from_millis(1_500);
+const SERIES_HANG_UP_INTERVAL: Duration = Duration::from_millis(300);
+
 /// Time between two checks of whether a process has exited.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -85,6 +93,8 @@
     pub incarnations: Cell<u32>,
     /// Since when it has no process; `None` while a process runs.
     pub down_since: Cell<Option<Instant>>,
+    /// When it was told to stop last.
+    pub stopped_at: Cell<Option<Instant>>,
     /// When its process was last started or resumed.
     resumed_at: Cell<Instant>,
     /// Number of active faults that affect the process. The last one to end starts it again.
@@ -180,6 +190,7 @@
                 child: RefCell::new(None),
                 incarnations: Cell::new(0),
                 down_since: Cell::new(Some(Instant::now())),
+                stopped_at: Cell::new(None),
                 resumed_at: Cell::new(Instant::now()),
                 active_faults: Cell::new(0),
             }));
@@ -219,6 +230,7 @@
             FaultKind::Pause => self.pause(&gateway, duration).await,
             FaultKind::Stop => self.stop(&gateway).await,
             FaultKind::HangUp => gateway.signal(Signal::HUP),
+            FaultKind::PlannedSeries => self.stop_in_series(target, duration).await,
             FaultKind::StoreMute
             | FaultKind::StoreReset
             | FaultKind::StoreSlow
@@ -282,6 +294,7 @@
             return;
         }
         gateway.active_faults.set(1);
+        gateway.stopped_at.set(Some(Instant::now()));
         gateway.signal(Signal::TERM);
         // Time during which another fault affects the process does not count.
         let (mut own_time, mut polled_at) = (Duration::ZERO, Instant::now());
@@ -313,6 +326,23 @@
         self.end_fault(gateway);
     }
 
+    /// Stops gateways one after the other, before the earlier ones have ended, while all of them are
+    /// told that their settings have changed.
+    async fn stop_in_series(&self, first: usize, duration: Duration) {
+        let end = Instant::now() + duration;
+        let stops = (0..self.gateways.len()).map(async |number| {
+            time::sleep(SERIES_STOP_INTERVAL * number as u32).await;
+            self.stop(&self.gateways[(first + number) % self.gateways.len()]).await;
+        });
+        let hang_ups = async {
+            while Instant::now() < end {
+                self.gateways.iter().for_each(|gateway| gateway.signal(Signal::HUP));
+                time::sleep(SERIES_HANG_UP_INTERVAL).await;
+            }
+        };
+        tokio::join!(join_all(stops), hang_ups);
+    }
+
     /// Ends a fault of a gateway. Starts its process if it is down and no other fault affects it.
     fn end_fault(&self, gateway: &Gateway) {
         gateway.active_faults.set(gateway.active_faults.get().saturating_sub(1));
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -69,6 +69,10 @@
 const ALLOWED_FOR_LIMITS: [FaultKind; 4] =
     [FaultKind::Kill, FaultKind::Off, FaultKind::KillAll, FaultKind::Stop];
 
+/// Planned operations of gateways. They learn from the store that a server leaves.
+const PLANNED_AT_GATEWAYS: [FaultKind; 3] =
+    [FaultKind::Stop, FaultKind::HangUp, FaultKind::PlannedSeries];
+
 /// Time after a fault in which time-bounded guarantees are not checked: timeouts of up to 3 s
 /// detect its effects.
 const SETTLE_TIME: Duration = Duration::from_secs(4);
@@ -288,7 +292,17 @@
         self.no_faults_but(&PLANNED, from)
     }
 
-    /// The same for a write that the store accepted at `from`. A drill is no excuse if it began
+    /// Whether only the store and connections to it had faults, or gateways planned operations: the
+    /// requests of callers need neither.
+    pub fn no_faults_but_store_since(&self, from: Instant) -> bool {
+        let faults = self.faults.borrow();
+        let mut others = faults
+            .iter()
+            .filter(|(kind, ..)| !kind.affects_store() && !PLANNED_AT_GATEWAYS.contains(kind));
+        others.all(|(_, _, until)| *until + SETTLE_TIME < from)
+    }
+
+    /// As [`Ledger::no_faults_since`] for a write that the store accepted at `from`. A drill is no excuse if it began
     /// after all gateways had time to receive the write, or if it ended before `from` and gateways
     /// had time to recover from it.
     pub fn no_faults_but_drills_since(&self, from: Instant) -> bool {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -219,6 +219,7 @@
         FaultKind::Off => Duration::ZERO,
         // The maximum duration of a stop.
         FaultKind::Stop => Duration::from_secs(9),
+        FaultKind::PlannedSeries => fault.duration + Duration::from_secs(9),
         _ => fault.duration,
     }
 }
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -95,10 +95,13 @@
     /// All gateways are killed and started again and again, while all servers run requests and lose
     /// the answers.
     RestartSeries,
+    /// Gateways receive `SIGTERM` one after the other, before the earlier ones have exited, while all
+    /// receive `SIGHUP` again and again and new configurations are written in quick succession.
+    PlannedSeries,
 }
 
 /// All kinds, with their names for `--faults`.
-pub const FAULT_KINDS: [(&str, FaultKind); 39] = [
+pub const FAULT_KINDS: [(&str, FaultKind); 40] = [
     ("kill", FaultKind::Kill),
     ("off", FaultKind::Off),
     ("kill-all", FaultKind::KillAll),
@@ -138,6 +141,7 @@
     ("server-returns-cold", FaultKind::ServerReturnsCold),
     ("overload", FaultKind::Overload),
     ("restart-series", FaultKind::RestartSeries),
+    ("planned-series", FaultKind::PlannedSeries),
 ];
 
 impl FaultKind {
@@ -223,7 +227,7 @@
 const CRASHING_REQUEST_DURATION_MS: std::ops::Range<u64> = 6_000..20_000;
 
 /// Planned operations, and notices of servers: all guarantees hold during them.
-pub const PLANNED: [FaultKind; 8] = [
+pub const PLANNED: [FaultKind; 9] = [
     FaultKind::Stop,
     FaultKind::HangUp,
     FaultKind::ServerDrain,
@@ -232,11 +236,12 @@
     FaultKind::ServerNamesLimit,
     FaultKind::ServerUnframed,
     FaultKind::Evacuation,
+    FaultKind::PlannedSeries,
 ];
 
 /// Kinds that are drawn from random generators of their own, so that the other faults of a seed are
 /// the same with and without them.
-const SEPARATELY_DRAWN: [FaultKind; 11] = [
+const SEPARATELY_DRAWN: [FaultKind; 12] = [
     FaultKind::CrashingRequest,
     FaultKind::CrashingPart,
     FaultKind::ServerUnframed,
@@ -248,6 +253,7 @@
     FaultKind::ServerReturnsCold,
     FaultKind::Overload,
     FaultKind::RestartSeries,
+    FaultKind::PlannedSeries,
 ];
 
 /// Time between two drills; one in so many is followed by the next after the shorter time.
@@ -268,6 +274,10 @@
 const OVERLOAD_DURATION_MS: std::ops::Range<u64> = 4_000..8_000;
 const RESTARTS_DURATION_MS: std::ops::Range<u64> = 6_000..12_000;
 
+/// Time between the starts of two series of planned operations, and how long each lasts.
+const SERIES_GAP_MS: std::ops::Range<u64> = 9_000..25_000;
+const SERIES_DURATION_MS: std::ops::Range<u64> = 3_000..8_000;
+
 /// How long a gateway is off: other gateways remove its record after 60 s.
 const OFF_DURATION: Duration = Duration::from_secs(80);
 
@@ -313,6 +323,10 @@
                 let mut rng = ChaCha8Rng::seed_from_u64((!seed).rotate_left(2));
                 draw_in_periods(&mut rng, kind, &periods, RESTARTS_DURATION_MS, &mut faults);
             }
+            FaultKind::PlannedSeries => {
+                let mut rng = ChaCha8Rng::seed_from_u64((!seed).rotate_left(3));
+                draw_series(&mut rng, kind, end, &mut faults);
+            }
             _ => draw_notices(&mut rng, kind, end, &mut faults),
         }
     }
@@ -375,6 +389,17 @@
     }
 }
 
+/// Adds series of planned operations, at any time.
+fn draw_series(rng: &mut ChaCha8Rng, kind: FaultKind, end: Duration, faults: &mut Vec<Fault>) {
+    let mut at = Duration::from_millis(rng.random_range(SERIES_GAP_MS) / 2);
+    while at < end {
+        let duration = Duration::from_millis(rng.random_range(SERIES_DURATION_MS)).min(end - at);
+        let target = rng.random_range(0..1_000);
+        faults.push(Fault { at, duration, kind, target });
+        at += Duration::from_millis(rng.random_range(SERIES_GAP_MS));
+    }
+}
+
 /// Adds requests, or parts of prompts, that crash servers, at any time.
 fn draw_crashing_requests(
     rng: &mut ChaCha8Rng,
