An overtaken request goes on at its server while a second one runs it

Its first attempt now goes on beside the second, and is left once that has a successful answer; both count against the limit of attempts and the budget as before. The race is a module of its own, and the wait for it leaves exchange.

--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -3,16 +3,13 @@
 //! or new. It decides whether the request may be sent, and which outcome the pool records.
 
 use std::cell::Cell;
-use std::future;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use hooktrestle_core::clock::Millis;
-use hooktrestle_core::direct::attempts::Attempts;
 use hooktrestle_core::direct::attempts::Fate;
 use hooktrestle_core::direct::fingerprint::Fingerprints;
-use hooktrestle_core::direct::overtaken;
 use hooktrestle_core::direct::pool::AttemptOutcome;
 use hooktrestle_core::direct::pool::Server;
 use hooktrestle_core::direct::shared_faults;
@@ -48,13 +45,6 @@
 /// Maximum size of the body of a refusal. The connection of a larger one is closed.
 const MAX_REFUSAL_BYTES: usize = 64 << 10;
 
-/// Time after a suspension of this process in which answers that arrived meanwhile may still be
-/// unread.
-const READ_BACKLOG_GRACE: Millis = Millis(200);
-
-/// Interval between two checks of whether an overtaken request may be sent to another server.
-const RETRY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-
 /// An attempt at a server that the pool has chosen. Dropping it reports the outcome to the pool,
 /// also when the attempt was cancelled. Without a permit, dropping it undoes the choice of the
 /// server.
@@ -78,6 +68,8 @@
     progress: Cell<Option<Progress>>,
     /// Outcome of the attempt, once it is known.
     outcome: Option<AttemptOutcome>,
+    /// Outcome if the attempt is given up before it is known.
+    outcome_if_left: Rc<Cell<Option<AttemptOutcome>>>,
 }
 
 impl<P: Platform> AttemptGuard<P> {
@@ -100,6 +92,7 @@
             fingerprints: request.fingerprints.clone(),
             progress: Cell::new(None),
             outcome: None,
+            outcome_if_left: Rc::default(),
             gateway,
         }
     }
@@ -120,6 +113,11 @@
         })
     }
 
+    /// The outcome that is reported if the attempt is given up before it has one.
+    pub fn outcome_if_left(&self) -> Rc<Cell<Option<AttemptOutcome>>> {
+        self.outcome_if_left.clone()
+    }
+
     /// The server of the attempt.
     pub fn server(&self) -> Key<Server> {
         self.server
@@ -142,7 +140,9 @@
             // Nothing was sent. The caller may have disconnected while a permit was requested.
             return self.gateway.with_pool(|pool| pool.undo_choice(self.server, self.cost));
         }
-        if let Some(progress) = self.progress.get() {
+        let outcome = self.outcome.or(self.outcome_if_left.get());
+        if let Some(progress) = self.progress.get().filter(|_| self.outcome_if_left.get().is_none())
+        {
             self.gateway.record_ended_attempt(self.server, &self.fingerprints, progress);
         }
         let now = self.gateway.now();
@@ -150,10 +150,10 @@
         // latter is no evidence about the server.
         let unanswered =
             if now >= self.deadline { AttemptOutcome::Lost } else { AttemptOutcome::Abandoned };
-        let outcome = self.outcome.unwrap_or(unanswered);
-        self.gateway.with_pool(|pool| pool.ended(self.server, outcome, now));
+        let reported = outcome.unwrap_or(unanswered);
+        self.gateway.with_pool(|pool| pool.ended(self.server, reported, now));
         let Some(repeatability) = self.repeatability else { return };
-        let is_fault = match self.outcome {
+        let is_fault = match outcome {
             Some(outcome) => shared_faults::is_fault(outcome, repeatability),
             None => {
                 let waited = now.since(self.began_at);
@@ -191,8 +191,7 @@
     }
 }
 
-/// Sends a request to a server and waits for the head of the answer. `attempts` are those of the
-/// request, of which this is one.
+/// Sends a request to a server and waits for the head of the answer.
 ///
 /// # Errors
 ///
@@ -200,12 +199,11 @@
 pub async fn attempt<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     request: &Request<P>,
-    attempts: &Attempts,
     guard: AttemptGuard<P>,
     after_event: Option<u64>,
 ) -> Result<Answer<P>, Fate> {
     let mut guard = guard;
-    let sent = send(gateway, request, attempts, &guard, after_event).await;
+    let sent = send(gateway, request, &guard, after_event).await;
     let Sent { response, mut connection, reused, sent_at } = match sent {
         Ok(sent) => sent,
         Err(NoAnswer { fate, outcome }) => {
@@ -274,47 +272,6 @@
     }
 }
 
-/// Waits until a request at a server is overtaken by requests to other servers that were sent
-/// later, and may be sent to another server. Never returns if the request must not run twice.
-async fn overtaken<P: Platform>(
-    gateway: &Gateway<P>,
-    request: &Request<P>,
-    attempts: &Attempts,
-    server: Key<Server>,
-    sent_at: Millis,
-) {
-    if !request.route().is_repeatable() {
-        return future::pending().await;
-    }
-    loop {
-        let now = gateway.now();
-        let next = gateway.with_heads(&request.service, |heads| heads.next(server, sent_at, now));
-        match next {
-            overtaken::Next::Wait(until) => gateway.clock.sleep_until(until).await,
-            // Answers that arrived while this process was suspended may not have been read yet.
-            overtaken::Next::GiveUp if gateway.recent_suspension(READ_BACKLOG_GRACE).is_some() => {
-                time::sleep(Duration::from(READ_BACKLOG_GRACE)).await;
-            }
-            overtaken::Next::GiveUp if can_retry(gateway, request, attempts, server) => return,
-            overtaken::Next::GiveUp => time::sleep(RETRY_CHECK_INTERVAL).await,
-        }
-    }
-}
-
-/// Whether a request that waits at a server may be sent to another one. Its server may be sound, so
-/// it is not given up there for nothing.
-fn can_retry<P: Platform>(
-    gateway: &Gateway<P>,
-    request: &Request<P>,
-    attempts: &Attempts,
-    server: Key<Server>,
-) -> bool {
-    let demand = request.demand(attempts.tried());
-    attempts.allows_another()
-        && gateway.budget_has_retry(&request.service)
-        && gateway.with_pool(|pool| pool.has_alternative(&demand, server, gateway.now()))
-}
-
 /// Whether an answer belongs to the request. An answer without a request id is accepted only on a
 /// new connection, which has carried no earlier request.
 fn is_answer_to<P: Platform>(
@@ -366,7 +323,6 @@
 async fn send<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     request: &Request<P>,
-    attempts: &Attempts,
     guard: &AttemptGuard<P>,
     after_event: Option<u64>,
 ) -> Result<Sent, NoAnswer> {
@@ -389,18 +345,7 @@
         let message = message(gateway, request, server, after_event);
         let sent_at = gateway.now();
         guard.set_progress(Some(Progress::Sent(sent_at)));
-        let answered = tokio::select! {
-            biased;
-            answered = connection.sender().try_send_request(message) => answered,
-            () = overtaken(gateway, request, attempts, server, sent_at) => {
-                gateway.metrics.overtaken.inc();
-                guard.set_progress(None);
-                gateway
-                    .record_truncated_answer(server, &request.fingerprints, Progress::Sent(sent_at))
-                    .await;
-                return Err(NoAnswer { fate: Fate::MayHaveRun, outcome: AttemptOutcome::Overtaken });
-            }
-        };
+        let answered = connection.sender().try_send_request(message).await;
         match answered {
             Ok(response) => {
                 gateway.metrics.attempts.inc();
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -13,6 +13,8 @@
 use hooktrestle_core::direct::attempts::Fate;
 use hooktrestle_core::direct::attempts::Next;
 use hooktrestle_core::direct::pool::AttemptOutcome;
+use hooktrestle_core::direct::pool::Server;
+use hooktrestle_core::util::arena::Key;
 use hooktrestle_core::verdict::Refusal;
 use hooktrestle_schema::AttemptStep;
 use hooktrestle_schema::Cause;
@@ -26,6 +28,8 @@
 use crate::gateway::Gateway;
 use crate::gateway::crashes::Completion;
 use crate::gateway::crashes::Progress;
+use crate::overtaking;
+use crate::overtaking::Waiting;
 use crate::platform::Platform;
 use crate::request::Request;
 use crate::slow_exit;
@@ -116,9 +120,9 @@
                 None => refused(gateway, request, attempts.refuse(Cause::NoBackendServer)),
             };
         };
-        let server = guard.server();
         attempts.begin();
-        let fate = match try_server(gateway, request, attempts, guard).await {
+        let (server, result) = try_server(gateway, request, attempts, guard).await;
+        let fate = match result {
             AttemptResult::Answered(answer) => return answer,
             AttemptResult::Failed(answer) => {
                 failure = Some(answer);
@@ -165,30 +169,43 @@
     Unanswered(Fate),
 }
 
+/// Makes an attempt at a server, and perhaps one beside it; returns the server at which it ended.
 async fn try_server<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     request: &Request<P>,
-    attempts: &Attempts,
+    attempts: &mut Attempts,
     guard: AttemptGuard<P>,
-) -> AttemptResult<P> {
-    let server = guard.server();
-    let attempt = tokio::select! {
+) -> (Key<Server>, AttemptResult<P>) {
+    let (server, began_at) = (guard.server(), gateway.now());
+    let outcome_if_left = guard.outcome_if_left();
+    let mut attempt = Box::pin(exchange::attempt(gateway, request, guard, None));
+    let head = tokio::select! {
         biased;
-        attempt = exchange::attempt(gateway, request, attempts, guard, None) => attempt,
-        () = slow_exit::may_leave(gateway, request, attempts, server) => Err(Fate::MayHaveRun),
+        head = attempt.as_mut() => Some(head),
+        () = slow_exit::may_leave(gateway, request, attempts, server) => Some(Err(Fate::MayHaveRun)),
+        () = overtaking::overtaken(gateway, request, attempts, server, began_at) => None,
     };
-    let answer = match attempt {
+    let (server, head) = match head {
+        Some(head) => (server, head),
+        None => {
+            let waiting = Waiting { server, began_at, head: attempt, outcome_if_left };
+            overtaking::race(gateway, request, attempts, waiting).await
+        }
+    };
+    let answer = match head {
         Ok(answer) => answer,
-        Err(fate) => return AttemptResult::Unanswered(fate),
+        Err(fate) => return (server, AttemptResult::Unanswered(fate)),
     };
     if request.is_stream() && answer.head.status == StatusCode::OK {
-        return AttemptResult::Answered(ForwardOutcome::Stream(Box::new(answer)));
+        let stream = ForwardOutcome::Stream(Box::new(answer));
+        return (server, AttemptResult::Answered(stream));
     }
-    match whole(gateway, request, answer).await {
+    let result = match whole(gateway, request, answer).await {
         Some(answer) if answer.head.status.is_server_error() => AttemptResult::Failed(answer),
         Some(answer) => AttemptResult::Answered(ForwardOutcome::Whole(answer)),
         None => AttemptResult::Unanswered(Fate::MayHaveRun),
-    }
+    };
+    (server, result)
 }
 
 /// Begins an attempt at a server that was not tried yet. A server that advertises a limit needs a
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -10,6 +10,7 @@
 //! 3. `admission_queue` admits a stream if the passes of its service remain short enough.
 //! 4. `forward` sends it, with retries where these are allowed, and returns its one answer.
 //! 5. `exchange` makes one attempt, over a connection from `connections`.
+//!    `overtaking` makes one beside it while other servers answer later requests.
 //! 6. `relay` relays the answer as it arrives, and resumes a truncated stream at another server.
 //!
 //! Other tasks keep the state up to date:
@@ -44,6 +45,7 @@
 mod maps;
 mod members_table;
 mod metrics;
+mod overtaking;
 mod peers;
 mod permits;
 pub mod platform;
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -41,8 +41,7 @@
     pub retries_denied: Counter,
     /// Connections opened to backend servers.
     pub connections_opened: Counter,
-    /// Requests given up at a server that did not respond while other servers answered later
-    /// requests.
+    /// Requests sent to a second server because other servers answered later requests.
     pub overtaken: Counter,
     /// Invalid rows of the server list.
     pub rows_ignored: Counter,
@@ -159,7 +158,7 @@
             ("repeats", "Repeats charged to the budget", &metrics.retries),
             ("repeats_denied", "Repeats beyond the budget", &metrics.retries_denied),
             ("dialled", "Connections opened to backend servers", &metrics.connections_opened),
-            ("overtaken", "Requests taken from a silent server", &metrics.overtaken),
+            ("overtaken", "Requests sent to a second server", &metrics.overtaken),
             ("rows_passed_over", "Rows that named no server", &metrics.rows_ignored),
             ("tables_read_old", "Tables older than known", &metrics.stale_tables_read),
             ("store_eras", "Times that the store came back from a copy", &metrics.store_eras),
--- a/crates/direct/src/relay/resumption.rs
+++ b/crates/direct/src/relay/resumption.rs
@@ -51,8 +51,8 @@
         let Some(guard) = guard else { return false };
         server = guard.server();
         relay.attempts.begin();
-        let Relay { gateway, request, attempts, events, .. } = &*relay;
-        let attempt = exchange::attempt(gateway, request, attempts, guard, events.last_id());
+        let Relay { gateway, request, events, .. } = &*relay;
+        let attempt = exchange::attempt(gateway, request, guard, events.last_id());
         let answered = gateway.clock.timeout_at(request.deadline, attempt).await;
         let Ok(answered) = answered else { return false };
         fate = match answer_of(answered) {
@@ -120,7 +120,7 @@
 ) -> Beside<P> {
     let Relay { gateway, request, attempts, source, events, .. } = relay;
     attempts.begin();
-    let attempt = exchange::attempt(gateway, request, attempts, guard, events.last_id());
+    let attempt = exchange::attempt(gateway, request, guard, events.last_id());
     let attempt = gateway.clock.timeout_at(request.deadline, attempt);
     // That a slow source goes on sending is no reason to stay there.
     let is_silent = reason == LeaveReason::Silent;
