Streams check the retry budget only when they look for another server

Whether another server may be asked was checked before each event of a stream, with the budget, which counts the known gateways. The route and the attempts decide whether the pause is watched; the budget is asked when it has passed.

--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -46,8 +46,11 @@
 
 /// The whole answer of a server, with the memory of its body, which is held until the caller has it.
 pub struct WholeAnswer {
+    /// Its head.
     pub head: Parts,
+    /// Its body.
     pub body: Bytes,
+    /// Memory of the body.
     pub memory: ReservedBytes,
 }
 
--- a/crates/direct/src/relay/resumption.rs
+++ b/crates/direct/src/relay/resumption.rs
@@ -33,13 +33,10 @@
 /// Nothing is forwarded meanwhile, and callers give up after 2,000 ms.
 const SLOW_EXIT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// Whether another server may be asked for a stream whose source sends nothing or is slow.
+/// Whether the route and the attempts so far allow to ask another server beside the source.
 pub(super) fn can_move<P: Platform>(relay: &Relay<P>) -> bool {
-    let Relay { gateway, request, attempts, events, resumable, .. } = relay;
-    *resumable
-        && !events.is_event_split()
-        && attempts.allows_another()
-        && gateway.budget_has_retry(&request.service)
+    let Relay { attempts, events, resumable, .. } = relay;
+    *resumable && !events.is_event_split() && attempts.allows_another()
 }
 
 /// Resumes the stream at another server after its source broke off; returns whether one did.
