Logs: what follows for the other one of two attempts that run at once

An attempt that failed and one that was given up beside it looked alike in the log. The step beside names both servers, the fate of the attempt that ended and whether the other one goes on. Logic is unchanged.

--- a/crates/direct/src/overtaking.rs
+++ b/crates/direct/src/overtaking.rs
@@ -18,6 +18,8 @@
 use hooktrestle_core::direct::pool::AttemptOutcome;
 use hooktrestle_core::direct::pool::Server;
 use hooktrestle_core::util::arena::Key;
+use hooktrestle_schema::BesideNext;
+use hooktrestle_schema::BesideStep;
 use tokio::time;
 
 use crate::exchange;
@@ -114,12 +116,15 @@
     let fate = tokio::select! {
         biased;
         head = first.head.as_mut() => {
+            let fate = head.as_ref().err().copied();
+            log_end(gateway, request, first.server, other, fate, BesideNext::GivenUp);
             attempts.after_failure(other, Fate::MayHaveRun, || false);
             return (first.server, head);
         }
         head = second => match head {
             Ok(answer) if !answer.head.status.is_server_error() => {
                 attempts.end_running();
+                log_end(gateway, request, other, first.server, None, BesideNext::GivenUp);
                 leave(gateway, request, &first).await;
                 return (other, Ok(answer));
             }
@@ -128,9 +133,25 @@
         },
     };
     attempts.after_failure(other, fate, || false);
+    log_end(gateway, request, other, first.server, Some(fate), BesideNext::GoesOn);
     (first.server, first.head.await)
 }
 
+/// Logs that an attempt ended while the request also ran at another server, and what follows for the
+/// attempt there. `fate` is that of an attempt without an answer for the caller.
+pub fn log_end<P: Platform>(
+    gateway: &Gateway<P>,
+    request: &Request<P>,
+    server: Key<Server>,
+    other: Key<Server>,
+    fate: Option<Fate>,
+    next: BesideNext,
+) {
+    let (server_number, other_server_number) = (server.number(), other.number());
+    let step = BesideStep { server_number, other_server_number, fate, next };
+    gateway.event_log.request(request.id_text(), step);
+}
+
 /// Records that an attempt is left because another server has answered.
 async fn leave<P: Platform, F>(gateway: &Rc<Gateway<P>>, request: &Request<P>, first: &Waiting<F>) {
     first.outcome_if_left.set(Some(AttemptOutcome::Overtaken));
--- a/crates/direct/src/relay/resumption.rs
+++ b/crates/direct/src/relay/resumption.rs
@@ -12,6 +12,7 @@
 use hooktrestle_core::direct::pool::AttemptOutcome;
 use hooktrestle_core::direct::pool::Server;
 use hooktrestle_core::util::arena::Key;
+use hooktrestle_schema::BesideNext;
 use hooktrestle_schema::LeaveReason;
 use hooktrestle_schema::LeaveStep;
 use hooktrestle_schema::NextStep;
@@ -24,6 +25,7 @@
 use crate::exchange::AttemptGuard;
 use crate::forward;
 use crate::gateway::crashes::Progress;
+use crate::overtaking;
 use crate::platform::Platform;
 use crate::relay::Relay;
 use crate::relay::SourceItem;
@@ -81,6 +83,11 @@
             }
             Beside::Failed(fate) => fate,
             Beside::Stays(received) => {
+                if let Some(SourceItem::Truncated) = received {
+                    let Relay { gateway, request, .. } = &*relay;
+                    let (fate, next) = (Some(Fate::MayHaveRun), BesideNext::GivenUp);
+                    overtaking::log_end(gateway, request, server, other, fate, next);
+                }
                 relay.received = received;
                 relay.attempts.after_failure(other, Fate::MayHaveRun, || false);
                 break;
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -116,6 +116,74 @@
     #[serde(default = "defaults::default_u64::<u32, 100>")]
     pub weight: u32,
 }
+///What follows for the other attempt.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum BesideNext {
+    ///It goes on.
+    #[serde(rename = "goes-on")]
+    GoesOn,
+    ///It is given up.
+    #[serde(rename = "given-up")]
+    GivenUp,
+}
+impl ::std::fmt::Display for BesideNext {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::GoesOn => f.write_str("goes-on"),
+            Self::GivenUp => f.write_str("given-up"),
+        }
+    }
+}
+impl ::std::str::FromStr for BesideNext {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "goes-on" => Ok(Self::GoesOn),
+            "given-up" => Ok(Self::GivenUp),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for BesideNext {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for BesideNext {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///A request ran at two servers at once, and the attempt at one of them ended first.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct BesideStep {
+    ///Why there is no answer for the caller; absent if there is one.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub fate: ::std::option::Option<AttemptFate>,
+    pub next: BesideNext,
+    ///Server of the other attempt.
+    pub other_server_number: u32,
+    pub server_number: u32,
+}
 ///Either direction: a piece of a body; its bytes are the frame's payload. Sequence numbers start at 0.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct BodyFrame {
@@ -1457,6 +1525,8 @@
     End(EndStep),
     #[serde(rename = "leave")]
     Leave(LeaveStep),
+    #[serde(rename = "beside")]
+    Beside(BesideStep),
     #[serde(rename = "refused")]
     Refused(RefusedStep),
 }
@@ -1495,6 +1565,11 @@
         Self::Leave(value)
     }
 }
+impl ::std::convert::From<BesideStep> for RequestStep {
+    fn from(value: BesideStep) -> Self {
+        Self::Beside(value)
+    }
+}
 impl ::std::convert::From<RefusedStep> for RequestStep {
     fn from(value: RefusedStep) -> Self {
         Self::Refused(value)
