Soak: servers and time that requests get, and connections that gateways close early

The soak checked one of three bounds on repeats, and lost requests only while nothing unplanned went on. Three checks more, with the bounds that the users set: requests at more servers than their route allows (3), attempts with more time than is left for the caller (20, and a fifth of the late ones), connections that a gateway without a fault closes although a sound server has the request (3), also while other gateways are killed or suspended.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -33,6 +33,7 @@
 use crate::schedule::FaultKind;
 
 /// Deadline of requests.
+const DEADLINE: Duration = Duration::from_millis(DEADLINE_MS);
 const DEADLINE_MS: u64 = 3_000;
 
 /// Deadline of long requests, and time-out of the routes.
@@ -100,8 +101,15 @@
     }
 
     /// Records a request and the current incarnation of the gateway that it goes to.
-    pub fn record_request(&self, id: &str, repeatable: bool, gateway: SocketAddr) {
+    pub fn record_request(
+        &self,
+        id: &str,
+        repeatable: bool,
+        deadline: Duration,
+        gateway: SocketAddr,
+    ) {
         self.ledger.record_request(id, repeatable);
+        self.ledger.record_deadline(id, deadline);
         let mut gateways = self.fleet.gateways.iter().enumerate();
         if let Some((number, found)) = gateways.find(|(_, found)| found.at.callers == gateway) {
             self.ledger.record_gateway(
@@ -232,8 +240,7 @@
         // A caller that disconnects leaves a long request behind.
         let work_or_abandoned_ms = if disconnects_after.is_some() { 2_500 } else { work_ms };
         let path = format!("/{route}/{}", events.unwrap_or(work_or_abandoned_ms));
-        let deadline = Duration::from_millis(DEADLINE_MS);
-        RequestSpec { path, repeatable, events, deadline, disconnects_after }
+        RequestSpec { path, repeatable, events, deadline: DEADLINE, disconnects_after }
     }
 
     /// Whether a request was sent early in a stop of its gateway, and its server was still at work on it
@@ -247,11 +254,16 @@
         })
     }
 
+    fn is_settled(&self, gateway: SocketAddr) -> bool {
+        self.context.gateway_at(gateway).is_some_and(|one| one.is_settled())
+    }
+
     /// Sends a request; returns whether it failed: refused as not run, or with an unknown outcome.
     async fn request(&mut self, gateway: SocketAddr) -> bool {
         let (spec, id) = (self.draw_request(), self.context.next_id());
         let (ledger, sent_at) = (self.context.ledger.clone(), Instant::now());
-        self.context.record_request(&id, spec.repeatable, gateway);
+        let was_settled = self.is_settled(gateway);
+        self.context.record_request(&id, spec.repeatable, spec.deadline, gateway);
         let deadline_ms = spec.deadline.as_millis() as u64;
         let request = caller::request(&self.client, gateway, &spec.path, &id, deadline_ms);
         let request = match spec.events {
@@ -268,17 +280,21 @@
             Err(_) => Verdict::Left(Instant::now()),
         };
         ledger.record_verdict(&id, verdict);
+        let has_settled = was_settled && self.is_settled(gateway);
+        if spec.disconnects_after.is_none() && has_settled {
+            ledger.check_closed(&id, sent_at, verdict);
+        }
         // A request to a gateway that is no longer listed may find it gone, or cross its end.
         let is_undelivered = || {
             let is_listed = self.listed.contains(&gateway);
-            verdict == Verdict::Open && !is_listed && !ledger.was_offered(&id)
+            verdict.is_failure() && !is_listed && !ledger.was_offered(&id)
         };
         let is_excused =
             !ledger.no_faults_since(sent_at) && !ledger.no_faults_but_store_since(sent_at);
         let is_checked = spec.disconnects_after.is_none() && !is_excused;
         if is_checked && !is_undelivered() && !self.outlasted_stop(gateway, sent_at, &id) {
             ledger.record_check(Guarantee::Answered);
-            if matches!(verdict, Verdict::Open | Verdict::Left(_)) {
+            if verdict.is_failure() || matches!(verdict, Verdict::Left(_)) {
                 let path = &spec.path;
                 let took = sent_at.elapsed();
                 let detail =
@@ -287,10 +303,10 @@
             }
         }
         // The gateway may be down: use other gateways, or fetch the list again if none is left.
-        if verdict == Verdict::Open {
+        if verdict.is_failure() {
             self.addresses.retain(|address| *address != gateway);
         }
-        matches!(verdict, Verdict::Open | Verdict::NotRun)
+        verdict.is_failure() || verdict == Verdict::NotRun
     }
 }
 
@@ -315,7 +331,7 @@
     spec: &RequestSpec,
     ledger: &Ledger,
 ) -> Verdict {
-    let Ok(answer) = request.send().await else { return Verdict::Open };
+    let Ok(answer) = request.send().await else { return Verdict::Closed };
     if caller::reports_not_run(&answer) && !caller::is_signed(&answer) {
         let text = answer.text().await.unwrap_or_default();
         if text.contains(CRASHES_SERVERS) {
@@ -345,7 +361,7 @@
             ledger.report(Guarantee::OwnAnswer, format!("{id} got the answer {text:?}"));
             Verdict::Answered
         }
-        Err(_) => Verdict::Open,
+        Err(_) => Verdict::Closed,
     }
 }
 
@@ -370,7 +386,7 @@
         let detail = format!("{id} got wrong events, complete {whole}: {text:?}");
         ledger.report(Guarantee::OwnAnswer, detail);
     }
-    if whole { Verdict::Answered } else { Verdict::Open }
+    if whole { Verdict::Answered } else { Verdict::Closed }
 }
 
 /// The value of the header that names the parts of a prompt: one that all streams share, others, and
@@ -398,7 +414,8 @@
     while Instant::now() < end && context.running.get() {
         let gateway = &context.fleet.gateways[rng.random_range(0..context.fleet.gateways.len())];
         let id = context.next_id();
-        context.record_request(&id, !path.starts_with("/once"), gateway.at.callers);
+        let repeatable = !path.starts_with("/once");
+        context.record_request(&id, repeatable, DEADLINE, gateway.at.callers);
         let request = caller::request(&client, gateway.at.callers, path, &id, DEADLINE_MS);
         let request = match &cause {
             CrashCause::Body(body) => request.body(body.clone()),
@@ -472,7 +489,7 @@
     version: u64,
 ) -> Option<bool> {
     let id = context.next_id();
-    context.record_request(&id, true, gateway.at.callers);
+    context.record_request(&id, true, DEADLINE, gateway.at.callers);
     let path = format!("/{}/0", route_of(version));
     let request = caller::request(client, gateway.at.callers, &path, &id, DEADLINE_MS);
     let answer = request.send().await.ok()?;
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -2,6 +2,8 @@
 //! Input: requests, verdicts, arrivals and faults. State: all of them, and the violations found.
 //! Decides whether the guarantees of the service hold outside of the faults that excuse them.
 
+mod totals;
+
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -24,9 +26,6 @@
 use crate::limits::AdvertisedLimits;
 use crate::limits::LimitCheck;
 use crate::overload::Overload;
-use crate::retries;
-use crate::retries::RetryBound;
-use crate::retries::RetryPeak;
 use crate::schedule::FaultKind;
 use crate::schedule::PLANNED;
 
@@ -120,6 +119,12 @@
     Stop,
     /// Retries stay within the bound set by the operator.
     Repeats,
+    /// A request runs at no more servers than its route allows.
+    Attempts,
+    /// Servers get no more time for a request than its caller waits.
+    TimeLeft,
+    /// A gateway does not close the connection of a request that a sound server has received.
+    Kept,
     /// A request known to crash servers is sent to no more servers, and no other request is refused
     /// as one.
     Crashing,
@@ -157,12 +162,21 @@
     Answered,
     /// Refused: it did not run and will not run.
     NotRun,
-    /// Unknown: an error that guarantees nothing, or a closed connection.
+    /// Unknown: an error that guarantees nothing.
     Open,
+    /// Unknown: the connection was closed before the answer was complete.
+    Closed,
     /// The caller disconnected at this time.
     Left(Instant),
 }
 
+impl Verdict {
+    /// Whether the caller does not know what became of its request.
+    pub fn is_failure(self) -> bool {
+        matches!(self, Verdict::Open | Verdict::Closed)
+    }
+}
+
 /// A request as known to its caller.
 #[derive(Clone, Copy, Debug)]
 pub struct Request {
@@ -170,6 +184,8 @@
     pub repeatable: bool,
     /// When it was sent.
     pub sent_at: Instant,
+    /// How long its caller waits, if that is recorded.
+    pub deadline: Option<Duration>,
     /// Its outcome.
     pub verdict: Verdict,
 }
@@ -228,6 +244,8 @@
     pub overload: Overload,
     /// Requests that reached a server.
     offered: RefCell<HashSet<String>>,
+    /// Requests whose connection a gateway closed although a sound server had received them.
+    closed: RefCell<Vec<String>>,
 }
 
 impl Ledger {
@@ -251,6 +269,7 @@
             retries: Cell::new(0),
             overload: Overload::default(),
             offered: RefCell::default(),
+            closed: RefCell::default(),
         }
     }
 
@@ -362,10 +381,18 @@
 
     /// Records a request that a caller sends.
     pub fn record_request(&self, id: &str, repeatable: bool) {
-        let request = Request { repeatable, sent_at: Instant::now(), verdict: Verdict::Pending };
+        let (sent_at, verdict) = (Instant::now(), Verdict::Pending);
+        let request = Request { repeatable, sent_at, deadline: None, verdict };
         self.requests.borrow_mut().insert(id.to_owned(), request);
     }
 
+    /// Records how long the caller of a request waits.
+    pub fn record_deadline(&self, id: &str, deadline: Duration) {
+        if let Some(request) = self.requests.borrow_mut().get_mut(id) {
+            request.deadline = Some(deadline);
+        }
+    }
+
     /// Records the gateway that a request is sent to.
     pub fn record_gateway(&self, id: &str, gateway: GatewayIncarnation) {
         self.gateways.borrow_mut().insert(id.to_owned(), gateway);
@@ -545,31 +572,4 @@
             self.report(Guarantee::Close, detail);
         }
     }
-
-    /// Checks what became of bursts of callers, at the end of the run.
-    pub fn check_overload(&self) {
-        for (guarantee, violation) in self.overload.check(&self.offered.borrow()) {
-            match violation {
-                None => self.record_check(guarantee),
-                Some(detail) => self.report(guarantee, detail),
-            }
-        }
-    }
-
-    /// Checks the number of retries in each window, at the end of the run; returns the window that
-    /// came nearest to the bound.
-    pub fn check_retries(&self, bound: RetryBound) -> RetryPeak {
-        let sent = self.requests.borrow().values().map(|request| request.sent_at).collect();
-        let servers = self.servers.borrow();
-        let received = servers.iter().flat_map(|watched| watched.server.received());
-        let received = received.filter(|one| !one.id().is_empty());
-        let arrivals = received.map(|one| (one.at, one.id().to_owned())).collect();
-        let peak = retries::peak(sent, arrivals, bound);
-        if peak.share() > 1.0 {
-            let RetryPeak { retries, allowed } = peak;
-            let detail = format!("{retries} retries in a window, {allowed:.0} allowed");
-            self.report(Guarantee::Repeats, detail);
-        }
-        peak
-    }
 }
--- /dev/null
+++ b/crates/soak/src/ledger/totals.rs
@@ -0,0 +1,122 @@
+//! Checks of a whole run: retries, attempts, closed connections and bursts of callers.
+//! Input: the requests, arrivals and faults of the ledger. State: connections that were closed.
+//! Decides whether their totals are within their bounds.
+
+use std::collections::HashMap;
+
+use hooktrestle_users_standin::MAX_ATTEMPTS;
+use tokio::time::Instant;
+
+use crate::attempts;
+use crate::attempts::Attempt;
+use crate::attempts::Excess;
+use crate::attempts::SentRequest;
+use crate::ledger::Guarantee;
+use crate::ledger::Ledger;
+use crate::ledger::SETTLE_TIME;
+use crate::ledger::Verdict;
+use crate::retries;
+use crate::retries::RetryBound;
+use crate::retries::RetryPeak;
+use crate::schedule::FaultKind;
+
+/// Number of connections that gateways may close before the answer, although a sound server has
+/// received the request.
+const MAX_CLOSED: usize = 3;
+
+/// Faults of gateways. At other gateways they excuse no closed connection.
+const AT_GATEWAYS: [FaultKind; 7] = [
+    FaultKind::Kill,
+    FaultKind::Off,
+    FaultKind::KillAll,
+    FaultKind::Pause,
+    FaultKind::Stop,
+    FaultKind::HangUp,
+    FaultKind::PlannedSeries,
+];
+
+impl Ledger {
+    /// Checks what became of bursts of callers, at the end of the run.
+    pub fn check_overload(&self) {
+        for (guarantee, violation) in self.overload.check(&self.offered.borrow()) {
+            match violation {
+                None => self.record_check(guarantee),
+                Some(detail) => self.report(guarantee, detail),
+            }
+        }
+    }
+
+    /// Checks the number of retries in each window, at the end of the run; returns the window that
+    /// came nearest to the bound.
+    pub fn check_retries(&self, bound: RetryBound) -> RetryPeak {
+        let sent = self.requests.borrow().values().map(|request| request.sent_at).collect();
+        let servers = self.servers.borrow();
+        let received = servers.iter().flat_map(|watched| watched.server.received());
+        let received = received.filter(|one| !one.id().is_empty());
+        let arrivals = received.map(|one| (one.at, one.id().to_owned())).collect();
+        let peak = retries::peak(sent, arrivals, bound);
+        if peak.share() > 1.0 {
+            let RetryPeak { retries, allowed } = peak;
+            let detail = format!("{retries} retries in a window, {allowed:.0} allowed");
+            self.report(Guarantee::Repeats, detail);
+        }
+        peak
+    }
+
+    /// Checks the servers and the time that requests got, at the end of the run; returns what exceeds
+    /// them.
+    pub fn check_attempts(&self) -> Excess {
+        let requests = self.requests.borrow();
+        let sent: HashMap<String, SentRequest> = requests
+            .iter()
+            .filter_map(|(id, request)| {
+                let (at, deadline) = (request.sent_at, request.deadline?);
+                Some((id.clone(), SentRequest { at, deadline }))
+            })
+            .collect();
+        let servers = self.servers.borrow();
+        let attempts = servers.iter().flat_map(|watched| {
+            let server = &watched.server;
+            let is_up = !server.has_crashed();
+            server.received().into_iter().map(move |received| Attempt {
+                id: received.id().to_owned(),
+                server: server.id.clone(),
+                at: received.at,
+                deadline: received.deadline(),
+                ran: received.ran && is_up,
+            })
+        });
+        let excess = attempts::excess(&sent, attempts.collect(), MAX_ATTEMPTS);
+        if excess.exceeds_attempts() {
+            self.report(Guarantee::Attempts, excess.to_string());
+        }
+        if excess.exceeds_time() {
+            self.report(Guarantee::TimeLeft, excess.to_string());
+        }
+        excess
+    }
+
+    /// Records a request whose connection its gateway, which had no fault, closed without a complete
+    /// answer, if a sound server had received it.
+    pub fn check_closed(&self, id: &str, sent_at: Instant, verdict: Verdict) {
+        let faults = self.faults.borrow();
+        let excuses = |kind: FaultKind| !kind.affects_store() && !AT_GATEWAYS.contains(&kind);
+        let mut others = faults.iter().filter(|(kind, ..)| excuses(*kind));
+        if others.any(|(_, _, until)| *until + SETTLE_TIME >= sent_at) {
+            return;
+        }
+        self.record_check(Guarantee::Kept);
+        if verdict == Verdict::Closed && self.was_offered(id) {
+            self.closed.borrow_mut().push(id.to_owned());
+        }
+    }
+
+    /// Checks the connections that gateways closed, at the end of the run; returns how many there were.
+    pub fn check_closed_total(&self) -> usize {
+        let closed = self.closed.borrow();
+        if closed.len() > MAX_CLOSED {
+            self.report(Guarantee::Kept, format!("closed without an answer: {closed:?}"));
+        }
+        closed.len()
+    }
+}
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,6 +11,7 @@
 //!
 //! - [`schedule`]: which faults occur when, drawn from a seed.
 //! - [`fleet`]: the gateway processes and signals to them; it stops only processes that it started.
+//! - [`attempts`]: the servers that run one request, and the time that they get.
 //! - [`backends`]: the store and the backend servers, and their faults.
 //! - [`network`]: faults of the connections between gateways and these.
 //! - [`callers`]: the clients that send requests, and wait for answers or disconnect.
@@ -28,6 +29,7 @@
 //! A seed draws the same faults on every run. The scheduling of processes differs between runs, so
 //! that a seed that fails once may need several runs to fail again.
 
+pub mod attempts;
 pub mod backends;
 pub mod bounds;
 pub mod callers;
--- a/crates/soak/src/overload.rs
+++ b/crates/soak/src/overload.rs
@@ -178,7 +178,7 @@
     let id = context.next_id();
     let gateways = &context.fleet.gateways;
     let gateway = gateways[rng.random_range(0..gateways.len())].at.callers;
-    context.record_request(&id, true, gateway);
+    context.record_request(&id, true, Duration::from_millis(DEADLINE_MS), gateway);
     let key = KEY_WITHOUT_PRIORITY;
     let request = caller::request_with_key(client, gateway, path, &id, DEADLINE_MS, key);
     let Ok(answer) = request.body(body.to_owned()).send().await else {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -20,6 +20,7 @@
 use tokio::time;
 use tokio::time::Instant;
 
+use crate::attempts::Excess;
 use crate::backends::Backends;
 use crate::callers::Caller;
 use crate::callers::RunContext;
@@ -78,6 +79,10 @@
     pub retries: u32,
     /// The window in which retries came nearest to their bound.
     pub retry_peak: RetryPeak,
+    /// Requests and attempts beyond the servers and the time that are allowed.
+    pub excess: Excess,
+    /// Connections that gateways without a fault closed although a sound server had the request.
+    pub closed: usize,
     /// What became of bursts of callers.
     pub bursts: String,
     /// How often each time-bounded guarantee was checked.
@@ -93,6 +98,7 @@
         write!(formatter, "{answered} of {sent} requests answered, {} ran again", self.retries)?;
         let RetryPeak { retries, allowed } = self.retry_peak;
         write!(formatter, " (at most {retries} of {allowed:.0} allowed in a window)")?;
+        write!(formatter, ", {}, {} connections closed early", self.excess, self.closed)?;
         formatter.write_str(&self.bursts)?;
         for (guarantee, times) in &self.check_counts {
             write!(formatter, ", {guarantee:?} checked {times} times")?;
@@ -152,6 +158,7 @@
     context.running.set(false);
     ledger.poll();
     let retry_peak = ledger.check_retries(config.retries);
+    let (excess, closed) = (ledger.check_attempts(), ledger.check_closed_total());
     ledger.check_overload();
     fleet.kill_all();
     let retries = ledger.retries.get();
@@ -160,6 +167,8 @@
         request_counts: ledger.request_counts(),
         retries,
         retry_peak,
+        excess,
+        closed,
         bursts: ledger.overload.summary(),
         check_counts: ledger.check_counts(),
         max_lateness: late.get(),
--- a/crates/soak/tests/ledger.rs
+++ b/crates/soak/tests/ledger.rs
@@ -151,6 +151,30 @@
     });
 }
 
+#[test]
+fn more_than_three_connections_closed_early_are_a_violation() {
+    run(async {
+        let ledger = Ledger::new(Bounds::default());
+        let server = start_server(&ledger).await;
+        for number in 0..5 {
+            let id = format!("r{number}");
+            ledger.record_request(&id, true);
+            // The first one crossed the close of its connection, and reached no server.
+            if number > 0 {
+                send_request(&server, &id).await;
+            }
+            ledger.check_closed(&id, Instant::now(), Verdict::Closed);
+            assert_eq!(ledger.check_closed_total(), number);
+            let count = usize::from(number == 4);
+            assert_eq!(violated(&ledger), vec![Guarantee::Kept; count]);
+        }
+        let now = Instant::now();
+        ledger.record_fault("server-reset".parse().unwrap(), now, now);
+        ledger.check_closed("r4", now, Verdict::Closed);
+        assert_eq!(ledger.check_closed_total(), 4, "the server may have failed");
+    });
+}
+
 #[test]
 fn time_bounds_are_not_checked_during_a_fault() {
     run(async {
