--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -29,9 +29,10 @@
 use crate::gateway::crashes::Completion;
 use crate::gateway::crashes::Progress;
 use crate::overtaking;
-use crate::overtaking::Waiting;
 use crate::platform::Platform;
 use crate::request::Request;
+use crate::second_attempt;
+use crate::second_attempt::Waiting;
 use crate::slow_exit;
 
 /// Maximum size of an answer that is not a stream. It is buffered whole before it is forwarded,
@@ -192,7 +193,7 @@
         Some(head) => (server, head),
         None => {
             let waiting = Waiting { server, began_at, head: attempt, outcome_if_left };
-            overtaking::race(gateway, request, attempts, waiting).await
+            second_attempt::race(gateway, request, attempts, waiting).await
         }
     };
     let answer = match head {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -10,7 +10,8 @@
 //! 3. `admission_queue` admits a stream if the passes of its service remain short enough.
 //! 4. `forward` sends it, with retries where these are allowed, and returns its one answer.
 //! 5. `exchange` makes one attempt, over a connection from `connections`.
-//!    `overtaking` makes one beside it while other servers answer later requests.
+//!    `second_attempt` makes one beside it, which `overtaking` decides on while other servers answer
+//!    later requests.
 //! 6. `relay` relays the answer as it arrives, and resumes a truncated stream at another server.
 //!
 //! Other tasks keep the state up to date:
@@ -53,6 +54,7 @@
 mod relay;
 mod request;
 mod room;
+mod second_attempt;
 pub mod settings;
 pub mod sidecar;
 mod slow_exit;
--- a/crates/direct/src/relay/resumption.rs
+++ b/crates/direct/src/relay/resumption.rs
@@ -25,11 +25,11 @@
 use crate::exchange::AttemptGuard;
 use crate::forward;
 use crate::gateway::crashes::Progress;
-use crate::overtaking;
 use crate::platform::Platform;
 use crate::relay::Relay;
 use crate::relay::SourceItem;
 use crate::relay::item_of;
+use crate::second_attempt;
 
 /// Time in which another server has to begin its answer to a stream that is to leave a slow one.
 /// Nothing is forwarded meanwhile, and callers give up after 2,000 ms.
@@ -86,7 +86,7 @@
                 if let Some(SourceItem::Truncated) = received {
                     let Relay { gateway, request, .. } = &*relay;
                     let (fate, next) = (Some(Fate::MayHaveRun), BesideNext::GivenUp);
-                    overtaking::log_end(gateway, request, server, other, fate, next);
+                    second_attempt::log_end(gateway, request, server, other, fate, next);
                 }
                 relay.received = received;
                 relay.attempts.after_failure(other, Fate::MayHaveRun, || false);
