A stream whose silent source breaks off is left to the server that was asked

Callers lost streams that another server was about to resume. A stream whose source has sent nothing for 1.65 s asks another server beside it; a source that broke off before that one answered ended the attempt there, which had used up the last attempt that the route allows, so that the stream was cut off. Groups that have lost a rank stand still for 1.5 s and then break off all their streams, so both come together on a busy machine.

The attempt at the other server now goes on. An item that the source sent meanwhile is handled before the stream may leave its server as a slow one: it would have been added to what the next server sends.

--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -279,7 +279,9 @@
 
 /// Whether the stream is at a slow server and a server that is not slow can resume it.
 fn should_leave_slow_server<P: Platform>(relay: &Relay<P>) -> bool {
-    let Relay { gateway, request, attempts, source, resumable, .. } = relay;
+    let Relay { gateway, request, attempts, source, resumable, received, .. } = relay;
     let Some(source) = source else { return false };
-    *resumable && slow_exit::can_leave(gateway, request, attempts, source.guard.server())
+    // What was received belongs to this source, and is handled first.
+    let may_leave = *resumable && received.is_none();
+    may_leave && slow_exit::can_leave(gateway, request, attempts, source.guard.server())
 }
--- a/crates/direct/src/relay/resumption.rs
+++ b/crates/direct/src/relay/resumption.rs
@@ -3,8 +3,10 @@
 //! Decides whether another server is asked, and when the stream leaves its source.
 //!
 //! A source that broke off is left at once. One that sends nothing or is slow may be sound: it is
-//! left only after another server has answered. If none does, the stream goes on at its source.
+//! left only after another server has answered. If none does, the stream goes on at its source. A
+//! source that breaks off while another server is asked leaves the stream to that one.
 
+use std::pin::pin;
 use std::time::Duration;
 
 use hooktrestle_core::direct::attempts::Fate;
@@ -77,17 +79,20 @@
         let other = guard.server();
         let fate = match attempt_beside(relay, guard, reason).await {
             Beside::Answered(answer) => {
+                let received = relay.received.take();
+                let has_broken_off = matches!(received, Some(SourceItem::Truncated));
+                let reason = if has_broken_off { LeaveReason::BrokenOff } else { reason };
                 leave(relay, reason).await;
                 relay.attempts.end_running();
                 return take_over(relay, *answer);
             }
+            // The next turn of the relay finds that the source has broken off.
+            Beside::Failed(fate) if relay.received.is_some() => {
+                relay.attempts.after_failure(other, fate, || false);
+                return;
+            }
             Beside::Failed(fate) => fate,
             Beside::Stays(received) => {
-                if let Some(SourceItem::Truncated) = received {
-                    let Relay { gateway, request, .. } = &*relay;
-                    let (fate, next) = (Some(Fate::MayHaveRun), BesideNext::GivenUp);
-                    second_attempt::log_end(gateway, request, server, other, fate, next);
-                }
                 relay.received = received;
                 relay.attempts.after_failure(other, Fate::MayHaveRun, || false);
                 break;
@@ -122,10 +127,11 @@
     guard: AttemptGuard<P>,
     reason: LeaveReason,
 ) -> Beside<P> {
-    let Relay { gateway, request, attempts, source, events, .. } = relay;
+    let Relay { gateway, request, attempts, source, events, received, .. } = relay;
     attempts.begin();
+    let (server, other) = (source.as_ref().map(|source| source.guard.server()), guard.server());
     let attempt = exchange::attempt(gateway, request, guard, events.last_id());
-    let attempt = gateway.clock.timeout_at(request.deadline, attempt);
+    let mut attempt = pin!(gateway.clock.timeout_at(request.deadline, attempt));
     // That a slow source goes on sending is no reason to stay there.
     let is_silent = reason == LeaveReason::Silent;
     let next_frame = async {
@@ -136,13 +142,27 @@
     };
     tokio::select! {
         biased;
-        answered = attempt => match answered.map(answer_of) {
-            Ok(Ok(answer)) => Beside::Answered(Box::new(answer)),
-            Ok(Err(fate)) => Beside::Failed(fate),
-            Err(_) => Beside::Stays(Some(SourceItem::Deadline)),
+        answered = attempt.as_mut() => return beside(answered),
+        frame = next_frame, if is_silent => match item_of(frame) {
+            Some(SourceItem::Truncated) => {}
+            item => return Beside::Stays(item),
         },
-        frame = next_frame, if is_silent => Beside::Stays(item_of(frame)),
-        () = time::sleep(SLOW_EXIT_TIMEOUT), if !is_silent => Beside::Stays(None),
+        () = time::sleep(SLOW_EXIT_TIMEOUT), if !is_silent => return Beside::Stays(None),
+    }
+    if let Some(server) = server {
+        let (fate, next) = (Some(Fate::MayHaveRun), BesideNext::GoesOn);
+        second_attempt::log_end(gateway, request, server, other, fate, next);
+    }
+    *received = Some(SourceItem::Truncated);
+    beside(attempt.await)
+}
+
+/// What came of an attempt that has ended, or has lasted until the deadline.
+fn beside<P: Platform, E>(answered: Result<Result<Answer<P>, Fate>, E>) -> Beside<P> {
+    match answered.map(answer_of) {
+        Ok(Ok(answer)) => Beside::Answered(Box::new(answer)),
+        Ok(Err(fate)) => Beside::Failed(fate),
+        Err(_) => Beside::Stays(Some(SourceItem::Deadline)),
     }
 }
 
