A stream that has no answer yet leaves a slow server only once another one answers

Callers got 502 for a stream that a sound server was about to begin: a report of slow servers ended the attempt of a stream that waited for the head of its answer, and the other server refused it, failed it, lost it or did not answer.

Such a stream now asks the other server beside the slow one, as overtaken requests do. That the slow one begins to answer is no reason to stay there, so the other one has one second more; if it does not answer, the stream goes on where it is. A stream that may not be sent again, or that crashes servers, no longer leaves at all: it was refused after it had left.

--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -32,6 +32,7 @@
 use crate::platform::Platform;
 use crate::request::Request;
 use crate::second_attempt;
+use crate::second_attempt::Reason;
 use crate::second_attempt::Waiting;
 use crate::slow_exit;
 
@@ -183,17 +184,19 @@
     let (server, began_at) = (guard.server(), gateway.now());
     let outcome_if_left = guard.outcome_if_left();
     let mut attempt = Box::pin(exchange::attempt(gateway, request, guard, None));
-    let head = tokio::select! {
+    let ended = tokio::select! {
         biased;
-        head = attempt.as_mut() => Some(head),
-        () = slow_exit::may_leave(gateway, request, attempts, server) => Some(Err(Fate::MayHaveRun)),
-        () = overtaking::overtaken(gateway, request, attempts, server, began_at) => None,
+        head = attempt.as_mut() => Ok(head),
+        () = slow_exit::may_leave(gateway, request, attempts, server) => Err(Reason::Slow),
+        () = overtaking::overtaken(gateway, request, attempts, server, began_at) => {
+            Err(Reason::Overtaken)
+        }
     };
-    let (server, head) = match head {
-        Some(head) => (server, head),
-        None => {
+    let (server, head) = match ended {
+        Ok(head) => (server, head),
+        Err(reason) => {
             let waiting = Waiting { server, began_at, head: attempt, outcome_if_left };
-            second_attempt::race(gateway, request, attempts, waiting).await
+            second_attempt::race(gateway, request, attempts, reason, waiting).await
         }
     };
     let answer = match head {
--- a/crates/direct/src/relay/resumption.rs
+++ b/crates/direct/src/relay/resumption.rs
@@ -7,7 +7,6 @@
 //! source that breaks off while another server is asked leaves the stream to that one.
 
 use std::pin::pin;
-use std::time::Duration;
 
 use hooktrestle_core::direct::attempts::Fate;
 use hooktrestle_core::direct::attempts::Next;
@@ -32,10 +31,7 @@
 use crate::relay::SourceItem;
 use crate::relay::item_of;
 use crate::second_attempt;
-
-/// Time in which another server has to begin its answer to a stream that is to leave a slow one.
-/// Nothing is forwarded meanwhile, and callers give up after 2,000 ms.
-const SLOW_EXIT_TIMEOUT: Duration = Duration::from_millis(1_000);
+use crate::slow_exit::SLOW_EXIT_TIMEOUT;
 
 /// Whether the route and the attempts so far allow to ask another server beside the source.
 pub(super) fn can_move<P: Platform>(relay: &Relay<P>) -> bool {
--- a/crates/direct/src/second_attempt.rs
+++ b/crates/direct/src/second_attempt.rs
@@ -2,9 +2,9 @@
 //! Input: the first attempt, and the limits on attempts and retries. It keeps no state.
 //! Decides which of both answers the caller gets, and when an attempt is left.
 //!
-//! The first server may be frozen, or the request may take longer than others. So the first attempt
-//! goes on beside the second, and is left once that has a successful answer. One that fails leaves
-//! the decision to the other one.
+//! The first server may be frozen or slow, or the request may take longer than others. So the first
+//! attempt goes on beside the second, and is left once that has a successful answer. One that fails
+//! leaves the decision to the other one.
 
 use std::cell::Cell;
 use std::pin::Pin;
@@ -18,6 +18,7 @@
 use hooktrestle_core::util::arena::Key;
 use hooktrestle_schema::BesideNext;
 use hooktrestle_schema::BesideStep;
+use tokio::time;
 
 use crate::exchange;
 use crate::exchange::Answer;
@@ -26,6 +27,7 @@
 use crate::gateway::crashes::Progress;
 use crate::platform::Platform;
 use crate::request::Request;
+use crate::slow_exit::SLOW_EXIT_TIMEOUT;
 
 /// The head of an answer, or the fate of the attempt.
 pub type Head<P> = Result<Answer<P>, Fate>;
@@ -42,12 +44,22 @@
     pub outcome_if_left: Rc<Cell<Option<AttemptOutcome>>>,
 }
 
-/// Sends an overtaken request to another server as well. Returns the server that ended first with an
-/// answer, or else the last one that failed, with what came of the attempt there.
+/// Why another server is asked.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reason {
+    /// Other servers answer later requests.
+    Overtaken,
+    /// The first server is reported as slow. That it begins to answer is no reason to stay there.
+    Slow,
+}
+
+/// Asks another server beside the first one. Returns the server that answered, or else the last one
+/// that failed, with what came of the attempt there.
 pub async fn race<P: Platform, F>(
     gateway: &Rc<Gateway<P>>,
     request: &Request<P>,
     attempts: &mut Attempts,
+    reason: Reason,
     mut first: Waiting<F>,
 ) -> (Key<Server>, Head<P>)
 where
@@ -61,7 +73,9 @@
     let Some(guard) = forward::next_attempt(gateway, request, attempts).await else {
         return (first.server, first.head.await);
     };
-    gateway.metrics.overtaken.inc();
+    if reason == Reason::Overtaken {
+        gateway.metrics.overtaken.inc();
+    }
     let other = guard.server();
     attempts.begin();
     let mut second = Box::pin(exchange::attempt(gateway, request, guard, None));
@@ -71,19 +85,28 @@
     tokio::select! {
         biased;
         head = first.head.as_mut() => {
-            if failure(&head).is_none() {
-                log(first.server, other, &head, BesideNext::GivenUp);
+            let next = match (failure(&head), reason) {
+                (None, Reason::Overtaken) => BesideNext::GivenUp,
+                (None, Reason::Slow) | (Some(_), _) => BesideNext::GoesOn,
+            };
+            log(first.server, other, &head, next);
+            if next == BesideNext::GivenUp {
                 attempts.after_failure(other, Fate::MayHaveRun, || false);
                 return (first.server, head);
             }
-            log(first.server, other, &head, BesideNext::GoesOn);
-            after_first_failed(attempts, first.server, head, other, second.await)
+            let second = match failure(&head) {
+                None => time::timeout(SLOW_EXIT_TIMEOUT, second).await.unwrap_or(Err(Fate::MayHaveRun)),
+                Some(_) => second.await,
+            };
+            better_of(attempts, first.server, head, other, second)
         }
         head = second.as_mut() => {
             let Some(fate) = failure(&head) else {
                 log(other, first.server, &head, BesideNext::GivenUp);
                 attempts.end_running();
-                leave(gateway, request, &first).await;
+                if reason == Reason::Overtaken {
+                    leave(gateway, request, &first).await;
+                }
                 return (other, head);
             };
             log(other, first.server, &head, BesideNext::GoesOn);
@@ -93,25 +116,26 @@
     }
 }
 
-/// The result after the first attempt has failed, and the second has ended. A server's answer that
-/// reports a failure is preferred to none.
-fn after_first_failed<P: Platform>(
+/// The result once both attempts have ended: the answer of the second one, or else that of the first
+/// one. A server's answer that reports a failure is preferred to none.
+fn better_of<P: Platform>(
     attempts: &mut Attempts,
     server: Key<Server>,
     first: Head<P>,
     other: Key<Server>,
     second: Head<P>,
 ) -> (Key<Server>, Head<P>) {
-    match (first, second) {
-        (Ok(failed), Err(fate)) => {
-            attempts.after_failure(other, fate, || false);
-            (server, Ok(failed))
-        }
-        (_, second) => {
-            attempts.end_running();
-            (other, second)
-        }
+    let prefers_first = match failure(&first) {
+        None => failure(&second).is_some(),
+        Some(_) => first.is_ok() && second.is_err(),
+    };
+    if prefers_first {
+        let fate = failure(&second).unwrap_or(Fate::MayHaveRun);
+        attempts.after_failure(other, fate, || false);
+        return (server, first);
     }
+    attempts.end_running();
+    (other, second)
 }
 
 /// Why a head is no successful answer; `None` if it is one.
--- a/crates/direct/src/slow_exit.rs
+++ b/crates/direct/src/slow_exit.rs
@@ -3,9 +3,11 @@
 //! It decides whether a stream may leave its server, and waits until it may.
 //!
 //! All streams of a group wait in each pass for a slow rank as long as it runs a single stream, so
-//! each of its streams leaves at once: also one that waits for the head of its answer.
+//! each of its streams leaves once another server answers: also one that waits for the head of its
+//! answer.
 
 use std::future;
+use std::time::Duration;
 
 use hooktrestle_core::direct::attempts::Attempts;
 use hooktrestle_core::direct::pool::Server;
@@ -15,6 +17,10 @@
 use crate::platform::Platform;
 use crate::request::Request;
 
+/// Time in which another server has to begin its answer to a stream that is to leave a slow one.
+/// Nothing is forwarded meanwhile, and callers give up after 2,000 ms.
+pub const SLOW_EXIT_TIMEOUT: Duration = Duration::from_millis(1_000);
+
 /// Whether a server is slow, and one that is not slow can take over a stream that is there.
 pub fn can_leave<P: Platform>(
     gateway: &Gateway<P>,
