Requests that arrive late in a planned stop do not prolong it

Callers were refused for longer than necessary. A stop ended after a second without any request. While many gateways stop at once, callers are given those that leave, as there are no others, and come again and again; so each of them stayed for 7.5 s, and refused all streams for 5 of these, where its next process would have served them.

The beginning of the stop, in which callers may not know of it, is followed by a second without requests as before. Those that arrive later are answered, and the process ends once nothing is in flight, checked twice.

--- a/crates/core/src/direct/planned_stop.rs
+++ b/crates/core/src/direct/planned_stop.rs
@@ -5,7 +5,8 @@
 //!
 //! A request whose deadline is earlier than the end of the process always gets its answer. Others
 //! are accepted only at the beginning of the stop, as callers may not know yet that it stops; later
-//! another gateway has to run them.
+//! another gateway has to run them. Requests that arrive later do not prolong the stop: while many
+//! gateways stop, callers find no other one, and the next process accepts them sooner.
 
 use crate::clock::Millis;
 
@@ -13,7 +14,8 @@
 /// the platform polls readiness once per second.
 const MIN_STOP: Millis = Millis(3_300);
 
-/// Time without a new request after which a process that stops is no longer needed.
+/// Time without a new request after which a process that stops is no longer needed, from the
+/// beginning of the stop at the latest.
 const QUIET_PERIOD: Millis = Millis(1_000);
 
 /// How long before the end of the stop time the process ends by itself.
@@ -75,8 +77,9 @@
     /// The next step, at a check. The gateway has to be quiet at two checks in a row: requests that
     /// arrived while the process got no processor time are read only after the first one.
     pub fn check(&mut self, requests: Requests, now: Millis) -> Next {
+        let prolonged_at = requests.last_received_at.min(self.accepts_any_until);
         let is_quiet = requests.in_flight == 0
-            && now.since(requests.last_received_at) >= QUIET_PERIOD
+            && now.since(prolonged_at) >= QUIET_PERIOD
             && now.since(self.began_at) >= MIN_STOP;
         let was_quiet = std::mem::replace(&mut self.was_quiet, is_quiet);
         if (is_quiet && was_quiet) || now >= self.ends_at { Next::End } else { Next::Serve }
