The embedded default's gateway accepts late in a stop only what ends before it does

Callers lost requests that a server was running: a gateway that leaves accepted requests until its end (60 s by default), whatever their deadline, and then cut them off. It has the same decision now as the gateway on the users' platform (planned_stop): any request in the first 5/16 of the stop, later those whose deadline is before its end. Others are refused as not run, with a retry time of 0; one whose ticket may have run through another gateway is refused as may have run.

a_leaving_gateway_takes_late_only_what_ends_before_it_does failed before: the request was accepted.

--- a/crates/embedded/tests/failures.rs
+++ b/crates/embedded/tests/failures.rs
@@ -311,6 +311,33 @@
     assert!(matches!(stream.await.unwrap().unwrap(), Outcome::Whole(_)));
 }
 
+/// Guards against requests that a leaving gateway accepts although they may last longer than it does:
+/// they run, and their callers get no answer.
+#[tokio::test]
+async fn a_leaving_gateway_takes_late_only_what_ends_before_it_does() {
+    let fleet = deployment(1).await;
+    let old = caller(&fleet, "entry-1");
+    let ask = async |id: &str, deadline_ms: u64| {
+        let call = old.chat("hints", id, 2, true);
+        let call = call.header("x-hooktrestle-deadline-ms", deadline_ms.to_string());
+        finish(call).await.unwrap()
+    };
+    let leaving = fleet.gateways["entry-1"].leave(Duration::from_secs(8));
+    let calls = async {
+        let early = ask("early", 60_000).await;
+        assert!(matches!(early, Outcome::Whole(_)), "{early:?}");
+        // Beyond the beginning of the stop.
+        tokio::time::sleep(Duration::from_millis(2_600)).await;
+        let long = ask("long", 60_000).await;
+        assert_eq!(cause(&long), ("not-run", "leaving"));
+        let short = ask("short", 2_000).await;
+        assert!(matches!(short, Outcome::Whole(_)), "{short:?}");
+    };
+    let (unfinished, ()) = tokio::join!(leaving, calls);
+    assert_eq!(unfinished, 0);
+    assert_eq!(fleet.engine("hints-1").ledger.entry("long").started, 0);
+}
+
 #[tokio::test]
 async fn a_request_whose_deadline_passes_in_the_queue_does_not_run() {
     let fleet = deployment(1).await;
--- a/crates/hooktrestled/src/gateway.rs
+++ b/crates/hooktrestled/src/gateway.rs
@@ -26,6 +26,9 @@
 
 use eyre::Result;
 use hooktrestle_clock::ProcessClock;
+use hooktrestle_core::clock::Clock;
+use hooktrestle_core::clock::Millis;
+use hooktrestle_core::direct::planned_stop::PlannedStop;
 use hooktrestle_core::id::RequestNumbers;
 use hooktrestle_core::limits::Limiter;
 use hooktrestle_core::retry;
@@ -66,7 +69,22 @@
     pub(crate) clock: ProcessClock,
     pub(crate) traces: Traces,
     pub(crate) in_flight: watch::Sender<usize>,
-    pub(crate) leaving: watch::Sender<bool>,
+    /// The planned stop, once it has begun.
+    pub(crate) stop: watch::Sender<Option<PlannedStop>>,
+}
+
+impl Shared {
+    /// Whether the process was asked to stop.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.stop.borrow().is_some()
+    }
+
+    /// Whether a request with this deadline is accepted. While the process stops, another gateway has
+    /// to run a request that may last longer than this one.
+    pub(crate) fn accepts(&self, deadline: Millis) -> bool {
+        let stop = *self.stop.borrow();
+        stop.is_none_or(|stop| stop.accepts(deadline, self.clock.now()))
+    }
 }
 
 impl Observe for Shared {
@@ -81,7 +99,7 @@
                 value: in_flight.try_into().unwrap_or(i64::MAX),
             },
         ];
-        Observed { is_ready: version.is_some() && !*self.leaving.borrow(), samples }
+        Observed { is_ready: version.is_some() && !self.is_leaving(), samples }
     }
 }
 
@@ -139,7 +157,7 @@
             limiter: Arc::default(),
             clock,
             in_flight: watch::Sender::new(0),
-            leaving: watch::Sender::new(false),
+            stop: watch::Sender::new(None),
             traces,
         };
         let server = warp::serve(http::routes(shared.clone())).incoming(listener);
@@ -159,11 +177,13 @@
     }
 
     /// Leaves: removes the gateway from the endpoints that callers get, then serves until the
-    /// endpoint lists that callers hold have expired and the last request has ended.
+    /// endpoint lists that callers hold have expired and the last request has ended. After the
+    /// beginning of `within`, requests whose deadline is later than its end are refused.
     ///
     /// Returns the number of requests that were still open when `within` had passed.
     pub async fn leave(&self, within: Duration) -> usize {
-        self.shared.leaving.send_replace(true);
+        let now = self.shared.clock.now();
+        self.shared.stop.send_replace(Some(PlannedStop::new(now, Millis::from(within))));
         let keep = settings::millis(self.shared.settings.keep_endpoints_ms).min(within);
         tokio::time::sleep(keep).await;
         let unfinished = drain::until_idle(self.shared.in_flight.subscribe(), within - keep).await;
--- a/crates/hooktrestled/src/gateway/drive.rs
+++ b/crates/hooktrestled/src/gateway/drive.rs
@@ -167,11 +167,16 @@
 ///
 /// # Errors
 ///
-/// The request exceeds a limit of its account.
+/// The request exceeds a limit of its account, or may last longer than this process, which stops.
 pub(crate) fn start(
     shared: Shared,
     incoming: Incoming,
 ) -> Result<oneshot::Receiver<Answer>, Refusal> {
+    let deadline = shared.clock.now() + Millis::from(incoming.deadline);
+    if !shared.accepts(deadline) {
+        let refusal = Refusal::not_run(Cause::Leaving).retry_after(Millis::ZERO);
+        return Err(unsent(incoming.retry_policy, refusal));
+    }
     let guard = InFlightGuard::admit(&shared, &incoming)?;
     let (head, answer) = oneshot::channel();
     let config = attempt::Config {
@@ -180,7 +185,7 @@
         max_attempts: shared.settings.attempts,
     };
     let driver = Driver {
-        deadline: shared.clock.now() + Millis::from(incoming.deadline),
+        deadline,
         attempts: Attempts::new(config),
         tried: Vec::new(),
         current: None,
@@ -254,14 +259,9 @@
         router.send(Choose { service, tried: self.tried.clone() }).await.ok().flatten()
     }
 
-    /// The refusal if no backend server can be chosen. A ticket that the caller sent may have run
-    /// earlier: this gateway does not know.
+    /// The refusal if no backend server can be chosen.
     fn unroutable(&self) -> Refusal {
-        let refusal = attempt::no_backend_server(NO_SERVER_RETRY_AFTER);
-        match self.incoming.retry_policy {
-            RetryPolicy::Never => Refusal { verdict: Verdict::MayHaveRun, ..refusal },
-            RetryPolicy::Unrestricted | RetryPolicy::WithNewTicket => refusal,
-        }
+        unsent(self.incoming.retry_policy, attempt::no_backend_server(NO_SERVER_RETRY_AFTER))
     }
 
     fn ticket(&self, choice: &Choice) -> Option<Ticket> {
@@ -514,6 +514,15 @@
     }
 }
 
+/// The refusal of a request that this gateway has not sent. A ticket that the caller sent may have
+/// run earlier: this gateway does not know.
+fn unsent(retry_policy: RetryPolicy, refusal: Refusal) -> Refusal {
+    match retry_policy {
+        RetryPolicy::Never => Refusal { verdict: Verdict::MayHaveRun, ..refusal },
+        RetryPolicy::Unrestricted | RetryPolicy::WithNewTicket => refusal,
+    }
+}
+
 fn with_retry_budget<T>(shared: &Shared, apply: impl FnOnce(&mut RetryBudget) -> T) -> T {
     apply(&mut shared.retry_budget.lock().unwrap_or_else(PoisonError::into_inner))
 }
--- a/crates/hooktrestled/src/gateway/endpoints.rs
+++ b/crates/hooktrestled/src/gateway/endpoints.rs
@@ -38,7 +38,7 @@
 pub(crate) fn answer(shared: &Shared, in_force: &InForce, service: &str) -> EndpointsAnswer {
     let directory = shared.directory.borrow().clone();
     let own = &shared.identity.instance;
-    let leaving = *shared.leaving.borrow();
+    let leaving = shared.is_leaving();
     let mut chosen = for_service(&directory, service);
     chosen.retain(|instance| !(leaving && instance.name == *own));
     let weights: BTreeMap<&str, u32> = in_force
--- a/crates/hooktrestled/src/gateway/http.rs
+++ b/crates/hooktrestled/src/gateway/http.rs
@@ -144,7 +144,7 @@
         instance: shared.identity.instance.clone(),
         data_centre: shared.data_centre.to_string(),
         config_version: version.unwrap_or(0),
-        leaving: *shared.leaving.borrow(),
+        leaving: shared.is_leaving(),
         open_requests: *shared.in_flight.borrow() as u64,
     };
     warp::reply::json(&answer).into_response()
