A request that two servers refused at once is refused as not run

Callers got 502, without a time to retry, for a request that had run nowhere. An attempt was counted as one that may have run as soon as a second one began beside it, whatever became of it later: also if its server had refused it, or had never got it, which took an attempt from the route's limit as well.

What became of an attempt beside others is counted when it ends; until then the request may have run.

a_request_that_two_servers_refuse_has_not_run failed before: NotSent, then NotRun, gave may-have-run.

--- a/crates/core/src/direct/attempts.rs
+++ b/crates/core/src/direct/attempts.rs
@@ -60,7 +60,7 @@
     /// An attempt has begun that is not counted yet.
     pending: bool,
     tried: Vec<Key<Server>>,
-    /// The server of an attempt that has been counted, and runs on beside later ones.
+    /// The server of an attempt that runs on beside later ones. What became of it is not known yet.
     running: Option<Key<Server>>,
 }
 
@@ -85,19 +85,19 @@
         &self.tried
     }
 
-    /// Number of attempts in which the request was sent.
+    /// Number of attempts in which the request was sent, or may be.
     pub fn sent(&self) -> u32 {
-        self.sent
+        self.sent + u32::from(self.running.is_some()) + u32::from(self.pending)
     }
 
     /// Whether the request may have run, now or in an earlier attempt.
     pub fn may_have_run(&self) -> bool {
-        self.may_have_run || self.pending
+        self.may_have_run || self.pending || self.running.is_some()
     }
 
     /// Whether the limit of attempts allows another one after or beside the current one.
     pub fn allows_another(&self) -> bool {
-        self.sent + u32::from(self.pending) < self.max_attempts
+        self.sent() < self.max_attempts
     }
 
     /// Records that another attempt is to begin while the one at `server` runs on; returns whether it
@@ -110,8 +110,6 @@
             self.pending = false;
             self.running = Some(server);
             self.tried.push(server);
-            self.sent += 1;
-            self.may_have_run = true;
         }
         true
     }
@@ -119,7 +117,9 @@
     /// Records that the attempt that ran on beside later ones was ended, because a later one has
     /// taken over.
     pub fn end_running(&mut self) {
-        self.running = None;
+        if self.running.take().is_some() {
+            self.count(Fate::MayHaveRun);
+        }
     }
 
     /// Records the start of an attempt. Until its fate is known, the request may run.
@@ -135,23 +135,23 @@
         fate: Fate,
         take_retry: impl FnOnce() -> bool,
     ) -> Next {
-        self.pending = false;
         if self.running == Some(server) {
             self.running = None;
         } else {
-            self.count(server, fate);
+            self.pending = false;
+            self.tried.push(server);
         }
+        self.count(fate);
         if self.unsent >= MAX_UNSENT {
             return self.give_up(fate);
         }
         // An unsent request causes no load at a server, so its retry is not charged to the budget.
-        let free = fate == Fate::NotSent && self.sent == 0;
-        let allowed = self.sent < self.max_attempts && (!self.may_have_run || self.repeatable);
+        let free = fate == Fate::NotSent && self.sent() == 0;
+        let allowed = self.allows_another() && (!self.may_have_run() || self.repeatable);
         if free || (allowed && take_retry()) { Next::Retry } else { self.give_up(fate) }
     }
 
-    fn count(&mut self, server: Key<Server>, fate: Fate) {
-        self.tried.push(server);
+    fn count(&mut self, fate: Fate) {
         match fate {
             Fate::NotSent => self.unsent += 1,
             Fate::NotRun => self.sent += 1,
--- a/crates/core/tests/direct_requests.rs
+++ b/crates/core/tests/direct_requests.rs
@@ -267,6 +267,28 @@
     assert_eq!(attempts.tried(), [running, second, third]);
 }
 
+/// Guards against a request that may be said to have run although both servers that were asked at once
+/// refused it, and against one that is said not to have run while a server may run it.
+#[test]
+fn a_request_that_two_servers_refuse_has_not_run() {
+    let mut pool = pool(&["a", "b"]);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let [first, second] =
+        [(); 2].map(|()| pool.choose(&Demand::for_service("hints"), Millis(0), &mut rng).unwrap());
+    for first_fate in [Fate::NotSent, Fate::NotRun, Fate::MayHaveRun] {
+        let mut attempts = Attempts::new(2, true);
+        attempts.begin();
+        assert!(attempts.begin_beside(first, || true));
+        attempts.begin();
+        attempts.after_failure(first, first_fate, || false);
+        assert!(attempts.may_have_run(), "the second one may run it");
+        let next = attempts.after_failure(second, Fate::NotRun, || false);
+        let Next::GiveUp(refusal) = next else { panic!("{next:?}") };
+        let may_have_run = first_fate == Fate::MayHaveRun;
+        assert_eq!(refusal.verdict == Verdict::MayHaveRun, may_have_run, "{first_fate:?}");
+    }
+}
+
 /// Guards against attempts beside a running one that the route or the retry budget does not allow.
 #[test]
 fn an_attempt_beside_a_running_one_needs_all_that_a_retry_needs() {
--- a/crates/direct/src/second_attempt.rs
+++ b/crates/direct/src/second_attempt.rs
@@ -134,7 +134,8 @@
         attempts.after_failure(other, fate, || false);
         return (server, first);
     }
-    attempts.end_running();
+    let fate = failure(&first).unwrap_or(Fate::MayHaveRun);
+    attempts.after_failure(server, fate, || false);
     (other, second)
 }
 
