Soak: callers use connections that have rested for at most four fifths of their idle time-out

With 18 gateways a connection rests for seconds between two requests; clients used it until the gateway closed it, so that the request crossed the close. The users' callers leave such connections earlier. The check is unchanged.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use futures_util::StreamExt;
+use hooktrestle_users_standin::IDLE_TIMEOUT;
 use hooktrestle_users_standin::caller;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -162,7 +163,7 @@
         let rng = ChaCha8Rng::seed_from_u64(seed);
         Caller {
             context,
-            client: Client::new(),
+            client: client(),
             rng,
             addresses: Vec::new(),
             listed: Vec::new(),
@@ -310,6 +311,13 @@
     }
 }
 
+/// A client that uses connections which have rested for up to four fifths of their idle time-out, as
+/// the users' callers do. Later, a request may cross the close of its connection.
+fn client() -> Client {
+    let builder = Client::builder().pool_idle_timeout(IDLE_TIMEOUT * 4 / 5);
+    builder.build().expect("a client without certificates")
+}
+
 /// A request with work of up to its deadline. Timers are late, so that streams take twice as long as
 /// the time between their events says.
 fn long_request(rng: &mut ChaCha8Rng) -> RequestSpec {
