Soak: a stream that its server still sends at its deadline is not counted as lost

The users' rules do not count requests whose time limit is reached. A request whose server has ended earlier is checked as before.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -40,6 +40,9 @@
 /// Deadline of long requests, and time-out of the routes.
 pub const LONG_DEADLINE: Duration = Duration::from_secs(8);
 
+/// Time before its deadline at which a server that still runs a request does not end it in time.
+const NEAR_DEADLINE: Duration = Duration::from_millis(200);
+
 /// Work of long requests: up to their deadline.
 const LONG_WORK_MS: std::ops::Range<u32> = 600..7_500;
 
@@ -282,7 +285,12 @@
         };
         ledger.record_verdict(&id, verdict);
         let has_settled = was_settled && self.is_settled(gateway);
-        if spec.disconnects_after.is_none() && has_settled {
+        let was_working = || {
+            let deadline_at = sent_at + spec.deadline;
+            Instant::now() >= deadline_at && ledger.was_running_at(&id, deadline_at - NEAR_DEADLINE)
+        };
+        let outlasted_deadline = verdict.is_failure() && was_working();
+        if spec.disconnects_after.is_none() && has_settled && !outlasted_deadline {
             ledger.check_closed(&id, sent_at, verdict);
         }
         // A request to a gateway that is no longer listed may find it gone, or cross its end.
@@ -292,6 +300,7 @@
         };
         let is_excused =
             !ledger.no_faults_since(sent_at) && !ledger.no_faults_but_store_since(sent_at);
+        let is_excused = is_excused || outlasted_deadline;
         let is_checked = spec.disconnects_after.is_none() && !is_excused;
         if is_checked && !is_undelivered() && !self.outlasted_stop(gateway, sent_at, &id) {
             ledger.record_check(Guarantee::Answered);
--- a/crates/soak/src/ledger/totals.rs
+++ b/crates/soak/src/ledger/totals.rs
@@ -96,6 +96,15 @@
         excess
     }
 
+    /// Whether the server that received a request last was running it at this time.
+    pub fn was_running_at(&self, id: &str, at: Instant) -> bool {
+        let servers = self.servers.borrow();
+        let received = servers.iter().flat_map(|watched| watched.server.received());
+        let attempts = received.filter(|attempt| attempt.id() == id && attempt.ran);
+        let last = attempts.max_by_key(|attempt| attempt.at);
+        last.is_some_and(|last| last.at <= at && last.ended_at.is_none_or(|ended| ended >= at))
+    }
+
     /// Records a request whose connection its gateway, which had no fault, closed without a complete
     /// answer, if a sound server had received it.
     pub fn check_closed(&self, id: &str, sent_at: Instant, verdict: Verdict) {
--- a/crates/soak/tests/ledger.rs
+++ b/crates/soak/tests/ledger.rs
@@ -175,6 +175,28 @@
     });
 }
 
+#[test]
+fn only_a_server_that_still_runs_a_request_excuses_a_missed_deadline() {
+    run(async {
+        let ledger = Ledger::new(Bounds::default());
+        let server = start_server(&ledger).await;
+        server.queue_actions([Action::Work, Action::Hang]);
+        ledger.record_request("ended", true);
+        send_request(&server, "ended").await;
+        ledger.record_request("runs", true);
+        let target = server.clone();
+        let sending = tokio::task::spawn_local(async move { send_request(&target, "runs").await });
+        while server.unfinished().is_empty() {
+            tokio::task::yield_now().await;
+        }
+        let now = Instant::now();
+        assert!(!ledger.was_running_at("ended", now));
+        assert!(ledger.was_running_at("runs", now));
+        assert!(!ledger.was_running_at("unknown", now));
+        sending.abort();
+    });
+}
+
 #[test]
 fn time_bounds_are_not_checked_during_a_fault() {
     run(async {
