Signals are handled from before the settings are read

A signal that arrived before the process had read its settings and set its handlers ended it at once, as an unhandled signal does.

The handlers are set first, and the signals kept until the process can act on them. What is left is the time in which the process is loaded.

a_sidecar_outlives_a_hang_up_while_it_reads_its_settings failed before (the process was gone), and passes.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -57,6 +57,7 @@
 mod second_attempt;
 pub mod settings;
 pub mod sidecar;
+pub mod signals;
 mod slow_exit;
 mod stalled_groups;
 mod table_sync;
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -23,9 +23,6 @@
 use hooktrestle_schema::DirectSettings;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
-use tokio::signal::unix::Signal;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
 use tokio::time;
 
 use crate::callers;
@@ -43,6 +40,7 @@
 use crate::room;
 use crate::settings;
 use crate::sidecar;
+use crate::signals::Signals;
 use crate::stalled_groups;
 use crate::table_sync;
 
@@ -79,11 +77,14 @@
 /// # Errors
 ///
 /// An address cannot be listened on.
-pub async fn run<P: Platform>(settings: &DirectSettings, file: PathBuf, platform: P) -> Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut hang_up = signal(SignalKind::hangup())?;
+pub async fn run<P: Platform>(
+    settings: &DirectSettings,
+    file: PathBuf,
+    platform: P,
+    signals: Signals,
+) -> Result<()> {
     let started = start(settings, platform)?;
-    run_housekeeping(&started, file, &mut hang_up, &mut terminate).await;
+    run_housekeeping(&started, file, signals).await;
     stop(&started, Millis(settings.instance.stop_within_s * 1_000)).await;
     Ok(())
 }
@@ -169,12 +170,8 @@
 }
 
 /// Checks settings and idle connections until the process receives SIGTERM.
-async fn run_housekeeping<P: Platform>(
-    started: &Started<P>,
-    file: PathBuf,
-    hang_up: &mut Signal,
-    terminate: &mut Signal,
-) {
+async fn run_housekeeping<P: Platform>(started: &Started<P>, file: PathBuf, signals: Signals) {
+    let Signals { mut terminate, mut hang_up } = signals;
     let mut last_modified = modified(&file);
     loop {
         let mut reload_requested = false;
--- a/crates/direct/src/sidecar.rs
+++ b/crates/direct/src/sidecar.rs
@@ -44,8 +44,6 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
 use tokio::time;
 
 use crate::accept;
@@ -54,6 +52,7 @@
 use crate::gateway::Gateway;
 use crate::headers;
 use crate::platform::Platform;
+use crate::signals::Signals;
 
 /// Header with the address of the engine that a request is for. Without it, that is the local
 /// engine.
@@ -90,9 +89,12 @@
 /// # Errors
 ///
 /// The address to listen on cannot be bound.
-pub async fn run(settings: &SidecarRoleSettings, decode_counts: DecodeCounts) -> Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut hang_up = signal(SignalKind::hangup())?;
+pub async fn run(
+    settings: &SidecarRoleSettings,
+    decode_counts: DecodeCounts,
+    signals: Signals,
+) -> Result<()> {
+    let Signals { mut terminate, mut hang_up } = signals;
     let listener = TcpListener::bind(&settings.listen)
         .await
         .wrap_err_with(|| format!("cannot listen on {}", settings.listen))?;
