--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -120,6 +120,13 @@
         }
     }
 
+    /// Whether its process handles the signals of planned operations. One that the kernel still loads
+    /// cannot: they end it, whatever its program does.
+    fn handles_signals(&self) -> bool {
+        let caught = self.process_id().and_then(caught_signals).unwrap_or_default();
+        [Signal::HUP, Signal::TERM].iter().all(|signal| caught & signal_bit(*signal) != 0)
+    }
+
     /// Whether its process exited with success; `None` if it has not exited.
     fn exit_success(&self) -> Option<bool> {
         let mut child = self.child.borrow_mut();
@@ -229,7 +236,7 @@
             FaultKind::RestartSeries => self.restart_repeatedly(duration).await,
             FaultKind::Pause => self.pause(&gateway, duration).await,
             FaultKind::Stop => self.stop(&gateway).await,
-            FaultKind::HangUp => gateway.signal(Signal::HUP),
+            FaultKind::HangUp => hang_up(&gateway),
             FaultKind::PlannedSeries => self.stop_in_series(target, duration).await,
             FaultKind::StoreMute
             | FaultKind::StoreReset
@@ -290,7 +297,7 @@
     async fn stop(&self, gateway: &Gateway) {
         // During planned operations at least one other gateway must serve callers.
         let has_others = self.settled_others(gateway) > 0;
-        if gateway.active_faults.get() > 0 || gateway.child.borrow().is_none() || !has_others {
+        if gateway.active_faults.get() > 0 || !gateway.handles_signals() || !has_others {
             return;
         }
         gateway.active_faults.set(1);
@@ -336,7 +343,7 @@
         });
         let hang_ups = async {
             while Instant::now() < end {
-                self.gateways.iter().for_each(|gateway| gateway.signal(Signal::HUP));
+                self.gateways.iter().for_each(|gateway| hang_up(gateway));
                 time::sleep(SERIES_HANG_UP_INTERVAL).await;
             }
         };
@@ -377,6 +384,24 @@
     }
 }
 
+/// Announces changed settings to a gateway whose process has been loaded.
+fn hang_up(gateway: &Gateway) {
+    if gateway.handles_signals() {
+        gateway.signal(Signal::HUP);
+    }
+}
+
+/// The signals that a process handles, a bit for each; `None` if it has ended.
+fn caught_signals(process_id: u32) -> Option<u64> {
+    let status = fs::read_to_string(format!("/proc/{process_id}/status")).ok()?;
+    let caught = status.lines().find_map(|line| line.strip_prefix("SigCgt:"))?;
+    u64::from_str_radix(caught.trim(), 16).ok()
+}
+
+fn signal_bit(signal: Signal) -> u64 {
+    1 << (signal.as_raw() - 1)
+}
+
 fn settings_text(
     name: &str,
     at: &Addresses,
