--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -14,6 +14,7 @@
 use eyre::Result;
 use eyre::WrapErr;
 use hooktrestle_schema::AttemptFate;
+use hooktrestle_schema::BesideNext;
 use hooktrestle_schema::Cause;
 use hooktrestle_schema::Framing;
 use hooktrestle_schema::LeaveReason;
@@ -137,6 +138,17 @@
                 });
             format!("server {} {why}, {after}; {}", step.server_number, next(step.next))
         }
+        RequestStep::Beside(step) => {
+            let ended = step.fate.map_or("it answered", fate);
+            let other = match step.next {
+                BesideNext::GoesOn => "goes on",
+                BesideNext::GivenUp => "is given up",
+            };
+            format!(
+                "server {}: {ended}; the attempt at server {} {other}",
+                step.server_number, step.other_server_number
+            )
+        }
         RequestStep::Refused(step) => {
             format!("refused after {} ms: {} ({})", step.held_ms, step.cause, step.verdict)
         }
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -19,6 +19,8 @@
   7.4 entry-2 [2026-01-12 02:39:41.600] [info] [journal, a.rs:5] request=r2 {"limit":{"server_number":4,"named":"12.5"}}
   7.4 entry-2 [2026-01-12 02:39:42.000] [info] [journal, a.rs:5] request=r2 {"leave":{"server_number":4,"reason":"slow","after_event_number":7,"next":"again"}}
   7.5 entry-2 [2026-01-12 02:39:42.000] [info] [journal, a.rs:5] request=r3 server=4 in an older form
+  7.6 entry-2 [2026-01-12 02:39:42.050] [info] [journal, a.rs:5] request=r5 {"beside":{"server_number":1,"other_server_number":2,"fate":"may-have-run","next":"goes-on"}}
+  7.6 entry-2 [2026-01-12 02:39:42.070] [info] [journal, a.rs:5] request=r5 {"beside":{"server_number":2,"other_server_number":1,"next":"given-up"}}
   7.6 entry-2 [2026-01-12 02:39:42.100] [info] [journal, a.rs:5] request=r4 {"refused":{"held_ms":0,"cause":"queue-full","verdict":"not-run"}}
 "#;
 
@@ -71,6 +73,20 @@
     assert!(message.ends_with("the next server answered.\n"), "{message}");
 }
 
+#[test]
+fn explain_shows_what_follows_for_the_other_one_of_two_attempts() {
+    let message = text(&explain(&["r5"]).stdout);
+    assert!(
+        message.contains(
+            "server 1: no complete answer was received, so it may have run; the attempt at server 2 \
+             goes on\n\
+             7.6 entry-2 [2026-01-12 02:39:42.070]  server 2: it answered; the attempt at server 1 is \
+             given up"
+        ),
+        "{message}"
+    );
+}
+
 #[test]
 fn explain_names_the_metrics_that_show_why_there_was_no_room() {
     let message = text(&explain(&["r4"]).stdout);
