Timeline of parts that crash servers while all gateways are killed; soak: plays of it, and sound requests beside

Sound streams with the same first part are compared with those at other times. Half of the servers refuse connections once they have crashed; before, all of their addresses accepted them.

--- a/crates/soak/src/backends.rs
+++ b/crates/soak/src/backends.rs
@@ -72,9 +72,9 @@
 /// Time after a crash until the row of the server is removed.
 const ROW_EXPIRY: Duration = Duration::from_millis(1_500);
 
-/// Time from the removal of the row until another server replaces one that crashed while it ran a
-/// request.
-const REPLACEMENT_DELAY: Duration = Duration::from_millis(1_500);
+/// Default time from the removal of the row until another server replaces one that crashed while it
+/// ran a request.
+pub const REPLACEMENT_DELAY: Duration = Duration::from_millis(1_500);
 
 /// A server, and the proxy through which gateways reach it.
 #[derive(Clone)]
@@ -82,6 +82,8 @@
     server: Server,
     proxy: Proxy,
     data_centre: &'static str,
+    /// Whether its address refuses connections once it has crashed.
+    refuses_when_down: bool,
 }
 
 impl ProxiedServer {
@@ -107,6 +109,7 @@
     /// Servers that accept requests.
     active: RefCell<Vec<ProxiedServer>>,
     started_count: Cell<u32>,
+    replacement_delay: Cell<Duration>,
     version: Cell<u64>,
     accepted_at: Cell<Instant>,
     /// What crashes servers.
@@ -131,6 +134,7 @@
             store_endpoints: RefCell::default(),
             active: RefCell::default(),
             started_count: Cell::new(0),
+            replacement_delay: Cell::new(REPLACEMENT_DELAY),
             version: Cell::new(0),
             accepted_at: Cell::new(Instant::now()),
             crash_causes: RefCell::default(),
@@ -146,6 +150,12 @@
         backends
     }
 
+    /// Sets the time from the removal of the row of a server that crashed while it ran a request until
+    /// another server replaces it.
+    pub fn set_replacement_delay(&self, delay: Duration) {
+        self.replacement_delay.set(delay);
+    }
+
     /// Writes a new version of the configuration, as the operator does. Returns whether the store
     /// accepted it, which it does not during a drill.
     pub fn configure(&self) -> bool {
@@ -191,7 +201,8 @@
         let data_centre = DataCentres::of_number(number);
         self.ledger.watch_server(&server);
         self.ledger.data_centres.borrow_mut().add_server(&server.id, data_centre);
-        let proxied = ProxiedServer { server, proxy, data_centre };
+        let refuses_when_down = number.is_multiple_of(2);
+        let proxied = ProxiedServer { server, proxy, data_centre, refuses_when_down };
         let cold_for = match temperature {
             Temperature::Warm => Duration::ZERO,
             Temperature::Cold => {
@@ -284,10 +295,11 @@
         let crashed: Vec<ProxiedServer> =
             self.active.borrow().iter().filter(crashed).cloned().collect();
         for ProxiedServer { server, .. } in crashed {
-            self.deactivate(&server.id);
+            self.mark_crashed(&server.id);
             let backends = self.clone();
             task::spawn_local(async move {
-                backends.replace(&server, REPLACEMENT_DELAY, Temperature::Warm).await
+                let delay = backends.replacement_delay.get();
+                backends.replace(&server, delay, Temperature::Warm).await
             });
         }
     }
@@ -297,6 +309,16 @@
         (!active.is_empty()).then(|| active[target % active.len()].clone())
     }
 
+    fn mark_crashed(&self, id: &str) {
+        let active = self.active.borrow();
+        let crashed = active.iter().find(|proxied| proxied.server.id == id);
+        if let Some(proxied) = crashed.filter(|proxied| proxied.refuses_when_down) {
+            proxied.proxy.close();
+        }
+        drop(active);
+        self.deactivate(id);
+    }
+
     fn deactivate(&self, id: &str) {
         self.active.borrow_mut().retain(|proxied| proxied.server.id != id);
     }
@@ -423,7 +445,7 @@
     }
 
     async fn crash(&self, server: &Server, duration: Duration, returns: Temperature) {
-        self.deactivate(&server.id);
+        self.mark_crashed(&server.id);
         server.crash();
         self.replace(server, duration, returns).await;
     }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -49,9 +49,12 @@
 /// Time between two checks of whether a process has exited.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Time from a start of all gateways to their next kill in a series.
+/// Time from a start of all gateways to their next kill in a series of restarts.
 const RESTART_INTERVAL: Duration = Duration::from_millis(1_500);
 
+/// The same in a series of kills, beyond the time after which a gateway has the current state.
+const KILL_INTERVAL: Duration = Duration::from_millis(1_500);
+
 /// Time in which a process that was started or resumed receives the current state.
 const SETTLE_TIME: Duration = Duration::from_secs(4);
 
@@ -104,8 +107,13 @@
 impl Gateway {
     /// Whether its process runs and has had time to receive the current state.
     pub fn is_settled(&self) -> bool {
+        self.has_run_for(SETTLE_TIME)
+    }
+
+    /// Whether its process has run for this time, without a fault that affects the process.
+    pub fn has_run_for(&self, duration: Duration) -> bool {
         let has_fault = self.active_faults.get() > 0 || self.down_since.get().is_some();
-        !has_fault && self.resumed_at.get().elapsed() > SETTLE_TIME
+        !has_fault && self.resumed_at.get().elapsed() > duration
     }
 
     /// The id of its process, if one runs.
@@ -233,7 +241,11 @@
                 self.kill(&[gateway], duration).await
             }
             FaultKind::KillAll => self.kill(&self.gateways, duration).await,
-            FaultKind::RestartSeries => self.restart_repeatedly(duration).await,
+            FaultKind::RestartSeries => self.restart_repeatedly(duration, RESTART_INTERVAL).await,
+            FaultKind::KillSeries => {
+                let interval = self.ledger.bounds.propagation + KILL_INTERVAL;
+                self.restart_repeatedly(duration, interval).await;
+            }
             FaultKind::Pause => self.pause(&gateway, duration).await,
             FaultKind::Stop => self.stop(&gateway).await,
             FaultKind::HangUp => hang_up(&gateway),
@@ -272,11 +284,11 @@
     }
 
     /// Kills all gateways and starts them again, until the time has passed.
-    async fn restart_repeatedly(&self, duration: Duration) {
+    async fn restart_repeatedly(&self, duration: Duration, interval: Duration) {
         let end = Instant::now() + duration;
         while Instant::now() < end {
             self.kill(&self.gateways, POLL_INTERVAL).await;
-            time::sleep(RESTART_INTERVAL).await;
+            time::sleep(interval).await;
         }
     }
 
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -2,6 +2,7 @@
 //! Input: requests, verdicts, arrivals and faults. State: all of them, and the violations found.
 //! Decides whether the guarantees of the service hold outside of the faults that excuse them.
 
+mod crashes;
 mod totals;
 
 use std::cell::Cell;
@@ -18,8 +19,6 @@
 use tokio::time::Instant;
 
 pub use crate::bounds::Bounds;
-use crate::crashing::CrashCause;
-use crate::crashing::CrashCheck;
 use crate::crashing::Crashing;
 use crate::data_centres::DataCentreCheck;
 use crate::data_centres::DataCentres;
@@ -29,17 +28,6 @@
 use crate::schedule::FaultKind;
 use crate::schedule::PLANNED;
 
-/// Faults during which crashing requests are checked: they affect neither gateways nor the messages
-/// that gateways receive.
-const ALLOWED_FOR_CRASHES: [FaultKind; 6] = [
-    FaultKind::HangUp,
-    FaultKind::ServerDrain,
-    FaultKind::ServerCrash,
-    FaultKind::CrashingRequest,
-    FaultKind::CrashingPart,
-    FaultKind::ServerUnframed,
-];
-
 /// Faults during which notices of servers are checked: they delay no answer and no gateway.
 const ALLOWED_FOR_NOTICES: [FaultKind; 20] = [
     FaultKind::HangUp,
@@ -128,6 +116,8 @@
     /// A request known to crash servers is sent to no more servers, and no other request is refused
     /// as one.
     Crashing,
+    /// Sound requests are served beside those that crash servers.
+    Neighbours,
     /// Urgent requests are served as often as less urgent ones while there is too little room.
     Priority,
     /// No request ends by its deadline without being sent to a server.
@@ -234,6 +224,8 @@
     crashing: RefCell<Crashing>,
     /// The gateway process that each request was sent to.
     gateways: RefCell<HashMap<String, GatewayIncarnation>>,
+    /// Requests to gateways that had not run for long enough to have the current state.
+    out_of_touch: RefCell<HashSet<String>>,
     notices: RefCell<Vec<Notice>>,
     limits: RefCell<AdvertisedLimits>,
     /// Evacuations, and servers that are cold.
@@ -263,6 +255,7 @@
             reported_disconnects: RefCell::default(),
             crashing: RefCell::default(),
             gateways: RefCell::default(),
+            out_of_touch: RefCell::default(),
             notices: RefCell::default(),
             limits: RefCell::default(),
             data_centres: RefCell::default(),
@@ -349,22 +342,6 @@
         crash_faults.any(|(_, _, until)| *until + self.bounds.held_back > now)
     }
 
-    /// Records what crashes servers.
-    pub fn add_crash_cause(&self, cause: CrashCause) {
-        self.crashing.borrow_mut().add(cause);
-    }
-
-    fn check_crashing(&self, server: &Server, arrival: &ReceivedRequest) {
-        let propagation = self.bounds.propagation;
-        let is_quiet = self.no_faults_but(&ALLOWED_FOR_CRASHES, arrival.at - propagation);
-        let mut crashing = self.crashing.borrow_mut();
-        match crashing.check(&server.id, arrival, propagation, is_quiet) {
-            CrashCheck::NotCounted => {}
-            CrashCheck::Identified => self.record_check(Guarantee::Crashing),
-            CrashCheck::Exceeded(detail) => self.report(Guarantee::Crashing, detail),
-        }
-    }
-
     /// Adds a server whose arrivals are checked.
     pub fn watch_server(&self, server: &Server) {
         let watched = WatchedServer { server: server.clone(), checked: 0, leaving_since: None };
--- a/crates/soak/src/ledger/totals.rs
+++ b/crates/soak/src/ledger/totals.rs
@@ -25,10 +25,11 @@
 const MAX_CLOSED: usize = 3;
 
 /// Faults of gateways. At other gateways they excuse no closed connection.
-const AT_GATEWAYS: [FaultKind; 7] = [
+const AT_GATEWAYS: [FaultKind; 8] = [
     FaultKind::Kill,
     FaultKind::Off,
     FaultKind::KillAll,
+    FaultKind::KillSeries,
     FaultKind::Pause,
     FaultKind::Stop,
     FaultKind::HangUp,
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -2,6 +2,8 @@
 //! Input: the command-line flags. State: the number of seeds that failed.
 //! Decides the exit code: failure if a guarantee was violated with one of the seeds.
 
+use std::fs;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -9,6 +11,7 @@
 use eyre::Result;
 use eyre::ensure;
 use eyre::eyre;
+use hooktrestle_soak::backends::REPLACEMENT_DELAY;
 use hooktrestle_soak::fleet;
 use hooktrestle_soak::ledger::Bounds;
 use hooktrestle_soak::retries::RetryBound;
@@ -39,10 +42,13 @@
             optional --length-s seconds: u64
             /// Number of gateways; default 3.
             optional --gateways count: usize
-            /// Number of backend servers; default 4.
+            /// Number of backend servers; default 6.
             optional --servers count: usize
             /// Number of callers; default 12.
             optional --callers count: usize
+            /// Milliseconds from the removal of the row of a server that crashed while it ran a request
+            /// until another one replaces it; default 1500.
+            optional --replacement-ms milliseconds: u64
             /// Faults to draw from, separated by commas; default all. `--list-faults` lists them.
             optional --faults names: String
             /// Lists the names of the faults.
@@ -56,6 +62,9 @@
             /// Folder for settings and logs of the gateways; default one in the folder for
             /// temporary files.
             optional --folder folder: PathBuf
+            /// File with the faults of all seeds, one a line as `--troubles` prints them, instead of
+            /// drawn ones.
+            optional --play file: PathBuf
             /// Prints the faults of each seed.
             optional --troubles
             /// Finds the fewest faults with which a failing seed still fails.
@@ -72,10 +81,14 @@
     }
     let kinds = kinds(flags.faults.as_deref())?;
     let config = config(&flags)?;
+    let given = flags.play.as_deref().map(read_faults).transpose()?;
     let first = flags.seed.unwrap_or(1);
     let mut failed = 0;
     for seed in first..first.saturating_add(flags.seeds.unwrap_or(1)) {
-        let seed_faults = schedule::draw(seed, config.length, &kinds);
+        let seed_faults = match &given {
+            Some(given) => given.clone(),
+            None => schedule::draw(seed, config.length, &kinds),
+        };
         let report = run::run(&config, seed, &seed_faults)?;
         println!("seed {seed}: {} faults, {report}", seed_faults.len());
         if flags.troubles {
@@ -100,6 +113,11 @@
     seed_faults.iter().for_each(|fault| println!("  {fault}"));
 }
 
+fn read_faults(file: &Path) -> Result<Vec<Fault>> {
+    let text = fs::read_to_string(file)?;
+    text.lines().map(|line| line.parse().map_err(|error: String| eyre!(error))).collect()
+}
+
 fn kinds(names: Option<&str>) -> Result<Vec<FaultKind>> {
     match names {
         Some(names) => names
@@ -116,8 +134,9 @@
         folder: flags.folder.clone().unwrap_or_else(default_folder),
         length: Duration::from_secs(flags.length_s.unwrap_or(60)),
         gateways: flags.gateways.unwrap_or(3),
-        servers: flags.servers.unwrap_or(4),
+        servers: flags.servers.unwrap_or(6),
         callers: flags.callers.unwrap_or(12),
+        replacement_delay: flags.replacement_ms.map_or(REPLACEMENT_DELAY, Duration::from_millis),
         bounds: Bounds::scaled(flags.stretch.unwrap_or(1)),
         retries: RetryBound { slack: flags.slack.unwrap_or(20), ..RetryBound::default() },
     };
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -40,6 +40,11 @@
 /// Time between two changes of the configuration in the store.
 const CONFIGURATION_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Maximum number of parts that crash servers which are added at the end of a run, and for how long
+/// requests with each are sent.
+const MAX_FURTHER_PARTS: usize = 3;
+const FURTHER_PART_DURATION: Duration = Duration::from_secs(12);
+
 /// Time between two checks of what servers received.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -62,6 +67,9 @@
     pub servers: usize,
     /// Number of callers.
     pub callers: usize,
+    /// Time from the removal of the row of a server that crashed while it ran a request until another
+    /// server replaces it.
+    pub replacement_delay: Duration,
     /// Time bounds of the guarantees.
     pub bounds: Bounds,
     /// Bound on retries, in the settings of the gateways.
@@ -85,6 +93,8 @@
     pub closed: usize,
     /// What became of bursts of callers.
     pub bursts: String,
+    /// What became of parts of prompts that crash servers.
+    pub crashing_parts: String,
     /// How often each time-bounded guarantee was checked.
     pub check_counts: BTreeMap<Guarantee, u32>,
     /// Time and length of the longest delay of the test thread: callers, servers and the store do
@@ -100,6 +110,7 @@
         write!(formatter, " (at most {retries} of {allowed:.0} allowed in a window)")?;
         write!(formatter, ", {}, {} connections closed early", self.excess, self.closed)?;
         formatter.write_str(&self.bursts)?;
+        formatter.write_str(&self.crashing_parts)?;
         for (guarantee, times) in &self.check_counts {
             write!(formatter, ", {guarantee:?} checked {times} times")?;
         }
@@ -127,6 +138,7 @@
     let ledger = Rc::new(Ledger::new(config.bounds));
     let has_bursts = faults.iter().any(|fault| fault.kind == FaultKind::Overload);
     let backends = Backends::start(config.servers, has_bursts, ledger.clone()).await;
+    backends.set_replacement_delay(config.replacement_delay);
     let (program, folder) = (&config.program, &config.folder);
     let fleet =
         Fleet::start(config.gateways, program, folder, &backends, config.retries, ledger.clone());
@@ -144,15 +156,9 @@
     let late = Rc::new(Cell::new((Duration::ZERO, Duration::ZERO)));
     task::spawn_local(track_lateness(start, late.clone()));
     task::spawn_local(inject_faults(context.clone(), start, faults.to_vec()));
-    let mut next_configuration = start + CONFIGURATION_INTERVAL;
-    while start.elapsed() < config.length {
-        time::sleep(POLL_INTERVAL).await;
-        if next_configuration <= Instant::now() && backends.configure() {
-            next_configuration += CONFIGURATION_INTERVAL;
-        }
-        ledger.poll();
-        fleet.restart_exited();
-        backends.poll();
+    keep_running(&context, start + config.length).await;
+    if faults.iter().any(|fault| fault.kind == FaultKind::CrashingPart) {
+        identify_part(&context, start).await;
     }
     wait_until_ready(&context).await;
     context.running.set(false);
@@ -160,6 +166,7 @@
     let retry_peak = ledger.check_retries(config.retries);
     let (excess, closed) = (ledger.check_attempts(), ledger.check_closed_total());
     ledger.check_overload();
+    let crashing_parts = ledger.check_neighbours();
     fleet.kill_all();
     let retries = ledger.retries.get();
     Ok(Report {
@@ -170,11 +177,48 @@
         excess,
         closed,
         bursts: ledger.overload.summary(),
+        crashing_parts,
         check_counts: ledger.check_counts(),
         max_lateness: late.get(),
     })
 }
 
+/// Writes configurations, checks what servers received and replaces what has ended, until `end`.
+async fn keep_running(context: &RunContext, end: Instant) {
+    let RunContext { backends, ledger, fleet, .. } = context;
+    let mut next_configuration = Instant::now() + CONFIGURATION_INTERVAL;
+    while Instant::now() < end {
+        time::sleep(POLL_INTERVAL).await;
+        if next_configuration <= Instant::now() && backends.configure() {
+            next_configuration += CONFIGURATION_INTERVAL;
+        }
+        ledger.poll();
+        fleet.restart_exited();
+        backends.poll();
+    }
+}
+
+/// Sends requests with further parts that crash servers until one has crashed enough of them to be
+/// identified: else the run would not show whether it is refused.
+async fn identify_part(context: &Rc<RunContext>, start: Instant) {
+    let ledger = &context.ledger;
+    for _ in 0..MAX_FURTHER_PARTS {
+        if ledger.has_identified_part() {
+            return;
+        }
+        let (at, kind) = (start.elapsed(), FaultKind::CrashingPart);
+        let fault = Fault { at, duration: FURTHER_PART_DURATION, kind, target: 0 };
+        let now = Instant::now();
+        ledger.record_fault(kind, now, now + effect_duration(&fault));
+        let end = now + FURTHER_PART_DURATION;
+        tokio::join!(send_crashing_requests(context.clone(), fault), keep_running(context, end));
+    }
+    if !ledger.has_identified_part() {
+        let detail = "no part crashed enough servers to be identified".to_owned();
+        ledger.report(Guarantee::Crashing, detail);
+    }
+}
+
 /// Records the longest delay of the test thread.
 async fn track_lateness(start: Instant, latest: Rc<Cell<(Duration, Duration)>>) {
     loop {
@@ -219,7 +263,7 @@
             fault.duration + Duration::from_secs(2)
         }
         // Until the gateways that were killed last have started.
-        FaultKind::RestartSeries => fault.duration + Duration::from_secs(2),
+        FaultKind::RestartSeries | FaultKind::KillSeries => fault.duration + Duration::from_secs(2),
         // Until the servers that crashed last are replaced.
         FaultKind::CrashingRequest | FaultKind::CrashingPart => {
             fault.duration + Duration::from_secs(4)
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -95,13 +95,15 @@
     /// All gateways are killed and started again and again, while all servers run requests and lose
     /// the answers.
     RestartSeries,
+    /// All gateways are killed and started again every few seconds.
+    KillSeries,
     /// Gateways receive `SIGTERM` one after the other, before the earlier ones have exited, while all
     /// receive `SIGHUP` again and again and new configurations are written in quick succession.
     PlannedSeries,
 }
 
 /// All kinds, with their names for `--faults`.
-pub const FAULT_KINDS: [(&str, FaultKind); 40] = [
+pub const FAULT_KINDS: [(&str, FaultKind); 41] = [
     ("kill", FaultKind::Kill),
     ("off", FaultKind::Off),
     ("kill-all", FaultKind::KillAll),
@@ -141,6 +143,7 @@
     ("server-returns-cold", FaultKind::ServerReturnsCold),
     ("overload", FaultKind::Overload),
     ("restart-series", FaultKind::RestartSeries),
+    ("kill-series", FaultKind::KillSeries),
     ("planned-series", FaultKind::PlannedSeries),
 ];
 
@@ -203,6 +206,28 @@
     }
 }
 
+impl FromStr for Fault {
+    type Err = String;
+
+    /// Reads a fault as [`Display`] prints it.
+    fn from_str(text: &str) -> Result<Fault, String> {
+        let words: Vec<&str> = text.split_whitespace().collect();
+        let [at_s, "s", kind, target, "for", duration_s, "s"] = words[..] else {
+            return Err(format!("`{text}` is not `AT s KIND TARGET for DURATION s`"));
+        };
+        let seconds = |number: &str| {
+            let parsed = number.parse().ok().and_then(|s| Duration::try_from_secs_f64(s).ok());
+            parsed.ok_or_else(|| format!("`{number}` is not a time in seconds"))
+        };
+        Ok(Fault {
+            at: seconds(at_s)?,
+            duration: seconds(duration_s)?,
+            kind: kind.parse()?,
+            target: target.parse().map_err(|_| format!("`{target}` is not a number"))?,
+        })
+    }
+}
+
 /// Mean time between two faults. With a duration of about 2 s each, one or two are active at a
 /// time.
 const MEAN_GAP_MS: u64 = 1_300;
@@ -226,6 +251,9 @@
 const CRASHING_REQUEST_GAP_MS: std::ops::Range<u64> = 4_000..40_000;
 const CRASHING_REQUEST_DURATION_MS: std::ops::Range<u64> = 6_000..20_000;
 
+/// When the first part that crashes servers comes, as a fraction of the time with faults.
+const FIRST_PART_AT: std::ops::Range<f64> = 0.1..0.5;
+
 /// Planned operations, and notices of servers: all guarantees hold during them.
 pub const PLANNED: [FaultKind; 9] = [
     FaultKind::Stop,
@@ -241,7 +269,7 @@
 
 /// Kinds that are drawn from random generators of their own, so that the other faults of a seed are
 /// the same with and without them.
-const SEPARATELY_DRAWN: [FaultKind; 12] = [
+const SEPARATELY_DRAWN: [FaultKind; 13] = [
     FaultKind::CrashingRequest,
     FaultKind::CrashingPart,
     FaultKind::ServerUnframed,
@@ -253,6 +281,7 @@
     FaultKind::ServerReturnsCold,
     FaultKind::Overload,
     FaultKind::RestartSeries,
+    FaultKind::KillSeries,
     FaultKind::PlannedSeries,
 ];
 
@@ -274,6 +303,9 @@
 const OVERLOAD_DURATION_MS: std::ops::Range<u64> = 4_000..8_000;
 const RESTARTS_DURATION_MS: std::ops::Range<u64> = 6_000..12_000;
 
+/// How long a series of kills lasts: several kills, each followed by some seconds of service.
+const KILLS_DURATION_MS: std::ops::Range<u64> = 8_000..14_000;
+
 /// Time between the starts of two series of planned operations, and how long each lasts.
 const SERIES_GAP_MS: std::ops::Range<u64> = 9_000..25_000;
 const SERIES_DURATION_MS: std::ops::Range<u64> = 3_000..8_000;
@@ -323,6 +355,10 @@
                 let mut rng = ChaCha8Rng::seed_from_u64((!seed).rotate_left(2));
                 draw_in_periods(&mut rng, kind, &periods, RESTARTS_DURATION_MS, &mut faults);
             }
+            FaultKind::KillSeries => {
+                let mut rng = ChaCha8Rng::seed_from_u64((!seed).rotate_left(4));
+                draw_in_periods(&mut rng, kind, &periods, KILLS_DURATION_MS, &mut faults);
+            }
             FaultKind::PlannedSeries => {
                 let mut rng = ChaCha8Rng::seed_from_u64((!seed).rotate_left(3));
                 draw_series(&mut rng, kind, end, &mut faults);
@@ -407,16 +443,19 @@
     end: Duration,
     faults: &mut Vec<Fault>,
 ) {
-    let mut at = Duration::ZERO;
-    loop {
-        at += Duration::from_millis(rng.random_range(CRASHING_REQUEST_GAP_MS));
-        if at >= end {
-            return;
-        }
+    let gap =
+        |rng: &mut ChaCha8Rng| Duration::from_millis(rng.random_range(CRASHING_REQUEST_GAP_MS));
+    // A run with parts that crash servers has one at least, so that it shows what becomes of them.
+    let mut at = match kind {
+        FaultKind::CrashingPart => end.mul_f64(rng.random_range(FIRST_PART_AT)),
+        _ => gap(rng),
+    };
+    while at < end {
         let duration =
             Duration::from_millis(rng.random_range(CRASHING_REQUEST_DURATION_MS)).min(end - at);
         let target = rng.random_range(0..1_000);
         faults.push(Fault { at, duration, kind, target });
+        at += gap(rng);
     }
 }
 
--- a/crates/soak/tests/ledger.rs
+++ b/crates/soak/tests/ledger.rs
@@ -42,6 +42,13 @@
     sent.send().await.unwrap();
 }
 
+/// Sends a request with this part in its prompt straight to a server.
+async fn send_with_part(server: &Server, id: &str, part: &str) {
+    let request = caller::request(&Client::new(), server.address, "/once/0", id, 1_000);
+    let parts = format!("c0:10,{part}:20,{id}:5");
+    request.header("prompt-prefix", parts).send().await.unwrap();
+}
+
 fn violated(ledger: &Ledger) -> Vec<Guarantee> {
     ledger.poll();
     ledger.violations().iter().map(|violation| violation.guarantee).collect()
@@ -285,6 +292,61 @@
     });
 }
 
+/// Guards against a part whose late arrivals are excused by kills of other gateways, or that is held
+/// against a gateway which has just started.
+#[test]
+fn arrivals_from_gateways_out_of_touch_are_not_late() {
+    run(async {
+        let ledger = Ledger::new(zero_bounds());
+        let server = start_server(&ledger).await;
+        ledger.add_crash_cause(CrashCause::Part("bad".to_owned()));
+        let now = Instant::now();
+        ledger.record_fault("kill-series".parse().unwrap(), now, now + Duration::from_secs(60));
+        for number in 0..20 {
+            let id = format!("r{number}");
+            ledger.record_request(&id, true);
+            if number < 16 {
+                ledger.record_out_of_touch(&id);
+            }
+            send_with_part(&server, &id, "bad").await;
+            let violations = usize::from(number == 19);
+            assert_eq!(violated(&ledger), vec![Guarantee::Crashing; violations], "{number}");
+        }
+    });
+}
+
+/// Guards against sound requests beside a crashing part that are never served unnoticed.
+#[test]
+fn sound_requests_that_reach_no_server_beside_a_crashing_part_are_a_violation() {
+    run(async {
+        for (served_of_ten, violations) in [(4, 1), (6, 0)] {
+            let ledger = Ledger::new(zero_bounds());
+            let server = start_server(&ledger).await;
+            let cause = CrashCause::Part("bad".to_owned());
+            let send_sound = async |name: &str, served_of_ten: usize| {
+                for number in 0..30 {
+                    let (id, sent_at) = (format!("{name}{number}"), Instant::now());
+                    ledger.record_request(&id, true);
+                    if number % 10 < served_of_ten {
+                        send_with_part(&server, &id, "sound").await;
+                    }
+                    ledger.record_neighbour(&id, sent_at);
+                }
+            };
+            send_sound("before", 10).await;
+            ledger.add_crash_cause(cause.clone());
+            ledger.record_crashing_sent(&cause);
+            ledger.record_request("crashes", true);
+            send_with_part(&server, "crashes", "bad").await;
+            assert_eq!(violated(&ledger), []);
+            send_sound("beside", served_of_ten).await;
+            ledger.record_crashing_sent(&cause);
+            ledger.check_neighbours();
+            assert_eq!(violated(&ledger), vec![Guarantee::Neighbours; violations]);
+        }
+    });
+}
+
 #[test]
 fn a_part_that_crashes_servers_and_still_reaches_them_is_a_violation() {
     run(async {
@@ -296,10 +358,7 @@
             for number in 0..arrivals {
                 let id = format!("{part}-{violations}-{number}");
                 ledger.record_request(&id, true);
-                let request =
-                    caller::request(&Client::new(), server.address, "/once/0", &id, 1_000);
-                let parts = format!("c0:10,{part}:20,{id}:5");
-                request.header("prompt-prefix", parts).send().await.unwrap();
+                send_with_part(&server, &id, part).await;
                 ledger.poll();
             }
             let expected = vec![Guarantee::Crashing; violations];
--- a/crates/soak/tests/schedules.rs
+++ b/crates/soak/tests/schedules.rs
@@ -6,6 +6,7 @@
 
 use hooktrestle_soak::schedule::FAULT_FREE_END;
 use hooktrestle_soak::schedule::FAULT_KINDS;
+use hooktrestle_soak::schedule::Fault;
 use hooktrestle_soak::schedule::FaultKind;
 use hooktrestle_soak::schedule::draw;
 use hooktrestle_soak::shrink::shrink;
@@ -38,6 +39,17 @@
     assert_eq!(shrink(&all, 0, |_| true), all, "no attempts are left");
 }
 
+#[test]
+fn printed_faults_can_be_played_again() {
+    for fault in draw(5, LENGTH, &FAULT_KINDS.map(|(_, kind)| kind)) {
+        let printed = fault.to_string();
+        assert_eq!(printed.parse::<Fault>().unwrap().to_string(), printed);
+    }
+    for text in ["", "1.00 s kill 3", "-1 s kill 3 for 1.00 s", "1.00 s flood 3 for 1.00 s"] {
+        assert!(text.parse::<Fault>().is_err(), "{text}");
+    }
+}
+
 #[test]
 fn faults_are_chosen_by_name() {
     for (name, kind) in FAULT_KINDS {
