Logs: prompt parts at each crash, what is read of crashes at the start, and parts that are tried

Nothing told whether a part below the threshold was forgotten, masked by other parts or not reported yet.

--- a/crates/core/src/direct/crashes.rs
+++ b/crates/core/src/direct/crashes.rs
@@ -188,6 +188,12 @@
         refused.map(|(fingerprint, _)| *fingerprint).collect()
     }
 
+    /// What is sent one attempt at a time, since there is weak evidence against it.
+    pub fn tried(&self, now: Millis) -> Vec<Fingerprint> {
+        let tried = self.weak_suspects.iter().filter(|(_, weak)| weak.until > now);
+        tried.map(|(fingerprint, _)| *fingerprint).collect()
+    }
+
     /// Whether a request was at a server at the time of its crash.
     pub fn is_suspect(&self, fingerprint: Fingerprint) -> bool {
         self.reports.values().any(|report| report.suspects.contains_key(&fingerprint))
--- a/crates/direct/src/crash_sync.rs
+++ b/crates/direct/src/crash_sync.rs
@@ -97,6 +97,11 @@
     loop {
         match gateway.platform.read_crashes().await {
             Ok(rows) => {
+                let crashes: usize = rows.iter().map(|row| row.crashes.len()).sum();
+                gateway.event_log.state(format_args!(
+                    "read crash reports of {} requests and parts, {crashes} crashes",
+                    rows.len()
+                ));
                 for row in &rows {
                     let ended = EndingCount {
                         fingerprint: row.fingerprint,
--- a/crates/direct/src/gateway/crashes.rs
+++ b/crates/direct/src/gateway/crashes.rs
@@ -154,8 +154,10 @@
     own: BTreeSet<Fingerprint>,
     /// Requests on trial that are in flight.
     on_trial: BTreeSet<Fingerprint>,
-    /// Requests whose refusal was logged.
+    /// Requests and parts whose refusal was logged.
     refusals_logged: BTreeSet<Fingerprint>,
+    /// Parts of which it was logged that requests with them are sent one at a time.
+    trials_logged: BTreeSet<Fingerprint>,
     /// Whether this gateway has tried to read the crashes that the platform stores.
     pub(super) stored_crashes_read: bool,
 }
@@ -352,20 +354,35 @@
         if suspects.is_empty() {
             return;
         }
-        let incarnation = self.with_pool(|pool| {
+        let (id, incarnation) = self.with_pool(|pool| {
             let listed = &pool.server(server).listed;
-            let requests =
-                suspects.iter().filter(|one| one.fingerprint.kind() == FingerprintKind::Request);
-            let count = requests.count();
-            self.event_log
-                .state(format_args!("server {} crashed while running {count} requests", listed.id));
-            ServerIncarnation::of(&listed.id, listed.started_unix_ms)
+            (listed.id.clone(), ServerIncarnation::of(&listed.id, listed.started_unix_ms))
         });
+        let (parts, requests): (Vec<Fingerprint>, Vec<Fingerprint>) = suspects
+            .iter()
+            .map(|one| one.fingerprint)
+            .partition(|one| one.kind() == FingerprintKind::Part);
         let age = self.now().since(crashed_at);
         let reporter = Reporter(self.with_members(|members| members.own().incarnation_id().0));
         let age_error = Millis::ZERO;
         let crash = Crash { server: incarnation, reporter, age, age_error, suspects };
         self.merge_crashes(&[crash], &[], &[]);
+        self.log_crash(&id, requests.len(), &parts);
+    }
+
+    /// Logs a crash, with the parts of prompts that were just beginning and at how many crashes each
+    /// of them was.
+    fn log_crash(&self, server_id: &str, requests: usize, parts: &[Fingerprint]) {
+        let (now, crashes) = (self.now(), self.crashes.borrow());
+        let part = |one: &Fingerprint| {
+            let (count, endings) =
+                (crashes.crashes_of(*one, now).len(), crashes.endings_of(*one, now));
+            format!("; prompt part {} began there, {count} crashes, {endings} good ends", one.0)
+        };
+        let parts: String = parts.iter().map(part).collect();
+        self.event_log.state(format_args!(
+            "server {server_id} crashed while running {requests} requests{parts}"
+        ));
     }
 
     /// Records that a server answered a request that was sent at `sent_at`: attempts that ended
@@ -456,15 +473,15 @@
         if outcome == MergeOutcome::Unchanged {
             return;
         }
-        self.log_refused(now);
+        self.log_restricted(now);
         self.crashes_changed.notify_one();
         if outcome == MergeOutcome::Urgent {
             self.request_urgent_gossip(Reach::All);
         }
     }
 
-    /// Logs changes in which requests are refused.
-    fn log_refused(&self, now: Millis) {
+    /// Logs changes in which requests are refused, and which parts are tried.
+    fn log_restricted(&self, now: Millis) {
         let refused: BTreeSet<Fingerprint> =
             self.crashes.borrow().refused(now).into_iter().collect();
         self.metrics.crashing_known.set(refused.len() as i64);
@@ -486,6 +503,16 @@
             self.event_log.state(format_args!("{} is no longer refused", subject(one)));
         }
         detection.refusals_logged = refused;
+        let tried = self.crashes.borrow().tried(now).into_iter();
+        let tried: BTreeSet<Fingerprint> =
+            tried.filter(|one| one.kind() == FingerprintKind::Part).collect();
+        for one in tried.difference(&detection.trials_logged) {
+            self.event_log.state(format_args!("{} is sent one at a time", subject(one)));
+        }
+        for one in detection.trials_logged.difference(&tried) {
+            self.event_log.state(format_args!("{} is no longer tried", subject(one)));
+        }
+        detection.trials_logged = tried;
     }
 
     /// Records that the stored crashes were read or could not be read: callers may be sent here.
@@ -503,7 +530,7 @@
     pub fn crashes_to_store(&self) -> Vec<StoredCrashes> {
         let now = self.now();
         self.crashes.borrow_mut().remove_expired(now);
-        self.log_refused(now);
+        self.log_restricted(now);
         let crashes = self.crashes.borrow();
         let candidates = crashes.worth_storing(now);
         let mut detection = self.crash_detection.borrow_mut();
