--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -127,6 +127,17 @@
     assert_eq!(crashes.refused(NOW).len(), 2);
 }
 
+/// Guards against sound requests that are refused for good because two parts crash servers, and all
+/// requests with either share a third one.
+#[test]
+fn a_part_beside_two_crashing_ones_is_not_refused() {
+    let mut crashes = with_crashes(MIN_CRASHES, &["common", "bad"]);
+    for server in MIN_CRASHES..2 * MIN_CRASHES {
+        crashes.record(&crash(server, &["common", "worse"]), NOW);
+    }
+    assert!(!crashes.refused(NOW).contains(&part("common")), "{:?}", crashes.refused(NOW));
+}
+
 /// Servers may have changed since requests with a part completed.
 #[test]
 fn a_part_that_completed_before_many_crashes_is_tried_and_then_refused() {
