Parts that the crashes do not tell apart are refused together, and tried alone at once

Callers saw sound requests refused for ten minutes, or held back for 5 to 10 s, because their prompts began with the part that the crashing ones begin with.

Cause: of parts at the same crashes, the one at the most was taken for the cause. With two parts that crash servers, each at half of the crashes, that is the part which all requests share; once refused, no request with it is sent, and nothing clears it. With one crashing part the shared one was held back like it, until each had been at seven crashes.

Now the part at the fewest crashes is looked at first, with the parts that were always there with it and of which no request has ended well. A request that has all of these holds the cause, whichever it is: it is refused from the third crash on, no longer from the seventh. A request with some of them is tried one at a time, without a hold-back. A part at crashes of several causes that are not told apart yet is tried as well.

The test that tied parts are held back for 5 to 10 s, and both refused at seven crashes, asked for the fault: it now checks that they are refused together at three, that each is tried alone at once, and (a test of its own) that a part is refused alone only for crashes without the other.

--- a/crates/core/src/direct/crashes.rs
+++ b/crates/core/src/direct/crashes.rs
@@ -32,6 +32,7 @@
 mod config;
 mod evidence;
 mod exposure;
+mod merged;
 mod report;
 
 use std::collections::BTreeMap;
@@ -45,6 +46,8 @@
 pub use self::exposure::EndingCount;
 use self::exposure::Exposure;
 pub use self::exposure::Extent;
+use self::merged::Merged;
+use self::merged::Report;
 use self::report::Aged;
 pub use self::report::Cleared;
 pub use self::report::Crash;
@@ -57,6 +60,7 @@
 use crate::clock::Millis;
 use crate::direct::fingerprint::Fingerprint;
 use crate::direct::fingerprint::FingerprintKind;
+use crate::direct::fingerprint::Fingerprints;
 use crate::util::hash;
 
 /// What a merged report or completion changed.
@@ -71,31 +75,6 @@
     Urgent,
 }
 
-#[derive(Clone, Debug)]
-struct Report {
-    at: Aged,
-    suspects: BTreeMap<Fingerprint, Suspect>,
-}
-
-/// A crash, merged from all reports of it.
-#[derive(Clone, Debug)]
-struct Merged {
-    age: Millis,
-    /// Lowest possible age of the first truncated answer at any gateway.
-    min_age: Millis,
-    suspects: BTreeMap<Fingerprint, Suspect>,
-}
-
-impl Merged {
-    /// Whether a request was in [`Stage::Starting`] at the crash.
-    fn was_at_start(&self, fingerprint: Fingerprint) -> bool {
-        self.suspects.get(&fingerprint).is_some_and(|one| one.stage == Stage::Starting)
-    }
-}
-
-/// Error of times that are rounded to milliseconds at both ends.
-const ROUNDING: Millis = Millis(2);
-
 /// Whether a request that is not refused may be sent now.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Quarantine {
@@ -108,6 +87,13 @@
     HeldBack(Millis),
 }
 
+/// Parts of prompts that together make a request refused, and until when.
+#[derive(Clone, Debug)]
+struct Combination {
+    parts: BTreeSet<Fingerprint>,
+    until: Millis,
+}
+
 /// All crash reports, completed requests and refusals that one gateway knows.
 #[derive(Clone, Debug)]
 pub struct Crashes {
@@ -118,8 +104,10 @@
     cleared: BTreeMap<Fingerprint, Aged>,
     /// Attempts that ended without a crash.
     exposure: Exposure,
-    /// Refused requests, with the end of each refusal.
+    /// Refused requests and parts, with the end of each refusal.
     refused: HashMap<Fingerprint, Millis>,
+    /// Parts of which one crashes servers: requests with all of them are refused.
+    combinations: Vec<Combination>,
     /// Requests that were in [`Stage::Starting`] at a crash; most requests are not among them.
     began_at_crash: BTreeSet<Fingerprint>,
     /// Requests that were at enough crashes, against which these are weak evidence.
@@ -136,12 +124,24 @@
             cleared: BTreeMap::new(),
             exposure: Exposure::default(),
             refused: HashMap::new(),
+            combinations: Vec::new(),
             began_at_crash: BTreeSet::new(),
             weak_suspects: HashMap::new(),
         }
     }
 
-    /// How much longer a request is refused, if it is.
+    /// How much longer a request is refused, if it is: by itself, for a part of its prompt, or for
+    /// several parts together.
+    pub fn refusal(&self, fingerprints: &Fingerprints, now: Millis) -> Option<Millis> {
+        let single = fingerprints.iter().filter_map(|one| self.refused_for(one, now));
+        let is_complete = |one: &&Combination| {
+            one.until > now && one.parts.iter().all(|part| fingerprints.parts.contains(part))
+        };
+        let together = self.combinations.iter().filter(is_complete);
+        single.chain(together.map(|one| one.until.since(now))).max()
+    }
+
+    /// How much longer a request, or each request with a part, is refused, if it is.
     pub fn refused_for(&self, fingerprint: Fingerprint, now: Millis) -> Option<Millis> {
         let until = *self.refused.get(&fingerprint)?;
         (until > now).then(|| until.since(now))
@@ -159,7 +159,8 @@
         let merged = self.merged(now);
         let unexplained = merged.iter().filter(|(_, crash)| {
             let is_explained =
-                crash.suspects.keys().any(|one| self.refused_for(*one, now).is_some());
+                crash.suspects.keys().any(|one| self.refused_for(*one, now).is_some())
+                    || self.combinations(now).any(|parts| crash.were_at_start(parts));
             let holds_back = match holds_back_all {
                 true => crash.suspects.contains_key(&fingerprint),
                 false => is_request && crash.was_at_start(fingerprint),
@@ -188,6 +189,12 @@
         refused.map(|(fingerprint, _)| *fingerprint).collect()
     }
 
+    /// Parts of prompts that together make a request refused.
+    pub fn combinations(&self, now: Millis) -> impl Iterator<Item = &BTreeSet<Fingerprint>> {
+        let valid = self.combinations.iter().filter(move |one| one.until > now);
+        valid.map(|one| &one.parts)
+    }
+
     /// What is sent one attempt at a time, since there is weak evidence against it.
     pub fn tried(&self, now: Millis) -> Vec<Fingerprint> {
         let tried = self.weak_suspects.iter().filter(|(_, weak)| weak.until > now);
@@ -226,34 +233,8 @@
         found.collect()
     }
 
-    /// Merges the reports of each crash. Requests may still be sent to a crashed server before the
-    /// crash is detected. One that was sent after the first truncated answer at any gateway, and
-    /// that got no answer, did not cause the crash.
     fn merged(&self, now: Millis) -> BTreeMap<ServerIncarnation, Merged> {
-        let counts = |report: &&Report| report.at.age(now) < self.config.report_ttl;
-        let mut merged: BTreeMap<ServerIncarnation, Merged> = BTreeMap::new();
-        for ((server, _), report) in self.reports.iter().filter(|(_, report)| counts(report)) {
-            let (age, (min_age, _)) = (report.at.age(now), report.at.bounds(now));
-            let crash = merged.entry(*server).or_insert_with(|| Merged {
-                age,
-                min_age,
-                suspects: BTreeMap::new(),
-            });
-            crash.age = crash.age.max(age);
-            crash.min_age = crash.min_age.max(min_age);
-        }
-        for ((server, _), report) in self.reports.iter().filter(|(_, report)| counts(report)) {
-            let Some(crash) = merged.get_mut(server) else { continue };
-            let (_, max_age) = report.at.bounds(now);
-            let was_there = |one: &&Suspect| {
-                one.stage > Stage::Waiting || max_age + one.ran + ROUNDING >= crash.min_age
-            };
-            for suspect in report.suspects.values().filter(was_there) {
-                let known = crash.suspects.entry(suspect.fingerprint).or_insert(*suspect);
-                *known = known.merge(*suspect);
-            }
-        }
-        merged
+        merged::merge(&self.reports, self.config.report_ttl, now)
     }
 
     /// Requests that were at more than one crash, which a new process would have to detect again.
@@ -362,15 +343,20 @@
         if !has_risen {
             return MergeOutcome::Unchanged;
         }
-        let restricted = (self.refused.len(), self.weak_suspects.len());
+        let restricted = self.count_restricted();
         self.remove_expired(now);
         self.update_refused(now);
-        match restricted == (self.refused.len(), self.weak_suspects.len()) {
+        match restricted == self.count_restricted() {
             true => MergeOutcome::Changed,
             false => MergeOutcome::Urgent,
         }
     }
 
+    /// Number of refusals, combinations, and requests and parts that are sent one at a time.
+    fn count_restricted(&self) -> (usize, usize, usize) {
+        (self.refused.len(), self.combinations.len(), self.weak_suspects.len())
+    }
+
     /// The number of attempts that ended well at each gateway, of requests that were at several
     /// crashes.
     pub fn ending_counts(&self, now: Millis) -> Vec<EndingCount> {
@@ -474,6 +460,7 @@
         self.reports.retain(|_, report| report.at.age(now) < report_ttl);
         self.cleared.retain(|_, at| at.age(now) < report_ttl);
         self.refused.retain(|_, until| *until > now);
+        self.combinations.retain(|one| one.until > now);
         self.weak_suspects.retain(|_, weak| weak.until > now);
         while self.reports.len() > max_crashes {
             let oldest = self.reports.iter().max_by_key(|(_, report)| report.at.age(now));
@@ -491,7 +478,7 @@
     fn update_refused(&mut self, now: Millis) {
         let merged = self.merged(now);
         let ended_well = |one| self.endings_of(one, now) as usize;
-        let Attribution { culprits, weak } =
+        let Attribution { culprits, combinations, weak } =
             attribution::attribute(&merged, ended_well, &self.config);
         let until = |one| now + attribution::time_left(one, &merged, &self.config);
         let weak = weak.into_iter().map(|(one, is_held_back)| {
@@ -500,6 +487,11 @@
         });
         let weak_suspects = weak.collect();
         self.refused = culprits.into_iter().map(|one| (one, until(one))).collect();
+        let combinations = combinations.into_iter().map(|parts| {
+            let until = parts.iter().map(|one| until(*one)).min().unwrap_or(now);
+            Combination { parts, until }
+        });
+        self.combinations = combinations.collect();
         self.weak_suspects = weak_suspects;
         let suspects = merged.values().flat_map(|crash| crash.suspects.values());
         // A part is restricted only by the weighing: most requests may share it.
--- a/crates/core/src/direct/crashes/attribution.rs
+++ b/crates/core/src/direct/crashes/attribution.rs
@@ -9,13 +9,14 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::clock::Millis;
 use crate::direct::crashes::Config;
-use crate::direct::crashes::Merged;
 use crate::direct::crashes::evidence::Count;
 use crate::direct::crashes::evidence::Counts;
 use crate::direct::crashes::evidence::Verdict;
+use crate::direct::crashes::merged::Merged;
 use crate::direct::crashes::report::ServerIncarnation;
 use crate::direct::fingerprint::Fingerprint;
 use crate::direct::fingerprint::FingerprintKind;
@@ -25,11 +26,21 @@
 pub(super) struct Attribution {
     /// What crashes servers.
     pub(super) culprits: Vec<Fingerprint>,
+    /// Parts of which one crashes servers, and the crashes do not tell which. A request with all of
+    /// them crashes servers.
+    pub(super) combinations: Vec<BTreeSet<Fingerprint>>,
     /// What may crash servers, and whether it is held back after its latest crash. A request that
     /// ends well is not: its next attempt probably clears it.
     pub(super) weak: Vec<(Fingerprint, bool)>,
 }
 
+impl Attribution {
+    fn explains(&self, crash: &Merged) -> bool {
+        self.culprits.iter().any(|one| crash.suspects.contains_key(one))
+            || self.combinations.iter().any(|parts| crash.were_at_start(parts))
+    }
+}
+
 /// Attributes crashes. `ended_well` returns the number of attempts that ended well.
 pub(super) fn attribute(
     merged: &BTreeMap<ServerIncarnation, Merged>,
@@ -57,7 +68,7 @@
     let mut unexplained: Vec<&Merged> = Vec::new();
     let mut counts = Counts::new(kind);
     for crash in by_age {
-        if found.culprits.iter().any(|one| crash.suspects.contains_key(one)) {
+        if found.explains(crash) {
             continue;
         }
         unexplained.push(crash);
@@ -89,9 +100,9 @@
     counts.iter().any(|(_, count)| 2 * count.at_start() > with_part.len())
 }
 
-/// The part at most crashes first. Another part that was at most of the same crashes, and of which no
-/// request ended well either, may be the cause as well: then both are held back and sent one attempt
-/// at a time, which clears the sound one.
+/// The part at the fewest crashes first, since a part that many requests share is at the crashes of
+/// each cause. Parts that were always there with it may be the cause as well: then requests with all
+/// of them are refused, and those with one of them are sent one at a time, which clears sound ones.
 fn attribute_to_parts(
     mut unexplained: Vec<&Merged>,
     ended_well: &impl Fn(Fingerprint) -> usize,
@@ -99,34 +110,76 @@
     found: &mut Attribution,
 ) {
     let kind = FingerprintKind::Part;
+    let mut undecided = BTreeSet::new();
     loop {
         let mut counts = Counts::new(kind);
         unexplained.iter().for_each(|crash| counts.add(crash));
         let verdict =
             |one: Fingerprint, count: &Count| count.verdict(kind, ended_well(one), config);
         let suspects = counts.iter().filter(|(one, it)| {
-            verdict(*one, it) == Verdict::Culprit && !is_of_one_request(*one, &unexplained)
+            verdict(*one, it) == Verdict::Culprit
+                && !undecided.contains(one)
+                && !is_of_one_request(*one, &unexplained)
         });
-        let mut suspects: Vec<(usize, Fingerprint)> =
-            suspects.map(|(one, count)| (count.at_start(), one)).collect();
-        suspects.sort();
-        let Some((crashes, leading)) = suspects.pop() else {
+        let narrowest = suspects.map(|(one, count)| (count.at_start(), one)).min();
+        let Some((crashes, part)) = narrowest else {
             let weak = counts.iter().filter(|(one, it)| verdict(*one, it) == Verdict::Inconsistent);
             found.weak.extend(weak.map(|(one, _)| (one, false)));
+            found.weak.extend(undecided.into_iter().map(|one| (one, false)));
             return;
         };
-        let with_leading = || unexplained.iter().filter(|crash| crash.was_at_start(leading));
-        let is_rival = |one: Fingerprint| {
-            2 * with_leading().filter(|it| it.was_at_start(one)).count() > crashes
-        };
-        let rivals = suspects.into_iter().map(|(_, one)| one).filter(|one| is_rival(*one));
-        let candidates: Vec<Fingerprint> = rivals.chain([leading]).collect();
-        unexplained.retain(|crash| !crash.was_at_start(leading));
-        if candidates.len() == 1 || crashes >= config.min_part_starts + 2 * config.extra_crashes {
-            found.culprits.extend(candidates);
-        } else {
-            found.weak.extend(candidates.into_iter().map(|one| (one, true)));
+        let is_sound = |one: Fingerprint| ended_well(one) > 0;
+        match cause_with(part, &unexplained, is_sound) {
+            PartCause::Certain => found.culprits.push(part),
+            PartCause::Undecided
+                if crashes >= config.min_part_starts + 2 * config.extra_crashes =>
+            {
+                found.culprits.push(part);
+            }
+            PartCause::OneOf(parts) => {
+                found.weak.extend(parts.iter().map(|one| (*one, false)));
+                found.combinations.push(parts);
+            }
+            PartCause::Undecided => {
+                undecided.insert(part);
+                continue;
+            }
         }
+        unexplained.retain(|crash| !crash.was_at_start(part));
+    }
+}
+
+/// What may have caused the crashes at which a part was just beginning.
+enum PartCause {
+    /// The part.
+    Certain,
+    /// One of these parts, which were there at all of the crashes.
+    OneOf(BTreeSet<Fingerprint>),
+    /// The part, or another one at several of the crashes beside further causes.
+    Undecided,
+}
+
+/// The cause of the crashes at which `part` was just beginning, if it is a part. Parts of which a
+/// request ended well are not taken for a cause beside it.
+fn cause_with(
+    part: Fingerprint,
+    crashes: &[&Merged],
+    is_sound: impl Fn(Fingerprint) -> bool,
+) -> PartCause {
+    let mut together: BTreeMap<Fingerprint, usize> = BTreeMap::new();
+    let with_part: Vec<&&Merged> = crashes.iter().filter(|it| it.was_at_start(part)).collect();
+    for one in with_part.iter().flat_map(|crash| crash.parts_at_start()) {
+        *together.entry(one).or_default() += 1;
+    }
+    together.retain(|one, _| *one == part || !is_sound(*one));
+    let is_repeated = together.values().any(|count| (2..with_part.len()).contains(count));
+    together.retain(|_, count| *count == with_part.len());
+    if together.len() > 1 {
+        PartCause::OneOf(together.into_keys().collect())
+    } else if is_repeated {
+        PartCause::Undecided
+    } else {
+        PartCause::Certain
     }
 }
 
--- a/crates/core/src/direct/crashes/evidence.rs
+++ b/crates/core/src/direct/crashes/evidence.rs
@@ -9,7 +9,7 @@
 
 use crate::clock::Millis;
 use crate::direct::crashes::Config;
-use crate::direct::crashes::Merged;
+use crate::direct::crashes::merged::Merged;
 use crate::direct::crashes::report::Stage;
 use crate::direct::crashes::report::Suspect;
 use crate::direct::fingerprint::Fingerprint;
--- /dev/null
+++ b/crates/core/src/direct/crashes/merged.rs
@@ -0,0 +1,88 @@
+//! Crashes, each merged from the reports of all gateways.
+//! Input: reports and the time. It has no state.
+//! Decides which requests were at a server at the time of its crash.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::clock::Millis;
+use crate::direct::crashes::report::Aged;
+use crate::direct::crashes::report::CrashReportId;
+use crate::direct::crashes::report::ServerIncarnation;
+use crate::direct::crashes::report::Stage;
+use crate::direct::crashes::report::Suspect;
+use crate::direct::fingerprint::Fingerprint;
+use crate::direct::fingerprint::FingerprintKind;
+
+/// Error of times that are rounded to milliseconds at both ends.
+const ROUNDING: Millis = Millis(2);
+
+/// A crash as one gateway observed it.
+#[derive(Clone, Debug)]
+pub(super) struct Report {
+    pub(super) at: Aged,
+    pub(super) suspects: BTreeMap<Fingerprint, Suspect>,
+}
+
+/// A crash, merged from all reports of it.
+#[derive(Clone, Debug)]
+pub(super) struct Merged {
+    pub(super) age: Millis,
+    /// Lowest possible age of the first truncated answer at any gateway.
+    min_age: Millis,
+    pub(super) suspects: BTreeMap<Fingerprint, Suspect>,
+}
+
+impl Merged {
+    /// Whether a request was in [`Stage::Starting`] at the crash.
+    pub(super) fn was_at_start(&self, fingerprint: Fingerprint) -> bool {
+        self.suspects.get(&fingerprint).is_some_and(|one| one.stage == Stage::Starting)
+    }
+
+    /// Whether all of these were.
+    pub(super) fn were_at_start(&self, all: &BTreeSet<Fingerprint>) -> bool {
+        all.iter().all(|one| self.was_at_start(*one))
+    }
+
+    /// The parts of prompts that were.
+    pub(super) fn parts_at_start(&self) -> impl Iterator<Item = Fingerprint> {
+        let parts = self.suspects.values().filter(|one| {
+            one.stage == Stage::Starting && one.fingerprint.kind() == FingerprintKind::Part
+        });
+        parts.map(|one| one.fingerprint)
+    }
+}
+
+/// Merges the reports of each crash that are younger than `ttl`. Requests may still be sent to a
+/// crashed server before the crash is detected. One that was sent after the first truncated answer at
+/// any gateway, and that got no answer, did not cause the crash.
+pub(super) fn merge(
+    reports: &BTreeMap<CrashReportId, Report>,
+    ttl: Millis,
+    now: Millis,
+) -> BTreeMap<ServerIncarnation, Merged> {
+    let counts = |report: &&Report| report.at.age(now) < ttl;
+    let mut merged: BTreeMap<ServerIncarnation, Merged> = BTreeMap::new();
+    for ((server, _), report) in reports.iter().filter(|(_, report)| counts(report)) {
+        let (age, (min_age, _)) = (report.at.age(now), report.at.bounds(now));
+        let crash = merged.entry(*server).or_insert_with(|| Merged {
+            age,
+            min_age,
+            suspects: BTreeMap::new(),
+        });
+        crash.age = crash.age.max(age);
+        crash.min_age = crash.min_age.max(min_age);
+    }
+    for ((server, _), report) in reports.iter().filter(|(_, report)| counts(report)) {
+        let Some(crash) = merged.get_mut(server) else { continue };
+        let (_, max_age) = report.at.bounds(now);
+        let was_there = |one: &&Suspect| {
+            one.stage > Stage::Waiting || max_age + one.ran + ROUNDING >= crash.min_age
+        };
+        for suspect in report.suspects.values().filter(was_there) {
+            let known = crash.suspects.entry(suspect.fingerprint).or_insert(*suspect);
+            *known = known.merge(*suspect);
+        }
+    }
+    merged
+}
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -37,6 +37,12 @@
     report(server, suspects)
 }
 
+/// The fingerprints of a request with these parts in its prompt, and one of its own.
+fn request(ids: &[&str]) -> Fingerprints {
+    let whole = Fingerprint::of("/flow/9", Some("paper"), b"a request");
+    Fingerprints::new(whole, "hints", ids.iter().copied().chain(["own"]))
+}
+
 fn with_crashes(count: u64, ids: &[&str]) -> Crashes {
     let mut crashes = Crashes::new(Config::default(), Reporter(1));
     for server in 0..count {
@@ -109,22 +115,36 @@
     assert_eq!(crashes.worth_storing(NOW).len(), 1, "only what is refused is stored");
 }
 
-/// Two parts of which nothing else is known are tried one at a time, which shows the sound one.
+/// A request with parts of which one crashes servers is refused, whichever it is. Each of them alone
+/// is tried one request at a time, which shows the sound one.
 #[test]
-fn parts_that_crashes_do_not_tell_apart_are_tried_one_at_a_time() {
+fn parts_that_crashes_do_not_tell_apart_are_refused_together_and_tried_alone() {
     let mut crashes = with_crashes(MIN_CRASHES, &["common", "bad"]);
     assert_eq!(crashes.refused(NOW), []);
-    let later = NOW + Millis(11_000);
+    let ttl = Config::default().report_ttl;
+    assert_eq!(crashes.refusal(&request(&["common", "bad"]), NOW), Some(ttl));
+    assert_eq!(crashes.refusal(&request(&["other", "bad", "common"]), NOW), Some(ttl));
     for id in ["common", "bad"] {
-        assert!(matches!(crashes.quarantine(part(id), NOW), Quarantine::HeldBack(_)), "{id}");
-        assert_eq!(crashes.quarantine(part(id), later), Quarantine::OneAtATime, "{id}");
+        assert_eq!(crashes.refusal(&request(&[id, "other"]), NOW), None, "{id}");
+        assert_eq!(crashes.quarantine(part(id), NOW), Quarantine::OneAtATime, "{id}");
+    }
+    crashes.record_completed(part("common"), NOW + Millis(100));
+    assert_eq!(crashes.refused(NOW + Millis(100)), [part("bad")]);
+    assert_eq!(crashes.quarantine(part("common"), NOW + Millis(100)), Quarantine::Free);
+}
+
+/// Guards against a sound part that is refused for good since many requests crashed servers before
+/// the first crash was known, and against a part that is tried without end.
+#[test]
+fn a_part_is_refused_for_crashes_without_those_that_it_was_always_with() {
+    let mut crashes = with_crashes(3 * MIN_CRASHES, &["common", "bad"]);
+    assert_eq!(crashes.refused(NOW), []);
+    for server in 0..MIN_CRASHES {
+        assert_eq!(crashes.refused(NOW), [], "{server} trials");
+        crashes.record(&crash(100 + server, &["bad"]), NOW);
     }
-    crashes.record_completed(part("common"), later);
-    assert_eq!(crashes.refused(later), [part("bad")]);
-    assert_eq!(crashes.quarantine(part("common"), later), Quarantine::Free);
-    // Without that, both are refused at last.
-    let crashes = with_crashes(MIN_CRASHES + 4, &["common", "bad"]);
-    assert_eq!(crashes.refused(NOW).len(), 2);
+    assert_eq!(crashes.refused(NOW), [part("bad")]);
+    assert_eq!(crashes.refusal(&request(&["common"]), NOW), None);
 }
 
 /// Guards against sound requests that are refused for good because two parts crash servers, and all
@@ -136,6 +156,32 @@
         crashes.record(&crash(server, &["common", "worse"]), NOW);
     }
     assert!(!crashes.refused(NOW).contains(&part("common")), "{:?}", crashes.refused(NOW));
+    for id in ["bad", "worse"] {
+        assert!(crashes.refusal(&request(&["common", id]), NOW).is_some(), "{id}");
+    }
+    assert_eq!(crashes.quarantine(part("common"), NOW), Quarantine::OneAtATime);
+}
+
+/// Guards against the same as long as one of the two is at fewer crashes than make a part refused.
+#[test]
+fn a_part_at_crashes_of_several_causes_is_not_refused_before_they_are_told_apart() {
+    let mut crashes = with_crashes(MIN_CRASHES - 1, &["common", "bad"]);
+    crashes.record(&crash(10, &["common", "worse"]), NOW);
+    assert_eq!(crashes.refused(NOW), []);
+    assert_eq!(crashes.quarantine(part("common"), NOW), Quarantine::OneAtATime);
+    crashes.record(&crash(11, &["common", "bad"]), NOW);
+    assert!(crashes.refusal(&request(&["common", "bad"]), NOW).is_some());
+    assert_eq!(crashes.refusal(&request(&["common", "worse"]), NOW), None);
+}
+
+/// Guards against a part that is tried again and again because other parts differ in each request.
+#[test]
+fn a_part_beside_a_different_one_at_each_crash_is_refused() {
+    let mut crashes = Crashes::new(Config::default(), Reporter(1));
+    for (server, session) in ["s1", "s2", "s3"].into_iter().enumerate() {
+        crashes.record(&crash(server as u64, &["bad", session]), NOW);
+    }
+    assert_eq!(crashes.refused(NOW), [part("bad")]);
 }
 
 /// Servers may have changed since requests with a part completed.
--- a/crates/direct/src/gateway/crashes.rs
+++ b/crates/direct/src/gateway/crashes.rs
@@ -156,6 +156,8 @@
     on_trial: BTreeSet<Fingerprint>,
     /// Requests and parts whose refusal was logged.
     refusals_logged: BTreeSet<Fingerprint>,
+    /// Parts of prompts of which it was logged that they together make a request refused.
+    combinations_logged: BTreeSet<BTreeSet<Fingerprint>>,
     /// Parts of which it was logged that requests with them are sent one at a time.
     trials_logged: BTreeSet<Fingerprint>,
     /// Whether this gateway has tried to read the crashes that the platform stores.
@@ -169,8 +171,7 @@
     pub fn crash_refusal(&self, fingerprints: &Fingerprints) -> Option<(Cause, Millis)> {
         let now = self.now();
         let crashes = self.crashes.borrow();
-        let refused = fingerprints.iter().filter_map(|one| crashes.refused_for(one, now)).max();
-        if let Some(left) = refused {
+        if let Some(left) = crashes.refusal(fingerprints, now) {
             return Some((Cause::CrashesServers, left));
         }
         let held = fingerprints.iter().filter_map(|one| match crashes.quarantine(one, now) {
@@ -414,7 +415,7 @@
         fingerprints: &Fingerprints,
         progress: Progress,
     ) {
-        self.add_unconfirmed(server, fingerprints, progress.extent(self.now()));
+        self.add_unconfirmed_request(server, fingerprints, progress.extent(self.now()));
     }
 
     /// Records that a request got its complete answer from a server.
@@ -426,7 +427,7 @@
     ) {
         let now = self.now();
         if completion == Completion::Unconfirmed {
-            self.add_unconfirmed(server, fingerprints, Extent::Completed);
+            self.add_unconfirmed_request(server, fingerprints, Extent::Completed);
         }
         // Whatever became of the server: the answer has got beyond its beginning, which is all that
         // counts for the parts of the prompt.
@@ -443,14 +444,24 @@
 
     /// Records how an attempt ended, which counts once its server answers a later request. For the
     /// parts of its prompt it counts if the answer had got beyond its beginning.
-    fn add_unconfirmed(&self, server: Key<Server>, fingerprints: &Fingerprints, extent: Extent) {
+    fn add_unconfirmed_request(
+        &self,
+        server: Key<Server>,
+        fingerprints: &Fingerprints,
+        extent: Extent,
+    ) {
+        self.add_unconfirmed(server, &[fingerprints.whole], extent);
+        if matches!(extent, Extent::Completed | Extent::Ended(Stage::Running, _)) {
+            self.add_unconfirmed(server, &fingerprints.parts, extent);
+        }
+    }
+
+    fn add_unconfirmed(&self, server: Key<Server>, ended: &[Fingerprint], extent: Extent) {
         let now = self.now();
         let mut detection = self.crash_detection.borrow_mut();
         detection.unconfirmed.retain(|_, unconfirmed| !unconfirmed.is_expired(now));
-        let has_begun = matches!(extent, Extent::Completed | Extent::Ended(Stage::Running, _));
-        let parts = fingerprints.parts.iter().filter(|_| has_begun).copied();
         let unconfirmed = detection.unconfirmed.entry(server).or_default();
-        for fingerprint in std::iter::once(fingerprints.whole).chain(parts) {
+        for fingerprint in ended.iter().copied() {
             unconfirmed.add(EndedAttempt { fingerprint, extent, at: now });
         }
     }
@@ -503,6 +514,22 @@
             self.event_log.state(format_args!("{} is no longer refused", subject(one)));
         }
         detection.refusals_logged = refused;
+        let together: BTreeSet<BTreeSet<Fingerprint>> =
+            self.crashes.borrow().combinations(now).cloned().collect();
+        let numbers = |parts: &BTreeSet<Fingerprint>| {
+            parts.iter().map(|one| one.0.to_string()).collect::<Vec<_>>().join(" and ")
+        };
+        for parts in together.difference(&detection.combinations_logged) {
+            let parts = numbers(parts);
+            self.event_log
+                .state(format_args!("every request with prompt parts {parts} is refused"));
+        }
+        for parts in detection.combinations_logged.difference(&together) {
+            let parts = numbers(parts);
+            self.event_log
+                .state(format_args!("requests with prompt parts {parts} are no longer refused"));
+        }
+        detection.combinations_logged = together;
         let tried = self.crashes.borrow().tried(now).into_iter();
         let tried: BTreeSet<Fingerprint> =
             tried.filter(|one| one.kind() == FingerprintKind::Part).collect();
