A begun answer clears the parts of its prompt once its server answers a later request

A part is suspect only at crashes at which an answer with it was just beginning, and was cleared only by a complete answer, which takes seconds. Meanwhile requests with a sound part that is tried were refused, all but one at a time. Where servers crash within that time, no answer with it was ever complete.

a_part_is_cleared_once_an_answer_with_it_has_begun failed before ("it is sound" of the second request), and holds now. A part that crashes its server after the first event is not cleared by it: no later request is answered.

--- a/crates/direct/src/gateway/crashes.rs
+++ b/crates/direct/src/gateway/crashes.rs
@@ -407,6 +407,17 @@
         }
     }
 
+    /// Records that the first content of an answer has arrived. Once its server answers a later request,
+    /// this clears the parts of its prompt, which are suspect only at crashes before that.
+    pub fn record_begun_answer(&self, server: Key<Server>, fingerprints: &Fingerprints) {
+        let is_suspect = |one: &Fingerprint| self.crashes.borrow().is_suspect(*one);
+        if !fingerprints.parts.iter().any(is_suspect) {
+            return;
+        }
+        let extent = Extent::Ended(Stage::Running, Millis::ZERO);
+        self.add_unconfirmed(server, &fingerprints.parts, extent);
+    }
+
     /// Records that an attempt ended before its answer was complete, and that its server was up as
     /// far as known: the caller disconnected, say. It counts once the server answers again.
     pub fn record_ended_attempt(
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -230,6 +230,8 @@
 fn record_progress<P: Platform>(relay: &mut Relay<P>) {
     if let Some(source) = relay.source.as_ref().filter(|_| !relay.has_progress) {
         source.guard.set_progress(Some(Progress::Running(source.began_at)));
+        let fingerprints = &relay.request.fingerprints;
+        relay.gateway.record_begun_answer(source.guard.server(), fingerprints);
     }
     relay.has_progress = true;
 }
