Soak: sound requests beside crashing parts come at a fixed rate

The ordinary callers send the next request sooner after a refusal, so that moments without a server counted several times. Now 20 a second are sent whether they are served or not. Further parts follow only where there are enough servers to identify one.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -2,13 +2,14 @@
 //! Input: a seed, the running system. State: the list of gateways and the random generator.
 //! Decides which request goes to which gateway and how soon, and the verdict on each answer.
 
+mod crashing;
+
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures_util::StreamExt;
-use futures_util::future::join_all;
 use hooktrestle_users_standin::IDLE_TIMEOUT;
 use hooktrestle_users_standin::caller;
 use rand::RngExt;
@@ -20,10 +21,12 @@
 use tokio::time;
 use tokio::time::Instant;
 
+pub use self::crashing::WAVE;
+pub use self::crashing::send_crashing_requests;
+pub use self::crashing::send_neighbours;
 use crate::backends::Backends;
 use crate::backends::EVENT_INTERVAL;
 use crate::backends::route_of;
-use crate::crashing::CrashCause;
 use crate::fleet;
 use crate::fleet::Fleet;
 use crate::fleet::Gateway;
@@ -31,8 +34,6 @@
 use crate::ledger::Guarantee;
 use crate::ledger::Ledger;
 use crate::ledger::Verdict;
-use crate::schedule::Fault;
-use crate::schedule::FaultKind;
 
 /// Deadline of requests.
 const DEADLINE: Duration = Duration::from_millis(DEADLINE_MS);
@@ -57,10 +58,6 @@
 /// Pause between two requests of one caller.
 const PAUSE_MS: std::ops::Range<u64> = 5..60;
 
-/// Pause between two requests with the same body, or the same part, that crash servers.
-const CRASH_PAUSE_MS: std::ops::Range<u64> = 50..500;
-const PART_PAUSE_MS: std::ops::Range<u64> = 100..2_000;
-
 /// Cause with which a gateway refuses a request that crashes servers.
 const CRASHES_SERVERS: &str = "crashes-servers";
 
@@ -75,17 +72,6 @@
 const COMMON_PART: &str = "c0";
 const SHARED_PARTS: u32 = 3;
 
-/// Route of the requests whose prompts have a part that crashes servers, and of the sound requests
-/// that are compared with others beside them.
-const NEIGHBOURS: &str = "/flow/";
-
-/// Number of requests with a part that crashes servers which are sent at once: more servers than
-/// identify the part crash before any gateway knows of it.
-const WAVE: usize = 6;
-
-/// Time after which the servers that a wave has crashed are replaced.
-const WAVE_INTERVAL: Duration = Duration::from_secs(5);
-
 /// Number of events of a stream.
 const EVENTS: std::ops::Range<u32> = 2..60;
 
@@ -300,9 +286,6 @@
             Err(_) => Verdict::Left(Instant::now()),
         };
         ledger.record_verdict(&id, verdict);
-        if spec.path.starts_with(NEIGHBOURS) && spec.disconnects_after.is_none() {
-            ledger.record_neighbour(&id, sent_at);
-        }
         let has_settled = was_settled && self.is_settled(gateway);
         let was_working = || {
             let deadline_at = sent_at + spec.deadline;
@@ -431,91 +414,6 @@
     format!("{COMMON_PART}:100,{others}:40,{id}:20")
 }
 
-/// Sends requests that crash servers, to randomly drawn gateways: the same one repeatedly, or
-/// different ones whose prompts share a part. Half of the parts begin with a wave of requests; if a
-/// wave does not identify its part, another part follows.
-pub async fn send_crashing_requests(context: Rc<RunContext>, fault: Fault) {
-    let mut rng = ChaCha8Rng::seed_from_u64(fault.target as u64);
-    let path = ["/flow/9", "/safe/9", "/once/9"][rng.random_range(0..3)];
-    let is_part = fault.kind == FaultKind::CrashingPart;
-    let path = if is_part { "/flow/9" } else { path };
-    let mut source = CrashingSource::new(context, path, is_part);
-    let end = Instant::now() + fault.duration;
-    if is_part && fault.target.is_multiple_of(2) {
-        source.send_wave().await;
-        while Instant::now() + WAVE_INTERVAL < end && !source.is_identified() {
-            time::sleep(WAVE_INTERVAL).await;
-            source = CrashingSource::new(source.context, path, is_part);
-            source.send_wave().await;
-        }
-    }
-    while Instant::now() < end && source.context.running.get() {
-        source.send(rng.random_range(0..source.context.fleet.gateways.len())).await;
-        let pause_ms = if is_part { PART_PAUSE_MS } else { CRASH_PAUSE_MS };
-        time::sleep(Duration::from_millis(rng.random_range(pause_ms))).await;
-    }
-}
-
-/// Sends requests with one cause of crashes.
-struct CrashingSource {
-    context: Rc<RunContext>,
-    client: Client,
-    path: &'static str,
-    cause: CrashCause,
-}
-
-impl CrashingSource {
-    fn new(context: Rc<RunContext>, path: &'static str, is_part: bool) -> CrashingSource {
-        let name = context.next_id();
-        let cause = match is_part {
-            true => CrashCause::Part(format!("bad-{name}")),
-            false => CrashCause::Body(format!("crashes servers, {name}")),
-        };
-        context.ledger.add_crash_cause(cause.clone());
-        context.backends.add_crash_cause(cause.clone());
-        CrashingSource { context, client: Client::new(), path, cause }
-    }
-
-    fn is_identified(&self) -> bool {
-        self.context.ledger.is_identified(&self.cause)
-    }
-
-    /// Sends several requests at once.
-    async fn send_wave(&self) {
-        let count = self.context.fleet.gateways.len();
-        join_all((0..WAVE).map(|number| self.send(number % count))).await;
-    }
-
-    /// Sends a request to the gateway with this index, and waits for its answer.
-    async fn send(&self, index: usize) {
-        let CrashingSource { context, client, path, cause } = self;
-        let gateway = context.fleet.gateways[index].at.callers;
-        let id = context.next_id();
-        let repeatable = !path.starts_with("/once");
-        context.record_request(&id, repeatable, DEADLINE, gateway);
-        context.ledger.record_crashing_sent(cause);
-        let request = caller::request(client, gateway, path, &id, DEADLINE_MS);
-        let request = match cause {
-            CrashCause::Body(body) => request.body(body.clone()),
-            CrashCause::Part(part) => {
-                let parts = prompt_parts(&id, part);
-                request.header(PROMPT_PARTS_HEADER, parts).body(format!("prompt of {id}"))
-            }
-        };
-        let verdict = match request.send().await {
-            Ok(answer) if caller::reports_not_run(&answer) && !caller::is_signed(&answer) => {
-                Verdict::NotRun
-            }
-            Ok(answer) => {
-                drop(answer.bytes().await);
-                Verdict::Open
-            }
-            Err(_) => Verdict::Open,
-        };
-        context.ledger.record_verdict(&id, verdict);
-    }
-}
-
 /// Checks repeatedly which configuration is in force at a gateway.
 pub async fn probe_configuration(context: Rc<RunContext>, gateway: Rc<Gateway>) {
     let client = Client::new();
--- /dev/null
+++ b/crates/soak/src/callers/crashing.rs
@@ -0,0 +1,164 @@
+//! Requests that crash servers, and sound ones beside them.
+//! Input: a fault with its duration and random numbers. State: what crashes servers.
+//! Decides which requests crash servers, and when a further part of prompts takes their place.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use hooktrestle_users_standin::caller;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use reqwest::Client;
+use tokio::task;
+use tokio::time;
+use tokio::time::Instant;
+
+use super::DEADLINE;
+use super::DEADLINE_MS;
+use super::PROMPT_PARTS_HEADER;
+use super::RequestSpec;
+use super::RunContext;
+use super::client;
+use super::prompt_parts;
+use super::read_answer;
+use crate::crashing::CrashCause;
+use crate::ledger::Verdict;
+use crate::schedule::Fault;
+use crate::schedule::FaultKind;
+
+/// Pause between two requests with the same body, or the same part, that crash servers.
+const CRASH_PAUSE_MS: std::ops::Range<u64> = 50..500;
+const PART_PAUSE_MS: std::ops::Range<u64> = 100..2_000;
+
+/// Path of the requests whose prompts have a part that crashes servers, and of the sound requests that
+/// are compared with others beside them.
+const CRASHING_PART_PATH: &str = "/flow/9";
+
+/// Time between two of these sound requests, whether they are served or not.
+const NEIGHBOUR_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Number of requests with a part that crashes servers which are sent at once: more servers than
+/// identify the part crash before any gateway knows of it.
+pub const WAVE: usize = 6;
+
+/// Time after which the servers that a wave has crashed are replaced.
+const WAVE_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Sends requests that crash servers, to randomly drawn gateways: the same one repeatedly, or
+/// different ones whose prompts share a part. Half of the parts begin with a wave of requests; if a
+/// wave does not identify its part, another part follows.
+pub async fn send_crashing_requests(context: Rc<RunContext>, fault: Fault) {
+    let mut rng = ChaCha8Rng::seed_from_u64(fault.target as u64);
+    let path = ["/flow/9", "/safe/9", "/once/9"][rng.random_range(0..3)];
+    let is_part = fault.kind == FaultKind::CrashingPart;
+    let path = if is_part { CRASHING_PART_PATH } else { path };
+    let mut source = CrashingSource::new(context, path, is_part);
+    let end = Instant::now() + fault.duration;
+    if is_part && fault.target.is_multiple_of(2) {
+        source.send_wave().await;
+        while Instant::now() + WAVE_INTERVAL < end && !source.is_identified() {
+            time::sleep(WAVE_INTERVAL).await;
+            source = CrashingSource::new(source.context, path, is_part);
+            source.send_wave().await;
+        }
+    }
+    while Instant::now() < end && source.context.running.get() {
+        source.send(rng.random_range(0..source.context.fleet.gateways.len())).await;
+        let pause_ms = if is_part { PART_PAUSE_MS } else { CRASH_PAUSE_MS };
+        time::sleep(Duration::from_millis(rng.random_range(pause_ms))).await;
+    }
+}
+
+/// Sends requests with one cause of crashes.
+struct CrashingSource {
+    context: Rc<RunContext>,
+    client: Client,
+    path: &'static str,
+    cause: CrashCause,
+}
+
+impl CrashingSource {
+    fn new(context: Rc<RunContext>, path: &'static str, is_part: bool) -> CrashingSource {
+        let name = context.next_id();
+        let cause = match is_part {
+            true => CrashCause::Part(format!("bad-{name}")),
+            false => CrashCause::Body(format!("crashes servers, {name}")),
+        };
+        context.ledger.add_crash_cause(cause.clone());
+        context.backends.add_crash_cause(cause.clone());
+        CrashingSource { context, client: Client::new(), path, cause }
+    }
+
+    fn is_identified(&self) -> bool {
+        self.context.ledger.is_identified(&self.cause)
+    }
+
+    /// Sends several requests at once.
+    async fn send_wave(&self) {
+        let count = self.context.fleet.gateways.len();
+        join_all((0..WAVE).map(|number| self.send(number % count))).await;
+    }
+
+    /// Sends a request to the gateway with this index, and waits for its answer.
+    async fn send(&self, index: usize) {
+        let CrashingSource { context, client, path, cause } = self;
+        let gateway = context.fleet.gateways[index].at.callers;
+        let id = context.next_id();
+        let repeatable = !path.starts_with("/once");
+        context.record_request(&id, repeatable, DEADLINE, gateway);
+        context.ledger.record_crashing_sent(cause);
+        let request = caller::request(client, gateway, path, &id, DEADLINE_MS);
+        let request = match cause {
+            CrashCause::Body(body) => request.body(body.clone()),
+            CrashCause::Part(part) => {
+                let parts = prompt_parts(&id, part);
+                request.header(PROMPT_PARTS_HEADER, parts).body(format!("prompt of {id}"))
+            }
+        };
+        let verdict = match request.send().await {
+            Ok(answer) if caller::reports_not_run(&answer) && !caller::is_signed(&answer) => {
+                Verdict::NotRun
+            }
+            Ok(answer) => {
+                drop(answer.bytes().await);
+                Verdict::Open
+            }
+            Err(_) => Verdict::Open,
+        };
+        context.ledger.record_verdict(&id, verdict);
+    }
+}
+
+/// Sends sound requests to all gateways in turn, of the route of those with a part that crashes servers
+/// and with the same first part in their prompts.
+pub async fn send_neighbours(context: Rc<RunContext>) {
+    let client = client();
+    for gateway in context.fleet.gateways.iter().cycle() {
+        if !context.running.get() {
+            return;
+        }
+        let (context, client, callers) = (context.clone(), client.clone(), gateway.at.callers);
+        task::spawn_local(async move {
+            let (id, sent_at) = (context.next_id(), Instant::now());
+            context.record_request(&id, true, DEADLINE, callers);
+            let path = CRASHING_PART_PATH;
+            let request = caller::request(&client, callers, path, &id, DEADLINE_MS);
+            let request = request.header(PROMPT_PARTS_HEADER, prompt_parts(&id, "d0"));
+            let request = request.body(format!("sound prompt of {id}"));
+            let events = path.trim_start_matches("/flow/").parse().ok();
+            let spec = RequestSpec {
+                path: path.to_owned(),
+                repeatable: true,
+                events,
+                deadline: DEADLINE,
+                disconnects_after: None,
+            };
+            let verdict = read_answer(request, &id, &spec, &context.ledger).await;
+            context.ledger.record_verdict(&id, verdict);
+            context.ledger.record_neighbour(&id, sent_at);
+        });
+        time::sleep(NEIGHBOUR_INTERVAL).await;
+    }
+}
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -24,8 +24,10 @@
 use crate::backends::Backends;
 use crate::callers::Caller;
 use crate::callers::RunContext;
+use crate::callers::WAVE;
 use crate::callers::probe_configuration;
 use crate::callers::send_crashing_requests;
+use crate::callers::send_neighbours;
 use crate::fleet::Fleet;
 use crate::ledger::Bounds;
 use crate::ledger::Guarantee;
@@ -152,12 +154,17 @@
     for gateway in &fleet.gateways {
         task::spawn_local(probe_configuration(context.clone(), gateway.clone()));
     }
+    let has_parts = faults.iter().any(|fault| fault.kind == FaultKind::CrashingPart);
+    if has_parts {
+        task::spawn_local(send_neighbours(context.clone()));
+    }
     let start = Instant::now();
     let late = Rc::new(Cell::new((Duration::ZERO, Duration::ZERO)));
     task::spawn_local(track_lateness(start, late.clone()));
     task::spawn_local(inject_faults(context.clone(), start, faults.to_vec()));
     keep_running(&context, start + config.length).await;
-    if faults.iter().any(|fault| fault.kind == FaultKind::CrashingPart) {
+    // With fewer servers, a part may be refused before it has crashed enough of them.
+    if has_parts && config.servers >= WAVE {
         identify_part(&context, start).await;
     }
     wait_until_ready(&context).await;
