A request that is resumed at a second server does not hide the part that crashes both

Where a server's address accepts connections after a crash, a request crashes two servers before the first is known to have crashed. A part is now hidden only by a request that was at all of its crashes.

a_part_at_three_crashes_of_two_requests_is_refused failed before.

--- a/crates/core/src/direct/crashes/attribution.rs
+++ b/crates/core/src/direct/crashes/attribution.rs
@@ -5,7 +5,7 @@
 //! What was at enough crashes explains them, and they do not count against what else was there. A
 //! part counts as there if a request with it was just beginning: a part that crashes servers does so
 //! whatever else the request holds, while other requests with a sound part complete. If one request
-//! was at most of the crashes of a part, the request is the cause, else the part is.
+//! was at all crashes of a part, the request is the cause, else the part is.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -92,12 +92,13 @@
     }));
 }
 
-/// Whether one request was at more than half of the crashes at which a part was just beginning.
+/// Whether one request was at all of the crashes at which a part was just beginning. A request is at
+/// two of them if it was resumed at a second server before the first was known to have crashed.
 fn is_of_one_request(part: Fingerprint, crashes: &[&Merged]) -> bool {
     let mut counts = Counts::new(FingerprintKind::Request);
     let with_part: Vec<&&Merged> = crashes.iter().filter(|it| it.was_at_start(part)).collect();
     with_part.iter().for_each(|crash| counts.add(crash));
-    counts.iter().any(|(_, count)| 2 * count.at_start() > with_part.len())
+    counts.iter().any(|(_, count)| count.at_start() == with_part.len())
 }
 
 /// The part at the fewest crashes first, since a part that many requests share is at the crashes of
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -103,6 +103,18 @@
     assert_eq!(crashes.refused(NOW), [part("bad")]);
 }
 
+/// Guards against a part that crashes two more servers because the request that was resumed at a second
+/// one is taken for the cause.
+#[test]
+fn a_part_at_three_crashes_of_two_requests_is_refused() {
+    let mut crashes = Crashes::new(Config::default(), Reporter(1));
+    for server in 0..3 {
+        let same = crash(server / 2, &["bad"]);
+        crashes.record(&Crash { server: ServerIncarnation(server), ..same }, NOW);
+    }
+    assert_eq!(crashes.refused(NOW), [part("bad")]);
+}
+
 #[test]
 fn a_part_whose_requests_complete_is_not_taken_for_the_cause() {
     let mut crashes = Crashes::new(Config::default(), Reporter(1));
