Crashes are stored from the first one on, so that kills of all gateways do not end what is known

Callers of sound requests found no server: with all gateways killed every few seconds, requests with a part that crashes servers reached them again and again, 15 to 19 crashes in 40 s.

Cause: of parts only restricted ones were stored, and of requests those at two crashes. What was known below the thresholds was in memory alone, so that each kill of all gateways began anew, and no process knew of three crashes. Requests that a server crashes under as they begin had the same fault at their first crash.

Now what was beginning at a crash is stored from the first crash on, but for parts of which an attempt ended well and crashes that a refused part explains. Rows are merged in one step as they are read. All processes that have read a row of an ended one would remove it: now its writer does, or the gateway that grants permits, which reads the table again every 30 s while there are crashes.

--- a/crates/core/src/direct/crashes.rs
+++ b/crates/core/src/direct/crashes.rs
@@ -158,14 +158,11 @@
         let holds_back_all = weak.is_some_and(|weak| weak.is_held_back);
         let merged = self.merged(now);
         let unexplained = merged.iter().filter(|(_, crash)| {
-            let is_explained =
-                crash.suspects.keys().any(|one| self.refused_for(*one, now).is_some())
-                    || self.combinations(now).any(|parts| crash.were_at_start(parts));
             let holds_back = match holds_back_all {
                 true => crash.suspects.contains_key(&fingerprint),
                 false => is_request && crash.was_at_start(fingerprint),
             };
-            holds_back && !is_explained
+            holds_back && !self.is_explained(crash, now)
         });
         let left = unexplained.map(|(server, crash)| self.held_for(*server).since(crash.age)).max();
         match left {
@@ -176,6 +173,17 @@
         }
     }
 
+    /// Whether a refused request, or refused parts, were at a crash.
+    fn is_explained(&self, crash: &Merged, now: Millis) -> bool {
+        crash.suspects.keys().any(|one| self.refused_for(*one, now).is_some())
+            || self.is_explained_by_parts(crash, now)
+    }
+
+    fn is_explained_by_parts(&self, crash: &Merged, now: Millis) -> bool {
+        crash.parts_at_start().any(|one| self.refused_for(one, now).is_some())
+            || self.combinations(now).any(|parts| crash.were_at_start(parts))
+    }
+
     /// How long this gateway holds back requests that were starting at a server as it crashed.
     fn held_for(&self, server: ServerIncarnation) -> Millis {
         let Config { hold_back, hold_back_spread, .. } = self.config;
@@ -201,6 +209,11 @@
         tried.map(|(fingerprint, _)| *fingerprint).collect()
     }
 
+    /// Whether any crash is known.
+    pub fn has_reports(&self) -> bool {
+        !self.reports.is_empty()
+    }
+
     /// Whether a request was at a server at the time of its crash.
     pub fn is_suspect(&self, fingerprint: Fingerprint) -> bool {
         self.reports.values().any(|report| report.suspects.contains_key(&fingerprint))
@@ -250,13 +263,30 @@
         more
     }
 
-    /// What a new process is to know of: requests at more than one crash, and restricted parts.
+    /// What a new process is to know of: restricted parts, requests at more than one crash, and what was
+    /// in [`Stage::Starting`] at a crash that no part explains, but for parts of which attempts ended
+    /// well. That is worth storing from the first crash on, since this process may end before the next.
     pub fn worth_storing(&self, now: Millis) -> BTreeSet<Fingerprint> {
         let is_restricted = |one: &Fingerprint| {
             self.refused.contains_key(one) || self.weak_suspects.contains_key(one)
         };
+        let has_ended_well = |one: &Fingerprint| {
+            self.endings_of(*one, now) > 0 || self.exposure.recent(*one).next().is_some()
+        };
+        let merged = self.merged(now);
+        // A request that was resumed at a second server explains two crashes by itself; they still count
+        // for its parts.
+        let unexplained = merged.values().filter(|crash| !self.is_explained_by_parts(crash, now));
+        let suspects = unexplained.flat_map(|crash| crash.suspects.values());
+        let starting = suspects.filter(|one| one.stage == Stage::Starting);
+        let starting = starting.map(|one| one.fingerprint);
+        let is_stored = |one: &Fingerprint| match one.kind() {
+            FingerprintKind::Request => true,
+            FingerprintKind::Part => !has_ended_well(one),
+        };
         let mut known = self.repeat_suspects(now);
         known.retain(|one| one.kind() == FingerprintKind::Request || is_restricted(one));
+        known.extend(starting.filter(is_stored));
         known
     }
 
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -70,6 +70,7 @@
 fn a_part_at_enough_crashes_of_different_requests_is_refused() {
     let mut crashes = with_crashes(MIN_CRASHES - 1, &["bad"]);
     assert_eq!(crashes.refused(NOW), []);
+    assert!(crashes.worth_storing(NOW).contains(&part("bad")), "this process may end now");
     assert_eq!(crashes.quarantine(part("bad"), NOW), Quarantine::Free);
     crashes.record(&crash(MIN_CRASHES, &["bad"]), NOW);
     assert_eq!(crashes.refused(NOW), [part("bad")]);
@@ -103,6 +104,19 @@
     assert_eq!(crashes.refused(NOW), [part("bad")]);
 }
 
+/// Guards against crashes of a part that are forgotten when all gateways are killed, because a request
+/// that was resumed at a second server is refused for them.
+#[test]
+fn a_part_is_stored_for_crashes_that_a_refused_request_explains() {
+    let mut crashes = Crashes::new(Config::default(), Reporter(1));
+    for server in 0..2 {
+        let same = crash(0, &["bad"]);
+        crashes.record(&Crash { server: ServerIncarnation(server), ..same }, NOW);
+    }
+    assert_eq!(crashes.refused(NOW), [crash(0, &[]).suspects[0].fingerprint]);
+    assert!(crashes.worth_storing(NOW).contains(&part("bad")));
+}
+
 /// Guards against a part that crashes two more servers because the request that was resumed at a second
 /// one is taken for the cause.
 #[test]
--- a/crates/direct/src/crash_sync.rs
+++ b/crates/direct/src/crash_sync.rs
@@ -3,21 +3,24 @@
 //! It decides which rows to write and to remove, and when.
 //!
 //! Gateways gossip crashes; the table serves gateways that start after all others were replaced at
-//! once. It contains only requests that were at two or more crashes, written by the gateways that
-//! observed one of these. This makes a few calls for each request that crashes servers, and
-//! otherwise only one call at each start.
+//! once. It contains what a crash speaks against from the first crash on, written by the gateways that
+//! observed one: all gateways may be replaced again and again before the next crash. This makes a
+//! call or two for each crash, and otherwise only one call at each start.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
 use hooktrestle_core::clock::Millis;
+use hooktrestle_core::direct::crashes::Crash;
 use hooktrestle_core::direct::crashes::EndingCount;
 use hooktrestle_core::direct::crashes::Reporter;
 use hooktrestle_core::direct::fingerprint::Fingerprint;
 use tokio::time;
 
 use crate::gateway::Gateway;
+use crate::permits;
 use crate::platform::Failure;
 use crate::platform::Platform;
 use crate::platform::StoredCrashes;
@@ -38,19 +41,33 @@
 /// many attempts of it ended well: a row is written again only if this changes.
 type StoredEvidence = (usize, bool);
 
+/// The stored rows, as far as this gateway knows.
+#[derive(Default)]
+struct StoredRows {
+    evidence: BTreeMap<Fingerprint, StoredEvidence>,
+    /// Those that this gateway wrote.
+    own: BTreeSet<Fingerprint>,
+}
+
 /// Reads the stored rows, then keeps them up to date until the process ends.
 pub async fn sync_crashes<P: Platform>(gateway: Rc<Gateway<P>>) {
     let mut eras = gateway.watch_eras();
-    let mut stored: BTreeMap<Fingerprint, StoredEvidence> = read(&gateway).await;
+    let mut stored = read(&gateway).await;
     let mut read_era = gateway.platform.store_era();
     loop {
         tokio::select! {
-            () = time::sleep(EXPIRY_CHECK_INTERVAL) => {}
+            () = time::sleep(EXPIRY_CHECK_INTERVAL) => {
+                // Other gateways may have written rows and ended.
+                let has_crashes = gateway.with_crashes(|crashes| crashes.has_reports());
+                if permits::is_granter(&gateway) && (has_crashes || !stored.evidence.is_empty()) {
+                    stored = read(&gateway).await;
+                }
+            }
             // A notification that arrives while this task is busy is not lost: `Notify` stores it.
             () = gateway.crashes_changed.notified() => {}
             _ = eras.wait_for(|era| *era > Some(read_era)) => {
                 // The store may have lost written rows, and may have removed rows again.
-                if !stored.is_empty() || !gateway.crashes_to_store().is_empty() {
+                if !stored.evidence.is_empty() || !gateway.crashes_to_store().is_empty() {
                     time::sleep(gateway.write_delay()).await;
                     stored = read(&gateway).await;
                 }
@@ -92,27 +109,29 @@
     More,
 }
 
-async fn read<P: Platform>(gateway: &Gateway<P>) -> BTreeMap<Fingerprint, StoredEvidence> {
+async fn read<P: Platform>(gateway: &Gateway<P>) -> StoredRows {
     let mut pauses = RetryPauses::default();
     loop {
         match gateway.platform.read_crashes().await {
             Ok(rows) => {
-                let crashes: usize = rows.iter().map(|row| row.crashes.len()).sum();
+                // All at once: a part of the rows may speak against what the others clear.
+                let crashes: Vec<Crash> =
+                    rows.iter().flat_map(|row| row.crashes.iter().cloned()).collect();
+                let ended = rows.iter().map(|row| EndingCount {
+                    fingerprint: row.fingerprint,
+                    reporter: Reporter::STORED,
+                    count: row.ended_attempts,
+                    age: Millis::ZERO,
+                });
                 gateway.event_log.state(format_args!(
-                    "read crash reports of {} requests and parts, {crashes} crashes",
-                    rows.len()
+                    "read crash reports of {} requests and parts, {} in all",
+                    rows.len(),
+                    crashes.len()
                 ));
-                for row in &rows {
-                    let ended = EndingCount {
-                        fingerprint: row.fingerprint,
-                        reporter: Reporter::STORED,
-                        count: row.ended_attempts,
-                        age: Millis::ZERO,
-                    };
-                    gateway.merge_crashes(&row.crashes, &[], &[ended]);
-                }
+                gateway.merge_crashes(&crashes, &[], &ended.collect::<Vec<_>>());
                 gateway.record_crashes_read();
-                return rows.iter().map(|row| (row.fingerprint, evidence(row))).collect();
+                let evidence = rows.iter().map(|row| (row.fingerprint, evidence(row))).collect();
+                return StoredRows { evidence, own: BTreeSet::new() };
             }
             Err(failure) => {
                 // Other gateways send the crashes that they know.
@@ -131,19 +150,25 @@
 /// Writes and removes changed rows, as many as one call may contain.
 async fn write<P: Platform>(
     gateway: &Gateway<P>,
-    stored: &mut BTreeMap<Fingerprint, StoredEvidence>,
+    stored: &mut StoredRows,
 ) -> Result<Remaining, Failure> {
     let mut put: Vec<StoredCrashes> = gateway.crashes_to_store();
-    put.retain(|row| stored.get(&row.fingerprint) != Some(&evidence(row)));
+    put.retain(|row| stored.evidence.get(&row.fingerprint) != Some(&evidence(row)));
     put.truncate(MAX_ROWS);
     let wanted = gateway.with_crashes(|crashes| crashes.worth_storing(gateway.now()));
-    let expired = stored.keys().filter(|fingerprint| !wanted.contains(fingerprint));
+    // All gateways have read the rows of processes that have ended: one of them removes these.
+    let removes_all = permits::is_granter(gateway);
+    let is_removed_here = |one: &&Fingerprint| removes_all || stored.own.contains(one);
+    let expired = stored.evidence.keys().filter(|fingerprint| !wanted.contains(fingerprint));
+    let expired = expired.filter(is_removed_here);
     let expired: Vec<Fingerprint> = expired.take(MAX_ROWS).copied().collect();
     if put.is_empty() && expired.is_empty() {
         return Ok(Remaining::Nothing);
     }
     gateway.platform.write_crashes(&put, &expired).await?;
-    stored.extend(put.iter().map(|row| (row.fingerprint, evidence(row))));
-    stored.retain(|fingerprint, _| !expired.contains(fingerprint));
+    stored.evidence.extend(put.iter().map(|row| (row.fingerprint, evidence(row))));
+    stored.evidence.retain(|fingerprint, _| !expired.contains(fingerprint));
+    stored.own.extend(put.iter().map(|row| row.fingerprint));
+    stored.own.retain(|fingerprint| !expired.contains(fingerprint));
     Ok(Remaining::More)
 }
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -205,6 +205,11 @@
 }
 
 /// The first of the gateways that serve, except those that are skipped.
+/// Whether this gateway grants the permits of all.
+pub fn is_granter<P: Platform>(gateway: &Gateway<P>) -> bool {
+    granter(gateway).is_some_and(|granter| granter.is_own)
+}
+
 fn granter<P: Platform>(gateway: &Gateway<P>) -> Option<Granter> {
     let now = gateway.now();
     let mut skipped = gateway.permit_granters.skipped.borrow_mut();
