--- a/crates/soak/src/backends.rs
+++ b/crates/soak/src/backends.rs
@@ -82,8 +82,6 @@
     server: Server,
     proxy: Proxy,
     data_centre: &'static str,
-    /// Whether its address refuses connections once it has crashed.
-    refuses_when_down: bool,
 }
 
 impl ProxiedServer {
@@ -201,8 +199,15 @@
         let data_centre = DataCentres::of_number(number);
         self.ledger.watch_server(&server);
         self.ledger.data_centres.borrow_mut().add_server(&server.id, data_centre);
-        let refuses_when_down = number.is_multiple_of(2);
-        let proxied = ProxiedServer { server, proxy, data_centre, refuses_when_down };
+        let proxied = ProxiedServer { server, proxy, data_centre };
+        // The addresses of the other servers accept connections without them.
+        if number.is_multiple_of(2) {
+            let ProxiedServer { server, proxy, .. } = proxied.clone();
+            task::spawn_local(async move {
+                server.until_crashed().await;
+                proxy.close();
+            });
+        }
         let cold_for = match temperature {
             Temperature::Warm => Duration::ZERO,
             Temperature::Cold => {
@@ -295,7 +300,7 @@
         let crashed: Vec<ProxiedServer> =
             self.active.borrow().iter().filter(crashed).cloned().collect();
         for ProxiedServer { server, .. } in crashed {
-            self.mark_crashed(&server.id);
+            self.deactivate(&server.id);
             let backends = self.clone();
             task::spawn_local(async move {
                 let delay = backends.replacement_delay.get();
@@ -309,16 +314,6 @@
         (!active.is_empty()).then(|| active[target % active.len()].clone())
     }
 
-    fn mark_crashed(&self, id: &str) {
-        let active = self.active.borrow();
-        let crashed = active.iter().find(|proxied| proxied.server.id == id);
-        if let Some(proxied) = crashed.filter(|proxied| proxied.refuses_when_down) {
-            proxied.proxy.close();
-        }
-        drop(active);
-        self.deactivate(id);
-    }
-
     fn deactivate(&self, id: &str) {
         self.active.borrow_mut().retain(|proxied| proxied.server.id != id);
     }
@@ -445,7 +440,7 @@
     }
 
     async fn crash(&self, server: &Server, duration: Duration, returns: Temperature) {
-        self.mark_crashed(&server.id);
+        self.deactivate(&server.id);
         server.crash();
         self.replace(server, duration, returns).await;
     }
