A server whose address accepts a connection right after its crash is probed once more

A process that has just crashed may accept connections for a moment. Then the crash was known only from the server list, seconds later, and what the gateway had seen was lost if it was killed meanwhile.

--- a/crates/direct/src/gateway/crashes.rs
+++ b/crates/direct/src/gateway/crashes.rs
@@ -47,6 +47,9 @@
 /// Longest wait until urgent gossip was sent: a few gossip rounds of some milliseconds each.
 const URGENT_GOSSIP_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// Time from a probe that is accepted to the next one, if an answer was just beginning.
+const SECOND_PROBE_DELAY: Duration = Duration::from_millis(150);
+
 /// When a caller is to retry whose request is on trial for another caller, and the interval between
 /// two trials at different gateways: streams last 1 to 2 s.
 pub(crate) const TRIAL_INTERVAL: Millis = Millis(1_500);
@@ -260,7 +263,10 @@
             || self
                 .with_crashes(|crashes| crashes.is_one_crash_from_refusal(fingerprints.whole, now))
         {
-            self.probe(server).await;
+            let reachability = self.probe(server).await;
+            if is_starting && reachability == Reachability::Accepts {
+                self.probe_later(server);
+            }
         } else if !is_probing {
             self.set_probing(server, true);
             let gateway = self.clone();
@@ -277,9 +283,20 @@
         }
     }
 
+    /// Probes a server once more. The address of a process that has just crashed may accept
+    /// connections for a moment.
+    fn probe_later(self: &Rc<Self>, server: Key<Server>) {
+        let gateway = self.clone();
+        tokio::task::spawn_local(async move {
+            time::sleep(SECOND_PROBE_DELAY).await;
+            gateway.probe(server).await;
+        });
+    }
+
     /// Probes whether a server has crashed.
-    async fn probe(self: &Rc<Self>, server: Key<Server>) {
-        match self.connect(server).await {
+    async fn probe(self: &Rc<Self>, server: Key<Server>) -> Reachability {
+        let reachability = self.connect(server).await;
+        match reachability {
             Reachability::Accepts => {
                 if let Some(truncations) =
                     self.crash_detection.borrow_mut().truncations.get_mut(&server)
@@ -291,6 +308,7 @@
             // The server list decides.
             Reachability::Unknown => {}
         }
+        reachability
     }
 
     /// Whether a server accepts a new connection.
