--- a/crates/direct/src/gateway/crashes.rs
+++ b/crates/direct/src/gateway/crashes.rs
@@ -6,6 +6,8 @@
 //! a server counts as crashed only if it refuses a connection right afterwards, or if the platform
 //! stops listing it soon after although it was not leaving.
 
+mod log;
+
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::io;
@@ -36,6 +38,7 @@
 use hooktrestle_schema::Cause;
 use tokio::time;
 
+use self::log::LoggedRestrictions;
 use crate::connections::Connection;
 use crate::gateway::Gateway;
 use crate::gateway::slow_servers::Reach;
@@ -157,12 +160,8 @@
     own: BTreeSet<Fingerprint>,
     /// Requests on trial that are in flight.
     on_trial: BTreeSet<Fingerprint>,
-    /// Requests and parts whose refusal was logged.
-    refusals_logged: BTreeSet<Fingerprint>,
-    /// Parts of prompts of which it was logged that they together make a request refused.
-    combinations_logged: BTreeSet<BTreeSet<Fingerprint>>,
-    /// Parts of which it was logged that requests with them are sent one at a time.
-    trials_logged: BTreeSet<Fingerprint>,
+    /// Restrictions that were logged.
+    logged: LoggedRestrictions,
     /// Whether this gateway has tried to read the crashes that the platform stores.
     pub(super) stored_crashes_read: bool,
 }
@@ -389,21 +388,6 @@
         self.log_crash(&id, requests.len(), &parts);
     }
 
-    /// Logs a crash, with the parts of prompts that were just beginning and at how many crashes each
-    /// of them was.
-    fn log_crash(&self, server_id: &str, requests: usize, parts: &[Fingerprint]) {
-        let (now, crashes) = (self.now(), self.crashes.borrow());
-        let part = |one: &Fingerprint| {
-            let (count, endings) =
-                (crashes.crashes_of(*one, now).len(), crashes.endings_of(*one, now));
-            format!("; prompt part {} began there, {count} crashes, {endings} good ends", one.0)
-        };
-        let parts: String = parts.iter().map(part).collect();
-        self.event_log.state(format_args!(
-            "server {server_id} crashed while running {requests} requests{parts}"
-        ));
-    }
-
     /// Records that a server answered a request that was sent at `sent_at`: attempts that ended
     /// there before did not crash it.
     pub fn record_server_answer(&self, server: Key<Server>, sent_at: Millis) {
@@ -520,57 +504,6 @@
         }
     }
 
-    /// Logs changes in which requests are refused, and which parts are tried.
-    fn log_restricted(&self, now: Millis) {
-        let refused: BTreeSet<Fingerprint> =
-            self.crashes.borrow().refused(now).into_iter().collect();
-        self.metrics.crashing_known.set(refused.len() as i64);
-        let mut detection = self.crash_detection.borrow_mut();
-        let subject = |one: &Fingerprint| match one.kind() {
-            FingerprintKind::Request => format!("request with fingerprint {}", one.0),
-            FingerprintKind::Part => format!("every request with prompt part {}", one.0),
-        };
-        for one in refused.difference(&detection.refusals_logged) {
-            let (subject, crashes) = (subject(one), self.crashes.borrow());
-            let (count, endings) =
-                (crashes.crashes_of(*one, now).len(), crashes.endings_of(*one, now));
-            self.event_log.state(format_args!(
-                "{subject} is refused: servers crashed while running it, {count} in all; \
-                 {endings} attempts ended well"
-            ));
-        }
-        for one in detection.refusals_logged.difference(&refused) {
-            self.event_log.state(format_args!("{} is no longer refused", subject(one)));
-        }
-        detection.refusals_logged = refused;
-        let together: BTreeSet<BTreeSet<Fingerprint>> =
-            self.crashes.borrow().combinations(now).cloned().collect();
-        let numbers = |parts: &BTreeSet<Fingerprint>| {
-            parts.iter().map(|one| one.0.to_string()).collect::<Vec<_>>().join(" and ")
-        };
-        for parts in together.difference(&detection.combinations_logged) {
-            let parts = numbers(parts);
-            self.event_log
-                .state(format_args!("every request with prompt parts {parts} is refused"));
-        }
-        for parts in detection.combinations_logged.difference(&together) {
-            let parts = numbers(parts);
-            self.event_log
-                .state(format_args!("requests with prompt parts {parts} are no longer refused"));
-        }
-        detection.combinations_logged = together;
-        let tried = self.crashes.borrow().tried(now).into_iter();
-        let tried: BTreeSet<Fingerprint> =
-            tried.filter(|one| one.kind() == FingerprintKind::Part).collect();
-        for one in tried.difference(&detection.trials_logged) {
-            self.event_log.state(format_args!("{} is sent one at a time", subject(one)));
-        }
-        for one in detection.trials_logged.difference(&tried) {
-            self.event_log.state(format_args!("{} is no longer tried", subject(one)));
-        }
-        detection.trials_logged = tried;
-    }
-
     /// Records that the stored crashes were read or could not be read: callers may be sent here.
     pub fn record_crashes_read(&self) {
         self.crash_detection.borrow_mut().stored_crashes_read = true;
--- /dev/null
+++ b/crates/direct/src/gateway/crashes/log.rs
@@ -0,0 +1,91 @@
+//! Log lines on crashes, and on what is refused or tried for them.
+//! Input: all crashes that this gateway knows. State: the restrictions that were logged.
+//! Decides which of them are new or over.
+
+use std::collections::BTreeSet;
+
+use hooktrestle_core::clock::Millis;
+use hooktrestle_core::direct::fingerprint::Fingerprint;
+use hooktrestle_core::direct::fingerprint::FingerprintKind;
+
+use crate::gateway::Gateway;
+use crate::platform::Platform;
+
+/// Restrictions that were logged and have not ended.
+#[derive(Default)]
+pub(super) struct LoggedRestrictions {
+    /// Requests and parts that are refused.
+    refused: BTreeSet<Fingerprint>,
+    /// Parts of prompts that together make a request refused.
+    combinations: BTreeSet<BTreeSet<Fingerprint>>,
+    /// Parts with which requests are sent one at a time.
+    tried: BTreeSet<Fingerprint>,
+}
+
+impl<P: Platform> Gateway<P> {
+    /// Logs a crash, with the parts of prompts that were just beginning and at how many crashes each
+    /// of them was.
+    pub(super) fn log_crash(&self, server_id: &str, requests: usize, parts: &[Fingerprint]) {
+        let (now, crashes) = (self.now(), self.crashes.borrow());
+        let part = |one: &Fingerprint| {
+            let (count, endings) =
+                (crashes.crashes_of(*one, now).len(), crashes.endings_of(*one, now));
+            format!("; prompt part {} began there, {count} crashes, {endings} good ends", one.0)
+        };
+        let parts: String = parts.iter().map(part).collect();
+        self.event_log.state(format_args!(
+            "server {server_id} crashed while running {requests} requests{parts}"
+        ));
+    }
+
+    /// Logs changes in which requests are refused, and which parts are tried.
+    pub(super) fn log_restricted(&self, now: Millis) {
+        let refused: BTreeSet<Fingerprint> =
+            self.crashes.borrow().refused(now).into_iter().collect();
+        self.metrics.crashing_known.set(refused.len() as i64);
+        let mut detection = self.crash_detection.borrow_mut();
+        let subject = |one: &Fingerprint| match one.kind() {
+            FingerprintKind::Request => format!("request with fingerprint {}", one.0),
+            FingerprintKind::Part => format!("every request with prompt part {}", one.0),
+        };
+        for one in refused.difference(&detection.logged.refused) {
+            let (subject, crashes) = (subject(one), self.crashes.borrow());
+            let (count, endings) =
+                (crashes.crashes_of(*one, now).len(), crashes.endings_of(*one, now));
+            self.event_log.state(format_args!(
+                "{subject} is refused: servers crashed while running it, {count} in all; \
+                 {endings} attempts ended well"
+            ));
+        }
+        for one in detection.logged.refused.difference(&refused) {
+            self.event_log.state(format_args!("{} is no longer refused", subject(one)));
+        }
+        detection.logged.refused = refused;
+        let together: BTreeSet<BTreeSet<Fingerprint>> =
+            self.crashes.borrow().combinations(now).cloned().collect();
+        let numbers = |parts: &BTreeSet<Fingerprint>| {
+            parts.iter().map(|one| one.0.to_string()).collect::<Vec<_>>().join(" and ")
+        };
+        for parts in together.difference(&detection.logged.combinations) {
+            let parts = numbers(parts);
+            self.event_log
+                .state(format_args!("every request with prompt parts {parts} is refused"));
+        }
+        for parts in detection.logged.combinations.difference(&together) {
+            let parts = numbers(parts);
+            self.event_log
+                .state(format_args!("requests with prompt parts {parts} are no longer refused"));
+        }
+        detection.logged.combinations = together;
+        let tried = self.crashes.borrow().tried(now).into_iter();
+        let tried: BTreeSet<Fingerprint> =
+            tried.filter(|one| one.kind() == FingerprintKind::Part).collect();
+        for one in tried.difference(&detection.logged.tried) {
+            self.event_log.state(format_args!("{} is sent one at a time", subject(one)));
+        }
+        for one in detection.logged.tried.difference(&tried) {
+            self.event_log.state(format_args!("{} is no longer tried", subject(one)));
+        }
+        detection.logged.tried = tried;
+    }
+}
