--- a/crates/soak/src/backends.rs
+++ b/crates/soak/src/backends.rs
@@ -10,7 +10,6 @@
 
 use hooktrestle_users_standin::add_streams_by_priority;
 use hooktrestle_users_standin::add_warm_up;
-use hooktrestle_users_standin::configuration_with;
 use hooktrestle_users_standin::evacuation;
 use hooktrestle_users_standin::proxy::Proxy;
 use hooktrestle_users_standin::proxy::State;
@@ -28,11 +27,13 @@
 use tokio::time::Instant;
 
 use crate::callers::LONG_DEADLINE;
+use crate::configurations::Configurations;
 use crate::crashing::CrashCause;
 use crate::data_centres::COLD_START;
 use crate::data_centres::DATA_CENTRES;
 use crate::data_centres::DataCentres;
 use crate::data_centres::WARM_UP_PER_S;
+use crate::firsts_pause;
 use crate::ledger::Ledger;
 use crate::network;
 use crate::schedule::FaultKind;
@@ -60,6 +61,9 @@
 const GROUP_STALL: Duration = Duration::from_millis(1_500);
 const GROUP_START: Duration = Duration::from_millis(600);
 
+/// Time for which a series of configurations goes on after the fault that it belongs to.
+const SERIES_MARGIN: Duration = Duration::from_secs(2);
+
 /// Time between two configurations of a series.
 const SERIES_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -68,7 +72,7 @@
 
 /// Time after the end of a drill within which the operator and the servers write their lost rows
 /// again.
-const REWRITE_WITHIN_MS: u64 = 1_500;
+pub const REWRITE_WITHIN_MS: u64 = 1_500;
 
 /// Tables of the operator and of the servers, whose lost rows are written again after a drill.
 const REWRITTEN_TABLES: [&str; 2] = ["op", "servers"];
@@ -118,8 +122,8 @@
     /// All servers, in the order of their starts: leaving ones run requests too.
     started: RefCell<Vec<Server>>,
     replacement_delay: Cell<Duration>,
-    version: Cell<u64>,
-    accepted_at: Cell<Instant>,
+    /// The configurations that the store accepted.
+    pub configurations: Configurations,
     /// What crashes servers.
     crash_causes: RefCell<Vec<(CrashCause, CrashPoint)>>,
     /// Number of servers in a group; the groups of which servers have crashed, once for each.
@@ -153,8 +157,7 @@
             active: RefCell::default(),
             started: RefCell::default(),
             replacement_delay: Cell::new(REPLACEMENT_DELAY),
-            version: Cell::new(0),
-            accepted_at: Cell::new(Instant::now()),
+            configurations: Configurations::default(),
             crash_causes: RefCell::default(),
             group_size,
             stopped_groups: RefCell::default(),
@@ -184,17 +187,14 @@
         if self.drills.get() > 0 {
             return false;
         }
-        let version = self.version.get() + 1;
-        let route = route_of(version);
-        let mut configuration = configuration_with(version, &[&route]);
+        let mut configuration = self.configurations.next();
         add_warm_up(&mut configuration, WARM_UP_PER_S, COLD_START);
         set_timeouts(&mut configuration, LONG_DEADLINE);
         if self.has_priorities {
             add_streams_by_priority(&mut configuration);
         }
         self.store.put("op", "config", &configuration);
-        self.version.set(version);
-        self.accepted_at.set(Instant::now());
+        self.configurations.record_accepted();
         true
     }
 
@@ -207,11 +207,6 @@
         }
     }
 
-    /// The newest configuration version, and when the store accepted it.
-    pub fn newest_configuration(&self) -> (u64, Instant) {
-        (self.version.get(), self.accepted_at.get())
-    }
-
     async fn add_server(&self, temperature: Temperature, group: u32) {
         let number = self.started.borrow().len() as u32 + 1;
         let server = Server::start(&format!("s{number}")).await;
@@ -406,7 +401,17 @@
             FaultKind::Evacuation => self.evacuate(target, duration).await,
             FaultKind::Overload => self.bound_slots(duration).await,
             FaultKind::RestartSeries => self.lose_answers(duration).await,
-            FaultKind::PlannedSeries => self.configure_in_series(duration).await,
+            FaultKind::PlannedSeries | FaultKind::ConfigurationSeries => {
+                self.configure_in_series(duration).await;
+            }
+            FaultKind::FirstsPause => {
+                let silence = firsts_pause::silence(target);
+                let all = silence + firsts_pause::delay(target) + duration;
+                tokio::join!(
+                    self.set_mode_for(Mode::Unresponsive, silence),
+                    self.configure_in_series(all + SERIES_MARGIN)
+                );
+            }
             FaultKind::ServerMute
             | FaultKind::ServerReset
             | FaultKind::ServerSlow
@@ -576,8 +581,3 @@
         CrashCause::Part(part) => server.crash_on_part_at(part, point),
     }
 }
-
-/// The route that only this version of the configuration has.
-pub fn route_of(version: u64) -> String {
-    format!("v{version}")
-}
--- a/crates/soak/src/bounds.rs
+++ b/crates/soak/src/bounds.rs
@@ -11,6 +11,9 @@
     pub drain: Duration,
     /// From the acceptance of a configuration until it is in force.
     pub configuration: Duration,
+    /// Time without faults of the store, of a gateway and of the path between them after which the
+    /// gateway is bound by `configuration`, whatever happens to other gateways.
+    pub contact: Duration,
     /// From the disconnect of a caller until its server detects it.
     pub close: Duration,
     /// From the end of a gateway until no list for callers contains it.
@@ -40,7 +43,8 @@
     fn default() -> Self {
         Bounds {
             drain: Duration::from_secs(3),
-            configuration: Duration::from_secs(3),
+            configuration: Duration::from_secs(2),
+            contact: Duration::from_secs(3),
             close: Duration::from_secs(1),
             listed: Duration::from_secs(7),
             stop: Duration::from_secs(9),
@@ -58,10 +62,12 @@
     /// Multiplies the default bounds by `factor`, for slow or busy machines.
     pub fn scaled(factor: u32) -> Bounds {
         let Bounds { drain, configuration, close, listed, stop, recovery, .. } = Bounds::default();
-        let Bounds { propagation, held_back, back_off, limit, evacuation, .. } = Bounds::default();
+        let Bounds { contact, propagation, held_back, back_off, limit, evacuation, .. } =
+            Bounds::default();
         Bounds {
             drain: drain * factor,
             configuration: configuration * factor,
+            contact,
             close: close * factor,
             listed: listed * factor,
             stop: stop * factor,
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -26,7 +26,9 @@
 pub use self::crashing::send_neighbours;
 use crate::backends::Backends;
 use crate::backends::EVENT_INTERVAL;
-use crate::backends::route_of;
+use crate::configurations::LASTING_ROUTES;
+use crate::configurations::lasting_route_of;
+use crate::configurations::route_of;
 use crate::fleet;
 use crate::fleet::Fleet;
 use crate::fleet::Gateway;
@@ -417,55 +419,100 @@
 /// Checks repeatedly which configuration is in force at a gateway.
 pub async fn probe_configuration(context: Rc<RunContext>, gateway: Rc<Gateway>) {
     let client = Client::new();
-    // The newest version that the current incarnation of the gateway had in force.
-    let (mut incarnation, mut newest_seen) = (0, 0);
+    let mut seen = SeenConfiguration::default();
     while context.running.get() {
         time::sleep(PROBE_INTERVAL).await;
-        let (newest, accepted_at) = context.backends.newest_configuration();
-        let current_incarnation = gateway.incarnations.get();
-        if incarnation != current_incarnation {
-            (incarnation, newest_seen) = (current_incarnation, 0);
+        let incarnation = gateway.incarnations.get();
+        if seen.incarnation != incarnation {
+            seen = SeenConfiguration { incarnation, ..SeenConfiguration::default() };
         }
-        let in_force = has_route(&context, &client, &gateway, newest).await;
-        if in_force == Some(true) {
-            newest_seen = newest_seen.max(newest);
+        check_no_older(&context, &client, &gateway, &seen).await;
+        if let Some(due) = check_due(&context, &client, &gateway).await {
+            seen.reached = seen.reached.max(due);
         }
-        let late = accepted_at.elapsed() > context.ledger.bounds.configuration;
-        if in_force.is_some()
-            && gateway.is_settled()
-            && context.ledger.no_faults_but_drills_since(accepted_at)
-            && late
-        {
-            context.ledger.record_check(Guarantee::Configuration);
-            if in_force == Some(false) && context.backends.newest_configuration().0 == newest {
-                let detail =
-                    format!("{} does not have configuration {newest} in force", gateway.name);
-                context.ledger.report(Guarantee::Configuration, detail);
-            }
+        let newest = context.backends.configurations.newest();
+        if has_route(&context, &client, &gateway, &route_of(newest)).await == Some(true) {
+            seen.newest = seen.newest.max(newest);
+        }
+    }
+}
+
+/// What one incarnation of a gateway had in force.
+#[derive(Clone, Copy, Debug, Default)]
+struct SeenConfiguration {
+    incarnation: u32,
+    /// The newest version that was in force itself.
+    newest: u64,
+    /// The newest version that was in force itself, or before a later one.
+    reached: u64,
+}
+
+/// Checks that a gateway has no configuration in force that is older than what it had before.
+async fn check_no_older(
+    context: &RunContext,
+    client: &Client,
+    gateway: &Gateway,
+    seen: &SeenConfiguration,
+) {
+    let before = seen.newest.saturating_sub(1);
+    let checks = [
+        (before, route_of(before), Some(true)),
+        (seen.reached, lasting_route_of(seen.reached), Some(false)),
+    ];
+    for (version, route, older) in checks {
+        // The route of a version far behind the newest one does not exist any more.
+        if version == 0 || context.backends.configurations.newest() >= version + LASTING_ROUTES {
+            continue;
         }
-        let older = newest_seen.saturating_sub(1);
-        let has_older =
-            if older > 0 { has_route(&context, &client, &gateway, older).await } else { None };
-        if has_older.is_some() {
+        let in_force = has_route(context, client, gateway, &route).await;
+        if in_force.is_some() {
             context.ledger.record_check(Guarantee::Configuration);
         }
-        if has_older == Some(true) && gateway.incarnations.get() == incarnation {
-            let detail = format!("{} has {older} in force after {newest_seen}", gateway.name);
+        if in_force == older && gateway.incarnations.get() == seen.incarnation {
+            let detail =
+                format!("{} has an older configuration in force after {seen:?}", gateway.name);
             context.ledger.report(Guarantee::Configuration, detail);
         }
     }
 }
 
-/// Whether the route of a version exists; `None` if the response does not show it.
+/// Checks that a gateway has the newest configuration in force that is due, or a later one, and
+/// returns it if it has. Only faults of the gateway, of the store and of the path between them are an
+/// excuse.
+async fn check_due(context: &RunContext, client: &Client, gateway: &Gateway) -> Option<u64> {
+    let RunContext { backends, ledger, .. } = context;
+    let (sent_at, contact) = (Instant::now(), ledger.bounds.contact);
+    let due = backends.configurations.newest_before(sent_at - ledger.bounds.configuration);
+    if due == 0 {
+        return None;
+    }
+    let is_bound = || {
+        ledger.store_is_sound_since(sent_at - contact)
+            && gateway.has_run_for(contact)
+            && gateway.has_reached_store_for(contact)
+    };
+    let was_bound = is_bound();
+    let in_force = has_route(context, client, gateway, &lasting_route_of(due)).await?;
+    if was_bound && is_bound() {
+        ledger.record_check(Guarantee::Configuration);
+        if !in_force {
+            let detail = format!("{} does not have configuration {due} in force", gateway.name);
+            ledger.report(Guarantee::Configuration, detail);
+        }
+    }
+    in_force.then_some(due)
+}
+
+/// Whether a route exists; `None` if the response does not show it.
 async fn has_route(
     context: &RunContext,
     client: &Client,
     gateway: &Gateway,
-    version: u64,
+    route: &str,
 ) -> Option<bool> {
     let id = context.next_id();
     context.record_request(&id, true, DEADLINE, gateway.at.callers);
-    let path = format!("/{}/0", route_of(version));
+    let path = format!("/{route}/0");
     let request = caller::request(client, gateway.at.callers, &path, &id, DEADLINE_MS);
     let answer = request.send().await.ok()?;
     match answer.status() {
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -30,6 +30,8 @@
 use tokio::time::Instant;
 
 use crate::backends::Backends;
+use crate::data_centres::DATA_CENTRES;
+use crate::firsts_pause;
 use crate::ledger::Guarantee;
 use crate::ledger::Ledger;
 use crate::network;
@@ -58,6 +60,9 @@
 /// Time in which a process that was started or resumed receives the current state.
 const SETTLE_TIME: Duration = Duration::from_secs(4);
 
+/// Number of gateways in a data centre, before further ones are in the next.
+const GATEWAYS_PER_DATA_CENTRE: usize = 3;
+
 /// File name of the gateway program.
 const PROGRAM: &str = "hooktrestle-gateway";
 
@@ -102,6 +107,10 @@
     resumed_at: Cell<Instant>,
     /// Number of active faults that affect the process. The last one to end starts it again.
     active_faults: Cell<u32>,
+    data_centre: &'static str,
+    /// Number of active faults of its path to the store, and when the last one ended.
+    active_path_faults: Cell<u32>,
+    path_restored_at: Cell<Instant>,
 }
 
 impl Gateway {
@@ -116,6 +125,11 @@
         !has_fault && self.resumed_at.get().elapsed() > duration
     }
 
+    /// Whether it had a path to the store for this time.
+    pub fn has_reached_store_for(&self, duration: Duration) -> bool {
+        self.active_path_faults.get() == 0 && self.path_restored_at.get().elapsed() > duration
+    }
+
     /// The id of its process, if one runs.
     pub fn process_id(&self) -> Option<u32> {
         self.child.borrow().as_ref().and_then(Child::id)
@@ -194,7 +208,13 @@
             let store = backends.add_store_endpoint().await;
             let store_proxy = Proxy::open(store.address).await;
             let settings = folder.join(format!("{name}.ini"));
-            let text = settings_text(&name, &at, store_proxy.address, &seeds.join(","), retries);
+            let text = settings_text(
+                (&name, data_centre(index)),
+                &at,
+                store_proxy.address,
+                &seeds.join(","),
+                retries,
+            );
             fs::write(&settings, text)?;
             gateways.push(Rc::new(Gateway {
                 name,
@@ -208,6 +228,9 @@
                 stopped_at: Cell::new(None),
                 resumed_at: Cell::new(Instant::now()),
                 active_faults: Cell::new(0),
+                data_centre: data_centre(index),
+                active_path_faults: Cell::new(0),
+                path_restored_at: Cell::new(Instant::now()),
             }));
         }
         let fleet = Rc::new(Fleet { gateways, program: program.to_owned(), ledger });
@@ -235,6 +258,13 @@
     /// Injects a fault into a gateway, and waits until the fault has ended.
     pub async fn inject(&self, kind: FaultKind, target: usize, duration: Duration) {
         let gateway = self.gateways[target % self.gateways.len()].clone();
+        if kind.affects_path_to_store() {
+            gateway.active_path_faults.set(gateway.active_path_faults.get() + 1);
+            inject_path_fault(&gateway, kind, duration).await;
+            gateway.active_path_faults.set(gateway.active_path_faults.get() - 1);
+            gateway.path_restored_at.set(Instant::now());
+            return;
+        }
         match kind {
             FaultKind::Kill => self.kill(&[gateway], duration).await,
             FaultKind::Off if self.settled_others(&gateway) > 1 => {
@@ -250,22 +280,20 @@
             FaultKind::Stop => self.stop(&gateway).await,
             FaultKind::HangUp => hang_up(&gateway),
             FaultKind::PlannedSeries => self.stop_in_series(target, duration).await,
-            FaultKind::StoreMute
-            | FaultKind::StoreReset
-            | FaultKind::StoreSlow
-            | FaultKind::StoreHoldsRequests
-            | FaultKind::StoreHoldsAnswers => {
-                network::inject(&gateway.store_proxy, kind, duration).await
-            }
-            FaultKind::StoreTurnsAway => {
-                gateway.store.set_mode(Mode::Busy);
-                time::sleep(duration).await;
-                gateway.store.set_mode(Mode::Normal);
-            }
+            FaultKind::FirstsPause => self.pause_firsts(target, duration).await,
             _ => {}
         }
     }
 
+    /// Suspends the first gateway of each data centre some time after the store was silent.
+    async fn pause_firsts(&self, target: usize, duration: Duration) {
+        time::sleep(firsts_pause::silence(target) + firsts_pause::delay(target)).await;
+        let firsts = DATA_CENTRES.iter().filter_map(|data_centre| {
+            self.gateways.iter().find(|gateway| gateway.data_centre == *data_centre)
+        });
+        join_all(firsts.map(|gateway| self.pause(gateway, duration))).await;
+    }
+
     async fn kill(&self, gateways: &[Rc<Gateway>], duration: Duration) {
         for gateway in gateways {
             gateway.active_faults.set(gateway.active_faults.get() + 1);
@@ -399,6 +427,17 @@
     }
 }
 
+/// Injects a fault of the path between a gateway and the store, and waits until it has ended.
+async fn inject_path_fault(gateway: &Gateway, kind: FaultKind, duration: Duration) {
+    if kind == FaultKind::StoreTurnsAway {
+        gateway.store.set_mode(Mode::Busy);
+        time::sleep(duration).await;
+        gateway.store.set_mode(Mode::Normal);
+    } else {
+        network::inject(&gateway.store_proxy, kind, duration).await;
+    }
+}
+
 /// Announces changed settings to a gateway whose process has been loaded.
 fn hang_up(gateway: &Gateway) {
     if gateway.handles_signals() {
@@ -417,8 +456,14 @@
     1 << (signal.as_raw() - 1)
 }
 
+/// Data centre of the gateway with this number: neighbours share one, so that the gateways of one are
+/// first, second and third by their names.
+fn data_centre(index: usize) -> &'static str {
+    DATA_CENTRES[index / GATEWAYS_PER_DATA_CENTRE % DATA_CENTRES.len()]
+}
+
 fn settings_text(
-    name: &str,
+    (name, data_centre): (&str, &str),
     at: &Addresses,
     store: SocketAddr,
     seeds: &str,
@@ -427,7 +472,7 @@
     let RetryBound { ratio, slack, window } = retries;
     let Addresses { callers, endpoints, readiness, peers } = at;
     format!(
-        "[instance]\nname = {name}\ndata_centre = hall\nstop_within_s = {STOP_WITHIN_S}\n\
+        "[instance]\nname = {name}\ndata_centre = {data_centre}\nstop_within_s = {STOP_WITHIN_S}\n\
          [listen]\ncallers = {callers}\nreadiness = {readiness}\nendpoints = {endpoints}\n\
          peers = {peers}\n[platform]\nstore = {store}\nseeds = {seeds}\n\
          [repeats]\nratio_part = {ratio}\nslack_requests = {slack}\nwindow_s = {}\n",
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -18,6 +18,7 @@
 use hooktrestle_users_standin::server::Server;
 use tokio::time::Instant;
 
+use crate::backends::REWRITE_WITHIN_MS;
 pub use crate::bounds::Bounds;
 use crate::crashing::Crashing;
 use crate::data_centres::DataCentreCheck;
@@ -64,6 +65,9 @@
 /// detect its effects.
 const SETTLE_TIME: Duration = Duration::from_secs(4);
 
+/// Time after a drill until the operator has written again what the store has lost.
+const REWRITE_WITHIN: Duration = Duration::from_millis(REWRITE_WITHIN_MS);
+
 /// Faults in which servers crash.
 const CRASH_FAULTS: [FaultKind; 4] = [
     FaultKind::ServerCrash,
@@ -314,18 +318,15 @@
         others.all(|(_, _, until)| *until + SETTLE_TIME < from)
     }
 
-    /// As [`Ledger::no_faults_since`] for a write that the store accepted at `from`. A drill is no excuse if it began
-    /// after all gateways had time to receive the write, or if it ended before `from` and gateways
-    /// had time to recover from it.
-    pub fn no_faults_but_drills_since(&self, from: Instant) -> bool {
-        let (now, applied_by) = (Instant::now(), from + self.bounds.configuration);
+    /// Whether the store served all gateways from `from` on. After a drill, the operator writes again
+    /// what the store has lost.
+    pub fn store_is_sound_since(&self, from: Instant) -> bool {
         let faults = self.faults.borrow();
-        let excludes = |(kind, started, until): &(FaultKind, Instant, Instant)| match kind {
-            FaultKind::StoreDrill if *until < from => *until + SETTLE_TIME >= now,
-            FaultKind::StoreDrill => *started < applied_by,
-            kind => !PLANNED.contains(kind) && *until + SETTLE_TIME >= from,
-        };
-        !faults.iter().any(excludes)
+        let mut of_store = faults.iter().filter(|(kind, ..)| kind.affects_whole_store());
+        of_store.all(|(kind, _, until)| match kind {
+            FaultKind::StoreDrill => *until + REWRITE_WITHIN < from,
+            _ => *until < from,
+        })
     }
 
     fn no_faults_but(&self, kinds: &[FaultKind], from: Instant) -> bool {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -13,8 +13,10 @@
 //! - [`fleet`]: the gateway processes and signals to them; it stops only processes that it started.
 //! - [`attempts`]: the servers that run one request, and the time that they get.
 //! - [`backends`]: the store and the backend servers, and their faults.
+//! - [`firsts_pause`]: silence of the store before gateways that others rely on are suspended.
 //! - [`network`]: faults of the connections between gateways and these.
 //! - [`callers`]: the clients that send requests, and wait for answers or disconnect.
+//! - [`configurations`]: the configurations that the operator writes.
 //! - [`crashing`]: requests and parts of prompts that crash servers, and what they still reach.
 //! - [`crash_shapes`]: where servers end under such parts, and how requests with them are sent.
 //! - [`ledger`]: the answers to callers, the requests that servers ran, and the checks of the
@@ -34,9 +36,11 @@
 pub mod backends;
 pub mod bounds;
 pub mod callers;
+pub mod configurations;
 pub mod crash_shapes;
 pub mod crashing;
 pub mod data_centres;
+pub mod firsts_pause;
 pub mod fleet;
 pub mod ledger;
 pub mod limits;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -30,6 +30,7 @@
 use crate::callers::send_crashing_requests;
 use crate::callers::send_neighbours;
 use crate::crash_shapes;
+use crate::firsts_pause;
 use crate::fleet::Fleet;
 use crate::ledger::Bounds;
 use crate::ledger::Guarantee;
@@ -263,6 +264,10 @@
         let now = Instant::now();
         context.ledger.record_fault(fault.kind, now, now + effect_duration(&fault));
         let (fleet, backends) = (context.fleet.clone(), context.backends.clone());
+        if fault.kind == FaultKind::FirstsPause {
+            let silence = firsts_pause::silence(fault.target);
+            context.ledger.record_fault(FaultKind::StoreSilent, now, now + silence);
+        }
         if fault.kind == FaultKind::Overload {
             for number in 0..overload::BURST_CALLERS {
                 task::spawn_local(overload::send_streams(context.clone(), fault, number));
@@ -298,6 +303,10 @@
         // The maximum duration of a stop.
         FaultKind::Stop => Duration::from_secs(9),
         FaultKind::PlannedSeries => fault.duration + Duration::from_secs(9),
+        FaultKind::FirstsPause => {
+            let silence = firsts_pause::silence(fault.target);
+            silence + firsts_pause::delay(fault.target) + fault.duration
+        }
         _ => fault.duration,
     }
 }
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -100,10 +100,15 @@
     /// Gateways receive `SIGTERM` one after the other, before the earlier ones have exited, while all
     /// receive `SIGHUP` again and again and new configurations are written in quick succession.
     PlannedSeries,
+    /// New configurations are written in quick succession.
+    ConfigurationSeries,
+    /// The store does not respond for a moment; then the first gateway of each data centre is
+    /// suspended, while new configurations are written in quick succession.
+    FirstsPause,
 }
 
 /// All kinds, with their names for `--faults`.
-pub const FAULT_KINDS: [(&str, FaultKind); 41] = [
+pub const FAULT_KINDS: [(&str, FaultKind); 43] = [
     ("kill", FaultKind::Kill),
     ("off", FaultKind::Off),
     ("kill-all", FaultKind::KillAll),
@@ -145,6 +150,8 @@
     ("restart-series", FaultKind::RestartSeries),
     ("kill-series", FaultKind::KillSeries),
     ("planned-series", FaultKind::PlannedSeries),
+    ("configuration-series", FaultKind::ConfigurationSeries),
+    ("firsts-pause", FaultKind::FirstsPause),
 ];
 
 impl FaultKind {
@@ -167,6 +174,27 @@
     }
 }
 
+impl FaultKind {
+    /// Whether the store does not serve any gateway as usual during the fault.
+    pub fn affects_whole_store(self) -> bool {
+        self.affects_store() && !self.affects_path_to_store()
+    }
+
+    /// Whether the store does not serve one gateway as usual during the fault, or the connections
+    /// between them are disturbed.
+    pub fn affects_path_to_store(self) -> bool {
+        matches!(
+            self,
+            FaultKind::StoreTurnsAway
+                | FaultKind::StoreMute
+                | FaultKind::StoreReset
+                | FaultKind::StoreSlow
+                | FaultKind::StoreHoldsRequests
+                | FaultKind::StoreHoldsAnswers
+        )
+    }
+}
+
 impl Display for FaultKind {
     fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
         let named = FAULT_KINDS.iter().find(|(_, kind)| kind == self);
@@ -255,7 +283,7 @@
 const FIRST_PART_AT: std::ops::Range<f64> = 0.1..0.5;
 
 /// Planned operations, and notices of servers: all guarantees hold during them.
-pub const PLANNED: [FaultKind; 9] = [
+pub const PLANNED: [FaultKind; 10] = [
     FaultKind::Stop,
     FaultKind::HangUp,
     FaultKind::ServerDrain,
@@ -265,11 +293,12 @@
     FaultKind::ServerUnframed,
     FaultKind::Evacuation,
     FaultKind::PlannedSeries,
+    FaultKind::ConfigurationSeries,
 ];
 
 /// Kinds that are drawn from random generators of their own, so that the other faults of a seed are
 /// the same with and without them.
-const SEPARATELY_DRAWN: [FaultKind; 13] = [
+const SEPARATELY_DRAWN: [FaultKind; 15] = [
     FaultKind::CrashingRequest,
     FaultKind::CrashingPart,
     FaultKind::ServerUnframed,
@@ -283,6 +312,8 @@
     FaultKind::RestartSeries,
     FaultKind::KillSeries,
     FaultKind::PlannedSeries,
+    FaultKind::ConfigurationSeries,
+    FaultKind::FirstsPause,
 ];
 
 /// Time between two drills; one in so many is followed by the next after the shorter time.
@@ -363,6 +394,14 @@
                 let mut rng = ChaCha8Rng::seed_from_u64((!seed).rotate_left(3));
                 draw_series(&mut rng, kind, end, &mut faults);
             }
+            FaultKind::ConfigurationSeries => {
+                let mut rng = ChaCha8Rng::seed_from_u64((!seed).rotate_left(5));
+                draw_series(&mut rng, kind, end, &mut faults);
+            }
+            FaultKind::FirstsPause => {
+                let mut rng = ChaCha8Rng::seed_from_u64((!seed).rotate_left(6));
+                draw_series(&mut rng, kind, end, &mut faults);
+            }
             _ => draw_notices(&mut rng, kind, end, &mut faults),
         }
     }
