Logs and metrics: the age of each table, and which call of the store failed after what time

A call that the store reset and one that it did not answer in time had one cause in the log, and no line told which table, how long the call had waited, or how long changes may have been missed.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -7,6 +7,7 @@
 //!
 //! - [`serving`]: the configuration in force: routes, accounts, limits.
 //! - [`replica`]: replica of a table of the platform, from the store or from peers.
+//! - [`table_age`]: how long ago a replica was known to be complete.
 //! - [`unconfirmed`]: rows that the platform's store lost, until they are written again or lapse.
 //! - [`members`]: membership of the gateways and failure detection.
 //! - [`pool`]: choice of the backend server for a request.
@@ -72,6 +73,7 @@
 pub mod serving;
 pub mod shared_faults;
 pub mod slow_servers;
+pub mod table_age;
 pub mod truncated_answers;
 pub mod unconfirmed;
 pub mod unconfirmed_endings;
--- a/crates/direct/src/endpoints.rs
+++ b/crates/direct/src/endpoints.rs
@@ -85,7 +85,10 @@
             let ready = gateway.readiness() == Readiness::Ready;
             status(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
         }
-        QueryKind::Metrics => Response::new(Full::new(Bytes::from(gateway.metrics.text()))),
+        QueryKind::Metrics => {
+            gateway.record_table_ages();
+            Response::new(Full::new(Bytes::from(gateway.metrics.text())))
+        }
         QueryKind::Endpoints => match gateway.platform.asks_for_endpoints(path, query) {
             Some(query) => endpoints(gateway, &query),
             None => status(StatusCode::NOT_FOUND),
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -53,6 +53,7 @@
 use hooktrestle_core::direct::replica::Replica;
 use hooktrestle_core::direct::serving::ServingConfig;
 use hooktrestle_core::direct::slow_servers::SlowServerReports;
+use hooktrestle_core::direct::table_age::TableAge;
 use hooktrestle_core::direct::unconfirmed::Holds;
 use hooktrestle_core::direct::unconfirmed::Unconfirmed;
 use hooktrestle_core::suspension::SuspensionDetector;
@@ -152,6 +153,7 @@
     pool: RefCell<Pool>,
     members: RefCell<Members>,
     replicas: RefCell<BTreeMap<Table, Replica>>,
+    table_ages: RefCell<BTreeMap<Table, TableAge>>,
     evacuations: RefCell<Evacuations>,
     /// Rows of the server list that the store has lost.
     unconfirmed: RefCell<Unconfirmed>,
@@ -227,6 +229,7 @@
             pool: RefCell::new(Pool::new(pool::Config::default())),
             members: RefCell::new(Members::new(members::Config::default(), own)),
             replicas: RefCell::new(Table::ALL.map(|table| (table, Replica::default())).into()),
+            table_ages: RefCell::default(),
             evacuations: RefCell::default(),
             unconfirmed: RefCell::new(Unconfirmed::new(Holds::SERVERS)),
             rows_lost: Notify::new(),
--- a/crates/direct/src/gateway/tables.rs
+++ b/crates/direct/src/gateway/tables.rs
@@ -2,6 +2,7 @@
 //! A replica of each table is kept, and the rows that the store has lost.
 //! This module decides which changes take effect, and which gateways receive them at once.
 
+use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::replica::LostRow;
 use hooktrestle_core::direct::replica::Replica;
 use hooktrestle_core::direct::replica::Revision;
@@ -28,6 +29,25 @@
         self.revision(table) > Revision::default()
     }
 
+    /// Records that all changes of a table up to a time are known.
+    pub fn confirm_table(&self, table: Table, at: Millis) {
+        self.table_ages.borrow_mut().entry(table).or_default().confirm(at);
+    }
+
+    /// Time since all changes of a table were known; `None` before the first answer of the store.
+    pub fn table_age(&self, table: Table) -> Option<Millis> {
+        self.table_ages.borrow().get(&table)?.get(self.now())
+    }
+
+    /// Sets the metrics of the ages of the tables.
+    pub fn record_table_ages(&self) {
+        for table in [Table::Configuration, Table::Servers] {
+            if let Some(age) = self.table_age(table) {
+                self.metrics.record_table_age(table.name(), age);
+            }
+        }
+    }
+
     /// Changes of a table after `revision`, for another gateway.
     pub fn since(&self, table: Table, revision: Revision) -> Option<Update> {
         self.replicas.borrow().get(&table)?.since(revision)
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -2,6 +2,7 @@
 //! Input are the events that its tasks count or observe.
 //! This module decides the names, help texts and text format that scrapers read.
 
+use hooktrestle_core::clock::Millis;
 use hooktrestle_schema::Cause;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -89,6 +90,8 @@
     /// For each service and urgency: thousandths of the requests that are admitted, by the newest
     /// notice.
     pub admitted_thousandths: Family<Labels, Gauge>,
+    /// For each table of the store: milliseconds since all its changes were known.
+    pub table_age_ms: Family<Labels, Gauge>,
     /// Milliseconds from the head of a request to the head of its answer.
     pub head_ms: Histogram,
     /// Milliseconds between two events of a stream: the duration of a pass of its group.
@@ -129,6 +132,7 @@
             answer_bytes: Gauge::default(),
             unread_bytes: Gauge::default(),
             gateways_alive: Gauge::default(),
+            table_age_ms: Family::default(),
             evacuated_data_centres: Gauge::default(),
             crashing_known: Gauge::default(),
             room_streams: Family::default(),
@@ -198,6 +202,8 @@
             help,
             metrics.admitted_thousandths.clone(),
         );
+        let help = "Milliseconds since all changes of a table were known";
+        metrics.registry.register("table_age_ms", help, metrics.table_age_ms.clone());
         let help = "Milliseconds from a request's head to its answer's head";
         metrics.registry.register("head_ms", help, metrics.head_ms.clone());
         let help = "Milliseconds between two events of a stream";
@@ -216,6 +222,12 @@
         }
     }
 
+    /// Records how long ago all changes of a table were known.
+    pub fn record_table_age(&self, table: &str, age: Millis) {
+        let labels = vec![("table", table.to_owned())];
+        self.table_age_ms.get_or_create(&labels).set(age.0 as i64);
+    }
+
     /// Records the room of a service, which this gateway keeps.
     pub fn record_room(&self, service: &str, streams: f64, open: f64) {
         let labels = || vec![("service", service.to_owned())];
--- a/crates/direct/src/platform.rs
+++ b/crates/direct/src/platform.rs
@@ -65,8 +65,10 @@
     Unreachable,
     /// The store refused the call, and nothing was done.
     Refused(u16),
-    /// No answer: the call may have taken effect, or may do so later.
+    /// No answer in time: the call may have taken effect, or may do so later.
     Lost,
+    /// The connection ended before the answer: as [`Failure::Lost`].
+    Disconnected,
     /// The requested history is not available any more: the table has to be read anew.
     HistoryGone,
     /// The answer is malformed.
@@ -79,6 +81,9 @@
             Failure::Unreachable => write!(f, "the store is unreachable"),
             Failure::Refused(status) => write!(f, "the store refused with status {status}"),
             Failure::Lost => write!(f, "the store gave no answer in time"),
+            Failure::Disconnected => {
+                write!(f, "the connection to the store ended before its answer")
+            }
             Failure::HistoryGone => {
                 write!(f, "the requested history of the store is not available any more")
             }
--- a/crates/direct/src/table_sync.rs
+++ b/crates/direct/src/table_sync.rs
@@ -5,7 +5,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::members::StoreFollowing;
+use hooktrestle_core::direct::table_age;
 use tokio::time;
 
 use crate::gateway::Gateway;
@@ -50,13 +52,19 @@
     let mut whole = true;
     let mut is_stale = false;
     let mut pause = RETRY_PAUSE;
+    let mut has_failed = false;
     loop {
+        let wait = if whole { Duration::ZERO } else { next_wait(&gateway).await };
+        let sent_at = gateway.now();
         let response = if whole {
             gateway.platform.read(table).await
         } else {
-            let wait = next_wait(&gateway).await;
             gateway.platform.follow(table, gateway.revision(table), wait).await
         };
+        let failure = response.as_ref().err().filter(|failure| **failure != Failure::HistoryGone);
+        if !std::mem::replace(&mut has_failed, failure.is_some()) {
+            log_failure(&gateway, table, sent_at, failure);
+        }
         match response {
             Ok(update) if whole && update.revision < gateway.revision(table) => {
                 // The store returned an older state than this gateway has received from peers.
@@ -70,8 +78,13 @@
             Ok(update) => {
                 gateway.record_store_answers(true, &"");
                 gateway.apply_update(table, &update, "store");
+                let has_changes = !update.changes.is_empty();
+                gateway.confirm_table(
+                    table,
+                    table_age::proven_by_answer(sent_at, Millis::from(wait), has_changes),
+                );
                 (whole, is_stale) = (false, false);
-                if !update.changes.is_empty() {
+                if has_changes {
                     time::sleep(batch_pause(&gateway)).await;
                 }
             }
@@ -96,6 +109,22 @@
     }
 }
 
+/// Logs the first of consecutive failed calls, if the response is one.
+fn log_failure<P: Platform>(
+    gateway: &Gateway<P>,
+    table: Table,
+    sent_at: Millis,
+    failure: Option<&Failure>,
+) {
+    let Some(failure) = failure else { return };
+    gateway.event_log.state(format_args!(
+        "cannot follow {}: {failure}, {} after the call, {} after all changes were known",
+        table.name(),
+        gateway.now().since(sent_at),
+        gateway.table_age(table).unwrap_or_default()
+    ));
+}
+
 /// Waits for rows that the store has lost. Checks them until their servers have written them again
 /// or they have expired. Runs until the process ends.
 pub async fn watch_unconfirmed_rows<P: Platform>(gateway: Rc<Gateway<P>>) {
