Each close follower of the store notices lost answers by itself

What callers saw: up to 8.75 s after a moment without answers of the store, the second and the third gateway of a data centre handled requests as only an older configuration allows, though neither they nor the store had a fault for 3 s.

Cause: only the first gateway of a data centre waited so briefly that it noticed a silent connection in time. The others waited 8 s, and relied on it for the changes; it was suspended. A bound on one process was kept only while another one was alive.

All close followers now wait for as long as their own bound allows: the time in which they have to be current, from the platform's settings, less the time until a call is given up. Where that time is longer than 3 s, calls are fewer than before.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -7,6 +7,7 @@
 //!
 //! - [`serving`]: the configuration in force: routes, accounts, limits.
 //! - [`replica`]: replica of a table of the platform, from the store or from peers.
+//! - [`follow_calls`]: how long calls to the store may wait for changes of a table.
 //! - [`table_age`]: how long ago a replica was known to be complete.
 //! - [`unconfirmed`]: rows that the platform's store lost, until they are written again or lapse.
 //! - [`members`]: membership of the gateways and failure detection.
@@ -55,6 +56,7 @@
 pub mod expert_plan;
 pub mod fencing;
 pub mod fingerprint;
+pub mod follow_calls;
 pub mod holders;
 pub mod level;
 pub mod map_orders;
--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -87,10 +87,9 @@
 /// How closely a gateway follows the tables of the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum StoreFollowing {
-    /// It waits for changes at the store, for a short time each.
+    /// It waits for changes at the store, and is the first of its data centre to ask again after one.
     First,
-    /// It waits for changes at the store, for a longer time each: if answers fail to arrive, the
-    /// first follower sends it the changes.
+    /// It waits for changes at the store.
     Close,
     /// It polls rarely, and receives changes from close followers.
     Loose,
@@ -445,8 +444,7 @@
 
     /// How closely this gateway follows the store. The first gateways by name of each data centre
     /// follow closely, of those that the store answers, and so does a gateway without a recent
-    /// gossip exchange. They send the others what the store's answers to these lack. One of each
-    /// data centre notices first if the store's answers fail to arrive.
+    /// gossip exchange. They send the others what these lack.
     pub fn store_following(&self, now: Millis) -> StoreFollowing {
         let is_alone =
             self.exchanged_at.is_none_or(|at| now.since(at) >= self.config.isolated_after);
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -36,6 +36,7 @@
 use hooktrestle_core::direct::crashes::Crashes;
 use hooktrestle_core::direct::crashes::Reporter;
 use hooktrestle_core::direct::evacuations::Evacuations;
+use hooktrestle_core::direct::follow_calls;
 use hooktrestle_core::direct::members;
 use hooktrestle_core::direct::members::Member;
 use hooktrestle_core::direct::members::Members;
@@ -104,6 +105,8 @@
 pub struct Gateway<P> {
     /// The platform that the gateway runs on.
     pub platform: P,
+    /// Time bounds of the calls that follow its tables.
+    pub follow_calls: follow_calls::Config,
     /// Clock of the process.
     pub clock: ProcessClock,
     suspension: Cell<SuspensionDetector>,
@@ -183,6 +186,7 @@
     /// A gateway without any tables or peers.
     pub fn new(
         platform: P,
+        follow_calls: follow_calls::Config,
         own: Member,
         budget: budget::Config,
         sidecars_port: u16,
@@ -193,6 +197,7 @@
         let answers = Bodies::new(budget_bytes(own.memory_bytes), metrics.answer_bytes.clone());
         Gateway {
             platform,
+            follow_calls,
             clock,
             suspension: Cell::default(),
             event_log: EventLog::default(),
--- a/crates/direct/src/platform.rs
+++ b/crates/direct/src/platform.rs
@@ -12,6 +12,7 @@
 use hooktrestle_core::direct::count_deltas::Counts;
 use hooktrestle_core::direct::crashes::Crash;
 use hooktrestle_core::direct::fingerprint::Fingerprint;
+use hooktrestle_core::direct::follow_calls::FollowCall;
 use hooktrestle_core::direct::map_orders::FencedOrder;
 use hooktrestle_core::direct::map_orders::RankReport;
 use hooktrestle_core::direct::map_orders::Reply;
@@ -255,13 +256,13 @@
     /// Reads a complete table.
     fn read(&self, table: Table) -> impl Future<Output = Result<Update, Failure>>;
 
-    /// Waits at most `wait` for changes after `revision`. The history is not available once the
-    /// store is in another era.
+    /// Waits for changes after `revision`. The history is not available once the store is in another
+    /// era.
     fn follow(
         &self,
         table: Table,
         revision: Revision,
-        wait: Duration,
+        call: FollowCall,
     ) -> impl Future<Output = Result<Update, Failure>>;
 
     /// Writes or removes rows of gateways in [`Table::Members`], at most [`MAX_MEMBER_ROWS`]; returns
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -16,6 +16,7 @@
 use hooktrestle_clock::ProcessClock;
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::budget;
+use hooktrestle_core::direct::follow_calls;
 use hooktrestle_core::direct::members::Member;
 use hooktrestle_core::direct::members::Readiness;
 use hooktrestle_core::direct::planned_stop;
@@ -121,6 +122,7 @@
         peers: Rc::new(Peers::default()),
         gateway: Rc::new(Gateway::new(
             platform,
+            follow_calls(settings),
             own_member(settings, callers_listener.local_addr()?, peers_listener.local_addr()?),
             budget_config(settings),
             listen.sidecars_port,
@@ -268,6 +270,15 @@
     }
 }
 
+/// A call that waits for changes is overdue after half the time-out of other calls, since changes are
+/// delayed for as long.
+fn follow_calls(settings: &DirectSettings) -> follow_calls::Config {
+    follow_calls::Config {
+        current_within: Millis(settings.platform.current_within_ms),
+        overdue_after: Millis(settings.platform.timeout_ms / 2),
+    }
+}
+
 fn own_member(settings: &DirectSettings, callers_at: SocketAddr, peers_at: SocketAddr) -> Member {
     let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     Member {
--- a/crates/direct/src/table_sync.rs
+++ b/crates/direct/src/table_sync.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use hooktrestle_core::clock::Millis;
+use hooktrestle_core::direct::follow_calls::FollowCall;
 use hooktrestle_core::direct::members::StoreFollowing;
 use hooktrestle_core::direct::table_age;
 use tokio::time;
@@ -15,16 +16,6 @@
 use crate::platform::Platform;
 use crate::platform::Table;
 
-/// Time for which one call waits for changes. A call whose response was lost delivers nothing until
-/// its time-out, and changes are due two seconds after the store has been stable for three. So the
-/// wait and its time-out together stay below three seconds. Each call has a price, so the wait is
-/// not much shorter.
-const FOLLOW_WAIT: Duration = Duration::from_millis(2_000);
-
-/// Time for which one call of the other close followers waits. If their responses fail to arrive,
-/// the first follower of the data centre, which waits for `FOLLOW_WAIT`, sends them the changes.
-const LONG_FOLLOW_WAIT: Duration = Duration::from_millis(8_000);
-
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -40,8 +31,8 @@
 /// each call has a price. The pause delays changes that are due within two seconds.
 const BATCH_PAUSE: Duration = Duration::from_millis(200);
 
-/// Pause of the other gateways after a change. The first follower of the data centre, which pauses
-/// for `BATCH_PAUSE`, sends them the changes in between.
+/// Pause of the other gateways after a change. It is shorter than the time in which changes are due;
+/// mostly the first follower of the data centre, which pauses for `BATCH_PAUSE`, sends them before.
 const LONG_BATCH_PAUSE: Duration = Duration::from_millis(1_000);
 
 /// Time between two checks of whether this gateway is to follow closely, or of unconfirmed rows.
@@ -54,12 +45,11 @@
     let mut pause = RETRY_PAUSE;
     let mut has_failed = false;
     loop {
-        let wait = if whole { Duration::ZERO } else { next_wait(&gateway).await };
+        let call = if whole { None } else { Some(next_call(&gateway).await) };
         let sent_at = gateway.now();
-        let response = if whole {
-            gateway.platform.read(table).await
-        } else {
-            gateway.platform.follow(table, gateway.revision(table), wait).await
+        let response = match call {
+            Some(call) => gateway.platform.follow(table, gateway.revision(table), call).await,
+            None => gateway.platform.read(table).await,
         };
         let failure = response.as_ref().err().filter(|failure| **failure != Failure::HistoryGone);
         if !std::mem::replace(&mut has_failed, failure.is_some()) {
@@ -79,10 +69,9 @@
                 gateway.record_store_answers(true, &"");
                 gateway.apply_update(table, &update, "store");
                 let has_changes = !update.changes.is_empty();
-                gateway.confirm_table(
-                    table,
-                    table_age::proven_by_answer(sent_at, Millis::from(wait), has_changes),
-                );
+                let wait = call.map_or(Millis::ZERO, |call| call.wait);
+                let proven = table_age::proven_by_answer(sent_at, wait, has_changes);
+                gateway.confirm_table(table, proven);
                 (whole, is_stale) = (false, false);
                 if has_changes {
                     time::sleep(batch_pause(&gateway)).await;
@@ -141,19 +130,16 @@
     gateway.with_members(|members| members.store_following(now))
 }
 
-/// The time for which the next call may wait for changes. While other gateways follow closely, this
-/// returns only after the poll interval, or once they are gone or this gateway is cut off from
-/// them.
-async fn next_wait<P: Platform>(gateway: &Gateway<P>) -> Duration {
-    match store_following(gateway) {
-        StoreFollowing::First => return FOLLOW_WAIT,
-        StoreFollowing::Close => return LONG_FOLLOW_WAIT,
-        StoreFollowing::Loose => {}
+/// The next call. While other gateways follow closely, this returns only after the poll interval, or
+/// once they are gone or this gateway is cut off from them.
+async fn next_call<P: Platform>(gateway: &Gateway<P>) -> FollowCall {
+    if store_following(gateway) != StoreFollowing::Loose {
+        return gateway.follow_calls.waiting();
     }
     let interval = gateway.with_members(|members| members.loose_poll_interval());
     tokio::select! {
-        () = time::sleep(Duration::from(interval)) => Duration::ZERO,
-        () = until_follows_closely(gateway) => FOLLOW_WAIT,
+        () = time::sleep(Duration::from(interval)) => gateway.follow_calls.polling(),
+        () = until_follows_closely(gateway) => gateway.follow_calls.waiting(),
     }
 }
 
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -517,6 +517,9 @@
 ///Section `[platform]`.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct DirectPlatformSettings {
+    ///Time for which a gateway and the store are undisturbed after which the gateway has to know all earlier changes of the tables. Calls that wait for changes are shorter.
+    #[serde(default = "defaults::default_u64::<u64, 3000>")]
+    pub current_within_ms: u64,
     ///Addresses of the gateways that are contacted first for gossip, comma-separated.
     #[serde(default)]
     pub seeds: ::std::string::String,
