The time since the last answer on a connection counts towards the wait of its next call

What callers saw: where a gateway's connections to the store went silent just after a change, changes of the next 3 s and more came late.

Cause: after a change a gateway pauses, for up to 1 s, and its next call then waited for as long as any other, although the connection could have gone silent during the pause. The bound runs from the last answer, not from the call.

--- a/crates/direct/src/platform.rs
+++ b/crates/direct/src/platform.rs
@@ -76,6 +76,16 @@
     Malformed,
 }
 
+impl Failure {
+    /// Whether the call got a response, so that its connection is used again.
+    pub fn is_response(self) -> bool {
+        match self {
+            Failure::Refused(_) | Failure::HistoryGone | Failure::Malformed => true,
+            Failure::Unreachable | Failure::Lost | Failure::Disconnected => false,
+        }
+    }
+}
+
 impl fmt::Display for Failure {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/direct/src/table_sync.rs
+++ b/crates/direct/src/table_sync.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use hooktrestle_core::clock::Millis;
+use hooktrestle_core::direct::follow_calls::Connection;
 use hooktrestle_core::direct::follow_calls::FollowCall;
 use hooktrestle_core::direct::members::StoreFollowing;
 use hooktrestle_core::direct::table_age;
@@ -44,13 +45,20 @@
     let mut is_stale = false;
     let mut pause = RETRY_PAUSE;
     let mut has_failed = false;
+    let mut connection = Connection::default();
     loop {
-        let call = if whole { None } else { Some(next_call(&gateway).await) };
+        let call = if whole { None } else { Some(next_call(&gateway, connection).await) };
         let sent_at = gateway.now();
         let response = match call {
             Some(call) => gateway.platform.follow(table, gateway.revision(table), call).await,
             None => gateway.platform.read(table).await,
         };
+        if call.is_some() {
+            match response.as_ref().map_or_else(|failure| failure.is_response(), |_| true) {
+                true => connection.record_answer(gateway.now()),
+                false => connection.record_end(),
+            }
+        }
         let failure = response.as_ref().err().filter(|failure| **failure != Failure::HistoryGone);
         if !std::mem::replace(&mut has_failed, failure.is_some()) {
             log_failure(&gateway, table, sent_at, failure);
@@ -134,14 +142,15 @@
 
 /// The next call. While other gateways follow closely, this returns only after the poll interval, or
 /// once they are gone or this gateway is cut off from them.
-async fn next_call<P: Platform>(gateway: &Gateway<P>) -> FollowCall {
+async fn next_call<P: Platform>(gateway: &Gateway<P>, connection: Connection) -> FollowCall {
+    let waiting = || gateway.follow_calls.waiting(connection, gateway.now());
     if store_following(gateway) != StoreFollowing::Loose {
-        return gateway.follow_calls.waiting();
+        return waiting();
     }
     let interval = gateway.with_members(|members| members.loose_poll_interval());
     tokio::select! {
         () = time::sleep(Duration::from(interval)) => gateway.follow_calls.polling(),
-        () = until_follows_closely(gateway) => gateway.follow_calls.waiting(),
+        () = until_follows_closely(gateway) => waiting(),
     }
 }
 
