Gateways tell each other how old their tables are, and poll only those that are overdue

They polled once in 15 s or, in large fleets, once in as many seconds as there are gateways, whatever the others knew.

A reply to gossip now has the age of each table. A gateway that has all changes of the sender's revision knows its table to be as old, and polls once that is older than close followers and gossip take, after a random time that grows with the fleet. In fleets of more than three gateways a data centre this saves the polls, which the shorter waits of close followers cost.

--- a/crates/core/src/direct/members.rs
+++ b/crates/core/src/direct/members.rs
@@ -51,11 +51,8 @@
     pub unlist_after: Millis,
     /// Gateways of each data centre that follow the store closely.
     pub close_followers: usize,
-    /// Minimum time between two polls of a table by a gateway that does not follow closely.
-    pub min_loose_poll_interval: Millis,
-    /// Mean time between two such polls by different gateways, so that their rate does not grow
-    /// with the fleet. Changes come from the close followers, and a gateway that loses contact with
-    /// them follows closely itself.
+    /// Mean time between polls of an overdue table by different gateways that do not follow closely, so
+    /// that their rate does not grow with the fleet.
     pub loose_poll_spacing: Millis,
     /// Time between two gossip exchanges that one gateway starts.
     pub gossip_interval: Millis,
@@ -76,8 +73,7 @@
             remove_after: Millis(60_000),
             unlist_after: Millis(600_000),
             close_followers: 3,
-            min_loose_poll_interval: Millis(15_000),
-            loose_poll_spacing: Millis(1_000),
+            loose_poll_spacing: Millis(100),
             gossip_interval: Millis(600),
             isolated_after: Millis(1_500),
         }
@@ -91,7 +87,7 @@
     First,
     /// It waits for changes at the store.
     Close,
-    /// It polls rarely, and receives changes from close followers.
+    /// It receives changes from close followers, and polls only while a table is overdue.
     Loose,
 }
 
@@ -462,11 +458,11 @@
         }
     }
 
-    /// Time between two polls of a table by this gateway while it does not follow closely.
-    pub fn loose_poll_interval(&self) -> Millis {
+    /// Random time from when a table is overdue until this gateway polls it, while it does not follow
+    /// closely.
+    pub fn loose_poll_delay<R: Rng>(&self, rng: &mut R) -> Millis {
         let fleet = 1 + self.others.len() as u64;
-        let spaced = Millis(self.config.loose_poll_spacing.0 * fleet);
-        spaced.max(self.config.min_loose_poll_interval)
+        Millis(rng.random_range(0..=self.config.loose_poll_spacing.0 * fleet))
     }
 
     /// Addresses for gossip of the other gateways that are alive.
--- a/crates/direct/src/gateway/tables.rs
+++ b/crates/direct/src/gateway/tables.rs
@@ -34,6 +34,23 @@
         self.table_ages.borrow_mut().entry(table).or_default().confirm(at);
     }
 
+    /// Records that another gateway knew all changes of a table up to `revision` that existed `age` ago.
+    pub fn confirm_table_by_peer(&self, table: Table, revision: Revision, age: Millis) {
+        let (known, now) = (self.revision(table), self.now());
+        // Revisions of two eras are not comparable, and times before the start have no value.
+        if known.era == revision.era && known >= revision && age <= now {
+            self.confirm_table(table, now - age);
+        }
+    }
+
+    /// Whether it is so long ago that all changes of a table were known that the gateways which follow
+    /// the store closely may not receive them either.
+    pub fn is_table_overdue(&self, table: Table) -> bool {
+        let propagation = self.with_members(|members| members.propagation_time());
+        let max_age = self.follow_calls.current_within + propagation;
+        self.table_age(table).is_none_or(|age| age > max_age)
+    }
+
     /// Time since all changes of a table were known; `None` before the first answer of the store.
     pub fn table_age(&self, table: Table) -> Option<Millis> {
         self.table_ages.borrow().get(&table)?.get(self.now())
--- a/crates/direct/src/peers/messages.rs
+++ b/crates/direct/src/peers/messages.rs
@@ -254,7 +254,13 @@
         known: [Table::Configuration, Table::Servers]
             .map(|table| {
                 let Revision { era, count } = gateway.revision(table);
-                TableKnown { table: table.name().to_owned(), era_number: era, revision: count }
+                let age_ms = gateway.table_age(table).map(|age| age.0);
+                TableKnown {
+                    table: table.name().to_owned(),
+                    era_number: era,
+                    revision: count,
+                    age_ms,
+                }
             })
             .to_vec(),
         news: updates.collect(),
@@ -359,6 +365,13 @@
     let delay = gateway.now().since(sent_at);
     // Gateways that are not known here need no request: the reply has their records, too.
     apply_message(gateway, message, &received_heartbeats(message, delay), delay);
+    // Of other messages it is not known how long they were in transit.
+    for known in &message.known {
+        let revision = Revision { era: known.era_number, count: known.revision };
+        if let (Some(table), Some(age_ms)) = (Table::of_name(&known.table), known.age_ms) {
+            gateway.confirm_table_by_peer(table, revision, Millis(age_ms) + delay);
+        }
+    }
 }
 
 /// Applies a message that another gateway sent up to `delay` ago, with these heartbeats. Returns
--- a/crates/direct/src/table_sync.rs
+++ b/crates/direct/src/table_sync.rs
@@ -47,7 +47,7 @@
     let mut has_failed = false;
     let mut connection = Connection::default();
     loop {
-        let call = if whole { None } else { Some(next_call(&gateway, connection).await) };
+        let call = if whole { None } else { Some(next_call(&gateway, table, connection).await) };
         let sent_at = gateway.now();
         let response = match call {
             Some(call) => gateway.platform.follow(table, gateway.revision(table), call).await,
@@ -140,20 +140,38 @@
     gateway.with_members(|members| members.store_following(now))
 }
 
-/// The next call. While other gateways follow closely, this returns only after the poll interval, or
-/// once they are gone or this gateway is cut off from them.
-async fn next_call<P: Platform>(gateway: &Gateway<P>, connection: Connection) -> FollowCall {
+/// The next call. While other gateways follow closely, this returns only once the table is overdue, the
+/// others are gone, or this gateway is cut off from them.
+async fn next_call<P: Platform>(
+    gateway: &Gateway<P>,
+    table: Table,
+    connection: Connection,
+) -> FollowCall {
     let waiting = || gateway.follow_calls.waiting(connection, gateway.now());
     if store_following(gateway) != StoreFollowing::Loose {
         return waiting();
     }
-    let interval = gateway.with_members(|members| members.loose_poll_interval());
     tokio::select! {
-        () = time::sleep(Duration::from(interval)) => gateway.follow_calls.polling(),
+        () = until_overdue(gateway, table) => gateway.follow_calls.polling(),
         () = until_follows_closely(gateway) => waiting(),
     }
 }
 
+/// Waits until a table is overdue and no other gateway has helped for a random time: one that reads the
+/// table sends it to the others.
+async fn until_overdue<P: Platform>(gateway: &Gateway<P>, table: Table) {
+    loop {
+        while !gateway.is_table_overdue(table) {
+            time::sleep(CHECK_INTERVAL).await;
+        }
+        let delay = gateway.with_members(|members| members.loose_poll_delay(&mut rand::rng()));
+        time::sleep(delay.into()).await;
+        if gateway.is_table_overdue(table) {
+            return;
+        }
+    }
+}
+
 /// Pause after a change of the store.
 fn batch_pause<P: Platform>(gateway: &Gateway<P>) -> Duration {
     match store_following(gateway) {
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -1858,6 +1858,9 @@
 ///The revision up to which a gateway has a table.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct TableKnown {
+    ///Time since the store had no changes after this revision; not present if that is not known.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub age_ms: ::std::option::Option<u64>,
     ///Number of times that the store was restored from an older copy.
     #[serde(default)]
     pub era_number: u64,
