--- a/crates/direct/src/table_sync.rs
+++ b/crates/direct/src/table_sync.rs
@@ -79,7 +79,7 @@
                 let has_changes = !update.changes.is_empty();
                 let wait = call.map_or(Millis::ZERO, |call| call.wait);
                 let proven = table_age::proven_by_answer(sent_at, wait, has_changes);
-                gateway.confirm_table(table, proven);
+                gateway.confirm_table(table, proven.min(gateway.now()));
                 (whole, is_stale) = (false, false);
                 if has_changes {
                     time::sleep(batch_pause(&gateway)).await;
