--- a/crates/direct/src/gateway/configurations.rs
+++ b/crates/direct/src/gateway/configurations.rs
@@ -47,11 +47,9 @@
         self.with_pool(|pool| pool.set_warm_ups(warm_ups.collect()));
         self.limits_changed.notify_one();
         self.serving.replace(Rc::new(serving));
-        let age = self.table_age(Table::Configuration);
-        self.event_log.state(format_args!(
-            "configuration {version} in force, from {source}, {} after all changes were known",
-            age.unwrap_or_default()
-        ));
+        let age = self.table_age_text(Table::Configuration);
+        self.event_log
+            .state(format_args!("configuration {version} in force, from {source}, {age}"));
     }
 
     /// Retains the table of the configuration, which is about to be replaced by an older copy.
--- a/crates/direct/src/gateway/tables.rs
+++ b/crates/direct/src/gateway/tables.rs
@@ -56,6 +56,14 @@
         self.table_ages.borrow().get(&table)?.get(self.now())
     }
 
+    /// The age of a table, for log lines.
+    pub fn table_age_text(&self, table: Table) -> String {
+        match self.table_age(table) {
+            Some(age) => format!("{age} after all changes were known"),
+            None => "no answer of the store before".to_owned(),
+        }
+    }
+
     /// Sets the metrics of the ages of the tables.
     pub fn record_table_ages(&self) {
         for table in [Table::Configuration, Table::Servers] {
--- a/crates/direct/src/table_sync.rs
+++ b/crates/direct/src/table_sync.rs
@@ -117,10 +117,10 @@
 ) {
     let Some(failure) = failure else { return };
     gateway.event_log.state(format_args!(
-        "cannot follow {}: {failure}, {} after the call, {} after all changes were known",
+        "cannot follow {}: {failure}, {} after the call, {}",
         table.name(),
         gateway.now().since(sent_at),
-        gateway.table_age(table).unwrap_or_default()
+        gateway.table_age_text(table)
     ));
 }
 
