Soak: servers that leave get nothing 2 s later from gateways without faults of their own, whatever happens to others

The bound was 3 s, and any fault at all excused all gateways. What a gateway is excused by is now kept in one place, for configurations and for drains.

--- a/crates/soak/src/bounds.rs
+++ b/crates/soak/src/bounds.rs
@@ -42,7 +42,7 @@
     /// service requires. The other bounds allow for a busy machine.
     fn default() -> Self {
         Bounds {
-            drain: Duration::from_secs(3),
+            drain: Duration::from_secs(2),
             configuration: Duration::from_secs(2),
             contact: Duration::from_secs(3),
             close: Duration::from_secs(1),
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -481,16 +481,12 @@
 /// excuse.
 async fn check_due(context: &RunContext, client: &Client, gateway: &Gateway) -> Option<u64> {
     let RunContext { backends, ledger, .. } = context;
-    let (sent_at, contact) = (Instant::now(), ledger.bounds.contact);
+    let sent_at = Instant::now();
     let due = backends.configurations.newest_before(sent_at - ledger.bounds.configuration);
     if due == 0 {
         return None;
     }
-    let is_bound = || {
-        ledger.store_is_sound_since(sent_at - contact)
-            && gateway.has_run_for(contact)
-            && gateway.has_reached_store_for(contact)
-    };
+    let is_bound = || ledger.is_in_contact(gateway.index, sent_at);
     let was_bound = is_bound();
     let in_force = has_route(context, client, gateway, &lasting_route_of(due)).await?;
     if was_bound && is_bound() {
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -108,9 +108,8 @@
     /// Number of active faults that affect the process. The last one to end starts it again.
     active_faults: Cell<u32>,
     data_centre: &'static str,
-    /// Number of active faults of its path to the store, and when the last one ended.
-    active_path_faults: Cell<u32>,
-    path_restored_at: Cell<Instant>,
+    /// Its number.
+    pub index: usize,
 }
 
 impl Gateway {
@@ -125,11 +124,6 @@
         !has_fault && self.resumed_at.get().elapsed() > duration
     }
 
-    /// Whether it had a path to the store for this time.
-    pub fn has_reached_store_for(&self, duration: Duration) -> bool {
-        self.active_path_faults.get() == 0 && self.path_restored_at.get().elapsed() > duration
-    }
-
     /// The id of its process, if one runs.
     pub fn process_id(&self) -> Option<u32> {
         self.child.borrow().as_ref().and_then(Child::id)
@@ -229,8 +223,7 @@
                 resumed_at: Cell::new(Instant::now()),
                 active_faults: Cell::new(0),
                 data_centre: data_centre(index),
-                active_path_faults: Cell::new(0),
-                path_restored_at: Cell::new(Instant::now()),
+                index,
             }));
         }
         let fleet = Rc::new(Fleet { gateways, program: program.to_owned(), ledger });
@@ -252,6 +245,7 @@
         gateway.incarnations.set(gateway.incarnations.get() + 1);
         gateway.down_since.set(None);
         gateway.resumed_at.set(Instant::now());
+        self.ledger.record_disturbance(gateway.index, 0, 0);
         Ok(())
     }
 
@@ -259,10 +253,9 @@
     pub async fn inject(&self, kind: FaultKind, target: usize, duration: Duration) {
         let gateway = self.gateways[target % self.gateways.len()].clone();
         if kind.affects_path_to_store() {
-            gateway.active_path_faults.set(gateway.active_path_faults.get() + 1);
+            self.ledger.record_disturbance(gateway.index, 1, 0);
             inject_path_fault(&gateway, kind, duration).await;
-            gateway.active_path_faults.set(gateway.active_path_faults.get() - 1);
-            gateway.path_restored_at.set(Instant::now());
+            self.ledger.record_disturbance(gateway.index, 0, 1);
             return;
         }
         match kind {
@@ -296,7 +289,7 @@
 
     async fn kill(&self, gateways: &[Rc<Gateway>], duration: Duration) {
         for gateway in gateways {
-            gateway.active_faults.set(gateway.active_faults.get() + 1);
+            self.begin_fault(gateway);
             gateway.signal(Signal::KILL);
         }
         for gateway in gateways {
@@ -321,7 +314,7 @@
     }
 
     async fn pause(&self, gateway: &Gateway, duration: Duration) {
-        gateway.active_faults.set(gateway.active_faults.get() + 1);
+        self.begin_fault(gateway);
         gateway.signal(Signal::STOP);
         time::sleep(duration).await;
         gateway.signal(Signal::CONT);
@@ -340,7 +333,7 @@
         if gateway.active_faults.get() > 0 || !gateway.handles_signals() || !has_others {
             return;
         }
-        gateway.active_faults.set(1);
+        self.begin_fault(gateway);
         gateway.stopped_at.set(Some(Instant::now()));
         gateway.signal(Signal::TERM);
         // Time during which another fault affects the process does not count.
@@ -390,9 +383,15 @@
         tokio::join!(join_all(stops), hang_ups);
     }
 
+    fn begin_fault(&self, gateway: &Gateway) {
+        gateway.active_faults.set(gateway.active_faults.get() + 1);
+        self.ledger.record_disturbance(gateway.index, 1, 0);
+    }
+
     /// Ends a fault of a gateway. Starts its process if it is down and no other fault affects it.
     fn end_fault(&self, gateway: &Gateway) {
         gateway.active_faults.set(gateway.active_faults.get().saturating_sub(1));
+        self.ledger.record_disturbance(gateway.index, 0, 1);
         if gateway.active_faults.get() == 0
             && gateway.child.borrow().is_none()
             && let Err(error) = self.start_process(gateway)
@@ -412,7 +411,7 @@
                 );
                 self.ledger.report(Guarantee::Recovery, detail);
                 gateway.mark_down();
-                gateway.active_faults.set(1);
+                self.begin_fault(gateway);
                 self.end_fault(gateway);
             }
         }
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -2,6 +2,7 @@
 //! Input: requests, verdicts, arrivals and faults. State: all of them, and the violations found.
 //! Decides whether the guarantees of the service hold outside of the faults that excuse them.
 
+mod contact;
 mod crashes;
 mod totals;
 
@@ -18,7 +19,7 @@
 use hooktrestle_users_standin::server::Server;
 use tokio::time::Instant;
 
-use crate::backends::REWRITE_WITHIN_MS;
+use self::contact::Contact;
 pub use crate::bounds::Bounds;
 use crate::crashing::Crashing;
 use crate::data_centres::DataCentreCheck;
@@ -65,9 +66,6 @@
 /// detect its effects.
 const SETTLE_TIME: Duration = Duration::from_secs(4);
 
-/// Time after a drill until the operator has written again what the store has lost.
-const REWRITE_WITHIN: Duration = Duration::from_millis(REWRITE_WITHIN_MS);
-
 /// Faults in which servers crash.
 const CRASH_FAULTS: [FaultKind; 4] = [
     FaultKind::ServerCrash,
@@ -221,6 +219,7 @@
     runs: RefCell<HashMap<String, u32>>,
     servers: RefCell<Vec<WatchedServer>>,
     faults: RefCell<Vec<(FaultKind, Instant, Instant)>>,
+    contacts: RefCell<HashMap<usize, Contact>>,
     violations: RefCell<Vec<Violation>>,
     /// How often each time-bounded guarantee was checked.
     check_counts: RefCell<BTreeMap<Guarantee, u32>>,
@@ -254,6 +253,7 @@
             runs: RefCell::default(),
             servers: RefCell::default(),
             faults: RefCell::default(),
+            contacts: RefCell::default(),
             violations: RefCell::default(),
             check_counts: RefCell::default(),
             reported_disconnects: RefCell::default(),
@@ -318,17 +318,6 @@
         others.all(|(_, _, until)| *until + SETTLE_TIME < from)
     }
 
-    /// Whether the store served all gateways from `from` on. After a drill, the operator writes again
-    /// what the store has lost.
-    pub fn store_is_sound_since(&self, from: Instant) -> bool {
-        let faults = self.faults.borrow();
-        let mut of_store = faults.iter().filter(|(kind, ..)| kind.affects_whole_store());
-        of_store.all(|(kind, _, until)| match kind {
-            FaultKind::StoreDrill => *until + REWRITE_WITHIN < from,
-            _ => *until < from,
-        })
-    }
-
     fn no_faults_but(&self, kinds: &[FaultKind], from: Instant) -> bool {
         let faults = self.faults.borrow();
         let mut others = faults.iter().filter(|(kind, ..)| !kinds.contains(kind));
@@ -503,8 +492,9 @@
             self.report(Guarantee::Asked, format!("{} got unknown request {id}", server.id));
             return;
         };
+        let is_bound = self.is_bound(id, arrival.at);
         if let Some(since) = leaving.filter(|since| arrival.at > *since + self.bounds.drain)
-            && self.no_faults_since(since)
+            && (is_bound || self.no_faults_since(since))
         {
             let after = arrival.at.duration_since(since);
             self.report(Guarantee::Drain, format!("{} got {id} {after:?} after notice", server.id));
--- a/crates/soak/tests/ledger.rs
+++ b/crates/soak/tests/ledger.rs
@@ -11,6 +11,7 @@
 use hooktrestle_soak::ledger::Ledger;
 use hooktrestle_soak::ledger::Verdict;
 use hooktrestle_soak::retries::RetryBound;
+use hooktrestle_soak::schedule::FaultKind;
 use hooktrestle_users_standin::caller;
 use hooktrestle_users_standin::server::Action;
 use hooktrestle_users_standin::server::Server;
@@ -123,6 +124,33 @@
     });
 }
 
+/// Guards against gateways that are excused by the faults of others.
+#[test]
+fn only_faults_of_a_gateway_and_of_the_store_excuse_its_requests_to_a_leaving_server() {
+    run(async {
+        let ledger = Ledger::new(Bounds { contact: Duration::ZERO, ..zero_bounds() });
+        let server = start_server(&ledger).await;
+        (0..2).for_each(|gateway| ledger.record_disturbance(gateway, 0, 0));
+        ledger.mark_leaving("s1");
+        let send_from = async |id: &str, index| {
+            ledger.record_request(id, true);
+            ledger.record_gateway(id, GatewayIncarnation { index, incarnation: 1 });
+            send_request(&server, id).await;
+            violated(&ledger).len()
+        };
+        // A fault at the first gateway excuses that one alone.
+        ledger.record_disturbance(0, 1, 0);
+        ledger.record_fault(FaultKind::Pause, Instant::now(), Instant::now());
+        assert_eq!(send_from("r1", 0).await, 0);
+        assert_eq!(send_from("r2", 1).await, 1);
+        ledger.record_disturbance(0, 0, 1);
+        assert_eq!(send_from("r3", 0).await, 2);
+        let until = Instant::now() + Duration::from_secs(60);
+        ledger.record_fault(FaultKind::StoreSilent, Instant::now(), until);
+        assert_eq!(send_from("r4", 1).await, 2);
+    });
+}
+
 #[test]
 fn work_for_a_disconnected_caller_is_reported_as_one_violation() {
     run(async {
