A stop logs how far the answers are that its end cuts off

The line had the number of requests and when they were received. It now tells answers that callers still read from those that servers still send, and which of them are before their deadline.

--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -50,6 +50,7 @@
 use crate::forward::Reply;
 use crate::gateway::Gateway;
 use crate::gateway::in_flight::InFlight;
+use crate::gateway::in_flight::Stage;
 use crate::gateway::levels::LevelDecision;
 use crate::headers;
 use crate::platform::Platform;
@@ -179,11 +180,13 @@
         Ok((request, Reply::Whole(answer))) => {
             gateway.metrics.answered.inc();
             reader.set_deadline(Some(request.deadline));
+            delivery.begin_answer(Stage::Complete, request.deadline);
             delivery.hold(answer.memory);
             (forwarded_head(answer.head), Content::Whole(answer.body))
         }
         Ok((request, Reply::Stream(answer, attempts))) => {
             reader.set_deadline(Some(request.deadline));
+            delivery.begin_answer(Stage::Forwarding, request.deadline);
             let head = forwarded_head(answer.head.clone());
             let frames = relay::frames(gateway.clone(), request, attempts, *answer);
             (head, Content::Stream(Box::pin(frames)))
--- a/crates/direct/src/callers/delivery.rs
+++ b/crates/direct/src/callers/delivery.rs
@@ -1,15 +1,18 @@
 //! The delivery of one answer: from the request until the connection has written the whole answer.
 //! Until it is dropped, the request counts as in flight and its connection is not idle.
 
+use hooktrestle_core::clock::Millis;
+
 use crate::bodies::ReservedBytes;
 use crate::callers::activity::AnswerGuard;
 use crate::gateway::in_flight::InFlight;
+use crate::gateway::in_flight::Stage;
 use crate::platform::Platform;
 
 /// The delivery of one answer.
 pub(super) struct Delivery<P: Platform> {
     guard: AnswerGuard,
-    _in_flight: InFlight<P>,
+    in_flight: InFlight<P>,
     /// Memory of the answer, if it was read whole.
     memory: Option<ReservedBytes>,
 }
@@ -17,7 +20,12 @@
 impl<P: Platform> Delivery<P> {
     /// Begins with the request.
     pub(super) fn new(guard: AnswerGuard, in_flight: InFlight<P>) -> Delivery<P> {
-        Delivery { guard, _in_flight: in_flight, memory: None }
+        Delivery { guard, in_flight, memory: None }
+    }
+
+    /// Records that the answer begins, and until when the caller waits for it.
+    pub(super) fn begin_answer(&self, stage: Stage, deadline: Millis) {
+        self.in_flight.begin_answer(stage, deadline);
     }
 
     /// Holds the memory of the answer until it has been written.
--- a/crates/direct/src/gateway/in_flight.rs
+++ b/crates/direct/src/gateway/in_flight.rs
@@ -1,11 +1,13 @@
 //! The requests of a gateway that have no complete answer yet.
-//! Input: the beginning and the end of each request. State: when each of them was received.
-//! Tells a planned stop how many there are, between which times they were received, and how many
-//! attempts are at servers.
+//! Input: the beginning, the stages and the end of each request. State: when each of them was
+//! received, and how far its answer is.
+//! Tells a planned stop how many there are, which of them its end cuts off, and how many attempts
+//! are at servers.
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
+use std::fmt;
 use std::rc::Rc;
 
 use hooktrestle_core::clock::Millis;
@@ -13,11 +15,30 @@
 use crate::gateway::Gateway;
 use crate::platform::Platform;
 
+/// How far the answer to a request is.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Stage {
+    /// It has not begun.
+    #[default]
+    Unanswered,
+    /// It is forwarded as its server sends it.
+    Forwarding,
+    /// It is complete, and its caller reads it.
+    Complete,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Progress {
+    stage: Stage,
+    /// Until when its caller waits for it, once that is known.
+    deadline: Option<Millis>,
+}
+
 /// The requests without a complete answer.
 #[derive(Default)]
 pub struct InFlightRequests {
-    /// When each was received, with a number of its own.
-    received: RefCell<BTreeSet<(Millis, u64)>>,
+    /// By when each was received, with a number of its own.
+    received: RefCell<BTreeMap<(Millis, u64), Progress>>,
     last_number: Cell<u64>,
     last_received_at: Cell<Millis>,
     /// Number of attempts at servers.
@@ -50,10 +71,55 @@
         self.last_received_at.get()
     }
 
-    /// When the first and the last of those in flight were received; `None` if there are none.
-    pub fn received_between(&self) -> Option<(Millis, Millis)> {
+    /// What the end of a stop that began at `began_at` cuts off; `None` if there is nothing.
+    pub fn cut_off(&self, began_at: Millis, now: Millis) -> Option<CutOff> {
         let received = self.received.borrow();
-        Some((received.first()?.0, received.last()?.0))
+        let count = |is_counted: &dyn Fn(&Progress) -> bool| {
+            received.values().filter(|progress| is_counted(progress)).count()
+        };
+        Some(CutOff {
+            began_at,
+            first_at: received.first_key_value()?.0.0,
+            last_at: received.last_key_value()?.0.0,
+            unanswered: count(&|progress| progress.stage == Stage::Unanswered),
+            forwarding: count(&|progress| progress.stage == Stage::Forwarding),
+            complete: count(&|progress| progress.stage == Stage::Complete),
+            before_deadline: count(&|progress| progress.deadline.is_some_and(|at| at > now)),
+        })
+    }
+}
+
+/// The requests that the end of a stop cuts off, for a log line.
+#[derive(Clone, Copy, Debug)]
+pub struct CutOff {
+    began_at: Millis,
+    /// When the first and the last of them were received.
+    first_at: Millis,
+    last_at: Millis,
+    /// Number of those without an answer, with one that is forwarded, and with a complete one.
+    unanswered: usize,
+    forwarding: usize,
+    complete: usize,
+    /// Number of those whose answer has begun, and whose callers still wait for it.
+    before_deadline: usize,
+}
+
+impl fmt::Display for CutOff {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let CutOff { began_at, first_at, last_at, .. } = *self;
+        let after = |at: Millis| at.0.cast_signed() - began_at.0.cast_signed();
+        write!(
+            f,
+            "requests cut off by the end of the stop: {} without an answer, {} with one that is \
+             forwarded, {} with a complete one, {} of these before their deadline; received {} to {} \
+             ms after its start",
+            self.unanswered,
+            self.forwarding,
+            self.complete,
+            self.before_deadline,
+            after(first_at),
+            after(last_at)
+        )
     }
 }
 
@@ -71,9 +137,17 @@
         all.last_number.set(number);
         let key = (gateway.now(), number);
         all.last_received_at.set(key.0);
-        all.received.borrow_mut().insert(key);
+        all.received.borrow_mut().insert(key, Progress::default());
         InFlight { gateway: gateway.clone(), key }
     }
+
+    /// Records that its answer begins, and until when its caller waits for that.
+    pub fn begin_answer(&self, stage: Stage, deadline: Millis) {
+        let mut received = self.gateway.in_flight.received.borrow_mut();
+        if let Some(progress) = received.get_mut(&self.key) {
+            *progress = Progress { stage, deadline: Some(deadline) };
+        }
+    }
 }
 
 impl<P: Platform> Drop for InFlight<P> {
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -265,13 +265,8 @@
         gateway.readers.held_bytes(),
         max_delay.0
     ));
-    if let Some((first, last)) = in_flight.received_between() {
-        let after = |at: Millis| at.0.cast_signed() - began.0.cast_signed();
-        gateway.event_log.state(format_args!(
-            "requests cut off by the end of the stop were received {} to {} ms after its start",
-            after(first),
-            after(last)
-        ));
+    if let Some(cut_off) = in_flight.cut_off(began, gateway.now()) {
+        gateway.event_log.state(format_args!("{cut_off}"));
     }
 }
 
