A stop accepts only requests that are known to end before the process

Cause: in the first 5/16 of a stop requests of any deadline were accepted, on the thought that servers need 1 to 2 s. Nothing known to the gateway showed that a request fits: neither what its route takes, nor how large its answer is, on which the caller's share of the time depends.

In a stop a request is accepted if its deadline is before the end, or, early in the stop, if the answers of its route are small and the longest took less than what is left. Everything else is refused as not run, with a retry at once: it costs its caller a connection, where the answer was lost before. The embedded default does the same for each service.

Ruled out: the speed of a connection so far. It says nothing of a caller's first large answer, nor of the next one.

Two tests of the project and two cases of crates/core/tests/planned_stop.rs asked for requests of 8 to 60 s to be accepted of which nothing was known.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -22,6 +22,7 @@
 //! - [`room`]: what gateways report of the demand for a service, and what its servers can carry.
 //! - [`level`]: which share of the demand all gateways admit, in which order, and who is refused.
 //! - [`planned_stop`]: which requests a gateway accepts while it stops, and when its process ends.
+//! - [`service_times`]: how long the requests of each route take until their callers have the answers.
 //! - [`attempts`]: what follows an attempt: an answer, another attempt, or a refusal.
 //! - [`fingerprint`]: identifies retries of one request.
 //! - [`answer_ends`]: whether an answer that has ended is complete.
@@ -72,6 +73,7 @@
 pub mod replica;
 pub mod room;
 pub mod server_notices;
+pub mod service_times;
 pub mod serving;
 pub mod shared_faults;
 pub mod slow_servers;
--- a/crates/core/src/direct/planned_stop.rs
+++ b/crates/core/src/direct/planned_stop.rs
@@ -3,14 +3,17 @@
 //! whether the gateway was quiet at the last check. Decides whether a request is accepted, and
 //! whether the process ends.
 //!
-//! A request whose deadline is earlier than the end of the process always gets its answer. Others
-//! are accepted only at the beginning of the stop, as callers may not know yet that it stops; later
-//! another gateway has to run them. Shortly before the end all requests without an answer get one: a
-//! closed connection would tell their callers less. Requests that arrive later do not prolong the
-//! stop: while many gateways stop, callers find no other one, and the next process accepts them
-//! sooner.
+//! A request is accepted only if its caller can have the whole answer before the process ends. That
+//! is so if its deadline is earlier. At the beginning of the stop, when callers may not know of it
+//! yet, it is also so for requests of a route whose recent ones all took less time than is left,
+//! provided that their answers are small: how long a large one takes depends on its caller, and no
+//! earlier caller tells how fast the next one reads. Other gateways have to run all others. Shortly
+//! before the end all requests without an answer get one: a closed connection would tell their
+//! callers less. Requests that arrive later do not prolong the stop: while many gateways stop,
+//! callers find no other one, and the next process accepts them sooner.
 
 use crate::clock::Millis;
+use crate::direct::service_times::Served;
 
 /// Shortest planned stop: some callers use a list of gateways three times as long as they may, and
 /// the platform polls readiness once per second.
@@ -23,10 +26,14 @@
 /// How long before the end of the stop time the process ends by itself.
 const STOP_MARGIN: Millis = Millis(500);
 
-/// Fraction of the stop in which requests of any length are accepted, as numerator and denominator:
-/// 2.5 of 8 s, so that 5 s are left for streams of 1 to 2 s. Callers may send such requests until 3
-/// s; the difference is for a signal that is handled late, and for requests that wait to be read.
-const ANY_LENGTH_FRACTION: (u64, u64) = (5, 16);
+/// Fraction of the stop in which requests are accepted whose deadline is behind its end, as numerator
+/// and denominator: 2.5 of 8 s. Callers may send such requests until 3 s; the difference is for a
+/// signal that is handled late, and for requests that wait to be read.
+const ANY_DEADLINE_FRACTION: (u64, u64) = (5, 16);
+
+/// Size up to which an answer counts as small: the kernel takes it at once, and delivers it even if
+/// the process ends.
+const SMALL_ANSWER_BYTES: usize = 32 << 10;
 
 /// Time between the deadline of a request and the end of the process: its answer has to be written.
 const DELIVERY_TIME: Millis = Millis(200);
@@ -56,7 +63,7 @@
 pub struct PlannedStop {
     began_at: Millis,
     ends_at: Millis,
-    accepts_any_until: Millis,
+    accepts_any_deadline_until: Millis,
     /// Whether there was nothing to do at the last check.
     was_quiet: bool,
 }
@@ -64,24 +71,32 @@
 impl PlannedStop {
     /// A stop that begins now and may take this long.
     pub fn new(now: Millis, within: Millis) -> PlannedStop {
-        let (numerator, denominator) = ANY_LENGTH_FRACTION;
+        let (numerator, denominator) = ANY_DEADLINE_FRACTION;
         PlannedStop {
             began_at: now,
             ends_at: now + within.since(STOP_MARGIN),
-            accepts_any_until: now + Millis(within.0 * numerator / denominator),
+            accepts_any_deadline_until: now + Millis(within.0 * numerator / denominator),
             was_quiet: false,
         }
     }
 
-    /// Whether a request with this deadline is accepted.
-    pub fn accepts(&self, deadline: Millis, now: Millis) -> bool {
-        now < self.accepts_any_until || deadline + DELIVERY_TIME <= self.ends_at
+    /// Whether a request with this deadline is accepted. `expected` is what the recent requests of its
+    /// route took, if there were any.
+    pub fn accepts(&self, deadline: Millis, expected: Option<Served>, now: Millis) -> bool {
+        let is_early = now < self.accepts_any_deadline_until;
+        let ends_by = match expected {
+            Some(expected) if is_early && expected.answer_bytes <= SMALL_ANSWER_BYTES => {
+                deadline.min(now + expected.took)
+            }
+            _ => deadline,
+        };
+        ends_by + DELIVERY_TIME <= self.ends_at
     }
 
     /// The next step, at a check. The gateway has to be quiet at two checks in a row: requests that
     /// arrived while the process got no processor time are read only after the first one.
     pub fn check(&mut self, requests: Requests, now: Millis) -> Next {
-        let prolonged_at = requests.last_received_at.min(self.accepts_any_until);
+        let prolonged_at = requests.last_received_at.min(self.accepts_any_deadline_until);
         let is_quiet = requests.in_flight == 0
             && now.since(prolonged_at) >= QUIET_PERIOD
             && now.since(self.began_at) >= MIN_STOP;
--- a/crates/core/tests/planned_stop.rs
+++ b/crates/core/tests/planned_stop.rs
@@ -5,6 +5,7 @@
 use hooktrestle_core::direct::planned_stop::Next;
 use hooktrestle_core::direct::planned_stop::PlannedStop;
 use hooktrestle_core::direct::planned_stop::Requests;
+use hooktrestle_core::direct::service_times::Served;
 
 const BEGAN_AT: Millis = Millis(10_000);
 const WITHIN: Millis = Millis(8_000);
@@ -26,33 +27,48 @@
     now
 }
 
-/// Guards against an accepted request whose deadline is later than the end of the process, unless it
-/// was sent while callers may not know yet that the gateway stops.
+/// What the recent requests of a route took, whose answers are small.
+fn took(ms: u64) -> Option<Served> {
+    Some(Served { took: Millis(ms), answer_bytes: 2_000 })
+}
+
+/// Guards against an accepted request that may last longer than the process: its deadline is later,
+/// and nothing shows that requests of its route take less time than is left.
 #[test]
-fn a_request_that_may_outlast_the_process_is_accepted_only_at_the_beginning() {
+fn a_request_is_accepted_only_if_it_ends_before_the_process() {
     let busy = Requests { in_flight: 1, last_received_at: BEGAN_AT };
     let ends_at = end_of(stop(), busy);
     assert!(ends_at < BEGAN_AT + WITHIN, "before the process is killed");
+    let large = |ms| Some(Served { took: Millis(ms), answer_bytes: 1_500_000 });
     for sent_ms in (0..8_000).step_by(10) {
         for limit_ms in [100, 800, 1_500, 4_000, 8_000] {
             let now = BEGAN_AT + Millis(sent_ms);
             let deadline = now + Millis(limit_ms);
-            let accepted = stop().accepts(deadline, now);
-            let may_outlast = deadline >= ends_at;
-            assert!(!accepted || !may_outlast || sent_ms < EXCUSED_UNTIL.0, "{sent_ms} {limit_ms}");
-            // The process may have handled its signal late.
-            let accepted_late = stop().accepts(deadline, now) && sent_ms + 400 >= EXCUSED_UNTIL.0;
-            assert!(!accepted_late || !may_outlast, "{sent_ms} {limit_ms}");
+            for served in [None, large(50), took(50), took(2_000), took(4_900), took(8_000)] {
+                let of_small = served.filter(|served| served.answer_bytes < 10_000);
+                let ends_by = of_small.map_or(deadline, |served| deadline.min(now + served.took));
+                let accepted = stop().accepts(deadline, served, now);
+                assert!(!accepted || ends_by < ends_at, "{sent_ms} {limit_ms} {served:?}");
+                let may_outlast = deadline >= ends_at;
+                // The process may have handled its signal late.
+                let is_late = sent_ms + 400 >= EXCUSED_UNTIL.0;
+                assert!(!accepted || !may_outlast || !is_late, "{sent_ms} {limit_ms} {served:?}");
+            }
         }
     }
 }
 
 /// Guards against refusals of requests that the process can still answer.
 #[test]
-fn a_request_whose_deadline_is_before_the_end_is_accepted() {
-    for (sent_ms, limit_ms) in [(0, 8_000), (2_400, 8_000), (3_000, 4_000), (6_000, 800)] {
+fn a_request_that_ends_before_the_process_is_accepted() {
+    for (sent_ms, limit_ms) in [(3_000, 4_000), (6_000, 800)] {
+        let now = BEGAN_AT + Millis(sent_ms);
+        assert!(stop().accepts(now + Millis(limit_ms), None, now), "{sent_ms} {limit_ms}");
+    }
+    for (sent_ms, took_ms) in [(0, 7_000), (1_000, 6_000), (2_400, 4_800)] {
         let now = BEGAN_AT + Millis(sent_ms);
-        assert!(stop().accepts(now + Millis(limit_ms), now), "{sent_ms} {limit_ms}");
+        let deadline = now + Millis(8_000);
+        assert!(stop().accepts(deadline, took(took_ms), now), "{sent_ms} {took_ms}");
     }
 }
 
@@ -109,5 +125,5 @@
     let answered_at = checks.map(Millis).find(|now| stop.check(busy, *now) == Next::AnswerAll);
     let left = ends_at.since(answered_at.expect("a time for the last answers"));
     assert!((Millis(100)..=Millis(500)).contains(&left), "{left}");
-    assert!(!stop.accepts(ends_at, answered_at.unwrap()), "no request follows them");
+    assert!(!stop.accepts(ends_at, took(50), answered_at.unwrap()), "no request follows them");
 }
--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -18,8 +18,10 @@
 use hooktrestle_core::direct::attempts;
 use hooktrestle_core::direct::level::Return;
 use hooktrestle_core::verdict::Refusal;
+
 use hooktrestle_schema::Cause;
 use hooktrestle_schema::RefusedStep;
+use hooktrestle_schema::Verdict;
 use hooktrestle_stream::Allowance;
 use hooktrestle_stream::BoundedStream;
 use http::HeaderValue;
@@ -176,7 +178,7 @@
     let id = parts.headers.get(&gateway.platform.headers().request_id).cloned();
     gateway.metrics.requests.inc();
     reader.set_deadline(None);
-    let (head, content) = match reply(&gateway, parts, body).await {
+    let (head, content) = match reply(&gateway, parts, body, &delivery).await {
         Ok((request, Reply::Whole(answer))) => {
             gateway.metrics.answered.inc();
             reader.set_deadline(Some(request.deadline));
@@ -192,10 +194,14 @@
             (head, Content::Stream(Box::pin(frames)))
         }
         Ok((_, Reply::Refused(refusal))) => {
+            if refusal.verdict == Verdict::NotRun {
+                delivery.set_route(None);
+            }
             record_refusal(&gateway, id.as_ref(), received_at, &refusal);
             refused(&refusal, id, &gateway)
         }
         Err(NotForwarded { refusal, unread_body }) => {
+            delivery.set_route(None);
             record_refusal(&gateway, id.as_ref(), received_at, &refusal);
             if let Some((body, until)) = unread_body {
                 let discarded =
@@ -231,13 +237,15 @@
     gateway: &Rc<Gateway<P>>,
     parts: http::request::Parts,
     body: BoundedBody,
+    delivery: &Delivery<P>,
 ) -> Result<(Request<P>, Reply<P>), NotForwarded> {
     match request::read(gateway, parts, body).await {
-        Ok(request) if !gateway.accepts(request.deadline) => {
+        Ok(request) if !gateway.accepts(&request.route().name, request.deadline) => {
             // Another gateway can accept the request at once.
             Err(Refusal::not_run(Cause::Leaving).retry_after(Millis::ZERO).into())
         }
         Ok(mut request) => {
+            delivery.set_route(Some(request.request_route()));
             let admitted = gateway.unless_ending(admit(gateway, &mut request)).await;
             admitted.unwrap_or_else(|| {
                 Err(Refusal::not_run(Cause::Leaving).retry_after(Millis::ZERO))
--- a/crates/direct/src/callers/body.rs
+++ b/crates/direct/src/callers/body.rs
@@ -72,7 +72,11 @@
         };
         match &polled {
             Poll::Ready(Some(Ok(frame))) => {
-                self.reader.hold(frame.data_ref().map_or(0, Bytes::len));
+                let bytes = frame.data_ref().map_or(0, Bytes::len);
+                self.reader.hold(bytes);
+                if let Some(delivery) = &self.delivery {
+                    delivery.record_answer_bytes(bytes);
+                }
             }
             Poll::Ready(Some(Err(_))) => {
                 self.reader.record_truncated();
--- a/crates/direct/src/callers/delivery.rs
+++ b/crates/direct/src/callers/delivery.rs
@@ -6,6 +6,7 @@
 use crate::bodies::ReservedBytes;
 use crate::callers::activity::AnswerGuard;
 use crate::gateway::in_flight::InFlight;
+use crate::gateway::in_flight::RequestRoute;
 use crate::gateway::in_flight::Stage;
 use crate::platform::Platform;
 
@@ -23,6 +24,16 @@
         Delivery { guard, in_flight, memory: None }
     }
 
+    /// Records the route of the request once it is accepted, and `None` once it is refused.
+    pub(super) fn set_route(&self, route: Option<RequestRoute>) {
+        self.in_flight.set_route(route);
+    }
+
+    /// Records bytes of the answer.
+    pub(super) fn record_answer_bytes(&self, bytes: usize) {
+        self.in_flight.record_answer_bytes(bytes);
+    }
+
     /// Records that the answer begins, and until when the caller waits for it.
     pub(super) fn begin_answer(&self, stage: Stage, deadline: Millis) {
         self.in_flight.begin_answer(stage, deadline);
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -52,6 +52,8 @@
 use hooktrestle_core::direct::pool::Server;
 use hooktrestle_core::direct::relays::Relays;
 use hooktrestle_core::direct::replica::Replica;
+use hooktrestle_core::direct::service_times::Served;
+use hooktrestle_core::direct::service_times::ServiceTimes;
 use hooktrestle_core::direct::serving::ServingConfig;
 use hooktrestle_core::direct::slow_servers::SlowServerReports;
 use hooktrestle_core::direct::table_age::TableAge;
@@ -180,6 +182,7 @@
     /// Invalid rows of the server list that were logged.
     ignored_rows_logged: RefCell<BTreeSet<String>>,
     phase: Cell<Phase>,
+    service_times: RefCell<ServiceTimes>,
     /// Requests without a complete answer.
     pub in_flight: InFlightRequests,
 }
@@ -253,6 +256,7 @@
             relays: RefCell::default(),
             ignored_rows_logged: RefCell::default(),
             phase: Cell::new(Phase::Running),
+            service_times: RefCell::default(),
             in_flight: InFlightRequests::default(),
         }
     }
@@ -347,15 +351,32 @@
         }
     }
 
-    /// Whether a request with this deadline is accepted. While the process stops, another gateway has
-    /// to run a request that may last longer than this one.
-    pub fn accepts(&self, deadline: Millis) -> bool {
+    /// Whether a request of a route with this deadline is accepted. While the process stops, another
+    /// gateway has to run a request that may last longer than this one.
+    pub fn accepts(&self, route: &str, deadline: Millis) -> bool {
         match self.phase.get() {
             Phase::Running => true,
-            Phase::Stopping(stop) => stop.accepts(deadline, self.now()),
+            Phase::Stopping(stop) => {
+                let now = self.now();
+                stop.accepts(deadline, self.expected_service(route, now), now)
+            }
         }
     }
 
+    /// What a request of a route is expected to take: as long as the longest of those that have ended
+    /// and of those in flight. `None` if none has ended recently.
+    fn expected_service(&self, route: &str, now: Millis) -> Option<Served> {
+        let longest = self.service_times.borrow().longest(route, now)?;
+        let first_at = self.in_flight.first_received_at(route);
+        let oldest = first_at.map_or(Millis::ZERO, |at| now.since(at));
+        Some(Served { took: longest.took.max(oldest), ..longest })
+    }
+
+    /// Records what a request of a route took.
+    pub fn record_served(&self, route: &str, served: Served) {
+        self.service_times.borrow_mut().record(route, served, self.now());
+    }
+
     /// Whether the engine of a server is reached through its sidecar.
     pub fn uses_sidecar(&self, server: Key<Server>) -> bool {
         let until = self.unanswered_sidecars.borrow().get(&server).copied().unwrap_or_default();
--- a/crates/direct/src/gateway/in_flight.rs
+++ b/crates/direct/src/gateway/in_flight.rs
@@ -11,6 +11,9 @@
 use std::rc::Rc;
 
 use hooktrestle_core::clock::Millis;
+use hooktrestle_core::direct::service_times::Served;
+use hooktrestle_core::direct::serving::RouteKey;
+use hooktrestle_core::direct::serving::ServingConfig;
 
 use crate::gateway::Gateway;
 use crate::platform::Platform;
@@ -27,11 +30,29 @@
     Complete,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
+/// The route of a request, in the configuration with which it was admitted.
+#[derive(Clone)]
+pub struct RequestRoute {
+    /// The configuration.
+    pub serving: Rc<ServingConfig>,
+    /// The route.
+    pub key: RouteKey,
+}
+
+impl RequestRoute {
+    /// Name of the route.
+    pub fn name(&self) -> &str {
+        &self.serving.route(self.key).name
+    }
+}
+
+#[derive(Default)]
 struct Progress {
     stage: Stage,
     /// Until when its caller waits for it, once that is known.
     deadline: Option<Millis>,
+    /// Its route, unless it is refused.
+    route: Option<RequestRoute>,
 }
 
 /// The requests without a complete answer.
@@ -71,6 +92,16 @@
         self.last_received_at.get()
     }
 
+    /// When the first of those in flight on a route was received; `None` if there are none.
+    pub fn first_received_at(&self, route: &str) -> Option<Millis> {
+        let received = self.received.borrow();
+        let mut all = received.iter();
+        let is_of_route = |progress: &Progress| {
+            progress.route.as_ref().is_some_and(|of_request| of_request.name() == route)
+        };
+        all.find(|(_, progress)| is_of_route(progress)).map(|((at, _), _)| *at)
+    }
+
     /// What the end of a stop that began at `began_at` cuts off; `None` if there is nothing.
     pub fn cut_off(&self, began_at: Millis, now: Millis) -> Option<CutOff> {
         let received = self.received.borrow();
@@ -127,6 +158,7 @@
 pub struct InFlight<P: Platform> {
     gateway: Rc<Gateway<P>>,
     key: (Millis, u64),
+    answer_bytes: Cell<usize>,
 }
 
 impl<P: Platform> InFlight<P> {
@@ -138,20 +170,42 @@
         let key = (gateway.now(), number);
         all.last_received_at.set(key.0);
         all.received.borrow_mut().insert(key, Progress::default());
-        InFlight { gateway: gateway.clone(), key }
+        InFlight { gateway: gateway.clone(), key, answer_bytes: Cell::new(0) }
+    }
+
+    /// Records its route once it is accepted, and `None` once it is refused.
+    pub fn set_route(&self, route: Option<RequestRoute>) {
+        self.update(|progress| progress.route = route);
     }
 
     /// Records that its answer begins, and until when its caller waits for that.
     pub fn begin_answer(&self, stage: Stage, deadline: Millis) {
-        let mut received = self.gateway.in_flight.received.borrow_mut();
-        if let Some(progress) = received.get_mut(&self.key) {
-            *progress = Progress { stage, deadline: Some(deadline) };
+        self.update(|progress| {
+            progress.stage = stage;
+            progress.deadline = Some(deadline);
+        });
+    }
+
+    /// Records bytes of its answer.
+    pub fn record_answer_bytes(&self, bytes: usize) {
+        self.answer_bytes.set(self.answer_bytes.get() + bytes);
+    }
+
+    fn update(&self, act: impl FnOnce(&mut Progress)) {
+        if let Some(progress) = self.gateway.in_flight.received.borrow_mut().get_mut(&self.key) {
+            act(progress);
         }
     }
 }
 
 impl<P: Platform> Drop for InFlight<P> {
     fn drop(&mut self) {
-        self.gateway.in_flight.received.borrow_mut().remove(&self.key);
+        let progress = self.gateway.in_flight.received.borrow_mut().remove(&self.key);
+        if let Some(route) = progress.and_then(|progress| progress.route) {
+            let now = self.gateway.now();
+            let took = now.since(self.key.0);
+            let served = Served { took, answer_bytes: self.answer_bytes.get() };
+            self.gateway.record_served(route.name(), served);
+        }
     }
 }
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -39,6 +39,7 @@
 use crate::bounded::BoundedBody;
 use crate::gateway::Gateway;
 use crate::gateway::crashes::Trial;
+use crate::gateway::in_flight::RequestRoute;
 use crate::headers;
 use crate::platform::HeaderNames;
 use crate::platform::Platform;
@@ -120,6 +121,11 @@
         self.serving.route(self.route)
     }
 
+    /// The route, with the configuration that it is part of.
+    pub fn request_route(&self) -> RequestRoute {
+        RequestRoute { serving: self.serving.clone(), key: self.route }
+    }
+
     /// What the pool needs to know to choose a server, other than those in `tried`.
     pub fn demand<'a>(&'a self, tried: &'a [Key<Server>]) -> Demand<'a> {
         let residency = Residency {
--- a/crates/embedded/tests/failures.rs
+++ b/crates/embedded/tests/failures.rs
@@ -291,10 +291,17 @@
     assert!(all.iter().all(|entry| entry.started == 1), "moved work ran once");
 }
 
+/// Sends a request from which its gateway knows how long those of its service take.
+async fn show_service_time(caller: &Caller) {
+    let shown = finish(caller.chat("hints", "earlier", 2, true)).await.unwrap();
+    assert!(matches!(shown, Outcome::Whole(_)), "{shown:?}");
+}
+
 #[tokio::test]
 async fn a_leaving_gateway_finishes_streams_and_serves_callers_with_old_endpoint_lists() {
     let fleet = deployment(1).await;
     let old = caller(&fleet, "entry-1");
+    show_service_time(&old).await;
     let stream = tokio::spawn(finish(old.chat("hints", "long", 400, true)));
     fleet.engine("hints-1").ledger.wait("long", |entry| entry.started > 0).await;
     let leaving = fleet.gateways["entry-1"].leave(Duration::from_secs(30));
@@ -322,6 +329,7 @@
         let call = call.header("x-hooktrestle-deadline-ms", deadline_ms.to_string());
         finish(call).await.unwrap()
     };
+    show_service_time(&old).await;
     let leaving = fleet.gateways["entry-1"].leave(Duration::from_secs(8));
     let calls = async {
         let early = ask("early", 60_000).await;
--- a/crates/hooktrestled/src/gateway.rs
+++ b/crates/hooktrestled/src/gateway.rs
@@ -22,6 +22,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use eyre::Result;
@@ -29,6 +30,8 @@
 use hooktrestle_core::clock::Clock;
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::planned_stop::PlannedStop;
+use hooktrestle_core::direct::service_times::Served;
+use hooktrestle_core::direct::service_times::ServiceTimes;
 use hooktrestle_core::id::RequestNumbers;
 use hooktrestle_core::limits::Limiter;
 use hooktrestle_core::retry;
@@ -71,6 +74,7 @@
     pub(crate) in_flight: watch::Sender<usize>,
     /// The planned stop, once it has begun.
     pub(crate) stop: watch::Sender<Option<PlannedStop>>,
+    pub(crate) service_times: Arc<Mutex<ServiceTimes>>,
 }
 
 impl Shared {
@@ -79,11 +83,19 @@
         self.stop.borrow().is_some()
     }
 
-    /// Whether a request with this deadline is accepted. While the process stops, another gateway has
-    /// to run a request that may last longer than this one.
-    pub(crate) fn accepts(&self, deadline: Millis) -> bool {
-        let stop = *self.stop.borrow();
-        stop.is_none_or(|stop| stop.accepts(deadline, self.clock.now()))
+    /// Whether a request for a service with this deadline is accepted. While the process stops,
+    /// another gateway has to run a request that may last longer than this one.
+    pub(crate) fn accepts(&self, service: &str, deadline: Millis) -> bool {
+        let Some(stop) = *self.stop.borrow() else { return true };
+        let now = self.clock.now();
+        let times = self.service_times.lock().unwrap_or_else(PoisonError::into_inner);
+        stop.accepts(deadline, times.longest(service, now), now)
+    }
+
+    /// Records what a request for a service took.
+    pub(crate) fn record_served(&self, service: &str, served: Served) {
+        let mut times = self.service_times.lock().unwrap_or_else(PoisonError::into_inner);
+        times.record(service, served, self.clock.now());
     }
 }
 
@@ -158,6 +170,7 @@
             clock,
             in_flight: watch::Sender::new(0),
             stop: watch::Sender::new(None),
+            service_times: Arc::default(),
             traces,
         };
         let server = warp::serve(http::routes(shared.clone())).incoming(listener);
--- a/crates/hooktrestled/src/gateway/drive.rs
+++ b/crates/hooktrestled/src/gateway/drive.rs
@@ -14,6 +14,7 @@
 use hooktrestle_core::attempt::RetryPolicy;
 use hooktrestle_core::clock::Clock;
 use hooktrestle_core::clock::Millis;
+use hooktrestle_core::direct::service_times::Served;
 use hooktrestle_core::id::RequestId;
 use hooktrestle_core::retry::RetryBudget;
 use hooktrestle_core::subset;
@@ -122,7 +123,12 @@
     tried: Vec<Key<Server>>,
     current: Option<CurrentAttempt>,
     caller_channel: CallerChannel,
+    received_at: Millis,
     deadline: Millis,
+    /// Bytes of the answer that were handed to the caller.
+    answer_bytes: usize,
+    /// Whether the caller was told that the request did not run.
+    is_refused: bool,
 }
 
 /// Reason why a wait ended.
@@ -172,8 +178,9 @@
     shared: Shared,
     incoming: Incoming,
 ) -> Result<oneshot::Receiver<Answer>, Refusal> {
-    let deadline = shared.clock.now() + Millis::from(incoming.deadline);
-    if !shared.accepts(deadline) {
+    let received_at = shared.clock.now();
+    let deadline = received_at + Millis::from(incoming.deadline);
+    if !shared.accepts(&incoming.service, deadline) {
         let refusal = Refusal::not_run(Cause::Leaving).retry_after(Millis::ZERO);
         return Err(unsent(incoming.retry_policy, refusal));
     }
@@ -185,7 +192,10 @@
         max_attempts: shared.settings.attempts,
     };
     let driver = Driver {
+        received_at,
         deadline,
+        answer_bytes: 0,
+        is_refused: false,
         attempts: Attempts::new(config),
         tried: Vec::new(),
         current: None,
@@ -217,6 +227,16 @@
             };
         }
         self.release().await;
+        self.record_served();
+    }
+
+    /// Records what the request took, unless it did not run.
+    fn record_served(&self) {
+        if !self.is_refused {
+            let took = self.shared.clock.now().since(self.received_at);
+            let served = Served { took, answer_bytes: self.answer_bytes };
+            self.shared.record_served(&self.incoming.service, served);
+        }
     }
 
     /// Sends the newest attempt to a backend server that has not been tried. If the caller sent a
@@ -415,6 +435,7 @@
             sent = body.send(Ok(payload)) => sent.ok()?,
             () = self.shared.clock.sleep_until(self.deadline) => return Some(self.attempts.deadline()),
         }
+        self.answer_bytes += more_bytes as usize;
         if let Some(current) = &self.current {
             let credit = CreditFrame { id: self.attempts.id().into(), more_bytes };
             // An error means that the link is lost; `Event::Lost` reports that too.
@@ -477,6 +498,7 @@
             CallerChannel::Closed => {}
         }
         if refusal.verdict == Verdict::NotRun {
+            self.is_refused = true;
             self.acknowledge().await;
         } else {
             self.cancel().await;
