--- a/crates/direct/src/signals.rs
+++ b/crates/direct/src/signals.rs
@@ -24,8 +24,10 @@
     ///
     /// The kernel refuses a signal handler.
     pub fn listen() -> io::Result<Signals> {
-        let terminate = signal(SignalKind::terminate())?;
+        // The kernel ends a process at a signal without a handler. At this one it would have to run
+        // on, and the settings are read later anyway.
         let hang_up = signal(SignalKind::hangup())?;
+        let terminate = signal(SignalKind::terminate())?;
         Ok(Signals { terminate, hang_up })
     }
 }
