Headers of the protocol stay whatever Connection lists

A request whose Connection header listed Request-Id ran, and its caller got 502: the id was removed on the way, so that the answer was taken for that of another request. The same held for its time limit and the counts of its prompt. They belong to no single connection, and are no longer removed; any other header that Connection lists still is.

platform/tests/path.rs, a_request_keeps_the_headers_of_the_protocol...: 502 before, 200 after.

--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -184,12 +184,12 @@
             reader.set_deadline(Some(request.deadline));
             delivery.begin_answer(Stage::Complete, request.deadline);
             delivery.hold(answer.memory);
-            (forwarded_head(answer.head), Content::Whole(answer.body))
+            (forwarded_head(&gateway, answer.head), Content::Whole(answer.body))
         }
         Ok((request, Reply::Stream(answer, attempts))) => {
             reader.set_deadline(Some(request.deadline));
             delivery.begin_answer(Stage::Forwarding, request.deadline);
-            let head = forwarded_head(answer.head.clone());
+            let head = forwarded_head(&gateway, answer.head.clone());
             let frames = relay::frames(gateway.clone(), request, attempts, *answer);
             (head, Content::Stream(Box::pin(frames)))
         }
@@ -335,8 +335,9 @@
     }
 }
 
-fn forwarded_head(mut head: Parts) -> Parts {
-    headers::strip_hop_by_hop(&mut head.headers);
+fn forwarded_head<P: Platform>(gateway: &Gateway<P>, mut head: Parts) -> Parts {
+    let names = gateway.platform.headers();
+    headers::strip_hop_by_hop(&mut head.headers, &names.end_to_end());
     // The HTTP version of the server concerns only the connection to it.
     head.version = http::Version::HTTP_11;
     head
--- a/crates/direct/src/headers.rs
+++ b/crates/direct/src/headers.rs
@@ -20,8 +20,9 @@
 /// Hop-by-hop headers without a constant in the `http` crate.
 const HOP_BY_HOP_NONSTANDARD: [&str; 2] = ["keep-alive", "proxy-connection"];
 
-/// Removes the hop-by-hop headers, including those listed in `Connection`.
-pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
+/// Removes the hop-by-hop headers, including those listed in `Connection` that are not in
+/// `end_to_end`.
+pub fn strip_hop_by_hop(headers: &mut HeaderMap, end_to_end: &[&HeaderName]) {
     let named: Vec<HeaderName> = headers
         .get_all(header::CONNECTION)
         .iter()
@@ -31,6 +32,7 @@
         // These stay even if `Connection` lists them: without them the message would change its
         // meaning.
         .filter(|name| *name != header::HOST && *name != header::CONTENT_LENGTH)
+        .filter(|name| !end_to_end.contains(&name))
         .collect();
     for name in &named {
         headers.remove(name);
--- a/crates/direct/src/platform.rs
+++ b/crates/direct/src/platform.rs
@@ -261,6 +261,21 @@
     pub prompt_parts: HeaderName,
 }
 
+impl HeaderNames {
+    /// The headers between callers and servers, which belong to no single connection.
+    pub fn end_to_end(&self) -> [&HeaderName; 7] {
+        [
+            &self.request_id,
+            &self.deadline_ms,
+            &self.signature,
+            &self.last_event_id,
+            &self.token_counts,
+            &self.length_hint,
+            &self.prompt_parts,
+        ]
+    }
+}
+
 /// The platform that a gateway runs on.
 pub trait Platform: 'static {
     /// Names of headers.
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -293,7 +293,7 @@
     account: Option<AccountKey>,
     priority: u8,
 ) -> HeaderMap {
-    headers::strip_hop_by_hop(&mut headers);
+    headers::strip_hop_by_hop(&mut headers, &names.end_to_end());
     headers.remove(header::AUTHORIZATION);
     for name in [&names.account, &names.expect_server, &names.priority, &names.deadline_ms] {
         headers.remove(name);
--- a/crates/direct/src/sidecar.rs
+++ b/crates/direct/src/sidecar.rs
@@ -173,7 +173,7 @@
         let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
         let mut body =
             body.map_err(|error| eyre!("cannot read the request body: {error}"))?.to_bytes();
-        headers::strip_hop_by_hop(&mut head.headers);
+        headers::strip_hop_by_hop(&mut head.headers, &[]);
         let address = self.target(&mut head.headers)?;
         ensure!(
             !(self.is_local_only)(address),
@@ -195,7 +195,7 @@
         let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
         let body = body.map_err(|error| eyre!("body of the engine's answer: {error}"))?.to_bytes();
         self.idle.borrow_mut().entry(address).or_default().push(sender);
-        headers::strip_hop_by_hop(&mut head.headers);
+        headers::strip_hop_by_hop(&mut head.headers, &[]);
         match since.filter(|_| head.status.is_success()) {
             Some(known) => self.encode_since(known, &body),
             None => Ok(Response::from_parts(head, Full::new(body))),
