A stopping process hands unread answers to the kernel

What callers had not read as a stop ended was lost with the process: 3 of 3 answers of requests that were accepted 0.3 s before SIGTERM, whose callers read for 9.6 s with a limit of 16 s (platform/tests/slow_callers.rs, 1.33 of 1.5 MB each). The process held them, as the kernel takes no more than a caller's pace asks for.

0.2 s before its end a process now enlarges the send buffers of connections that take nothing more, up to the kernel's maximum, and writes what is left. Earlier it would be wrong: the process could end sooner, and its machine may go with it.

--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -5,6 +5,7 @@
 mod activity;
 mod body;
 mod delivery;
+pub(crate) mod hand_over;
 pub(crate) mod reader;
 
 use std::cell::Cell;
@@ -128,6 +129,8 @@
             // An error of the connection affects only its caller, which notices it.
             _ = connection.as_mut() => return,
             () = reader.is_to_close() => return,
+            // The connection is polled again, and enlarges its buffer if it cannot write.
+            () = gateway.hand_over.begun() => {}
             () = gateway.clock.sleep_until(until) => {
                 if expiry(shared_activity.get(), &gateway) <= gateway.now() {
                     return reader.record_closed_idle();
--- a/crates/direct/src/callers/activity.rs
+++ b/crates/direct/src/callers/activity.rs
@@ -105,7 +105,10 @@
         match written {
             Poll::Ready(Ok(bytes)) => self.reader.record_read(*bytes),
             Poll::Ready(Err(_)) => {}
-            Poll::Pending => self.reader.record_stall(),
+            Poll::Pending => {
+                self.reader.record_stall();
+                self.reader.hand_over().enlarge(self.inner.inner().inner());
+            }
         }
     }
 }
--- a/crates/direct/src/callers/reader.rs
+++ b/crates/direct/src/callers/reader.rs
@@ -15,6 +15,7 @@
 use tokio::sync::Notify;
 
 use crate::callers::delivery::Delivery;
+use crate::callers::hand_over::HandOver;
 use crate::gateway::Gateway;
 use crate::platform::Platform;
 
@@ -112,6 +113,10 @@
         self.observe_held();
     }
 
+    pub(super) fn hand_over(&self) -> &HandOver {
+        &self.gateway.hand_over
+    }
+
     pub(super) fn record_stall(&self) {
         self.gateway.readers.unread.borrow_mut().record_stall(self.id, self.gateway.now());
     }
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -67,6 +67,7 @@
 
 use crate::admission_queue::AdmissionQueue;
 use crate::bodies::Bodies;
+use crate::callers::hand_over::HandOver;
 use crate::callers::reader::Readers;
 use crate::callers::reader::budget_bytes;
 use crate::connections::Connections;
@@ -130,6 +131,8 @@
     pub answers: Bodies,
     /// Notified shortly before a process that stops ends.
     last_answers: Notify,
+    /// Gives the kernel what callers have not read by then.
+    pub hand_over: HandOver,
     /// Wakes the task that polls stalled groups.
     pub stall_detected: Notify,
     /// Wakes the streams: a report of slow servers was applied.
@@ -214,6 +217,7 @@
             bodies,
             answers,
             last_answers: Notify::new(),
+            hand_over: HandOver::default(),
             stall_detected: Notify::new(),
             slow_servers_reported: Notify::new(),
             urgent_gossip: Notify::new(),
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -243,7 +243,7 @@
         };
         match planned.check(requests, now) {
             planned_stop::Next::Serve => {}
-            planned_stop::Next::AnswerAll => gateway.answer_all_waiting(),
+            planned_stop::Next::AnswerAll => finish_answers(gateway),
             planned_stop::Next::End => break,
         }
         let next_check = now + Millis::from(STOP_POLL_INTERVAL);
@@ -253,6 +253,14 @@
     log_stopped(gateway, began, max_delay);
 }
 
+/// Answers all requests that wait, and gives the kernel what callers have not read of their answers.
+fn finish_answers<P: Platform>(gateway: &Gateway<P>) {
+    gateway.answer_all_waiting();
+    if let Err(error) = gateway.hand_over.begin() {
+        gateway.event_log.state(format_args!("send buffers are not enlarged: {error}"));
+    }
+}
+
 /// Logs the end of a planned stop, with the requests that it cuts off, if any.
 fn log_stopped<P: Platform>(gateway: &Gateway<P>, began: Millis, max_delay: Millis) {
     let in_flight = &gateway.in_flight;
