Soak: callers that read large answers slowly

That a request outlasted the stop of its gateway is now an excuse only if its server was at work in the last sixth of it, as SOAK.md says; it was one whenever a server had received the request.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -3,6 +3,7 @@
 //! Decides which request goes to which gateway and how soon, and the verdict on each answer.
 
 mod crashing;
+mod slow;
 
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -12,6 +13,7 @@
 use futures_util::StreamExt;
 use hooktrestle_users_standin::IDLE_TIMEOUT;
 use hooktrestle_users_standin::caller;
+use hooktrestle_users_standin::slow_caller::SlowConnection;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -143,16 +145,40 @@
     listed_at: Instant,
     /// Whether it uses gateways that are no longer listed until they are gone.
     keeps_gateways: bool,
-    /// Whether all its requests are long.
-    is_long: bool,
+    /// Which requests it sends.
+    kind: CallerKind,
+    /// Connection on which a caller that reads slowly sends its next request.
+    kept: Option<(SocketAddr, SlowConnection)>,
     refresh_at: Instant,
 }
 
 /// One in so many callers uses gateways until they are gone.
 const KEEPS_GATEWAYS_ONE_IN: u64 = 4;
 
-/// One in so many of these callers, and as many of the others, send long requests only.
-const LONG_ONE_IN: u64 = 8;
+/// Which requests a caller sends: one in so many of those that use gateways until they are gone, and as
+/// many of the others, send long ones only; as many of the others read large answers slowly.
+const KIND_ONE_IN: u64 = 8;
+
+/// Which requests a caller sends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum CallerKind {
+    /// Short ones of all routes.
+    Usual,
+    /// Those that take up to their deadline.
+    Long,
+    /// Those with large answers, which it reads slowly.
+    Slow,
+}
+
+impl CallerKind {
+    fn of(seed: u64) -> CallerKind {
+        match seed % KIND_ONE_IN {
+            0 | 1 => CallerKind::Long,
+            2 | 4 => CallerKind::Slow,
+            _ => CallerKind::Usual,
+        }
+    }
+}
 
 /// A request to send.
 #[derive(Clone, Debug)]
@@ -163,6 +189,8 @@
     events: Option<u32>,
     deadline: Duration,
     disconnects_after: Option<Duration>,
+    /// Time that the caller takes to read a large answer; `None` for a small one.
+    reading: Option<Duration>,
 }
 
 impl Caller {
@@ -177,7 +205,8 @@
             listed: Vec::new(),
             listed_at: Instant::now(),
             keeps_gateways: seed.is_multiple_of(KEEPS_GATEWAYS_ONE_IN),
-            is_long: seed % LONG_ONE_IN < 2,
+            kind: CallerKind::of(seed),
+            kept: None,
             refresh_at: Instant::now(),
         }
     }
@@ -236,8 +265,10 @@
 
     fn draw_request(&mut self) -> RequestSpec {
         let rng = &mut self.rng;
-        if self.is_long {
-            return long_request(rng);
+        match self.kind {
+            CallerKind::Usual => {}
+            CallerKind::Long => return long_request(rng),
+            CallerKind::Slow => return slow::request(rng),
         }
         let (work_ms, events) = (rng.random_range(0..80_u32), rng.random_range(EVENTS));
         let disconnects_after =
@@ -251,7 +282,14 @@
         // A caller that disconnects leaves a long request behind.
         let work_or_abandoned_ms = if disconnects_after.is_some() { 2_500 } else { work_ms };
         let path = format!("/{route}/{}", events.unwrap_or(work_or_abandoned_ms));
-        RequestSpec { path, repeatable, events, deadline: DEADLINE, disconnects_after }
+        RequestSpec {
+            path,
+            repeatable,
+            events,
+            deadline: DEADLINE,
+            disconnects_after,
+            reading: None,
+        }
     }
 
     /// Whether a request was sent early in a stop of its gateway, and its server was still at work on it
@@ -260,8 +298,7 @@
         let stopped_at = self.context.gateway_at(gateway).and_then(|one| one.stopped_at.get());
         stopped_at.is_some_and(|stopped_at| {
             sent_at <= stopped_at + LONG_REQUESTS_EXCUSED
-                && Instant::now() >= stopped_at + fleet::LAST_SIXTH_OF_STOP
-                && self.context.ledger.was_offered(id)
+                && self.context.ledger.was_running_at(id, stopped_at + fleet::LAST_SIXTH_OF_STOP)
         })
     }
 
@@ -284,8 +321,13 @@
             }
             None => request,
         };
-        let answer = read_answer(request, &id, &spec, &ledger);
         let max_wait = spec.disconnects_after.unwrap_or(2 * spec.deadline);
+        let answer = async {
+            match spec.reading {
+                Some(reading) => self.read_slowly(gateway, &spec, &id, reading).await,
+                None => read_answer(request, &id, &spec, &ledger).await,
+            }
+        };
         let verdict = match time::timeout(max_wait, answer).await {
             Ok(verdict) => verdict,
             Err(_) => Verdict::Left(Instant::now()),
@@ -358,7 +400,14 @@
         _ => ("brook", false, events),
     };
     let path = format!("/{route}/{}", events.unwrap_or(work_ms));
-    RequestSpec { path, repeatable, events, deadline: LONG_DEADLINE, disconnects_after: None }
+    RequestSpec {
+        path,
+        repeatable,
+        events,
+        deadline: LONG_DEADLINE,
+        disconnects_after: None,
+        reading: None,
+    }
 }
 
 async fn read_answer(
--- a/crates/soak/src/callers/crashing.rs
+++ b/crates/soak/src/callers/crashing.rs
@@ -239,6 +239,7 @@
                 events,
                 deadline: DEADLINE,
                 disconnects_after: None,
+                reading: None,
             };
             let verdict = read_answer(request, &id, &spec, &context.ledger).await;
             context.ledger.record_verdict(&id, verdict);
