Answers without room are forwarded as their callers read them

A sound answer of over 4 MB never arrived: its request ran, and its caller got 502. Requests also ran while there was no room for their answers: these waited for room, and callers that were sent nothing reached their deadline.

Cause: every answer that is no stream was read whole before its head was sent. One that exceeds 4 MB, or finds no room beside the others, is now forwarded from what was received, at its caller's pace: it needs no memory, and its server is held as long as its caller reads. It cannot be had from another server any more, as its caller has a part of it, and ends at its deadline.

--- a/crates/direct/src/bodies.rs
+++ b/crates/direct/src/bodies.rs
@@ -11,7 +11,10 @@
 use http_body::Body;
 use http_body_util::BodyExt;
 use prometheus_client::metrics::gauge::Gauge;
-use tokio::sync::Notify;
+
+/// Size of the pieces in which a whole answer is handed to the HTTP library, which copies each into a
+/// buffer that its connection keeps.
+pub const MAX_PIECE_BYTES: usize = 16 << 10;
 
 /// Why a body was not read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -24,23 +27,25 @@
     Disconnected,
 }
 
+/// What was received of a body, with its memory.
+pub enum Received {
+    /// All of it.
+    Whole(Bytes, ReservedBytes),
+    /// What came before there was no room for more; the body yields the rest.
+    Part(Bytes, ReservedBytes),
+}
+
 /// The bodies that a gateway holds.
 #[derive(Clone)]
 pub struct Bodies {
     memory: Rc<RefCell<BodyMemory>>,
     held_bytes: Gauge,
-    /// Notified when the bytes of a body are released.
-    released: Rc<Notify>,
 }
 
 impl Bodies {
     /// Holds nothing. `held_bytes` shows how much is reserved.
     pub fn new(budget_bytes: usize, held_bytes: Gauge) -> Bodies {
-        Bodies {
-            memory: Rc::new(RefCell::new(BodyMemory::new(budget_bytes))),
-            held_bytes,
-            released: Rc::default(),
-        }
+        Bodies { memory: Rc::new(RefCell::new(BodyMemory::new(budget_bytes))), held_bytes }
     }
 
     /// Reads a body into memory that is reserved first: at once if its size is known, else as it
@@ -65,32 +70,37 @@
         reserved.read(body, received, max_bytes).await
     }
 
-    /// As [`Bodies::read`], but waits for room for a body of known size. One of unknown size, which
-    /// may never end, gets no room that others would wait for.
+    /// As [`Bodies::read`], but keeps what was received if there is no room for more.
     ///
     /// # Errors
     ///
-    /// As [`Bodies::read`].
-    pub async fn read_when_room<B>(
+    /// The sender disconnected.
+    pub async fn read_while_room<B>(
         &self,
         body: &mut B,
         max_bytes: usize,
-    ) -> Result<(Bytes, ReservedBytes), BodyError>
+    ) -> Result<Received, BodyError>
     where
         B: Body<Data = Bytes> + Unpin,
     {
         let mut reserved = ReservedBytes { bodies: self.clone(), bytes: 0 };
         let mut received = Vec::new();
-        if let Some(size) = known_size(body) {
-            loop {
-                let released = self.released.notified();
-                match reserved.extend(&mut received, size, max_bytes) {
-                    Err(BodyError::NoRoom) => released.await,
-                    other => break other?,
-                }
+        if let Some(size) = known_size(body)
+            && reserved.extend(&mut received, size, max_bytes).is_err()
+        {
+            return Ok(Received::Part(Bytes::new(), reserved));
+        }
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else { return Err(BodyError::Disconnected) };
+            // Trailers are not forwarded.
+            let Ok(data) = frame.into_data() else { continue };
+            let has_room = reserved.extend(&mut received, data.len(), max_bytes).is_ok();
+            received.extend_from_slice(&data);
+            if !has_room {
+                return Ok(Received::Part(Bytes::from(received), reserved));
             }
         }
-        reserved.read(body, received, max_bytes).await
+        Ok(Received::Whole(Bytes::from(received), reserved))
     }
 
     fn observe_held(&self) {
@@ -156,7 +166,6 @@
     fn drop(&mut self) {
         self.bodies.memory.borrow_mut().release(self.bytes);
         self.bodies.observe_held();
-        self.bodies.released.notify_waiters();
     }
 }
 
--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -14,7 +14,6 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use futures_util::Stream;
 use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::attempts;
 use hooktrestle_core::direct::level::Return;
@@ -30,7 +29,6 @@
 use http::StatusCode;
 use http::header;
 use http::response::Parts;
-use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -47,6 +45,7 @@
 use crate::callers::activity::TrackedConnection;
 use crate::callers::body::CallerBody;
 use crate::callers::body::Content;
+use crate::callers::body::FrameStream;
 use crate::callers::delivery::Delivery;
 use crate::callers::reader::Reader;
 use crate::forward;
@@ -56,9 +55,9 @@
 use crate::gateway::in_flight::Stage;
 use crate::gateway::levels::LevelDecision;
 use crate::headers;
+use crate::pass_through;
 use crate::platform::Platform;
 use crate::relay;
-use crate::relay::TruncatedStream;
 use crate::request;
 use crate::request::ReadError;
 use crate::request::Request;
@@ -160,7 +159,7 @@
     }
 }
 
-type ServiceResult<S, P> = Result<Response<CallerBody<S, P>>, Infallible>;
+type ServiceResult<S, T, P> = Result<Response<CallerBody<S, T, P>>, Infallible>;
 
 async fn answer<P: Platform>(
     gateway: Rc<Gateway<P>>,
@@ -168,7 +167,7 @@
     reader: Rc<Reader<P>>,
     shared_activity: SharedActivity,
     allowance: Allowance,
-) -> ServiceResult<impl Stream<Item = Result<Frame<Bytes>, TruncatedStream>>, P> {
+) -> ServiceResult<impl FrameStream, impl FrameStream, P> {
     let guard = AnswerGuard {
         shared_activity: shared_activity.clone(),
         clock: gateway.clock,
@@ -196,6 +195,14 @@
             let frames = relay::frames(gateway.clone(), request, attempts, *answer);
             (head, Content::Stream(Box::pin(frames)))
         }
+        Ok((request, Reply::Partial(partial))) => {
+            gateway.metrics.answers_passed_through.inc();
+            reader.set_deadline(Some(request.deadline));
+            delivery.begin_answer(Stage::Forwarding, request.deadline);
+            let head = forwarded_head(&gateway, partial.head());
+            let frames = pass_through::frames(gateway.clone(), request, *partial);
+            (head, Content::PassThrough(Box::pin(frames)))
+        }
         Ok((_, Reply::Refused(refusal))) => {
             if refusal.verdict == Verdict::NotRun {
                 delivery.set_route(None);
@@ -346,11 +353,11 @@
     head
 }
 
-fn refused<P: Platform, S>(
+fn refused<P: Platform, S, T>(
     refusal: &Refusal,
     id: Option<HeaderValue>,
     gateway: &Gateway<P>,
-) -> (Parts, Content<S>) {
+) -> (Parts, Content<S, T>) {
     let status = StatusCode::from_u16(attempts::status(refusal));
     let mut response = Response::new(());
     *response.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
--- a/crates/direct/src/callers/body.rs
+++ b/crates/direct/src/callers/body.rs
@@ -13,37 +13,45 @@
 use http_body::SizeHint;
 use hyper::body::Frame;
 
+use crate::bodies::MAX_PIECE_BYTES;
 use crate::callers::delivery::Delivery;
 use crate::callers::reader::Reader;
 use crate::platform::Platform;
 use crate::relay::TruncatedStream;
 
-/// Size of the pieces in which a whole answer is handed to the HTTP library, which copies each into a
-/// buffer that its connection keeps.
-const MAX_PIECE_BYTES: usize = 16 << 10;
+/// The frames of an answer that is forwarded.
+pub(super) trait FrameStream: Stream<Item = Result<Frame<Bytes>, TruncatedStream>> {}
 
-/// The bytes of a whole answer, or the frames of a stream.
-pub(super) enum Content<S> {
+impl<S> FrameStream for S where S: Stream<Item = Result<Frame<Bytes>, TruncatedStream>> {}
+
+/// The bytes of a whole answer, or the frames of one that is forwarded: of events, or of an answer that
+/// is too large to be held.
+pub(super) enum Content<S, T> {
     Whole(Bytes),
     Stream(Pin<Box<S>>),
+    PassThrough(Pin<Box<T>>),
 }
 
 /// The body of an answer to a caller.
-pub(super) struct CallerBody<S, P: Platform> {
-    content: Content<S>,
+pub(super) struct CallerBody<S, T, P: Platform> {
+    content: Content<S, T>,
     reader: Rc<Reader<P>>,
     /// Present until the body is dropped.
     delivery: Option<Delivery<P>>,
 }
 
-impl<S, P: Platform> CallerBody<S, P> {
-    pub(super) fn new(content: Content<S>, reader: Rc<Reader<P>>, delivery: Delivery<P>) -> Self {
+impl<S, T, P: Platform> CallerBody<S, T, P> {
+    pub(super) fn new(
+        content: Content<S, T>,
+        reader: Rc<Reader<P>>,
+        delivery: Delivery<P>,
+    ) -> Self {
         reader.set_streaming(matches!(content, Content::Stream(_)));
         CallerBody { content, reader, delivery: Some(delivery) }
     }
 }
 
-impl<S, P: Platform> Drop for CallerBody<S, P> {
+impl<S, T, P: Platform> Drop for CallerBody<S, T, P> {
     fn drop(&mut self) {
         self.reader.set_streaming(false);
         if let Some(delivery) = self.delivery.take() {
@@ -52,10 +60,7 @@
     }
 }
 
-impl<S, P: Platform> Body for CallerBody<S, P>
-where
-    S: Stream<Item = Result<Frame<Bytes>, TruncatedStream>>,
-{
+impl<S: FrameStream, T: FrameStream, P: Platform> Body for CallerBody<S, T, P> {
     type Data = Bytes;
     type Error = TruncatedStream;
 
@@ -69,6 +74,7 @@
                 Poll::Ready((!piece.is_empty()).then(|| Ok(Frame::data(piece))))
             }
             Content::Stream(frames) => frames.as_mut().poll_next(context),
+            Content::PassThrough(frames) => frames.as_mut().poll_next(context),
         };
         match &polled {
             Poll::Ready(Some(Ok(frame))) => {
@@ -92,14 +98,14 @@
     fn is_end_stream(&self) -> bool {
         match &self.content {
             Content::Whole(bytes) => bytes.is_empty(),
-            Content::Stream(_) => false,
+            Content::Stream(_) | Content::PassThrough(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match &self.content {
             Content::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
-            Content::Stream(_) => SizeHint::default(),
+            Content::Stream(_) | Content::PassThrough(_) => SizeHint::default(),
         }
     }
 }
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -9,6 +9,8 @@
 
 use bytes::Bytes;
 use hooktrestle_core::clock::Millis;
+use hooktrestle_core::direct::answer_ends;
+use hooktrestle_core::direct::answer_ends::AnswerEnd;
 use hooktrestle_core::direct::attempts::Fate;
 use hooktrestle_core::direct::fingerprint::Fingerprints;
 use hooktrestle_core::direct::pool::AttemptOutcome;
@@ -33,6 +35,7 @@
 use crate::connections::Connection;
 use crate::framing;
 use crate::gateway::Gateway;
+use crate::gateway::crashes::Completion;
 use crate::gateway::crashes::Progress;
 use crate::gateway::limits::Permit;
 use crate::headers;
@@ -192,6 +195,41 @@
     pub fn recycle(self, gateway: &Gateway<P>) {
         gateway.connections.put_back(self.connection);
     }
+
+    /// Whether the end of the body, if it is no stream, shows that the answer is complete.
+    pub fn completion(&self) -> Completion {
+        match answer_ends::of_body(self.framing) {
+            AnswerEnd::Complete => Completion::Confirmed,
+            AnswerEnd::Unconfirmed | AnswerEnd::Truncated => Completion::Unconfirmed,
+        }
+    }
+
+    /// Whether the answer is complete, once the body has ended: an end that does not show it counts if
+    /// the server is still up.
+    pub async fn is_complete(&self, gateway: &Rc<Gateway<P>>) -> bool {
+        self.completion() == Completion::Confirmed
+            || !gateway.has_crashed(self.guard.server()).await
+    }
+
+    /// Records that a body that is no stream was read to its end.
+    pub fn record_completed(&self, gateway: &Rc<Gateway<P>>, request: &Request<P>) {
+        if self.head.status.is_success() {
+            self.guard.set_progress(None);
+            let (server, completion) = (self.guard.server(), self.completion());
+            gateway.record_completed_request(server, &request.fingerprints, completion);
+        }
+    }
+
+    /// Closes the connection, and records that the answer was truncated.
+    pub async fn record_truncated(self, gateway: &Rc<Gateway<P>>, request: &Request<P>) {
+        let Answer { body, connection, mut guard, began_at, .. } = self;
+        // A server that sends without end does so until its connection is closed.
+        drop((body, connection));
+        guard.end(AttemptOutcome::Lost);
+        guard.set_progress(None);
+        let (server, progress) = (guard.server(), Progress::Running(began_at));
+        gateway.record_truncated_answer(server, &request.fingerprints, progress).await;
+    }
 }
 
 /// Sends a request to a server and waits for the head of the answer.
--- a/crates/direct/src/forward.rs
+++ b/crates/direct/src/forward.rs
@@ -6,13 +6,10 @@
 
 use bytes::Bytes;
 use hooktrestle_core::clock::Millis;
-use hooktrestle_core::direct::answer_ends;
-use hooktrestle_core::direct::answer_ends::AnswerEnd;
 use hooktrestle_core::direct::attempts;
 use hooktrestle_core::direct::attempts::Attempts;
 use hooktrestle_core::direct::attempts::Fate;
 use hooktrestle_core::direct::attempts::Next;
-use hooktrestle_core::direct::pool::AttemptOutcome;
 use hooktrestle_core::direct::pool::Server;
 use hooktrestle_core::util::arena::Key;
 use hooktrestle_core::verdict::Refusal;
@@ -21,14 +18,14 @@
 use http::StatusCode;
 use http::response::Parts;
 
+use crate::bodies::Received;
 use crate::bodies::ReservedBytes;
 use crate::exchange;
 use crate::exchange::Answer;
 use crate::exchange::AttemptGuard;
 use crate::gateway::Gateway;
-use crate::gateway::crashes::Completion;
-use crate::gateway::crashes::Progress;
 use crate::overtaking;
+use crate::pass_through::PartialAnswer;
 use crate::platform::Platform;
 use crate::request::Request;
 use crate::second_attempt;
@@ -36,9 +33,9 @@
 use crate::second_attempt::Waiting;
 use crate::slow_exit;
 
-/// Maximum size of an answer that is not a stream. It is buffered whole before it is forwarded,
-/// because the request cannot be sent again once its caller receives a part of the answer. A larger
-/// answer counts as truncated; usual ones have a few kilobytes.
+/// Maximum size of an answer that is buffered whole before it is forwarded, if it is no stream: its
+/// request cannot be sent again once its caller receives a part of the answer. Usual ones have a few
+/// kilobytes.
 const MAX_BUFFERED_ANSWER_BYTES: usize = 4 << 20;
 
 /// Maximum wait for a permit if no other server is available: an eighth of the usual latency
@@ -60,6 +57,8 @@
 pub enum Reply<P: Platform> {
     /// The whole answer of a server.
     Whole(WholeAnswer),
+    /// An answer that is too large to be held.
+    Partial(Box<PartialAnswer<P>>),
     /// A stream of events that has begun, with the attempts that it took.
     Stream(Box<Answer<P>>, Attempts),
     /// A refusal or failure that the gateway itself reports.
@@ -82,6 +81,7 @@
     let tried = gateway.unless_ending(trying).await;
     match tried {
         Some(Ok(ForwardOutcome::Whole(answer))) => Reply::Whole(answer),
+        Some(Ok(ForwardOutcome::Partial(answer))) => Reply::Partial(answer),
         Some(Ok(ForwardOutcome::Stream(answer))) => Reply::Stream(answer, attempts),
         Some(Ok(ForwardOutcome::Refused(refusal))) => Reply::Refused(refusal),
         Some(Err(_)) => Reply::Refused(attempts.refuse(Cause::DeadlinePassed)),
@@ -92,6 +92,7 @@
 
 enum ForwardOutcome<P: Platform> {
     Whole(WholeAnswer),
+    Partial(Box<PartialAnswer<P>>),
     Stream(Box<Answer<P>>),
     Refused(Refusal),
 }
@@ -215,8 +216,10 @@
         return (server, AttemptResult::Answered(stream));
     }
     let result = match whole(gateway, request, answer).await {
-        Some(answer) if answer.head.status.is_server_error() => AttemptResult::Failed(answer),
-        Some(answer) => AttemptResult::Answered(ForwardOutcome::Whole(answer)),
+        Some(ForwardOutcome::Whole(answer)) if answer.head.status.is_server_error() => {
+            AttemptResult::Failed(answer)
+        }
+        Some(outcome) => AttemptResult::Answered(outcome),
         None => AttemptResult::Unanswered(Fate::MayHaveRun),
     };
     (server, result)
@@ -250,38 +253,26 @@
     }
 }
 
-/// Reads an answer to its end; `None` if it was truncated. An end that does not show that the answer
-/// is complete counts if the server is still up.
+/// Reads an answer to its end, or until there is no room for more; `None` if it was truncated. An end
+/// that does not show that the answer is complete counts if the server is still up.
 async fn whole<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     request: &Request<P>,
-    answer: Answer<P>,
-) -> Option<WholeAnswer> {
-    let Answer { head, mut body, connection, mut guard, began_at, framing } = answer;
-    let server = guard.server();
-    let collected = gateway.answers.read_when_room(&mut body, MAX_BUFFERED_ANSWER_BYTES).await;
-    let completion = match answer_ends::of_body(framing) {
-        AnswerEnd::Complete => Completion::Confirmed,
-        AnswerEnd::Unconfirmed | AnswerEnd::Truncated => Completion::Unconfirmed,
-    };
-    let is_truncated = collected.is_err()
-        || completion == Completion::Unconfirmed && gateway.has_crashed(server).await;
-    match collected {
-        Ok((body, memory)) if !is_truncated => {
-            gateway.connections.put_back(connection);
-            if head.status.is_success() {
-                guard.set_progress(None);
-                gateway.record_completed_request(server, &request.fingerprints, completion);
-            }
-            Some(WholeAnswer { head, body, memory })
+    mut answer: Answer<P>,
+) -> Option<ForwardOutcome<P>> {
+    let read = gateway.answers.read_while_room(&mut answer.body, MAX_BUFFERED_ANSWER_BYTES).await;
+    match read {
+        Ok(Received::Part(part, memory)) => {
+            Some(ForwardOutcome::Partial(Box::new(PartialAnswer { answer, part, memory })))
+        }
+        Ok(Received::Whole(body, memory)) if answer.is_complete(gateway).await => {
+            answer.record_completed(gateway, request);
+            let head = answer.head.clone();
+            answer.recycle(gateway);
+            Some(ForwardOutcome::Whole(WholeAnswer { head, body, memory }))
         }
-        _ => {
-            // A server that sends without end does so until its connection is closed.
-            drop((body, connection));
-            guard.end(AttemptOutcome::Lost);
-            guard.set_progress(None);
-            let progress = Progress::Running(began_at);
-            gateway.record_truncated_answer(server, &request.fingerprints, progress).await;
+        Ok(Received::Whole(..)) | Err(_) => {
+            answer.record_truncated(gateway, request).await;
             None
         }
     }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -49,6 +49,7 @@
 mod members_table;
 mod metrics;
 mod overtaking;
+mod pass_through;
 mod peers;
 mod permits;
 pub mod platform;
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -34,6 +34,8 @@
     pub attempts: Counter,
     /// Answers whose body only the end of its connection delimits.
     pub answers_unframed: Counter,
+    /// Answers that were too large to be held, and forwarded as their callers read them.
+    pub answers_passed_through: Counter,
     /// Streams that ended truncated for their callers.
     pub streams_truncated: Counter,
     /// Streams resumed at another server.
@@ -115,6 +117,7 @@
             streams_over_capacity: Counter::default(),
             attempts: Counter::default(),
             answers_unframed: Counter::default(),
+            answers_passed_through: Counter::default(),
             streams_truncated: Counter::default(),
             resumed: Counter::default(),
             retries: Counter::default(),
@@ -161,6 +164,11 @@
             ),
             ("attempts", "Attempts that were sent", &metrics.attempts),
             ("answers_unframed", "Answers without length or chunks", &metrics.answers_unframed),
+            (
+                "answers_passed_through",
+                "Answers too large to be held",
+                &metrics.answers_passed_through,
+            ),
             (
                 "streams_truncated",
                 "Streams that ended truncated for their callers",
