--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -18,7 +18,6 @@
 use hooktrestle_core::direct::attempts;
 use hooktrestle_core::direct::level::Return;
 use hooktrestle_core::verdict::Refusal;
-
 use hooktrestle_schema::Cause;
 use hooktrestle_schema::RefusedStep;
 use hooktrestle_schema::Verdict;
--- a/crates/soak/src/callers/slow.rs
+++ b/crates/soak/src/callers/slow.rs
@@ -20,7 +20,7 @@
 
 /// Size of the answers that callers read slowly, and how long these take.
 const LARGE_ANSWER_BYTES: usize = 2_500_000;
-const SLOW_READING_MS: std::ops::Range<u64> = 2_000..7_600;
+const SLOW_READING_MS: std::ops::Range<u64> = 2_000..7_000;
 
 /// A request with a large answer, and a caller that reads it until shortly before its deadline.
 pub(super) fn request(rng: &mut ChaCha8Rng) -> RequestSpec {
