Soak: a process that has ended is no fault of its gateway

Such a request is not counted if it reached no server, its connection was closed, its list is older than the stop, and the stop began 3.3 s before: a gateway that closes a connection earlier, or whose stop the list knew, is still reported.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -56,6 +56,9 @@
 /// servers are at work on them in its last sixth.
 const LONG_REQUESTS_EXCUSED: Duration = Duration::from_secs(3);
 
+/// Time from `SIGTERM` for which a gateway serves at least.
+const SHORTEST_STOP: Duration = Duration::from_millis(3_300);
+
 /// How long a caller uses a list of gateways before it fetches the list again.
 const REFRESH_MS: std::ops::Range<u64> = 1_000..3_000;
 
@@ -302,6 +305,13 @@
         })
     }
 
+    /// Whether a gateway was told to stop after this caller fetched its list, and long enough ago for its
+    /// process to have ended.
+    fn may_have_stopped(&self, gateway: SocketAddr, sent_at: Instant) -> bool {
+        let stopped_at = self.context.gateway_at(gateway).and_then(|one| one.stopped_at.get());
+        stopped_at.is_some_and(|at| self.listed_at < at && sent_at >= at + SHORTEST_STOP)
+    }
+
     fn is_settled(&self, gateway: SocketAddr) -> bool {
         self.context.gateway_at(gateway).is_some_and(|one| one.is_settled())
     }
@@ -345,7 +355,9 @@
         // A request to a gateway that is no longer listed may find it gone, or cross its end.
         let is_undelivered = || {
             let is_listed = self.listed.contains(&gateway);
-            verdict.is_failure() && !is_listed && !ledger.was_offered(&id)
+            let may_be_gone =
+                !is_listed || verdict == Verdict::Closed && self.may_have_stopped(gateway, sent_at);
+            verdict.is_failure() && may_be_gone && !ledger.was_offered(&id)
         };
         let is_excused =
             !ledger.no_faults_since(sent_at) && !ledger.no_faults_but_store_since(sent_at);
