Incomplete answers: whether the server was leaving, why nobody resumed, since when the gateway stops

A line on a stream that its server truncated did not say why no other server resumed it: a used up attempt, the retry budget, no free server and a route that does not allow it looked alike, as did servers that leave as planned and others. The line has `not_resumed`, `server_listing` and `stopping_ms` now, and `hooktrestle explain` shows them.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -22,7 +22,9 @@
 use hooktrestle_schema::IncompleteStep;
 use hooktrestle_schema::LeaveReason;
 use hooktrestle_schema::NextStep;
+use hooktrestle_schema::NotResumed;
 use hooktrestle_schema::RequestStep;
+use hooktrestle_schema::ServerListing;
 use hooktrestle_schema::Verdict;
 use serde::Serialize;
 
@@ -191,9 +193,17 @@
         Some(passed @ ..0) => format!(", {} ms after its deadline", passed.unsigned_abs()),
         Some(left) => format!(", {left} ms before its deadline"),
     };
+    let listing = match step.server_listing {
+        None | Some(ServerListing::Open) => "",
+        Some(ServerListing::Leaving) => ", which is leaving",
+        Some(ServerListing::Unlisted) => ", which is not listed",
+    };
+    let stopping = step.stopping_ms.map_or_else(String::new, |for_ms| {
+        format!("; the gateway had been stopping for {for_ms} ms")
+    });
     format!(
         "the answer ended incomplete after {} ms{deadline}: {why}; it was {stage}, {} bytes{event}, from \
-         server {server}",
+         server {server}{listing}{stopping}",
         step.age_ms, step.answer_bytes
     )
 }
@@ -253,10 +263,7 @@
         IncompleteReason::ProcessEnded => {
             "No server was at work on it: its caller reads slowly, or the request waited in the process."
         }
-        IncompleteReason::BrokenOff => {
-            "No attempt or no retry was left, no other server was free, or the route does not let streams \
-             be resumed: see the `leave` steps before."
-        }
+        IncompleteReason::BrokenOff => not_resumed_advice(step.not_resumed),
         IncompleteReason::Refused => "Look which servers crashed at that time.",
         IncompleteReason::DeadlinePassed => {
             "If `server_quiet_ms` is long, the server had stopped sending; else the answer takes longer \
@@ -268,6 +275,24 @@
     }
 }
 
+fn not_resumed_advice(reason: Option<NotResumed>) -> &'static str {
+    match reason {
+        None => "It is no stream: what its caller has of it cannot be continued elsewhere.",
+        Some(NotResumed::NotResumable) => {
+            "Its route or its framing does not let it be resumed, or its caller has a part of an event."
+        }
+        Some(NotResumed::AttemptsUsed) => {
+            "It was sent to as many servers as its route allows: see the steps before for what came of \
+             each."
+        }
+        Some(NotResumed::RetriesUsed) => {
+            "No retry was left: see the lines `retry budget of ... is used up` of that time."
+        }
+        Some(NotResumed::NoServer) => "No other server of its service was free.",
+        Some(NotResumed::NotAnswered) => "The last server that was asked did not answer in time.",
+    }
+}
+
 fn advice(cause: Cause) -> &'static str {
     match cause {
         Cause::UnknownService | Cause::UnknownKey => {
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -22,7 +22,7 @@
   7.6 entry-2 [2026-01-12 02:39:42.050] [info] [journal, a.rs:5] request=r5 {"beside":{"server_number":1,"other_server_number":2,"fate":"may-have-run","next":"goes-on"}}
   7.6 entry-2 [2026-01-12 02:39:42.070] [info] [journal, a.rs:5] request=r5 {"beside":{"server_number":2,"other_server_number":1,"next":"given-up"}}
   7.6 entry-2 [2026-01-12 02:39:42.080] [info] [journal, a.rs:5] request=r6 {"resumed":{"server_number":3,"left_server_number":1,"after_event_number":5}}
-  7.6 entry-2 [2026-01-12 02:39:42.090] [info] [journal, a.rs:5] request=r6 {"incomplete":{"reason":"process-ended","stage":"forwarding","route":"flow","server_number":3,"server":"s3","answer_bytes":640,"after_event_number":7,"age_ms":8100,"until_deadline_ms":-300,"attempt_open":true,"server_quiet_ms":90}}
+  7.6 entry-2 [2026-01-12 02:39:42.090] [info] [journal, a.rs:5] request=r6 {"incomplete":{"reason":"process-ended","stage":"forwarding","route":"flow","server_number":3,"server":"s3","answer_bytes":640,"after_event_number":7,"age_ms":8100,"until_deadline_ms":-300,"attempt_open":true,"server_quiet_ms":90,"server_listing":"leaving","stopping_ms":7500}}
   7.6 entry-2 [2026-01-12 02:39:42.100] [info] [journal, a.rs:5] request=r4 {"refused":{"held_ms":0,"cause":"queue-full","verdict":"not-run"}}
 "#;
 
@@ -106,7 +106,7 @@
             "server 3 resumed the stream, after event 5\n\
              7.6 entry-2 [2026-01-12 02:39:42.090]  the answer ended incomplete after 8100 ms, 300 ms \
              after its deadline: the process ended; it was forwarded, 640 bytes, after event 7, from \
-             server s3\n\
+             server s3, which is leaving; the gateway had been stopping for 7500 ms\n\
              Its server was at work as the process ended"
         ),
         "{message}"
--- a/crates/core/src/direct/planned_stop.rs
+++ b/crates/core/src/direct/planned_stop.rs
@@ -89,6 +89,11 @@
         }
     }
 
+    /// Time since it began.
+    pub fn lasted(&self, now: Millis) -> Millis {
+        now.since(self.began_at)
+    }
+
     /// Whether a request with this deadline is accepted. `expected` is what the recent requests of its
     /// route took, if there were any.
     pub fn accepts(&self, deadline: Millis, expected: Option<Served>, now: Millis) -> bool {
--- a/crates/direct/src/gateway.rs
+++ b/crates/direct/src/gateway.rs
@@ -335,6 +335,14 @@
         matches!(self.phase.get(), Phase::Stopping(_))
     }
 
+    /// Time since the process was told to stop; `None` if it was not.
+    pub fn stopping_for(&self, now: Millis) -> Option<Millis> {
+        match self.phase.get() {
+            Phase::Stopping(stop) => Some(stop.lasted(now)),
+            _ => None,
+        }
+    }
+
     /// Records that the process is to stop.
     pub fn begin_stop(&self, stop: PlannedStop) {
         self.phase.set(Phase::Stopping(stop));
--- a/crates/direct/src/incomplete.rs
+++ b/crates/direct/src/incomplete.rs
@@ -5,8 +5,12 @@
 //! A caller that closes its connection is no such end.
 
 use hooktrestle_core::clock::Millis;
+use hooktrestle_core::direct::pool::Pool;
+use hooktrestle_core::direct::pool::Server;
+use hooktrestle_core::util::arena::Key;
 use hooktrestle_schema::IncompleteReason;
 use hooktrestle_schema::IncompleteStep;
+use hooktrestle_schema::ServerListing;
 
 use crate::gateway::Gateway;
 use crate::platform::Platform;
@@ -49,5 +53,16 @@
         until_deadline_ms: request.deadline().map(until),
         attempt_open: request.has_open_attempt() && !has_server_ended,
         server_quiet_ms: request.answer_received_at().map(|at| now.since(at).0),
+        server_listing: server.map(|key| gateway.with_pool(|pool| listing(pool, key))),
+        not_resumed: request.not_resumed().filter(|_| has_server_ended),
+        stopping_ms: gateway.stopping_for(now).map(|time| time.0),
+    }
+}
+
+fn listing(pool: &Pool, server: Key<Server>) -> ServerListing {
+    match () {
+        () if !pool.is_present(server) => ServerListing::Unlisted,
+        () if pool.server(server).is_leaving() => ServerListing::Leaving,
+        () => ServerListing::Open,
     }
 }
--- a/crates/direct/src/relay/resumption.rs
+++ b/crates/direct/src/relay/resumption.rs
@@ -22,6 +22,7 @@
 use hooktrestle_schema::LeaveReason;
 use hooktrestle_schema::LeaveStep;
 use hooktrestle_schema::NextStep;
+use hooktrestle_schema::NotResumed;
 use hooktrestle_schema::ResumedStep;
 use http::StatusCode;
 use http_body_util::BodyExt;
@@ -52,13 +53,13 @@
     let mut fate = Fate::MayHaveRun;
     while may_resume(relay, server, fate) {
         let guard = forward::next_attempt(&relay.gateway, &relay.request, &relay.attempts).await;
-        let Some(guard) = guard else { return false };
+        let Some(guard) = guard else { return not_resumed(relay, NotResumed::NoServer) };
         server = guard.server();
         relay.attempts.begin();
         let Relay { gateway, request, events, .. } = &*relay;
         let attempt = exchange::attempt(gateway, request, guard, events.last_id());
         let answered = gateway.clock.timeout_at(request.deadline, attempt).await;
-        let Ok(answered) = answered else { return false };
+        let Ok(answered) = answered else { return not_resumed(relay, NotResumed::NotAnswered) };
         fate = match answer_of(answered) {
             Ok(answer) => {
                 take_over(relay, answer, left);
@@ -243,15 +244,31 @@
     relay.gateway.record_truncated_answer(server, &relay.request.fingerprints, progress).await;
 }
 
+/// Records why no other server resumes the stream.
+fn not_resumed<P: Platform>(relay: &Relay<P>, reason: NotResumed) -> bool {
+    relay.request.progress.set_not_resumed(reason);
+    false
+}
+
 /// Decides whether another server may resume the stream after `server` failed, and logs that.
 fn may_resume<P: Platform>(relay: &mut Relay<P>, server: Key<Server>, fate: Fate) -> bool {
     let Relay { gateway, request, attempts, events, resumable, .. } = relay;
     let can_resume = *resumable && !events.is_event_split();
     let is_allowed = can_resume && gateway.crash_refusal(&request.fingerprints).is_none();
-    let covered = || is_allowed && gateway.take_retry(&request.service);
+    let mut obstacle = match can_resume {
+        true => NotResumed::AttemptsUsed,
+        false => NotResumed::NotResumable,
+    };
+    let covered = || {
+        let covered = is_allowed && gateway.take_retry(&request.service);
+        if is_allowed && !covered {
+            obstacle = NotResumed::RetriesUsed;
+        }
+        covered
+    };
     let next = attempts.after_failure(server, fate, covered);
     log_leave(relay, server, LeaveReason::BrokenOff, next.step());
-    next == Next::Retry
+    next == Next::Retry || not_resumed(relay, obstacle)
 }
 
 fn log_leave<P: Platform>(
--- a/crates/direct/src/request_progress.rs
+++ b/crates/direct/src/request_progress.rs
@@ -14,6 +14,7 @@
 use hooktrestle_core::direct::unread_answers::ReaderId;
 use hooktrestle_core::util::arena::Key;
 use hooktrestle_schema::AnswerStage;
+use hooktrestle_schema::NotResumed;
 use http::HeaderValue;
 
 /// The route of a request, in the configuration with which it was admitted.
@@ -49,6 +50,8 @@
     answer_bytes: Cell<usize>,
     last_event_id: Cell<Option<u64>>,
     reader: Cell<Option<ReaderId>>,
+    /// Why no other server resumed it, once its server has truncated it.
+    not_resumed: Cell<Option<NotResumed>>,
     ended_incomplete: Cell<bool>,
 }
 
@@ -67,6 +70,7 @@
             answer_bytes: Cell::new(0),
             last_event_id: Cell::new(None),
             reader: Cell::new(None),
+            not_resumed: Cell::new(None),
             ended_incomplete: Cell::new(false),
         }
     }
@@ -126,6 +130,11 @@
         self.answer_bytes.set(self.answer_bytes.get() + bytes);
     }
 
+    /// Records why no other server resumes it.
+    pub fn set_not_resumed(&self, reason: NotResumed) {
+        self.not_resumed.set(Some(reason));
+    }
+
     /// Records that the answer ended incomplete; returns whether that is new.
     pub fn end_incomplete(&self) -> bool {
         !self.ended_incomplete.replace(true)
@@ -181,6 +190,11 @@
         self.last_event_id.get()
     }
 
+    /// Why no other server resumed it.
+    pub fn not_resumed(&self) -> Option<NotResumed> {
+        self.not_resumed.get()
+    }
+
     /// The connection on which it is answered.
     pub fn reader(&self) -> Option<ReaderId> {
         self.reader.get()
--- a/crates/schema/src/generated.rs
+++ b/crates/schema/src/generated.rs
@@ -962,6 +962,8 @@
     pub answer_bytes: u64,
     ///Whether an attempt at a server was still open.
     pub attempt_open: bool,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub not_resumed: ::std::option::Option<NotResumed>,
     pub reason: IncompleteReason,
     ///Route of the request; absent if it was refused.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
@@ -969,6 +971,8 @@
     ///The platform's id of that server.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub server: ::std::option::Option<::std::string::String>,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub server_listing: ::std::option::Option<ServerListing>,
     ///Server that sent the answer, or that was tried last.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub server_number: ::std::option::Option<u32>,
@@ -976,6 +980,9 @@
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub server_quiet_ms: ::std::option::Option<u64>,
     pub stage: AnswerStage,
+    ///Time since the gateway began to stop; absent if it does not stop.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub stopping_ms: ::std::option::Option<u64>,
     ///Bytes of these that the connection had not written; absent if there are none, or their number is not known.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub unread_bytes: ::std::option::Option<u64>,
@@ -1458,6 +1465,78 @@
         value.parse()
     }
 }
+///Why no other server resumed a stream that its server truncated.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum NotResumed {
+    ///Its route or the framing of its answer does not allow that, or its caller has a part of an event.
+    #[serde(rename = "not-resumable")]
+    NotResumable,
+    ///It was sent to as many servers as its route allows.
+    #[serde(rename = "attempts-used")]
+    AttemptsUsed,
+    ///The gateway's share of the retry budget was used up.
+    #[serde(rename = "retries-used")]
+    RetriesUsed,
+    ///No server was free that had not been tried.
+    #[serde(rename = "no-server")]
+    NoServer,
+    ///The server that was asked did not answer before the deadline.
+    #[serde(rename = "not-answered")]
+    NotAnswered,
+}
+impl ::std::fmt::Display for NotResumed {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::NotResumable => f.write_str("not-resumable"),
+            Self::AttemptsUsed => f.write_str("attempts-used"),
+            Self::RetriesUsed => f.write_str("retries-used"),
+            Self::NoServer => f.write_str("no-server"),
+            Self::NotAnswered => f.write_str("not-answered"),
+        }
+    }
+}
+impl ::std::str::FromStr for NotResumed {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "not-resumable" => Ok(Self::NotResumable),
+            "attempts-used" => Ok(Self::AttemptsUsed),
+            "retries-used" => Ok(Self::RetriesUsed),
+            "no-server" => Ok(Self::NoServer),
+            "not-answered" => Ok(Self::NotAnswered),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for NotResumed {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for NotResumed {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
 ///A server's answer belonged to another request; the connection is closed.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct OtherAnswerStep {
@@ -1885,6 +1964,68 @@
     pub table: ::std::string::String,
     pub value: ::serde_json::Value,
 }
+///What the list of servers says of a server.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum ServerListing {
+    ///It accepts requests.
+    #[serde(rename = "open")]
+    Open,
+    ///It is leaving, by the list or by its own report.
+    #[serde(rename = "leaving")]
+    Leaving,
+    ///It is not listed, or its address belongs to another one.
+    #[serde(rename = "unlisted")]
+    Unlisted,
+}
+impl ::std::fmt::Display for ServerListing {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Open => f.write_str("open"),
+            Self::Leaving => f.write_str("leaving"),
+            Self::Unlisted => f.write_str("unlisted"),
+        }
+    }
+}
+impl ::std::str::FromStr for ServerListing {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "open" => Ok(Self::Open),
+            "leaving" => Ok(Self::Leaving),
+            "unlisted" => Ok(Self::Unlisted),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for ServerListing {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for ServerListing {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
 ///Kind of a service's backend servers: a group of expert-parallel ranks, or plain servers.
 #[derive(
     ::serde::Deserialize,
