Stop: end once answers stand still, and forward what has arrived first

Cause: the last phase of a stop was decided by the time alone. A process that was behind ended 0.2 s after the first check that found its end near, 0.5 s before the platform would kill it, although answers still arrived; one that was suspended until 0.1 s before ended at its first check, and forwarded nothing.

Change: before each check the process polls its sockets a few dozen times, so that a check sees what has arrived. With requests in flight, a stop whose end is due goes on as long as parts of answers are received or written, until 0.1 s before it is killed, and earlier by the delay of its checks. As it ends it forwards what has arrived, at least once: what the kernel has taken is delivered. A stop whose answers stand still ends when it did.

Ruled out: to stay until shortly before the kill whenever a request is in flight. It delays each replacement by 0.4 s for streams that their servers are not about to end, and gives a process that is resumed later nothing.

--- a/crates/core/src/direct/planned_stop.rs
+++ b/crates/core/src/direct/planned_stop.rs
@@ -1,7 +1,8 @@
 //! The requests that a gateway accepts while it stops, and when its process ends.
-//! Input: when the stop began and how long it may take; deadlines and arrivals of requests. State:
-//! whether the gateway was quiet at the last check, and since when all requests are answered. Decides
-//! whether a request is accepted, and whether the process ends.
+//! Input: when the stop began and how long it may take; deadlines and arrivals of requests; transfers
+//! of answers. State: whether the gateway was quiet at the last check, since when all requests are
+//! answered, and when an answer was last transferred. Decides whether a request is accepted, and
+//! whether the process ends.
 //!
 //! A request is accepted only if its caller can have the whole answer before the process ends. That
 //! is so if its deadline is earlier. At the beginning of the stop, when callers may not know of it
@@ -11,6 +12,10 @@
 //! before the end all requests without an answer get one: a closed connection would tell their
 //! callers less. Requests that arrive later do not prolong the stop: while many gateways stop,
 //! callers find no other one, and the next process accepts them sooner.
+//!
+//! A process that got too little processor time has answers that are not forwarded, although their
+//! servers have sent them in time. So it ends only once its answers stand still, or shortly before the
+//! platform ends it.
 
 use crate::clock::Millis;
 use crate::direct::service_times::Served;
@@ -26,9 +31,16 @@
 /// How long before the end of the stop time the process ends by itself.
 const STOP_MARGIN: Millis = Millis(500);
 
-/// The same for a process that got no processor time at its end.
+/// The same for a process whose answers do not stand still.
 const MIN_STOP_MARGIN: Millis = Millis(100);
 
+/// The same for a process that has decided to end, and has not forwarded all that has arrived.
+const EXIT_TIME: Millis = Millis(50);
+
+/// Maximum that is added to these for the delay of checks. A longer delay is a suspension, after which
+/// the process may run as fast as any.
+const MAX_EXIT_DELAY: Millis = Millis(100);
+
 /// Fraction of the stop in which requests are accepted whose deadline is behind its end, as numerator
 /// and denominator: 2.5 of 8 s. Callers may send such requests until 3 s; the difference is for a
 /// signal that is handled late, and for requests that wait to be read.
@@ -41,6 +53,10 @@
 /// Time between the deadline of a request and the end of the process: its answer has to be written.
 const DELIVERY_TIME: Millis = Millis(200);
 
+/// Time without a transfer after which answers stand still: more than a round trip to a server or a
+/// caller, and at least one check.
+const SETTLING_TIME: Millis = Millis(100);
+
 /// What a gateway that stops does next.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Next {
@@ -66,13 +82,18 @@
 pub struct PlannedStop {
     began_at: Millis,
     ends_at: Millis,
-    /// When it ends at the latest.
-    ends_by: Millis,
+    /// When the platform ends the process.
+    killed_at: Millis,
     accepts_any_deadline_until: Millis,
     /// Whether there was nothing to do at the last check.
     was_quiet: bool,
     /// Since when all requests get an answer.
     answers_all_since: Option<Millis>,
+    /// Number of transfers of answers so far, and when it was last found to have increased.
+    transfers: u64,
+    last_transfer_at: Millis,
+    /// Longest delay of a check since all requests get an answer.
+    max_delay: Millis,
 }
 
 impl PlannedStop {
@@ -82,10 +103,13 @@
         PlannedStop {
             began_at: now,
             ends_at: now + within.since(STOP_MARGIN),
-            ends_by: now + within.since(MIN_STOP_MARGIN),
+            killed_at: now + within,
             accepts_any_deadline_until: now + Millis(within.0 * numerator / denominator),
             was_quiet: false,
             answers_all_since: None,
+            transfers: 0,
+            last_transfer_at: Millis::ZERO,
+            max_delay: Millis::ZERO,
         }
     }
 
@@ -107,6 +131,28 @@
         ends_by + DELIVERY_TIME <= self.ends_at
     }
 
+    /// Records, before a check, how often parts of answers have been received from servers or written
+    /// to callers. The process has to handle what has arrived first: while it gets no processor time,
+    /// nothing is transferred.
+    pub fn record_transfers(&mut self, count: u64, now: Millis) {
+        if count != self.transfers {
+            (self.transfers, self.last_transfer_at) = (count, now);
+        }
+    }
+
+    /// Records how late a check begins. A process that gets too little processor time at its end takes
+    /// longer to exit.
+    pub fn record_delay(&mut self, delay: Millis) {
+        if self.answers_all_since.is_some() {
+            self.max_delay = self.max_delay.max(delay.min(MAX_EXIT_DELAY));
+        }
+    }
+
+    /// Whether a process that ends may go on forwarding what has arrived.
+    pub fn may_forward(&self, now: Millis) -> bool {
+        now + EXIT_TIME + self.max_delay < self.killed_at
+    }
+
     /// The next step, at a check. The gateway has to be quiet at two checks in a row: requests that
     /// arrived while the process got no processor time are read only after the first one. For the same
     /// reason, answers have time to be written after the first check that finds the end near, however
@@ -124,7 +170,11 @@
             return Next::Serve;
         }
         let answers_all_since = *self.answers_all_since.get_or_insert(now);
-        let ends_at = self.ends_at.max(answers_all_since + DELIVERY_TIME).min(self.ends_by);
-        if now >= ends_at { Next::End } else { Next::AnswerAll }
+        let mut ends_at = self.ends_at.max(answers_all_since + DELIVERY_TIME);
+        if requests.in_flight > 0 {
+            ends_at = ends_at.max(self.last_transfer_at + SETTLING_TIME);
+        }
+        let is_over = now >= ends_at || now + MIN_STOP_MARGIN + self.max_delay >= self.killed_at;
+        if is_over { Next::End } else { Next::AnswerAll }
     }
 }
--- a/crates/core/tests/planned_stop.rs
+++ b/crates/core/tests/planned_stop.rs
@@ -148,3 +148,70 @@
     let mut stop = stop();
     assert_eq!(stop.check(busy, BEGAN_AT + Millis(7_900)), Next::End, "before it is killed");
 }
+
+/// Guards against answers that are cut off although parts of them still arrive: the process ends while
+/// it forwards what its servers sent as it got too little processor time.
+#[test]
+fn a_process_that_forwards_answers_ends_once_they_stand_still_or_its_time_is_over() {
+    for last_ms in (7_000..8_200).step_by(50) {
+        let mut stop = stop();
+        let (mut now, mut transfers) = (BEGAN_AT, 0);
+        loop {
+            transfers += u64::from(now <= BEGAN_AT + Millis(last_ms));
+            stop.record_transfers(transfers, now);
+            if stop.check(Requests { in_flight: 1, last_received_at: BEGAN_AT }, now) == Next::End {
+                break;
+            }
+            now = now + CHECK_INTERVAL;
+        }
+        let ends_ms = (last_ms + 100).clamp(7_500, 7_900);
+        assert_eq!(now, BEGAN_AT + Millis(ends_ms), "{last_ms}");
+    }
+}
+
+/// Guards against a stop that takes longer than it has to, because it waits for answers to stand still
+/// although all are complete.
+#[test]
+fn a_process_whose_answers_are_complete_does_not_wait_for_them_to_stand_still() {
+    let mut stop = stop();
+    let busy = Requests { in_flight: 1, last_received_at: BEGAN_AT };
+    let mut now = BEGAN_AT;
+    while now < BEGAN_AT + Millis(7_500) {
+        stop.record_transfers(now.0, now);
+        assert_ne!(stop.check(busy, now), Next::End);
+        now = now + CHECK_INTERVAL;
+    }
+    stop.record_transfers(now.0, now);
+    assert_eq!(stop.check(Requests { in_flight: 0, ..busy }, now), Next::End);
+}
+
+/// Guards against a process that is killed as it exits, because it gets too little processor time: each
+/// of its checks is late, and so is its exit.
+#[test]
+fn a_process_whose_checks_are_late_ends_earlier() {
+    for (delay_ms, margin_ms) in [(0, 100), (45, 145), (1_000, 200)] {
+        let mut stop = stop();
+        let busy = Requests { in_flight: 1, last_received_at: BEGAN_AT };
+        // Delays before the end of the stop do not tell how long the exit takes.
+        stop.record_delay(Millis(3_000));
+        let mut now = BEGAN_AT + Millis(7_300);
+        loop {
+            stop.record_transfers(now.0, now);
+            if stop.check(busy, now) == Next::End {
+                break;
+            }
+            stop.record_delay(Millis(delay_ms));
+            now = now + Millis(1);
+        }
+        assert_eq!(now, BEGAN_AT + WITHIN.since(Millis(margin_ms)), "{delay_ms}");
+        assert!(stop.may_forward(now + Millis(49)) && !stop.may_forward(now + Millis(50)));
+    }
+}
+
+/// Guards against a process that is killed while it forwards its last answers.
+#[test]
+fn a_process_that_ends_forwards_what_has_arrived_while_there_is_time() {
+    let stop = stop();
+    assert!(stop.may_forward(BEGAN_AT + Millis(7_900)));
+    assert!(!stop.may_forward(BEGAN_AT + Millis(7_950)), "it has to exit");
+}
--- a/crates/direct/src/callers/reader.rs
+++ b/crates/direct/src/callers/reader.rs
@@ -130,6 +130,7 @@
 
     pub(super) fn record_read(&self, bytes: usize) {
         self.gateway.readers.unread.borrow_mut().record_read(self.id, bytes);
+        self.gateway.in_flight.record_written();
         self.observe_held();
     }
 
--- a/crates/direct/src/gateway/in_flight.rs
+++ b/crates/direct/src/gateway/in_flight.rs
@@ -28,6 +28,8 @@
     last_received_at: Cell<Millis>,
     /// Number of attempts at servers.
     attempts: Cell<usize>,
+    /// Number of transfers of answers so far.
+    transfers: Rc<Cell<u64>>,
 }
 
 impl InFlightRequests {
@@ -51,6 +53,16 @@
         self.attempts.set(self.attempts.get() - 1);
     }
 
+    /// How often a part of an answer was received from a server or written to a caller.
+    pub fn transfers(&self) -> u64 {
+        self.transfers.get()
+    }
+
+    /// Records that a part of an answer was written to a caller.
+    pub fn record_written(&self) {
+        self.transfers.update(|count| count + 1);
+    }
+
     /// When the last request was received, whether or not it has ended.
     pub fn last_received_at(&self) -> Millis {
         self.last_received_at.get()
@@ -145,7 +157,7 @@
         all.last_number.set(number);
         let key = (gateway.now(), number);
         all.last_received_at.set(key.0);
-        let progress = Rc::new(RequestProgress::new(id, key.0));
+        let progress = Rc::new(RequestProgress::new(id, key.0, all.transfers.clone()));
         all.received.borrow_mut().insert(key, progress.clone());
         InFlight { gateway: gateway.clone(), key, progress }
     }
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -25,6 +25,7 @@
 use hooktrestle_schema::IncompleteReason;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
+use tokio::task;
 use tokio::time;
 
 use crate::callers;
@@ -60,6 +61,10 @@
 /// Interval between two checks of the remaining requests while the process stops.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Number of times that a process which stops polls its sockets before a check. What arrives passes a
+/// few tasks until it is forwarded, and not all tasks run after each poll.
+const POLLS_PER_CHECK: usize = 32;
+
 /// Longest wait until others were notified of a stop: the store may not answer, while requests in
 /// flight have to be finished.
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -239,7 +244,9 @@
     drop(time::timeout(ANNOUNCE_TIMEOUT, notified).await);
     let mut max_delay = Millis::ZERO;
     loop {
+        handle_arrived().await;
         let now = gateway.now();
+        planned.record_transfers(in_flight.transfers(), now);
         let requests = planned_stop::Requests {
             in_flight: in_flight.count(),
             last_received_at: in_flight.last_received_at(),
@@ -251,11 +258,36 @@
         }
         let next_check = now + Millis::from(STOP_POLL_INTERVAL);
         gateway.clock.sleep_until(next_check).await;
-        max_delay = max_delay.max(gateway.now().since(next_check));
+        let delay = gateway.now().since(next_check);
+        planned.record_delay(delay);
+        max_delay = max_delay.max(delay);
     }
+    forward_arrived(gateway, &planned).await;
     log_stopped(gateway, began, max_delay);
 }
 
+/// Polls all sockets and lets the tasks run that they wake: a check may be the first thing that runs
+/// after a time without a processor.
+async fn handle_arrived() {
+    for _ in 0..POLLS_PER_CHECK {
+        task::yield_now().await;
+    }
+}
+
+/// Forwards what has arrived by the end of a stop, while there is time. A process that was suspended
+/// until then does so once, however late that is: what the kernel has taken is delivered.
+async fn forward_arrived<P: Platform>(gateway: &Gateway<P>, planned: &PlannedStop) {
+    let in_flight = &gateway.in_flight;
+    while in_flight.count() > 0 {
+        finish_answers(gateway);
+        let transfers = in_flight.transfers();
+        handle_arrived().await;
+        if in_flight.transfers() == transfers || !planned.may_forward(gateway.now()) {
+            return;
+        }
+    }
+}
+
 /// Answers all requests that wait, and gives the kernel what callers have not read of their answers.
 fn finish_answers<P: Platform>(gateway: &Gateway<P>) {
     gateway.answer_all_waiting();
--- a/crates/direct/src/request_progress.rs
+++ b/crates/direct/src/request_progress.rs
@@ -47,6 +47,8 @@
     /// When something of its answer was last received.
     answer_received_at: Cell<Option<Millis>>,
     open_attempts: Cell<u32>,
+    /// Number of transfers of all answers.
+    transfers: Rc<Cell<u64>>,
     answer_bytes: Cell<usize>,
     last_event_id: Cell<Option<u64>>,
     reader: Cell<Option<ReaderId>>,
@@ -56,8 +58,12 @@
 }
 
 impl RequestProgress {
-    /// A request with this id, received now.
-    pub fn new(id: Option<HeaderValue>, received_at: Millis) -> RequestProgress {
+    /// A request with this id, received now, and the number of transfers of all answers.
+    pub fn new(
+        id: Option<HeaderValue>,
+        received_at: Millis,
+        transfers: Rc<Cell<u64>>,
+    ) -> RequestProgress {
         RequestProgress {
             id,
             received_at,
@@ -67,6 +73,7 @@
             server: Cell::new(None),
             answer_received_at: Cell::new(None),
             open_attempts: Cell::new(0),
+            transfers,
             answer_bytes: Cell::new(0),
             last_event_id: Cell::new(None),
             reader: Cell::new(None),
@@ -118,6 +125,7 @@
     /// Records that a part of the answer was received.
     pub fn record_received(&self, at: Millis) {
         self.answer_received_at.set(Some(at));
+        self.transfers.update(|count| count + 1);
     }
 
     /// Records the id of the last complete event.
