A planned end of a server is no crash of its requests

Cause: a server counted as crashed if it truncated an answer and then refused a connection, or was no longer listed, whether or not it had been leaving. Servers that end as planned do both: some say before that they leave, the rows of others are removed, and they serve for some time. What they still ran then was at a crash: a stream whose answer had just begun was held back instead of resumed at another server, and a request at three such ends was refused as one that crashes servers. In a soak of planned work alone, gateways reported crashes and refused a request ("servers crashed while running it, 3 in all"), and held one back.

Change: a truncated answer is no evidence if its server was leaving, or no longer listed, before. A server that crashes truncates its answers first, and its row goes three heartbeats later; one that was known to have crashed stays so.

Ruled out: the row alone. A crash is followed by the removal of the row as well; only the order tells the two apart.

--- a/crates/core/src/direct/pool.rs
+++ b/crates/core/src/direct/pool.rs
@@ -9,6 +9,7 @@
 //! [`server_notices`](crate::direct::server_notices).
 
 mod choice;
+mod leaving;
 mod limits;
 mod occupancy;
 mod plain;
@@ -450,14 +451,6 @@
         self.limits.entry(key).or_default();
     }
 
-    /// Records that a server reported itself as leaving; returns whether that is new.
-    pub fn mark_leaving(&mut self, key: Key<Server>) -> bool {
-        let server = &mut self.servers[key];
-        let is_new = !server.is_leaving();
-        server.notices.set_leaving();
-        is_new
-    }
-
     /// Records that a server answered a request that it had accepted.
     pub fn record_answer(&mut self, key: Key<Server>) {
         let server = &mut self.servers[key];
@@ -586,12 +579,6 @@
         is_healthy && self.is_available(now) && self.notices.admits_one_more(requests)
     }
 
-    /// Whether it is leaving, by its row or by its own report. The report is final: a later row
-    /// does not revoke it.
-    pub fn is_leaving(&self) -> bool {
-        self.listed.leaving || self.notices.announced_leaving()
-    }
-
     /// Whether it is listed, owns its address, is not leaving, and its data centre is not
     /// evacuated.
     pub fn is_open(&self) -> bool {
--- a/crates/direct/src/gateway/crashes.rs
+++ b/crates/direct/src/gateway/crashes.rs
@@ -4,7 +4,8 @@
 //!
 //! A truncated answer may have been damaged by the network, and a missing one may arrive later. So
 //! a server counts as crashed only if it refuses a connection right afterwards, or if the platform
-//! stops listing it soon after although it was not leaving.
+//! stops listing it soon after although it was not leaving. A server that is leaving or no longer listed
+//! by then ends as planned: what it breaks off shows nothing about its requests.
 
 mod endings;
 mod log;
@@ -178,6 +179,13 @@
     pub(super) stored_crashes_read: bool,
 }
 
+impl CrashDetection {
+    fn is_known_crashed(&self, server: Key<Server>) -> bool {
+        let truncations = self.truncations.get(&server);
+        truncations.is_some_and(|one| one.status == CrashStatus::Confirmed)
+    }
+}
+
 impl<P: Platform> Gateway<P> {
     /// Why a request is not sent to any server and for how much longer, if that is so: servers
     /// crashed while running it or others with a part of its prompt, or one did just as the request
@@ -273,9 +281,13 @@
     ) {
         let now = self.now();
         let is_starting = matches!(progress, Progress::Starting(_));
+        let is_end_planned = self.with_pool(|pool| pool.is_end_planned(server));
         let (status, is_probing) = {
             let mut detection = self.crash_detection.borrow_mut();
             detection.truncations.retain(|_, truncations| !truncations.answers.is_expired(now));
+            if is_end_planned && !detection.is_known_crashed(server) {
+                return;
+            }
             let truncations = detection.truncations.entry(server).or_default();
             for suspect in progress.suspects(fingerprints, now) {
                 truncations.answers.add(suspect, now);
--- a/crates/direct/src/gateway/crashes/endings.rs
+++ b/crates/direct/src/gateway/crashes/endings.rs
@@ -101,12 +101,7 @@
         progress: Progress,
     ) {
         self.add_unconfirmed_request(server, fingerprints, progress.extent(self.now()));
-        let is_crashed = {
-            let detection = self.crash_detection.borrow();
-            let truncations = detection.truncations.get(&server);
-            truncations.is_some_and(|one| one.status == CrashStatus::Confirmed)
-        };
-        if is_crashed {
+        if self.crash_detection.borrow().is_known_crashed(server) {
             self.report(server);
         }
     }
