An attempt that is left at a server without a row was at no crash

An attempt that a caller leaves at a server counts as at its crash if the server does not answer again before its row goes. A server that leaves without notice has no row while it serves on: each attempt that was left there made it a crashed one at the next change of the list, and the parts of the prompt were reported as ones that were at a crash.

Change: such attempts are not recorded at servers that are leaving or no longer listed, unless these are known to have crashed.

--- a/crates/direct/src/gateway/crashes/endings.rs
+++ b/crates/direct/src/gateway/crashes/endings.rs
@@ -176,7 +176,12 @@
     ) {
         self.expire_unconfirmed();
         let now = self.now();
+        let is_end_planned = self.with_pool(|pool| pool.is_end_planned(server));
         let mut detection = self.crash_detection.borrow_mut();
+        // A server without a row may serve on: that it is not listed shows no crash after this.
+        if is_end_planned && !detection.is_known_crashed(server) {
+            return;
+        }
         let unconfirmed = detection.unconfirmed.entry(server).or_default();
         for fingerprint in ended {
             unconfirmed.add(EndedAttempt { fingerprint, extent, at: now });
