Streams: after a suspension, forward what has arrived before a deadline ends them

Cause: a stream takes its parts one by one, as tasks pass them on. After a suspension that its deadline falls into, or shortly before it, the deadline ended it after the first part, although all others had arrived. A whole answer is delivered in that case.

Change: within 1 s after a suspension a stream whose deadline has passed reads what has arrived, at most 256 parts. What polls the sockets before a check of a stop is a module of its own, and used here as well.

Ruled out: to do so whenever a deadline passes.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -14,7 +14,7 @@
 //!    later requests.
 //! 6. `relay` relays the answer as it arrives, and resumes a truncated stream at another server.
 //!
-//! `request_progress` keeps how far each request is, and `incomplete` logs answers that end incomplete
+//! `arrivals` handles what has arrived before a timer cuts it off. `request_progress` keeps how far each request is, and `incomplete` logs answers that end incomplete
 //! for their callers.
 //!
 //! Other tasks keep the state up to date:
@@ -32,6 +32,7 @@
 
 mod accept;
 pub mod admission_queue;
+mod arrivals;
 mod bodies;
 pub mod bounded;
 mod callers;
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -25,9 +25,9 @@
 use hooktrestle_schema::IncompleteReason;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
-use tokio::task;
 use tokio::time;
 
+use crate::arrivals;
 use crate::callers;
 use crate::crash_sync;
 use crate::delays::Wait;
@@ -61,10 +61,6 @@
 /// Interval between two checks of the remaining requests while the process stops.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Number of times that a process which stops polls its sockets before a check. What arrives passes a
-/// few tasks until it is forwarded, and not all tasks run after each poll.
-const POLLS_PER_CHECK: usize = 32;
-
 /// Longest wait until others were notified of a stop: the store may not answer, while requests in
 /// flight have to be finished.
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -244,7 +240,7 @@
     drop(time::timeout(ANNOUNCE_TIMEOUT, notified).await);
     let mut max_delay = Millis::ZERO;
     loop {
-        handle_arrived().await;
+        arrivals::handle().await;
         let now = gateway.now();
         planned.record_transfers(in_flight.transfers(), now);
         let requests = planned_stop::Requests {
@@ -266,14 +262,6 @@
     log_stopped(gateway, began, max_delay);
 }
 
-/// Polls all sockets and lets the tasks run that they wake: a check may be the first thing that runs
-/// after a time without a processor.
-async fn handle_arrived() {
-    for _ in 0..POLLS_PER_CHECK {
-        task::yield_now().await;
-    }
-}
-
 /// Forwards what has arrived by the end of a stop, while there is time. A process that was suspended
 /// until then does so once, however late that is: what the kernel has taken is delivered.
 async fn forward_arrived<P: Platform>(gateway: &Gateway<P>, planned: &PlannedStop) {
@@ -281,7 +269,7 @@
     while in_flight.count() > 0 {
         finish_answers(gateway);
         let transfers = in_flight.transfers();
-        handle_arrived().await;
+        arrivals::handle().await;
         if in_flight.transfers() == transfers || !planned.may_forward(gateway.now()) {
             return;
         }
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -18,6 +18,7 @@
 use bytes::Bytes;
 use futures_util::Stream;
 use futures_util::stream;
+use hooktrestle_core::clock::Millis;
 use hooktrestle_core::direct::answer_ends;
 use hooktrestle_core::direct::answer_ends::AnswerEnd;
 use hooktrestle_core::direct::answer_ends::Content;
@@ -33,6 +34,7 @@
 use tokio::time::Instant;
 
 use crate::admission_queue::AdmittedStream;
+use crate::arrivals;
 use crate::exchange::Answer;
 use crate::framing;
 use crate::gateway::Gateway;
@@ -47,6 +49,12 @@
 /// stall for 1,500 ms when a rank is lost, and callers disconnect after 2,000 ms.
 const SOURCE_IDLE_TIMEOUT: Duration = Duration::from_millis(1_650);
 
+/// Time after a suspension in which the parts that arrived meanwhile are forwarded.
+const CATCH_UP_TIME: Millis = Millis(1_000);
+
+/// Maximum number of parts of a stream that are forwarded then after its deadline.
+const MAX_LATE_PARTS: u32 = 256;
+
 /// The stream ended before it was complete.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct TruncatedStream;
@@ -73,6 +81,8 @@
     resumable: bool,
     /// What the source sent while another server was asked to resume the stream.
     received: Option<SourceItem>,
+    /// Parts that may still be forwarded after the deadline.
+    late_parts_left: u32,
 }
 
 /// The frames for the caller of a stream that has begun.
@@ -97,6 +107,7 @@
         has_progress: false,
         resumable,
         received: None,
+        late_parts_left: MAX_LATE_PARTS,
     };
     stream::unfold(relay, next_frame)
 }
@@ -255,7 +266,7 @@
         return Some(received);
     }
     let can_move = resumption::can_move(relay);
-    let Relay { gateway, request, attempts, source, resumable, .. } = relay;
+    let Relay { gateway, request, attempts, source, resumable, late_parts_left, .. } = relay;
     let (source, deadline, resumable) = (source.as_mut()?, request.deadline, *resumable);
     let server = source.guard.server();
     let idle_at = Instant::now() + SOURCE_IDLE_TIMEOUT;
@@ -267,7 +278,9 @@
                     return Some(item);
                 }
             }
-            () = gateway.clock.sleep_until(deadline) => return Some(SourceItem::Deadline),
+            () = until_passed(gateway, deadline, late_parts_left) => {
+                return Some(SourceItem::Deadline);
+            }
             // This timer does not count the time of a suspension, which is no sign of an idle
             // server.
             () = time::sleep_until(idle_at), if can_move => return Some(SourceItem::IdleTimeout),
@@ -282,6 +295,16 @@
     }
 }
 
+/// Waits until a deadline has passed. After a suspension, parts that have arrived are read first; a
+/// server that sends without end does not prolong the wait.
+async fn until_passed<P: Platform>(gateway: &Gateway<P>, deadline: Millis, parts_left: &mut u32) {
+    gateway.clock.sleep_until(deadline).await;
+    if *parts_left > 0 && gateway.recent_suspension(CATCH_UP_TIME).is_some() {
+        *parts_left -= 1;
+        arrivals::handle().await;
+    }
+}
+
 /// The item that a frame of the source is; `None` for trailers, which concern one connection only and
 /// are not forwarded.
 fn item_of(frame: Option<Result<Frame<Bytes>, hyper::Error>>) -> Option<SourceItem> {
