Stop: only a process that is behind uses up its stop time

A stream that does not end kept every stop until 0.1 s before the process is killed, so a signal that is handled later than that led to a kill.

A check's delay includes what is handled before it.

--- a/crates/core/src/direct/planned_stop.rs
+++ b/crates/core/src/direct/planned_stop.rs
@@ -13,9 +13,10 @@
 //! callers less. Requests that arrive later do not prolong the stop: while many gateways stop,
 //! callers find no other one, and the next process accepts them sooner.
 //!
-//! A process that got too little processor time has answers that are not forwarded, although their
+//! A process that gets too little processor time has answers that are not forwarded, although their
 //! servers have sent them in time. So it ends only once its answers stand still, or shortly before the
-//! platform ends it.
+//! platform ends it. One whose checks are in time has forwarded what has arrived, and keeps the rest of
+//! the stop time: it may have handled the signal late.
 
 use crate::clock::Millis;
 use crate::direct::service_times::Served;
@@ -57,6 +58,9 @@
 /// caller, and at least one check.
 const SETTLING_TIME: Millis = Millis(100);
 
+/// Delay of a check from which on the process gets too little processor time.
+const MAX_TIMELY_DELAY: Millis = Millis(20);
+
 /// What a gateway that stops does next.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Next {
@@ -171,7 +175,7 @@
         }
         let answers_all_since = *self.answers_all_since.get_or_insert(now);
         let mut ends_at = self.ends_at.max(answers_all_since + DELIVERY_TIME);
-        if requests.in_flight > 0 {
+        if requests.in_flight > 0 && self.max_delay >= MAX_TIMELY_DELAY {
             ends_at = ends_at.max(self.last_transfer_at + SETTLING_TIME);
         }
         let is_over = now >= ends_at || now + MIN_STOP_MARGIN + self.max_delay >= self.killed_at;
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -239,9 +239,14 @@
     // Gateways that are not notified detect the stop when heartbeats are missing.
     drop(time::timeout(ANNOUNCE_TIMEOUT, notified).await);
     let mut max_delay = Millis::ZERO;
+    let mut check_at = gateway.now();
     loop {
+        gateway.clock.sleep_until(check_at).await;
         arrivals::handle().await;
         let now = gateway.now();
+        let delay = now.since(check_at);
+        max_delay = max_delay.max(delay);
+        planned.record_delay(delay);
         planned.record_transfers(in_flight.transfers(), now);
         let requests = planned_stop::Requests {
             in_flight: in_flight.count(),
@@ -252,11 +257,7 @@
             planned_stop::Next::AnswerAll => finish_answers(gateway),
             planned_stop::Next::End => break,
         }
-        let next_check = now + Millis::from(STOP_POLL_INTERVAL);
-        gateway.clock.sleep_until(next_check).await;
-        let delay = gateway.now().since(next_check);
-        planned.record_delay(delay);
-        max_delay = max_delay.max(delay);
+        check_at = now + Millis::from(STOP_POLL_INTERVAL);
     }
     forward_arrived(gateway, &planned).await;
     log_stopped(gateway, began, max_delay);
