--- a/crates/core/src/direct/pool.rs
+++ b/crates/core/src/direct/pool.rs
@@ -152,6 +152,8 @@
     incarnation: ServerIncarnation,
     /// Index among the candidates of its service; `None` if the platform does not list it.
     position: Option<usize>,
+    /// Whether it has sent something while the platform does not list it.
+    serves_unlisted: bool,
     /// Store revision at which this gateway first received its row.
     first_revision: Revision,
     cooldown_until: Millis,
@@ -297,6 +299,7 @@
             listed,
             incarnation,
             position: None,
+            serves_unlisted: false,
             first_revision: revision,
             cooldown_until: Millis::ZERO,
             slow_until: Millis::ZERO,
@@ -324,6 +327,7 @@
         }
         let service = self.services.entry(server.listed.service.clone()).or_default();
         server.position = Some(service.servers.len());
+        server.serves_unlisted = false;
         service.servers.push(key);
         service.candidates.push(Candidate { weight: 1, ..Candidate::default() });
         self.by_address.entry(server.listed.address).or_default().push(key);
--- a/crates/core/src/direct/pool/leaving.rs
+++ b/crates/core/src/direct/pool/leaving.rs
@@ -15,11 +15,18 @@
         is_new
     }
 
-    /// Whether an end of a server is planned, if it comes now: it is leaving, or the platform no longer
-    /// lists it. Some servers leave without notice: their row is removed, and they serve for some time.
+    /// Records that something was received from a server. One that is no longer listed leaves without
+    /// notice then: a server that has crashed or went dark sends nothing more.
+    pub fn record_received(&mut self, key: Key<Server>) {
+        let server = &mut self.servers[key];
+        server.serves_unlisted = server.position.is_none();
+    }
+
+    /// Whether an end of a server is planned, if it comes now: it is leaving, or it has served on after
+    /// its row was removed.
     pub fn is_end_planned(&self, key: Key<Server>) -> bool {
         let server = &self.servers[key];
-        server.is_leaving() || server.position.is_none()
+        server.is_leaving() || server.serves_unlisted
     }
 }
 
--- a/crates/direct/src/gateway/crashes.rs
+++ b/crates/direct/src/gateway/crashes.rs
@@ -4,8 +4,8 @@
 //!
 //! A truncated answer may have been damaged by the network, and a missing one may arrive later. So
 //! a server counts as crashed only if it refuses a connection right afterwards, or if the platform
-//! stops listing it soon after although it was not leaving. A server that is leaving or no longer listed
-//! by then ends as planned: what it breaks off shows nothing about its requests.
+//! stops listing it soon after although it was not leaving. A server that is leaving by then, or that has
+//! served on without a row, ends as planned: what it breaks off shows nothing about its requests.
 
 mod endings;
 mod log;
--- a/crates/direct/src/gateway/crashes/endings.rs
+++ b/crates/direct/src/gateway/crashes/endings.rs
@@ -29,6 +29,7 @@
     /// Records that a server answered a request that was sent at `sent_at`: attempts that ended
     /// there before did not crash it.
     pub fn record_server_answer(&self, server: Key<Server>, sent_at: Millis) {
+        self.with_pool(|pool| pool.record_received(server));
         {
             let mut detection = self.crash_detection.borrow_mut();
             let truncations = detection.truncations.get_mut(&server);
@@ -178,7 +179,7 @@
         let now = self.now();
         let is_end_planned = self.with_pool(|pool| pool.is_end_planned(server));
         let mut detection = self.crash_detection.borrow_mut();
-        // A server without a row may serve on: that it is not listed shows no crash after this.
+        // That such a server is not listed shows no crash.
         if is_end_planned && !detection.is_known_crashed(server) {
             return;
         }
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -132,7 +132,7 @@
         }
         match next_source_item(&mut relay).await? {
             SourceItem::Bytes(bytes) => {
-                relay.request.progress.record_received(relay.gateway.now());
+                record_received(&relay);
                 if relay.content == Content::Opaque {
                     record_progress(&mut relay);
                     return Some((Ok(Frame::data(bytes)), relay));
@@ -250,6 +250,15 @@
     incomplete::record(&relay.gateway, &relay.request.progress, reason);
 }
 
+/// Records that a part of the stream was received.
+fn record_received<P: Platform>(relay: &Relay<P>) {
+    let Relay { gateway, request, source, .. } = relay;
+    request.progress.record_received(gateway.now());
+    if let Some(source) = source {
+        gateway.with_pool(|pool| pool.record_received(source.guard.server()));
+    }
+}
+
 /// Records that the source has got further than the beginning of its answer.
 fn record_progress<P: Platform>(relay: &mut Relay<P>) {
     if let Some(source) = relay.source.as_ref().filter(|_| !relay.has_progress) {
