Soak: servers that end as planned, releases in lock step, a second stop soon after the first

What planned work lacked beside stops: servers that leave without a mark in their row, that close their connections after the next answer, that serve on for 2.1, 2.6 or 6 s and then end, with or without finishing what they run, and whose address goes to a server of another service (server-ends); groups that stand still for 1.5 s as each server ends, cut off what they run and refuse until they are whole (lock-step-release); a gateway that is told to stop again 1 s after it came back (stop-again). In these runs two routes of streams may be resumed. Planned ends are no crash: a request that is refused or held back for one is a violation.

--- a/crates/soak/src/backends.rs
+++ b/crates/soak/src/backends.rs
@@ -2,6 +2,7 @@
 //! Input: faults of the store and of servers. State: servers that accept requests, store snapshots.
 //! Decides when a server is replaced, when rows are removed and what the store loses in a drill.
 
+pub mod endings;
 pub mod groups;
 
 use std::cell::Cell;
@@ -373,6 +374,8 @@
             FaultKind::StoreDrill => self.drill(target, duration).await,
             FaultKind::GroupTrouble => self.trouble_group(target, duration).await,
             FaultKind::GroupRelease => self.release_group(target, duration).await,
+            FaultKind::ServerEnds => self.end_server(target).await,
+            FaultKind::LockStepRelease => self.release_in_lock_step(target, duration).await,
             FaultKind::Evacuation => self.evacuate(target, duration).await,
             FaultKind::Overload => self.bound_slots(duration).await,
             FaultKind::RestartSeries => self.lose_answers(duration).await,
--- a/crates/soak/src/backends/groups.rs
+++ b/crates/soak/src/backends/groups.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hooktrestle_users_standin::add_second_resumable_route;
 use hooktrestle_users_standin::bound_streams;
 use hooktrestle_users_standin::proxy::State;
 use hooktrestle_users_standin::server::Action;
@@ -22,7 +23,7 @@
 
 /// Time for which the servers of a group send nothing after a crash, before they cut off what they run,
 /// and time from the return of the crashed server until they accept requests.
-const GROUP_STALL: Duration = Duration::from_millis(1_500);
+pub(super) const GROUP_STALL: Duration = Duration::from_millis(1_500);
 const GROUP_START: Duration = Duration::from_millis(600);
 
 /// Time in which the servers of a group cut off what they run: longer than between two events.
@@ -87,6 +88,8 @@
     pub(crate) have_faults: bool,
     /// Whether gateways bound the streams of the service and their pauses, in such a run.
     bound_streams: bool,
+    /// Whether servers end as planned in the run: a second route of streams may then be resumed.
+    have_planned_ends: bool,
     /// The groups of which servers have crashed, once for each.
     stopped: RefCell<Vec<u32>>,
 }
@@ -98,10 +101,10 @@
     }
 
     /// Groups for a run with faults of groups: all servers, a half or a third of them.
-    pub fn draw(seed: u64, servers: usize) -> Groups {
+    pub fn draw(seed: u64, servers: usize, have_planned_ends: bool) -> Groups {
         let size = servers.div_ceil(1 + seed as usize % 3);
         let bound_streams = seed % 2 == 1;
-        Groups { size, have_faults: true, bound_streams, ..Groups::default() }
+        Groups { size, have_faults: true, bound_streams, have_planned_ends, ..Groups::default() }
     }
 
     /// The group of the server with a number, from 0 on.
@@ -109,6 +112,11 @@
         (number / self.size.max(1)) as u32
     }
 
+    /// Records that a server of a group has ended and is not replaced.
+    pub(super) fn stop(&self, group: u32) {
+        self.stopped.borrow_mut().push(group);
+    }
+
     /// Whether a server of a group has crashed and is not replaced.
     pub(super) fn is_stopped(&self, group: u32) -> bool {
         self.stopped.borrow().contains(&group)
@@ -124,13 +132,25 @@
     /// Changes a configuration for a run with faults of groups: each version has other time-outs.
     pub(super) fn configure_for_groups(&self, configuration: &mut Value) {
         let version = self.configurations.newest() as usize;
+        if self.groups.have_planned_ends {
+            add_second_resumable_route(configuration);
+        }
         set_timeouts(configuration, TIMEOUTS[version % TIMEOUTS.len()]);
         if self.groups.bound_streams {
             bound_streams(configuration);
         }
     }
 
-    fn group_members(&self, group: u32) -> Vec<ProxiedServer> {
+    /// The routes of streams, and whether these may be resumed at another server.
+    pub fn stream_routes(&self) -> &'static [(&'static str, bool)] {
+        if self.groups.have_planned_ends {
+            &[("flow", true), ("brook", false), ("creek", true)]
+        } else {
+            &[("flow", true), ("brook", false)]
+        }
+    }
+
+    pub(super) fn group_members(&self, group: u32) -> Vec<ProxiedServer> {
         let (active, leaving) = (self.active.borrow(), self.leaving.borrow());
         let all = active.iter().chain(leaving.iter());
         all.filter(|proxied| proxied.group == group).cloned().collect()
@@ -236,7 +256,7 @@
     }
 
     /// Makes servers cut off what they run, inside events where they send any.
-    async fn cut(&self, members: &[ProxiedServer]) {
+    pub(super) async fn cut(&self, members: &[ProxiedServer]) {
         for ProxiedServer { server, proxy, .. } in members {
             self.ledger.losses.record_cut(&server.id, CUT_DURATION);
             proxy.set_state(State::CutsAnswers);
--- a/crates/soak/src/callers/streams.rs
+++ b/crates/soak/src/callers/streams.rs
@@ -52,7 +52,8 @@
     let deadline = Duration::from_millis(rng.random_range(DEADLINES_MS));
     let work = deadline.mul_f64(MAX_WORK_SHARE * rng.random_range(0.05..1.0));
     let events = work.div_duration_f64(backends.event_interval()) as u32;
-    let (route, repeatable) = [("flow", true), ("brook", false)][rng.random_range(0..2)];
+    let routes = backends.stream_routes();
+    let (route, repeatable) = routes[rng.random_range(0..routes.len())];
     RequestSpec {
         path: format!("/{route}/{events}"),
         repeatable,
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -48,6 +48,10 @@
 const SERIES_STOP_INTERVAL: Duration = Duration::from_millis(1_500);
 const SERIES_HANG_UP_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Time from the start of a process until it is told to stop again, in a series of stops of one
+/// gateway.
+const STOP_AGAIN_AFTER: Duration = Duration::from_secs(1);
+
 /// Time between two checks of whether a process has exited.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -271,6 +275,7 @@
             FaultKind::Pause => self.pause(&gateway, duration).await,
             FaultKind::Stop => self.stop(&gateway).await,
             FaultKind::HangUp => hang_up(&gateway),
+            FaultKind::StopAgain => self.stop_again(&gateway, duration).await,
             FaultKind::PlannedSeries => self.stop_in_series(target, duration).await,
             FaultKind::FirstsPause => self.pause_firsts(target, duration).await,
             _ => {}
@@ -367,6 +372,15 @@
         self.end_fault(gateway);
     }
 
+    /// Stops a gateway again soon after its next process has started, until the time has passed.
+    async fn stop_again(&self, gateway: &Gateway, duration: Duration) {
+        let end = Instant::now() + duration;
+        while Instant::now() < end {
+            self.stop(gateway).await;
+            time::sleep(STOP_AGAIN_AFTER).await;
+        }
+    }
+
     /// Stops gateways one after the other, before the earlier ones have ended, while all of them are
     /// told that their settings have changed.
     async fn stop_in_series(&self, first: usize, duration: Duration) {
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -63,8 +63,8 @@
     [FaultKind::Kill, FaultKind::Off, FaultKind::KillAll, FaultKind::Stop];
 
 /// Planned operations of gateways. They learn from the store that a server leaves.
-const PLANNED_AT_GATEWAYS: [FaultKind; 3] =
-    [FaultKind::Stop, FaultKind::HangUp, FaultKind::PlannedSeries];
+const PLANNED_AT_GATEWAYS: [FaultKind; 4] =
+    [FaultKind::Stop, FaultKind::HangUp, FaultKind::PlannedSeries, FaultKind::StopAgain];
 
 /// Time after a fault in which time-bounded guarantees are not checked: timeouts of up to 3 s
 /// detect its effects.
--- a/crates/soak/src/ledger/totals.rs
+++ b/crates/soak/src/ledger/totals.rs
@@ -31,8 +31,10 @@
 const MAX_CLOSED: usize = 3;
 
 /// Faults of servers that do not excuse lost answers of others.
-const AT_SERVERS: [FaultKind; 8] = [
+const AT_SERVERS: [FaultKind; 10] = [
     FaultKind::GroupTrouble,
+    FaultKind::ServerEnds,
+    FaultKind::LockStepRelease,
     FaultKind::ServerCrash,
     FaultKind::ServerReturnsCold,
     FaultKind::ServerRefuses,
@@ -43,7 +45,7 @@
 ];
 
 /// Faults of gateways. At other gateways they excuse no closed connection.
-const AT_GATEWAYS: [FaultKind; 8] = [
+const AT_GATEWAYS: [FaultKind; 9] = [
     FaultKind::Kill,
     FaultKind::Off,
     FaultKind::KillAll,
@@ -52,6 +54,7 @@
     FaultKind::Stop,
     FaultKind::HangUp,
     FaultKind::PlannedSeries,
+    FaultKind::StopAgain,
 ];
 
 impl Ledger {
--- a/crates/soak/src/losses.rs
+++ b/crates/soak/src/losses.rs
@@ -107,6 +107,7 @@
     breaks: RefCell<Vec<Break>>,
     halts: RefCell<Vec<(String, Instant, Instant)>>,
     crashes: RefCell<Vec<(String, Instant)>>,
+    leaving: RefCell<Vec<(String, Instant)>>,
 }
 
 impl Losses {
@@ -136,6 +137,11 @@
         self.record_break(server, duration, true);
     }
 
+    /// Records that a server leaves from now on.
+    pub fn record_leaving(&self, server: &str) {
+        self.leaving.borrow_mut().push((server.to_owned(), Instant::now()));
+    }
+
     /// Records that a server has crashed.
     pub fn record_crash(&self, server: &str) {
         self.crashes.borrow_mut().push((server.to_owned(), Instant::now()));
@@ -220,7 +226,9 @@
     /// How many streams met what in a stop of their gateway, and how many of these were answered.
     pub fn reached(&self, runs: &HashMap<String, Vec<ServerRun>>) -> String {
         let (halts, stops) = (self.halts.borrow(), self.stops.borrow());
-        let mut counts = [("in a stop", 0, 0), ("halted", 0, 0), ("resumed", 0, 0), ("cut", 0, 0)];
+        let leaving = self.leaving.borrow();
+        let names = ["in a stop", "halted", "resumed", "cut", "at a leaving server"];
+        let mut counts = names.map(|name| (name, 0, 0));
         let outcomes = self.outcomes.borrow();
         for outcome in outcomes.iter().filter(|outcome| outcome.is_stream) {
             let Some(runs) = runs.get(&outcome.id) else { continue };
@@ -236,7 +244,11 @@
                 && ran.iter().all(|run| run.at <= outcome.ended_at)
                 && ran.iter().any(|run| run.at >= stop);
             let is_cut = ran.iter().any(|run| self.broke_off(run, outcome.ended_at));
-            let is_met = [!ran.is_empty(), is_halted, is_resumed, is_cut];
+            let is_leaving = ran.iter().any(|run| {
+                let ended_at = run.ended_at.unwrap_or(outcome.ended_at);
+                leaving.iter().any(|(server, from)| *server == run.server && *from < ended_at)
+            });
+            let is_met = [!ran.is_empty(), is_halted, is_resumed, is_cut, is_leaving];
             for ((_, met, answered), is_met) in counts.iter_mut().zip(is_met) {
                 *met += u32::from(is_met);
                 *answered += u32::from(is_met && outcome.verdict == Verdict::Answered);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -23,6 +23,7 @@
 
 use crate::attempts::Excess;
 use crate::backends::Backends;
+use crate::backends::endings::MAX_END_DURATION;
 use crate::backends::groups::Groups;
 use crate::callers::Caller;
 use crate::callers::RunContext;
@@ -161,9 +162,11 @@
         false => ("", 1),
     };
     let of_groups = [FaultKind::GroupTrouble, FaultKind::GroupRelease];
-    let groups = if faults.iter().any(|fault| of_groups.contains(&fault.kind)) {
+    let of_ends = [FaultKind::ServerEnds, FaultKind::LockStepRelease];
+    let has = |kinds: &[FaultKind]| faults.iter().any(|fault| kinds.contains(&fault.kind));
+    let groups = if has(&of_groups) || has(&of_ends) {
         ledger.data_centres.borrow_mut().add_third();
-        Groups::draw(seed, config.servers)
+        Groups::draw(seed, config.servers, has(&of_ends))
     } else {
         Groups::of(group_size)
     };
@@ -336,7 +339,10 @@
         FaultKind::Off => Duration::ZERO,
         // The maximum duration of a stop.
         FaultKind::Stop => Duration::from_secs(9),
-        FaultKind::PlannedSeries => fault.duration + Duration::from_secs(9),
+        FaultKind::PlannedSeries | FaultKind::StopAgain => fault.duration + Duration::from_secs(9),
+        FaultKind::ServerEnds => MAX_END_DURATION,
+        // Until the group of the server that left last is whole again.
+        FaultKind::LockStepRelease => fault.duration + Duration::from_secs(5),
         FaultKind::FirstsPause => {
             let silence = firsts_pause::silence(fault.target);
             silence + firsts_pause::delay(fault.target) + fault.duration
--- a/crates/soak/tests/losses.rs
+++ b/crates/soak/tests/losses.rs
@@ -52,6 +52,10 @@
     losses.record_outcome(lost.clone());
     assert_eq!(losses.lost(&runs).len(), 1);
     assert!(losses.reached(&runs).contains("0 of 1 halted"), "{}", losses.reached(&runs));
+    assert!(losses.reached(&runs).contains("0 of 0 at a leaving server"));
+    // It leaves while it runs the stream.
+    losses.record_leaving("s1");
+    assert!(losses.reached(&runs).contains("0 of 1 at a leaving server"));
 }
 
 #[tokio::test(start_paused = true)]
--- a/crates/soak/tests/schedules.rs
+++ b/crates/soak/tests/schedules.rs
@@ -32,6 +32,21 @@
     assert!(draw(1, LENGTH, &[]).is_empty());
 }
 
+/// Guards against seeds that draw other faults once a kind of fault is added: one that failed could not
+/// be repeated. Planned ends, releases in lock step and repeated stops are drawn apart.
+#[test]
+fn kinds_that_are_drawn_apart_leave_the_other_faults_of_a_seed() {
+    let apart = [FaultKind::ServerEnds, FaultKind::LockStepRelease, FaultKind::StopAgain];
+    let all = FAULT_KINDS.map(|(_, kind)| kind);
+    let others: Vec<FaultKind> = all.into_iter().filter(|kind| !apart.contains(kind)).collect();
+    for seed in 0..20 {
+        let mut faults = draw(seed, LENGTH, &all);
+        assert!(apart.iter().all(|kind| faults.iter().any(|fault| fault.kind == *kind)), "{seed}");
+        faults.retain(|fault| !apart.contains(&fault.kind));
+        assert_eq!(faults, draw(seed, LENGTH, &others), "{seed}");
+    }
+}
+
 #[test]
 fn a_failing_schedule_is_shrunk_to_the_faults_it_needs() {
     let all = draw(3, LENGTH, &FAULT_KINDS.map(|(_, kind)| kind));
