A sound part is not refused for crashes of new parts that some requests with it have

Cause: a part is weighed against chance alone. A sound part that requests with several crashing parts share is at every crash of theirs, and at five crashes before any of them is at three, from where on a rarer part stands for its crashes. The crashes do not tell "this part" from "the rarer parts with it"; what was known beside them, that the part had been sent well for long and the others had not come before, was not asked.

Change: each gateway keeps when a part was first seen in an attempt (traffic.rs). For a part that was in use before its first crash, crashes do not count at which a part that was new then returned with a different request, more often than beside it by chance; with other new parts at the crashes, eight are needed in place of five. Crashes without any new part count as before, as do all of parts that were not in use. If the parts that returned have more than half of its attempts, it cannot be told from them, and is weighed as before. It is tried longer than it is kept from being refused: a trial needs less evidence. Counts of attempts are exchanged for what was at two crashes, before three.

--- a/crates/core/src/direct/crashes/coincidence.rs
+++ b/crates/core/src/direct/crashes/coincidence.rs
@@ -12,6 +12,11 @@
 //! less frequent suspect do not count against a more frequent one, nor do those that are explained
 //! otherwise.
 //!
+//! A part that had been in use for some time before its first crash may be sound, and shared by requests
+//! with new parts of which each crashes servers. Such a part is not refused for crashes at which a new part
+//! returned with another request, unless most attempts with it have these new parts, and it takes more
+//! crashes with other new parts. Crashes without any new part count as ever.
+//!
 //! Each suspect is weighed by the logarithm of a likelihood ratio: of its being at the crashes at which
 //! it was with the observed frequency, and by chance. What explains crashes best is taken for the cause
 //! of all at which it was; only the others count against the rest.
@@ -24,6 +29,7 @@
 use crate::direct::crashes::Config;
 use crate::direct::crashes::merged::Merged;
 use crate::direct::crashes::report::ServiceNumber;
+use crate::direct::crashes::traffic::Traffic;
 use crate::direct::fingerprint::Fingerprint;
 use crate::direct::fingerprint::FingerprintKind;
 
@@ -36,7 +42,7 @@
     pub(super) known_since: HashMap<Fingerprint, Millis>,
     /// What may crash servers, and the age of the latest crash at which it was.
     pub(super) weak: Vec<(Fingerprint, Millis)>,
-    /// At how many crashes each was that has been weighed.
+    /// At how many crashes each was that was at more than one.
     pub(super) weighed: HashMap<Fingerprint, usize>,
 }
 
@@ -96,26 +102,35 @@
 /// What more of the attempts have is not taken for a cause: to refuse it would cost more than crashes do.
 const MAX_FREQUENCY: f64 = 0.2;
 
+/// Natural logarithm of how much more likely it must be that a new part has to do with the crashes at which
+/// another part was, for these not to count against the other one.
+const MIN_RETURNED_LOG_RATIO: f64 = 0.5;
+
+/// The same for it not to be tried.
+const MIN_TRIAL_RETURNED_LOG_RATIO: f64 = 1.5;
+
+/// Least share of the attempts with a part that are without the new parts to which crashes are attributed.
+const MIN_WITHOUT_NEW: f64 = 0.5;
+
+/// Least number of returns by chance that is assumed.
+const MIN_EXPECTED: f64 = 0.01;
+
 /// How much all crashes of one moment count together.
 const MAX_MOMENT_WEIGHT: f64 = 2.0;
 
-/// Weighs what was at crashes that are not explained otherwise. `attempts` returns the duration of the
-/// attempts with something, and of all attempts of its service; `earlier` is the result before the latest
-/// crash.
+/// Weighs what was at crashes that are not explained otherwise. `traffic` knows the attempts with it;
+/// `earlier` is the result before the latest crash.
 pub(super) fn weigh(
     unexplained: &[&Merged<'_>],
-    attempts: impl Fn(Fingerprint) -> (u64, u64),
+    traffic: &Traffic,
     earlier: &Coincidences,
     config: &Config,
     now: Millis,
 ) -> Coincidences {
     let mut found = Coincidences::default();
-    let history = |one| History {
-        frequency: frequency(attempts(one)),
-        known_for: earlier.known_since.get(&one).map(|since| now.since(*since)),
-    };
+    let past = Past { traffic, known_since: &earlier.known_since, now };
     for crashes in by_service(unexplained, config.same_time).into_values() {
-        weigh_service(crashes, &history, config, &mut found);
+        weigh_service(crashes, &past, config, &mut found);
     }
     let since = |one: &Fingerprint| (*one, earlier.known_since.get(one).copied().unwrap_or(now));
     found.known_since = found.culprits.iter().map(since).collect();
@@ -124,7 +139,7 @@
 
 fn weigh_service(
     mut crashes: Vec<Crashed>,
-    history: &impl Fn(Fingerprint) -> History,
+    past: &Past<'_>,
     config: &Config,
     found: &mut Coincidences,
 ) {
@@ -136,15 +151,18 @@
     for one in crashes.iter().flat_map(|crash| &crash.present) {
         *counts.entry(*one).or_default() += 1;
     }
-    counts.retain(|_, count| *count >= min_coincidences);
-    let mut suspects: Vec<Fingerprint> = counts.keys().copied().collect();
+    counts.retain(|_, count| *count > 1);
+    let is_frequent = |(_, count): &(&Fingerprint, &usize)| **count >= min_coincidences;
+    let mut suspects: Vec<Fingerprint> =
+        counts.iter().filter(is_frequent).map(|(one, _)| *one).collect();
     // Of what was always there together, requests come first: others share their parts.
     suspects.sort_by_key(|one| (one.kind() == FingerprintKind::Part, *one));
     found.weighed.extend(counts);
     loop {
-        let weighed = weigh_suspects(&suspects, &crashes, history, config);
+        let weighed = weigh_suspects(&suspects, &crashes, &found.culprits, past, config);
         let is_enough = |evidence: &Evidence| {
-            evidence.crashes >= min_coincidences + extra_crashes
+            (evidence.alone >= min_coincidences + extra_crashes
+                || evidence.crashes >= config.min_accompanied)
                 && evidence.log_ratio >= config.min_culprit_log_ratio
         };
         let mut best: Option<(Fingerprint, Evidence)> = None;
@@ -163,6 +181,27 @@
     }
 }
 
+/// What is known beside the crashes.
+struct Past<'a> {
+    traffic: &'a Traffic,
+    known_since: &'a HashMap<Fingerprint, Millis>,
+    now: Millis,
+}
+
+impl Past<'_> {
+    fn history(&self, one: Fingerprint) -> History {
+        History {
+            frequency: frequency(self.traffic.of(one)),
+            known_for: self.known_since.get(&one).map(|since| self.now.since(*since)),
+        }
+    }
+
+    /// Whether a part was in use before the first crash at which it was.
+    fn was_in_use(&self, one: Fingerprint) -> bool {
+        one.kind() == FingerprintKind::Part && !self.traffic.was_new(one, one)
+    }
+}
+
 /// What is known of a suspect beside the crashes.
 #[derive(Clone, Copy, Debug)]
 struct History {
@@ -177,11 +216,12 @@
 fn weigh_suspects(
     suspects: &[Fingerprint],
     crashes: &[Crashed],
-    history: &impl Fn(Fingerprint) -> History,
+    culprits: &[Fingerprint],
+    past: &Past<'_>,
     config: &Config,
 ) -> Vec<(Fingerprint, Evidence)> {
     let mut by_frequency: Vec<(History, Fingerprint)> =
-        suspects.iter().map(|one| (history(*one), *one)).collect();
+        suspects.iter().map(|one| (past.history(*one), *one)).collect();
     // The sort is stable: requests stay before parts.
     by_frequency.sort_by(|one, other| one.0.frequency.total_cmp(&other.0.frequency));
     let mut weighed: Vec<(Fingerprint, Evidence)> = Vec::new();
@@ -197,8 +237,20 @@
             })
         };
         let counted: Vec<&Crashed> = crashes.iter().filter(|crash| !has_rarer(crash)).collect();
-        let evidence = evidence(one, &counted, history);
-        if evidence.crashes < config.min_coincidences {
+        let mut evidence = evidence(one, &counted, history);
+        if evidence.is_weak(config) && past.was_in_use(one) {
+            let with_it = counted.iter().copied().filter(|crash| crash.present.contains(&one));
+            let new = NewParts::at(one, with_it.collect(), culprits, past);
+            let beside = |min_log_ratio| new.evidence(one, &counted, history, min_log_ratio);
+            let refusal = beside(MIN_RETURNED_LOG_RATIO);
+            let trial = beside(MIN_TRIAL_RETURNED_LOG_RATIO);
+            evidence = Evidence {
+                trial_log_ratio: trial.log_ratio,
+                crashes_for_trial: trial.crashes,
+                ..refusal
+            };
+        }
+        if evidence.crashes_for_trial < config.min_coincidences {
             continue;
         }
         if evidence.is_weak(config) {
@@ -209,6 +261,108 @@
     weighed
 }
 
+/// The parts at the crashes of a part that had been in use before, which were new at the first of them.
+/// Requests with them may have caused these crashes.
+struct NewParts {
+    /// Each with the logarithm of how much more likely its returns are than by chance.
+    log_ratios: BTreeMap<Fingerprint, f64>,
+    /// Duration of the attempts with each.
+    with_new: BTreeMap<Fingerprint, u64>,
+    /// Duration of the attempts with the part that had been in use, and of those without new ones that
+    /// are known to crash servers.
+    with_part: u64,
+    with_others: u64,
+}
+
+impl NewParts {
+    fn at(
+        one: Fingerprint,
+        crashes: Vec<&Crashed>,
+        culprits: &[Fingerprint],
+        past: &Past<'_>,
+    ) -> NewParts {
+        let with = |part: Fingerprint| past.traffic.of(part).0;
+        let new_culprits = culprits.iter().filter(|part| past.traffic.was_new(**part, one));
+        let with_culprits: u64 = new_culprits.map(|part| with(*part)).sum();
+        let present: BTreeSet<Fingerprint> =
+            crashes.iter().flat_map(|crash| &crash.present).copied().collect();
+        let new = present.into_iter().filter(|part| past.traffic.was_new(*part, one));
+        let log_ratio = |part| returned_log_ratio(part, &crashes, past.history(part).frequency);
+        let log_ratios: BTreeMap<Fingerprint, f64> =
+            new.map(|part| (part, log_ratio(part))).collect();
+        let with_new = log_ratios.keys().map(|part| (*part, with(*part))).collect();
+        NewParts {
+            log_ratios,
+            with_new,
+            with_others: with(one).saturating_sub(with_culprits),
+            with_part: with(one),
+        }
+    }
+
+    /// Whether the part had enough attempts without those that returned: otherwise it cannot be told from
+    /// them.
+    fn is_told_apart(&self, min_log_ratio: f64) -> bool {
+        let returned = self.log_ratios.iter().filter(|(_, it)| **it >= min_log_ratio);
+        let with: u64 = returned.filter_map(|(part, _)| self.with_new.get(part)).sum();
+        self.with_others.saturating_sub(with) as f64 >= MIN_WITHOUT_NEW * self.with_part as f64
+    }
+
+    /// Weighs the part without the crashes at which a new one returned.
+    fn evidence(
+        &self,
+        one: Fingerprint,
+        crashes: &[&Crashed],
+        history: History,
+        min_log_ratio: f64,
+    ) -> Evidence {
+        if !self.is_told_apart(min_log_ratio) {
+            return evidence(one, crashes, history);
+        }
+        let has_returned = |crash: &&Crashed| {
+            let mut log_ratios = crash.present.iter().filter_map(|one| self.log_ratios.get(one));
+            log_ratios.any(|log_ratio| *log_ratio >= min_log_ratio)
+        };
+        let was_at = |crash: &&Crashed| crash.present.contains(&one);
+        let is_alone =
+            |crash: &&&Crashed| !crash.present.iter().any(|one| self.log_ratios.contains_key(one));
+        let counted =
+            crashes.iter().copied().filter(|crash| !was_at(crash) || !has_returned(crash));
+        let counted: Vec<&Crashed> = counted.collect();
+        let alone = counted.iter().filter(|crash| was_at(crash)).filter(is_alone).count();
+        Evidence { alone, ..evidence(one, &counted, history) }
+    }
+}
+
+/// Logarithm of how much more likely it is that a part returns at crashes at which another part was as often
+/// as it did, than that it was there with other requests.
+fn returned_log_ratio(one: Fingerprint, crashes: &[&Crashed], frequency: f64) -> f64 {
+    let Some(first) = crashes.iter().rposition(|crash| crash.present.contains(&one)) else {
+        return 0.0;
+    };
+    let by_chance = |crash: &&Crashed| 1.0 - (1.0 - frequency).powi(crash.requests as i32 - 1);
+    let expected: f64 = crashes[..first].iter().map(by_chance).sum();
+    let returned = (different_requests(one, crashes) - 1) as f64;
+    match returned > expected {
+        true => returned * (returned / expected.max(MIN_EXPECTED)).ln() - (returned - expected),
+        false => 0.0,
+    }
+}
+
+/// Number of crashes at which a part was, without those to which a request has come from an earlier one:
+/// such a request may have been there each time.
+fn different_requests(part: Fingerprint, crashes: &[&Crashed]) -> usize {
+    let mut earlier: BTreeSet<Fingerprint> = BTreeSet::new();
+    let with_it = crashes.iter().rev().filter(|crash| crash.present.contains(&part));
+    let is_different = |crash: &&&Crashed| {
+        let requests = crash.present.iter().filter(|one| one.kind() == FingerprintKind::Request);
+        let requests: Vec<Fingerprint> = requests.copied().collect();
+        let is_different = requests.iter().all(|one| !earlier.contains(one));
+        earlier.extend(requests);
+        is_different
+    };
+    with_it.filter(is_different).count()
+}
+
 /// How frequent something is among the attempts of its service, by their duration. The attempt at the
 /// first crash, before which nothing was counted, counts as well, and one more for what is in flight.
 fn frequency((with, of): (u64, u64)) -> f64 {
@@ -220,15 +374,20 @@
 struct Evidence {
     /// At how many of them it was.
     crashes: usize,
+    /// At how many of them no part was that may be the cause because it was new.
+    alone: usize,
     /// Age of the latest one.
     latest: Millis,
     /// Logarithm of how much more likely that is if it has to do with the crashes.
     log_ratio: f64,
+    /// Number of crashes, and the logarithm, by which it is tried.
+    crashes_for_trial: usize,
+    trial_log_ratio: f64,
 }
 
 impl Evidence {
     fn is_weak(&self, config: &Config) -> bool {
-        self.log_ratio >= config.min_weak_log_ratio
+        self.trial_log_ratio >= config.min_weak_log_ratio
     }
 }
 
@@ -260,5 +419,6 @@
         crash.weight * ratio.ln()
     });
     let log_ratio = log_ratio.sum::<f64>() - FREQUENCY_PENALTY * frequency;
-    Evidence { crashes: count, latest, log_ratio }
+    let (crashes_for_trial, trial_log_ratio) = (count, log_ratio);
+    Evidence { crashes: count, alone: count, latest, log_ratio, crashes_for_trial, trial_log_ratio }
 }
--- a/crates/core/src/direct/crashes/config.rs
+++ b/crates/core/src/direct/crashes/config.rs
@@ -33,6 +33,9 @@
     pub min_weak_log_ratio: f64,
     /// The same for a refusal. Many requests and parts are weighed, of which nearly all are innocent.
     pub min_culprit_log_ratio: f64,
+    /// Number of crashes from which a part that had been in use is refused although new parts, each of
+    /// which may be the cause, were there.
+    pub min_accompanied: usize,
     /// Number of abandoned attempts that clear a request if each lasted longer than the request had
     /// run at one of its crashes; a single one does so if it lasted longer than at all of them.
     pub min_abandoned: usize,
@@ -70,6 +73,7 @@
             coincidence_ttl: Millis(60_000),
             min_weak_log_ratio: 3.0,
             min_culprit_log_ratio: 5.5,
+            min_accompanied: 8,
             min_abandoned: 3,
             hold_back: Millis(5_000),
             hold_back_spread: Millis(5_000),
--- a/crates/core/src/direct/crashes/endings.rs
+++ b/crates/core/src/direct/crashes/endings.rs
@@ -96,9 +96,8 @@
             attribution::attribute(&merged, &Coincidences::default(), ended_well, &self.config);
         let unexplained: Vec<&Merged<'_>> =
             merged.values().filter(|crash| !otherwise.explains(crash)).collect();
-        let attempts = |one| self.traffic.of(one);
-        let earlier = &self.coincidences;
-        self.coincidences = coincidence::weigh(&unexplained, attempts, earlier, &self.config, now);
+        let (traffic, earlier) = (&self.traffic, &self.coincidences);
+        self.coincidences = coincidence::weigh(&unexplained, traffic, earlier, &self.config, now);
     }
 
     /// Whether an attempt that ended here, with those before it, shows that the request caused none
--- a/crates/core/src/direct/crashes/traffic.rs
+++ b/crates/core/src/direct/crashes/traffic.rs
@@ -1,7 +1,7 @@
 //! How frequent requests and parts of prompts are among the attempts of their service.
 //! Input: attempts that ended here, and counts from other gateways. State: both of these, for what was
-//! at a crash, since then.
-//! Tells how often something would be at a crash by chance.
+//! at a crash, since then; and when each part was first seen.
+//! Tells how often something would be at a crash by chance, and which parts are new.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -11,6 +11,7 @@
 use crate::direct::crashes::report::Reporter;
 use crate::direct::crashes::report::ServiceNumber;
 use crate::direct::fingerprint::Fingerprint;
+use crate::direct::fingerprint::FingerprintKind;
 use crate::direct::fingerprint::Fingerprints;
 
 /// Maximum number of gateways whose counts are stored for one fingerprint: those that count the most
@@ -21,6 +22,14 @@
 /// them are at a crash. Each has one span at least.
 const SPAN: Millis = Millis(200);
 
+/// Number of parts of which it is known when they were first seen, those that came last; twice as many
+/// before the others are forgotten.
+const MAX_SEEN: usize = 4_096;
+
+/// A part is new at a crash if it was first seen since then, or in this last part of the time before: a
+/// report takes a moment to arrive.
+const NEW_PART_OF_PAST: u64 = 10;
+
 /// Attempts of a service that ended at one gateway, as exchanged between gateways.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct AttemptCount {
@@ -46,6 +55,13 @@
     with: u64,
 }
 
+/// When a part was in attempts, by the duration of all attempts of its service that had ended before.
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    first: u64,
+    last: u64,
+}
+
 /// Attempts with what was at a crash, and all attempts of its service.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Traffic {
@@ -53,6 +69,8 @@
     totals: HashMap<ServiceNumber, u64>,
     own: HashMap<Fingerprint, OwnCount>,
     received: BTreeMap<(Fingerprint, Reporter), (u64, u64, Aged)>,
+    /// The parts of attempts that ended here.
+    seen: HashMap<Fingerprint, Seen>,
 }
 
 impl Traffic {
@@ -64,7 +82,15 @@
         lasted: Millis,
     ) {
         let spans = 1 + lasted.0 / SPAN.0;
-        *self.totals.entry(service).or_default() += spans;
+        let total = self.totals.entry(service).or_default();
+        let before = *total;
+        *total += spans;
+        for part in &fingerprints.parts {
+            self.seen.entry(*part).or_insert(Seen { first: before, last: before }).last = before;
+        }
+        if self.seen.len() > 2 * MAX_SEEN {
+            self.forget_parts();
+        }
         if self.own.is_empty() {
             return;
         }
@@ -75,6 +101,22 @@
         }
     }
 
+    /// Forgets when parts were first seen that have not come for the longest time.
+    fn forget_parts(&mut self) {
+        let mut last: Vec<u64> = self.seen.values().map(|seen| seen.last).collect();
+        let (_, latest_forgotten, _) = last.select_nth_unstable(MAX_SEEN);
+        let latest_forgotten = *latest_forgotten;
+        self.seen.retain(|_, seen| seen.last > latest_forgotten);
+    }
+
+    /// Whether a part was new at the first crash at which a suspect was.
+    pub(super) fn was_new(&self, part: Fingerprint, suspect: Fingerprint) -> bool {
+        let Some(count) = self.own.get(&suspect) else { return false };
+        let new_from = count.of_before - count.of_before / NEW_PART_OF_PAST;
+        part.kind() == FingerprintKind::Part
+            && self.seen.get(&part).is_none_or(|seen| seen.first >= new_from)
+    }
+
     /// Counts attempts with a fingerprint from now on, unless they are counted, in place of the one that
     /// has been counted for the longest time if there are more than `max`.
     pub(super) fn track(
