--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -345,14 +345,33 @@
     raise OSError("no port is free")
 
 
+def free_ips(count):
+    """Loopback addresses at which the port of the gateways' metrics is free."""
+    for _ in range(200):
+        net = random.randint(16, 250)
+        ips = [f"127.{net}.1.{number + 1}" for number in range(count)]
+        held = []
+        try:
+            for ip in ips:
+                one = socket.socket()
+                held.append(one)
+                one.bind((ip, 9464))
+            return ips
+        except OSError:
+            continue
+        finally:
+            for one in held:
+                one.close()
+    raise OSError("no address is free")
+
+
 class Fleet:
     """Gateways and sidecars of a small deployment, each on a loopback address of its own."""
 
     def __init__(self, store, zones, gateways, engines, bounds=KIVUKO_BOUNDS):
         """`gateways`: a zone for each; `engines`: (ip, app port, zone) of each model worker."""
         self.folder = tempfile.mkdtemp(prefix="hooktrestle-review-")
-        net = random.randint(16, 250)
-        self.ips = [f"127.{net}.1.{number + 1}" for number in range(len(gateways))]
+        self.ips = free_ips(len(gateways))
         everywhere = self.ips + [ip for ip, _, _ in engines]
         ports = {name: free_port(self.ips) for name in ("front", "ready", "control", "directory")}
         inner = free_port(everywhere)
