An answer with a transfer coding other than chunked is not forwarded

What callers saw: 200, complete, with the size lines of chunks in the body, on all kinds of routes, where a server misspelt the coding, named none or several, or wrote the field twice. Streams were also resumed by such answers, and went on with a size line between two events.

Cause: the HTTP library takes an answer whose last coding is not `chunked` for one that ends with its connection, and one whose last coding is `chunked` for a chunked one whatever stands before it (RFC 9112, section 6.3). `answer_ends::framing` took that over. The gateway decodes no other coding, and the field is hop-by-hop, so the caller got coded bytes and never learned of the coding.

Change: what delimits a body is decided once, where its head is decoded, by `core::direct::answer_heads`, which now may also fail: only `chunked`, alone and in one line, is served. `RequestSender`, which gateways, sidecars, the reader of the store and calls to engines share, returns a well-formed answer with its framing or an error; the sidecar of the embedded default asks the same function. Such an answer counts as none: a fault of its server, 502 or another attempt where the route allows one, and a connection that is closed. Notices, limits and the store's era in its head are not read. It is no crash: the server still accepts connections.

Tests changed: the three lines on codings in `the_end_of_a_body_is_confirmed_by_its_length_or_last_chunk_only` asked for this fault (`gzip, Chunked` counted as chunks, `gzip` as the end of the connection). crates/core/tests/answer_heads.rs replaces them: more codings, each with the one result that can be served.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -25,6 +25,7 @@
 //! - [`service_times`]: how long the requests of each route take until their callers have the answers.
 //! - [`attempts`]: what follows an attempt: an answer, another attempt, or a refusal.
 //! - [`fingerprint`]: identifies retries of one request.
+//! - [`answer_heads`]: what delimits the body of an answer, and heads that are malformed.
 //! - [`answer_ends`]: whether an answer that has ended is complete.
 //! - [`overtaken`]: requests at a server that does not respond while others answer later ones.
 //! - [`truncated_answers`]: truncated answers, and requests that were at a server when it crashed.
@@ -45,6 +46,7 @@
 pub mod admission;
 pub mod advertised_limit;
 pub mod answer_ends;
+pub mod answer_heads;
 pub mod attempts;
 pub mod body_memory;
 pub mod budget;
--- a/crates/core/src/direct/answer_ends.rs
+++ b/crates/core/src/direct/answer_ends.rs
@@ -50,19 +50,6 @@
 /// Media type of a stream of events.
 const EVENT_STREAM: &str = "text/event-stream";
 
-/// What delimits a body with this transfer coding, if the head of its answer names one. A body whose
-/// length is known needs no coding, nor does an answer without a body.
-pub fn framing(has_length: bool, transfer_encoding: Option<&str>) -> Framing {
-    if has_length {
-        return Framing::Length;
-    }
-    let last = transfer_encoding.and_then(|codings| codings.rsplit(',').next()).map(str::trim);
-    match last {
-        Some(coding) if coding.eq_ignore_ascii_case("chunked") => Framing::Chunks,
-        _ => Framing::Connection,
-    }
-}
-
 /// What the end of a body shows that is no stream of events.
 pub fn of_body(framing: Framing) -> AnswerEnd {
     match framing {
--- /dev/null
+++ b/crates/core/src/direct/answer_heads.rs
@@ -0,0 +1,75 @@
+//! The head of an answer: what delimits its body, or why the answer cannot be forwarded.
+//! Input: the head, and whether the length of the body is known. It keeps no state.
+//! Decides once for each answer, before anything of its body is read.
+//!
+//! HTTP libraries accept a transfer coding that they do not decode, and let the body end with its
+//! connection (RFC 9112, section 6.3). Its bytes are not the content then, and the field concerns one
+//! connection only, so whoever gets the body next does not learn of the coding.
+
+use std::fmt;
+
+use hooktrestle_schema::Framing;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::header;
+
+/// Why an answer cannot be forwarded.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HeadFault {
+    /// A transfer coding other than `chunked`, or more than one.
+    TransferCoding,
+}
+
+impl fmt::Display for HeadFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            HeadFault::TransferCoding => {
+                write!(f, "the answer has a transfer coding other than chunked")
+            }
+        }
+    }
+}
+
+impl std::error::Error for HeadFault {}
+
+/// What delimits the body of an answer with these headers. The length of a body is known from its
+/// head, or because there is none.
+///
+/// # Errors
+///
+/// The head is malformed.
+pub fn framing(headers: &HeaderMap, is_length_known: bool) -> Result<Framing, HeadFault> {
+    let is_chunked = is_chunked(headers)?;
+    Ok(match (is_length_known, is_chunked) {
+        (true, _) => Framing::Length,
+        (false, true) => Framing::Chunks,
+        (false, false) => Framing::Connection,
+    })
+}
+
+fn is_chunked(headers: &HeaderMap) -> Result<bool, HeadFault> {
+    match values(headers, &header::TRANSFER_ENCODING) {
+        Values::None => Ok(false),
+        Values::One(coding) if coding.as_bytes().trim_ascii().eq_ignore_ascii_case(b"chunked") => {
+            Ok(true)
+        }
+        Values::One(_) | Values::Several => Err(HeadFault::TransferCoding),
+    }
+}
+
+/// The values of a field, one for each of its lines.
+enum Values<'a> {
+    None,
+    One(&'a HeaderValue),
+    Several,
+}
+
+fn values<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Values<'a> {
+    let mut values = headers.get_all(name).iter();
+    match (values.next(), values.next()) {
+        (None, _) => Values::None,
+        (Some(value), None) => Values::One(value),
+        (Some(_), Some(_)) => Values::Several,
+    }
+}
--- a/crates/core/tests/answer_ends.rs
+++ b/crates/core/tests/answer_ends.rs
@@ -3,7 +3,6 @@
 
 use hooktrestle_core::direct::answer_ends::AnswerEnd;
 use hooktrestle_core::direct::answer_ends::Content;
-use hooktrestle_core::direct::answer_ends::framing;
 use hooktrestle_core::direct::answer_ends::of_body;
 use hooktrestle_core::direct::answer_ends::of_stream;
 use hooktrestle_core::direct::events::EventBuffer;
@@ -12,11 +11,6 @@
 
 #[test]
 fn the_end_of_a_body_is_confirmed_by_its_length_or_last_chunk_only() {
-    assert_eq!(framing(true, None), Framing::Length);
-    assert_eq!(framing(false, Some("gzip, Chunked")), Framing::Chunks);
-    for codings in [None, Some("gzip"), Some("chunked, gzip")] {
-        assert_eq!(framing(false, codings), Framing::Connection, "{codings:?}");
-    }
     assert_eq!(of_body(Framing::Length), AnswerEnd::Complete);
     assert_eq!(of_body(Framing::Chunks), AnswerEnd::Complete);
     assert_eq!(of_body(Framing::Connection), AnswerEnd::Unconfirmed);
--- /dev/null
+++ b/crates/core/tests/answer_heads.rs
@@ -0,0 +1,61 @@
+//! Guards against answers whose body cannot be read and that are forwarded, and against sound ones that
+//! are not: by the fields that delimit the body.
+
+use hooktrestle_core::direct::answer_heads::HeadFault;
+use hooktrestle_core::direct::answer_heads::framing;
+use hooktrestle_schema::Framing;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::header::TRANSFER_ENCODING;
+
+/// A head with these fields.
+fn head(fields: &[(&HeaderName, &[u8])]) -> HeaderMap {
+    let fields = fields.iter().map(|(name, value)| {
+        ((*name).clone(), HeaderValue::from_bytes(value).expect("a field value"))
+    });
+    fields.fold(HeaderMap::new(), |mut headers, (name, value)| {
+        headers.append(name, value);
+        headers
+    })
+}
+
+fn with_codings(codings: &[&[u8]]) -> HeaderMap {
+    head(&codings.iter().map(|coding| (&TRANSFER_ENCODING, *coding)).collect::<Vec<_>>())
+}
+
+#[test]
+fn a_body_is_delimited_by_its_length_its_chunks_or_its_connection() {
+    assert_eq!(framing(&head(&[]), true), Ok(Framing::Length));
+    assert_eq!(framing(&head(&[]), false), Ok(Framing::Connection));
+    for coding in ["chunked", "Chunked", "\tCHUNKED "] {
+        assert_eq!(framing(&with_codings(&[coding.as_bytes()]), false), Ok(Framing::Chunks));
+    }
+    // Without a body, as in the answer to a request for the head alone.
+    assert_eq!(framing(&with_codings(&[b"chunked"]), true), Ok(Framing::Length));
+}
+
+#[test]
+fn a_transfer_coding_other_than_chunked_is_a_fault() {
+    let codings: [&[u8]; 9] = [
+        b"",
+        b"gzip",
+        b"identity",
+        b"chunkex",
+        b"chunk\xe9d",
+        b"chunked;q=1",
+        b"gzip, chunked",
+        b"chunked, gzip",
+        b"chunked, chunked",
+    ];
+    for coding in codings {
+        for is_length_known in [false, true] {
+            let found = framing(&with_codings(&[coding]), is_length_known);
+            assert_eq!(found, Err(HeadFault::TransferCoding), "{coding:?}");
+        }
+    }
+    for second in ["chunked", "gzip", ""] {
+        let found = framing(&with_codings(&[b"chunked", second.as_bytes()]), false);
+        assert_eq!(found, Err(HeadFault::TransferCoding), "{second:?}");
+    }
+}
--- a/crates/direct/src/bounded.rs
+++ b/crates/direct/src/bounded.rs
@@ -1,23 +1,29 @@
 //! HTTP messages over a [`BoundedStream`]: the client and the server of a connection, and bodies.
 //! Input: requests to send or to answer, and bodies as they arrive. State: the allowance of the connection.
-//! Decides which bytes of a message are content, which adds to the allowance.
+//! Decides which bytes of a message are content, which adds to the allowance, and which answers have a
+//! head from which their body can be read.
 
 use std::convert::Infallible;
+use std::error::Error;
+use std::fmt;
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
 
 use bytes::Bytes;
+use hooktrestle_core::direct::answer_heads;
+use hooktrestle_core::direct::answer_heads::HeadFault;
+use hooktrestle_schema::Framing;
 use hooktrestle_stream::Allowance;
 use hooktrestle_stream::BoundedStream;
 use http::Request;
 use http::Response;
+use http::response::Parts;
 use http_body::Body;
 use http_body::SizeHint;
 use http_body_util::Full;
 use hyper::body::Frame;
 use hyper::body::Incoming;
-use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::SendRequest;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -68,28 +74,23 @@
     ///
     /// # Errors
     ///
-    /// The connection failed, or the peer sent too much that is no content.
+    /// There is no answer, or none that can be forwarded. The connection must not be used again.
     pub async fn send_request(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> hyper::Result<Response<BoundedBody>> {
+    ) -> Result<ReceivedAnswer, RequestError> {
         self.allowance.begin_message();
-        let answer = self.sender.send_request(request).await?;
-        Ok(answer.map(|body| BoundedBody::begin(body, &self.allowance)))
-    }
-
-    /// As [`RequestSender::send_request`]; the error contains the request if it was not sent.
-    ///
-    /// # Errors
-    ///
-    /// As [`RequestSender::send_request`].
-    pub async fn try_send_request(
-        &mut self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Response<BoundedBody>, TrySendError<Request<Full<Bytes>>>> {
-        self.allowance.begin_message();
-        let answer = self.sender.try_send_request(request).await?;
-        Ok(answer.map(|body| BoundedBody::begin(body, &self.allowance)))
+        let answered = self.sender.try_send_request(request).await;
+        let answer = answered.map_err(|mut error| match error.take_message() {
+            Some(_) => RequestError::Unsent(error.into_error()),
+            None => RequestError::Connection(error.into_error()),
+        })?;
+        let (head, body) = answer.into_parts();
+        let is_length_known = body.size_hint().exact().is_some();
+        let framing = answer_heads::framing(&head.headers, is_length_known)
+            .map_err(RequestError::MalformedHead)?;
+        let body = BoundedBody::begin(body, &self.allowance);
+        Ok(ReceivedAnswer { head, body, framing })
     }
 
     /// Whether the connection is closed, as far as this end knows.
@@ -103,6 +104,50 @@
     }
 }
 
+/// An answer whose head was received.
+#[derive(Debug)]
+pub struct ReceivedAnswer {
+    /// Its head.
+    pub head: Parts,
+    /// Its body, as it is received.
+    pub body: BoundedBody,
+    /// What delimits its body.
+    pub framing: Framing,
+}
+
+/// Why a request got no answer.
+#[derive(Debug)]
+pub enum RequestError {
+    /// The connection failed before anything of the request was sent.
+    Unsent(hyper::Error),
+    /// The connection failed, or the peer sent too much that is no content, or no answer.
+    Connection(hyper::Error),
+    /// The head of the answer is malformed.
+    MalformedHead(HeadFault),
+}
+
+impl RequestError {
+    /// Whether nothing of the request was sent.
+    pub fn is_unsent(&self) -> bool {
+        matches!(self, RequestError::Unsent(_))
+    }
+}
+
+impl fmt::Display for RequestError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            // The HTTP library's own text does not name the cause.
+            RequestError::Unsent(error) | RequestError::Connection(error) => match error.source() {
+                Some(source) => write!(f, "{error}: {source}"),
+                None => write!(f, "{error}"),
+            },
+            RequestError::MalformedHead(fault) => write!(f, "malformed head: {fault}"),
+        }
+    }
+}
+
+impl Error for RequestError {}
+
 /// A body whose content adds to the allowance of its connection as it is read.
 #[derive(Debug)]
 pub struct BoundedBody {
--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -25,6 +25,7 @@
 use http_body_util::Limited;
 use tokio::time;
 
+use crate::bounded::ReceivedAnswer;
 use crate::compression;
 use crate::connections::Connection;
 use crate::gateway::Gateway;
@@ -143,8 +144,7 @@
     let (mut connection, end) = connect(gateway, server, path, encoded).await?;
     let request = request(gateway, server, encoded, end)?;
     let sent_at = gateway.now();
-    let answer = connection.sender().send_request(request).await.ok()?;
-    let (head, body) = answer.into_parts();
+    let ReceivedAnswer { head, body, .. } = connection.sender().send_request(request).await.ok()?;
     if end == RemoteEnd::Engine && is_of_request(gateway, server, &head.headers) {
         return None;
     }
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -3,7 +3,6 @@
 //! or new. It decides whether the request may be sent, and which outcome the pool records.
 
 use std::cell::Cell;
-use std::error::Error;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,7 +23,6 @@
 use hooktrestle_schema::OtherAnswerStep;
 use hooktrestle_schema::RestStep;
 use http::HeaderValue;
-use http::Response;
 use http::response::Parts;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -32,8 +30,8 @@
 use tokio::time;
 
 use crate::bounded::BoundedBody;
+use crate::bounded::ReceivedAnswer;
 use crate::connections::Connection;
-use crate::framing;
 use crate::gateway::Gateway;
 use crate::gateway::crashes::Completion;
 use crate::gateway::crashes::Progress;
@@ -270,14 +268,14 @@
 ) -> Result<Answer<P>, Fate> {
     let mut guard = guard;
     let sent = send(gateway, request, &guard, after_event).await;
-    let Sent { response, mut connection, reused, sent_at } = match sent {
+    let Sent { answer, mut connection, reused, sent_at } = match sent {
         Ok(sent) => sent,
         Err(NoAnswer { fate, outcome }) => {
             guard.end(outcome);
             return Err(fate);
         }
     };
-    let (head, body) = response.into_parts();
+    let ReceivedAnswer { head, body, framing } = answer;
     connection.on_answer(&head.headers);
     let names = gateway.platform.headers();
     let requests_back_off = record_back_off(gateway, request, guard.server(), &head);
@@ -320,7 +318,6 @@
     if !request.is_stream() {
         record_duration(gateway, request, guard.server(), now.since(sent_at));
     }
-    let framing = framing::of(&head.headers, &body);
     if framing == Framing::Connection {
         gateway.metrics.answers_unframed.inc();
     }
@@ -361,7 +358,7 @@
 
 /// A request that was sent, with the head of its answer.
 struct Sent {
-    response: Response<BoundedBody>,
+    answer: ReceivedAnswer,
     connection: Connection,
     /// Whether an earlier request was answered on the connection.
     reused: bool,
@@ -414,15 +411,17 @@
         let message = message(gateway, request, server, after_event);
         let sent_at = gateway.now();
         guard.set_progress(Some(Progress::Sent(sent_at)));
-        let answered = connection.sender().try_send_request(message).await;
+        let answered = connection.sender().send_request(message).await;
         match answered {
-            Ok(response) => {
+            Ok(answer) => {
                 gateway.metrics.attempts.inc();
-                return Ok(Sent { response, connection, reused, sent_at });
+                return Ok(Sent { answer, connection, reused, sent_at });
             }
-            Err(mut error) => {
+            Err(error) => {
+                // A server that sends without end does so until its connection is closed.
+                drop(connection);
                 guard.set_progress(None);
-                let unsent = error.take_message().is_some();
+                let unsent = error.is_unsent();
                 if !unsent {
                     gateway
                         .record_truncated_answer(
@@ -436,13 +435,12 @@
                     // The server had closed the idle connection; nothing was written to it.
                     continue;
                 }
-                let error = with_source(error.error());
                 let step = ConnectionStep {
                     fingerprint_number: request.fingerprints.whole.0,
                     server_number: server.number(),
                     fresh,
                     unsent,
-                    error,
+                    error: error.to_string(),
                 };
                 gateway.event_log.request(request.id_text(), step);
                 return Err(NoAnswer::of_connection(unsent));
@@ -451,14 +449,6 @@
     }
 }
 
-/// The text of an error, with its cause: the HTTP library's own text names none.
-fn with_source(error: &hyper::Error) -> String {
-    match error.source() {
-        Some(source) => format!("{error}: {source}"),
-        None => error.to_string(),
-    }
-}
-
 async fn open<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     server: Key<Server>,
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -35,8 +35,8 @@
 
 use crate::admission_queue::AdmittedStream;
 use crate::arrivals;
+use crate::content;
 use crate::exchange::Answer;
-use crate::framing;
 use crate::gateway::Gateway;
 use crate::gateway::crashes::Completion;
 use crate::gateway::crashes::Progress;
@@ -92,7 +92,7 @@
     attempts: Attempts,
     answer: Answer<P>,
 ) -> impl Stream<Item = Result<Frame<Bytes>, TruncatedStream>> {
-    let content = framing::content(&answer.head.headers);
+    let content = content::of(&answer.head.headers);
     // If the answer has a length, the bytes from another server would have to add up to it.
     let resumable = request.route().resumable
         && content != Content::Opaque
--- a/crates/direct/src/sidecar.rs
+++ b/crates/direct/src/sidecar.rs
@@ -43,6 +43,7 @@
 use crate::accept;
 use crate::bounded;
 use crate::bounded::BoundedBody;
+use crate::bounded::ReceivedAnswer;
 use crate::bounded::RequestSender;
 use crate::compression;
 use crate::dial;
@@ -191,7 +192,7 @@
             None => dial::dial_http(address, ENGINE_TIMEOUT).await?.0,
         };
         let answer = sender.send_request(Request::from_parts(head, Full::new(body))).await?;
-        let (mut head, body) = answer.into_parts();
+        let ReceivedAnswer { mut head, body, .. } = answer;
         let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
         let body = body.map_err(|error| eyre!("body of the engine's answer: {error}"))?.to_bytes();
         self.idle.borrow_mut().entry(address).or_default().push(sender);
--- a/crates/embedded/tests/unframed_answers.rs
+++ b/crates/embedded/tests/unframed_answers.rs
@@ -90,3 +90,22 @@
     let outcome = outcome(answer, Afterwards::ClosesConnection).await;
     assert_eq!(outcome, Outcome::Whole("coded".to_owned()));
 }
+
+/// Guards against the bytes of a transfer coding that reach a caller as content.
+#[tokio::test]
+async fn an_answer_with_a_transfer_coding_other_than_chunked_is_not_forwarded() {
+    let answers: [&[u8]; 4] = [
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunkex\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked, chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ntransfer-encoding: gzip\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+    ];
+    for answer in answers {
+        assert_failed(outcome(answer, Afterwards::ClosesConnection).await);
+    }
+}
+
+/// Asserts that the caller learns that its request may have run, and gets nothing of the answer.
+fn assert_failed(outcome: Outcome) {
+    assert_eq!(outcome.verdict(), Some("may-have-run"), "{outcome:?}");
+}
--- a/crates/hooktrestled/src/sidecar/run.rs
+++ b/crates/hooktrestled/src/sidecar/run.rs
@@ -15,6 +15,8 @@
 use hooktrestle_core::direct::answer_ends;
 use hooktrestle_core::direct::answer_ends::AnswerEnd;
 use hooktrestle_core::direct::answer_ends::Content;
+use hooktrestle_core::direct::answer_heads;
+use hooktrestle_core::direct::answer_heads::HeadFault;
 use hooktrestle_core::direct::server_notices;
 use hooktrestle_core::verdict::Refusal;
 use hooktrestle_link::Sender;
@@ -39,7 +41,7 @@
 use reqwest::header::HeaderMap;
 use reqwest::header::HeaderName;
 use reqwest::header::RETRY_AFTER;
-use reqwest::header::TRANSFER_ENCODING;
+use spdlog::warn;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
@@ -132,6 +134,10 @@
         let Ok(response) = sent.and_then(Response::error_for_status) else {
             return MapReply::Silent;
         };
+        if let Err(fault) = framing(&response) {
+            warn!("malformed reply of the rank to an order: {fault}");
+            return MapReply::Silent;
+        }
         response.json().await.unwrap_or(MapReply::Silent)
     }
 
@@ -149,6 +155,7 @@
     pub(super) async fn counts(&self) -> Result<ExpertCounts> {
         let url = format!("{}/control/counts", self.base_url);
         let response = self.http.get(url).send().await?.error_for_status()?;
+        framing(&response)?;
         Ok(response.json().await?)
     }
 }
@@ -171,6 +178,13 @@
         // The request was sent, at least in part, without an answer: it may have run.
         Err(_) => return RunEnd::Failed(Refusal::may_have_run(Cause::BackendFailed)),
     };
+    let framing = match framing(&response) {
+        Ok(framing) => framing,
+        Err(fault) => {
+            warn!("malformed answer of the backend server: {fault}");
+            return RunEnd::Failed(Refusal::may_have_run(Cause::BackendFailed));
+        }
+    };
     let advertised = response.headers().get(LIMIT_HEADER).map(|value| value.to_str().unwrap_or(""));
     match advertised.map(Rate::from_text) {
         Some(Some(limit)) => report_limit(Some(limit)).await,
@@ -184,7 +198,7 @@
         let back_off = retry_after.and_then(server_notices::parse_back_off);
         return RunEnd::NotStarted(Refusal::not_run(Cause::BackendRefused), back_off);
     }
-    answer(backend, job, response).await
+    answer(backend, job, response, framing).await
 }
 
 async fn send(backend: &Backend, job: &mut Job, hop: &Hop) -> reqwest::Result<Response> {
@@ -224,8 +238,7 @@
     reqwest::Body::wrap_stream(bytes)
 }
 
-async fn answer(backend: &Backend, job: &Job, response: Response) -> RunEnd {
-    let framing = framing(&response);
+async fn answer(backend: &Backend, job: &Job, response: Response, framing: Framing) -> RunEnd {
     let content = content(response.headers());
     let head = HeadFrame {
         id: job.frame.id.clone(),
@@ -311,9 +324,8 @@
     }
 }
 
-fn framing(response: &Response) -> Framing {
-    let codings = text(response.headers(), &TRANSFER_ENCODING);
-    answer_ends::framing(response.content_length().is_some(), codings)
+fn framing(response: &Response) -> Result<Framing, HeadFault> {
+    answer_heads::framing(response.headers(), response.content_length().is_some())
 }
 
 fn content(headers: &HeaderMap) -> Content {
