An answer whose head has a length beside its chunks, or several, is not forwarded

What callers saw: 200 with the server's `Content-Length: 12x` in the head, or with a length that is not that of the content: an answer that cannot be parsed, or one cut at that length and complete to its caller ("a" of "ab" on the embedded default). `Content-Length: 2, 2` was passed on as it came.

Cause: beside `Transfer-Encoding: chunked` the HTTP library reads the chunks, neither checks nor removes the length, and a gateway writes the line into its own head. A list of equal lengths is accepted for one; whoever forwards it must replace or reject it (RFC 9110, section 8.6).

Change: `answer_heads` asks for a length that is one number, and for none beside a coding (RFC 9112, section 6.3, asks to handle that as an error).

Single lengths that are no number were rejected before by the library.

--- a/crates/core/src/direct/answer_heads.rs
+++ b/crates/core/src/direct/answer_heads.rs
@@ -19,6 +19,10 @@
 pub enum HeadFault {
     /// A transfer coding other than `chunked`, or more than one.
     TransferCoding,
+    /// A length that is not one number.
+    Length,
+    /// A length beside a transfer coding: one of them is wrong.
+    LengthBesideCoding,
 }
 
 impl fmt::Display for HeadFault {
@@ -27,6 +31,10 @@
             HeadFault::TransferCoding => {
                 write!(f, "the answer has a transfer coding other than chunked")
             }
+            HeadFault::Length => write!(f, "the length of the answer is not one number"),
+            HeadFault::LengthBesideCoding => {
+                write!(f, "the answer has both a length and a transfer coding")
+            }
         }
     }
 }
@@ -41,6 +49,9 @@
 /// The head is malformed.
 pub fn framing(headers: &HeaderMap, is_length_known: bool) -> Result<Framing, HeadFault> {
     let is_chunked = is_chunked(headers)?;
+    if has_length(headers)? && is_chunked {
+        return Err(HeadFault::LengthBesideCoding);
+    }
     Ok(match (is_length_known, is_chunked) {
         (true, _) => Framing::Length,
         (false, true) => Framing::Chunks,
@@ -58,6 +69,22 @@
     }
 }
 
+/// Whether the head has a length. A list of equal lengths, which would have to be replaced by one of
+/// them (RFC 9110, section 8.6), is malformed.
+fn has_length(headers: &HeaderMap) -> Result<bool, HeadFault> {
+    match values(headers, &header::CONTENT_LENGTH) {
+        Values::None => Ok(false),
+        Values::One(length) if is_number(length.as_bytes()) => Ok(true),
+        Values::One(_) | Values::Several => Err(HeadFault::Length),
+    }
+}
+
+/// Whether a text is a number of decimal digits without a sign.
+fn is_number(text: &[u8]) -> bool {
+    let digits = text.iter().all(u8::is_ascii_digit);
+    digits && str::from_utf8(text).is_ok_and(|text| text.parse::<u64>().is_ok())
+}
+
 /// The values of a field, one for each of its lines.
 enum Values<'a> {
     None,
--- a/crates/core/tests/answer_heads.rs
+++ b/crates/core/tests/answer_heads.rs
@@ -7,6 +7,7 @@
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
+use http::header::CONTENT_LENGTH;
 use http::header::TRANSFER_ENCODING;
 
 /// A head with these fields.
@@ -59,3 +60,28 @@
         assert_eq!(found, Err(HeadFault::TransferCoding), "{second:?}");
     }
 }
+
+#[test]
+fn a_length_that_is_not_one_number_is_a_fault() {
+    let lengths: [&[u8]; 9] =
+        [b"", b"12x", b"-1", b"+2", b"0x2", b"2 2", b"2, 2", b"2, 3", b"18446744073709551616"];
+    for length in lengths {
+        for is_length_known in [false, true] {
+            let found = framing(&head(&[(&CONTENT_LENGTH, length)]), is_length_known);
+            assert_eq!(found, Err(HeadFault::Length), "{length:?}");
+        }
+    }
+    let twice = head(&[(&CONTENT_LENGTH, b"2"), (&CONTENT_LENGTH, b"2")]);
+    assert_eq!(framing(&twice, true), Err(HeadFault::Length));
+    assert_eq!(framing(&head(&[(&CONTENT_LENGTH, b"007")]), true), Ok(Framing::Length));
+}
+
+#[test]
+fn a_length_beside_chunks_is_a_fault() {
+    for is_length_known in [false, true] {
+        let both = head(&[(&CONTENT_LENGTH, b"2"), (&TRANSFER_ENCODING, b"chunked")]);
+        assert_eq!(framing(&both, is_length_known), Err(HeadFault::LengthBesideCoding));
+    }
+    let spoilt = head(&[(&TRANSFER_ENCODING, b"chunked"), (&CONTENT_LENGTH, b"12x")]);
+    assert_eq!(framing(&spoilt, false), Err(HeadFault::Length));
+}
--- a/crates/embedded/tests/unframed_answers.rs
+++ b/crates/embedded/tests/unframed_answers.rs
@@ -109,3 +109,15 @@
 fn assert_failed(outcome: Outcome) {
     assert_eq!(outcome.verdict(), Some("may-have-run"), "{outcome:?}");
 }
+
+/// Guards against a length beside chunks that reaches a caller with a body of another length.
+#[tokio::test]
+async fn an_answer_with_a_length_beside_its_chunks_is_not_forwarded() {
+    let answers: [&[u8]; 2] = [
+        b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ncontent-length: 2x\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+    ];
+    for answer in answers {
+        assert_failed(outcome(answer, Afterwards::ClosesConnection).await);
+    }
+}
