An answer with a status that no final answer has is not forwarded

What callers saw: status 101, 600 or 999 with the signature of a server. After 101 the connection is none of HTTP any more, and nobody had asked for that; statuses above 599 have no class (RFC 9110, section 15), and callers may take one for success.

Cause: the HTTP library gives 101 to its caller as an upgrade without a body, and accepts any three digits from 100 on. Nothing asked whether the status is one.

Change: `answer_heads::framing` takes the status, and accepts 200 to 599.

--- a/crates/core/src/direct/answer_heads.rs
+++ b/crates/core/src/direct/answer_heads.rs
@@ -7,16 +7,24 @@
 //! connection only, so whoever gets the body next does not learn of the coding.
 
 use std::fmt;
+use std::ops::Range;
 
 use hooktrestle_schema::Framing;
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
+use http::StatusCode;
 use http::header;
 
+/// Statuses of final answers (RFC 9110, section 15).
+const FINAL_STATUSES: Range<u16> = 200..600;
+
 /// Why an answer cannot be forwarded.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum HeadFault {
+    /// A status that no final answer has: nobody asked the server to switch protocols, and the class of
+    /// one above 599 is unknown.
+    Status,
     /// A transfer coding other than `chunked`, or more than one.
     TransferCoding,
     /// A length that is not one number.
@@ -28,6 +36,7 @@
 impl fmt::Display for HeadFault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            HeadFault::Status => write!(f, "the status is none of a final answer"),
             HeadFault::TransferCoding => {
                 write!(f, "the answer has a transfer coding other than chunked")
             }
@@ -41,15 +50,22 @@
 
 impl std::error::Error for HeadFault {}
 
-/// What delimits the body of an answer with these headers. The length of a body is known from its
+/// What delimits the body of an answer with this status and these headers. The length of a body is known from its
 /// head, or because there is none.
 ///
 /// # Errors
 ///
 /// The head is malformed.
-pub fn framing(headers: &HeaderMap, is_length_known: bool) -> Result<Framing, HeadFault> {
-    let is_chunked = is_chunked(headers)?;
-    if has_length(headers)? && is_chunked {
+pub fn framing(
+    status: StatusCode,
+    headers: &HeaderMap,
+    is_length_known: bool,
+) -> Result<Framing, HeadFault> {
+    if !FINAL_STATUSES.contains(&status.as_u16()) {
+        return Err(HeadFault::Status);
+    }
+    let (is_chunked, length) = (is_chunked(headers)?, length(headers)?);
+    if is_chunked && length.is_some() {
         return Err(HeadFault::LengthBesideCoding);
     }
     Ok(match (is_length_known, is_chunked) {
@@ -69,20 +85,21 @@
     }
 }
 
-/// Whether the head has a length. A list of equal lengths, which would have to be replaced by one of
+/// The length in the head, in bytes. A list of equal lengths, which would have to be replaced by one of
 /// them (RFC 9110, section 8.6), is malformed.
-fn has_length(headers: &HeaderMap) -> Result<bool, HeadFault> {
+fn length(headers: &HeaderMap) -> Result<Option<u64>, HeadFault> {
     match values(headers, &header::CONTENT_LENGTH) {
-        Values::None => Ok(false),
-        Values::One(length) if is_number(length.as_bytes()) => Ok(true),
-        Values::One(_) | Values::Several => Err(HeadFault::Length),
+        Values::None => Ok(None),
+        Values::One(length) => number(length).map(Some).ok_or(HeadFault::Length),
+        Values::Several => Err(HeadFault::Length),
     }
 }
 
-/// Whether a text is a number of decimal digits without a sign.
-fn is_number(text: &[u8]) -> bool {
-    let digits = text.iter().all(u8::is_ascii_digit);
-    digits && str::from_utf8(text).is_ok_and(|text| text.parse::<u64>().is_ok())
+/// A number of decimal digits without a sign.
+fn number(value: &HeaderValue) -> Option<u64> {
+    let text = value.to_str().ok()?;
+    let has_only_digits = text.bytes().all(|byte| byte.is_ascii_digit());
+    text.parse().ok().filter(|_| has_only_digits)
 }
 
 /// The values of a field, one for each of its lines.
--- a/crates/core/tests/answer_heads.rs
+++ b/crates/core/tests/answer_heads.rs
@@ -1,12 +1,13 @@
 //! Guards against answers whose body cannot be read and that are forwarded, and against sound ones that
 //! are not: by the fields that delimit the body.
 
+use hooktrestle_core::direct::answer_heads;
 use hooktrestle_core::direct::answer_heads::HeadFault;
-use hooktrestle_core::direct::answer_heads::framing;
 use hooktrestle_schema::Framing;
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
+use http::StatusCode;
 use http::header::CONTENT_LENGTH;
 use http::header::TRANSFER_ENCODING;
 
@@ -21,6 +22,10 @@
     })
 }
 
+fn framing(headers: &HeaderMap, is_length_known: bool) -> Result<Framing, HeadFault> {
+    answer_heads::framing(StatusCode::OK, headers, is_length_known)
+}
+
 fn with_codings(codings: &[&[u8]]) -> HeaderMap {
     head(&codings.iter().map(|coding| (&TRANSFER_ENCODING, *coding)).collect::<Vec<_>>())
 }
@@ -85,3 +90,13 @@
     let spoilt = head(&[(&TRANSFER_ENCODING, b"chunked"), (&CONTENT_LENGTH, b"12x")]);
     assert_eq!(framing(&spoilt, false), Err(HeadFault::Length));
 }
+
+#[test]
+fn a_status_that_no_final_answer_has_is_a_fault() {
+    for (code, is_sound) in [(101, false), (199, false), (200, true), (599, true), (600, false)] {
+        let status = StatusCode::from_u16(code).expect("a status");
+        let found = answer_heads::framing(status, &head(&[]), false);
+        let expected = if is_sound { Ok(Framing::Connection) } else { Err(HeadFault::Status) };
+        assert_eq!(found, expected, "{code}");
+    }
+}
--- a/crates/direct/src/bounded.rs
+++ b/crates/direct/src/bounded.rs
@@ -87,7 +87,7 @@
         })?;
         let (head, body) = answer.into_parts();
         let is_length_known = body.size_hint().exact().is_some();
-        let framing = answer_heads::framing(&head.headers, is_length_known)
+        let framing = answer_heads::framing(head.status, &head.headers, is_length_known)
             .map_err(RequestError::MalformedHead)?;
         let body = BoundedBody::begin(body, &self.allowance);
         Ok(ReceivedAnswer { head, body, framing })
--- a/crates/embedded/tests/unframed_answers.rs
+++ b/crates/embedded/tests/unframed_answers.rs
@@ -121,3 +121,30 @@
         assert_failed(outcome(answer, Afterwards::ClosesConnection).await);
     }
 }
+
+/// Guards against statuses that no final answer has.
+#[tokio::test]
+async fn an_answer_whose_status_does_not_fit_is_not_forwarded() {
+    let answers: [&[u8]; 3] = [
+        b"HTTP/1.1 000 OK\r\ncontent-length: 2\r\n\r\nab",
+        b"HTTP/1.1 101 OK\r\ncontent-length: 2\r\n\r\nab",
+        b"HTTP/1.1 600 OK\r\ncontent-length: 2\r\n\r\nab",
+    ];
+    for answer in answers {
+        assert_failed(outcome(answer, Afterwards::ClosesConnection).await);
+    }
+}
+
+/// Guards against a line that is no field and that reaches a caller, or is passed over.
+#[tokio::test]
+async fn an_answer_with_a_line_that_is_no_field_is_not_forwarded() {
+    let answers: [&[u8]; 4] = [
+        b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\nno field\r\n\r\nab",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\nx y: z\r\n\r\nab",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\nx\x01y: z\r\n\r\nab",
+        b"HTTP/1.1 200 OK\r\ncontent-length : 2\r\n\r\nab",
+    ];
+    for answer in answers {
+        assert_failed(outcome(answer, Afterwards::ClosesConnection).await);
+    }
+}
--- a/crates/hooktrestled/src/sidecar/run.rs
+++ b/crates/hooktrestled/src/sidecar/run.rs
@@ -325,7 +325,8 @@
 }
 
 fn framing(response: &Response) -> Result<Framing, HeadFault> {
-    answer_heads::framing(response.headers(), response.content_length().is_some())
+    let is_length_known = response.content_length().is_some();
+    answer_heads::framing(response.status(), response.headers(), is_length_known)
 }
 
 fn content(headers: &HeaderMap) -> Content {
