An answer that announces content behind status 204 is not forwarded

What callers saw: 204 with the signature of a server, complete and empty, where the server had sent content.

Cause: an answer with 204 has no content (RFC 9110, section 15.3.5), so the HTTP library reads none, whatever its head announces; such a head contradicts itself.

Change: `answer_heads::framing` rejects 204 with a transfer coding or a length above zero. A length of zero is accepted, as some servers send it. 304 may have both: they are those of the answer that it stands for.

--- a/crates/core/src/direct/answer_heads.rs
+++ b/crates/core/src/direct/answer_heads.rs
@@ -25,6 +25,8 @@
     /// A status that no final answer has: nobody asked the server to switch protocols, and the class of
     /// one above 599 is unknown.
     Status,
+    /// Content behind a status that excludes it.
+    UnexpectedContent,
     /// A transfer coding other than `chunked`, or more than one.
     TransferCoding,
     /// A length that is not one number.
@@ -37,6 +39,9 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             HeadFault::Status => write!(f, "the status is none of a final answer"),
+            HeadFault::UnexpectedContent => {
+                write!(f, "the head announces content, which the status excludes")
+            }
             HeadFault::TransferCoding => {
                 write!(f, "the answer has a transfer coding other than chunked")
             }
@@ -68,6 +73,10 @@
     if is_chunked && length.is_some() {
         return Err(HeadFault::LengthBesideCoding);
     }
+    // Some servers send a length of zero with this status.
+    if status == StatusCode::NO_CONTENT && (is_chunked || length.unwrap_or(0) > 0) {
+        return Err(HeadFault::UnexpectedContent);
+    }
     Ok(match (is_length_known, is_chunked) {
         (true, _) => Framing::Length,
         (false, true) => Framing::Chunks,
--- a/crates/core/tests/answer_heads.rs
+++ b/crates/core/tests/answer_heads.rs
@@ -100,3 +100,17 @@
         assert_eq!(found, expected, "{code}");
     }
 }
+
+#[test]
+fn content_behind_a_status_that_excludes_it_is_a_fault() {
+    let of =
+        |status, field: (&HeaderName, &[u8])| answer_heads::framing(status, &head(&[field]), true);
+    let [empty, sized] = [b"0", b"9"].map(|length| (&CONTENT_LENGTH, length.as_slice()));
+    let chunked = (&TRANSFER_ENCODING, b"chunked".as_slice());
+    assert_eq!(of(StatusCode::NO_CONTENT, empty), Ok(Framing::Length));
+    assert_eq!(of(StatusCode::NO_CONTENT, sized), Err(HeadFault::UnexpectedContent));
+    assert_eq!(of(StatusCode::NO_CONTENT, chunked), Err(HeadFault::UnexpectedContent));
+    // The fields are those of the answer with content that this status stands for.
+    assert_eq!(of(StatusCode::NOT_MODIFIED, sized), Ok(Framing::Length));
+    assert_eq!(of(StatusCode::NOT_MODIFIED, chunked), Ok(Framing::Length));
+}
--- a/crates/embedded/tests/unframed_answers.rs
+++ b/crates/embedded/tests/unframed_answers.rs
@@ -122,13 +122,14 @@
     }
 }
 
-/// Guards against statuses that no final answer has.
+/// Guards against statuses that no final answer has, and content that is lost behind one that excludes it.
 #[tokio::test]
 async fn an_answer_whose_status_does_not_fit_is_not_forwarded() {
-    let answers: [&[u8]; 3] = [
+    let answers: [&[u8]; 4] = [
         b"HTTP/1.1 000 OK\r\ncontent-length: 2\r\n\r\nab",
         b"HTTP/1.1 101 OK\r\ncontent-length: 2\r\n\r\nab",
         b"HTTP/1.1 600 OK\r\ncontent-length: 2\r\n\r\nab",
+        b"HTTP/1.1 204 OK\r\ncontent-length: 2\r\n\r\nab",
     ];
     for answer in answers {
         assert_failed(outcome(answer, Afterwards::ClosesConnection).await);
