A transaction whose answer has a malformed head is resolved, not reported as failed

What callers saw, on the embedded default: a transaction that the table service had committed was reported as one that "has not and will not" take effect, where its answer had a transfer coding other than chunked; and an object with such a head was read with the size lines of chunks in it.

Cause: the client of the platform's services took the body of any such answer for the content. The answer to a transaction failed to decode, and a malformed answer counts as a refusal, not as one that was lost.

Change: all calls of the client ask `answer_heads` for the framing first. A malformed head counts as an outage: the outcome of a transaction is then determined by its operation row.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use hooktrestle_core::direct::answer_heads;
 use hooktrestle_schema::Instance;
 use hooktrestle_schema::RowCheck;
 use hooktrestle_schema::RowWrite;
@@ -12,6 +13,7 @@
 use hooktrestle_schema::Transaction;
 use hooktrestle_schema::TransactionAnswer;
 use rand::RngExt;
+use reqwest::RequestBuilder;
 use reqwest::Response;
 use reqwest::StatusCode;
 use reqwest::header::ETAG;
@@ -155,8 +157,7 @@
     pub async fn put_object(&self, key: &str, bytes: Vec<u8>) -> Result<(), Error> {
         let what = format!("object {key}");
         let url = format!("{}/v1/objects/{key}", self.config.object_url);
-        let sent = self.http.put(url).body(bytes).send().await;
-        let response = sent.map_err(|error| Error::unreachable(&what, error))?;
+        let response = call(&what, self.http.put(url).body(bytes)).await?;
         require(&what, response.status())
     }
 
@@ -190,8 +191,7 @@
         if let Some(tag) = known_tag {
             request = request.header(IF_NONE_MATCH, tag);
         }
-        let sent = request.send().await;
-        let response = sent.map_err(|error| Error::unreachable(what, error))?;
+        let response = call(what, request).await?;
         if response.status() == StatusCode::NOT_MODIFIED {
             return Ok(Listing::Unchanged);
         }
@@ -218,15 +218,13 @@
     async fn send(&self, transaction: Transaction) -> Result<TransactionAnswer, Error> {
         let what = "transaction";
         let url = format!("{}/v1/transactions", self.config.table_url);
-        let sent = self.http.post(url).json(&transaction).send().await;
-        let response = sent.map_err(|error| Error::unreachable(what, error))?;
+        let response = call(what, self.http.post(url).json(&transaction)).await?;
         require(what, response.status())?;
         decode(what, response).await
     }
 
     async fn get(&self, what: &str, url: &str) -> Result<Option<Response>, Error> {
-        let sent = self.http.get(url).send().await;
-        let response = sent.map_err(|error| Error::unreachable(what, error))?;
+        let response = call(what, self.http.get(url)).await?;
         if response.status() == StatusCode::NOT_FOUND {
             return Ok(None);
         }
@@ -235,6 +233,16 @@
     }
 }
 
+/// Sends a call. An answer with a malformed head shows no more than none does.
+async fn call(what: &str, request: RequestBuilder) -> Result<Response, Error> {
+    let sent = request.send().await;
+    let response = sent.map_err(|error| Error::unreachable(what, error))?;
+    let is_length_known = response.content_length().is_some();
+    answer_heads::framing(response.status(), response.headers(), is_length_known)
+        .map_err(|fault| Error::malformed_head(what, fault))?;
+    Ok(response)
+}
+
 fn operation_guard(id: &str) -> (RowCheck, RowWrite) {
     let table = OPERATIONS_TABLE.to_owned();
     let check = RowCheck { table: table.clone(), key: id.to_owned(), version: 0 };
--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -4,6 +4,7 @@
 
 use std::fmt;
 
+use hooktrestle_core::direct::answer_heads::HeadFault;
 use hooktrestle_schema::RowCheck;
 
 /// A failed call.
@@ -16,6 +17,7 @@
 #[derive(Debug)]
 enum ErrorKind {
     Unreachable(reqwest::Error),
+    MalformedHead(HeadFault),
     Refused(u16),
     Malformed(String),
     Conflict(Vec<RowCheck>),
@@ -27,6 +29,10 @@
         Error { kind: ErrorKind::Unreachable(source), what: what.to_owned() }
     }
 
+    pub(crate) fn malformed_head(what: &str, fault: HeadFault) -> Error {
+        Error { kind: ErrorKind::MalformedHead(fault), what: what.to_owned() }
+    }
+
     pub(crate) fn refused(what: &str, status: u16) -> Error {
         Error { kind: ErrorKind::Refused(status), what: what.to_owned() }
     }
@@ -57,10 +63,12 @@
         }
     }
 
-    /// Whether a later call may succeed: the service was down, slow, or overloaded.
+    /// Whether a later call may succeed: the service was down, slow, overloaded, or in trouble.
     pub fn is_outage(&self) -> bool {
         match &self.kind {
-            ErrorKind::Unreachable(_) | ErrorKind::OutcomeUnknown => true,
+            ErrorKind::Unreachable(_) | ErrorKind::MalformedHead(_) | ErrorKind::OutcomeUnknown => {
+                true
+            }
             ErrorKind::Refused(status) => *status >= 500,
             ErrorKind::Malformed(_) | ErrorKind::Conflict(_) => false,
         }
@@ -77,6 +85,7 @@
                     "{what}: no answer ({source}); check the URL in [platform] and the service"
                 )
             }
+            ErrorKind::MalformedHead(fault) => write!(f, "{what}: malformed answer: {fault}"),
             ErrorKind::Refused(status) => write!(f, "{what}: refused with status {status}"),
             ErrorKind::OutcomeUnknown => {
                 write!(f, "{what}: answer lost, outcome unknown; read the rows back before a retry")
@@ -96,6 +105,7 @@
     fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
         match &self.kind {
             ErrorKind::Unreachable(source) => Some(source),
+            ErrorKind::MalformedHead(fault) => Some(fault),
             _ => None,
         }
     }
