An answer whose head has line ends of two kinds is not forwarded

What callers saw: 200, complete, with fields of the head in the body, where a line of the head lost its carriage return behind or before another line feed; or a stream without its first event, where the empty line behind the head was lost.

Cause: the HTTP library accepts a line feed alone as the end of a line (RFC 9112, section 2.2). An empty line may so appear within the head; and events, whose lines end with a line feed alone, are read as fields until their empty line.

Change: connections to servers, sidecars and the store check the bytes of each awaited head (`core::direct::line_ends`, `answer_stream`): the first line decides how all end. Heads with line feeds alone throughout are still accepted. A connection with another head fails, as at any head that cannot be parsed. The library neither refuses a lone line feed nor shows the bytes of a head, so this is code of our own.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -26,6 +26,7 @@
 //! - [`attempts`]: what follows an attempt: an answer, another attempt, or a refusal.
 //! - [`fingerprint`]: identifies retries of one request.
 //! - [`answer_heads`]: what delimits the body of an answer, and heads that are malformed.
+//! - [`line_ends`]: whether the lines of a head end in one way only.
 //! - [`answer_ends`]: whether an answer that has ended is complete.
 //! - [`overtaken`]: requests at a server that does not respond while others answer later ones.
 //! - [`truncated_answers`]: truncated answers, and requests that were at a server when it crashed.
@@ -62,6 +63,7 @@
 pub mod follow_calls;
 pub mod holders;
 pub mod level;
+pub mod line_ends;
 pub mod map_orders;
 pub mod members;
 pub mod outage;
--- a/crates/direct/src/bounded.rs
+++ b/crates/direct/src/bounded.rs
@@ -30,6 +30,8 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
+use crate::answer_stream::AwaitedHead;
+
 /// Maximum size of the head of a request to a listener that is not for callers.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
@@ -63,11 +65,16 @@
 pub struct RequestSender {
     sender: SendRequest<Full<Bytes>>,
     allowance: Allowance,
+    head: AwaitedHead,
 }
 
 impl RequestSender {
-    pub(crate) fn new(sender: SendRequest<Full<Bytes>>, allowance: Allowance) -> RequestSender {
-        RequestSender { sender, allowance }
+    pub(crate) fn new(
+        sender: SendRequest<Full<Bytes>>,
+        allowance: Allowance,
+        head: AwaitedHead,
+    ) -> RequestSender {
+        RequestSender { sender, allowance, head }
     }
 
     /// Sends a request, and waits for the head of its answer.
@@ -80,6 +87,7 @@
         request: Request<Full<Bytes>>,
     ) -> Result<ReceivedAnswer, RequestError> {
         self.allowance.begin_message();
+        self.head.begin();
         let answered = self.sender.try_send_request(request).await;
         let answer = answered.map_err(|mut error| match error.take_message() {
             Some(_) => RequestError::Unsent(error.into_error()),
--- a/crates/direct/src/dial.rs
+++ b/crates/direct/src/dial.rs
@@ -16,6 +16,8 @@
 use tokio::task::AbortHandle;
 use tokio::time;
 
+use crate::answer_stream::AnswerStream;
+use crate::answer_stream::AwaitedHead;
 use crate::bounded::RequestSender;
 
 /// Maximum time for which sent bytes or keep-alive probes may remain unacknowledged. A peer that is
@@ -63,13 +65,15 @@
     let mut builder = http1::Builder::new();
     builder.max_buf_size(MAX_HEAD_BYTES);
     let allowance = Allowance::new(MAX_HEAD_BYTES);
-    let stream = TokioIo::new(BoundedStream::new(stream, allowance.clone()));
+    let head = AwaitedHead::default();
+    let stream = BoundedStream::new(stream, allowance.clone());
+    let stream = TokioIo::new(AnswerStream::new(stream, head.clone()));
     let (sender, driver) = builder.handshake(stream).await.map_err(io::Error::other)?;
     let task = tokio::task::spawn_local(async move {
         // The request that waits for an answer on this connection receives the error.
         drop(driver.await);
     });
-    Ok((RequestSender::new(sender, allowance), task.abort_handle()))
+    Ok((RequestSender::new(sender, allowance, head), task.abort_handle()))
 }
 
 /// Sets the socket options that detect an unresponsive peer, on an opened or accepted connection.
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -32,6 +32,7 @@
 
 mod accept;
 pub mod admission_queue;
+mod answer_stream;
 mod arrivals;
 mod bodies;
 pub mod bounded;
--- a/crates/embedded/tests/unframed_answers.rs
+++ b/crates/embedded/tests/unframed_answers.rs
@@ -149,3 +149,15 @@
         assert_failed(outcome(answer, Afterwards::ClosesConnection).await);
     }
 }
+
+/// Guards against fields that count as content, and the reverse, as the head ends at another line.
+#[tokio::test]
+async fn a_sidecar_forwards_no_answer_with_line_ends_of_two_kinds() {
+    let answers: [&[u8]; 2] = [
+        b"HTTP/1.1 200 OK\r\nx: y\n\ncontent-length: 2\r\n\r\nab",
+        b"HTTP/1.1 200 OK\r\nx: y\r\nid: 0\ndata: a\n\nid: 1\ndata: b\n\n",
+    ];
+    for answer in answers {
+        assert_failed(outcome(answer, Afterwards::ClosesConnection).await);
+    }
+}
