Tests of malformed heads share what they assert

Each test of a kind of line repeated the same loop; they now call one assertion over all lines of that kind. Comments on is_length_known and on writes.

--- a/crates/core/src/direct/answer_heads.rs
+++ b/crates/core/src/direct/answer_heads.rs
@@ -55,8 +55,8 @@
 
 impl std::error::Error for HeadFault {}
 
-/// What delimits the body of an answer with this status and these headers. The length of a body is known from its
-/// head, or because there is none.
+/// What delimits the body of an answer with this status and these headers. `is_length_known` tells that the
+/// HTTP library knows the length of the body: from the head, or because there is no body.
 ///
 /// # Errors
 ///
--- a/crates/direct/src/answer_stream.rs
+++ b/crates/direct/src/answer_stream.rs
@@ -1,6 +1,6 @@
 //! The stream of a connection on which answers are read.
 //! Input: the bytes that a server sends, and when a request is sent to it. State: the line ends of the
-//! head that is awaited. Decides that the connection fails if they are of two kinds.
+//! head that is awaited. Decides that the connection fails if they are of two kinds. Writes pass through.
 
 use std::cell::Cell;
 use std::io;
--- a/crates/embedded/tests/unframed_answers.rs
+++ b/crates/embedded/tests/unframed_answers.rs
@@ -94,70 +94,64 @@
 /// Guards against the bytes of a transfer coding that reach a caller as content.
 #[tokio::test]
 async fn an_answer_with_a_transfer_coding_other_than_chunked_is_not_forwarded() {
-    let answers: [&[u8]; 4] = [
+    let answers: [&'static [u8]; 4] = [
         b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunkex\r\n\r\n2\r\nab\r\n0\r\n\r\n",
         b"HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
         b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked, chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
         b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ntransfer-encoding: gzip\r\n\r\n2\r\nab\r\n0\r\n\r\n",
     ];
-    for answer in answers {
-        assert_failed(outcome(answer, Afterwards::ClosesConnection).await);
-    }
+    assert_all_failed(answers).await;
 }
 
-/// Asserts that the caller learns that its request may have run, and gets nothing of the answer.
-fn assert_failed(outcome: Outcome) {
-    assert_eq!(outcome.verdict(), Some("may-have-run"), "{outcome:?}");
+/// Asserts that the caller of each answer learns that its request may have run, and gets nothing of the
+/// answer.
+async fn assert_all_failed<const N: usize>(answers: [&'static [u8]; N]) {
+    for answer in answers {
+        let outcome = outcome(answer, Afterwards::ClosesConnection).await;
+        assert_eq!(outcome.verdict(), Some("may-have-run"), "{outcome:?}");
+    }
 }
 
 /// Guards against a length beside chunks that reaches a caller with a body of another length.
 #[tokio::test]
 async fn an_answer_with_a_length_beside_its_chunks_is_not_forwarded() {
-    let answers: [&[u8]; 2] = [
+    let answers: [&'static [u8]; 2] = [
         b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
         b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ncontent-length: 2x\r\n\r\n2\r\nab\r\n0\r\n\r\n",
     ];
-    for answer in answers {
-        assert_failed(outcome(answer, Afterwards::ClosesConnection).await);
-    }
+    assert_all_failed(answers).await;
 }
 
 /// Guards against statuses that no final answer has, and content that is lost behind one that excludes it.
 #[tokio::test]
 async fn an_answer_whose_status_does_not_fit_is_not_forwarded() {
-    let answers: [&[u8]; 4] = [
+    let answers: [&'static [u8]; 4] = [
         b"HTTP/1.1 000 OK\r\ncontent-length: 2\r\n\r\nab",
         b"HTTP/1.1 101 OK\r\ncontent-length: 2\r\n\r\nab",
         b"HTTP/1.1 600 OK\r\ncontent-length: 2\r\n\r\nab",
         b"HTTP/1.1 204 OK\r\ncontent-length: 2\r\n\r\nab",
     ];
-    for answer in answers {
-        assert_failed(outcome(answer, Afterwards::ClosesConnection).await);
-    }
+    assert_all_failed(answers).await;
 }
 
 /// Guards against a line that is no field and that reaches a caller, or is passed over.
 #[tokio::test]
 async fn an_answer_with_a_line_that_is_no_field_is_not_forwarded() {
-    let answers: [&[u8]; 4] = [
+    let answers: [&'static [u8]; 4] = [
         b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\nno field\r\n\r\nab",
         b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\nx y: z\r\n\r\nab",
         b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\nx\x01y: z\r\n\r\nab",
         b"HTTP/1.1 200 OK\r\ncontent-length : 2\r\n\r\nab",
     ];
-    for answer in answers {
-        assert_failed(outcome(answer, Afterwards::ClosesConnection).await);
-    }
+    assert_all_failed(answers).await;
 }
 
 /// Guards against fields that count as content, and the reverse, as the head ends at another line.
 #[tokio::test]
 async fn a_sidecar_forwards_no_answer_with_line_ends_of_two_kinds() {
-    let answers: [&[u8]; 2] = [
+    let answers: [&'static [u8]; 2] = [
         b"HTTP/1.1 200 OK\r\nx: y\n\ncontent-length: 2\r\n\r\nab",
         b"HTTP/1.1 200 OK\r\nx: y\r\nid: 0\ndata: a\n\nid: 1\ndata: b\n\n",
     ];
-    for answer in answers {
-        assert_failed(outcome(answer, Afterwards::ClosesConnection).await);
-    }
+    assert_all_failed(answers).await;
 }
